--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Thin front door over CMake. BUILD names the build tree.
+BUILD ?= build
+SEED ?= 1
+MEASURE ?= all
+DEPLOYMENT ?= all
+BIN = $(BUILD)/bin
+
+.PHONY: all build install-packages test lint format demo bench load chaos \
+	sanitize proto
+
+all: build
+
+install-packages:
+	@.ci/install
+
+build:
+	@test -f $(BUILD)/build.ninja || cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD)
+
+test: install-packages build
+	@.ci/test $(BUILD)
+
+lint: install-packages build
+	@.ci/lint $(BUILD)
+
+format:
+	@git ls-files '*.c' '*.h' | grep -v '\.pb-c\.' | xargs clang-format -i
+
+# The same tests under the address and undefined-behaviour sanitizers.
+sanitize: install-packages
+	@cmake -S . -B build-asan -G Ninja -DLACEWING_SANITIZE=ON >/dev/null
+	@cmake --build build-asan
+	@.ci/test build-asan
+
+demo: install-packages build
+	@tests/demo.sh $(BIN)
+
+bench: install-packages build
+	@$(BIN)/lacewing-bench --seed $(SEED) --measure $(MEASURE) \
+		--deployment $(DEPLOYMENT)
+
+load: install-packages build
+	@tests/load.sh $(BIN)
+
+chaos: install-packages build
+	@$(BIN)/lacewing-chaos --seed $(SEED) --bin $(BIN)
+
+# Regenerates the committed code of the inner protocol.
+proto:
+	protoc-c --c_out=packages/wire/src -Ipackages/wire/proto \
+		packages/wire/proto/lacewing.proto
--- /dev/null
+++ b/packages/common/include/lacewing/counter.h
@@ -0,0 +1,81 @@
+/*
+ * counter.h: the process's own counters (prefix ct_).
+ *
+ * A fixed list of counters and gauges from CT_ITEMS, written as text for
+ * /metrics. Parts add; only the metrics page reads.
+ *
+ *     ct_add(CT_REQUESTS, 1);
+ *     g_autofree char *page = ct_query_text();
+ *
+ * Limits: one process-wide set, updated with relaxed atomics.
+ */
+#ifndef LACEWING_COUNTER_H
+#define LACEWING_COUNTER_H
+
+#include "lacewing/error.h"
+#include <stdint.h>
+
+/* code, name, kind, help */
+#define CT_ITEMS(X)                                                           \
+    X(CT_REQUESTS, "requests_total", "counter", "Requests accepted for work") \
+    X(CT_ANSWERED, "answered_total", "counter", "Requests answered whole")    \
+    X(CT_IN_TIME, "answered_in_time_total", "counter",                        \
+      "Requests answered before their deadline")                              \
+    X(CT_FORWARDED, "forwarded_total", "counter",                             \
+      "Requests sent on to the owner of a backend server")                    \
+    X(CT_RESUMED, "resumed_total", "counter", "Streams resumed elsewhere")    \
+    X(CT_HEDGED, "hedged_total", "counter", "Second attempts in parallel")    \
+    X(CT_CANCELLED, "cancelled_total", "counter", "Callers that left")        \
+    X(CT_TOKENS, "tokens_total", "counter", "Tokens passed to callers")       \
+    X(CT_PIECES_DROPPED, "pieces_dropped_total", "counter",                   \
+      "Late or doubled pieces dropped")                                       \
+    X(CT_FIRST_TOKEN_MS, "first_token_ms_total", "counter",                   \
+      "Sum of times to the first token")                                      \
+    X(CT_LOAD_WAIT_MS, "load_wait_ms_total", "counter",                       \
+      "Sum of times requests waited for an adapter load")                     \
+    X(CT_LOADS, "adapter_loads_total", "counter", "Adapter loads ordered")    \
+    X(CT_LOAD_FAILURES, "adapter_load_failures_total", "counter",             \
+      "Adapter loads that failed")                                            \
+    X(CT_EVICTIONS, "adapter_evictions_total", "counter",                     \
+      "Adapter evictions ordered")                                            \
+    X(CT_CLAIMS, "claims_total", "counter", "Claims written")                 \
+    X(CT_CLAIM_WRITES, "claim_writes_total", "counter",                       \
+      "Table transactions that carried claims or outcomes")                   \
+    X(CT_TABLE_READS, "table_reads_total", "counter", "Table reads")          \
+    X(CT_TABLE_WRITES, "table_writes_total", "counter", "Table writes")       \
+    X(CT_TABLE_FAILURES, "table_failures_total", "counter",                   \
+      "Table calls without a usable answer")                                  \
+    X(CT_LINK_BYTES_IN, "link_bytes_in_total", "counter",                     \
+      "Bytes received on links between daemons")                              \
+    X(CT_LINK_BYTES_OUT, "link_bytes_out_total", "counter",                   \
+      "Bytes sent on links between daemons")                                  \
+    X(CT_CONTROL_BYTES_OUT, "control_bytes_out_total", "counter",             \
+      "Control bytes sent on links between daemons")                          \
+    X(CT_FRAMES_REFUSED, "frames_refused_total", "counter",                   \
+      "Frames refused on links between daemons")                              \
+    X(CT_CONFIG_VERSION, "config_version", "gauge",                           \
+      "Configuration version in force")                                       \
+    X(CT_OPEN_REQUESTS, "open_requests", "gauge", "Requests in flight")       \
+    X(CT_OWNED_SERVERS, "owned_servers", "gauge",                             \
+      "Backend servers owned by this instance")                               \
+    X(CT_PEERS_READY, "peers_ready", "gauge", "Peers seen ready")
+
+typedef enum ct_item {
+#define CT_ENUM(code, name, kind, help) code,
+    CT_ITEMS(CT_ENUM)
+#undef CT_ENUM
+        CT_ITEM_NUM
+} ct_item;
+
+void ct_add(ct_item item, int64_t amount);
+void ct_set(ct_item item, int64_t value);
+/* Counts one refusal under its reason. */
+void ct_refused(er_code reason);
+
+/* queries */
+int64_t ct_query(ct_item item);
+int64_t ct_query_refused(er_code reason);
+/* The metrics page; the caller frees it with g_free(). */
+char *ct_query_text(void);
+
+#endif
--- /dev/null
+++ b/packages/common/include/lacewing/log.h
@@ -0,0 +1,90 @@
+/*
+ * log.h: structured logs (prefix lg_).
+ *
+ * One line an entry: time, level, the part's prefix, a short sentence from
+ * the item list, then key=value fields; JSON lines by choice. Items live in
+ * LG_ITEMS so that each line has one code and one text.
+ *
+ *     lg_setup(&(lg_desc){.level = LG_LEVEL_INFO, .json = true});
+ *     lg_write(LG_LINK_LOST, "peer", "2", "why", "timeout", NULL);
+ *
+ * Limits: lines go to standard error; not for use from several threads
+ * before lg_setup() has returned.
+ */
+#ifndef LACEWING_LOG_H
+#define LACEWING_LOG_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum lg_level {
+    LG_LEVEL_DEFAULT = 0, /* info */
+    LG_LEVEL_DEBUG,
+    LG_LEVEL_INFO,
+    LG_LEVEL_WARNING,
+    LG_LEVEL_ERROR,
+    LG_LEVEL_NUM
+} lg_level;
+
+/* code, level, part, text */
+#define LG_ITEMS(X)                                                           \
+    X(LG_STARTED, INFO, "daemon", "started")                                  \
+    X(LG_STOPPING, INFO, "daemon", "stopping")                                \
+    X(LG_STOP_WAITS, INFO, "daemon", "stop waits")                            \
+    X(LG_STOPPED, INFO, "daemon", "stopped")                                  \
+    X(LG_SETTINGS_REFUSED, ERROR, "daemon", "settings refused")               \
+    X(LG_LISTEN_FAILED, ERROR, "daemon", "cannot listen")                     \
+    X(LG_TLS_RELOADED, INFO, "daemon", "certificate reloaded")                \
+    X(LG_TLS_REFUSED, ERROR, "daemon", "certificate refused")                 \
+    X(LG_CALL_REFUSED, INFO, "caller", "request refused")                     \
+    X(LG_CALL_DONE, DEBUG, "caller", "request answered")                      \
+    X(LG_CALL_FAILED, WARNING, "caller", "request failed")                    \
+    X(LG_LINK_UP, INFO, "link", "connected")                                  \
+    X(LG_LINK_LOST, WARNING, "link", "connection lost")                       \
+    X(LG_FRAME_REFUSED, WARNING, "link", "frame refused")                     \
+    X(LG_PEER_READY, INFO, "peers", "peer ready")                             \
+    X(LG_PEER_LEAVING, INFO, "peers", "peer leaving")                         \
+    X(LG_PEER_DEAD, WARNING, "peers", "peer dead")                            \
+    X(LG_OWNER_TAKEN, INFO, "owner", "backend server taken over")             \
+    X(LG_OWNER_LOST, WARNING, "owner", "backend server lost")                 \
+    X(LG_OWNER_HANDED, INFO, "owner", "backend server handed over")           \
+    X(LG_SERVER_FAILED, WARNING, "owner", "backend server failed")            \
+    X(LG_SERVER_RESTARTED, WARNING, "owner", "backend server restarted")      \
+    X(LG_SERVER_LEAVING, INFO, "owner", "backend server leaving")             \
+    X(LG_LOAD_STARTED, DEBUG, "owner", "adapter load started")                \
+    X(LG_LOAD_FAILED, WARNING, "owner", "adapter load failed")                \
+    X(LG_CLAIM_FAILED, WARNING, "claims", "claim not written")                \
+    X(LG_OUTCOME_KEPT, DEBUG, "claims", "outcome written")                    \
+    X(LG_PLATFORM_DOWN, WARNING, "platform", "table not reachable")           \
+    X(LG_PLATFORM_UP, INFO, "platform", "table reachable again")              \
+    X(LG_CONFIG_IN_FORCE, INFO, "config", "version in force")                 \
+    X(LG_CONFIG_REFUSED, WARNING, "config", "change refused")                 \
+    X(LG_CONFIG_ACCEPTED, INFO, "config", "change accepted")                  \
+    X(LG_POISON, WARNING, "poison", "request convicted")                      \
+    X(LG_ADMIN_CALL, INFO, "admin", "call")                                   \
+    X(LG_STANDIN, INFO, "stand-in", "event")
+
+typedef enum lg_item {
+#define LG_ENUM(code, level, part, text) code,
+    LG_ITEMS(LG_ENUM)
+#undef LG_ENUM
+        LG_ITEM_NUM
+} lg_item;
+
+typedef struct lg_desc {
+    lg_level level;       /* least level written; default info */
+    bool json;            /* JSON lines in place of key=value */
+    const char *instance; /* name added to each line; default none */
+} lg_desc;
+
+void lg_setup(const lg_desc *desc);
+void lg_shutdown(void);
+bool lg_is_valid(void);
+
+/* Writes one entry; pairs of key and value follow, closed with NULL. */
+void lg_write(lg_item item, ...) __attribute__((sentinel));
+
+/* Level of a name ("debug"...); LG_LEVEL_NUM when it is not one. */
+lg_level lg_query_level(const char *name);
+
+#endif
--- /dev/null
+++ b/packages/common/src/log.c
@@ -0,0 +1,148 @@
+#include "lacewing/log.h"
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct _lg_entry {
+    lg_level level;
+    const char *part;
+    const char *text;
+} _lg_entry;
+
+static const _lg_entry _lg_entries[LG_ITEM_NUM] = {
+#define LG_ENTRY(code, level, part, text)                                     \
+    [code] = {LG_LEVEL_##level, part, text},
+    LG_ITEMS(LG_ENTRY)
+#undef LG_ENTRY
+};
+
+static const char *const _lg_level_names[LG_LEVEL_NUM] = {
+    [LG_LEVEL_DEFAULT] = "info", [LG_LEVEL_DEBUG] = "debug",
+    [LG_LEVEL_INFO] = "info",    [LG_LEVEL_WARNING] = "warning",
+    [LG_LEVEL_ERROR] = "error",
+};
+
+static struct {
+    bool valid;
+    lg_level level;
+    bool json;
+    char instance[64];
+} _lg;
+
+void
+lg_setup(const lg_desc *desc)
+{
+    _lg.valid = true;
+    _lg.level = desc->level ? desc->level : LG_LEVEL_INFO;
+    _lg.json = desc->json;
+    g_strlcpy(_lg.instance, desc->instance ? desc->instance : "",
+              sizeof(_lg.instance));
+}
+
+void
+lg_shutdown(void)
+{
+    memset(&_lg, 0, sizeof(_lg));
+}
+
+bool
+lg_is_valid(void)
+{
+    return _lg.valid;
+}
+
+lg_level
+lg_query_level(const char *name)
+{
+    for (uint32_t i = LG_LEVEL_DEBUG; i < LG_LEVEL_NUM; i++) {
+        if (name && strcmp(name, _lg_level_names[i]) == 0) {
+            return (lg_level)i;
+        }
+    }
+    return LG_LEVEL_NUM;
+}
+
+static void
+_lg_json_string(GString *line, const char *key, const char *value)
+{
+    g_autoptr(JsonNode) node = json_node_new(JSON_NODE_VALUE);
+    json_node_set_string(node, value);
+    g_autofree char *quoted = json_to_string(node, FALSE);
+    g_string_append_printf(line, "%s\"%s\":%s", line->len > 1 ? "," : "", key,
+                           quoted);
+}
+
+static void
+_lg_plain_field(GString *line, const char *key, const char *value)
+{
+    if (strpbrk(value, " \"=\n")) {
+        g_autofree char *escaped = g_strescape(value, NULL);
+        g_string_append_printf(line, " %s=\"%s\"", key, escaped);
+    }
+    else {
+        g_string_append_printf(line, " %s=%s", key, value);
+    }
+}
+
+static void
+_lg_fields(GString *line, va_list args)
+{
+    const char *key;
+    while ((key = va_arg(args, const char *))) {
+        const char *value = va_arg(args, const char *);
+        if (!value) {
+            break;
+        }
+        if (_lg.json) {
+            _lg_json_string(line, key, value);
+        }
+        else {
+            _lg_plain_field(line, key, value);
+        }
+    }
+}
+
+static void
+_lg_head(GString *line, const _lg_entry *entry)
+{
+    g_autoptr(GDateTime) now = g_date_time_new_now_utc();
+    g_autofree char *stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
+    const char *level = _lg_level_names[entry->level];
+    if (_lg.json) {
+        g_string_append_c(line, '{');
+        _lg_json_string(line, "time", stamp);
+        _lg_json_string(line, "level", level);
+        _lg_json_string(line, "part", entry->part);
+        _lg_json_string(line, "text", entry->text);
+    }
+    else {
+        g_string_append_printf(line, "%s %s %s: %s", stamp, level, entry->part,
+                               entry->text);
+    }
+}
+
+void
+lg_write(lg_item item, ...)
+{
+    const _lg_entry *entry = &_lg_entries[item];
+    if (!_lg.valid || entry->level < _lg.level) {
+        return;
+    }
+    g_autoptr(GString) line = g_string_new(NULL);
+    _lg_head(line, entry);
+    if (_lg.instance[0] && _lg.json) {
+        _lg_json_string(line, "instance", _lg.instance);
+    }
+    else if (_lg.instance[0]) {
+        _lg_plain_field(line, "instance", _lg.instance);
+    }
+    va_list args;
+    va_start(args, item);
+    _lg_fields(line, args);
+    va_end(args);
+    g_string_append(line, _lg.json ? "}\n" : "\n");
+    fwrite(line->str, 1, line->len, stderr);
+}
