Control: interfaces of ownership, claims, configuration chain, membership, weight share

The daemon's tasks need the seam before the machines are written: typed events and the time in, typed actions out, table calls as data (control.h). Ruled out: callbacks into the platform client, which would bring its loop into tests in virtual time. Headers compile alone; no machine runs yet, nothing measured.

--- /dev/null
+++ b/packages/control/include/lacewing/claims.h
@@ -0,0 +1,197 @@
+/*
+ * claims.h: operations that run at most once (prefix cl_).
+ *
+ * Each (team, idempotency key) has one row in the table,
+ *
+ *   claim/TEAM/KEY   attempt, instance, incarnation, hash of the body,
+ *                    state (claimed, done, unknown, not_sent), outcome
+ *
+ * and only the daemon whose attempt the row names sends the operation, once.
+ * A claim has no expiry and is never taken over. The one exception is a row
+ * that its own claimer marked not_sent: the claimer has given the attempt up
+ * and never sends it, so a resend may write its own attempt over that row.
+ *
+ *     cl_claim claim = cl_make_claim(cl, now_us, &(cl_claim_desc){
+ *         .tag = 7, .team = "t", .key = "k", .body_hash = sha256,
+ *         .deadline_us = now_us + 2000000});
+ *     ... CL_ACTION_SEND: send the operation ...
+ *     cl_finish(cl, now_us, claim, CL_RESULT_DONE, 200, "{...}");
+ *     ... CL_ACTION_ANSWER: answer the caller ...
+ *
+ * Every claim ends by exactly one CL_ACTION_ANSWER. CL_ACTION_SEND comes
+ * before it at most once, and then the answer comes only after cl_finish()
+ * or the deadline. `ran` in an answer is CL_RAN_NO only where it is certain
+ * that this attempt never runs.
+ *
+ * Claims and outcomes are group committed: one transaction at a time carries
+ * all that have come together; a row whose condition fails is taken out and
+ * the rest goes again at once. Outcomes wait for company up to
+ * outcome_linger_ms, claims only up to claim_linger_ms.
+ *
+ * Table down: while calls fail, a new claim is refused at once with
+ * ER_PLATFORM_DOWN, CL_RAN_NO and a time to come back. A claim whose commit
+ * stays without an answer is given up, never sent, and marked not_sent as
+ * soon as the table answers, so that a resend can go on.
+ *
+ * commands:  cl_create cl_destroy cl_make_claim cl_finish cl_leave cl_feed
+ *            cl_next_action
+ * queries:   cl_query_wakeup_us cl_query_open_count cl_query_unwritten_count
+ *            cl_query_table_down cl_query_claim_state cl_query_stats
+ *
+ * Limits: see control.h; an outcome holds at most CL_OUTCOME_BYTES; keys are
+ * at most CL_KEY_BYTES; any bytes but NUL are allowed in a key.
+ */
+#ifndef LACEWING_CLAIMS_H
+#define LACEWING_CLAIMS_H
+
+#include "lacewing/control.h"
+
+#define CL_OUTCOME_BYTES (256 * 1024)
+#define CL_KEY_BYTES 256
+
+/* Slot and generation; 0 is never valid. */
+typedef struct cl_claim {
+    uint64_t id;
+} cl_claim;
+
+typedef enum cl_claim_state {
+    CL_STATE_INITIAL = 0, /* no such claim */
+    CL_STATE_ALLOC,       /* the row is not agreed yet */
+    CL_STATE_VALID,       /* ours: sent or about to be */
+    CL_STATE_FAILED,      /* answered; its row is being settled */
+    CL_STATE_NUM
+} cl_claim_state;
+
+typedef struct cl_desc {
+    const char *instance;        /* required */
+    uint64_t incarnation;        /* required */
+    uint64_t seed;               /* default 1 */
+    uint32_t claim_capacity;     /* open at once; default 65536 */
+    uint32_t batch_ops;          /* rows in a transaction; default 64 */
+    uint32_t claim_linger_ms;    /* default 0 */
+    uint32_t outcome_linger_ms;  /* default 200 */
+    uint32_t give_up_ms;         /* longest wait for the claim's row;
+                                    default 1500 */
+    uint32_t probe_ms;           /* between trials while the table is down;
+                                    default 500 */
+    uint32_t poll_ms;            /* between reads of another's running claim;
+                                    default 100 */
+    uint32_t retry_after_ms;     /* told to refused callers; default 1000 */
+    bool unsafe_send_on_timeout; /* tests only: sends though the claim's
+                                    commit has no answer */
+    bool unsafe_take_over;       /* tests only: takes a dead claimer's row */
+    bool unsafe_any_version;     /* tests only: claims without a condition */
+    bool no_group;               /* one transaction for each row, to compare */
+} cl_desc;
+
+typedef struct cl_claim_desc {
+    uint64_t tag;          /* comes back in each action on it */
+    const char *team;      /* required */
+    const char *key;       /* required: the caller's idempotency key */
+    const char *body_hash; /* required: SHA-256 in hex of operation and body */
+    uint64_t deadline_us;  /* the caller waits no longer; default: 30 s */
+} cl_claim_desc;
+
+/* What became of an attempt that CL_ACTION_SEND asked for. */
+typedef enum cl_result {
+    CL_RESULT_DEFAULT = 0, /* unknown */
+    CL_RESULT_UNKNOWN,     /* sent; no whole answer came */
+    CL_RESULT_DONE,        /* the service answered: status and body */
+    CL_RESULT_NOT_SENT,    /* certain: not a byte reached the service and
+                              none will */
+    CL_RESULT_NUM
+} cl_result;
+
+typedef enum cl_ran {
+    CL_RAN_NO = 0, /* certain */
+    CL_RAN_YES,
+    CL_RAN_UNKNOWN,
+    CL_RAN_NUM
+} cl_ran;
+
+typedef enum cl_event_type {
+    CL_EVENT_DEFAULT = 0, /* refused */
+    /* Time has passed. Fields: none. */
+    CL_EVENT_TICK,
+    /* A table call has ended. Fields: table. */
+    CL_EVENT_TABLE,
+    /* A daemon's incarnation is there, or is gone. Fields: instance,
+       incarnation, alive. */
+    CL_EVENT_PEER,
+    CL_EVENT_NUM
+} cl_event_type;
+
+typedef struct cl_event {
+    cl_event_type type;
+    const co_table_result *table;
+    const char *instance;
+    uint64_t incarnation;
+    bool alive;
+} cl_event;
+
+typedef enum cl_action_type {
+    CL_ACTION_DEFAULT = 0,
+    /* Make a call of the table. Fields: table. */
+    CL_ACTION_TABLE,
+    /* Send the operation, once. Fields: claim, tag, attempt. */
+    CL_ACTION_SEND,
+    /* Answer the caller. Fields: claim, tag, code, ran, retry_after_ms;
+       with code ER_OK: status and outcome of the service, and replayed (from
+       the row, run by an earlier attempt). */
+    CL_ACTION_ANSWER,
+    CL_ACTION_NUM
+} cl_action_type;
+
+typedef struct cl_action {
+    cl_action_type type;
+    co_table_call table;
+    cl_claim claim;
+    uint64_t tag;
+    const char *attempt; /* unique among all attempts ever */
+    er_code code;
+    cl_ran ran;
+    uint32_t retry_after_ms;
+    uint32_t status; /* HTTP status of the service's answer */
+    const char *outcome;
+    bool replayed;
+} cl_action;
+
+typedef struct cl_stats {
+    uint64_t claims;       /* rows claimed by this instance */
+    uint64_t outcomes;     /* outcomes written */
+    uint64_t transactions; /* commits asked for */
+    uint64_t reads;        /* reads asked for */
+    uint64_t conflicts;    /* rows taken out of a transaction */
+    uint64_t refused;      /* refused at once, table down */
+    uint64_t abandoned;    /* given up without an answer of the table */
+} cl_stats;
+
+typedef struct cl_machine cl_machine;
+
+cl_machine *cl_create(const cl_desc *desc);
+void cl_destroy(cl_machine *cl);
+/* Takes in one operation. Id 0 with a full pool or a bad field, and then no
+   action follows (answer ER_POOL_FULL or ER_BAD_REQUEST as not run). */
+cl_claim cl_make_claim(cl_machine *cl, uint64_t now_us,
+                       const cl_claim_desc *desc);
+/* Ends the attempt that CL_ACTION_SEND asked for. status and outcome only
+   with CL_RESULT_DONE. ER_STALE when the claim was not sent or has ended. */
+er_code cl_finish(cl_machine *cl, uint64_t now_us, cl_claim claim,
+                  cl_result result, uint32_t status, const char *outcome);
+/* The caller has left: no answer is wanted. A sent attempt goes on and its
+   outcome is kept; one not yet sent is given up. */
+er_code cl_leave(cl_machine *cl, uint64_t now_us, cl_claim claim);
+er_code cl_feed(cl_machine *cl, uint64_t now_us, const cl_event *event);
+bool cl_next_action(cl_machine *cl, cl_action *action);
+
+/* queries */
+uint64_t cl_query_wakeup_us(const cl_machine *cl);
+/* Claims whose caller has no answer yet. */
+uint32_t cl_query_open_count(const cl_machine *cl);
+/* Outcomes and not_sent marks still to be written; a stop waits for 0. */
+uint32_t cl_query_unwritten_count(const cl_machine *cl);
+bool cl_query_table_down(const cl_machine *cl);
+cl_claim_state cl_query_claim_state(const cl_machine *cl, cl_claim claim);
+cl_stats cl_query_stats(const cl_machine *cl);
+
+#endif
--- a/packages/wire/src/lacewing.pb-c.c
+++ b/packages/wire/src/lacewing.pb-c.c
@@ -978,7 +978,7 @@
   (ProtobufCMessageInit) lacewing__heartbeat_peer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__heartbeat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lacewing__heartbeat__field_descriptors[8] =
 {
   {
     "sequence",
@@ -1052,10 +1052,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Heartbeat, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ack_incarnation",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Heartbeat, ack_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__heartbeat__field_indices_by_name[] = {
+  7,   /* field[7] = ack_incarnation */
   5,   /* field[5] = ack_sequence */
   2,   /* field[2] = config_version */
+  6,   /* field[6] = incarnation */
   4,   /* field[4] = leaving_servers */
   3,   /* field[3] = peers */
   0,   /* field[0] = sequence */
@@ -1064,7 +1090,7 @@
 static const ProtobufCIntRange lacewing__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lacewing__heartbeat__descriptor =
 {
@@ -1074,7 +1100,7 @@
   "Lacewing__Heartbeat",
   "lacewing",
   sizeof(Lacewing__Heartbeat),
-  6,
+  8,
   lacewing__heartbeat__field_descriptors,
   lacewing__heartbeat__field_indices_by_name,
   1,  lacewing__heartbeat__number_ranges,
@@ -1119,7 +1145,7 @@
   (ProtobufCMessageInit) lacewing__config_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__config_text__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lacewing__config_text__field_descriptors[3] =
 {
   {
     "version",
@@ -1145,15 +1171,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__ConfigText, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__config_text__field_indices_by_name[] = {
+  2,   /* field[2] = snapshot */
   1,   /* field[1] = text */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange lacewing__config_text__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor lacewing__config_text__descriptor =
 {
@@ -1163,7 +1202,7 @@
   "Lacewing__ConfigText",
   "lacewing",
   sizeof(Lacewing__ConfigText),
-  2,
+  3,
   lacewing__config_text__field_descriptors,
   lacewing__config_text__field_indices_by_name,
   1,  lacewing__config_text__number_ranges,
@@ -1363,7 +1402,7 @@
   (ProtobufCMessageInit) lacewing__server_summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__ownership__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lacewing__ownership__field_descriptors[4] =
 {
   {
     "server",
@@ -1401,8 +1440,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "drained",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Ownership, drained),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__ownership__field_indices_by_name[] = {
+  3,   /* field[3] = drained */
   2,   /* field[2] = fence */
   1,   /* field[1] = instance */
   0,   /* field[0] = server */
@@ -1410,7 +1462,7 @@
 static const ProtobufCIntRange lacewing__ownership__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lacewing__ownership__descriptor =
 {
@@ -1420,7 +1472,7 @@
   "Lacewing__Ownership",
   "lacewing",
   sizeof(Lacewing__Ownership),
-  3,
+  4,
   lacewing__ownership__field_descriptors,
   lacewing__ownership__field_indices_by_name,
   1,  lacewing__ownership__number_ranges,
@@ -2019,7 +2071,7 @@
   (ProtobufCMessageInit) lacewing__credit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__loan_ask__field_descriptors[1] =
+static const ProtobufCFieldDescriptor lacewing__loan_ask__field_descriptors[2] =
 {
   {
     "loads_per_s_milli",
@@ -2033,14 +2085,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__LoanAsk, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__loan_ask__field_indices_by_name[] = {
   0,   /* field[0] = loads_per_s_milli */
+  1,   /* field[1] = number */
 };
 static const ProtobufCIntRange lacewing__loan_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor lacewing__loan_ask__descriptor =
 {
@@ -2050,14 +2115,14 @@
   "Lacewing__LoanAsk",
   "lacewing",
   sizeof(Lacewing__LoanAsk),
-  1,
+  2,
   lacewing__loan_ask__field_descriptors,
   lacewing__loan_ask__field_indices_by_name,
   1,  lacewing__loan_ask__number_ranges,
   (ProtobufCMessageInit) lacewing__loan_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__loan_grant__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lacewing__loan_grant__field_descriptors[3] =
 {
   {
     "loads_per_s_milli",
@@ -2083,15 +2148,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__LoanGrant, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__loan_grant__field_indices_by_name[] = {
   1,   /* field[1] = duration_ms */
   0,   /* field[0] = loads_per_s_milli */
+  2,   /* field[2] = number */
 };
 static const ProtobufCIntRange lacewing__loan_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor lacewing__loan_grant__descriptor =
 {
@@ -2101,7 +2179,7 @@
   "Lacewing__LoanGrant",
   "lacewing",
   sizeof(Lacewing__LoanGrant),
-  2,
+  3,
   lacewing__loan_grant__field_descriptors,
   lacewing__loan_grant__field_indices_by_name,
   1,  lacewing__loan_grant__number_ranges,
--- a/packages/wire/src/lacewing.pb-c.h
+++ b/packages/wire/src/lacewing.pb-c.h
@@ -110,10 +110,18 @@
    * last heartbeat seen from the other end
    */
   uint64_t ack_sequence;
+  /*
+   * of the sender
+   */
+  uint64_t incarnation;
+  /*
+   * of the other end, whose ack_sequence it is
+   */
+  uint64_t ack_incarnation;
 };
 #define LACEWING__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__heartbeat__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Lacewing__ConfigFetch
@@ -134,10 +142,14 @@
   ProtobufCMessage base;
   uint64_t version;
   char *text;
+  /*
+   * the whole configuration, not one change
+   */
+  protobuf_c_boolean snapshot;
 };
 #define LACEWING__CONFIG_TEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__config_text__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Lacewing__ServerChange
@@ -182,10 +194,14 @@
   char *server;
   char *instance;
   uint64_t fence;
+  /*
+   * the sender, owner under this fence before, has
+   */
+  protobuf_c_boolean drained;
 };
 #define LACEWING__OWNERSHIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__ownership__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Lacewing__Suspect
@@ -311,10 +327,14 @@
 {
   ProtobufCMessage base;
   uint32_t loads_per_s_milli;
+  /*
+   * comes back in the grant
+   */
+  uint64_t number;
 };
 #define LACEWING__LOAN_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__loan_ask__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Lacewing__LoanGrant
@@ -322,10 +342,14 @@
   ProtobufCMessage base;
   uint32_t loads_per_s_milli;
   uint32_t duration_ms;
+  /*
+   * of the ask
+   */
+  uint64_t number;
 };
 #define LACEWING__LOAN_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__loan_grant__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 typedef enum {
