Configuration as a checked, typed, shared object; edits, differences, findings

Cause: the daemon, the tool and the administration API need one place that reads a deployment's INI document, refuses what cannot be and changes it by small edits.

Ways weighed: (a) parse the whole document for every version; (b) keep one checked entry a group, shared between versions, and check again only the groups that an edit names plus the names between groups. (b) was taken.

--- /dev/null
+++ b/packages/config/src/query.c
@@ -0,0 +1,146 @@
+/* Look-ups of a configuration. */
+#include "document.h"
+
+#include <string.h>
+
+/* -- groups that stand once ----------------------------------------------- */
+
+const dc_deployment *
+dc_query_deployment(const dc_config *config)
+{
+    return &dc_document_query_nth(config, DC_DEPLOYMENT, 0)->as.deployment;
+}
+
+const dc_limits *
+dc_query_limits(const dc_config *config)
+{
+    return &dc_document_query_nth(config, DC_LIMITS, 0)->as.limits;
+}
+
+const dc_tolerances *
+dc_query_tolerances(const dc_config *config)
+{
+    return &dc_document_query_nth(config, DC_TOLERANCES, 0)->as.tolerances;
+}
+
+/* -- families: by name and by position ------------------------------------ */
+
+#define DC_LOOKUPS(kind, field)                                               \
+    const dc_##field *dc_query_##field(const dc_config *config,               \
+                                       const char *name)                      \
+    {                                                                         \
+        const dc_entry *entry = dc_document_query_named(config, kind, name);  \
+        return entry ? &entry->as.field : NULL;                               \
+    }                                                                         \
+    const dc_##field *dc_query_##field##_at(const dc_config *config,          \
+                                            uint32_t at)                      \
+    {                                                                         \
+        return &dc_document_query_nth(config, kind, at)->as.field;            \
+    }
+
+DC_LOOKUPS(DC_ZONE, zone)
+DC_LOOKUPS(DC_SERVER, server)
+DC_LOOKUPS(DC_MODEL, model)
+DC_LOOKUPS(DC_TEAM, team)
+DC_LOOKUPS(DC_ADAPTER, adapter)
+DC_LOOKUPS(DC_OPERATION, operation)
+
+/* -- keys and adapters ---------------------------------------------------- */
+
+const dc_key *
+dc_query_secret(const dc_config *config, const char *secret)
+{
+    g_autofree char *hash =
+        g_compute_checksum_for_string(G_CHECKSUM_SHA256, secret, -1);
+    return dc_query_key(config, hash);
+}
+
+static const char *
+_dc_version_of(const dc_adapter *adapter, const char *version)
+{
+    for (char **known = adapter->versions; *known; known++) {
+        if (strcmp(*known, version) == 0) {
+            return *known;
+        }
+    }
+    return NULL;
+}
+
+bool
+dc_query_adapter_has(const dc_adapter *adapter, const char *version)
+{
+    return _dc_version_of(adapter, version) != NULL;
+}
+
+static const char *
+_dc_version_by_share(const dc_adapter *adapter, uint32_t point)
+{
+    uint32_t passed = 0;
+    for (uint32_t i = 0; i < adapter->version_count; i++) {
+        passed += adapter->share_pct[i];
+        if (point < passed) {
+            return adapter->versions[i];
+        }
+    }
+    return adapter->versions[adapter->version_count - 1];
+}
+
+er_code
+dc_query_resolve(const dc_config *config, const char *name, uint32_t point,
+                 const dc_adapter **adapter, const char **version,
+                 er_status *status)
+{
+    g_assert(point < DC_SHARE_TOTAL_PCT);
+    const char *at = strchr(name, '@');
+    g_autofree char *base = at ? g_strndup(name, (gsize)(at - name)) : NULL;
+    *adapter = dc_query_adapter(config, base ? base : name);
+    if (!*adapter) {
+        return er_set(status, ER_UNKNOWN_MODEL, "no adapter %s",
+                      base ? base : name);
+    }
+    *version = at ? _dc_version_of(*adapter, at + 1)
+                  : _dc_version_by_share(*adapter, point);
+    if (!*version) {
+        return er_set(status, ER_UNKNOWN_MODEL, "adapter %s has no version %s",
+                      base, at + 1);
+    }
+    return ER_OK;
+}
+
+/* -- the document as text ------------------------------------------------- */
+
+const char *
+dc_query_value(const dc_config *config, const char *group, const char *key)
+{
+    const dc_entry *entry = dc_document_query_entry(config, group);
+    return entry ? dc_entry_query_value(entry, key) : NULL;
+}
+
+bool
+dc_query_has_group(const dc_config *config, const char *group)
+{
+    return dc_document_query_entry(config, group) != NULL;
+}
+
+/* An empty group of a family is written; one that stands once is not. */
+static void
+_dc_write_entry(const dc_entry *entry, GKeyFile *file)
+{
+    for (char **pair = entry->pairs; *pair; pair += 2) {
+        g_key_file_set_string(file, entry->group, pair[0], pair[1]);
+    }
+    if (!entry->pairs[0] && *entry->name) {
+        g_key_file_set_string(file, entry->group, "name", "");
+        g_key_file_remove_key(file, entry->group, "name", NULL);
+    }
+}
+
+char *
+dc_query_text(const dc_config *config)
+{
+    g_autoptr(GKeyFile) file = g_key_file_new();
+    for (uint32_t i = 0; i < dc_document_query_entries(config); i++) {
+        _dc_write_entry(dc_document_query_entry_at(config, i), file);
+    }
+    return g_key_file_to_data(file, NULL, NULL);
+}
