Decisions: a working policy behind the seam

Pools of typed ids with generations, pending queues by adapter from which a server with a free slot takes the best, loads within a token bucket and a bound in transit, eviction of idle copies only, sending, finishing, retries with a budget, refusals, forwards, summaries, ejection of slow servers, suspects. One module a part. Pending work stands with its adapter and not with a server (weighed: a queue for each server, filled at arrival), so that a slow server takes less by itself and nothing has to be moved when a copy comes or goes.

--- /dev/null
+++ b/packages/decisions/src/admission.c
@@ -0,0 +1,160 @@
+#include "admission.h"
+
+#include "lengths.h"
+
+#define _AM_TOKEN_US 34000      /* expected time of one token */
+#define _AM_PROMPT_TOKEN_US 250 /* expected prefill of one token */
+#define _AM_SHARE_SLACK 1.25    /* times its share that a team may hold */
+#define _AM_SHARE_WAIT_MS 300   /* shares count when work waits so long */
+#define _AM_RETRIES_SAVED 64.0  /* most that the budget holds */
+#define _AM_RETRY_AFTER_MIN_MS 100
+#define _AM_RETRY_AFTER_MAX_MS 30000
+
+/* -- teams ---------------------------------------------------------------- */
+
+static dp_team *
+_am_team(dp_policy *policy, uint32_t team)
+{
+    return &policy->teams[rd_mix(team) % DP_TEAMS];
+}
+
+void
+am_enter(dp_policy *policy, dp_request *request, uint32_t team_weight)
+{
+    dp_team *team = _am_team(policy, request->team);
+    uint32_t weight = team_weight ? team_weight : 1;
+    if (team->requests > 0) {
+        policy->teams_weight -= team->weight;
+    }
+    team->weight = weight;
+    policy->teams_weight += weight;
+    team->requests++;
+    request->team_tokens = request->expected_tokens;
+    team->tokens += request->team_tokens;
+    policy->teams_tokens += request->team_tokens;
+}
+
+void
+am_leave(dp_policy *policy, dp_request *request)
+{
+    dp_team *team = _am_team(policy, request->team);
+    team->requests--;
+    team->tokens -= request->team_tokens;
+    policy->teams_tokens -= request->team_tokens;
+    if (team->requests == 0) {
+        policy->teams_weight -= team->weight;
+    }
+}
+
+static bool
+_am_over_share(const dp_policy *policy, const dp_request *request)
+{
+    const dp_team *team = &policy->teams[rd_mix(request->team) % DP_TEAMS];
+    if (team->weight == policy->teams_weight) {
+        return false; /* the only team */
+    }
+    double share = (double)policy->teams_tokens * team->weight /
+                   (double)policy->teams_weight;
+    return (double)team->tokens > share * _AM_SHARE_SLACK;
+}
+
+/* -- budgets -------------------------------------------------------------- */
+
+void
+am_note_success(dp_policy *policy)
+{
+    double retries = policy->desc.retry_budget_pct / 100.0;
+    double hedges = policy->desc.hedge_budget_pct / 100.0;
+    policy->retry_budget =
+        MIN(policy->retry_budget + retries, _AM_RETRIES_SAVED);
+    policy->hedge_budget =
+        MIN(policy->hedge_budget + hedges, _AM_RETRIES_SAVED);
+}
+
+static bool
+_am_take(double *budget)
+{
+    if (*budget < 1) {
+        return false;
+    }
+    *budget -= 1;
+    return true;
+}
+
+bool
+am_take_retry(dp_policy *policy)
+{
+    return _am_take(&policy->retry_budget);
+}
+
+bool
+am_take_hedge(dp_policy *policy)
+{
+    return _am_take(&policy->hedge_budget);
+}
+
+/* -- queries -------------------------------------------------------------- */
+
+static uint64_t
+_am_work_us(const dp_request *request)
+{
+    uint64_t tokens = le_query_remaining(request, request->resume_from);
+    uint64_t prompt = request->prompt_tokens + request->resume_from;
+    return tokens * _AM_TOKEN_US + prompt * _AM_PROMPT_TOKEN_US;
+}
+
+er_code
+am_query_refusal(const dp_policy *policy, const dp_request *request,
+                 uint64_t wait_us)
+{
+    if (!dp_part_on(policy, LWD_PART_ADMISSION) || wait_us == 0) {
+        return ER_OK;
+    }
+    if (wait_us > _AM_SHARE_WAIT_MS * DP_US_PER_MS &&
+        _am_over_share(policy, request)) {
+        return ER_SHARE_EXCEEDED;
+    }
+    if (request->deadline_us == 0) {
+        return ER_OK;
+    }
+    uint64_t work_us = _am_work_us(request);
+    if (policy->now_us + work_us > request->deadline_us) {
+        return ER_DEADLINE;
+    }
+    if (policy->now_us + work_us + wait_us > request->deadline_us) {
+        return ER_OVERLOADED;
+    }
+    return ER_OK;
+}
+
+uint64_t
+am_query_give_up_us(const dp_policy *policy, const dp_request *request)
+{
+    if (request->deadline_us == 0) {
+        return UINT64_MAX;
+    }
+    uint64_t work_us = _am_work_us(request);
+    if (!dp_part_on(policy, LWD_PART_ADMISSION)) {
+        work_us = 0;
+    }
+    uint64_t latest_us =
+        request->deadline_us > work_us ? request->deadline_us - work_us : 0;
+    return MAX(latest_us, policy->now_us + 1);
+}
+
+uint32_t
+am_query_retry_after_ms(const dp_policy *policy, uint64_t wait_us)
+{
+    (void)policy;
+    uint64_t wait_ms = wait_us / DP_US_PER_MS;
+    return (uint32_t)CLAMP(wait_ms, _AM_RETRY_AFTER_MIN_MS,
+                           _AM_RETRY_AFTER_MAX_MS);
+}
+
+uint32_t
+am_query_retry_ms(const dp_policy *policy)
+{
+    uint64_t slots = MAX(policy->own_slots, 1);
+    uint64_t wait_us = policy->pending_tokens * _AM_TOKEN_US / slots;
+    return am_query_retry_after_ms(policy, wait_us);
+}
--- /dev/null
+++ b/packages/decisions/src/attempts.c
@@ -0,0 +1,164 @@
+#include "attempts.h"
+
+#include "actions.h"
+#include "copies.h"
+#include "lengths.h"
+#include "pace.h"
+#include "stragglers.h"
+
+#define _AT_CLOSING_MS 500 /* a cancel reaches its engine in this time */
+
+/* -- private: what is counted --------------------------------------------- */
+
+static void
+_at_count_tokens(dp_attempt *attempt, uint32_t remaining)
+{
+    dp_server *server = attempt->server;
+    server->running_tokens += remaining - attempt->counted_tokens;
+    attempt->counted_tokens = remaining;
+}
+
+static void
+_at_attach(dp_request *request, dp_attempt *attempt)
+{
+    uint32_t at = request->attempts[0] ? 1 : 0;
+    g_assert(!request->attempts[at]);
+    request->attempts[at] = attempt;
+}
+
+static void
+_at_detach(dp_attempt *attempt)
+{
+    dp_request *request = attempt->request;
+    uint32_t at = request->attempts[0] == attempt ? 0 : 1;
+    request->attempts[at] = NULL;
+    attempt->request = NULL;
+}
+
+/* Gives its slot back. */
+static void
+_at_leave_slot(dp_policy *policy, dp_attempt *attempt)
+{
+    dp_server *server = attempt->server;
+    _at_count_tokens(attempt, 0);
+    server->running--;
+    server->long_running -= attempt->long_work ? 1 : 0;
+    server->suspects_running -= attempt->suspect ? 1 : 0;
+    if (!attempt->first_token) {
+        server->prefill_tokens -= attempt->prefill_tokens;
+    }
+    _at_detach(attempt);
+    sg_schedule(policy, server);
+}
+
+/* -- commands ------------------------------------------------------------- */
+
+dp_attempt *
+at_open(dp_policy *policy, dp_request *request, dp_copy *copy, bool hedge)
+{
+    uint64_t id = 0;
+    dp_attempt *attempt = po_make(&policy->attempts, &id);
+    if (!attempt) {
+        er_set(&policy->status, ER_POOL_FULL, "no attempt left in the pool");
+        return NULL;
+    }
+    dp_server *server = copy->server;
+    *attempt = (dp_attempt){
+        .id = {id},
+        .request = request,
+        .server = server,
+        .copy = copy,
+        .sent_us = policy->now_us,
+        .last_us = policy->now_us,
+        .tokens = request->resume_from,
+        .prefill_tokens = request->prompt_tokens + request->resume_from,
+        .hedge = hedge,
+        .long_work = request->class_ == DP_CLASS_LONG,
+        .suspect = request->class_ == DP_CLASS_SUSPECT,
+    };
+    _at_attach(request, attempt);
+    li_append(&server->attempts, &attempt->of_server);
+    server->running++;
+    server->long_running += attempt->long_work ? 1 : 0;
+    server->suspects_running += attempt->suspect ? 1 : 0;
+    server->prefill_tokens += attempt->prefill_tokens;
+    _at_count_tokens(attempt, le_query_remaining(request, attempt->tokens));
+    cp_begin_use(copy);
+    request->phase = DP_PHASE_RUNNING;
+    sg_schedule(policy, server);
+    return attempt;
+}
+
+void
+at_progress(dp_policy *policy, dp_attempt *attempt, uint32_t tokens)
+{
+    dp_server *server = attempt->server;
+    if (tokens < attempt->tokens) {
+        return; /* doubled or out of order */
+    }
+    uint32_t made = tokens - attempt->tokens;
+    if (attempt->first_token && made > 0) {
+        uint64_t time_us = policy->now_us - attempt->last_us;
+        uint64_t stalled_us = server->prefilled_us - attempt->prefill_mark_us;
+        time_us -= MIN(stalled_us, time_us);
+        pc_observe(policy, server, server->running, time_us, made);
+        sg_note_gap(policy, policy->now_us - attempt->last_us);
+    }
+    if (!attempt->first_token) {
+        attempt->first_token = true;
+        server->prefill_tokens -= attempt->prefill_tokens;
+        server->prefilled_us +=
+            pc_query_prefill_us(server, attempt->prefill_tokens);
+    }
+    attempt->prefill_mark_us = server->prefilled_us;
+    attempt->tokens = tokens;
+    attempt->last_us = policy->now_us;
+    server->pace.last_us = policy->now_us;
+    _at_count_tokens(attempt, le_query_remaining(attempt->request, tokens));
+    attempt->request->resume_from = MAX(attempt->request->resume_from, tokens);
+}
+
+void
+at_close(dp_policy *policy, dp_attempt *attempt)
+{
+    if (attempt->request) {
+        _at_leave_slot(policy, attempt);
+    }
+    at_forget(policy, attempt);
+}
+
+void
+at_cancel(dp_policy *policy, dp_attempt *attempt)
+{
+    ac_stop(policy, attempt, LWD_ACTION_CANCEL);
+    _at_leave_slot(policy, attempt);
+    ti_set(policy, &attempt->timer, DP_TIMER_ATTEMPT,
+           policy->now_us + _AT_CLOSING_MS * DP_US_PER_MS);
+}
+
+void
+at_forget(dp_policy *policy, dp_attempt *attempt)
+{
+    dp_copy *copy = attempt->copy;
+    ti_clear(policy, &attempt->timer);
+    li_remove(&attempt->server->attempts, &attempt->of_server);
+    po_destroy(&policy->attempts, attempt);
+    if (copy) {
+        cp_end_use(policy, copy);
+    }
+}
+
+void
+at_on_timer(dp_policy *policy, dp_attempt *attempt)
+{
+    at_forget(policy, attempt);
+}
+
+/* -- queries -------------------------------------------------------------- */
+
+dp_attempt *
+at_query_other(const dp_request *request, const dp_attempt *attempt)
+{
+    return request->attempts[0] == attempt ? request->attempts[1]
+                                           : request->attempts[0];
+}
--- /dev/null
+++ b/packages/decisions/src/loads.c
@@ -0,0 +1,298 @@
+#include "loads.h"
+
+#include "actions.h"
+#include "adapters.h"
+#include "copies.h"
+#include "order.h"
+#include "placement.h"
+#include "requests.h"
+#include "routing.h"
+#include <math.h>
+
+#define _LD_MILLI_LOAD_US 1000000000U /* a load per 1000 s */
+#define _LD_BURST 2                   /* loads that the bucket holds */
+#define _LD_ROOMS_AHEAD 2             /* places made before they are due */
+#define _LD_WORK_BONUS_MS 100         /* of age, for each request waiting */
+#define _LD_EXTRA_PENALTY_MS 500      /* a further copy waits behind these */
+#define _LD_BACKOFF_MS 200
+#define _LD_BACKOFF_DOUBLINGS 6
+#define _LD_FAILURES_MAX 4     /* in a row, then its requests are refused */
+#define _LD_PREFETCH_MARGIN 1. /* logarithm: e times as popular */
+#define _LD_RECHECK_MS 100     /* for places that settling servers free */
+#define _LD_STARTS 4           /* places sought in one call */
+
+/* -- private: what is wanted ---------------------------------------------- */
+
+static const dp_request *
+_ld_oldest(const dp_adapter *adapter)
+{
+    const dp_request *oldest = NULL;
+    for (uint32_t class_ = 0; class_ < DP_CLASS_NUM; class_++) {
+        hp_node *least = hp_query_least(&adapter->pending[class_]);
+        const dp_request *request = HP_ITEM(least, dp_request, pending);
+        if (request && (!oldest || request->entered_us < oldest->entered_us)) {
+            oldest = request;
+        }
+    }
+    return oldest;
+}
+
+static uint64_t
+_ld_key(const dp_adapter *adapter)
+{
+    const dp_request *oldest = _ld_oldest(adapter);
+    uint64_t bonus_ms = (uint64_t)_LD_WORK_BONUS_MS * adapter->pending_count;
+    uint64_t key = oldest->entered_us + DP_US_PER_S * 3600;
+    key -= MIN(bonus_ms * DP_US_PER_MS, DP_US_PER_S * 3600);
+    if (adapter->extra) {
+        key += _LD_EXTRA_PENALTY_MS * DP_US_PER_MS;
+    }
+    return key;
+}
+
+/* True when waiting for the copies there are costs more than a load. */
+static bool
+_ld_extra_pays(dp_policy *policy, dp_adapter *adapter)
+{
+    uint64_t wait_us = rt_query_adapter_wait_us(policy, adapter);
+    return wait_us > 2 * ld_query_wait_us(policy);
+}
+
+void
+ld_consider(dp_policy *policy, dp_adapter *adapter)
+{
+    hp_remove(&policy->wanted, &adapter->wanted);
+    if (adapter->pending_count == 0 || adapter->coming > 0 ||
+        adapter->delayed || adapter->destroyed) {
+        return;
+    }
+    adapter->extra = ad_query_usable_copies(adapter) > 0;
+    if (adapter->extra && !_ld_extra_pays(policy, adapter)) {
+        return;
+    }
+    hp_push(&policy->wanted, &adapter->wanted, _ld_key(adapter));
+}
+
+/* -- private: budget ------------------------------------------------------ */
+
+static uint64_t
+_ld_interval_us(const dp_policy *policy)
+{
+    uint32_t rate = policy->desc.loads_per_s_milli;
+    return (_LD_MILLI_LOAD_US + rate - 1) / rate;
+}
+
+/* The bucket is kept as the time at which it would be full less one. */
+static bool
+_ld_in_budget(const dp_policy *policy)
+{
+    return policy->desc.loads_per_s_milli > 0 &&
+           policy->in_transit < policy->desc.loads_in_transit &&
+           policy->now_us >= policy->next_load_us;
+}
+
+static void
+_ld_spend(dp_policy *policy)
+{
+    uint32_t burst = MIN(_LD_BURST, policy->desc.loads_in_transit);
+    uint64_t saved_us = (burst - 1) * _ld_interval_us(policy);
+    uint64_t earliest_us =
+        policy->now_us > saved_us ? policy->now_us - saved_us : 0;
+    policy->next_load_us =
+        MAX(policy->next_load_us, earliest_us) + _ld_interval_us(policy);
+}
+
+/* Nothing was ordered for so long that the bucket is full. */
+static bool
+_ld_budget_spare(const dp_policy *policy)
+{
+    return policy->now_us >= policy->next_load_us + _ld_interval_us(policy);
+}
+
+static void
+_ld_order(dp_policy *policy, dp_copy *copy)
+{
+    _ld_spend(policy);
+    cp_set_state(policy, copy, DP_COPY_LOADING);
+    ac_order(policy, copy, LWD_ACTION_LOAD);
+}
+
+/* -- private: places ------------------------------------------------------ */
+
+/* Keeps a place for the adapter, by an eviction if need be. */
+static dp_copy *
+_ld_make_place(dp_policy *policy, dp_server *server, dp_adapter *adapter)
+{
+    if (server->places < server->desc.adapter_slots) {
+        return cp_make(policy, server, adapter, DP_COPY_ORDERED);
+    }
+    dp_copy *victim = pl_choose_victim(policy, server);
+    if (!victim) {
+        return NULL;
+    }
+    dp_copy *copy = cp_make(policy, server, adapter, DP_COPY_ROOM);
+    if (copy) {
+        victim->successor = copy;
+        copy->predecessor = victim;
+        cp_evict(policy, victim);
+    }
+    return copy;
+}
+
+/* Seeks a place for the most urgent wanted adapters. */
+static void
+_ld_start_wanted(dp_policy *policy)
+{
+    dp_adapter *without_place[_LD_STARTS];
+    uint32_t failed = 0;
+    uint32_t bound = MAX(_LD_ROOMS_AHEAD, policy->desc.loads_in_transit);
+    while (policy->rooms < bound && failed < _LD_STARTS) {
+        hp_node *node = hp_pop(&policy->wanted);
+        if (!node) {
+            break;
+        }
+        dp_adapter *adapter = HP_ITEM(node, dp_adapter, wanted);
+        if (adapter->extra && !_ld_extra_pays(policy, adapter)) {
+            continue;
+        }
+        dp_server *server = pl_choose_server(policy, adapter, -INFINITY);
+        if (!server || !_ld_make_place(policy, server, adapter)) {
+            without_place[failed++] = adapter;
+        }
+    }
+    for (uint32_t at = 0; at < failed; at++) {
+        hp_push(&policy->wanted, &without_place[at]->wanted,
+                _ld_key(without_place[at]));
+    }
+}
+
+/* Uses spare budget for the most popular adapter that is held nowhere. */
+static void
+_ld_start_prefetch(dp_policy *policy)
+{
+    if (policy->rooms > 0 || policy->in_transit > 0 ||
+        hp_query_least(&policy->wanted) || !_ld_budget_spare(policy) ||
+        !dp_part_on(policy, LWD_PART_LOADS)) {
+        return;
+    }
+    dp_adapter *adapter =
+        HP_ITEM(hp_query_least(&policy->absent), dp_adapter, absent);
+    if (!adapter || adapter->delayed) {
+        return;
+    }
+    dp_server *server = pl_choose_server(policy, adapter, _LD_PREFETCH_MARGIN);
+    dp_copy *copy = server ? _ld_make_place(policy, server, adapter) : NULL;
+    if (copy) {
+        copy->prefetched = true;
+    }
+}
+
+static void
+_ld_set_timer(dp_policy *policy)
+{
+    if (policy->ordered.count == 0 && policy->wanted.count == 0) {
+        return;
+    }
+    uint64_t at_us = policy->next_load_us;
+    if (at_us <= policy->now_us) {
+        at_us = policy->now_us + _LD_RECHECK_MS * DP_US_PER_MS;
+    }
+    ti_set(policy, &policy->loads_timer, DP_TIMER_LOADS, at_us);
+}
+
+void
+ld_pump(dp_policy *policy)
+{
+    if (!ac_query_has_room(policy)) {
+        return;
+    }
+    _ld_start_wanted(policy);
+    _ld_start_prefetch(policy);
+    while (policy->ordered.first && _ld_in_budget(policy)) {
+        _ld_order(policy, LI_ITEM(policy->ordered.first, dp_copy, active));
+    }
+    _ld_set_timer(policy);
+}
+
+/* -- events --------------------------------------------------------------- */
+
+er_code
+ld_on_done(dp_policy *policy, dp_server *server, dp_adapter *adapter)
+{
+    dp_copy *copy = cp_query_find(policy, server, adapter);
+    if (!copy || copy->state != DP_COPY_LOADING) {
+        return er_set(&policy->status, ER_STALE, "no such load");
+    }
+    adapter->load_failures = 0;
+    adapter->failed_on = NULL;
+    cp_set_state(policy, copy, DP_COPY_RESIDENT);
+    or_fill(policy, server);
+    ld_consider(policy, adapter);
+    ld_pump(policy);
+    return ER_OK;
+}
+
+void
+ld_after_failure(dp_policy *policy, dp_adapter *adapter, dp_server *server)
+{
+    adapter->load_failures++;
+    adapter->failed_on = server;
+    if (adapter->load_failures >= _LD_FAILURES_MAX) {
+        adapter->load_failures = 0;
+        rq_refuse_pending(policy, adapter, ER_LOAD_FAILED);
+    }
+    uint32_t doublings = MIN(adapter->load_failures, _LD_BACKOFF_DOUBLINGS);
+    /* The first try elsewhere goes at once. */
+    uint64_t delay_ms =
+        doublings > 1 ? (uint64_t)_LD_BACKOFF_MS << (doublings - 2) : 0;
+    delay_ms += rd_next(policy, delay_ms / 2 + 1);
+    adapter->delayed = true;
+    ti_set(policy, &adapter->timer, DP_TIMER_ADAPTER,
+           policy->now_us + delay_ms * DP_US_PER_MS);
+}
+
+er_code
+ld_on_failed(dp_policy *policy, dp_server *server, dp_adapter *adapter)
+{
+    dp_copy *copy = cp_query_find(policy, server, adapter);
+    if (!copy || copy->state != DP_COPY_LOADING) {
+        return er_set(&policy->status, ER_STALE, "no such load");
+    }
+    adapter->requests++; /* holds it over the copy's end */
+    ld_after_failure(policy, adapter, server);
+    cp_destroy(policy, copy);
+    ad_on_request_ended(policy, adapter);
+    ld_pump(policy);
+    return ER_OK;
+}
+
+void
+ld_on_delay_over(dp_policy *policy, dp_adapter *adapter)
+{
+    adapter->delayed = false;
+    ld_consider(policy, adapter);
+    ld_pump(policy);
+}
+
+void
+ld_set_share(dp_policy *policy, uint32_t loads_per_s_milli,
+             uint32_t loads_in_transit)
+{
+    policy->desc.loads_per_s_milli = loads_per_s_milli;
+    policy->desc.loads_in_transit = loads_in_transit;
+    ld_pump(policy);
+}
+
+uint64_t
+ld_query_wait_us(const dp_policy *policy)
+{
+    uint64_t load_us = policy->desc.load_ms * DP_US_PER_MS;
+    if (policy->desc.loads_per_s_milli == 0) {
+        return load_us + DP_US_PER_S * 3600;
+    }
+    uint64_t before = policy->wanted.count + policy->rooms;
+    uint64_t ready_us = policy->next_load_us > policy->now_us
+                            ? policy->next_load_us - policy->now_us
+                            : 0;
+    return load_us + ready_us + before * _ld_interval_us(policy);
+}
--- /dev/null
+++ b/packages/decisions/src/pace.c
@@ -0,0 +1,76 @@
+#include "pace.h"
+
+#define _PC_CURVE_STEP 0.05   /* first guess: slower by this for each stream */
+#define _PC_CURVE_WEIGHT 0.01 /* of one observation */
+#define _PC_NORMAL_WEIGHT 0.01
+#define _PC_RECENT_WEIGHT 0.4
+#define _PC_OUTLIER 1.5 /* times normal: taken as this much */
+
+void
+pc_setup(dp_policy *policy)
+{
+    for (uint32_t batch = 0; batch <= DP_BATCH_MAX; batch++) {
+        uint32_t others = batch > 0 ? batch - 1 : 0;
+        policy->curve[batch] = 1 + _PC_CURVE_STEP * others;
+    }
+}
+
+void
+pc_reset(dp_server *server)
+{
+    server->pace.recent = server->pace.normal > 0 ? server->pace.normal : 1;
+    server->pace.normal = server->pace.recent;
+    server->pace.observations = 0;
+}
+
+static uint32_t
+_pc_batch(uint32_t batch)
+{
+    return CLAMP(batch, 1, DP_BATCH_MAX);
+}
+
+static double
+_pc_base_us(const dp_server *server)
+{
+    return (double)DP_US_PER_S / server->desc.tokens_per_s;
+}
+
+void
+pc_observe(dp_policy *policy, dp_server *server, uint32_t batch,
+           uint64_t time_us, uint32_t tokens)
+{
+    if (tokens == 0) {
+        return;
+    }
+    dp_pace *pace = &server->pace;
+    double *curve = &policy->curve[_pc_batch(batch)];
+    double relative = (double)time_us / tokens / _pc_base_us(server);
+    double factor = relative / *curve;
+    pace->recent += _PC_RECENT_WEIGHT * (factor - pace->recent);
+    double usual = MIN(factor, pace->normal * _PC_OUTLIER);
+    pace->normal += _PC_NORMAL_WEIGHT * (usual - pace->normal);
+    pace->observations++;
+    if (factor < pace->normal * _PC_OUTLIER) {
+        *curve += _PC_CURVE_WEIGHT * (relative / pace->normal - *curve);
+    }
+}
+
+double
+pc_query_interval_us(const dp_policy *policy, const dp_server *server,
+                     uint32_t batch)
+{
+    return _pc_base_us(server) * policy->curve[_pc_batch(batch)] *
+           server->pace.normal;
+}
+
+double
+pc_query_slowness(const dp_server *server)
+{
+    return server->pace.recent / server->pace.normal;
+}
+
+uint64_t
+pc_query_prefill_us(const dp_server *server, uint32_t tokens)
+{
+    return (uint64_t)tokens * DP_US_PER_S / server->desc.prefill_per_s;
+}
--- /dev/null
+++ b/packages/decisions/src/routing.c
@@ -0,0 +1,259 @@
+#include "routing.h"
+
+#include "copies.h"
+#include "loads.h"
+#include "order.h"
+#include "pace.h"
+#include "placement.h"
+#include "servers.h"
+
+#define _RT_COPIES_MAX 64   /* looked at for one request */
+#define _RT_PREFIX_PART 0.5 /* of a prompt that a held prefix saves */
+#define _RT_PACE_TOKENS 32  /* a slower pace counts for so many tokens */
+
+/* -- private: prefixes ---------------------------------------------------- */
+
+static uint32_t
+_rt_prefix_slot(uint64_t prefix, uint32_t server)
+{
+    return (uint32_t)(rd_mix(prefix ^ rd_mix(server)) % DP_PREFIXES);
+}
+
+static bool
+_rt_holds_prefix(const dp_policy *policy, const dp_server *server,
+                 uint64_t prefix)
+{
+    uint32_t index = server->id.id & 0xffff;
+    const dp_prefix *entry = &policy->prefixes[_rt_prefix_slot(prefix, index)];
+    return prefix != 0 && entry->held && entry->prefix == prefix &&
+           entry->server == index;
+}
+
+void
+rt_on_cache(dp_policy *policy, const dp_server *server, uint64_t prefix,
+            bool resident)
+{
+    uint32_t index = server->id.id & 0xffff;
+    dp_prefix *entry = &policy->prefixes[_rt_prefix_slot(prefix, index)];
+    bool same = entry->prefix == prefix && entry->server == index;
+    if (resident || same) {
+        *entry = (dp_prefix){
+            .prefix = prefix, .server = (uint16_t)index, .held = resident};
+    }
+}
+
+/* -- private: scores of own copies ---------------------------------------- */
+
+/* Expected time that this server costs more than an ideal one. */
+static double
+_rt_cost_us(const dp_policy *policy, const dp_request *request,
+            const dp_server *server)
+{
+    double cost_us =
+        pc_query_interval_us(policy, server, server->running + 1) *
+        _RT_PACE_TOKENS;
+    if (server->desc.zone != policy->desc.zone) {
+        cost_us += 2.0 * policy->desc.hop_us;
+    }
+    if (_rt_holds_prefix(policy, server, request->prefix)) {
+        cost_us -= _RT_PREFIX_PART *
+                   (double)pc_query_prefill_us(server, request->prompt_tokens);
+    }
+    return cost_us;
+}
+
+dp_copy *
+rt_query_free_copy(const dp_policy *policy, const dp_request *request,
+                   const dp_server *except)
+{
+    dp_copy *best = NULL;
+    double best_us = 0;
+    uint32_t seen = 0;
+    const li_link *link = request->adapter->copies.first;
+    for (; link && seen < _RT_COPIES_MAX; link = link->next, seen++) {
+        dp_copy *copy = LI_ITEM(link, dp_copy, of_adapter);
+        const dp_server *server = copy->server;
+        if (!cp_query_resident(copy) || server == except ||
+            !sv_query_free(policy, server) ||
+            !or_query_admits(policy, server, request->class_)) {
+            continue;
+        }
+        double cost_us = _rt_cost_us(policy, request, server);
+        if (!best || cost_us < best_us) {
+            best = copy;
+            best_us = cost_us;
+        }
+    }
+    return best;
+}
+
+/* -- waits ---------------------------------------------------------------- */
+
+uint64_t
+rt_query_wait_us(const dp_policy *policy, const dp_server *server)
+{
+    if (server->running < server->desc.slots && server->active.count == 0) {
+        return 0;
+    }
+    double tokens = 0;
+    const li_link *link = server->active.first;
+    for (; link; link = link->next) {
+        const dp_adapter *adapter =
+            LI_ITEM(link, const dp_copy, active)->adapter;
+        tokens +=
+            (double)adapter->pending_tokens / MAX(adapter->own_resident, 1);
+    }
+    /* The first of the running to end, then the pending in turn. */
+    uint32_t slots = server->desc.slots;
+    double first = 2.0 * server->running_tokens /
+                   (MAX(server->running, 1) * (slots + 1.0));
+    double interval_us = pc_query_interval_us(policy, server, slots);
+    return (uint64_t)((first + tokens / slots) * interval_us);
+}
+
+uint64_t
+rt_query_adapter_wait_us(const dp_policy *policy, const dp_adapter *adapter)
+{
+    uint64_t least_us = UINT64_MAX;
+    uint32_t seen = 0;
+    const li_link *link = adapter->copies.first;
+    for (; link && seen < _RT_COPIES_MAX; link = link->next, seen++) {
+        const dp_copy *copy = LI_ITEM(link, const dp_copy, of_adapter);
+        if (cp_query_resident(copy) && sv_query_usable(copy->server)) {
+            uint64_t wait_us = rt_query_wait_us(policy, copy->server);
+            least_us = MIN(least_us, wait_us);
+        }
+    }
+    return least_us;
+}
+
+uint32_t
+rt_query_waiting(const dp_server *server)
+{
+    uint32_t waiting = 0;
+    const li_link *link = server->active.first;
+    for (; link; link = link->next) {
+        const dp_adapter *adapter =
+            LI_ITEM(link, const dp_copy, active)->adapter;
+        waiting += adapter->pending_count / MAX(adapter->own_resident, 1);
+    }
+    return waiting;
+}
+
+/* -- private: servers of other instances ---------------------------------- */
+
+static bool
+_rt_can_forward(const dp_server *server)
+{
+    return !server->desc.owned && server->state == LWD_SERVER_READY &&
+           !server->told.ejected;
+}
+
+static uint64_t
+_rt_remote_wait_us(const dp_policy *policy, const dp_server *server)
+{
+    uint32_t busy =
+        server->told.running + server->told.waiting + server->forwarded_since;
+    uint64_t wait_us = 2 * (uint64_t)policy->desc.hop_us;
+    if (busy < server->desc.slots) {
+        return wait_us;
+    }
+    uint64_t work_us =
+        policy->mean_tokens > 0
+            ? (uint64_t)(policy->mean_tokens *
+                         pc_query_interval_us(policy, server,
+                                              server->desc.slots))
+            : DP_US_PER_S;
+    wait_us += server->told.backlog_ms * DP_US_PER_MS;
+    return wait_us + server->forwarded_since * work_us / server->desc.slots;
+}
+
+static void
+_rt_try_remote(const dp_policy *policy, dp_server *server, uint64_t more_us,
+               rt_route *route)
+{
+    if (!_rt_can_forward(server)) {
+        return;
+    }
+    uint64_t wait_us = _rt_remote_wait_us(policy, server) + more_us;
+    if (route->kind == RT_NONE || wait_us < route->wait_us) {
+        *route = (rt_route){
+            .kind = RT_FORWARD, .server = server, .wait_us = wait_us};
+    }
+}
+
+/* The best of the copies on servers of other instances. */
+static void
+_rt_try_remote_copies(const dp_policy *policy, const dp_request *request,
+                      rt_route *route)
+{
+    uint32_t seen = 0;
+    const li_link *link = request->adapter->copies.first;
+    for (; link && seen < _RT_COPIES_MAX; link = link->next, seen++) {
+        dp_copy *copy = LI_ITEM(link, dp_copy, of_adapter);
+        if (cp_query_resident(copy) && copy->server != request->target) {
+            _rt_try_remote(policy, copy->server, 0, route);
+        }
+    }
+}
+
+/* -- the route ------------------------------------------------------------ */
+
+/* For an adapter that is held nowhere: the first home that can take it. */
+static rt_route
+_rt_to_home(dp_policy *policy, const dp_request *request)
+{
+    dp_adapter *adapter = request->adapter;
+    uint64_t wait_us = ld_query_wait_us(policy);
+    rt_route route = {.kind = RT_NONE};
+    pl_refresh_homes(policy, adapter);
+    for (uint32_t at = 0; at < adapter->home_count; at++) {
+        dp_server *server = sv_query_at(policy, adapter->homes[at]);
+        if (!server || server == request->target) {
+            continue;
+        }
+        if (sv_query_usable(server)) {
+            return (rt_route){.kind = RT_WAIT, .wait_us = wait_us};
+        }
+        if (_rt_can_forward(server)) {
+            return (rt_route){.kind = RT_FORWARD,
+                              .server = server,
+                              .wait_us = wait_us + 2 * policy->desc.hop_us};
+        }
+    }
+    if (policy->usable_own > 0) {
+        route = (rt_route){.kind = RT_WAIT, .wait_us = wait_us};
+    }
+    return route;
+}
+
+rt_route
+rt_query_route(dp_policy *policy, const dp_request *request)
+{
+    dp_copy *copy = rt_query_free_copy(policy, request, NULL);
+    if (copy) {
+        return (rt_route){
+            .kind = RT_SEND, .copy = copy, .server = copy->server};
+    }
+    rt_route route = {.kind = RT_NONE};
+    uint64_t own_us = rt_query_adapter_wait_us(policy, request->adapter);
+    if (own_us != UINT64_MAX) {
+        route = (rt_route){.kind = RT_WAIT, .wait_us = own_us};
+    }
+    if (request->forwarded) {
+        if (route.kind == RT_NONE && policy->usable_own > 0) {
+            route = (rt_route){.kind = RT_WAIT,
+                               .wait_us = ld_query_wait_us(policy)};
+        }
+        return route;
+    }
+    _rt_try_remote_copies(policy, request, &route);
+    if (route.kind == RT_NONE && request->adapter->coming > 0) {
+        return (rt_route){.kind = RT_WAIT,
+                          .wait_us = ld_query_wait_us(policy)};
+    }
+    if (route.kind == RT_NONE) {
+        return _rt_to_home(policy, request);
+    }
+    return route;
+}
--- /dev/null
+++ b/packages/decisions/src/summaries.c
@@ -0,0 +1,148 @@
+#include "summaries.h"
+
+#include "actions.h"
+#include "adapters.h"
+#include "copies.h"
+#include "order.h"
+#include "pace.h"
+#include "routing.h"
+#include "servers.h"
+
+#define _SM_PERIOD_MS 250
+
+/* -- commands ------------------------------------------------------------- */
+
+void
+sm_schedule(dp_policy *policy, dp_server *server)
+{
+    if (!server->desc.owned) {
+        ti_clear(policy, &server->summary_timer);
+        return;
+    }
+    if (!server->summary_timer.node.queued) {
+        ti_set(policy, &server->summary_timer, DP_TIMER_SUMMARY,
+               policy->now_us + _SM_PERIOD_MS * DP_US_PER_MS);
+    }
+}
+
+void
+sm_note_change(dp_policy *policy, dp_server *server, const dp_adapter *adapter,
+               bool resident)
+{
+    (void)policy;
+    if (!server->desc.owned) {
+        return;
+    }
+    if (server->change_count == DP_CHANGES) {
+        /* The oldest gives way; the adapters told in turn make it good. */
+        server->change_first = (server->change_first + 1) % DP_CHANGES;
+        server->change_count--;
+    }
+    uint32_t at = (server->change_first + server->change_count) % DP_CHANGES;
+    server->changes[at].adapter_tag = adapter->desc.tag;
+    server->changes[at].resident = resident;
+    server->change_count++;
+}
+
+void
+sm_on_timer(dp_policy *policy, dp_server *server)
+{
+    ac_summary(policy, server);
+    sm_schedule(policy, server);
+}
+
+static void
+_sm_add_change(lwd_summary *summary, uint64_t tag, bool resident)
+{
+    summary->changes[summary->change_count].adapter_tag = tag;
+    summary->changes[summary->change_count].resident = resident;
+    summary->change_count++;
+}
+
+static void
+_sm_take_changes(dp_server *server, lwd_summary *summary)
+{
+    while (server->change_count > 0 &&
+           summary->change_count < LWD_SUMMARY_CHANGES) {
+        uint32_t at = server->change_first;
+        _sm_add_change(summary, server->changes[at].adapter_tag,
+                       server->changes[at].resident);
+        server->change_first = (at + 1) % DP_CHANGES;
+        server->change_count--;
+    }
+}
+
+/* Fills free places with adapters held, the longest not told first. */
+static void
+_sm_add_held(dp_server *server, lwd_summary *summary)
+{
+    uint32_t left = server->copies.count;
+    while (left > 0 && summary->change_count < LWD_SUMMARY_CHANGES) {
+        li_link *link = server->copies.first;
+        dp_copy *copy = LI_ITEM(link, dp_copy, of_server);
+        li_remove(&server->copies, link);
+        li_append(&server->copies, link);
+        left--;
+        if (cp_query_resident(copy)) {
+            _sm_add_change(summary, copy->adapter->desc.tag, true);
+        }
+    }
+}
+
+void
+sm_fill(dp_policy *policy, lwd_server id, lwd_summary *summary)
+{
+    dp_server *server = po_query_item(&policy->servers, id.id);
+    if (!server) {
+        return;
+    }
+    uint32_t batch = MAX(server->running, 1);
+    *summary = (lwd_summary){
+        .sequence = ++server->summary_sequence,
+        .running = server->running,
+        .waiting = rt_query_waiting(server),
+        .backlog_ms =
+            (uint32_t)(rt_query_wait_us(policy, server) / DP_US_PER_MS),
+        .token_interval_us =
+            (uint32_t)pc_query_interval_us(policy, server, batch),
+        .ejected = server->ejected,
+    };
+    _sm_take_changes(server, summary);
+    _sm_add_held(server, summary);
+}
+
+/* -- a peer's summary ----------------------------------------------------- */
+
+static void
+_sm_apply_change(dp_policy *policy, dp_server *server, uint64_t tag,
+                 bool resident)
+{
+    dp_adapter *adapter = ad_query_by_tag(policy, tag);
+    if (!adapter) {
+        return;
+    }
+    dp_copy *copy = cp_query_find(policy, server, adapter);
+    if (resident && !copy) {
+        cp_make(policy, server, adapter, DP_COPY_RESIDENT);
+    }
+    if (!resident && copy) {
+        cp_destroy(policy, copy);
+    }
+}
+
+er_code
+sm_receive(dp_policy *policy, dp_server *server, const lwd_summary *summary)
+{
+    if (server->desc.owned || (server->told.sequence &&
+                               summary->sequence <= server->told.sequence)) {
+        return er_set(&policy->status, ER_STALE, "older summary");
+    }
+    server->told = *summary;
+    server->forwarded_since = 0;
+    uint32_t count = MIN(summary->change_count, LWD_SUMMARY_CHANGES);
+    for (uint32_t at = 0; at < count; at++) {
+        _sm_apply_change(policy, server, summary->changes[at].adapter_tag,
+                         summary->changes[at].resident);
+    }
+    return ER_OK;
+}
