--- /dev/null
+++ b/packages/tool/include/lacewing/questionnaire.h
@@ -0,0 +1,85 @@
+/*
+ * questionnaire.h: from answers to a configuration (prefix qn_).
+ *
+ * The questions are a table of settings: trade, instances, zones, backend
+ * servers, weight store, operations, adapters, teams, tolerances. The answers
+ * come from an INI file or are asked for one at a time. From them a
+ * configuration is written, with the reason beside each value.
+ *
+ *     g_autoptr(GKeyFile) answers = g_key_file_new();
+ *     qn_interview(stdin, stdout, answers, &status);
+ *     char *text = NULL;
+ *     qn_problem problem = {0};
+ *     if (qn_generate(answers, "answers.ini", &text, &problem) != ER_OK) {
+ *         printf("%s: %s\n", problem.question, problem.would_do);
+ *     }
+ *     qn_problem_clear(&problem);
+ *
+ * Answers that contradict each other, or that no deployment could meet, give
+ * one typed problem with the question's name and what would do.
+ *
+ * Limits: at most QN_FAMILY_CAPACITY groups of a kind; IPv4 addresses.
+ */
+#ifndef LACEWING_QUESTIONNAIRE_H
+#define LACEWING_QUESTIONNAIRE_H
+
+#include "lacewing/error.h"
+#include <glib.h>
+#include <stdio.h>
+
+#define QN_FAMILY_CAPACITY 64
+
+/* code, name */
+#define QN_PROBLEMS(X)                                                        \
+    X(QN_ANSWER_REFUSED, "answer_refused")                                    \
+    X(QN_NOTHING_DESCRIBED, "nothing_described")                              \
+    X(QN_ZONE_UNKNOWN, "zone_unknown")                                        \
+    X(QN_ZONE_TWICE, "zone_twice")                                            \
+    X(QN_ZONE_EMPTY, "zone_without_server")                                   \
+    X(QN_FEW_INSTANCES, "fewer_instances_than_zones")                         \
+    X(QN_FEW_SERVERS, "fewer_servers_than_zones")                             \
+    X(QN_ADDRESS, "address_unusable")                                         \
+    X(QN_NO_ENGINE, "drafts_without_engine")                                  \
+    X(QN_NO_SERVICE, "calls_without_service")                                 \
+    X(QN_DRAFT_ONCE, "draft_that_may_not_repeat")                             \
+    X(QN_LATE_BELOW_LOAD, "late_before_a_load_ends")                          \
+    X(QN_LATE_BELOW_TOKENS, "late_before_the_longest_draft_ends")             \
+    X(QN_LATE_BELOW_FIRST_TOKEN, "late_before_the_first_token")               \
+    X(QN_TEAM_UNKNOWN, "team_unknown")                                        \
+    X(QN_WARM_OVER_COUNT, "more_warm_than_there_are")                         \
+    X(QN_WARM_OVER_SLOTS, "more_warm_than_slots")                             \
+    X(QN_SERVERS_UNKNOWN, "servers_unknown")                                  \
+    X(QN_ENGINE_WITHOUT_SLOTS, "engine_without_slots")                        \
+    X(QN_NAME, "name_unusable")                                               \
+    X(QN_CANNOT_WORK, "cannot_work")
+
+typedef enum qn_problem_code {
+#define QN_ENUM(code, name) code,
+    QN_PROBLEMS(QN_ENUM)
+#undef QN_ENUM
+        QN_PROBLEM_NUM
+} qn_problem_code;
+
+typedef struct qn_problem {
+    qn_problem_code code;
+    char *question; /* "[group] key" */
+    char *would_do; /* what is wrong, and an answer that would do */
+} qn_problem;
+
+/* Writes the configuration that the answers lead to. ER_SETTING_CONFLICT with
+   problem filled when they lead to none; free text with g_free(). */
+er_code qn_generate(GKeyFile *answers, const char *file, char **text,
+                    qn_problem *problem);
+void qn_problem_clear(qn_problem *problem);
+
+/* Asks each question until its answer is allowed; an empty line takes the
+   default. ER_FILE when the input ends early. */
+er_code qn_interview(FILE *in, FILE *out, GKeyFile *answers,
+                     er_status *status);
+
+/* queries */
+const char *qn_query_problem_name(qn_problem_code code);
+/* Reference of the questions in Markdown; free with g_free(). */
+char *qn_query_reference(void);
+
+#endif
--- /dev/null
+++ b/packages/tool/src/interview.c
@@ -0,0 +1,115 @@
+/* Asking the questions one at a time. */
+#include "questions.h"
+
+#include <string.h>
+
+#define LINE_BYTES 4096
+
+static bool
+_qn_read_line(FILE *in, char *line)
+{
+    if (!fgets(line, LINE_BYTES, in)) {
+        return false;
+    }
+    g_strstrip(line);
+    return true;
+}
+
+static void
+_qn_print_question(FILE *out, const char *group, const st_key *key)
+{
+    fprintf(out, "[%s] %s: %s", group, key->name, key->help);
+    if (key->type == ST_ENUM) {
+        g_autofree char *choices = g_strjoinv(", ", (char **)key->choices);
+        fprintf(out, " (%s)", choices);
+    }
+    if (key->type == ST_LIST) {
+        fputs(" (separated by ;)", out);
+    }
+    if (key->fallback) {
+        fprintf(out, " [%s]", key->fallback);
+    }
+    fputs("\n> ", out);
+    fflush(out);
+}
+
+static er_code
+_qn_ask(FILE *in, FILE *out, GKeyFile *answers, const char *group,
+        const st_key *key, er_status *status)
+{
+    char line[LINE_BYTES];
+    for (;;) {
+        _qn_print_question(out, group, key);
+        if (!_qn_read_line(in, line)) {
+            return er_set(status, ER_FILE, "[%s] %s: the input ended", group,
+                          key->name);
+        }
+        g_key_file_remove_key(answers, group, key->name, NULL);
+        if (*line) {
+            g_key_file_set_string(answers, group, key->name, line);
+        }
+        er_status refused = {0};
+        if (qn_answer_check(answers, "answer", group, key, &refused) ==
+            ER_OK) {
+            return ER_OK;
+        }
+        fprintf(out, "  %s\n", refused.message);
+    }
+}
+
+static er_code
+_qn_ask_names(FILE *in, FILE *out, const qn_family_table *family,
+              char ***names, er_status *status)
+{
+    char line[LINE_BYTES];
+    fprintf(out, "%s: names (separated by ;)?\n> ", family->asks);
+    fflush(out);
+    if (!_qn_read_line(in, line)) {
+        return er_set(status, ER_FILE, "[%s NAME]: the input ended",
+                      family->group);
+    }
+    *names = g_strsplit(line, ";", -1);
+    return ER_OK;
+}
+
+/* A group stands also when all its answers are the defaults. */
+static void
+_qn_make_group(GKeyFile *answers, const char *group)
+{
+    g_key_file_set_string(answers, group, "name", "");
+    g_key_file_remove_key(answers, group, "name", NULL);
+}
+
+static er_code
+_qn_ask_family(FILE *in, FILE *out, GKeyFile *answers,
+               const qn_family_table *family, er_status *status)
+{
+    g_auto(GStrv) names = NULL;
+    er_code code = _qn_ask_names(in, out, family, &names, status);
+    for (char **name = names; code == ER_OK && name && *name; name++) {
+        if (!*g_strstrip(*name)) {
+            continue;
+        }
+        g_autofree char *group =
+            g_strdup_printf("%s %s", family->group, *name);
+        _qn_make_group(answers, group);
+        for (size_t i = 0; code == ER_OK && i < family->key_count; i++) {
+            code = _qn_ask(in, out, answers, group, &family->keys[i], status);
+        }
+    }
+    return code;
+}
+
+er_code
+qn_interview(FILE *in, FILE *out, GKeyFile *answers, er_status *status)
+{
+    er_code code = ER_OK;
+    for (size_t i = 0; code == ER_OK && i < qn_basic_key_count; i++) {
+        code = _qn_ask(in, out, answers, qn_basic_keys[i].group,
+                       &qn_basic_keys[i], status);
+    }
+    for (uint32_t i = 0; code == ER_OK && i < QN_FAMILY_NUM; i++) {
+        code = _qn_ask_family(in, out, answers, &qn_families[i], status);
+    }
+    return code;
+}
