Decisions: owners tell their load wait; a further copy elsewhere when it pays

The summary gains load_wait_ms (expected wait for an adapter that a server does not hold): without it an entry could not see that one owner's share of the weight store was used up while others' stood idle, and an owner whose hot adapter had filled its servers kept all its requests. Entries now weigh the wait for the copies there are against a load on one of the homes. Copies on their way are told at once, so that all entries follow the same one. A cancelled attempt's late end gives ER_STALE; an event is taken in before timers that are due at the same time; progress is not taken as pace while another's prefill stood in between (that had healthy servers ejected); a team's share counts only near the deadline.

--- a/packages/decisions/include/lacewing/decisions.h
+++ b/packages/decisions/include/lacewing/decisions.h
@@ -241,6 +241,7 @@
     uint32_t running;           /* requests running */
     uint32_t waiting;           /* requests queued */
     uint32_t backlog_ms;        /* expected wait of a new short request */
+    uint32_t load_wait_ms;      /* expected wait for an adapter not held */
     uint32_t token_interval_us; /* learned, between tokens of one stream */
     bool ejected;               /* a straggler for now */
     uint32_t change_count;      /* changes below */
--- a/packages/decisions/src/admission.c
+++ b/packages/decisions/src/admission.c
@@ -2,11 +2,11 @@
 
 #include "lengths.h"
 
-#define _AM_TOKEN_US 34000      /* expected time of one token */
-#define _AM_PROMPT_TOKEN_US 250 /* expected prefill of one token */
-#define _AM_SHARE_SLACK 1.25    /* times its share that a team may hold */
-#define _AM_SHARE_WAIT_MS 300   /* shares count when work waits so long */
-#define _AM_RETRIES_SAVED 64.0  /* most that the budget holds */
+#define _AM_TOKEN_US 34000        /* expected time of one token */
+#define _AM_PROMPT_TOKEN_US 250   /* expected prefill of one token */
+#define _AM_SHARE_SLACK 1.25      /* times its share that a team may hold */
+#define _AM_SHARE_SLACK_PART 0.75 /* that a team over its share may wait */
+#define _AM_RETRIES_SAVED 64.0    /* most that the budget holds */
 #define _AM_RETRY_AFTER_MIN_MS 100
 #define _AM_RETRY_AFTER_MAX_MS 30000
 
@@ -110,10 +110,6 @@
     if (!dp_part_on(policy, LWD_PART_ADMISSION) || wait_us == 0) {
         return ER_OK;
     }
-    if (wait_us > _AM_SHARE_WAIT_MS * DP_US_PER_MS &&
-        _am_over_share(policy, request)) {
-        return ER_SHARE_EXCEEDED;
-    }
     if (request->deadline_us == 0) {
         return ER_OK;
     }
@@ -121,9 +117,14 @@
     if (policy->now_us + work_us > request->deadline_us) {
         return ER_DEADLINE;
     }
-    if (policy->now_us + work_us + wait_us > request->deadline_us) {
+    uint64_t slack_us = request->deadline_us - policy->now_us - work_us;
+    if (wait_us > slack_us) {
         return ER_OVERLOADED;
     }
+    if ((double)wait_us > (double)slack_us * _AM_SHARE_SLACK_PART &&
+        _am_over_share(policy, request)) {
+        return ER_SHARE_EXCEEDED;
+    }
     return ER_OK;
 }
 
--- a/packages/decisions/src/attempts.c
+++ b/packages/decisions/src/attempts.c
@@ -51,6 +51,20 @@
     sg_schedule(policy, server);
 }
 
+/* Takes in the pace of an attempt, unless the prefill of another stood in
+   between. */
+static void
+_at_observe(dp_policy *policy, const dp_attempt *attempt, uint32_t made)
+{
+    dp_server *server = attempt->server;
+    uint64_t time_us = policy->now_us - attempt->last_us;
+    sg_note_gap(policy, time_us);
+    if (server->prefill_tokens == 0 &&
+        server->prefills == attempt->prefill_mark) {
+        pc_observe(policy, server, server->running, time_us, made);
+    }
+}
+
 /* -- commands ------------------------------------------------------------- */
 
 dp_attempt *
@@ -78,6 +92,9 @@
     };
     _at_attach(request, attempt);
     li_append(&server->attempts, &attempt->of_server);
+    if (server->running == 0) {
+        server->pace.last_us = policy->now_us;
+    }
     server->running++;
     server->long_running += attempt->long_work ? 1 : 0;
     server->suspects_running += attempt->suspect ? 1 : 0;
@@ -98,19 +115,14 @@
     }
     uint32_t made = tokens - attempt->tokens;
     if (attempt->first_token && made > 0) {
-        uint64_t time_us = policy->now_us - attempt->last_us;
-        uint64_t stalled_us = server->prefilled_us - attempt->prefill_mark_us;
-        time_us -= MIN(stalled_us, time_us);
-        pc_observe(policy, server, server->running, time_us, made);
-        sg_note_gap(policy, policy->now_us - attempt->last_us);
+        _at_observe(policy, attempt, made);
     }
     if (!attempt->first_token) {
         attempt->first_token = true;
         server->prefill_tokens -= attempt->prefill_tokens;
-        server->prefilled_us +=
-            pc_query_prefill_us(server, attempt->prefill_tokens);
+        server->prefills++;
     }
-    attempt->prefill_mark_us = server->prefilled_us;
+    attempt->prefill_mark = server->prefills;
     attempt->tokens = tokens;
     attempt->last_us = policy->now_us;
     server->pace.last_us = policy->now_us;
--- a/packages/decisions/src/copies.c
+++ b/packages/decisions/src/copies.c
@@ -174,7 +174,7 @@
     hp_remove(&policy->absent, &adapter->absent);
     _cp_enter_state(policy, copy, state);
     _cp_refresh_one(copy);
-    if (state == DP_COPY_RESIDENT) {
+    if (cp_query_told(copy)) {
         sm_note_change(policy, server, adapter, true);
     }
     return copy;
@@ -200,7 +200,7 @@
     dp_adapter *adapter = copy->adapter;
     dp_copy *successor = copy->successor;
     _cp_forget_in_attempts(copy);
-    if (copy->state == DP_COPY_RESIDENT) {
+    if (cp_query_told(copy)) {
         sm_note_change(policy, server, adapter, false);
     }
     if (copy->predecessor) {
@@ -224,13 +224,12 @@
 void
 cp_set_state(dp_policy *policy, dp_copy *copy, dp_copy_state state)
 {
-    bool was_resident = copy->state == DP_COPY_RESIDENT;
+    bool was_told = cp_query_told(copy);
     _cp_leave_state(policy, copy);
     _cp_enter_state(policy, copy, state);
     _cp_refresh_one(copy);
-    bool resident = state == DP_COPY_RESIDENT;
-    if (resident != was_resident) {
-        sm_note_change(policy, copy->server, copy->adapter, resident);
+    if (cp_query_told(copy) != was_told) {
+        sm_note_change(policy, copy->server, copy->adapter, !was_told);
     }
 }
 
@@ -314,3 +313,9 @@
 {
     return copy->state == DP_COPY_RESIDENT;
 }
+
+bool
+cp_query_told(const dp_copy *copy)
+{
+    return copy->state == DP_COPY_RESIDENT || _cp_is_coming(copy);
+}
--- a/packages/decisions/src/copies.h
+++ b/packages/decisions/src/copies.h
@@ -38,5 +38,7 @@
 dp_copy *cp_query_find(const dp_policy *policy, const dp_server *server,
                        const dp_adapter *adapter);
 bool cp_query_resident(const dp_copy *copy);
+/* Held or on its way: peers may send work for it. */
+bool cp_query_told(const dp_copy *copy);
 
 #endif
--- a/packages/decisions/src/events.c
+++ b/packages/decisions/src/events.c
@@ -40,7 +40,8 @@
 
 /* -- private: attempts ---------------------------------------------------- */
 
-/* A cancelled attempt tells that it is over. */
+/* A cancelled attempt tells that it is over: it answers nothing any more, but
+   its adapter is free to go. */
 static er_code
 _ev_closing(dp_policy *policy, dp_attempt *attempt, lwd_event_type type)
 {
@@ -48,7 +49,7 @@
         type == LWD_EVENT_PAUSED) {
         at_forget(policy, attempt);
     }
-    return ER_OK;
+    return er_set(&policy->status, ER_STALE, "attempt was cancelled");
 }
 
 static void
--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -14,6 +14,7 @@
 #define _LD_ROOMS_AHEAD 2             /* places made before they are due */
 #define _LD_WORK_BONUS_MS 100         /* of age, for each request waiting */
 #define _LD_EXTRA_PENALTY_MS 500      /* a further copy waits behind these */
+#define _LD_GAIN_MS 1000 /* less waiting that a further copy must bring */
 #define _LD_BACKOFF_MS 200
 #define _LD_BACKOFF_DOUBLINGS 6
 #define _LD_FAILURES_MAX 4     /* in a row, then its requests are refused */
@@ -55,7 +56,7 @@
 _ld_extra_pays(dp_policy *policy, dp_adapter *adapter)
 {
     uint64_t wait_us = rt_query_adapter_wait_us(policy, adapter);
-    return wait_us > 2 * ld_query_wait_us(policy);
+    return wait_us > ld_query_wait_us(policy) + _LD_GAIN_MS * DP_US_PER_MS;
 }
 
 void
--- a/packages/decisions/src/placement.c
+++ b/packages/decisions/src/placement.c
@@ -5,7 +5,7 @@
 #include "servers.h"
 #include <math.h>
 
-#define _PL_MEMORY_S 30.0 /* popularity decays by 1/e in this time */
+#define _PL_MEMORY_S 100.0 /* popularity decays by 1/e in this time */
 #define _PL_KEY_SCALE 1048576.0
 #define _PL_KEY_OFFSET 1e6
 #define _PL_HORIZON_S 10.0 /* a lost adapter is missed for this time */
--- a/packages/decisions/src/policy.c
+++ b/packages/decisions/src/policy.c
@@ -179,8 +179,11 @@
 _lwd_feed(lwd_policy *base, uint64_t now_us, const lwd_event *event)
 {
     dp_policy *policy = (dp_policy *)base;
+    /* The event first: what it says may make a timer that is due void. */
+    ti_take_time(policy, now_us);
+    er_code code = ev_feed(policy, event);
     ti_advance(policy, now_us);
-    return ev_feed(policy, event);
+    return code;
 }
 
 static bool
--- a/packages/decisions/src/routing.c
+++ b/packages/decisions/src/routing.c
@@ -7,9 +7,11 @@
 #include "placement.h"
 #include "servers.h"
 
-#define _RT_COPIES_MAX 64   /* looked at for one request */
-#define _RT_PREFIX_PART 0.5 /* of a prompt that a held prefix saves */
-#define _RT_PACE_TOKENS 32  /* a slower pace counts for so many tokens */
+#define _RT_COPIES_MAX 64        /* looked at for one request */
+#define _RT_PREFIX_PART 0.5      /* of a prompt that a held prefix saves */
+#define _RT_RANK_US 300000       /* a home against the next */
+#define _RT_LOAD_GAIN_US 1000000 /* less waiting that a load must bring */
+#define _RT_PACE_TOKENS 32       /* a slower pace counts for so many tokens */
 
 /* -- private: prefixes ---------------------------------------------------- */
 
@@ -197,34 +199,64 @@
     }
 }
 
-/* -- the route ------------------------------------------------------------ */
+/* -- private: homes --------------------------------------------------------
+ */
+
+/* Expected wait when a home server of the adapter loads it. */
+static uint64_t
+_rt_home_wait_us(const dp_policy *policy, const dp_server *server)
+{
+    if (sv_query_usable(server)) {
+        return ld_query_wait_us(policy) + rt_query_wait_us(policy, server);
+    }
+    uint64_t load_us =
+        MAX(server->told.load_wait_ms, policy->desc.load_ms) * DP_US_PER_MS;
+    return load_us + _rt_remote_wait_us(policy, server);
+}
 
-/* For an adapter that is held nowhere: the first home that can take it. */
-static rt_route
-_rt_to_home(dp_policy *policy, const dp_request *request)
+/* Offers the homes of an adapter to a route; more_us is what a load must
+   gain. An earlier home goes before a later one that is little better, so
+   that all instances choose the same. */
+static void
+_rt_try_homes(dp_policy *policy, const dp_request *request, uint64_t more_us,
+              rt_route *route)
 {
     dp_adapter *adapter = request->adapter;
-    uint64_t wait_us = ld_query_wait_us(policy);
-    rt_route route = {.kind = RT_NONE};
     pl_refresh_homes(policy, adapter);
+    uint64_t rank_us = 0;
     for (uint32_t at = 0; at < adapter->home_count; at++) {
         dp_server *server = sv_query_at(policy, adapter->homes[at]);
-        if (!server || server == request->target) {
+        if (!server || server == request->target ||
+            cp_query_find(policy, server, adapter) ||
+            (!sv_query_usable(server) && !_rt_can_forward(server))) {
             continue;
         }
-        if (sv_query_usable(server)) {
-            return (rt_route){.kind = RT_WAIT, .wait_us = wait_us};
-        }
-        if (_rt_can_forward(server)) {
-            return (rt_route){.kind = RT_FORWARD,
-                              .server = server,
-                              .wait_us = wait_us + 2 * policy->desc.hop_us};
+        uint64_t wait_us = _rt_home_wait_us(policy, server);
+        uint64_t offer_us = wait_us + more_us + rank_us;
+        rank_us += _RT_RANK_US;
+        if (route->kind == RT_NONE || offer_us < route->wait_us) {
+            bool own = server->desc.owned;
+            *route = (rt_route){.kind = own ? RT_WAIT : RT_FORWARD,
+                                .server = server,
+                                .wait_us = offer_us,
+                                .load = true};
         }
     }
-    if (policy->usable_own > 0) {
-        route = (rt_route){.kind = RT_WAIT, .wait_us = wait_us};
+}
+
+/* -- the route ------------------------------------------------------------ */
+
+static void
+_rt_try_own(const dp_policy *policy, const dp_request *request,
+            rt_route *route)
+{
+    uint64_t wait_us = rt_query_adapter_wait_us(policy, request->adapter);
+    if (request->adapter->coming > 0) {
+        wait_us = MIN(wait_us, ld_query_wait_us(policy));
+    }
+    if (wait_us != UINT64_MAX) {
+        *route = (rt_route){.kind = RT_WAIT, .wait_us = wait_us};
     }
-    return route;
 }
 
 rt_route
@@ -236,24 +268,16 @@
             .kind = RT_SEND, .copy = copy, .server = copy->server};
     }
     rt_route route = {.kind = RT_NONE};
-    uint64_t own_us = rt_query_adapter_wait_us(policy, request->adapter);
-    if (own_us != UINT64_MAX) {
-        route = (rt_route){.kind = RT_WAIT, .wait_us = own_us};
-    }
-    if (request->forwarded) {
-        if (route.kind == RT_NONE && policy->usable_own > 0) {
-            route = (rt_route){.kind = RT_WAIT,
-                               .wait_us = ld_query_wait_us(policy)};
-        }
-        return route;
-    }
-    _rt_try_remote_copies(policy, request, &route);
-    if (route.kind == RT_NONE && request->adapter->coming > 0) {
-        return (rt_route){.kind = RT_WAIT,
-                          .wait_us = ld_query_wait_us(policy)};
+    _rt_try_own(policy, request, &route);
+    if (!request->forwarded) {
+        _rt_try_remote_copies(policy, request, &route);
+        uint64_t more_us = route.kind == RT_NONE ? 0 : _RT_LOAD_GAIN_US;
+        _rt_try_homes(policy, request, more_us, &route);
     }
-    if (route.kind == RT_NONE) {
-        return _rt_to_home(policy, request);
+    if (route.kind == RT_NONE && policy->usable_own > 0) {
+        route = (rt_route){.kind = RT_WAIT,
+                           .wait_us = ld_query_wait_us(policy),
+                           .load = true};
     }
     return route;
 }
--- a/packages/decisions/src/routing.h
+++ b/packages/decisions/src/routing.h
@@ -25,6 +25,7 @@
     dp_copy *copy;     /* RT_SEND */
     dp_server *server; /* RT_SEND, RT_FORWARD */
     uint64_t wait_us;  /* expected, until it runs */
+    bool load;         /* a further copy is worth its load */
 } rt_route;
 
 /* commands */
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -123,7 +123,7 @@
     uint32_t suspects_running;
     uint32_t running_tokens; /* expected, not made yet */
     uint32_t prefill_tokens; /* of attempts without a first token */
-    uint64_t prefilled_us;   /* sum of the prefill of all its attempts */
+    uint32_t prefills;       /* first tokens of all its attempts */
     dp_pace pace;
     dp_timer progress_timer;
     /* stragglers */
@@ -181,7 +181,7 @@
     uint32_t tokens;         /* made so far, counted from the answer's first */
     uint32_t counted_tokens; /* its part of the server's running_tokens */
     uint32_t prefill_tokens;
-    uint64_t prefill_mark_us; /* the server's prefilled_us at last_us */
+    uint32_t prefill_mark; /* the server's prefills at last_us */
     bool first_token;
     bool hedge;
     bool long_work;
@@ -331,6 +331,8 @@
 void ti_set(dp_policy *policy, dp_timer *timer, dp_timer_kind kind,
             uint64_t at_us);
 void ti_clear(dp_policy *policy, dp_timer *timer);
+/* Takes the new time alone; it never runs back. */
+void ti_take_time(dp_policy *policy, uint64_t now_us);
 /* Takes the new time and fires what is due. */
 void ti_advance(dp_policy *policy, uint64_t now_us);
 
--- a/packages/decisions/src/stragglers.c
+++ b/packages/decisions/src/stragglers.c
@@ -53,7 +53,6 @@
 sg_schedule(dp_policy *policy, dp_server *server)
 {
     if (server->running > 0 && !server->progress_timer.node.queued) {
-        server->pace.last_us = MAX(server->pace.last_us, policy->now_us);
         ti_set(policy, &server->progress_timer, DP_TIMER_SERVER,
                policy->now_us + _sg_patience_us(policy, server));
     }
--- a/packages/decisions/src/summaries.c
+++ b/packages/decisions/src/summaries.c
@@ -3,12 +3,14 @@
 #include "actions.h"
 #include "adapters.h"
 #include "copies.h"
+#include "loads.h"
 #include "order.h"
 #include "pace.h"
 #include "routing.h"
 #include "servers.h"
 
 #define _SM_PERIOD_MS 250
+#define _SM_CHANGE_MS 20 /* after a change of residency */
 
 /* -- commands ------------------------------------------------------------- */
 
@@ -29,8 +31,7 @@
 sm_note_change(dp_policy *policy, dp_server *server, const dp_adapter *adapter,
                bool resident)
 {
-    (void)policy;
-    if (!server->desc.owned) {
+    if (!server->desc.owned || !server->summary_timer.node.queued) {
         return;
     }
     if (server->change_count == DP_CHANGES) {
@@ -42,6 +43,9 @@
     server->changes[at].adapter_tag = adapter->desc.tag;
     server->changes[at].resident = resident;
     server->change_count++;
+    ti_set(policy, &server->summary_timer, DP_TIMER_SUMMARY,
+           MIN(server->summary_timer.node.key,
+               policy->now_us + _SM_CHANGE_MS * DP_US_PER_MS));
 }
 
 void
@@ -83,7 +87,7 @@
         li_remove(&server->copies, link);
         li_append(&server->copies, link);
         left--;
-        if (cp_query_resident(copy)) {
+        if (cp_query_told(copy)) {
             _sm_add_change(summary, copy->adapter->desc.tag, true);
         }
     }
@@ -103,6 +107,7 @@
         .waiting = rt_query_waiting(server),
         .backlog_ms =
             (uint32_t)(rt_query_wait_us(policy, server) / DP_US_PER_MS),
+        .load_wait_ms = (uint32_t)(ld_query_wait_us(policy) / DP_US_PER_MS),
         .token_interval_us =
             (uint32_t)pc_query_interval_us(policy, server, batch),
         .ejected = server->ejected,
