Administration API and audit trail

Cause: teams and operators change a shared deployment at once, from any daemon, while the table may be down or lose its answers.

Ways weighed: (a) handlers that write rows of the chain themselves; (b) a host table of functions, where the host commits the change and its audit record in one transaction. (b): the daemon holds the chain already, and two writers of one row format drift. Conflicts are told from the audit rows since the author's version, so that no second index is needed; the same id against the same version is recognised there too. An audit record carries the edits that take its change back; a roll back applies them, newest first, as a new version.

Refusals get rows of their own, at most 5 a second from one daemon. A refusal's record shows no earlier values unless an operator made it: a team could else read another's by asking to change it.

Conclusion: the API is whole but for the daemon that mounts it.

--- /dev/null
+++ b/packages/admin/tests/host.h
@@ -0,0 +1,237 @@
+/*
+ * A host for the tests: a table in memory, changes committed as the chain
+ * does, one daemon that folds its own in at once. Two hosts may share a table.
+ */
+#ifndef LACEWING_ADMIN_TEST_HOST_H
+#define LACEWING_ADMIN_TEST_HOST_H
+
+#include "lacewing/admin.h"
+#include <check.h>
+#include <string.h>
+
+typedef struct host {
+    ad_host base;
+    pf_table *table;
+    dc_config *config;
+    uint64_t version;
+    SoupServer *server;
+    SoupSession *session;
+    ad_admin *admin;
+    char *url;
+} host;
+
+typedef struct reply {
+    bool done;
+    uint32_t status;
+    char *text;
+} reply;
+
+typedef struct submission {
+    host *at;
+    char *text;
+    uint64_t expect;
+    ad_outcome_call call;
+    void *user_data;
+} submission;
+
+static void
+host_fold(host *at, const char *text)
+{
+    g_autoptr(dc_edits) edits = NULL;
+    dc_config *next = NULL;
+    ck_assert_int_eq(dc_edits_parse(text, &edits, NULL), ER_OK);
+    ck_assert_int_eq(dc_apply_edits(at->config, edits, &next, NULL), ER_OK);
+    dc_unref(at->config);
+    at->config = next;
+    at->version++;
+}
+
+static void
+host_on_commit(const pf_commit_result *result, void *data)
+{
+    submission *sent = data;
+    if (result->code == ER_OK) {
+        host_fold(sent->at, sent->text);
+    }
+    const ad_outcome outcome = {.code = result->code,
+                                .version = sent->expect + 1};
+    sent->call(&outcome, sent->user_data);
+    g_free(sent->text);
+    g_free(sent);
+}
+
+static void
+host_submit(ad_host *base, const ad_change *change, ad_outcome_call call,
+            void *user_data)
+{
+    host *at = (host *)base;
+    submission *sent = g_new0(submission, 1);
+    *sent = (submission){.at = at,
+                         .text = g_strdup(change->text),
+                         .expect = change->expect,
+                         .call = call,
+                         .user_data = user_data};
+    g_autofree char *key = g_strdup_printf(
+        "config/change/%012" G_GUINT64_FORMAT, change->expect + 1);
+    g_autofree char *audit_key = ad_query_change_key(change->expect + 1);
+    g_autoptr(GBytes) text = g_bytes_new(change->text, strlen(change->text));
+    g_autoptr(GBytes) audit =
+        g_bytes_new(change->audit, strlen(change->audit));
+    const pf_op ops[] = {{.key = key, .value = text},
+                         {.key = audit_key, .value = audit}};
+    pf_table_commit(at->table, ops, G_N_ELEMENTS(ops), host_on_commit, sent);
+}
+
+static dc_config *
+host_config(ad_host *base, uint64_t *version)
+{
+    host *at = (host *)base;
+    *version = at->version;
+    return at->config;
+}
+
+static char *
+host_status(ad_host *base)
+{
+    (void)base;
+    return g_strdup("{\"instance\":\"test\"}");
+}
+
+static char *
+host_servers(ad_host *base)
+{
+    (void)base;
+    return g_strdup("[{\"name\":\"engine-1\",\"owner\":\"test\"}]");
+}
+
+static char *
+host_explain(ad_host *base, const char *request, const char *team)
+{
+    (void)base;
+    bool known = strcmp(request, "r-1") == 0;
+    bool own = !team || strcmp(team, "volunteers") == 0;
+    return known && own ? g_strdup("{\"request\":\"r-1\"}") : NULL;
+}
+
+static const ad_host_vt host_vt = {.config = host_config,
+                                   .submit = host_submit,
+                                   .status = host_status,
+                                   .servers = host_servers,
+                                   .explain = host_explain};
+
+static char *
+host_hash(const char *secret)
+{
+    return g_compute_checksum_for_string(G_CHECKSUM_SHA256, secret, -1);
+}
+
+/* Its keys are op-key, editor-key, caller-key and other-key. */
+static char *
+host_sample(void)
+{
+    g_autofree char *op = host_hash("op-key");
+    g_autofree char *editor = host_hash("editor-key");
+    g_autofree char *caller = host_hash("caller-key");
+    g_autofree char *other = host_hash("other-key");
+    return g_strdup_printf(
+        "[deployment]\nname=sample\n[zone a]\n"
+        "[server engine-1]\nzone=a\naddress=10.0.0.1:80\nfence=check\n"
+        "[server engine-2]\nzone=a\naddress=10.0.0.2:80\n"
+        "[server order-1]\nzone=a\naddress=10.0.0.3:80\nkind=service\n"
+        "[model base]\n"
+        "[team operators]\nkeys=operator:%s\n"
+        "[team volunteers]\nkeys=editor:%s;caller:%s\n"
+        "[team others]\nkeys=editor:%s\n"
+        "[adapter binder]\nmodel=base\nteam=volunteers\nversions=1\n"
+        "[adapter other]\nmodel=base\nteam=others\nversions=1\n"
+        "[operation quote]\ndeadline_ms=10000\n"
+        "[operation book]\nkind=call\n",
+        op, editor, caller, other);
+}
+
+/* table NULL: one of its own. */
+static host *
+host_create(pf_table *table)
+{
+    host *at = g_new0(host, 1);
+    at->base.vt = &host_vt;
+    at->table = table ? table : pf_memory_table_create();
+    at->version = 1;
+    g_autofree char *text = host_sample();
+    er_status status = {0};
+    ck_assert_msg(dc_parse(text, "sample", &at->config, &status) == ER_OK,
+                  "%s", status.message);
+    at->server = soup_server_new(NULL, NULL);
+    ck_assert(soup_server_listen_local(at->server, 0,
+                                       SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+    GSList *uris = soup_server_get_uris(at->server);
+    at->url =
+        g_strdup_printf("http://127.0.0.1:%d", g_uri_get_port(uris->data));
+    g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+    at->session = soup_session_new();
+    at->admin = ad_create(&(ad_desc){
+        .server = at->server, .table = at->table, .host = &at->base});
+    return at;
+}
+
+static void
+host_destroy(host *at, bool with_table)
+{
+    ck_assert_uint_eq(ad_query_open(at->admin), 0);
+    ad_destroy(at->admin);
+    soup_session_abort(at->session);
+    g_object_unref(at->session);
+    soup_server_disconnect(at->server);
+    g_object_unref(at->server);
+    if (with_table) {
+        pf_table_destroy(at->table);
+    }
+    dc_unref(at->config);
+    g_free(at->url);
+    g_free(at);
+}
+
+static void
+host_on_reply(GObject *source, GAsyncResult *result, void *data)
+{
+    reply *got = data;
+    SoupMessage *message =
+        soup_session_get_async_result_message(SOUP_SESSION(source), result);
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(
+        SOUP_SESSION(source), result, &error);
+    ck_assert_msg(bytes, "%s", error ? error->message : "");
+    gsize size = 0;
+    const char *text = g_bytes_get_data(bytes, &size);
+    got->text = g_strndup(text ? text : "", size);
+    got->status = soup_message_get_status(message);
+    got->done = true;
+}
+
+/* One call, awaited; key and body may be NULL. */
+static reply
+host_ask(host *at, const char *method, const char *path, const char *key,
+         const char *body)
+{
+    g_autofree char *url = g_strconcat(at->url, path, NULL);
+    g_autoptr(SoupMessage) message = soup_message_new(method, url);
+    if (key) {
+        g_autofree char *bearer = g_strconcat("Bearer ", key, NULL);
+        soup_message_headers_append(soup_message_get_request_headers(message),
+                                    "Authorization", bearer);
+    }
+    if (body) {
+        g_autoptr(GBytes) bytes = g_bytes_new(body, strlen(body));
+        soup_message_set_request_body_from_bytes(message, "application/json",
+                                                 bytes);
+    }
+    reply got = {0};
+    soup_session_send_and_read_async(at->session, message, G_PRIORITY_DEFAULT,
+                                     NULL, host_on_reply, &got);
+    while (!got.done) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    return got;
+}
+
+#endif
--- a/packages/config/include/lacewing/config.h
+++ b/packages/config/include/lacewing/config.h
@@ -26,7 +26,8 @@
  *            dc_query_zone dc_query_server dc_query_model dc_query_adapter
  *            dc_query_operation dc_query_team (and _at, by position)
  *            dc_query_count dc_query_key dc_query_resolve
- *            dc_query_adapter_has dc_query_value dc_query_text dc_diff
+ *            dc_query_adapter_has dc_query_value dc_query_kind_key
+ *            dc_query_has_group dc_query_text dc_diff
  *            dc_query_reference dc_edits_query_count dc_edits_query_at
  *            dc_edits_query_text
  *
@@ -248,6 +249,10 @@
 /* A value as written; NULL when the document does not give it. */
 const char *dc_query_value(const dc_config *config, const char *group,
                            const char *key);
+/* Name and default of a kind's key by position; false behind the last. A
+   default of NULL: the key is required. */
+bool dc_query_kind_key(dc_kind kind, uint32_t at, const char **key,
+                       const char **fallback);
 bool dc_query_has_group(const dc_config *config, const char *group);
 /* The document in a fixed order; equal configurations give equal texts. Free
    with g_free(). */
--- a/packages/config/src/keys.c
+++ b/packages/config/src/keys.c
@@ -161,6 +161,19 @@
     [DC_OPERATION] = DC_TABLE(operation_keys),
 };
 
+bool
+dc_query_kind_key(dc_kind kind, uint32_t at, const char **key,
+                  const char **fallback)
+{
+    const dc_key_table *table = &dc_key_tables[kind];
+    if (at >= table->count) {
+        return false;
+    }
+    *key = table->keys[at].name;
+    *fallback = table->keys[at].fallback;
+    return true;
+}
+
 char *
 dc_query_reference(void)
 {
