Loads: order by the requests served, counting those of the next seconds

The crest's hot adapters waited for their copies behind single requests of the cold tail, because age ruled the load queue and the queue was seconds long; meanwhile half the servers ran half batches. A second popularity with a memory of 4 s now tells what a load will serve soon, on every instance, and the key takes 1 s off for each request served. Ruled out: the memory of the eviction order (30, 100, 300 s gave the same shares).

--- a/packages/decisions/src/adapters.c
+++ b/packages/decisions/src/adapters.c
@@ -20,7 +20,8 @@
     if (adapter->desc.hash == 0) {
         adapter->desc.hash = rd_mix(desc->tag);
     }
-    adapter->popularity = -1e5;
+    adapter->popularity = PL_NEVER;
+    adapter->recent = PL_NEVER;
     g_hash_table_insert(policy->adapter_tags, &adapter->desc.tag, adapter);
     return adapter;
 }
--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -12,8 +12,10 @@
 #define _LD_MILLI_LOAD_US 1000000000U /* a load per 1000 s */
 #define _LD_BURST 2                   /* loads that the bucket holds */
 #define _LD_ROOMS_AHEAD 2             /* places made before they are due */
-#define _LD_WORK_BONUS_MS 100         /* of age, for each request waiting */
-#define _LD_EXTRA_PENALTY_MS 500      /* a further copy waits behind these */
+#define _LD_WORK_BONUS_MS 1000        /* of age, for each request served */
+#define _LD_AHEAD_S 4.0               /* requests of this time ahead count */
+#define _LD_HOT_BENEFIT 4.0      /* requests served: loaded before others */
+#define _LD_EXTRA_PENALTY_MS 500 /* a further copy waits behind these */
 #define _LD_GAIN_MS 1000 /* less waiting that a further copy must bring */
 #define _LD_BACKOFF_MS 200
 #define _LD_BACKOFF_DOUBLINGS 6
@@ -38,13 +40,23 @@
     return oldest;
 }
 
+/* Requests that a load would serve: those that wait and those expected
+   soon. */
+static double
+_ld_benefit(const dp_policy *policy, const dp_adapter *adapter)
+{
+    return adapter->pending_count +
+           pl_query_recent_rate(policy, adapter) * _LD_AHEAD_S;
+}
+
 static uint64_t
-_ld_key(const dp_adapter *adapter)
+_ld_key(const dp_policy *policy, const dp_adapter *adapter)
 {
     const dp_request *oldest = _ld_oldest(adapter);
-    uint64_t bonus_ms = (uint64_t)_LD_WORK_BONUS_MS * adapter->pending_count;
-    uint64_t key = oldest->entered_us + DP_US_PER_S * 3600;
-    key -= MIN(bonus_ms * DP_US_PER_MS, DP_US_PER_S * 3600);
+    double bonus_us = _ld_benefit(policy, adapter) * _LD_WORK_BONUS_MS * 1000;
+    uint64_t most_us = DP_US_PER_S * 3600;
+    uint64_t bonus = (uint64_t)MIN(bonus_us, (double)most_us);
+    uint64_t key = oldest->entered_us + most_us - bonus;
     if (adapter->extra) {
         key += _LD_EXTRA_PENALTY_MS * DP_US_PER_MS;
     }
@@ -56,7 +68,8 @@
 _ld_extra_pays(dp_policy *policy, dp_adapter *adapter)
 {
     uint64_t wait_us = rt_query_adapter_wait_us(policy, adapter);
-    return wait_us > ld_query_wait_us(policy) + _LD_GAIN_MS * DP_US_PER_MS;
+    uint64_t load_us = ld_query_adapter_wait_us(policy, adapter);
+    return wait_us > load_us + _LD_GAIN_MS * DP_US_PER_MS;
 }
 
 void
@@ -71,7 +84,7 @@
     if (adapter->extra && !_ld_extra_pays(policy, adapter)) {
         return;
     }
-    hp_push(&policy->wanted, &adapter->wanted, _ld_key(adapter));
+    hp_push(&policy->wanted, &adapter->wanted, _ld_key(policy, adapter));
 }
 
 /* -- private: budget ------------------------------------------------------ */
@@ -163,7 +176,7 @@
     }
     for (uint32_t at = 0; at < failed; at++) {
         hp_push(&policy->wanted, &without_place[at]->wanted,
-                _ld_key(without_place[at]));
+                _ld_key(policy, without_place[at]));
     }
 }
 
@@ -297,3 +310,16 @@
                             : 0;
     return load_us + ready_us + before * _ld_interval_us(policy);
 }
+
+uint64_t
+ld_query_adapter_wait_us(const dp_policy *policy, const dp_adapter *adapter)
+{
+    uint64_t wait_us = ld_query_wait_us(policy);
+    if (policy->desc.loads_per_s_milli == 0 ||
+        _ld_benefit(policy, adapter) < _LD_HOT_BENEFIT) {
+        return wait_us;
+    }
+    uint64_t soon_us =
+        policy->desc.load_ms * DP_US_PER_MS + _ld_interval_us(policy);
+    return MIN(wait_us, soon_us);
+}
--- a/packages/decisions/src/placement.c
+++ b/packages/decisions/src/placement.c
@@ -6,6 +6,7 @@
 #include <math.h>
 
 #define _PL_MEMORY_S 100.0 /* popularity decays by 1/e in this time */
+#define _PL_RECENT_S 4.0
 #define _PL_KEY_SCALE 1048576.0
 #define _PL_KEY_OFFSET 1e6
 #define _PL_HORIZON_S 10.0 /* a lost adapter is missed for this time */
@@ -14,9 +15,9 @@
 /* -- popularity ----------------------------------------------------------- */
 
 static double
-_pl_now(const dp_policy *policy)
+_pl_now(const dp_policy *policy, double memory_s)
 {
-    return (double)policy->now_us / (_PL_MEMORY_S * (double)DP_US_PER_S);
+    return (double)policy->now_us / (memory_s * (double)DP_US_PER_S);
 }
 
 /* log(exp(left) + exp(right)) */
@@ -30,7 +31,9 @@
 void
 pl_note_use(dp_policy *policy, dp_adapter *adapter)
 {
-    adapter->popularity = _pl_add(adapter->popularity, _pl_now(policy));
+    adapter->popularity =
+        _pl_add(adapter->popularity, _pl_now(policy, _PL_MEMORY_S));
+    adapter->recent = _pl_add(adapter->recent, _pl_now(policy, _PL_RECENT_S));
 }
 
 double
@@ -55,7 +58,15 @@
 double
 pl_query_rate(const dp_policy *policy, const dp_adapter *adapter)
 {
-    return exp(adapter->popularity - _pl_now(policy)) / _PL_MEMORY_S;
+    double count = exp(adapter->popularity - _pl_now(policy, _PL_MEMORY_S));
+    return count / _PL_MEMORY_S;
+}
+
+double
+pl_query_recent_rate(const dp_policy *policy, const dp_adapter *adapter)
+{
+    double count = exp(adapter->recent - _pl_now(policy, _PL_RECENT_S));
+    return count / _PL_RECENT_S;
 }
 
 /* -- homes ---------------------------------------------------------------- */
--- a/packages/decisions/src/placement.h
+++ b/packages/decisions/src/placement.h
@@ -13,6 +13,8 @@
 
 #include "state.h"
 
+#define PL_NEVER (-1e5) /* popularity of what was never used */
+
 /* commands */
 /* Counts a request on the adapter. */
 void pl_note_use(dp_policy *policy, dp_adapter *adapter);
@@ -33,5 +35,8 @@
 uint64_t pl_query_key(double logarithm);
 /* Requests a second for the adapter lately. */
 double pl_query_rate(const dp_policy *policy, const dp_adapter *adapter);
+/* The same over the last seconds. */
+double pl_query_recent_rate(const dp_policy *policy,
+                            const dp_adapter *adapter);
 
 #endif
--- a/packages/decisions/src/routing.c
+++ b/packages/decisions/src/routing.c
@@ -204,13 +204,17 @@
 
 /* Expected wait when a home server of the adapter loads it. */
 static uint64_t
-_rt_home_wait_us(const dp_policy *policy, const dp_server *server)
+_rt_home_wait_us(const dp_policy *policy, const dp_adapter *adapter,
+                 const dp_server *server)
 {
+    uint64_t load_us = ld_query_adapter_wait_us(policy, adapter);
     if (sv_query_usable(server)) {
-        return ld_query_wait_us(policy) + rt_query_wait_us(policy, server);
+        return load_us + rt_query_wait_us(policy, server);
+    }
+    if (load_us >= ld_query_wait_us(policy)) {
+        load_us = MAX(server->told.load_wait_ms, policy->desc.load_ms) *
+                  DP_US_PER_MS;
     }
-    uint64_t load_us =
-        MAX(server->told.load_wait_ms, policy->desc.load_ms) * DP_US_PER_MS;
     return load_us + _rt_remote_wait_us(policy, server);
 }
 
@@ -231,7 +235,7 @@
             (!sv_query_usable(server) && !_rt_can_forward(server))) {
             continue;
         }
-        uint64_t wait_us = _rt_home_wait_us(policy, server);
+        uint64_t wait_us = _rt_home_wait_us(policy, adapter, server);
         uint64_t offer_us = wait_us + more_us + rank_us;
         rank_us += _RT_RANK_US;
         if (route->kind == RT_NONE || offer_us < route->wait_us) {
@@ -252,7 +256,8 @@
 {
     uint64_t wait_us = rt_query_adapter_wait_us(policy, request->adapter);
     if (request->adapter->coming > 0) {
-        wait_us = MIN(wait_us, ld_query_wait_us(policy));
+        wait_us =
+            MIN(wait_us, ld_query_adapter_wait_us(policy, request->adapter));
     }
     if (wait_us != UINT64_MAX) {
         *route = (rt_route){.kind = RT_WAIT, .wait_us = wait_us};
@@ -275,9 +280,10 @@
         _rt_try_homes(policy, request, more_us, &route);
     }
     if (route.kind == RT_NONE && policy->usable_own > 0) {
-        route = (rt_route){.kind = RT_WAIT,
-                           .wait_us = ld_query_wait_us(policy),
-                           .load = true};
+        route = (rt_route){
+            .kind = RT_WAIT,
+            .wait_us = ld_query_adapter_wait_us(policy, request->adapter),
+            .load = true};
     }
     return route;
 }
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -156,6 +156,7 @@
     uint64_t pending_tokens;
     uint32_t requests; /* not ended */
     double popularity; /* log of the decayed count of requests */
+    double recent;     /* the same, decayed within seconds */
     hp_node wanted;    /* in the policy's heap of loads to order */
     hp_node absent;    /* in the policy's heap of adapters held nowhere */
     dp_timer timer;
