Waits count what is coming; two recent requests make an adapter hot

A hot adapter's next home took the forwards of all entries for a second, since its backlog did not show requests that wait for a load on its way (35 waiting at one server, 4 running at the next). An entry sees only its part of the arrivals, so two requests within the memory of 4 s count as hot.

--- a/packages/decisions/src/copies.c
+++ b/packages/decisions/src/copies.c
@@ -81,8 +81,8 @@
 static void
 _cp_refresh_one(dp_copy *copy)
 {
-    bool held = copy->server->desc.owned && copy->state == DP_COPY_RESIDENT;
-    _cp_set_active(copy, held && copy->adapter->pending_count > 0);
+    bool told = copy->server->desc.owned && cp_query_told(copy);
+    _cp_set_active(copy, told && copy->adapter->pending_count > 0);
     _cp_refresh_idle(copy);
 }
 
@@ -123,7 +123,7 @@
 _cp_leave_state(dp_policy *policy, dp_copy *copy)
 {
     if (copy->state == DP_COPY_ORDERED) {
-        li_remove(&policy->ordered, &copy->active);
+        li_remove(&policy->ordered, &copy->ordered);
     }
     ti_clear(policy, &copy->timer);
     _cp_count(policy, copy, -1);
@@ -136,7 +136,7 @@
     _cp_count(policy, copy, 1);
     uint64_t late_us = 0;
     if (state == DP_COPY_ORDERED) {
-        li_append(&policy->ordered, &copy->active);
+        li_append(&policy->ordered, &copy->ordered);
     }
     if (state == DP_COPY_LOADING) {
         late_us = (uint64_t)policy->desc.load_ms * _CP_LATE_LOADS;
--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -14,7 +14,7 @@
 #define _LD_ROOMS_AHEAD 2             /* places made before they are due */
 #define _LD_WORK_BONUS_MS 1000        /* of age, for each request served */
 #define _LD_AHEAD_S 4.0               /* requests of this time ahead count */
-#define _LD_HOT_BENEFIT 4.0      /* requests served: loaded before others */
+#define _LD_HOT_BENEFIT 2.0      /* requests served: loaded before others */
 #define _LD_EXTRA_PENALTY_MS 500 /* a further copy waits behind these */
 #define _LD_GAIN_MS 1000 /* less waiting that a further copy must bring */
 #define _LD_BACKOFF_MS 200
@@ -223,7 +223,7 @@
     _ld_start_wanted(policy);
     _ld_start_prefetch(policy);
     while (policy->ordered.first && _ld_in_budget(policy)) {
-        _ld_order(policy, LI_ITEM(policy->ordered.first, dp_copy, active));
+        _ld_order(policy, LI_ITEM(policy->ordered.first, dp_copy, ordered));
     }
     _ld_set_timer(policy);
 }
--- a/packages/decisions/src/order.c
+++ b/packages/decisions/src/order.c
@@ -116,6 +116,9 @@
     const li_link *link = server->active.first;
     for (; link; link = link->next) {
         dp_copy *candidate = LI_ITEM(link, dp_copy, active);
+        if (!cp_query_resident(candidate)) {
+            continue;
+        }
         for (uint32_t class_ = 0; class_ < DP_CLASS_NUM; class_++) {
             hp_node *least =
                 hp_query_least(&candidate->adapter->pending[class_]);
--- a/packages/decisions/src/routing.c
+++ b/packages/decisions/src/routing.c
@@ -89,6 +89,13 @@
     return best;
 }
 
+/* Own copies that share the adapter's pending requests; at least 1. */
+static uint32_t
+_rt_own_copies(const dp_adapter *adapter)
+{
+    return MAX(adapter->own_resident + adapter->coming, 1);
+}
+
 /* -- waits ---------------------------------------------------------------- */
 
 uint64_t
@@ -102,8 +109,7 @@
     for (; link; link = link->next) {
         const dp_adapter *adapter =
             LI_ITEM(link, const dp_copy, active)->adapter;
-        tokens +=
-            (double)adapter->pending_tokens / MAX(adapter->own_resident, 1);
+        tokens += (double)adapter->pending_tokens / _rt_own_copies(adapter);
     }
     /* The first of the running to end, then the pending in turn. */
     uint32_t slots = server->desc.slots;
@@ -137,7 +143,7 @@
     for (; link; link = link->next) {
         const dp_adapter *adapter =
             LI_ITEM(link, const dp_copy, active)->adapter;
-        waiting += adapter->pending_count / MAX(adapter->own_resident, 1);
+        waiting += adapter->pending_count / _rt_own_copies(adapter);
     }
     return waiting;
 }
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -90,8 +90,9 @@
     dp_copy *predecessor; /* waiting for the place: what is evicted */
     li_link of_server;
     li_link of_adapter;
-    li_link active; /* in the server's list while its adapter has pending */
-    hp_node idle;   /* in the server's heap while it may be evicted */
+    li_link active;  /* in the server's list while its adapter has pending */
+    li_link ordered; /* in the policy's list in DP_COPY_ORDERED */
+    hp_node idle;    /* in the server's heap while it may be evicted */
     dp_timer timer;
     uint32_t running;
     uint8_t state;
@@ -116,7 +117,7 @@
     uint32_t places;  /* adapter slots taken, orders included */
     uint32_t loading; /* loads in transit */
     hp_heap idle;
-    li_list active;   /* copies whose adapter has pending requests */
+    li_list active;   /* copies, held or coming, with pending requests */
     li_list attempts; /* open and closing */
     uint32_t running;
     uint32_t long_running;
@@ -298,7 +299,7 @@
     /* loads */
     hp_heap wanted;
     hp_heap absent;
-    li_list ordered; /* copies in DP_COPY_ORDERED, by .active */
+    li_list ordered; /* copies in DP_COPY_ORDERED */
     dp_timer loads_timer;
     uint64_t next_load_us;
     uint32_t rooms; /* copies in ROOM or ORDERED */
