Loads: the latest start of the waiting work rules, not its age

With the load queue seconds long, first come first served spent the early loads on work with long deadlines. The key is now the time by which the work must start, less 2 s for each request served; a further copy must gain a quarter of the present wait for a load, so that it gives way while loads are scarce.

--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -2,6 +2,7 @@
 
 #include "actions.h"
 #include "adapters.h"
+#include "admission.h"
 #include "copies.h"
 #include "order.h"
 #include "placement.h"
@@ -12,11 +13,13 @@
 #define _LD_MILLI_LOAD_US 1000000000U /* a load per 1000 s */
 #define _LD_BURST 2                   /* loads that the bucket holds */
 #define _LD_ROOMS_AHEAD 2             /* places made before they are due */
-#define _LD_WORK_BONUS_MS 1000        /* of age, for each request served */
+#define _LD_WORK_BONUS_MS 2000        /* of age, for each request served */
 #define _LD_AHEAD_S 4.0               /* requests of this time ahead count */
 #define _LD_HOT_BENEFIT 2.0      /* requests served: loaded before others */
 #define _LD_EXTRA_PENALTY_MS 500 /* a further copy waits behind these */
+#define _LD_PATIENCE_MS 20000 /* longest start of work that has time */
 #define _LD_GAIN_MS 1000 /* less waiting that a further copy must bring */
+#define _LD_SCARCE_PCT 25 /* of the wait for a load, at least */
 #define _LD_BACKOFF_MS 200
 #define _LD_BACKOFF_DOUBLINGS 6
 #define _LD_FAILURES_MAX 4     /* in a row, then its requests are refused */
@@ -26,18 +29,24 @@
 
 /* -- private: what is wanted ---------------------------------------------- */
 
-static const dp_request *
-_ld_oldest(const dp_adapter *adapter)
+/* Time by which the work of an adapter must start: the earliest over the best
+   of each class. */
+static uint64_t
+_ld_latest_us(const dp_policy *policy, const dp_adapter *adapter)
 {
-    const dp_request *oldest = NULL;
+    uint64_t latest_us = UINT64_MAX;
     for (uint32_t class_ = 0; class_ < DP_CLASS_NUM; class_++) {
         hp_node *least = hp_query_least(&adapter->pending[class_]);
         const dp_request *request = HP_ITEM(least, dp_request, pending);
-        if (request && (!oldest || request->entered_us < oldest->entered_us)) {
-            oldest = request;
+        if (!request) {
+            continue;
         }
+        uint64_t patience_us = _LD_PATIENCE_MS * DP_US_PER_MS;
+        uint64_t give_up_us = am_query_give_up_us(policy, request);
+        latest_us = MIN(latest_us, give_up_us);
+        latest_us = MIN(latest_us, request->entered_us + patience_us);
     }
-    return oldest;
+    return latest_us;
 }
 
 /* Requests that a load would serve: those that wait and those expected
@@ -52,11 +61,10 @@
 static uint64_t
 _ld_key(const dp_policy *policy, const dp_adapter *adapter)
 {
-    const dp_request *oldest = _ld_oldest(adapter);
     double bonus_us = _ld_benefit(policy, adapter) * _LD_WORK_BONUS_MS * 1000;
     uint64_t most_us = DP_US_PER_S * 3600;
     uint64_t bonus = (uint64_t)MIN(bonus_us, (double)most_us);
-    uint64_t key = oldest->entered_us + most_us - bonus;
+    uint64_t key = _ld_latest_us(policy, adapter) + most_us - bonus;
     if (adapter->extra) {
         key += _LD_EXTRA_PENALTY_MS * DP_US_PER_MS;
     }
@@ -69,7 +77,7 @@
 {
     uint64_t wait_us = rt_query_adapter_wait_us(policy, adapter);
     uint64_t load_us = ld_query_adapter_wait_us(policy, adapter);
-    return wait_us > load_us + _LD_GAIN_MS * DP_US_PER_MS;
+    return wait_us > load_us + ld_query_gain_us(policy);
 }
 
 void
@@ -323,3 +331,10 @@
         policy->desc.load_ms * DP_US_PER_MS + _ld_interval_us(policy);
     return MIN(wait_us, soon_us);
 }
+
+uint64_t
+ld_query_gain_us(const dp_policy *policy)
+{
+    uint64_t scarce_us = ld_query_wait_us(policy) * _LD_SCARCE_PCT / 100;
+    return MAX(scarce_us, _LD_GAIN_MS * DP_US_PER_MS);
+}
--- a/packages/decisions/src/loads.h
+++ b/packages/decisions/src/loads.h
@@ -34,6 +34,9 @@
 /* queries */
 /* Expected wait of a request for an adapter that is held nowhere. */
 uint64_t ld_query_wait_us(const dp_policy *policy);
+/* Less waiting that a further copy of an adapter must bring; it grows as
+   loads are scarce. */
+uint64_t ld_query_gain_us(const dp_policy *policy);
 /* The same for this adapter; a popular one is loaded before others. */
 uint64_t ld_query_adapter_wait_us(const dp_policy *policy,
                                   const dp_adapter *adapter);
