Loads: one place made ahead; none for work that has gone; shares later

A place kept too early fixed the choice before more urgent work came. A kept place whose work was given up meanwhile is let go before its load.

--- a/packages/decisions/src/admission.c
+++ b/packages/decisions/src/admission.c
@@ -2,11 +2,13 @@
 
 #include "lengths.h"
 
-#define _AM_TOKEN_US 34000        /* expected time of one token */
-#define _AM_PROMPT_TOKEN_US 250   /* expected prefill of one token */
-#define _AM_SHARE_SLACK 1.25      /* times its share that a team may hold */
-#define _AM_SHARE_SLACK_PART 0.75 /* that a team over its share may wait */
-#define _AM_RETRIES_SAVED 64.0    /* most that the budget holds */
+#define _AM_TOKEN_US 34000      /* expected time of one token */
+#define _AM_PROMPT_TOKEN_US 250 /* expected prefill of one token */
+#define _AM_SHARE_SLACK 1.25    /* times its share that a team may hold */
+#define _AM_SLACK_PART                                                        \
+    1.0 /* of its slack, that work may be expected to wait */
+#define _AM_SHARE_SLACK_PART 0.9 /* that a team over its share may wait */
+#define _AM_RETRIES_SAVED 64.0   /* most that the budget holds */
 #define _AM_RETRY_AFTER_MIN_MS 100
 #define _AM_RETRY_AFTER_MAX_MS 30000
 
@@ -118,7 +120,7 @@
         return ER_DEADLINE;
     }
     uint64_t slack_us = request->deadline_us - policy->now_us - work_us;
-    if (wait_us > slack_us) {
+    if ((double)wait_us > (double)slack_us * _AM_SLACK_PART) {
         return ER_OVERLOADED;
     }
     if ((double)wait_us > (double)slack_us * _AM_SHARE_SLACK_PART &&
--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -12,13 +12,13 @@
 
 #define _LD_MILLI_LOAD_US 1000000000U /* a load per 1000 s */
 #define _LD_BURST 2                   /* loads that the bucket holds */
-#define _LD_ROOMS_AHEAD 2             /* places made before they are due */
+#define _LD_ROOMS_AHEAD 1             /* places made before they are due */
 #define _LD_WORK_BONUS_MS 2000        /* of age, for each request served */
 #define _LD_AHEAD_S 4.0               /* requests of this time ahead count */
 #define _LD_HOT_BENEFIT 2.0      /* requests served: loaded before others */
 #define _LD_EXTRA_PENALTY_MS 500 /* a further copy waits behind these */
-#define _LD_PATIENCE_MS 20000 /* longest start of work that has time */
-#define _LD_GAIN_MS 1000 /* less waiting that a further copy must bring */
+#define _LD_PATIENCE_MS 20000    /* longest start of work that has time */
+#define _LD_GAIN_MS 1000  /* less waiting that a further copy must bring */
 #define _LD_SCARCE_PCT 25 /* of the wait for a load, at least */
 #define _LD_BACKOFF_MS 200
 #define _LD_BACKOFF_DOUBLINGS 6
@@ -167,7 +167,7 @@
 {
     dp_adapter *without_place[_LD_STARTS];
     uint32_t failed = 0;
-    uint32_t bound = MAX(_LD_ROOMS_AHEAD, policy->desc.loads_in_transit);
+    uint32_t bound = _LD_ROOMS_AHEAD;
     while (policy->rooms < bound && failed < _LD_STARTS) {
         hp_node *node = hp_pop(&policy->wanted);
         if (!node) {
@@ -231,7 +231,13 @@
     _ld_start_wanted(policy);
     _ld_start_prefetch(policy);
     while (policy->ordered.first && _ld_in_budget(policy)) {
-        _ld_order(policy, LI_ITEM(policy->ordered.first, dp_copy, ordered));
+        dp_copy *copy = LI_ITEM(policy->ordered.first, dp_copy, ordered);
+        if (copy->adapter->pending_count == 0 && !copy->prefetched) {
+            cp_destroy(policy, copy); /* whoever waited has gone */
+        }
+        else {
+            _ld_order(policy, copy);
+        }
     }
     _ld_set_timer(policy);
 }
--- a/packages/decisions/src/routing.c
+++ b/packages/decisions/src/routing.c
@@ -7,10 +7,10 @@
 #include "placement.h"
 #include "servers.h"
 
-#define _RT_COPIES_MAX 64        /* looked at for one request */
-#define _RT_PREFIX_PART 0.5      /* of a prompt that a held prefix saves */
-#define _RT_RANK_US 300000       /* a home against the next */
-#define _RT_PACE_TOKENS 32       /* a slower pace counts for so many tokens */
+#define _RT_COPIES_MAX 64   /* looked at for one request */
+#define _RT_PREFIX_PART 0.5 /* of a prompt that a held prefix saves */
+#define _RT_RANK_US 300000  /* a home against the next */
+#define _RT_PACE_TOKENS 32  /* a slower pace counts for so many tokens */
 
 /* -- private: prefixes ---------------------------------------------------- */
 
@@ -281,7 +281,8 @@
     _rt_try_own(policy, request, &route);
     if (!request->forwarded) {
         _rt_try_remote_copies(policy, request, &route);
-        uint64_t more_us = route.kind == RT_NONE ? 0 : ld_query_gain_us(policy);
+        uint64_t more_us =
+            route.kind == RT_NONE ? 0 : ld_query_gain_us(policy);
         _rt_try_homes(policy, request, more_us, &route);
     }
     if (route.kind == RT_NONE && policy->usable_own > 0) {
