--- a/packages/admin/src/rollback.c
+++ b/packages/admin/src/rollback.c
@@ -28,7 +28,10 @@
         if (version > back->call->version) {
             return ER_OK;
         }
-        if (!object || !json_object_has_member(object, "undo")) {
+        bool whole = object && json_object_has_member(object, "undo") &&
+                     (uint64_t)json_object_get_int_member_with_default(
+                         object, "version", 0) == version;
+        if (!whole) {
             return er_set(status, ER_NOT_FOUND,
                           "version %" G_GUINT64_FORMAT " cannot be taken back",
                           version);
--- /dev/null
+++ b/packages/admin/tests/ask.h
@@ -0,0 +1,56 @@
+/* Calls of a test host from the same process. */
+#ifndef LACEWING_ADMIN_TEST_ASK_H
+#define LACEWING_ADMIN_TEST_ASK_H
+
+#include "host.h"
+
+typedef struct reply {
+    bool done;
+    uint32_t status;
+    char *text;
+} reply;
+
+static void
+host_on_reply(GObject *source, GAsyncResult *result, void *data)
+{
+    reply *got = data;
+    SoupMessage *message =
+        soup_session_get_async_result_message(SOUP_SESSION(source), result);
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(
+        SOUP_SESSION(source), result, &error);
+    ck_assert_msg(bytes, "%s", error ? error->message : "");
+    gsize size = 0;
+    const char *text = g_bytes_get_data(bytes, &size);
+    got->text = g_strndup(text ? text : "", size);
+    got->status = soup_message_get_status(message);
+    got->done = true;
+}
+
+/* One call, awaited; key and body may be NULL. */
+static reply
+host_ask(host *at, const char *method, const char *path, const char *key,
+         const char *body)
+{
+    g_autofree char *url = g_strconcat(at->url, path, NULL);
+    g_autoptr(SoupMessage) message = soup_message_new(method, url);
+    if (key) {
+        g_autofree char *bearer = g_strconcat("Bearer ", key, NULL);
+        soup_message_headers_append(soup_message_get_request_headers(message),
+                                    "Authorization", bearer);
+    }
+    if (body) {
+        g_autoptr(GBytes) bytes = g_bytes_new(body, strlen(body));
+        soup_message_set_request_body_from_bytes(message, "application/json",
+                                                 bytes);
+    }
+    reply got = {0};
+    soup_session_send_and_read_async(at->session, message, G_PRIORITY_DEFAULT,
+                                     NULL, host_on_reply, &got);
+    while (!got.done) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    return got;
+}
+
+#endif
--- a/packages/admin/tests/test_admin.c
+++ b/packages/admin/tests/test_admin.c
@@ -1,5 +1,5 @@
 /* Tests of the administration API: who may, conflicts, the audit trail. */
-#include "host.h"
+#include "ask.h"
 #include <stdlib.h>
 
 static void
--- a/packages/admin/tests/test_admin_doc.c
+++ b/packages/admin/tests/test_admin_doc.c
@@ -1,5 +1,5 @@
 /* Runs each call of docs/ADMIN_API.md, in order, and compares the answers. */
-#include "host.h"
+#include "ask.h"
 #include <json-glib/json-glib.h>
 #include <stdlib.h>
 
--- /dev/null
+++ b/packages/tool/completion/lacewing.bash
@@ -0,0 +1,43 @@
+# Bash completion of lacewing: source this file, or install it as
+# /usr/share/bash-completion/completions/lacewing
+_lacewing()
+{
+    local commands="questionnaire check diff apply history rollback status \
+servers adapters explain drain audit top report settings-reference"
+    local current=${COMP_WORDS[COMP_CWORD]}
+    local previous=${COMP_WORDS[COMP_CWORD - 1]}
+    if [ "$COMP_CWORD" -eq 1 ]; then
+        mapfile -t COMPREPLY < <(compgen -W "$commands --help" -- "$current")
+        return
+    fi
+    case $previous in
+    --answers | -a | --output | -o | --save-answers | --edits | -e | \
+        --key-file | --ca)
+        mapfile -t COMPREPLY < <(compgen -f -- "$current")
+        return
+        ;;
+    esac
+    if [ "${current:0:1}" = "-" ]; then
+        local options="--help"
+        case ${COMP_WORDS[1]} in
+        questionnaire) options+=" --answers --output --save-answers --questions" ;;
+        check | diff) options+=" --json" ;;
+        report | settings-reference) options+=" --output" ;;
+        *)
+            options+=" --admin --key --key-file --ca --json"
+            case ${COMP_WORDS[1]} in
+            apply) options+=" --edits --expect --note --force --dry-run --wait" ;;
+            rollback) options+=" --note --force" ;;
+            drain) options+=" --undo --wait --note --force" ;;
+            audit | history) options+=" --after --limit --who --group --refused" ;;
+            servers | adapters) options+=" --limit --after" ;;
+            top) options+=" --count --interval" ;;
+            esac
+            ;;
+        esac
+        mapfile -t COMPREPLY < <(compgen -W "$options" -- "$current")
+        return
+    fi
+    mapfile -t COMPREPLY < <(compgen -f -- "$current")
+}
+complete -F _lacewing lacewing
--- /dev/null
+++ b/packages/tool/src/cmd_drain.c
@@ -0,0 +1,114 @@
+/* lacewing drain: give a backend server no new work. */
+#include "client.h"
+
+#include <stdio.h>
+
+#define POLL_PAUSE_US 500000
+#define US_PER_S 1000000
+
+static char *note = NULL;
+static gboolean undo = FALSE;
+static gboolean force = FALSE;
+static gint wait_s = 0;
+
+static const GOptionEntry options[] = {
+    {"undo", 'u', 0, G_OPTION_ARG_NONE, &undo, "Give it work again", NULL},
+    {"wait", 'w', 0, G_OPTION_ARG_INT, &wait_s,
+     "Wait until it has no work left, at most so long", "SECONDS"},
+    {"note", 'n', 0, G_OPTION_ARG_STRING, &note, "For the audit trail",
+     "TEXT"},
+    {"force", 0, 0, G_OPTION_ARG_NONE, &force,
+     "Also when check finds an error", NULL},
+    {NULL},
+};
+
+/* Requests that a server still has; -1: not known here. */
+static gint64
+_tl_left(tl_client *client, const char *path)
+{
+    g_autoptr(JsonNode) answer = NULL;
+    er_status status = {0};
+    if (tl_client_call(client, "GET", path, NULL, &answer, &status) != ER_OK) {
+        return -1;
+    }
+    JsonObject *item =
+        json_object_get_object_member(json_node_get_object(answer), "item");
+    if (!item || !json_object_has_member(item, "live")) {
+        return -1;
+    }
+    JsonObject *live = json_object_get_object_member(item, "live");
+    return json_object_get_int_member_with_default(live, "running", 0) +
+           json_object_get_int_member_with_default(live, "waiting", 0);
+}
+
+static tl_exit
+_tl_wait_empty(tl_client *client, const char *path)
+{
+    for (gint64 waited_us = 0; waited_us <= (gint64)wait_s * US_PER_S;
+         waited_us += POLL_PAUSE_US) {
+        gint64 left = _tl_left(client, path);
+        if (left == 0) {
+            fputs("drained\n", stderr);
+            return TL_EXIT_OK;
+        }
+        if (left > 0) {
+            fprintf(stderr, "%" G_GINT64_FORMAT " requests left\n", left);
+        }
+        g_usleep(POLL_PAUSE_US);
+    }
+    fputs("lacewing: the server has work left, or its owner is not known "
+          "here\n",
+          stderr);
+    return TL_EXIT_UNREACHABLE;
+}
+
+static JsonObject *
+_tl_drain_body(void)
+{
+    JsonObject *body = json_object_new();
+    json_object_set_string_member(body, "state", undo ? "ready" : "drain");
+    if (note) {
+        json_object_set_string_member(body, "note", note);
+    }
+    if (force) {
+        json_object_set_boolean_member(body, "force", TRUE);
+    }
+    return body;
+}
+
+static tl_exit
+_tl_drain(tl_client *client, const char *server)
+{
+    g_autofree char *name = g_uri_escape_string(server, NULL, FALSE);
+    g_autofree char *path = g_strdup_printf("servers/%s", name);
+    g_autoptr(JsonNode) answer = NULL;
+    er_status status = {0};
+    /* a server that is not there is not made */
+    if (tl_client_call(client, "GET", path, NULL, &answer, &status) != ER_OK) {
+        return tl_fail(&status);
+    }
+    uint64_t version = (uint64_t)json_object_get_int_member_with_default(
+        json_node_get_object(answer), "version", 0);
+    tl_exit done = tl_client_change(client, "POST", path, _tl_drain_body(),
+                                    version, &version);
+    if (done != TL_EXIT_OK || undo || wait_s <= 0) {
+        return done;
+    }
+    return _tl_wait_empty(client, path);
+}
+
+tl_exit
+tl_run_drain(int argc, char **argv)
+{
+    if (!tl_parse_client_options(options, "SERVER",
+                                 "Gives a backend server no new work.", &argc,
+                                 &argv)) {
+        return TL_EXIT_USAGE;
+    }
+    if (argc != 2) {
+        fputs("lacewing: drain needs one SERVER\n", stderr);
+        return TL_EXIT_USAGE;
+    }
+    g_autoptr(tl_client) client = tl_client_create();
+    return client ? _tl_drain(client, argv[1]) : TL_EXIT_USAGE;
+}
--- /dev/null
+++ b/packages/tool/src/cmd_top.c
@@ -0,0 +1,84 @@
+/* lacewing top: backend servers, again and again. */
+#include "client.h"
+
+#include <stdio.h>
+#include <unistd.h>
+
+#define US_PER_S 1000000
+#define CLEAR_SCREEN "\033[H\033[2J"
+
+static gint count = 0;
+static gdouble interval_s = 2;
+
+static const GOptionEntry options[] = {
+    {"count", 'n', 0, G_OPTION_ARG_INT, &count,
+     "Show so often; default 0: until interrupted", "N"},
+    {"interval", 'i', 0, G_OPTION_ARG_DOUBLE, &interval_s,
+     "Time between; default 2", "SECONDS"},
+    {NULL},
+};
+
+/* One list of what each server's owner says, with its name. */
+static JsonArray *
+_tl_live_list(JsonNode *answer)
+{
+    JsonArray *shown = json_array_new();
+    JsonArray *items =
+        json_object_get_array_member(json_node_get_object(answer), "items");
+    for (uint32_t i = 0; items && i < json_array_get_length(items); i++) {
+        JsonObject *item = json_array_get_object_element(items, i);
+        JsonObject *live =
+            json_object_has_member(item, "live")
+                ? json_object_ref(json_object_get_object_member(item, "live"))
+                : json_object_new();
+        if (!json_object_has_member(live, "name")) {
+            json_object_set_string_member(
+                live, "name", json_object_get_string_member(item, "name"));
+        }
+        json_array_add_object_element(shown, live);
+    }
+    return shown;
+}
+
+static er_code
+_tl_show_once(tl_client *client, bool clear, er_status *status)
+{
+    g_autoptr(JsonNode) answer = NULL;
+    er_code code = tl_client_call(client, "GET", "servers?limit=1000", NULL,
+                                  &answer, status);
+    if (code != ER_OK) {
+        return code;
+    }
+    g_autoptr(JsonNode) list = json_node_new(JSON_NODE_ARRAY);
+    json_node_take_array(list, _tl_live_list(answer));
+    if (clear) {
+        fputs(CLEAR_SCREEN, stdout);
+    }
+    tl_print_answer(list, tl_client_query_json());
+    fflush(stdout);
+    return ER_OK;
+}
+
+tl_exit
+tl_run_top(int argc, char **argv)
+{
+    if (!tl_parse_client_options(options, NULL, "Watches backend servers.",
+                                 &argc, &argv)) {
+        return TL_EXIT_USAGE;
+    }
+    g_autoptr(tl_client) client = tl_client_create();
+    if (!client) {
+        return TL_EXIT_USAGE;
+    }
+    bool clear = isatty(STDOUT_FILENO) && !tl_client_query_json();
+    for (gint shown = 0; count == 0 || shown < count; shown++) {
+        er_status status = {0};
+        if (shown > 0) {
+            g_usleep((gulong)(interval_s * US_PER_S));
+        }
+        if (_tl_show_once(client, clear, &status) != ER_OK) {
+            return tl_fail(&status);
+        }
+    }
+    return TL_EXIT_OK;
+}
--- a/packages/tool/src/command.c
+++ b/packages/tool/src/command.c
@@ -1,13 +1,13 @@
 /* Options, exit codes and output of all commands. */
-#include "command.h"
+#include "client.h"
 
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
-bool
-tl_parse_options(const GOptionEntry *entries, const char *arguments,
-                 const char *summary, int *argc, char ***argv)
+static bool
+_tl_parse(const GOptionEntry *entries, const GOptionEntry *more,
+          const char *arguments, const char *summary, int *argc, char ***argv)
 {
     g_autoptr(GOptionContext) context = g_option_context_new(arguments);
     g_autoptr(GError) error = NULL;
@@ -15,6 +15,9 @@
     if (entries) {
         g_option_context_add_main_entries(context, entries, NULL);
     }
+    if (more) {
+        g_option_context_add_main_entries(context, more, NULL);
+    }
     if (!g_option_context_parse(context, argc, argv, &error)) {
         fprintf(stderr, "lacewing: %s\n", error->message);
         return false;
@@ -22,6 +25,21 @@
     return true;
 }
 
+bool
+tl_parse_options(const GOptionEntry *entries, const char *arguments,
+                 const char *summary, int *argc, char ***argv)
+{
+    return _tl_parse(entries, NULL, arguments, summary, argc, argv);
+}
+
+bool
+tl_parse_client_options(const GOptionEntry *entries, const char *arguments,
+                        const char *summary, int *argc, char ***argv)
+{
+    return _tl_parse(entries, tl_client_options, arguments, summary, argc,
+                     argv);
+}
+
 tl_exit
 tl_query_exit(er_code code)
 {
--- a/packages/tool/src/command.h
+++ b/packages/tool/src/command.h
@@ -34,6 +34,17 @@
       "write a configuration from answers")                                   \
     X("check", tl_run_check, "find what cannot work in a configuration")      \
     X("diff", tl_run_diff, "show the edits between two configurations")       \
+    X("apply", tl_run_apply, "change the configuration in force")             \
+    X("history", tl_run_history, "list the changes made")                     \
+    X("rollback", tl_run_rollback, "go back to a version, as a new one")      \
+    X("status", tl_run_status, "show one instance and its peers")             \
+    X("servers", tl_run_servers, "list backend servers and their state")      \
+    X("adapters", tl_run_adapters, "list adapters, versions and shares")      \
+    X("explain", tl_run_explain, "say what became of a request, and why")     \
+    X("drain", tl_run_drain, "give a backend server no new work")             \
+    X("audit", tl_run_audit, "read the audit trail")                          \
+    X("top", tl_run_top, "watch backend servers")                             \
+    X("report", tl_run_report, "draw the figures of runs on one page")        \
     X("settings-reference", tl_run_settings_reference,                        \
       "print the reference of all settings")
 
@@ -54,11 +65,18 @@
 /* Writes to a file; "-" or NULL: standard output. */
 tl_exit tl_write_output(const char *file, const char *text);
 
+/* Prints a JSON answer: as it is, or for people, members of an object by name
+   and lists of objects as tables. */
+void tl_print_answer(JsonNode *answer, bool json);
+/* A JSON value as a cell; free with g_free(). */
+char *tl_cell_text(JsonNode *value);
+
 /* A table of text cells. */
 typedef struct tl_table tl_table;
 
 /* Columns are given by name, closed with NULL. */
 tl_table *tl_table_create(const char *first, ...) __attribute__((sentinel));
+tl_table *tl_table_create_columns(const GPtrArray *columns);
 void tl_table_destroy(tl_table *table);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(tl_table, tl_table_destroy)
 /* One cell a column; NULL is an empty one. */
--- a/packages/tool/src/table.c
+++ b/packages/tool/src/table.c
@@ -11,12 +11,30 @@
     GPtrArray *cells;   /* char *, row by row; NULL: empty */
 };
 
-tl_table *
-tl_table_create(const char *first, ...)
+static tl_table *
+_tl_table_create(void)
 {
     tl_table *table = g_new0(tl_table, 1);
     table->columns = g_ptr_array_new_with_free_func(g_free);
     table->cells = g_ptr_array_new_with_free_func(g_free);
+    return table;
+}
+
+tl_table *
+tl_table_create_columns(const GPtrArray *columns)
+{
+    tl_table *table = _tl_table_create();
+    for (uint32_t i = 0; i < columns->len; i++) {
+        g_ptr_array_add(table->columns,
+                        g_strdup(g_ptr_array_index(columns, i)));
+    }
+    return table;
+}
+
+tl_table *
+tl_table_create(const char *first, ...)
+{
+    tl_table *table = _tl_table_create();
     va_list names;
     va_start(names, first);
     for (const char *name = first; name; name = va_arg(names, const char *)) {
