Control: membership machine

Heartbeats on bounded links, samples, suspicion and death on the own clock. A dead incarnation comes back by its own newer heartbeat only: after a cut both sides hold each other dead though neither ended, and a new incarnation would cost each its servers.

--- a/packages/control/include/lacewing/membership.h
+++ b/packages/control/include/lacewing/membership.h
@@ -10,9 +10,10 @@
  * further, so cost per daemon does not grow with the number of daemons.
  *
  * A peer not heard of, directly or by samples, is suspect and then dead on
- * this daemon's own clock. A dead or ended incarnation never comes back; the
- * same instance with a higher incarnation does. The platform's list only
- * adds addresses and leaving marks.
+ * this daemon's own clock. A dead incarnation comes back only by a heartbeat
+ * of its own that is newer than any known (it was cut off, not dead); samples
+ * and the platform's list never bring it back. A higher incarnation of the
+ * same instance always does. The list only adds addresses and leaving marks.
  *
  *     mb_machine *mb = mb_create(&(mb_desc){.instance = "a", .zone = "z1",
  *         .address = "127.0.0.1:7001", .incarnation = 17});
--- /dev/null
+++ b/packages/control/src/membership.c
@@ -0,0 +1,447 @@
+#include "membership_internal.h"
+
+#include <string.h>
+
+#define _MB_PERIOD_MS 250
+#define _MB_REMOTE_PERIOD_MS 500
+#define _MB_ZONE_LINKS 6
+#define _MB_REMOTE_LINKS 1
+#define _MB_SAMPLE_DEFAULT 8
+#define _MB_SUSPECT_MS 800
+#define _MB_DEAD_MS 1200
+#define _MB_FAR_DEAD_MS 10000
+#define _MB_FORGET_MS 600000
+#define _MB_LEAVING_REPEAT 8
+#define _MB_PEER_CAPACITY 1024
+
+/* -- private: events
+ * ---------------------------------------------------------- */
+
+static void
+_mb_take_sampled(mb_machine *mb, uint64_t now_us, const mb_peer *seen)
+{
+    if (!seen->instance || !seen->incarnation) {
+        return;
+    }
+    _mb_peer *peer = _mb_peer_find(mb, seen->instance);
+    if (!peer && seen->state != CO_PEER_DEAD) {
+        peer = _mb_peer_make(mb, now_us, seen->instance, seen->zone,
+                             seen->address);
+    }
+    if (!peer || seen->incarnation < peer->incarnation) {
+        return;
+    }
+    bool newer_life = seen->incarnation > peer->incarnation;
+    if (!newer_life && seen->sequence <= peer->sequence) {
+        return;
+    }
+    if (newer_life) {
+        _mb_peer_set_incarnation(mb, peer, seen->incarnation);
+        _mb_peer_set_address(mb, peer, seen->zone, seen->address);
+    }
+    peer->sequence = seen->sequence;
+    peer->config_version = MAX(peer->config_version, seen->config_version);
+    /* Only its own heartbeat brings a dead incarnation back. */
+    if (newer_life || peer->state != CO_PEER_DEAD) {
+        peer->evidence_us = now_us;
+        if (!(peer->linked && peer->direct)) {
+            _mb_peer_set_state(mb, peer, seen->state, now_us);
+        }
+    }
+    _mb_peer_tell(mb, peer);
+}
+
+static void
+_mb_note_leaving_server(mb_machine *mb, uint64_t now_us, const char *server)
+{
+    if (g_hash_table_contains(mb->leaving_set, server)) {
+        return;
+    }
+    char *name = g_strdup(server);
+    g_hash_table_add(mb->leaving_set, name);
+    g_ptr_array_add(mb->leaving, name);
+    mb_action *action = _co_outbox_push(mb->out);
+    action->type = MB_ACTION_SERVER_LEAVING;
+    action->server = _co_outbox_text(mb->out, server);
+    _mb_send_soon(mb, now_us);
+}
+
+static void
+_mb_take_ack(mb_machine *mb, const _mb_peer *peer,
+             const mb_heartbeat *heartbeat)
+{
+    if (heartbeat->ack_incarnation != mb->incarnation ||
+        !heartbeat->ack_sequence) {
+        return;
+    }
+    size_t slot = heartbeat->ack_sequence % _MB_SENT_RING;
+    if (peer->sent[slot].sequence != heartbeat->ack_sequence) {
+        return;
+    }
+    mb_action *action = _co_outbox_push(mb->out);
+    action->type = MB_ACTION_ACKED;
+    action->instance = _co_outbox_text(mb->out, peer->instance);
+    action->zone = _co_outbox_text(mb->out, peer->zone);
+    action->incarnation = peer->incarnation;
+    action->sent_us = peer->sent[slot].sent_us;
+}
+
+static void
+_mb_say_heard(mb_machine *mb, const _mb_peer *peer,
+              const mb_heartbeat *heartbeat)
+{
+    mb_action *action = _co_outbox_push(mb->out);
+    action->type = MB_ACTION_HEARD;
+    action->instance = _co_outbox_text(mb->out, peer->instance);
+    action->zone = _co_outbox_text(mb->out, peer->zone);
+    action->names_us = heartbeat->ack_incarnation == mb->incarnation;
+    action->incarnation = peer->incarnation;
+    action->version = peer->config_version;
+}
+
+/* The sender itself; NULL when its heartbeat is older than one known. */
+static _mb_peer *
+_mb_take_sender(mb_machine *mb, uint64_t now_us, const mb_event *event)
+{
+    const mb_heartbeat *heartbeat = event->heartbeat;
+    _mb_peer *peer = _mb_peer_find(mb, event->instance);
+    if (!peer) {
+        peer = _mb_peer_make(mb, now_us, event->instance, event->zone,
+                             event->address);
+    }
+    if (!peer || heartbeat->incarnation < peer->incarnation) {
+        return NULL;
+    }
+    if (heartbeat->incarnation > peer->incarnation) {
+        _mb_peer_set_incarnation(mb, peer, heartbeat->incarnation);
+    }
+    else if (heartbeat->sequence <= peer->heard_sequence) {
+        return NULL;
+    }
+    _mb_peer_set_address(mb, peer, event->zone, event->address);
+    peer->heard_sequence = heartbeat->sequence;
+    peer->sequence = MAX(peer->sequence, heartbeat->sequence);
+    peer->config_version = heartbeat->config_version;
+    if (!peer->direct) {
+        peer->send_us = now_us;
+    }
+    peer->direct = true;
+    peer->heard_us = now_us;
+    peer->evidence_us = now_us;
+    _mb_peer_set_state(mb, peer, heartbeat->state, now_us);
+    return peer;
+}
+
+static er_code
+_mb_take_heartbeat(mb_machine *mb, uint64_t now_us, const mb_event *event)
+{
+    const mb_heartbeat *heartbeat = event->heartbeat;
+    if (!event->instance || !event->zone || !event->address || !heartbeat ||
+        !heartbeat->incarnation) {
+        return ER_BAD_REQUEST;
+    }
+    _mb_peer *peer = _mb_take_sender(mb, now_us, event);
+    if (!peer) {
+        return ER_STALE;
+    }
+    _mb_peer_tell(mb, peer);
+    _mb_say_heard(mb, peer, heartbeat);
+    _mb_take_ack(mb, peer, heartbeat);
+    for (size_t i = 0; i < heartbeat->peer_count; i++) {
+        _mb_take_sampled(mb, now_us, &heartbeat->peers[i]);
+    }
+    for (size_t i = 0; i < heartbeat->leaving_count; i++) {
+        _mb_note_leaving_server(mb, now_us, heartbeat->leaving_servers[i]);
+    }
+    return ER_OK;
+}
+
+static er_code
+_mb_take_listed(mb_machine *mb, uint64_t now_us, const mb_event *event)
+{
+    if (!event->instance || !event->zone || !event->address) {
+        return ER_BAD_REQUEST;
+    }
+    _mb_peer *peer = _mb_peer_find(mb, event->instance);
+    if (!peer) {
+        peer = _mb_peer_make(mb, now_us, event->instance, event->zone,
+                             event->address);
+    }
+    if (!peer) {
+        return ER_OK;
+    }
+    peer->listed = true;
+    if (!peer->incarnation) {
+        _mb_peer_set_address(mb, peer, event->zone, event->address);
+    }
+    if (mb->desc.unsafe_list_revives && peer->state == CO_PEER_DEAD) {
+        _mb_peer_set_state(mb, peer, CO_PEER_READY, now_us);
+    }
+    if (event->leaving) {
+        peer->listed_leaving = true;
+        if (peer->state == CO_PEER_READY) {
+            _mb_peer_set_state(mb, peer, CO_PEER_LEAVING, now_us);
+        }
+    }
+    _mb_peer_tell(mb, peer);
+    return ER_OK;
+}
+
+static void
+_mb_take_unlisted(mb_machine *mb, const char *instance)
+{
+    _mb_peer *peer = _mb_peer_find(mb, instance);
+    if (peer) {
+        peer->listed = false;
+        peer->listed_leaving = false;
+    }
+}
+
+static void
+_mb_take_refused(mb_machine *mb, const mb_event *event)
+{
+    _mb_peer *peer = _mb_peer_find(mb, event->instance);
+    if (peer) {
+        peer->refused = MAX(peer->refused, event->incarnation);
+    }
+}
+
+/* Forgets peers that are gone for long and not listed. */
+static void
+_mb_forget(mb_machine *mb, uint64_t now_us)
+{
+    for (guint i = mb->order->len; i > 0; i--) {
+        const _mb_peer *peer = mb->order->pdata[i - 1];
+        bool gone = peer->state == CO_PEER_DEAD || !peer->incarnation;
+        uint64_t since_us =
+            peer->state == CO_PEER_DEAD ? peer->dead_us : peer->evidence_us;
+        if (gone && !peer->listed &&
+            now_us - since_us >= _co_us(mb->desc.forget_ms)) {
+            g_ptr_array_remove_index(mb->order, i - 1);
+            g_hash_table_remove(mb->peers, peer->instance);
+            mb->links_stale = true;
+        }
+    }
+}
+
+static void
+_mb_work(mb_machine *mb, uint64_t now_us)
+{
+    if (now_us < mb->work_us) {
+        return;
+    }
+    mb->work_us = now_us + _MB_WORK_US;
+    for (guint i = 0; i < mb->order->len; i++) {
+        _mb_peer_age(mb, mb->order->pdata[i], now_us);
+    }
+    _mb_forget(mb, now_us);
+    _mb_links_work_out(mb, now_us);
+    _mb_send_due(mb, now_us);
+}
+
+/* -- public: life
+ * ------------------------------------------------------------- */
+
+static mb_desc
+_mb_resolve(const mb_desc *desc)
+{
+    mb_desc resolved = *desc;
+    resolved.instance = g_strdup(desc->instance);
+    resolved.zone = g_strdup(desc->zone);
+    resolved.address = g_strdup(desc->address);
+    resolved.period_ms = _co_or(desc->period_ms, _MB_PERIOD_MS);
+    resolved.remote_period_ms =
+        _co_or(desc->remote_period_ms, _MB_REMOTE_PERIOD_MS);
+    resolved.zone_links = _co_or(desc->zone_links, _MB_ZONE_LINKS);
+    resolved.remote_links = _co_or(desc->remote_links, _MB_REMOTE_LINKS);
+    resolved.sample = MIN(_co_or(desc->sample, _MB_SAMPLE_DEFAULT), MB_SAMPLE);
+    resolved.suspect_ms = _co_or(desc->suspect_ms, _MB_SUSPECT_MS);
+    resolved.dead_ms = _co_or(desc->dead_ms, _MB_DEAD_MS);
+    resolved.far_dead_ms = _co_or(desc->far_dead_ms, _MB_FAR_DEAD_MS);
+    resolved.forget_ms = _co_or(desc->forget_ms, _MB_FORGET_MS);
+    resolved.leaving_repeat = _co_or(desc->leaving_repeat, _MB_LEAVING_REPEAT);
+    resolved.peer_capacity = _co_or(desc->peer_capacity, _MB_PEER_CAPACITY);
+    return resolved;
+}
+
+mb_machine *
+mb_create(const mb_desc *desc)
+{
+    if (!desc->instance || !desc->zone || !desc->address ||
+        !desc->incarnation) {
+        return NULL;
+    }
+    mb_machine *mb = g_new0(mb_machine, 1);
+    mb->desc = _mb_resolve(desc);
+    mb->out = _co_outbox_new(sizeof(mb_action));
+    mb->rand = g_rand_new_with_seed((guint32)(desc->seed ? desc->seed : 1));
+    mb->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _mb_peer_free);
+    mb->order = g_ptr_array_new();
+    mb->leaving = g_ptr_array_new_with_free_func(g_free);
+    mb->leaving_set = g_hash_table_new(g_str_hash, g_str_equal);
+    mb->incarnation = desc->incarnation;
+    mb->state = CO_PEER_STARTING;
+    mb->sample_cursor = g_rand_int(mb->rand);
+    return mb;
+}
+
+void
+mb_destroy(mb_machine *mb)
+{
+    if (mb) {
+        g_hash_table_unref(mb->leaving_set);
+        g_ptr_array_unref(mb->leaving);
+        g_ptr_array_unref(mb->order);
+        g_hash_table_unref(mb->peers);
+        g_rand_free(mb->rand);
+        _co_outbox_free(mb->out);
+        g_free((char *)mb->desc.instance);
+        g_free((char *)mb->desc.zone);
+        g_free((char *)mb->desc.address);
+        g_free(mb);
+    }
+}
+
+/* -- public: commands
+ * --------------------------------------------------------- */
+
+void
+mb_set_state(mb_machine *mb, uint64_t now_us, co_peer_state state)
+{
+    if (mb->state != state) {
+        mb->state = state;
+        _mb_send_soon(mb, now_us);
+        _mb_work(mb, now_us);
+    }
+}
+
+void
+mb_set_incarnation(mb_machine *mb, uint64_t now_us, uint64_t incarnation)
+{
+    mb->incarnation = incarnation;
+    for (guint i = 0; i < mb->order->len; i++) {
+        _mb_peer *peer = mb->order->pdata[i];
+        memset(peer->sent, 0, sizeof(peer->sent));
+    }
+    _mb_send_soon(mb, now_us);
+    _mb_work(mb, now_us);
+}
+
+void
+mb_set_config_version(mb_machine *mb, uint64_t now_us, uint64_t version)
+{
+    if (mb->config_version != version) {
+        mb->config_version = version;
+        _mb_send_soon(mb, now_us);
+        _mb_work(mb, now_us);
+    }
+}
+
+er_code
+mb_feed(mb_machine *mb, uint64_t now_us, const mb_event *event)
+{
+    er_code code = ER_OK;
+    switch (event->type) {
+    case MB_EVENT_TICK:
+        break;
+    case MB_EVENT_HEARTBEAT:
+        code = _mb_take_heartbeat(mb, now_us, event);
+        break;
+    case MB_EVENT_LISTED:
+        code = _mb_take_listed(mb, now_us, event);
+        break;
+    case MB_EVENT_UNLISTED:
+        if (!event->instance) {
+            return ER_BAD_REQUEST;
+        }
+        _mb_take_unlisted(mb, event->instance);
+        break;
+    case MB_EVENT_SERVER_LEAVING:
+        if (!event->server) {
+            return ER_BAD_REQUEST;
+        }
+        _mb_note_leaving_server(mb, now_us, event->server);
+        break;
+    case MB_EVENT_REFUSED:
+        if (!event->instance) {
+            return ER_BAD_REQUEST;
+        }
+        _mb_take_refused(mb, event);
+        break;
+    case MB_EVENT_DEFAULT:
+    case MB_EVENT_NUM:
+        return ER_BAD_REQUEST;
+    }
+    _mb_work(mb, now_us);
+    return code;
+}
+
+bool
+mb_next_action(mb_machine *mb, mb_action *action)
+{
+    return _co_outbox_pop(mb->out, action);
+}
+
+/* -- public: queries
+ * ---------------------------------------------------------- */
+
+uint64_t
+mb_query_wakeup_us(const mb_machine *mb)
+{
+    return mb->work_us;
+}
+
+static mb_peer
+_mb_describe(const _mb_peer *peer)
+{
+    return (mb_peer){
+        .instance = peer->instance,
+        .zone = peer->zone,
+        .address = peer->address,
+        .incarnation = peer->incarnation,
+        .sequence = peer->sequence,
+        .config_version = peer->config_version,
+        .state = peer->state,
+    };
+}
+
+bool
+mb_query_peer(const mb_machine *mb, const char *instance, mb_peer *peer)
+{
+    const _mb_peer *known = _mb_peer_find(mb, instance);
+    if (known) {
+        *peer = _mb_describe(known);
+    }
+    return known != NULL;
+}
+
+uint32_t
+mb_query_count(const mb_machine *mb, co_peer_state state)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < mb->order->len; i++) {
+        const _mb_peer *peer = mb->order->pdata[i];
+        bool counted = state == CO_PEER_DEFAULT ? _mb_peer_alive(peer)
+                                                : peer->state == state;
+        count += counted;
+    }
+    return count;
+}
+
+void
+mb_query_each(const mb_machine *mb,
+              void (*call)(const mb_peer *peer, void *user_data),
+              void *user_data)
+{
+    for (guint i = 0; i < mb->order->len; i++) {
+        mb_peer peer = _mb_describe(mb->order->pdata[i]);
+        call(&peer, user_data);
+    }
+}
+
+bool
+mb_query_server_leaving(const mb_machine *mb, const char *server)
+{
+    return g_hash_table_contains(mb->leaving_set, server);
+}
--- /dev/null
+++ b/packages/control/src/membership_send.c
@@ -0,0 +1,249 @@
+#include "membership_internal.h"
+
+#include <string.h>
+
+/* -- private: whom
+ * ------------------------------------------------------------ */
+
+typedef struct _mb_rank {
+    _mb_peer *peer;
+    uint64_t hash;
+} _mb_rank;
+
+static int
+_mb_rank_compare(const void *a, const void *b)
+{
+    const _mb_rank *left = a;
+    const _mb_rank *right = b;
+    if (left->hash != right->hash) {
+        return left->hash < right->hash ? -1 : 1;
+    }
+    return strcmp(left->peer->instance, right->peer->instance);
+}
+
+/* Peers of the own zone that are not dead, in the order of the names' hashes
+   as seen from our own. */
+static GArray *
+_mb_zone_ring(const mb_machine *mb)
+{
+    GArray *ring = g_array_new(FALSE, FALSE, sizeof(_mb_rank));
+    uint64_t own = _co_hash(mb->desc.instance, "", 0);
+    for (guint i = 0; i < mb->order->len; i++) {
+        _mb_peer *peer = mb->order->pdata[i];
+        if (peer->state == CO_PEER_DEAD ||
+            strcmp(peer->zone, mb->desc.zone) != 0) {
+            continue;
+        }
+        _mb_rank rank = {.peer = peer,
+                         .hash = _co_hash(peer->instance, "", 0) - own};
+        g_array_append_val(ring, rank);
+    }
+    g_array_sort(ring, _mb_rank_compare);
+    return ring;
+}
+
+static void
+_mb_link_zone(mb_machine *mb)
+{
+    g_autoptr(GArray) ring = _mb_zone_ring(mb);
+    guint side = (mb->desc.zone_links + 1) / 2;
+    for (guint i = 0; i < ring->len; i++) {
+        bool wanted = ring->len <= mb->desc.zone_links || i < side ||
+                      i >= ring->len - side;
+        if (wanted) {
+            g_array_index(ring, _mb_rank, i).peer->linked = true;
+        }
+    }
+}
+
+/* The same hash of both names at both ends, so that links tend to be mutual.
+ */
+static uint64_t
+_mb_pair_hash(const mb_machine *mb, const _mb_peer *peer)
+{
+    const char *own = mb->desc.instance;
+    bool smaller = strcmp(own, peer->instance) < 0;
+    return smaller ? _co_hash(own, peer->instance, 0)
+                   : _co_hash(peer->instance, own, 0);
+}
+
+static void
+_mb_link_remote_zone(mb_machine *mb, const char *zone)
+{
+    g_autoptr(GArray) ranks = g_array_new(FALSE, FALSE, sizeof(_mb_rank));
+    for (guint i = 0; i < mb->order->len; i++) {
+        _mb_peer *peer = mb->order->pdata[i];
+        if (peer->state != CO_PEER_DEAD && strcmp(peer->zone, zone) == 0) {
+            _mb_rank rank = {.peer = peer, .hash = _mb_pair_hash(mb, peer)};
+            g_array_append_val(ranks, rank);
+        }
+    }
+    g_array_sort(ranks, _mb_rank_compare);
+    for (guint i = 0; i < ranks->len && i < mb->desc.remote_links; i++) {
+        g_array_index(ranks, _mb_rank, i).peer->linked = true;
+    }
+}
+
+static void
+_mb_link_remote(mb_machine *mb)
+{
+    g_autoptr(GHashTable) zones = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < mb->order->len; i++) {
+        const _mb_peer *peer = mb->order->pdata[i];
+        if (strcmp(peer->zone, mb->desc.zone) != 0 &&
+            g_hash_table_add(zones, peer->zone)) {
+            _mb_link_remote_zone(mb, peer->zone);
+        }
+    }
+}
+
+void
+_mb_links_work_out(mb_machine *mb, uint64_t now_us)
+{
+    if (!mb->links_stale) {
+        return;
+    }
+    mb->links_stale = false;
+    for (guint i = 0; i < mb->order->len; i++) {
+        _mb_peer *peer = mb->order->pdata[i];
+        peer->linked = false;
+    }
+    _mb_link_zone(mb);
+    _mb_link_remote(mb);
+    for (guint i = 0; i < mb->order->len; i++) {
+        _mb_peer *peer = mb->order->pdata[i];
+        if (peer->linked && !peer->direct) {
+            peer->send_us = MIN(peer->send_us, now_us);
+        }
+    }
+}
+
+/* -- private: what
+ * ------------------------------------------------------------ */
+
+/* A turn of the peers that are known to live or to have died lately. */
+static size_t
+_mb_sample(mb_machine *mb, const _mb_peer *receiver, mb_peer *sample)
+{
+    size_t count = 0;
+    guint total = mb->order->len;
+    for (guint i = 0; i < total && count < mb->desc.sample; i++) {
+        const _mb_peer *peer = mb->order->pdata[mb->sample_cursor++ % total];
+        if (peer == receiver || !peer->incarnation) {
+            continue;
+        }
+        co_peer_state state =
+            peer->state == CO_PEER_SUSPECT ? CO_PEER_READY : peer->state;
+        sample[count++] = (mb_peer){
+            .instance = _co_outbox_text(mb->out, peer->instance),
+            .zone = _co_outbox_text(mb->out, peer->zone),
+            .address = _co_outbox_text(mb->out, peer->address),
+            .incarnation = peer->incarnation,
+            .sequence = peer->sequence,
+            .config_version = peer->config_version,
+            .state = state,
+        };
+    }
+    return count;
+}
+
+/* Leaving servers that this peer has not been told of often enough. */
+static size_t
+_mb_leaving(mb_machine *mb, _mb_peer *peer, const char **names)
+{
+    size_t count = 0;
+    for (guint i = mb->leaving->len; i > 0 && count < MB_LEAVING_SERVERS;
+         i--) {
+        const char *name = mb->leaving->pdata[i - 1];
+        guint times = GPOINTER_TO_UINT(g_hash_table_lookup(peer->named, name));
+        if (times >= mb->desc.leaving_repeat) {
+            continue;
+        }
+        g_hash_table_insert(peer->named, g_strdup(name),
+                            GUINT_TO_POINTER(times + 1));
+        names[count++] = _co_outbox_text(mb->out, name);
+    }
+    return count;
+}
+
+static void
+_mb_send(mb_machine *mb, _mb_peer *peer, uint64_t now_us)
+{
+    uint64_t sequence = ++mb->sequence;
+    size_t slot = sequence % _MB_SENT_RING;
+    peer->sent[slot].sequence = sequence;
+    peer->sent[slot].sent_us = now_us;
+    mb_action *action = _co_outbox_push(mb->out);
+    mb_peer *sample = g_new0(mb_peer, MB_SAMPLE);
+    const char **leaving = g_new0(const char *, MB_LEAVING_SERVERS);
+    _co_outbox_keep(mb->out, sample);
+    _co_outbox_keep(mb->out, leaving);
+    action->type = MB_ACTION_SEND;
+    action->instance = _co_outbox_text(mb->out, peer->instance);
+    action->zone = _co_outbox_text(mb->out, peer->zone);
+    action->address = _co_outbox_text(mb->out, peer->address);
+    action->incarnation = peer->incarnation;
+    action->heartbeat = (mb_heartbeat){
+        .incarnation = mb->incarnation,
+        .sequence = sequence,
+        .ack_sequence =
+            peer->incarnation > peer->refused ? peer->heard_sequence : 0,
+        .ack_incarnation = peer->incarnation,
+        .config_version = mb->config_version,
+        .state = mb->state,
+        .peers = sample,
+        .peer_count = _mb_sample(mb, peer, sample),
+        .leaving_servers = leaving,
+        .leaving_count = _mb_leaving(mb, peer, leaving),
+    };
+}
+
+/* -- private: when
+ * ------------------------------------------------------------ */
+
+static uint64_t
+_mb_period_us(const mb_machine *mb, const _mb_peer *peer)
+{
+    if (peer->state == CO_PEER_DEAD || !peer->incarnation) {
+        return _MB_PROBE_US;
+    }
+    bool near = strcmp(peer->zone, mb->desc.zone) == 0;
+    return _co_us(near ? mb->desc.period_ms : mb->desc.remote_period_ms);
+}
+
+/* Linked peers, whoever sends to us, and now and then the dead that the
+   platform still lists or that may be cut off. */
+static bool
+_mb_gets_heartbeats(const mb_machine *mb, const _mb_peer *peer,
+                    uint64_t now_us)
+{
+    if (peer->linked || peer->state == CO_PEER_DEAD || !peer->incarnation) {
+        return true;
+    }
+    return peer->direct && now_us - peer->heard_us < _co_us(mb->desc.dead_ms);
+}
+
+void
+_mb_send_due(mb_machine *mb, uint64_t now_us)
+{
+    for (guint i = 0; i < mb->order->len; i++) {
+        _mb_peer *peer = mb->order->pdata[i];
+        if (peer->send_us > now_us || !_mb_gets_heartbeats(mb, peer, now_us)) {
+            continue;
+        }
+        peer->send_us = now_us + _mb_period_us(mb, peer);
+        _mb_send(mb, peer, now_us);
+    }
+}
+
+void
+_mb_send_soon(mb_machine *mb, uint64_t now_us)
+{
+    for (guint i = 0; i < mb->order->len; i++) {
+        _mb_peer *peer = mb->order->pdata[i];
+        if (peer->linked) {
+            peer->send_us = now_us;
+        }
+    }
+    mb->work_us = now_us;
+}
