Control: claims for operations that run at most once, with group commit

One permanent row per team and key; only its creator sends. A commit without an answer is read back by attempt id, or given up and marked not_sent by its own claimer, so that the key is not lost. Ruled out: send on a time-out (the effect may come after another has seen the row absent), take-over of a dead claimer's row (it may have sent), a lease in place of a claim.

--- a/packages/control/include/lacewing/claims.h
+++ b/packages/control/include/lacewing/claims.h
@@ -23,16 +23,19 @@
  * or the deadline. `ran` in an answer is CL_RAN_NO only where it is certain
  * that this attempt never runs.
  *
- * Claims and outcomes are group committed: one transaction at a time carries
- * all that have come together; a row whose condition fails is taken out and
- * the rest goes again at once. Outcomes wait for company up to
- * outcome_linger_ms, claims only up to claim_linger_ms.
+ * Claims and outcomes are group committed: a transaction carries all that
+ * have come together, with at most `transactions` under way; a row whose
+ * condition fails is taken out and the rest goes again at once. Outcomes wait
+ * for company up to outcome_linger_ms, claims up to claim_linger_ms.
  *
  * Table down: while calls fail, a new claim is refused at once with
  * ER_PLATFORM_DOWN, CL_RAN_NO and a time to come back. A claim whose commit
  * stays without an answer is given up, never sent, and marked not_sent as
  * soon as the table answers, so that a resend can go on.
  *
+ * CL_RAN_NO speaks of the request that it answers. What an earlier sending of
+ * the same key was told stands.
+ *
  * commands:  cl_create cl_destroy cl_make_claim cl_finish cl_leave cl_feed
  *            cl_next_action
  * queries:   cl_query_wakeup_us cl_query_open_count cl_query_unwritten_count
@@ -66,14 +69,18 @@
     const char *instance;        /* required */
     uint64_t incarnation;        /* required */
     uint64_t seed;               /* default 1 */
-    uint32_t claim_capacity;     /* open at once; default 65536 */
+    uint32_t claim_capacity;     /* open at once; default 4096 */
     uint32_t batch_ops;          /* rows in a transaction; default 64 */
-    uint32_t claim_linger_ms;    /* default 0 */
+    uint32_t batch_bytes;        /* values in it; default 524288 */
+    uint32_t transactions;       /* under way at once; default 4 */
+    uint32_t claim_linger_ms;    /* default 10 */
     uint32_t outcome_linger_ms;  /* default 200 */
     uint32_t give_up_ms;         /* longest wait for the claim's row;
                                     default 1500 */
     uint32_t probe_ms;           /* between trials while the table is down;
                                     default 500 */
+    uint32_t unknown_ms;         /* a claimer never heard of counts as gone
+                                    after this; default 2000 */
     uint32_t poll_ms;            /* between reads of another's running claim;
                                     default 100 */
     uint32_t retry_after_ms;     /* told to refused callers; default 1000 */
--- a/packages/control/src/ownership.c
+++ b/packages/control/src/ownership.c
@@ -309,6 +309,9 @@
     case _OW_CALL_RENEW:
         _ow_lease_result(ow, now_us, call, result);
         break;
+    case _OW_CALL_CREATED:
+        _ow_create_result(ow, now_us, call, result);
+        break;
     case _OW_CALL_DELETE:
         _ow_delete_result(ow, now_us, result);
         break;
@@ -337,7 +340,8 @@
 static void
 _ow_feed_sent(ow_machine *ow, uint64_t now_us, _ow_peer *peer)
 {
-    if (!peer->sent && _ow_lease_use(ow, now_us, false) == OW_USE_FULL) {
+    if (!peer->sent &&
+        _ow_lease_use(ow, now_us, peer->zone, false) == OW_USE_FULL) {
         peer->acked_us = now_us;
     }
     peer->sent = true;
@@ -634,7 +638,7 @@
     if (fence) {
         *fence = server->fence;
     }
-    ow_use use = _ow_lease_use(ow, now_us, server->checks_fence);
+    ow_use use = _ow_lease_use(ow, now_us, server->zone, server->checks_fence);
     if (use == OW_USE_FULL && now_us < server->settle_us) {
         use = OW_USE_FROZEN;
     }
--- a/packages/control/src/ownership_internal.h
+++ b/packages/control/src/ownership_internal.h
@@ -103,6 +103,7 @@
 
 typedef enum _ow_call_kind {
     _OW_CALL_RENEW = 0, /* also creates */
+    _OW_CALL_CREATED,   /* reads back a create without an answer */
     _OW_CALL_DELETE,    /* the own live row, at a stop */
     _OW_CALL_SCAN,
     _OW_CALL_WATCH,
@@ -141,6 +142,7 @@
     uint64_t started_us;
     /* own live row */
     uint64_t live_version; /* 0: not there */
+    bool create_open;      /* a create stayed without an answer */
     uint64_t live_count;   /* renewals, the row's value */
     uint64_t renewed_us;
     bool renewed;
@@ -187,12 +189,18 @@
 bool _ow_is_tombstone(const pf_row *row);
 void _ow_lease_result(ow_machine *ow, uint64_t now_us, const _ow_call *call,
                       const co_table_result *result);
+void _ow_create_result(ow_machine *ow, uint64_t now_us, const _ow_call *call,
+                       const co_table_result *result);
 void _ow_delete_result(ow_machine *ow, uint64_t now_us,
                        const co_table_result *result);
 bool _ow_lease_fresh(const ow_machine *ow, uint64_t now_us);
-/* Every zone peer that could end us has acknowledged lately. */
-bool _ow_acks_fresh(const ow_machine *ow, uint64_t now_us, uint64_t age_us);
-ow_use _ow_lease_use(const ow_machine *ow, uint64_t now_us, bool checks_fence);
+/* Every peer of our zone and of the zone named has acknowledged lately. */
+bool _ow_acks_fresh(const ow_machine *ow, uint64_t now_us, uint64_t age_us,
+                    const char *zone);
+/* What the lease allows on servers of a zone, which are taken by daemons of
+   that zone and of ours. */
+ow_use _ow_lease_use(const ow_machine *ow, uint64_t now_us, const char *zone,
+                     bool checks_fence);
 
 /* -- ownership_watch.c ---------------------------------------------------- */
 
--- a/packages/control/src/ownership_lease.c
+++ b/packages/control/src/ownership_lease.c
@@ -28,8 +28,15 @@
     ow->renew_us = call->sent_us + _co_us(ow->desc.renew_fast_ms);
 }
 
-/* Ended by another daemon: give everything up and start afresh under a new
-   incarnation. */
+bool
+_ow_is_tombstone(const pf_row *row)
+{
+    g_autofree char *text = _co_row_text(row);
+    return text && g_str_equal(text, _OW_TOMBSTONE);
+}
+
+/* Ended by another daemon, or perhaps so before the first row was seen: give
+   everything up and start afresh under a new incarnation. */
 static void
 _ow_ended(ow_machine *ow, uint64_t now_us)
 {
@@ -49,6 +56,7 @@
     }
     ow->incarnation++;
     ow->live_version = 0;
+    ow->create_open = false;
     ow->renewed = false;
     ow->renew_us = now_us;
     g_hash_table_iter_init(&iter, ow->peers);
@@ -63,13 +71,6 @@
     ow->spread_dirty = true;
 }
 
-bool
-_ow_is_tombstone(const pf_row *row)
-{
-    g_autofree char *text = _co_row_text(row);
-    return text && g_str_equal(text, _OW_TOMBSTONE);
-}
-
 void
 _ow_lease_conflict(ow_machine *ow, uint64_t now_us, const pf_row *row)
 {
@@ -104,12 +105,50 @@
         _ow_lease_conflict(ow, now_us, &result->commit->rows[0]);
         return;
     }
+    ow->create_open = ow->live_version == 0;
     ow->renew_us = now_us + _OW_RETRY_US;
 }
 
+/* After a create without an answer: a row that is there is ours; if it is
+   not, it may have come and been deleted, so this incarnation is not used. */
+void
+_ow_create_result(ow_machine *ow, uint64_t now_us, const _ow_call *call,
+                  const co_table_result *result)
+{
+    ow->renew_call = 0;
+    ow->renew_us = now_us;
+    if (result->code != ER_OK || result->read->count == 0) {
+        ow->renew_us = now_us + _OW_RETRY_US;
+        return;
+    }
+    if (call->incarnation != ow->incarnation) {
+        return;
+    }
+    ow->create_open = false;
+    const pf_row *row = &result->read->rows[0];
+    if (row->version == 0 || _ow_is_tombstone(row)) {
+        _ow_ended(ow, now_us);
+        return;
+    }
+    ow->live_version = row->version;
+}
+
+static void
+_ow_read_back(ow_machine *ow, uint64_t now_us)
+{
+    g_autofree char *key = _ow_live_key(ow);
+    _ow_call *open = _ow_call_open(ow, now_us, _OW_CALL_CREATED, NULL);
+    ow->renew_call = open->number;
+    _ow_call_send(ow, _co_read_new(open->number, key));
+}
+
 static void
 _ow_renew(ow_machine *ow, uint64_t now_us)
 {
+    if (ow->create_open) {
+        _ow_read_back(ow, now_us);
+        return;
+    }
     _ow_call *open = _ow_call_open(ow, now_us, _OW_CALL_RENEW, NULL);
     ow->renew_call = open->number;
     _co_call *call = _co_commit_new(open->number);
@@ -150,15 +189,17 @@
 /* -- private: when -------------------------------------------------------- */
 
 bool
-_ow_acks_fresh(const ow_machine *ow, uint64_t now_us, uint64_t age_us)
+_ow_acks_fresh(const ow_machine *ow, uint64_t now_us, uint64_t age_us,
+               const char *zone)
 {
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, ow->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const _ow_peer *peer = value;
-        bool counts = peer->sent && !peer->ended && !peer->gone &&
-                      g_str_equal(peer->zone, ow->zone);
+        bool near =
+            g_str_equal(peer->zone, ow->zone) || g_str_equal(peer->zone, zone);
+        bool counts = near && peer->sent && !peer->ended && !peer->gone;
         if (counts && now_us >= _co_add_us(peer->acked_us, age_us)) {
             return false;
         }
@@ -172,9 +213,21 @@
     if (now_us < ow->renew_us) {
         return false;
     }
-    if (!ow->renewed || !_ow_acks_fresh(ow, now_us, _OW_ACK_AGE_US)) {
+    if (!ow->renewed ||
+        !_ow_acks_fresh(ow, now_us, _OW_ACK_AGE_US, ow->zone)) {
         return true;
     }
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, ow->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _ow_server *server = value;
+        bool far = server->state != _OW_SERVER_OTHER &&
+                   !g_str_equal(server->zone, ow->zone);
+        if (far && !_ow_acks_fresh(ow, now_us, _OW_ACK_AGE_US, server->zone)) {
+            return true;
+        }
+    }
     return now_us >= ow->renewed_us + _co_us(ow->desc.renew_ms);
 }
 
@@ -221,7 +274,8 @@
 }
 
 ow_use
-_ow_lease_use(const ow_machine *ow, uint64_t now_us, bool checks_fence)
+_ow_lease_use(const ow_machine *ow, uint64_t now_us, const char *zone,
+              bool checks_fence)
 {
     if (ow->desc.unsafe_skip_clock || _ow_lease_fresh(ow, now_us)) {
         return OW_USE_FULL;
@@ -230,7 +284,7 @@
     if (_ow_gap(ow, now_us)) {
         return silent && checks_fence ? OW_USE_FULL : OW_USE_NONE;
     }
-    bool acks = _ow_acks_fresh(ow, now_us, ow->own_us);
+    bool acks = _ow_acks_fresh(ow, now_us, ow->own_us, zone);
     uint64_t far_us = _co_us(ow->desc.lease_far_ms - ow->desc.lease_margin_ms);
     if (acks && ow->renewed && now_us < ow->renewed_us + far_us) {
         return OW_USE_FULL;
