Configuration from nothing by edits; status names config_version

Cause: the chain's first change has no configuration before it, and the status of a daemon says config_version. Conclusion: a first version can be written as changes like any other.

--- a/packages/admin/tests/host.h
+++ b/packages/admin/tests/host.h
@@ -89,7 +89,7 @@
 {
     host *at = (host *)base;
     return g_strdup_printf(
-        "{\"instance\":\"test\",\"version\":%" G_GUINT64_FORMAT
+        "{\"instance\":\"test\",\"config_version\":%" G_GUINT64_FORMAT
         ",\"behind\":[]}",
         at->version);
 }
--- a/packages/config/include/lacewing/config.h
+++ b/packages/config/include/lacewing/config.h
@@ -204,7 +204,7 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(dc_config, dc_unref)
 
 /* The configuration with the edits made; config stays as it is. All edits
-   are made before the result is checked. */
+   are made before the result is checked. config NULL: from nothing. */
 er_code dc_apply_edits(const dc_config *config, const dc_edits *edits,
                        dc_config **result, er_status *status);
 
@@ -257,7 +257,8 @@
 /* The document in a fixed order; equal configurations give equal texts. Free
    with g_free(). */
 char *dc_query_text(const dc_config *config);
-/* The edits that make b of a; free with dc_edits_destroy(). */
+/* The edits that make b of a (NULL: of nothing), group by group; free with
+   dc_edits_destroy(). */
 dc_edits *dc_diff(const dc_config *a, const dc_config *b);
 /* Reference of all keys in Markdown; free with g_free(). */
 char *dc_query_reference(void);
--- a/packages/config/src/edits.c
+++ b/packages/config/src/edits.c
@@ -201,7 +201,8 @@
 _dc_pairs_of(const dc_config *config, const char *group)
 {
     GPtrArray *pairs = g_ptr_array_new_with_free_func(g_free);
-    const dc_entry *entry = dc_document_query_entry(config, group);
+    const dc_entry *entry =
+        config ? dc_document_query_entry(config, group) : NULL;
     for (char **text = entry ? entry->pairs : NULL; text && *text; text++) {
         g_ptr_array_add(pairs, g_strdup(*text));
     }
@@ -287,7 +288,7 @@
     for (uint32_t i = 0; i < edits->list->len; i++) {
         const dc_edit *edit = dc_edits_query_at(edits, i);
         if (edit->key || edit->value ||
-            dc_document_query_entry(config, edit->group)) {
+            (config && dc_document_query_entry(config, edit->group))) {
             continue;
         }
         return er_set(status, ER_NOT_FOUND, "edits: no group [%s] to remove",
@@ -313,14 +314,16 @@
     if (code != ER_OK) {
         return code;
     }
-    dc_document_add_untouched(config, touched, entries);
+    if (config) {
+        dc_document_add_untouched(config, touched, entries);
+    }
     return dc_document_create("edits", entries, result, status);
 }
 
 static void
 _dc_diff_entry(const dc_entry *from, const dc_entry *to, dc_edits *edits)
 {
-    if (!from && !to->pairs[0]) {
+    if (!from && !to->pairs[0] && *to->name) {
         dc_edits_add(edits, to->group, NULL, "");
     }
     for (char **pair = from ? from->pairs : NULL; pair && *pair; pair += 2) {
@@ -340,7 +343,8 @@
 dc_diff(const dc_config *a, const dc_config *b)
 {
     dc_edits *edits = dc_edits_create();
-    for (uint32_t i = 0; i < dc_document_query_entries(a); i++) {
+    uint32_t before = a ? dc_document_query_entries(a) : 0;
+    for (uint32_t i = 0; i < before; i++) {
         const dc_entry *from = dc_document_query_entry_at(a, i);
         if (!dc_document_query_entry(b, from->group)) {
             dc_edits_add(edits, from->group, NULL, NULL);
@@ -348,7 +352,8 @@
     }
     for (uint32_t i = 0; i < dc_document_query_entries(b); i++) {
         const dc_entry *to = dc_document_query_entry_at(b, i);
-        const dc_entry *from = dc_document_query_entry(a, to->group);
+        const dc_entry *from =
+            a ? dc_document_query_entry(a, to->group) : NULL;
         if (!from || !dc_entry_query_equal(from, to)) {
             _dc_diff_entry(from, to, edits);
         }
--- a/packages/config/tests/test_config.c
+++ b/packages/config/tests/test_config.c
@@ -271,6 +271,25 @@
     }
 END_TEST
 
+/* The first version is made of edits too. */
+START_TEST(test_edits_from_nothing)
+    {
+        g_autoptr(dc_config) config = parse(SAMPLE);
+        g_autoptr(dc_edits) edits = dc_diff(NULL, config);
+        g_autoptr(dc_config) made = NULL;
+        er_status status = {0};
+        er_code code = dc_apply_edits(NULL, edits, &made, &status);
+        ck_assert_msg(code == ER_OK, "%s", status.message);
+        g_autofree char *wanted = dc_query_text(config);
+        g_autofree char *got = dc_query_text(made);
+        ck_assert_str_eq(wanted, got);
+        g_autoptr(dc_edits) none = dc_edits_create();
+        g_autoptr(dc_config) nothing = NULL;
+        ck_assert_int_eq(dc_apply_edits(NULL, none, &nothing, NULL),
+                         ER_SETTING_MISSING);
+    }
+END_TEST
+
 /* A random edit; many are refused. */
 static void
 add_random_edit(GRand *rand, dc_edits *edits)
@@ -389,6 +408,7 @@
     tcase_add_test(tests, test_resolve);
     tcase_add_test(tests, test_edits_applied);
     tcase_add_test(tests, test_edits_refused);
+    tcase_add_test(tests, test_edits_from_nothing);
     tcase_add_test(tests, test_random_changes_round_trip);
     tcase_add_test(tests, test_many_adapters);
     suite_add_tcase(suite, tests);
--- a/packages/tool/src/client.c
+++ b/packages/tool/src/client.c
@@ -310,8 +310,8 @@
         return UINT32_MAX;
     }
     JsonObject *object = json_node_get_object(answer);
-    if ((uint64_t)json_object_get_int_member_with_default(object, "version",
-                                                          0) < version) {
+    if ((uint64_t)json_object_get_int_member_with_default(
+            object, "config_version", 0) < version) {
         return UINT32_MAX;
     }
     return json_object_has_member(object, "behind")
