--- a/packages/decisions/src/admission.c
+++ b/packages/decisions/src/admission.c
@@ -116,10 +116,13 @@
         return ER_OK;
     }
     uint64_t work_us = _am_work_us(request);
-    if (policy->now_us + work_us > request->deadline_us) {
+    uint64_t left_us = request->deadline_us > policy->now_us
+                           ? request->deadline_us - policy->now_us
+                           : 0;
+    if (work_us > left_us && le_query_known(policy, request)) {
         return ER_DEADLINE;
     }
-    uint64_t slack_us = request->deadline_us - policy->now_us - work_us;
+    uint64_t slack_us = left_us - MIN(work_us, left_us / 2);
     if ((double)wait_us > (double)slack_us * _AM_SLACK_PART) {
         return ER_OVERLOADED;
     }
@@ -140,8 +143,12 @@
     if (!dp_part_on(policy, LWD_PART_ADMISSION)) {
         work_us = 0;
     }
-    uint64_t latest_us =
-        request->deadline_us > work_us ? request->deadline_us - work_us : 0;
+    if (request->deadline_us <= request->entered_us) {
+        return policy->now_us + 1;
+    }
+    /* What is expected may be wrong: never before half of the time. */
+    uint64_t all_us = request->deadline_us - request->entered_us;
+    uint64_t latest_us = request->deadline_us - MIN(work_us, all_us / 2);
     return MAX(latest_us, policy->now_us + 1);
 }
 
--- a/packages/decisions/src/attempts.c
+++ b/packages/decisions/src/attempts.c
@@ -82,6 +82,7 @@
         .request = request,
         .server = server,
         .copy = copy,
+        .adapter = request->adapter->id,
         .sent_us = policy->now_us,
         .last_us = policy->now_us,
         .tokens = request->resume_from,
--- a/packages/decisions/src/copies.c
+++ b/packages/decisions/src/copies.c
@@ -95,6 +95,16 @@
     }
 }
 
+/* The worth of each copy changes with their number. */
+static void
+_cp_refresh_worth(const dp_adapter *adapter)
+{
+    const li_link *link = adapter->copies.first;
+    for (; link; link = link->next) {
+        _cp_refresh_idle(LI_ITEM(link, dp_copy, of_adapter));
+    }
+}
+
 /* Takes a copy out of, or into, what is counted by state. */
 static void
 _cp_count(dp_policy *policy, dp_copy *copy, int sign)
@@ -106,6 +116,7 @@
     uint32_t one = (uint32_t)sign;
     if (copy->state == DP_COPY_RESIDENT) {
         copy->adapter->own_resident += one;
+        _cp_refresh_worth(copy->adapter);
     }
     if (_cp_is_coming(copy)) {
         copy->adapter->coming += one;
@@ -150,6 +161,20 @@
     }
 }
 
+/* Attempts that ran on an earlier copy of the adapter use this one. */
+static void
+_cp_adopt_attempts(dp_copy *copy)
+{
+    li_link *link = copy->server->attempts.first;
+    for (; link; link = link->next) {
+        dp_attempt *attempt = LI_ITEM(link, dp_attempt, of_server);
+        if (!attempt->copy && attempt->adapter.id == copy->adapter->id.id) {
+            attempt->copy = copy;
+            copy->running++;
+        }
+    }
+}
+
 /* -- commands ------------------------------------------------------------- */
 
 dp_copy *
@@ -171,6 +196,7 @@
     li_append(&server->copies, &copy->of_server);
     li_append(&adapter->copies, &copy->of_adapter);
     server->places++;
+    _cp_adopt_attempts(copy);
     hp_remove(&policy->absent, &adapter->absent);
     _cp_enter_state(policy, copy, state);
     _cp_refresh_one(copy);
@@ -207,8 +233,8 @@
         copy->predecessor->successor = NULL;
     }
     _cp_set_active(copy, false);
-    hp_remove(&server->idle, &copy->idle);
     _cp_leave_state(policy, copy);
+    hp_remove(&server->idle, &copy->idle);
     _cp_unhash(policy, copy);
     li_remove(&server->copies, &copy->of_server);
     li_remove(&adapter->copies, &copy->of_adapter);
@@ -236,6 +262,7 @@
 void
 cp_evict(dp_policy *policy, dp_copy *copy)
 {
+    g_assert(policy->now_us >= copy->server->settle_us);
     cp_set_state(policy, copy, DP_COPY_EVICTING);
     ac_order(policy, copy, LWD_ACTION_EVICT);
 }
@@ -262,6 +289,10 @@
 void
 cp_on_timer(dp_policy *policy, dp_copy *copy)
 {
+    if (policy->now_us < copy->server->settle_us) {
+        ti_set(policy, &copy->timer, DP_TIMER_COPY, copy->server->settle_us);
+        return;
+    }
     if (copy->state == DP_COPY_EVICTING) {
         cp_evict(policy, copy);
         return;
--- a/packages/decisions/src/lengths.c
+++ b/packages/decisions/src/lengths.c
@@ -52,6 +52,12 @@
     return CLAMP(expected, 1, request->max_tokens);
 }
 
+bool
+le_query_known(const dp_policy *policy, const dp_request *request)
+{
+    return policy->operation_lengths[request->operation].count >= _LE_ENOUGH;
+}
+
 uint32_t
 le_query_remaining(const dp_request *request, uint32_t made)
 {
--- a/packages/decisions/src/lengths.h
+++ b/packages/decisions/src/lengths.h
@@ -15,6 +15,8 @@
 /* queries */
 /* Tokens of the whole answer; at least 1. */
 uint32_t le_query_expected(const dp_policy *policy, const dp_request *request);
+/* True when that was learned from answers of the operation. */
+bool le_query_known(const dp_policy *policy, const dp_request *request);
 /* Tokens still to come after so many; at least 1. */
 uint32_t le_query_remaining(const dp_request *request, uint32_t made);
 /* True for work that is long against the usual. */
--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -8,6 +8,7 @@
 #include "placement.h"
 #include "requests.h"
 #include "routing.h"
+#include "servers.h"
 #include <math.h>
 
 #define _LD_MILLI_LOAD_US 1000000000U /* a load per 1000 s */
@@ -232,8 +233,9 @@
     _ld_start_prefetch(policy);
     while (policy->ordered.first && _ld_in_budget(policy)) {
         dp_copy *copy = LI_ITEM(policy->ordered.first, dp_copy, ordered);
-        if (copy->adapter->pending_count == 0 && !copy->prefetched) {
-            cp_destroy(policy, copy); /* whoever waited has gone */
+        bool wanted = copy->adapter->pending_count > 0 || copy->prefetched;
+        if (!wanted || !sv_query_usable(copy->server)) {
+            cp_destroy(policy, copy); /* it serves nobody any more */
         }
         else {
             _ld_order(policy, copy);
--- a/packages/decisions/src/placement.c
+++ b/packages/decisions/src/placement.c
@@ -10,7 +10,6 @@
 #define _PL_KEY_SCALE 1048576.0
 #define _PL_KEY_OFFSET 1e6
 #define _PL_HORIZON_S 10.0 /* a lost adapter is missed for this time */
-#define _PL_TRIES 4        /* stale heap entries mended in one choice */
 
 /* -- popularity ----------------------------------------------------------- */
 
@@ -129,24 +128,20 @@
     if (policy->now_us < server->settle_us) {
         return NULL;
     }
-    for (uint32_t try = 0; try < _PL_TRIES; try++) {
+    for (;;) {
         hp_node *least = hp_query_least(&server->idle);
         if (!least) {
             return NULL;
         }
         dp_copy *copy = HP_ITEM(least, dp_copy, idle);
         uint64_t key = pl_query_key(pl_query_worth(copy->adapter));
-        if (key == UINT64_MAX) {
-            return NULL;
-        }
-        if (key <= least->key || try + 1 == _PL_TRIES) {
-            return copy;
+        if (key <= least->key) {
+            return key == UINT64_MAX ? NULL : copy;
         }
         /* It was used since it was queued. */
         hp_remove(&server->idle, &copy->idle);
         hp_push(&server->idle, &copy->idle, key);
     }
-    return NULL;
 }
 
 /* Cost of a new copy on a server, in microseconds of waiting; INFINITY when
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -176,6 +176,7 @@
     dp_request *request; /* NULL: cancelled, and perhaps still running */
     dp_server *server;
     dp_copy *copy; /* NULL: the server does not hold it any more */
+    lwd_adapter adapter;
     li_link of_server;
     dp_timer timer;
     uint64_t sent_us;
--- a/packages/decisions/src/stragglers.c
+++ b/packages/decisions/src/stragglers.c
@@ -64,7 +64,8 @@
 _sg_may_eject(const dp_policy *policy, const dp_server *server)
 {
     const dp_zone *zone = &policy->zones[server->zone_slot];
-    uint32_t bound = (zone->servers * policy->desc.eject_share_pct + 99) / 100;
+    uint32_t share = zone->servers * policy->desc.eject_share_pct / 100;
+    uint32_t bound = MAX(share, 1);
     return dp_part_on(policy, LWD_PART_STRAGGLERS) &&
            server->state == LWD_SERVER_READY && server->desc.owned &&
            (server->ejected ||
