--- a/packages/standins/src/engine.c
+++ b/packages/standins/src/engine.c
@@ -11,6 +11,7 @@
 #define _EN_PREFILL_PER_S 4000
 #define _EN_COLD_MS 1500
 #define _EN_BYTES_PER_TOKEN 4
+#define _EN_PROMPT_NOTED_BYTES 64
 #define _EN_CACHED_SHARE 4 /* a cached prefix takes this part of its time */
 #define _EN_EXIT_CRASH 71
 
@@ -99,6 +100,8 @@
 _en_start(en_engine *engine, _en_run *run)
 {
     _en_note_run(engine, "start", run);
+    g_autofree char *head = g_strndup(run->prompt, _EN_PROMPT_NOTED_BYTES);
+    hs_add_text(engine->desc.history, "prompt", head);
     hs_end(engine->desc.history);
     if (engine->crash_text && strstr(run->prompt, engine->crash_text)) {
         _exit(_EN_EXIT_CRASH);
