Stand-ins: a test waits until both runs have started

test_engine_faults ordered the eviction on an open connection while the two runs were still on new ones; when the eviction came first they were refused and the test failed (seen once in a landing). It now waits for both starts in the history before it evicts; what it checks is unchanged. 6 runs pass.

--- a/packages/standins/tests/test_standins.c
+++ b/packages/standins/tests/test_standins.c
@@ -85,6 +85,17 @@
     ck_assert_msg(g_strrstr(line, wanted), "%s: %s", path, line);
 }
 
+/* Asks until the answer holds a text; the test's time limit ends it. */
+static void
+wait_until(const fixture *at, const char *path, const char *wanted)
+{
+    g_autofree char *line = NULL;
+    do {
+        g_free(line);
+        line = ask(at, path, "", NULL);
+    } while (!strstr(line, wanted));
+}
+
 static fixture
 start(const sv_desc *desc)
 {
@@ -153,6 +164,8 @@
         answer broken = {0};
         begin(&at, "/v1/completions", "X-Attempt r/1", body, &paused);
         begin(&at, "/v1/completions", "X-Attempt r/2", body, &broken);
+        wait_until(&at, "/control/history", "\"attempt\":\"r/1\",\"model\"");
+        wait_until(&at, "/control/history", "\"attempt\":\"r/2\",\"model\"");
         expect(&at, "/v1/unload_lora_adapter", "", LOAD_A, "evicted");
         expect(&at, "/control/history", "", NULL, "\"in_use\":true");
         expect(&at, "/v1/pause", "", "{\"attempt\":\"r/1\"}",
