Control: configuration chain

Ruled out: one row that is overwritten (a lost answer could not be told from another operator's change, and the trail would be a second write).

--- a/packages/control/include/lacewing/chain.h
+++ b/packages/control/include/lacewing/chain.h
@@ -2,8 +2,8 @@
  * chain.h: the versioned chain of configuration changes (prefix cc_).
  *
  *   config/change/VERSION    12 digits; created only if absent: that
- *                            conditional create is the commit. Holds change
- *                            id, who, and the change's text
+ *                            conditional create is the commit. A line with
+ *                            the change's id, one with who, then its text
  *   audit/change/VERSION     in the same transaction
  *   audit/refused/ID         a refused change
  *   config/snapshot          version of the newest snapshot
@@ -71,8 +71,8 @@
     CC_EVENT_HEARD,
     /* A peer is gone. Fields: instance. */
     CC_EVENT_PEER_GONE,
-    /* A peer's text of one change, or of a snapshot. Fields: instance,
-       version, text, snapshot. */
+    /* What a peer sent by CC_ACTION_SEND_TEXT. Fields: instance, version,
+       text, snapshot. */
     CC_EVENT_TEXT,
     /* A peer asks for changes from a version on. Fields: instance, version. */
     CC_EVENT_FETCH,
@@ -102,12 +102,14 @@
     CC_ACTION_APPLY_SNAPSHOT,
     /* What became of a submitted change. Fields: tag, code, version. ER_OK:
        committed as version. ER_CONFLICT: version and text of the change that
-       was there first, and its who. ER_PLATFORM_DOWN: not committed.
+       was there first, and its who (text NULL: too long ago, and version is
+       the one in force). ER_PLATFORM_DOWN: not committed.
        ER_TIMEOUT: open; ask with the same id again. */
     CC_ACTION_SUBMITTED,
     /* Ask a peer for changes. Fields: instance, version (from). */
     CC_ACTION_FETCH,
-    /* Send a change to a peer. Fields: instance, version, text, snapshot. */
+    /* Send a change, or the whole configuration, to a peer, which feeds it
+       as it is. Fields: instance, version, text, snapshot. */
     CC_ACTION_SEND_TEXT,
     /* Call cc_give_snapshot() with the whole text of version. Fields:
        version. */
