--- a/packages/control/src/chain_submit.c
+++ b/packages/control/src/chain_submit.c
@@ -138,7 +138,7 @@
     }
     const _cc_change *there = _cc_kept(cc, submit->expect + 1);
     bool ours = there && g_str_equal(there->id, submit->id);
-    if (submit->expect < cc->version) {
+    if (submit->expect < cc->version && there) {
         if (ours) {
             _cc_won(cc, submit);
         }
@@ -156,7 +156,7 @@
         _cc_hurry(cc, now_us);
         return false;
     }
-    if (submit->read_back) {
+    if (submit->read_back || submit->expect < cc->version) {
         _cc_read_back(cc, submit);
     }
     else {
