--- a/packages/decisions/include/lacewing/decisions.h
+++ b/packages/decisions/include/lacewing/decisions.h
@@ -46,7 +46,8 @@
  *            lwd_next_action
  * queries:   lwd_query_wakeup_us lwd_query_server_state
  *            lwd_query_adapter_state lwd_query_request_state
- *            lwd_query_server_info lwd_query_resident lwd_query_last_status
+ *            lwd_query_server_info lwd_query_resident lwd_query_bytes
+ *            lwd_query_last_status
  *
  * Limits: not safe for use from two threads at once; times are microseconds
  * from any fixed start and never run backwards; pools are sized at creation
@@ -409,6 +410,8 @@
                            lwd_server_info *info);
 bool lwd_query_resident(const lwd_policy *policy, lwd_server server,
                         lwd_adapter adapter);
+/* Bytes that the instance holds with its pools full. */
+size_t lwd_query_bytes(const lwd_policy *policy);
 /* Code and message of the last failure of any call. */
 const er_status *lwd_query_last_status(const lwd_policy *policy);
 
--- a/packages/decisions/src/order.c
+++ b/packages/decisions/src/order.c
@@ -133,6 +133,13 @@
     return HP_ITEM(best, dp_request, pending);
 }
 
+const dp_request *
+or_query_best(const dp_policy *policy, const dp_server *server)
+{
+    dp_copy *copy = NULL;
+    return _or_best(policy, server, &copy);
+}
+
 void
 or_fill(dp_policy *policy, dp_server *server)
 {
--- a/packages/decisions/src/order.h
+++ b/packages/decisions/src/order.h
@@ -26,6 +26,9 @@
              bool hedge);
 
 /* queries */
+/* The best pending request that an own server may take; NULL when none. */
+const dp_request *or_query_best(const dp_policy *policy,
+                                const dp_server *server);
 /* Order among the pending requests; less is sooner. */
 uint64_t or_query_key(const dp_policy *policy, const dp_request *request);
 /* A request of the class may take a slot of the server now. */
--- a/packages/decisions/src/queries.c
+++ b/packages/decisions/src/queries.c
@@ -96,6 +96,22 @@
     return copy && cp_query_resident(copy);
 }
 
+size_t
+lwd_query_bytes(const lwd_policy *base)
+{
+    const dp_policy *policy = (const dp_policy *)base;
+    size_t buckets = (size_t)policy->copy_bucket_mask + 1;
+    /* The table of adapter tags holds a key, a hash and a value for each. */
+    size_t tag_bytes = 2 * sizeof(void *) + sizeof(guint);
+    return sizeof(*policy) + po_query_bytes(&policy->servers) +
+           po_query_bytes(&policy->adapters) +
+           po_query_bytes(&policy->requests) +
+           po_query_bytes(&policy->attempts) +
+           po_query_bytes(&policy->copies) + buckets * sizeof(dp_copy *) +
+           (size_t)policy->desc.action_capacity * sizeof(dp_action) +
+           2 * (size_t)policy->desc.adapter_capacity * tag_bytes;
+}
+
 const er_status *
 lwd_query_last_status(const lwd_policy *base)
 {
