Parts can be switched off: placement, order of loads, routing

Off, placement keeps the last used and makes no further copies, loads go first come first served, routing takes the emptiest copy and never a further home.

--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -62,6 +62,9 @@
 static uint64_t
 _ld_key(const dp_policy *policy, const dp_adapter *adapter)
 {
+    if (!dp_part_on(policy, LWD_PART_LOADS)) {
+        return policy->now_us; /* first come, first served */
+    }
     double bonus_us = _ld_benefit(policy, adapter) * _LD_WORK_BONUS_MS * 1000;
     uint64_t most_us = DP_US_PER_S * 3600;
     uint64_t bonus = (uint64_t)MIN(bonus_us, (double)most_us);
@@ -76,6 +79,9 @@
 static bool
 _ld_extra_pays(dp_policy *policy, dp_adapter *adapter)
 {
+    if (!dp_part_on(policy, LWD_PART_PLACEMENT)) {
+        return false;
+    }
     uint64_t wait_us = rt_query_adapter_wait_us(policy, adapter);
     uint64_t load_us = ld_query_adapter_wait_us(policy, adapter);
     return wait_us > load_us + ld_query_gain_us(policy);
--- a/packages/decisions/src/placement.c
+++ b/packages/decisions/src/placement.c
@@ -30,8 +30,10 @@
 void
 pl_note_use(dp_policy *policy, dp_adapter *adapter)
 {
-    adapter->popularity =
-        _pl_add(adapter->popularity, _pl_now(policy, _PL_MEMORY_S));
+    double now = _pl_now(policy, _PL_MEMORY_S);
+    adapter->popularity = dp_part_on(policy, LWD_PART_PLACEMENT)
+                              ? _pl_add(adapter->popularity, now)
+                              : now; /* the last use alone */
     adapter->recent = _pl_add(adapter->recent, _pl_now(policy, _PL_RECENT_S));
 }
 
--- a/packages/decisions/src/routing.c
+++ b/packages/decisions/src/routing.c
@@ -9,8 +9,8 @@
 
 #define _RT_COPIES_MAX 64   /* looked at for one request */
 #define _RT_PREFIX_PART 0.5 /* of a prompt that a held prefix saves */
-#define _RT_RANK_US 300000  /* a home against the next */
 #define _RT_PACE_TOKENS 32  /* a slower pace counts for so many tokens */
+#define _RT_RANK_US 300000  /* a home against the next */
 
 /* -- private: prefixes ---------------------------------------------------- */
 
@@ -50,6 +50,9 @@
 _rt_cost_us(const dp_policy *policy, const dp_request *request,
             const dp_server *server)
 {
+    if (!dp_part_on(policy, LWD_PART_ROUTING)) {
+        return server->running;
+    }
     double cost_us =
         pc_query_interval_us(policy, server, server->running + 1) *
         _RT_PACE_TOKENS;
