--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -20,7 +20,7 @@
 
 #define DP_US_PER_MS ((uint64_t)1000)
 #define DP_US_PER_S ((uint64_t)1000000)
-#define DP_HOMES 6
+#define DP_HOMES 8
 #define DP_OPERATIONS 64
 #define DP_LENGTH_CELLS 4096
 #define DP_BATCH_MAX 64
