--- a/packages/decisions/src/admission.c
+++ b/packages/decisions/src/admission.c
@@ -2,7 +2,6 @@
 
 #include "lengths.h"
 
-#define _AM_TOKEN_US 34000      /* expected time of one token */
 #define _AM_PROMPT_TOKEN_US 250 /* expected prefill of one token */
 #define _AM_SHARE_SLACK 1.25    /* times its share that a team may hold */
 #define _AM_SLACK_PART                                                        \
@@ -98,11 +97,11 @@
 /* -- queries -------------------------------------------------------------- */
 
 static uint64_t
-_am_work_us(const dp_request *request)
+_am_work_us(const dp_policy *policy, const dp_request *request)
 {
     uint64_t tokens = le_query_remaining(request, request->resume_from);
     uint64_t prompt = request->prompt_tokens + request->resume_from;
-    return tokens * _AM_TOKEN_US + prompt * _AM_PROMPT_TOKEN_US;
+    return tokens * (uint64_t)policy->token_us + prompt * _AM_PROMPT_TOKEN_US;
 }
 
 er_code
@@ -115,7 +114,7 @@
     if (request->deadline_us == 0) {
         return ER_OK;
     }
-    uint64_t work_us = _am_work_us(request);
+    uint64_t work_us = _am_work_us(policy, request);
     uint64_t left_us = request->deadline_us > policy->now_us
                            ? request->deadline_us - policy->now_us
                            : 0;
@@ -139,7 +138,7 @@
     if (request->deadline_us == 0) {
         return UINT64_MAX;
     }
-    uint64_t work_us = _am_work_us(request);
+    uint64_t work_us = _am_work_us(policy, request);
     if (!dp_part_on(policy, LWD_PART_ADMISSION)) {
         work_us = 0;
     }
@@ -165,6 +164,7 @@
 am_query_retry_ms(const dp_policy *policy)
 {
     uint64_t slots = MAX(policy->own_slots, 1);
-    uint64_t wait_us = policy->pending_tokens * _AM_TOKEN_US / slots;
+    uint64_t wait_us =
+        policy->pending_tokens * (uint64_t)policy->token_us / slots;
     return am_query_retry_after_ms(policy, wait_us);
 }
--- a/packages/decisions/src/attempts.c
+++ b/packages/decisions/src/attempts.c
@@ -120,6 +120,8 @@
     }
     if (!attempt->first_token) {
         attempt->first_token = true;
+        attempt->first_us = policy->now_us;
+        attempt->first_tokens = tokens;
         server->prefill_tokens -= attempt->prefill_tokens;
         server->prefills++;
     }
--- a/packages/decisions/src/pace.c
+++ b/packages/decisions/src/pace.c
@@ -4,11 +4,14 @@
 #define _PC_CURVE_WEIGHT 0.01 /* of one observation */
 #define _PC_NORMAL_WEIGHT 0.01
 #define _PC_RECENT_WEIGHT 0.4
+#define _PC_FIRST_TOKEN_US 34000.0
+#define _PC_TOKEN_WEIGHT 0.02
 #define _PC_OUTLIER 1.5 /* times normal: taken as this much */
 
 void
 pc_setup(dp_policy *policy)
 {
+    policy->token_us = _PC_FIRST_TOKEN_US;
     for (uint32_t batch = 0; batch <= DP_BATCH_MAX; batch++) {
         uint32_t others = batch > 0 ? batch - 1 : 0;
         policy->curve[batch] = 1 + _PC_CURVE_STEP * others;
@@ -55,6 +58,15 @@
     }
 }
 
+void
+pc_learn_token(dp_policy *policy, uint64_t time_us, uint32_t tokens)
+{
+    if (tokens > 0) {
+        double token_us = (double)time_us / tokens;
+        policy->token_us += _PC_TOKEN_WEIGHT * (token_us - policy->token_us);
+    }
+}
+
 double
 pc_query_interval_us(const dp_policy *policy, const dp_server *server,
                      uint32_t batch)
--- a/packages/decisions/src/pace.h
+++ b/packages/decisions/src/pace.h
@@ -16,6 +16,8 @@
 /* commands */
 /* Forgets what was observed of a server. */
 void pc_reset(dp_server *server);
+/* Takes in a whole run: tokens made in a time, from the first token on. */
+void pc_learn_token(dp_policy *policy, uint64_t time_us, uint32_t tokens);
 /* Takes in progress: tokens made in a time by one of batch streams; the time
    is without the prefill of others. */
 void pc_observe(dp_policy *policy, dp_server *server, uint32_t batch,
--- a/packages/decisions/src/requests.c
+++ b/packages/decisions/src/requests.c
@@ -8,6 +8,7 @@
 #include "lengths.h"
 #include "loads.h"
 #include "order.h"
+#include "pace.h"
 #include "placement.h"
 #include "poison.h"
 #include "routing.h"
@@ -184,6 +185,8 @@
     dp_request *request = attempt->request;
     dp_server *server = attempt->server;
     le_learn(policy, request, tokens);
+    pc_learn_token(policy, policy->now_us - attempt->first_us,
+                   tokens - MIN(tokens, attempt->first_tokens));
     am_note_success(policy);
     ps_note_success(policy, request);
     at_close(policy, attempt);
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -185,6 +185,8 @@
     uint32_t counted_tokens; /* its part of the server's running_tokens */
     uint32_t prefill_tokens;
     uint32_t prefill_mark; /* the server's prefills at last_us */
+    uint64_t first_us;     /* of its first token */
+    uint32_t first_tokens; /* tokens then */
     bool first_token;
     bool hedge;
     bool long_work;
@@ -310,6 +312,7 @@
     dp_length lengths[DP_LENGTH_CELLS];
     double mean_tokens;
     double curve[DP_BATCH_MAX + 1];
+    double token_us;      /* usual time of a token, prefill of others in it */
     double report_gap_us; /* usual time between reports of progress */
     /* budgets */
     double retry_budget;
