lacewing init: the first configuration as the first changes of the chain

Cause: a deployment begins with an empty table, and 3,000 adapters do not fit into one row.

(a) has no condition in the object store: two operators who begin at once could leave one's text under the other's row. (b) is the chain as it is, with an audit record for each part, and the id of a part is made of the document's hash, so that a second run goes on where the first was.

The audit trail leaves out the chain's own copy of a record under audit/refused/: it says accepted, and the refusal has a record of its own.

Conclusion: questionnaire, check, init lead from answers to a table that daemons start from.

--- a/packages/admin/src/trail.c
+++ b/packages/admin/src/trail.c
@@ -107,6 +107,15 @@
 
 /* -- the trail with filters ----------------------------------------------- */
 
+/* The chain keeps the record of a change that lost under its id, as it was
+   handed in; the refusal has a record of its own. */
+static bool
+_ad_is_doubled(const pf_row *row, JsonNode *record)
+{
+    return g_str_has_prefix(row->key, AD_REFUSED_PREFIX) &&
+           strcmp(_ad_record_member(record, "outcome"), "accepted") == 0;
+}
+
 /* What after= takes to go on: a version, or the tail of a refused row. */
 static void
 _ad_add_next(JsonBuilder *builder, const pf_read_result *result)
@@ -142,7 +151,8 @@
     json_builder_begin_array(builder);
     for (size_t i = 0; i < result->count; i++) {
         g_autoptr(JsonNode) record = ad_row_record(&result->rows[i]);
-        if (record && _ad_record_wanted(reading->call, record)) {
+        if (record && !_ad_is_doubled(&result->rows[i], record) &&
+            _ad_record_wanted(reading->call, record)) {
             json_builder_add_value(builder, g_steal_pointer(&record));
         }
     }
--- a/packages/tool/completion/lacewing.bash
+++ b/packages/tool/completion/lacewing.bash
@@ -2,7 +2,7 @@
 # /usr/share/bash-completion/completions/lacewing
 _lacewing()
 {
-    local commands="questionnaire check diff apply history rollback status \
+    local commands="questionnaire check diff init apply history rollback status \
 servers adapters explain drain audit top report settings-reference"
     local current=${COMP_WORDS[COMP_CWORD]}
     local previous=${COMP_WORDS[COMP_CWORD - 1]}
@@ -22,6 +22,7 @@
         case ${COMP_WORDS[1]} in
         questionnaire) options+=" --answers --output --save-answers --questions" ;;
         check | diff) options+=" --json" ;;
+        init) options+=" --platform --who --force" ;;
         report | settings-reference) options+=" --output" ;;
         *)
             options+=" --admin --key --key-file --ca --json"
--- a/packages/tool/src/command.h
+++ b/packages/tool/src/command.h
@@ -34,6 +34,7 @@
       "write a configuration from answers")                                   \
     X("check", tl_run_check, "find what cannot work in a configuration")      \
     X("diff", tl_run_diff, "show the edits between two configurations")       \
+    X("init", tl_run_init, "write the first configuration to the platform")   \
     X("apply", tl_run_apply, "change the configuration in force")             \
     X("history", tl_run_history, "list the changes made")                     \
     X("rollback", tl_run_rollback, "go back to a version, as a new one")      \
--- /dev/null
+++ b/packages/tool/tests/test_init.c
@@ -0,0 +1,170 @@
+/* Tests of the first configuration: whole, again, in part, beside another. */
+#include "init.h"
+#include "lacewing/admin.h"
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static dc_config *
+make_config(uint32_t adapters)
+{
+    GString *text = g_string_new("[deployment]\nname=x\n[model base]\n"
+                                 "[team t]\n[zone a]\n");
+    for (uint32_t i = 0; i < adapters; i++) {
+        g_string_append_printf(
+            text, "[adapter a%05u]\nmodel=base\nteam=t\nversions=1\n", i);
+    }
+    dc_config *config = NULL;
+    ck_assert_int_eq(dc_parse(text->str, "x", &config, NULL), ER_OK);
+    g_string_free(text, TRUE);
+    return config;
+}
+
+static er_code
+init(pf_table *table, const dc_config *config, uint64_t *version,
+     er_status *status)
+{
+    return tl_init(&(tl_init_desc){.table = table,
+                                   .config = config,
+                                   .who = "init:ana",
+                                   .timeout_ms = 1000},
+                   version, status);
+}
+
+typedef struct folded {
+    dc_config *config;
+    uint32_t versions;
+    uint32_t records;
+    bool done;
+} folded;
+
+static void
+on_changes(const pf_read_result *result, void *data)
+{
+    folded *got = data;
+    for (size_t i = 0; i < result->count; i++) {
+        gsize size = 0;
+        const char *bytes = g_bytes_get_data(result->rows[i].value, &size);
+        g_autofree char *value = g_strndup(bytes, size);
+        g_auto(GStrv) lines = g_strsplit(value, "\n", 3);
+        ck_assert_str_eq(lines[1], "init:ana");
+        g_autoptr(dc_edits) edits = NULL;
+        dc_config *next = NULL;
+        ck_assert_int_eq(dc_edits_parse(lines[2], &edits, NULL), ER_OK);
+        ck_assert_int_eq(dc_apply_edits(got->config, edits, &next, NULL),
+                         ER_OK);
+        g_clear_pointer(&got->config, dc_unref);
+        got->config = next;
+        got->versions++;
+    }
+    got->done = true;
+}
+
+static void
+on_records(const pf_read_result *result, void *data)
+{
+    folded *got = data;
+    got->records = (uint32_t)result->count;
+    got->done = true;
+}
+
+/* What a daemon makes of the rows. */
+static folded
+fold(pf_table *table)
+{
+    folded got = {0};
+    pf_table_scan(table, "config/change/", NULL, 1000, on_changes, &got);
+    while (!got.done) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    got.done = false;
+    pf_table_scan(table, AD_CHANGE_PREFIX, NULL, 1000, on_records, &got);
+    while (!got.done) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    return got;
+}
+
+static void
+expect_folded(pf_table *table, const dc_config *config, uint64_t version)
+{
+    folded got = fold(table);
+    ck_assert_uint_eq(got.versions, version);
+    ck_assert_uint_eq(got.records, version);
+    g_autofree char *wanted = dc_query_text(config);
+    g_autofree char *text = dc_query_text(got.config);
+    ck_assert_str_eq(wanted, text);
+    dc_unref(got.config);
+}
+
+START_TEST(test_whole_and_again)
+    {
+        g_autoptr(dc_config) config = make_config(6000);
+        g_autoptr(dc_config) other = make_config(1);
+        pf_table *table = pf_memory_table_create();
+        uint64_t version = 0;
+        er_status status = {0};
+        ck_assert_msg(init(table, config, &version, &status) == ER_OK, "%s",
+                      status.message);
+        ck_assert_uint_gt(version, 2);
+        expect_folded(table, config, version);
+        uint64_t again = 0;
+        ck_assert_int_eq(init(table, config, &again, &status), ER_OK);
+        ck_assert_uint_eq(again, version);
+        ck_assert_int_eq(init(table, other, &again, &status), ER_CONFLICT);
+        ck_assert_ptr_nonnull(strstr(status.message, "init:ana"));
+        expect_folded(table, config, version);
+        pf_table_destroy(table);
+    }
+END_TEST
+
+/* Answers are lost at first, then it goes on. */
+START_TEST(test_lost_answers)
+    {
+        g_autoptr(dc_config) config = make_config(3000);
+        pf_table *table = pf_memory_table_create();
+        pf_memory_table_set_faults(
+            table, &(pf_memory_table_faults){.lose_answers = true});
+        uint64_t version = 0;
+        er_status status = {0};
+        er_code code = init(table, config, &version, &status);
+        ck_assert_msg(code == ER_OK, "%s", status.message);
+        expect_folded(table, config, version);
+        pf_table_destroy(table);
+    }
+END_TEST
+
+START_TEST(test_table_down)
+    {
+        g_autoptr(dc_config) config = make_config(1);
+        pf_table *table = pf_memory_table_create();
+        pf_memory_table_set_faults(table,
+                                   &(pf_memory_table_faults){.down = true});
+        uint64_t version = 0;
+        er_status status = {0};
+        er_code code = init(table, config, &version, &status);
+        ck_assert(code == ER_TIMEOUT || code == ER_PLATFORM_DOWN);
+        ck_assert_ptr_nonnull(strstr(status.message, "run it again"));
+        pf_memory_table_set_faults(table, &(pf_memory_table_faults){0});
+        ck_assert_int_eq(init(table, config, &version, &status), ER_OK);
+        expect_folded(table, config, 1);
+        pf_table_destroy(table);
+    }
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("init");
+    TCase *tests = tcase_create("all");
+    tcase_set_timeout(tests, 60);
+    tcase_add_test(tests, test_whole_and_again);
+    tcase_add_test(tests, test_lost_answers);
+    tcase_add_test(tests, test_table_down);
+    suite_add_tcase(suite, tests);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
