backend: client of engines and plain services

Streams of tokens with one end each, told apart by what is certain: nothing ran, broken, silent, died. A call that may not be repeated takes a new connection and is sent once. Tests against a server that answers badly on purpose.

--- a/cmake/lacewing.cmake
+++ b/cmake/lacewing.cmake
@@ -14,7 +14,8 @@
 # lacewing_tests([target...]): one Check program for each tests/test_*.c.
 function(lacewing_tests)
   file(GLOB tests CONFIGURE_DEPENDS
-    ${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.c)
+    ${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.c
+    ${CMAKE_CURRENT_SOURCE_DIR}/test_*.c)
   foreach(test ${tests})
     get_filename_component(name ${test} NAME_WE)
     add_executable(${name} ${test})
--- /dev/null
+++ b/packages/backend/src/order.c
@@ -0,0 +1,308 @@
+/* Orders, health checks and calls of plain services. */
+#include "backend_private.h"
+
+typedef struct _be_order {
+    be_server *server;
+    SoupMessage *message;
+    GCancellable *cancel;
+    gulong server_cancelled;
+    tm_timer timeout;
+    be_order_call call;
+    be_call_call service_call;
+    void *user_data;
+    bool timed_out;
+} _be_order;
+
+/* -- private: life of an order ------------------------------------------- */
+
+static void
+_be_on_server_cancelled(GCancellable *server_cancel, void *data)
+{
+    (void)server_cancel;
+    g_cancellable_cancel(data);
+}
+
+static void
+_be_on_timeout(uint64_t now_us, void *data)
+{
+    (void)now_us;
+    _be_order *order = data;
+    order->timed_out = true;
+    g_cancellable_cancel(order->cancel);
+}
+
+static _be_order *
+_be_order_create(be_server *server, SoupMessage *message, uint32_t timeout_ms,
+                 void *user_data)
+{
+    _be_order *order = g_new0(_be_order, 1);
+    order->server = server;
+    order->message = message;
+    order->cancel = g_cancellable_new();
+    order->user_data = user_data;
+    order->server_cancelled = g_signal_connect_data(
+        server->cancel, "cancelled", G_CALLBACK(_be_on_server_cancelled),
+        g_object_ref(order->cancel), (GClosureNotify)(void *)g_object_unref,
+        0);
+    order->timeout =
+        tm_make_timer(server->timers, &(tm_timer_desc){.period_ms = timeout_ms,
+                                                       .once = true,
+                                                       .call = _be_on_timeout,
+                                                       .user_data = order});
+    return order;
+}
+
+static void
+_be_order_free(_be_order *order, bool server_gone)
+{
+    if (!server_gone) {
+        tm_destroy_timer(order->server->timers, order->timeout);
+        g_signal_handler_disconnect(order->server->cancel,
+                                    order->server_cancelled);
+    }
+    g_object_unref(order->message);
+    g_object_unref(order->cancel);
+    g_free(order);
+}
+
+/* Whether the order was ended because its server was destroyed. */
+static bool
+_be_order_abandoned(const _be_order *order)
+{
+    return !order->timed_out && g_cancellable_is_cancelled(order->cancel);
+}
+
+/* -- private: answers ----------------------------------------------------- */
+
+static er_code
+_be_answer_code(guint http, GBytes *body)
+{
+    if (http == SOUP_STATUS_OK) {
+        return ER_OK;
+    }
+    g_autofree char *type = _be_error_type(body);
+    if (g_strcmp0(type, "fenced") == 0) {
+        return ER_FENCED;
+    }
+    if (http == SOUP_STATUS_NOT_FOUND) {
+        return ER_NOT_FOUND;
+    }
+    return ER_LOAD_FAILED;
+}
+
+static const char **
+_be_models(JsonObject *object)
+{
+    GPtrArray *models = g_ptr_array_new();
+    JsonNode *list = json_object_get_member(object, "adapters");
+    if (list && JSON_NODE_HOLDS_ARRAY(list)) {
+        JsonArray *array = json_node_get_array(list);
+        for (guint i = 0; i < json_array_get_length(array); i++) {
+            g_ptr_array_add(models,
+                            (void *)json_array_get_string_element(array, i));
+        }
+    }
+    g_ptr_array_add(models, NULL);
+    return (const char **)g_ptr_array_free(models, FALSE);
+}
+
+static void
+_be_tell_answer(_be_order *order, er_code code, GBytes *body)
+{
+    gsize size = 0;
+    const char *text = body ? g_bytes_get_data(body, &size) : NULL;
+    g_autoptr(JsonParser) parser = json_parser_new();
+    bool parsed =
+        text && json_parser_load_from_data(parser, text, (gssize)size, NULL);
+    JsonNode *root = parsed ? json_parser_get_root(parser) : NULL;
+    be_order_result result = {.code = code};
+    g_autofree const char **models = NULL;
+    if (root && JSON_NODE_HOLDS_OBJECT(root)) {
+        JsonObject *object = json_node_get_object(root);
+        models = _be_models(object);
+        result.models = models;
+        result.incarnation = _be_json_string(object, "incarnation", "");
+        result.leaving = json_object_get_boolean_member_with_default(
+            object, "leaving", FALSE);
+        result.running = (uint32_t)_be_json_int(object, "running", 0);
+        result.waiting = (uint32_t)_be_json_int(object, "waiting", 0);
+        result.lag_ms = (uint32_t)_be_json_int(object, "lag_ms", 0);
+    }
+    order->call(order->server, &result, order->user_data);
+}
+
+static void
+_be_on_order(GObject *source, GAsyncResult *result, void *data)
+{
+    _be_order *order = data;
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GBytes) body = soup_session_send_and_read_finish(
+        SOUP_SESSION(source), result, &error);
+    if (_be_order_abandoned(order)) {
+        _be_order_free(order, true);
+        return;
+    }
+    er_code code = order->timed_out ? ER_TIMEOUT : ER_CONNECTION;
+    if (body) {
+        code = _be_answer_code(soup_message_get_status(order->message), body);
+    }
+    _be_tell_answer(order, code, body);
+    _be_order_free(order, false);
+}
+
+static void
+_be_order_send(be_server *server, SoupMessage *message, uint32_t timeout_ms,
+               be_order_call call, void *user_data)
+{
+    _be_order *order =
+        _be_order_create(server, message, timeout_ms, user_data);
+    order->call = call;
+    soup_session_send_and_read_async(server->session, message,
+                                     G_PRIORITY_DEFAULT, order->cancel,
+                                     _be_on_order, order);
+}
+
+static void
+_be_adapter_order(be_server *server, const char *path, const char *model,
+                  be_order_call call, void *user_data)
+{
+    SoupMessage *message = _be_message(server, "POST", path);
+    g_auto(GStrv) parts = g_strsplit(model, "@", 2);
+    g_autoptr(JsonBuilder) json = json_builder_new();
+    json_builder_begin_object(json);
+    json_builder_set_member_name(json, "lora_name");
+    json_builder_add_string_value(json, parts[0]);
+    json_builder_set_member_name(json, "version");
+    json_builder_add_string_value(json, parts[1] ? parts[1] : "");
+    json_builder_end_object(json);
+    _be_set_json(message, json);
+    _be_order_send(server, message, server->order_ms, call, user_data);
+}
+
+/* -- public: orders ------------------------------------------------------- */
+
+void
+be_load(be_server *server, const char *model, be_order_call call,
+        void *user_data)
+{
+    _be_adapter_order(server, "/v1/load_lora_adapter", model, call, user_data);
+}
+
+void
+be_evict(be_server *server, const char *model, be_order_call call,
+         void *user_data)
+{
+    _be_adapter_order(server, "/v1/unload_lora_adapter", model, call,
+                      user_data);
+}
+
+void
+be_list(be_server *server, be_order_call call, void *user_data)
+{
+    _be_order_send(server, _be_message(server, "GET", "/v1/adapters"),
+                   server->probe_ms, call, user_data);
+}
+
+void
+be_report(be_server *server, be_order_call call, void *user_data)
+{
+    _be_order_send(server, _be_message(server, "GET", "/v1/load"),
+                   server->order_ms, call, user_data);
+}
+
+void
+be_health(be_server *server, be_order_call call, void *user_data)
+{
+    SoupMessage *message = _be_message(server, "GET", "/healthz");
+    soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+    _be_order_send(server, message, server->probe_ms, call, user_data);
+}
+
+/* -- public: calls of plain services -------------------------------------- */
+
+static bool
+_be_refused_connection(const GError *error)
+{
+    return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
+           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
+           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE);
+}
+
+static void
+_be_call_failure(const _be_order *order, const GError *error,
+                 be_call_result *result)
+{
+    if (_be_refused_connection(error)) {
+        result->code = ER_SERVER_FAILED;
+        result->ran = BE_RAN_NO;
+    }
+    else {
+        result->code = order->timed_out ? ER_TIMEOUT : ER_CONNECTION;
+        result->ran = BE_RAN_UNKNOWN;
+    }
+    er_set(&result->status, result->code, "%s", error->message);
+}
+
+static void
+_be_call_answer(const _be_order *order, GBytes *body, be_call_result *result)
+{
+    result->http_status = soup_message_get_status(order->message);
+    result->body = body;
+    if (result->http_status < 400) {
+        result->code = ER_OK;
+        result->ran = BE_RAN_YES;
+        return;
+    }
+    result->code = ER_SERVER_FAILED;
+    result->ran = result->http_status == 503 ? BE_RAN_NO : BE_RAN_UNKNOWN;
+    er_set(&result->status, result->code, "the service answered %u",
+           result->http_status);
+}
+
+static void
+_be_on_call(GObject *source, GAsyncResult *async, void *data)
+{
+    _be_order *order = data;
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GBytes) body =
+        soup_session_send_and_read_finish(SOUP_SESSION(source), async, &error);
+    if (_be_order_abandoned(order)) {
+        _be_order_free(order, true);
+        return;
+    }
+    be_call_result result = {0};
+    if (body) {
+        _be_call_answer(order, body, &result);
+    }
+    else {
+        _be_call_failure(order, error, &result);
+    }
+    order->service_call(order->server, &result, order->user_data);
+    _be_order_free(order, false);
+}
+
+void
+be_call(be_server *server, const be_call_desc *desc)
+{
+    g_assert(desc->operation && desc->attempt && desc->body && desc->call);
+    g_autofree char *path = g_strdup_printf("/call/%s", desc->operation);
+    SoupMessage *message = _be_message(server, "POST", path);
+    SoupMessageHeaders *headers = soup_message_get_request_headers(message);
+    soup_message_headers_append(headers, "X-Attempt", desc->attempt);
+    if (desc->key) {
+        soup_message_headers_append(headers, "Idempotency-Key", desc->key);
+    }
+    if (!desc->repeatable) {
+        soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+    }
+    soup_message_set_request_body_from_bytes(message, "application/json",
+                                             desc->body);
+    uint32_t timeout_ms =
+        desc->timeout_ms ? desc->timeout_ms : server->order_ms;
+    _be_order *order =
+        _be_order_create(server, message, timeout_ms, desc->user_data);
+    order->service_call = desc->call;
+    soup_session_send_and_read_async(server->session, message,
+                                     G_PRIORITY_DEFAULT, order->cancel,
+                                     _be_on_call, order);
+}
--- /dev/null
+++ b/packages/backend/tests/test_backend.c
@@ -0,0 +1,376 @@
+/* The backend client against a small server that answers badly on purpose:
+   how each way a stream can end is told. */
+#include "event_stream.h"
+#include "lacewing/backend.h"
+#include <check.h>
+#include <libsoup/soup.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct fixture {
+    SoupServer *soup;
+    tm_service *timers;
+    be_server *server;
+    char *address;
+    uint32_t cancels;
+    uint32_t calls;
+    bool unhealthy;
+} fixture;
+
+static fixture fx;
+
+/* -- the bad server ---------------------------------------------------------
+ */
+
+static void
+append(SoupServerMessage *message, const char *text)
+{
+    soup_message_body_append(soup_server_message_get_response_body(message),
+                             SOUP_MEMORY_COPY, text, strlen(text));
+}
+
+static void
+token(SoupServerMessage *message, uint32_t index, const char *model)
+{
+    g_autofree char *event = g_strdup_printf(
+        "data: {\"index\":%u,\"text\":\"t%u\",\"model\":\"%s\"}\n\n", index,
+        index, model);
+    append(message, event);
+}
+
+static void
+refuse(SoupServerMessage *message, guint status, const char *type)
+{
+    g_autofree char *body =
+        g_strdup_printf("{\"error\":{\"type\":\"%s\"}}", type);
+    soup_server_message_set_status(message, status, NULL);
+    soup_server_message_set_response(message, "application/json",
+                                     SOUP_MEMORY_COPY, body, strlen(body));
+}
+
+/* What the prompt asks for happens. */
+static void
+on_completions(SoupServer *soup, SoupServerMessage *message, const char *path,
+               GHashTable *query, void *data)
+{
+    (void)soup;
+    (void)path;
+    (void)query;
+    (void)data;
+    const char *body = soup_server_message_get_request_body(message)->data;
+    if (strstr(body, "absent")) {
+        refuse(message, 404, "adapter_not_resident");
+        return;
+    }
+    if (strstr(body, "fenced")) {
+        refuse(message, 409, "fenced");
+        return;
+    }
+    if (strstr(body, "starting")) {
+        refuse(message, 503, "starting");
+        return;
+    }
+    soup_server_message_set_status(message, 200, NULL);
+    soup_message_headers_set_encoding(
+        soup_server_message_get_response_headers(message),
+        SOUP_ENCODING_CHUNKED);
+    token(message, 0, "a@1");
+    token(message, 0, "a@1");
+    token(message, 1, strstr(body, "other") ? "b@1" : "a@1");
+    if (strstr(body, "gap")) {
+        token(message, 3, "a@1");
+    }
+    if (strstr(body, "silent")) {
+        return; /* neither more nor an end */
+    }
+    if (strstr(body, "pause")) {
+        append(message, "data: {\"paused\":true,\"tokens\":2}\n\n");
+    }
+    else if (strstr(body, "short")) {
+        append(message, "data: {\"done\":true,\"tokens\":3}\n\n");
+    }
+    else if (!strstr(body, "broken")) {
+        append(message, "data: {\"done\":true,\"tokens\":2,"
+                        "\"finish_reason\":\"length\"}\n\n");
+    }
+    soup_message_body_complete(soup_server_message_get_response_body(message));
+}
+
+static void
+on_cancel(SoupServer *soup, SoupServerMessage *message, const char *path,
+          GHashTable *query, void *data)
+{
+    (void)soup;
+    (void)path;
+    (void)query;
+    (void)data;
+    fx.cancels++;
+    soup_server_message_set_status(message, 200, NULL);
+}
+
+static void
+on_health(SoupServer *soup, SoupServerMessage *message, const char *path,
+          GHashTable *query, void *data)
+{
+    (void)soup;
+    (void)path;
+    (void)query;
+    (void)data;
+    soup_server_message_set_status(message, fx.unhealthy ? 500 : 200, NULL);
+}
+
+static void
+on_call(SoupServer *soup, SoupServerMessage *message, const char *path,
+        GHashTable *query, void *data)
+{
+    (void)soup;
+    (void)path;
+    (void)query;
+    (void)data;
+    fx.calls++;
+    if (strstr(path, "silent")) {
+        soup_server_message_pause(message);
+        return;
+    }
+    if (strstr(path, "failing")) {
+        refuse(message, 500, "failed");
+        return;
+    }
+    soup_server_message_set_status(message, 200, NULL);
+    append(message, "{\"result\":1}");
+}
+
+static void
+setup(void)
+{
+    memset(&fx, 0, sizeof(fx));
+    fx.soup = soup_server_new(NULL, NULL);
+    soup_server_add_handler(fx.soup, "/v1/completions", on_completions, NULL,
+                            NULL);
+    soup_server_add_handler(fx.soup, "/v1/cancel", on_cancel, NULL, NULL);
+    soup_server_add_handler(fx.soup, "/healthz", on_health, NULL, NULL);
+    soup_server_add_handler(fx.soup, "/call", on_call, NULL, NULL);
+    soup_server_listen_local(fx.soup, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL);
+    GSList *uris = soup_server_get_uris(fx.soup);
+    fx.address = g_strdup_printf("127.0.0.1:%d", g_uri_get_port(uris->data));
+    g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+    fx.timers = tm_create(&(tm_desc){0});
+    fx.server = be_create(&(be_desc){
+        .address = fx.address, .timers = fx.timers, .silence_ms = 100});
+}
+
+static void
+teardown(void)
+{
+    be_destroy(fx.server);
+    tm_destroy(fx.timers);
+    soup_server_disconnect(fx.soup);
+    g_object_unref(fx.soup);
+    g_free(fx.address);
+}
+
+/* -- streams ----------------------------------------------------------------
+ */
+
+typedef struct outcome {
+    uint32_t tokens;
+    uint32_t ends;
+    be_result result;
+} outcome;
+
+static void
+on_token(be_stream *stream, uint32_t index, const char *text, void *data)
+{
+    (void)stream;
+    (void)text;
+    outcome *seen = data;
+    ck_assert_uint_eq(index, seen->tokens);
+    seen->tokens++;
+}
+
+static void
+on_end(be_stream *stream, const be_result *result, void *data)
+{
+    (void)stream;
+    outcome *seen = data;
+    seen->ends++;
+    seen->result = *result;
+}
+
+static outcome
+complete(const char *prompt)
+{
+    outcome seen = {0};
+    be_stream *stream =
+        be_complete(fx.server, &(be_complete_desc){.model = "a@1",
+                                                   .prompt = prompt,
+                                                   .attempt = "r/1",
+                                                   .max_tokens = 8,
+                                                   .on_token = on_token,
+                                                   .on_end = on_end,
+                                                   .user_data = &seen});
+    while (!seen.ends) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    be_stream_destroy(stream);
+    return seen;
+}
+
+static const struct {
+    const char *prompt;
+    be_end end;
+    uint32_t tokens;
+} cases[] = {
+    {"good", BE_END_WHOLE, 2},    {"broken", BE_END_BROKEN, 2},
+    {"silent", BE_END_SILENT, 2}, {"gap", BE_END_BROKEN, 2},
+    {"other", BE_END_BROKEN, 1},  {"short", BE_END_BROKEN, 2},
+    {"pause", BE_END_PAUSED, 2},  {"absent", BE_END_NOT_RESIDENT, 0},
+    {"fenced", BE_END_FENCED, 0}, {"starting", BE_END_NOT_STARTED, 0},
+};
+
+START_TEST(test_each_end_is_told)
+    {
+        outcome seen = complete(cases[_i].prompt);
+        ck_assert_int_eq(seen.result.end, cases[_i].end);
+        ck_assert_uint_eq(seen.tokens, cases[_i].tokens);
+        ck_assert_uint_eq(seen.result.tokens, cases[_i].tokens);
+        ck_assert_uint_eq(seen.ends, 1);
+    }
+END_TEST
+
+START_TEST(test_a_server_that_fails_its_check_has_died)
+    {
+        fx.unhealthy = true;
+        ck_assert_int_eq(complete("broken").result.end, BE_END_DIED);
+        ck_assert_int_eq(complete("silent").result.end, BE_END_DIED);
+    }
+END_TEST
+
+START_TEST(test_destroy_cancels_and_calls_nobody_back)
+    {
+        outcome seen = {0};
+        be_stream *stream =
+            be_complete(fx.server, &(be_complete_desc){.model = "a@1",
+                                                       .prompt = "silent",
+                                                       .attempt = "r/1",
+                                                       .on_token = on_token,
+                                                       .on_end = on_end,
+                                                       .user_data = &seen});
+        while (seen.tokens < 2) {
+            g_main_context_iteration(NULL, TRUE);
+        }
+        be_stream_destroy(stream);
+        while (!fx.cancels) {
+            g_main_context_iteration(NULL, TRUE);
+        }
+        ck_assert_uint_eq(seen.ends, 0);
+        ck_assert_uint_eq(be_query_open(fx.server), 0);
+    }
+END_TEST
+
+/* -- calls ------------------------------------------------------------------
+ */
+
+typedef struct call_outcome {
+    uint32_t ends;
+    er_code code;
+    be_ran ran;
+} call_outcome;
+
+static void
+on_called(be_server *server, const be_call_result *result, void *data)
+{
+    (void)server;
+    call_outcome *seen = data;
+    seen->ends++;
+    seen->code = result->code;
+    seen->ran = result->ran;
+}
+
+static call_outcome
+call_service(be_server *server, const char *operation)
+{
+    call_outcome seen = {0};
+    g_autoptr(GBytes) body = g_bytes_new_static("{}", 2);
+    be_call(server, &(be_call_desc){.operation = operation,
+                                    .attempt = "r/1",
+                                    .key = "k",
+                                    .body = body,
+                                    .timeout_ms = 100,
+                                    .call = on_called,
+                                    .user_data = &seen});
+    while (!seen.ends) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    return seen;
+}
+
+START_TEST(test_a_call_tells_truly_whether_it_ran)
+    {
+        ck_assert_int_eq(call_service(fx.server, "good").ran, BE_RAN_YES);
+        ck_assert_int_eq(call_service(fx.server, "failing").ran,
+                         BE_RAN_UNKNOWN);
+        call_outcome silent = call_service(fx.server, "silent");
+        ck_assert_int_eq(silent.code, ER_TIMEOUT);
+        ck_assert_int_eq(silent.ran, BE_RAN_UNKNOWN);
+        ck_assert_uint_eq(fx.calls, 3);
+        be_server *nobody = be_create(
+            &(be_desc){.address = "127.0.0.1:1", .timers = fx.timers});
+        ck_assert_int_eq(call_service(nobody, "good").ran, BE_RAN_NO);
+        be_destroy(nobody);
+    }
+END_TEST
+
+/* -- events -----------------------------------------------------------------
+ */
+
+START_TEST(test_events_in_any_pieces)
+    {
+        static const char text[] = "data: one\n\n: note\r\ndata:two\r\n\r\n"
+                                   "event: x\ndata: three\n\n";
+        for (size_t piece = 1; piece <= sizeof(text); piece++) {
+            es_parser *parser = es_create();
+            g_autoptr(GString) seen = g_string_new(NULL);
+            for (size_t at = 0; at < sizeof(text) - 1; at += piece) {
+                es_push(parser, text + at, MIN(piece, sizeof(text) - 1 - at));
+                const char *data;
+                while ((data = es_next(parser))) {
+                    g_string_append_printf(seen, "%s;", data);
+                }
+            }
+            ck_assert_str_eq(seen->str, "one;two;three;");
+            es_destroy(parser);
+        }
+    }
+END_TEST
+
+START_TEST(test_an_endless_line_fails)
+    {
+        es_parser *parser = es_create();
+        g_autofree char *line = g_strnfill(ES_LINE_BYTES_MAX + 1, 'x');
+        es_push(parser, line, ES_LINE_BYTES_MAX + 1);
+        ck_assert_ptr_null(es_next(parser));
+        ck_assert(es_query_failed(parser));
+        es_destroy(parser);
+    }
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("backend");
+    TCase *tests = tcase_create("all");
+    tcase_add_checked_fixture(tests, setup, teardown);
+    tcase_add_loop_test(tests, test_each_end_is_told, 0, G_N_ELEMENTS(cases));
+    tcase_add_test(tests, test_a_server_that_fails_its_check_has_died);
+    tcase_add_test(tests, test_destroy_cancels_and_calls_nobody_back);
+    tcase_add_test(tests, test_a_call_tells_truly_whether_it_ran);
+    tcase_add_test(tests, test_events_in_any_pieces);
+    tcase_add_test(tests, test_an_endless_line_fails);
+    suite_add_tcase(suite, tests);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
