--- /dev/null
+++ b/packages/daemon/src/daemon_out.c
@@ -0,0 +1,455 @@
+/* What each task says, carried to the others. */
+#include "daemon_private.h"
+
+#include "lacewing/counter.h"
+#include "lacewing/log.h"
+
+/* -- scheduler --------------------------------------------------------------
+ */
+
+static bool
+_dn_forward(const sc_forward *forward, void *data)
+{
+    return fw_send(((dn_daemon *)data)->forwards, forward);
+}
+
+static void
+_dn_cancel_forward(uint64_t draft, uint32_t attempt, const char *instance,
+                   void *data)
+{
+    fw_send_cancel(((dn_daemon *)data)->forwards, draft, attempt, instance);
+}
+
+static void
+_dn_credit(uint64_t draft, uint32_t attempt, const char *instance,
+           uint32_t tokens, void *data)
+{
+    fw_send_credit(((dn_daemon *)data)->forwards, draft, attempt, instance,
+                   tokens);
+}
+
+static void
+_dn_broadcast(dn_daemon *daemon, const Lacewing__Envelope *envelope)
+{
+    size_t size = lacewing__envelope__get_packed_size(envelope);
+    uint32_t links = pe_query_count(mm_query_peers(daemon->members));
+    ct_add(CT_CONTROL_BYTES_OUT, (int64_t)(size * links));
+    mm_broadcast(daemon->members, envelope);
+}
+
+static void
+_dn_summary(const char *server, const lwd_summary *from, void *data)
+{
+    Lacewing__ServerChange changes[LWD_SUMMARY_CHANGES];
+    Lacewing__ServerChange *list[LWD_SUMMARY_CHANGES];
+    for (uint32_t i = 0; i < from->change_count; i++) {
+        lacewing__server_change__init(&changes[i]);
+        changes[i].model_tag = from->changes[i].adapter_tag;
+        changes[i].resident = from->changes[i].resident;
+        list[i] = &changes[i];
+    }
+    Lacewing__ServerSummary summary = LACEWING__SERVER_SUMMARY__INIT;
+    summary.server = (char *)server;
+    summary.sequence = from->sequence;
+    summary.running = from->running;
+    summary.waiting = from->waiting;
+    summary.backlog_ms = from->backlog_ms;
+    summary.token_interval_us = from->token_interval_us;
+    summary.ejected = from->ejected;
+    summary.n_changes = from->change_count;
+    summary.changes = list;
+    Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+    envelope.body_case = LACEWING__ENVELOPE__BODY_SUMMARY;
+    envelope.summary = &summary;
+    _dn_broadcast(data, &envelope);
+}
+
+static void
+_dn_suspect(uint64_t fingerprint, uint32_t deaths, void *data)
+{
+    Lacewing__Suspect suspect = LACEWING__SUSPECT__INIT;
+    suspect.fingerprint = fingerprint;
+    suspect.deaths = deaths;
+    Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+    envelope.body_case = LACEWING__ENVELOPE__BODY_SUSPECT;
+    envelope.suspect = &suspect;
+    _dn_broadcast(data, &envelope);
+}
+
+static void
+_dn_fenced(const char *server, void *data)
+{
+    dn_daemon *daemon = data;
+    uint64_t fence = 0;
+    ow_query_owner(on_query_machine(daemon->owner), server, &fence);
+    on_feed(daemon->owner, &(ow_event){.type = OW_EVENT_FENCED,
+                                       .server = server,
+                                       .fence = fence + 1});
+}
+
+static bool
+_dn_may_order(const char *server, bool evict, void *data)
+{
+    return on_query_may_order(((dn_daemon *)data)->owner, server, evict);
+}
+
+static void
+_dn_idle(const char *server, void *data)
+{
+    on_take_idle(((dn_daemon *)data)->owner, server);
+}
+
+static void
+_dn_foreign(const char *server, uint32_t count, void *data)
+{
+    on_feed(((dn_daemon *)data)->owner, &(ow_event){.type = OW_EVENT_FOREIGN,
+                                                    .server = server,
+                                                    .foreign = count});
+}
+
+static void
+_dn_server_leaving(const char *server, void *data)
+{
+    mm_take_server_leaving(((dn_daemon *)data)->members, server);
+}
+
+const sc_out _dn_scheduler_out = {
+    .forward = _dn_forward,
+    .cancel_forward = _dn_cancel_forward,
+    .summary = _dn_summary,
+    .suspect = _dn_suspect,
+    .fenced = _dn_fenced,
+    .may_order = _dn_may_order,
+    .credit = _dn_credit,
+    .idle = _dn_idle,
+    .foreign = _dn_foreign,
+    .server_leaving = _dn_server_leaving,
+};
+
+/* -- configuration ----------------------------------------------------------
+ */
+
+static void
+_dn_config_fetch(const char *instance, uint64_t version, void *data)
+{
+    Lacewing__ConfigFetch fetch = LACEWING__CONFIG_FETCH__INIT;
+    fetch.version = version;
+    Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+    envelope.body_case = LACEWING__ENVELOPE__BODY_CONFIG_FETCH;
+    envelope.config_fetch = &fetch;
+    mm_send(((dn_daemon *)data)->members, instance, &envelope);
+}
+
+static void
+_dn_config_send_text(const char *instance, uint64_t version, bool snapshot,
+                     const char *text, void *data)
+{
+    Lacewing__ConfigText config = LACEWING__CONFIG_TEXT__INIT;
+    config.version = version;
+    config.snapshot = snapshot;
+    config.text = (char *)text;
+    Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+    envelope.body_case = LACEWING__ENVELOPE__BODY_CONFIG_TEXT;
+    envelope.config_text = &config;
+    mm_send(((dn_daemon *)data)->members, instance, &envelope);
+}
+
+const cf_out _dn_config_out = {
+    .changed = _dn_config_changed,
+    .fetch = _dn_config_fetch,
+    .send_text = _dn_config_send_text,
+};
+
+/* -- ownership --------------------------------------------------------------
+ */
+
+static void
+_dn_tell_owner(dn_daemon *daemon, const char *instance, const char *server,
+               const char *owner, uint64_t fence, bool drained)
+{
+    Lacewing__Ownership ownership = LACEWING__OWNERSHIP__INIT;
+    ownership.server = (char *)server;
+    ownership.instance = (char *)owner;
+    ownership.fence = fence;
+    ownership.drained = drained;
+    Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+    envelope.body_case = LACEWING__ENVELOPE__BODY_OWNERSHIP;
+    envelope.ownership = &ownership;
+    if (instance) {
+        mm_send(daemon->members, instance, &envelope);
+    }
+    else {
+        _dn_broadcast(daemon, &envelope);
+    }
+}
+
+static void
+_dn_own(const char *server, uint64_t fence, uint64_t settle_us, void *data)
+{
+    dn_daemon *daemon = data;
+    sc_own(daemon->scheduler, server, fence, settle_us);
+    _dn_tell_owner(daemon, NULL, server, daemon->instance, fence, false);
+}
+
+static void
+_dn_settle(const char *server, uint64_t settle_us, void *data)
+{
+    sc_set_settle(((dn_daemon *)data)->scheduler, server, settle_us);
+}
+
+static void
+_dn_lose(const char *server, bool planned, void *data)
+{
+    sc_disown(((dn_daemon *)data)->scheduler, server, planned);
+}
+
+static void
+_dn_owner(const char *server, const char *instance, uint64_t fence, void *data)
+{
+    (void)fence;
+    sc_set_owner(((dn_daemon *)data)->scheduler, server, instance);
+}
+
+static void
+_dn_tell_drained(const char *server, const char *instance, uint64_t fence,
+                 void *data)
+{
+    dn_daemon *daemon = data;
+    _dn_tell_owner(daemon, instance, server, daemon->instance, fence, true);
+}
+
+static void
+_dn_refuse(const char *instance, uint64_t incarnation, void *data)
+{
+    mm_refuse(((dn_daemon *)data)->members, instance, incarnation);
+}
+
+static gboolean
+_dn_on_ended(void *data)
+{
+    dn_daemon *daemon = data;
+    daemon->ended_source = 0;
+    daemon->incarnation = daemon->next_incarnation;
+    mm_set_incarnation(daemon->members, daemon->incarnation);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+_dn_ended(uint64_t incarnation, void *data)
+{
+    dn_daemon *daemon = data;
+    daemon->next_incarnation = incarnation;
+    if (!daemon->ended_source) {
+        daemon->ended_source =
+            g_idle_add_full(G_PRIORITY_DEFAULT, _dn_on_ended, daemon, NULL);
+    }
+}
+
+const on_out _dn_owner_out = {
+    .own = _dn_own,
+    .settle = _dn_settle,
+    .lose = _dn_lose,
+    .owner = _dn_owner,
+    .tell_drained = _dn_tell_drained,
+    .refuse = _dn_refuse,
+    .ended = _dn_ended,
+};
+
+void
+_dn_gossip_owned(uint64_t now_us, void *data)
+{
+    (void)now_us;
+    dn_daemon *daemon = data;
+    const dc_config *config = cf_query_config(daemon->config);
+    uint32_t count = config ? dc_query_count(config, DC_SERVER) : 0;
+    for (uint32_t i = 0; i < count; i++) {
+        const dc_server *server = dc_query_server_at(config, i);
+        uint64_t fence = 0;
+        ow_use use = ow_query_use(on_query_machine(daemon->owner),
+                                  tm_query_now_us(daemon->timers),
+                                  server->name, &fence);
+        if (use == OW_USE_FULL || use == OW_USE_FROZEN) {
+            _dn_tell_owner(daemon, NULL, server->name, daemon->instance, fence,
+                           false);
+        }
+    }
+    _dn_check_ready(daemon);
+}
+
+/* -- membership -------------------------------------------------------------
+ */
+
+static void
+_dn_take_summary(dn_daemon *daemon, const Lacewing__ServerSummary *from)
+{
+    lwd_summary summary = {
+        .sequence = from->sequence,
+        .running = from->running,
+        .waiting = from->waiting,
+        .backlog_ms = from->backlog_ms,
+        .token_interval_us = from->token_interval_us,
+        .ejected = from->ejected,
+    };
+    for (size_t i = 0; i < from->n_changes && i < LWD_SUMMARY_CHANGES; i++) {
+        summary.changes[i].adapter_tag = from->changes[i]->model_tag;
+        summary.changes[i].resident = from->changes[i]->resident;
+        summary.change_count++;
+    }
+    sc_take_summary(daemon->scheduler, from->server, &summary);
+}
+
+static void
+_dn_take_ownership(dn_daemon *daemon, const Lacewing__Ownership *from)
+{
+    on_feed(daemon->owner, &(ow_event){.type = from->drained ? OW_EVENT_DRAINED
+                                                             : OW_EVENT_OWNER,
+                                       .server = from->server,
+                                       .instance = from->instance,
+                                       .fence = from->fence});
+}
+
+static void
+_dn_take_config(dn_daemon *daemon, const char *instance,
+                const Lacewing__ConfigText *from)
+{
+    cf_feed(daemon->config, &(cc_event){.type = CC_EVENT_TEXT,
+                                        .instance = instance,
+                                        .version = from->version,
+                                        .text = from->text,
+                                        .snapshot = from->snapshot});
+    _dn_check_ready(daemon);
+}
+
+static void
+_dn_message(const pe_peer *peer, const Lacewing__Envelope *envelope,
+            void *data)
+{
+    dn_daemon *daemon = data;
+    if (fw_take_message(daemon->forwards, peer, envelope)) {
+        return;
+    }
+    switch (envelope->body_case) {
+    case LACEWING__ENVELOPE__BODY_SUMMARY:
+        _dn_take_summary(daemon, envelope->summary);
+        break;
+    case LACEWING__ENVELOPE__BODY_OWNERSHIP:
+        _dn_take_ownership(daemon, envelope->ownership);
+        break;
+    case LACEWING__ENVELOPE__BODY_SUSPECT:
+        sc_take_suspect(daemon->scheduler, envelope->suspect->fingerprint,
+                        envelope->suspect->deaths);
+        break;
+    case LACEWING__ENVELOPE__BODY_CONFIG_FETCH:
+        cf_feed(daemon->config,
+                &(cc_event){.type = CC_EVENT_FETCH,
+                            .instance = peer->instance,
+                            .version = envelope->config_fetch->version});
+        break;
+    case LACEWING__ENVELOPE__BODY_CONFIG_TEXT:
+        _dn_take_config(daemon, peer->instance, envelope->config_text);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+_dn_lost(const char *instance, void *data)
+{
+    dn_daemon *daemon = data;
+    fw_take_lost(daemon->forwards, instance);
+    sc_take_link_lost(daemon->scheduler, instance);
+}
+
+static void
+_dn_notice_peer(dn_daemon *daemon, const mb_action *action)
+{
+    on_feed(daemon->owner, &(ow_event){.type = OW_EVENT_PEER,
+                                       .instance = action->instance,
+                                       .zone = action->zone,
+                                       .incarnation = action->incarnation,
+                                       .state = action->state});
+    if (!action->incarnation) {
+        return;
+    }
+    bool alive = action->state != CO_PEER_DEAD;
+    cs_take_peer(daemon->calls, action->instance, action->incarnation, alive);
+    if (!alive) {
+        cf_feed(daemon->config, &(cc_event){.type = CC_EVENT_PEER_GONE,
+                                            .instance = action->instance});
+    }
+}
+
+static void
+_dn_notice_heard(dn_daemon *daemon, const mb_action *action)
+{
+    on_feed(daemon->owner, &(ow_event){.type = OW_EVENT_HEARD,
+                                       .instance = action->instance,
+                                       .incarnation = action->incarnation,
+                                       .names_us = action->names_us});
+    cf_feed(daemon->config, &(cc_event){.type = CC_EVENT_HEARD,
+                                        .instance = action->instance,
+                                        .version = action->version});
+    _dn_check_ready(daemon);
+}
+
+static void
+_dn_notice(const mb_action *action, void *data)
+{
+    dn_daemon *daemon = data;
+    switch (action->type) {
+    case MB_ACTION_SEND:
+        on_feed(daemon->owner,
+                &(ow_event){.type = OW_EVENT_SENT,
+                            .instance = action->instance,
+                            .zone = action->zone,
+                            .incarnation = action->incarnation});
+        break;
+    case MB_ACTION_PEER:
+        _dn_notice_peer(daemon, action);
+        break;
+    case MB_ACTION_HEARD:
+        _dn_notice_heard(daemon, action);
+        break;
+    case MB_ACTION_ACKED:
+        on_feed(daemon->owner, &(ow_event){.type = OW_EVENT_ACKED,
+                                           .instance = action->instance,
+                                           .incarnation = action->incarnation,
+                                           .sent_us = action->sent_us});
+        break;
+    case MB_ACTION_SERVER_LEAVING:
+        sc_set_leaving(daemon->scheduler, action->server);
+        cs_set_leaving(daemon->calls, action->server);
+        break;
+    case MB_ACTION_DEFAULT:
+    case MB_ACTION_NUM:
+        break;
+    }
+}
+
+static void
+_dn_listed(const pf_instances_result *result, void *data)
+{
+    dn_daemon *daemon = data;
+    for (size_t i = 0; result->code == ER_OK && i < result->count; i++) {
+        const pf_instance *instance = &result->instances[i];
+        if (instance->kind == PF_INSTANCE_SERVER && instance->leaving) {
+            mm_take_server_leaving(daemon->members, instance->name);
+        }
+    }
+}
+
+static void
+_dn_unlisted(const char *instance, void *data)
+{
+    on_feed(((dn_daemon *)data)->owner,
+            &(ow_event){.type = OW_EVENT_GONE, .instance = instance});
+}
+
+const mm_out _dn_members_out = {
+    .message = _dn_message,
+    .lost = _dn_lost,
+    .notice = _dn_notice,
+    .listed = _dn_listed,
+    .unlisted = _dn_unlisted,
+};
--- /dev/null
+++ b/packages/daemon/src/daemon_private.h
@@ -0,0 +1,67 @@
+/* daemon_private.h: what the files of the daemon share. */
+#ifndef LACEWING_DAEMON_PRIVATE_H
+#define LACEWING_DAEMON_PRIVATE_H
+
+#include "caller.h"
+#include "config_task.h"
+#include "daemon.h"
+#include "forwards.h"
+#include "lacewing/admin.h"
+#include "lacewing/weight_share.h"
+#include "owner_task.h"
+#include <libsoup/soup.h>
+
+struct dn_daemon {
+    tm_service *timers;
+    pf_table *pf_table;
+    pf_objects *objects;
+    pf_instances *instances;
+    tb_table *table;
+    tl_context *tls;
+    tl_context *link_tls;
+    sc_scheduler *scheduler;
+    cs_calls *calls;
+    cf_task *config;
+    on_task *owner;
+    mm_members *members;
+    fw_forwards *forwards;
+    ex_ring *explain;
+    ca_server *callers;
+    SoupServer *admin;
+    ad_admin *admin_api;
+    ad_host *admin_host;
+    char *instance;
+    char *zone;
+    uint64_t incarnation;
+    uint64_t next_incarnation; /* after this one was ended by another */
+    uint32_t notice_ms;
+    guint ended_source;
+    bool ready;
+    bool stopping;
+    uint64_t stop_by_us;
+    tm_timer gossip;
+    tm_timer stop_timer;
+    dn_stopped_call on_stopped;
+    void *stopped_data;
+};
+
+/* daemon_out.c: what the tasks say, carried to the others */
+extern const sc_out _dn_scheduler_out;
+extern const cf_out _dn_config_out;
+extern const on_out _dn_owner_out;
+extern const mm_out _dn_members_out;
+
+/* daemon_config.c: a new version, carried to the tasks */
+void _dn_config_changed(const dc_config *config, const dc_config *previous,
+                        uint64_t version, void *daemon);
+void _dn_check_ready(dn_daemon *daemon);
+
+/* Tells the linked instances which backend servers this one owns. */
+void _dn_gossip_owned(uint64_t now_us, void *daemon);
+/* daemon_admin.c */
+bool _dn_admin_setup(dn_daemon *daemon, const ds_settings *settings,
+                     er_status *status);
+void _dn_admin_shutdown(dn_daemon *daemon);
+void _dn_admin_reload(dn_daemon *daemon);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/explain.h
@@ -0,0 +1,46 @@
+/*
+ * explain.h: what became of recent requests (prefix ex_).
+ *
+ * A ring of the last requests of this instance with model, backend server,
+ * attempts, waits and outcome, for `lacewing explain`.
+ *
+ *     ex_add(ring, &(ex_entry){.id = "a-1", .model = "x@1"});
+ *     bool found = ex_query_json(ring, "a-1", NULL, json);
+ *
+ * Limits: holds EX_CAPACITY requests; older ones are gone.
+ */
+#ifndef LACEWING_EXPLAIN_H
+#define LACEWING_EXPLAIN_H
+
+#include "draft.h"
+#include <json-glib/json-glib.h>
+#include <stdbool.h>
+
+#define EX_CAPACITY 4096
+#define EX_TEXT_BYTES 80
+
+typedef struct ex_entry {
+    char id[EX_TEXT_BYTES];
+    char team[EX_TEXT_BYTES];
+    char model[EX_TEXT_BYTES]; /* or operation */
+    char server[EX_TEXT_BYTES];
+    er_code code;
+    dr_ran ran;
+    uint32_t tokens;
+    uint32_t first_token_ms;
+    uint32_t total_ms;
+    uint32_t deadline_ms;
+    bool replayed;
+} ex_entry;
+
+typedef struct ex_ring ex_ring;
+
+ex_ring *ex_create(void);
+void ex_destroy(ex_ring *ring);
+void ex_add(ex_ring *ring, const ex_entry *entry);
+/* Appends one object; false when the request is not there, or not of the team
+   (NULL: of any). */
+bool ex_query_json(const ex_ring *ring, const char *id, const char *team,
+                   JsonBuilder *json);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/main.c
@@ -0,0 +1,131 @@
+/*
+ * lacewingd: the daemon on every entry instance.
+ *
+ * Exit codes: 0 after a planned stop or a good --check, 1 for a bad command
+ * line, 2 for refused settings, 3 when it cannot start.
+ */
+#include "daemon.h"
+#include "lacewing/log.h"
+#include <glib-unix.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum {
+    EXIT_USAGE = 1,
+    EXIT_SETTINGS = 2,
+    EXIT_START = 3,
+};
+
+typedef struct _mn_options {
+    char *settings;
+    gboolean check;
+    gboolean version;
+} _mn_options;
+
+typedef struct _mn_process {
+    GMainLoop *loop;
+    dn_daemon *daemon;
+} _mn_process;
+
+static void
+_mn_on_stopped(void *data)
+{
+    g_main_loop_quit(((_mn_process *)data)->loop);
+}
+
+static gboolean
+_mn_on_terminate(void *data)
+{
+    _mn_process *process = data;
+    dn_stop(process->daemon, _mn_on_stopped, process);
+    return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+_mn_on_hangup(void *data)
+{
+    dn_reload(((_mn_process *)data)->daemon);
+    return G_SOURCE_CONTINUE;
+}
+
+static int
+_mn_serve(const ds_settings *settings)
+{
+    er_status status = {0};
+    _mn_process process = {0};
+    process.daemon = dn_create(settings, &status);
+    if (!process.daemon) {
+        lg_write(LG_LISTEN_FAILED, "why", status.message, NULL);
+        return EXIT_START;
+    }
+    process.loop = g_main_loop_new(NULL, FALSE);
+    g_unix_signal_add(SIGTERM, _mn_on_terminate, &process);
+    g_unix_signal_add(SIGINT, _mn_on_terminate, &process);
+    g_unix_signal_add(SIGHUP, _mn_on_hangup, &process);
+    lg_write(LG_STARTED, "zone", settings->zone, "listen", settings->listen,
+             NULL);
+    g_main_loop_run(process.loop);
+    dn_destroy(process.daemon);
+    g_main_loop_unref(process.loop);
+    return EXIT_SUCCESS;
+}
+
+static int
+_mn_run(const _mn_options *options)
+{
+    er_status status = {0};
+    ds_settings settings = {0};
+    if (ds_load(options->settings, &settings, &status) != ER_OK) {
+        fprintf(stderr, "lacewingd: %s\n", status.message);
+        ds_clear(&settings);
+        return EXIT_SETTINGS;
+    }
+    lg_setup(
+        &(lg_desc){.level = (lg_level)(LG_LEVEL_DEBUG + settings.log_level),
+                   .json = settings.log_json,
+                   .instance = settings.instance});
+    int code = EXIT_SUCCESS;
+    if (options->check) {
+        printf("%s: good\n", options->settings);
+    }
+    else {
+        code = _mn_serve(&settings);
+    }
+    ds_clear(&settings);
+    return code;
+}
+
+int
+main(int argc, char **argv)
+{
+    _mn_options options = {0};
+    const GOptionEntry entries[] = {
+        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &options.settings,
+         "Settings of this instance", "FILE"},
+        {"check", 0, 0, G_OPTION_ARG_NONE, &options.check,
+         "Check the settings and exit", NULL},
+        {"version", 0, 0, G_OPTION_ARG_NONE, &options.version,
+         "Print the version and exit", NULL},
+        {0},
+    };
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GOptionContext) context =
+        g_option_context_new("- serve callers before the backend servers");
+    g_option_context_add_main_entries(context, entries, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, &error)) {
+        fprintf(stderr, "lacewingd: %s\n", error->message);
+        return EXIT_USAGE;
+    }
+    if (options.version) {
+        printf("lacewingd %s\n", LACEWING_VERSION);
+        return EXIT_SUCCESS;
+    }
+    if (!options.settings) {
+        fprintf(stderr, "lacewingd: --settings FILE is needed\n");
+        return EXIT_USAGE;
+    }
+    int code = _mn_run(&options);
+    g_free(options.settings);
+    return code;
+}
--- /dev/null
+++ b/packages/daemon/src/peers.c
@@ -0,0 +1,455 @@
+#include "peers.h"
+
+#include "lacewing/counter.h"
+#include "lacewing/link.h"
+#include "lacewing/log.h"
+#include <gio/gio.h>
+#include <string.h>
+
+#define _PE_PROTOCOL 1
+#define _PE_DIAL_TIMEOUT_S 2
+
+/* One link; it has a name once the other end's hello has come. */
+typedef struct _pe_link {
+    pe_peers *peers;
+    lk_link *link;
+    char *instance; /* NULL before the hello */
+    char *zone;
+    char *address;
+    uint64_t incarnation;
+    bool dialled; /* by this instance */
+} _pe_link;
+
+struct pe_peers {
+    uint32_t references;
+    bool closed;
+    char *instance;
+    char *zone;
+    char *address;
+    char *secret;
+    uint64_t incarnation;
+    tl_context *tls;
+    GSocketService *service;
+    GHashTable *links;    /* instance -> _pe_link */
+    GHashTable *nameless; /* set of _pe_link */
+    GHashTable *dialling; /* set of addresses */
+    char **cut;           /* zones */
+    pe_message_call on_message;
+    pe_lost_call on_lost;
+    void *user_data;
+};
+
+/* -- private: life -------------------------------------------------------- */
+
+static void
+_pe_link_free(void *data)
+{
+    _pe_link *link = data;
+    lk_destroy(link->link);
+    g_free(link->instance);
+    g_free(link->zone);
+    g_free(link->address);
+    g_free(link);
+}
+
+static void
+_pe_unref(pe_peers *peers)
+{
+    peers->references--;
+    if (peers->references > 0) {
+        return;
+    }
+    g_hash_table_unref(peers->links);
+    g_hash_table_unref(peers->nameless);
+    g_hash_table_unref(peers->dialling);
+    g_strfreev(peers->cut);
+    g_free(peers->instance);
+    g_free(peers->zone);
+    g_free(peers->address);
+    g_free(peers->secret);
+    g_free(peers);
+}
+
+static bool
+_pe_is_cut(const pe_peers *peers, const char *zone)
+{
+    return peers->cut && zone &&
+           g_strv_contains((const char *const *)peers->cut, zone);
+}
+
+static void
+_pe_remove(_pe_link *link, const char *why)
+{
+    pe_peers *peers = link->peers;
+    if (!link->instance) {
+        g_hash_table_remove(peers->nameless, link);
+        return;
+    }
+    g_autofree char *instance = g_strdup(link->instance);
+    lg_write(LG_LINK_LOST, "peer", instance, "why", why, NULL);
+    if (g_hash_table_lookup(peers->links, instance) == link) {
+        g_hash_table_remove(peers->links, instance);
+        peers->on_lost(instance, peers->user_data);
+    }
+}
+
+/* -- private: hello ------------------------------------------------------- */
+
+static void
+_pe_send_hello(_pe_link *link)
+{
+    pe_peers *peers = link->peers;
+    Lacewing__Hello hello = LACEWING__HELLO__INIT;
+    hello.protocol = _PE_PROTOCOL;
+    hello.instance = peers->instance;
+    hello.zone = peers->zone;
+    hello.incarnation = peers->incarnation;
+    hello.address = peers->address;
+    hello.secret = peers->secret;
+    Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+    envelope.body_case = LACEWING__ENVELOPE__BODY_HELLO;
+    envelope.hello = &hello;
+    lk_send(link->link, &envelope);
+}
+
+static bool
+_pe_hello_allowed(const pe_peers *peers, const Lacewing__Hello *hello)
+{
+    return hello->protocol == _PE_PROTOCOL && hello->instance[0] &&
+           strcmp(hello->instance, peers->instance) != 0 &&
+           strcmp(hello->secret, peers->secret) == 0;
+}
+
+/* Whether a new link goes before the one there is. */
+static bool
+_pe_replaces(const pe_peers *peers, const _pe_link *old, const _pe_link *new)
+{
+    if (new->incarnation != old->incarnation) {
+        return new->incarnation > old->incarnation;
+    }
+    if (new->dialled == old->dialled) {
+        return true;
+    }
+    bool own_is_smaller = strcmp(peers->instance, new->instance) < 0;
+    return new->dialled == own_is_smaller;
+}
+
+static void
+_pe_take_hello(_pe_link *link, const Lacewing__Hello *hello)
+{
+    pe_peers *peers = link->peers;
+    if (!_pe_hello_allowed(peers, hello)) {
+        ct_add(CT_FRAMES_REFUSED, 1);
+        lg_write(LG_FRAME_REFUSED, "why", "hello", NULL);
+        _pe_remove(link, "hello refused");
+        return;
+    }
+    link->instance = g_strdup(hello->instance);
+    link->zone = g_strdup(hello->zone);
+    link->address = g_strdup(hello->address);
+    link->incarnation = hello->incarnation;
+    g_hash_table_steal(peers->nameless, link);
+    _pe_link *old = g_hash_table_lookup(peers->links, link->instance);
+    if (old && !_pe_replaces(peers, old, link)) {
+        _pe_link_free(link);
+        return;
+    }
+    if (old) {
+        _pe_remove(old, "replaced");
+    }
+    g_hash_table_insert(peers->links, link->instance, link);
+    lg_write(LG_LINK_UP, "peer", link->instance, NULL);
+}
+
+/* -- private: messages ---------------------------------------------------- */
+
+static void
+_pe_on_message(lk_link *lk, const Lacewing__Envelope *envelope, void *data)
+{
+    (void)lk;
+    _pe_link *link = data;
+    pe_peers *peers = link->peers;
+    if (!link->instance) {
+        if (envelope->body_case == LACEWING__ENVELOPE__BODY_HELLO) {
+            _pe_take_hello(link, envelope->hello);
+        }
+        return;
+    }
+    if (_pe_is_cut(peers, link->zone)) {
+        return;
+    }
+    pe_peer peer = {.instance = link->instance,
+                    .zone = link->zone,
+                    .address = link->address,
+                    .incarnation = link->incarnation};
+    peers->on_message(&peer, envelope, peers->user_data);
+}
+
+static void
+_pe_on_closed(lk_link *lk, const er_status *why, void *data)
+{
+    (void)lk;
+    _pe_remove(data, why->message);
+}
+
+static void
+_pe_adopt(pe_peers *peers, GIOStream *stream, bool dialled)
+{
+    _pe_link *link = g_new0(_pe_link, 1);
+    link->peers = peers;
+    link->dialled = dialled;
+    link->link = lk_create(&(lk_desc){.stream = stream,
+                                      .on_message = _pe_on_message,
+                                      .on_closed = _pe_on_closed,
+                                      .user_data = link});
+    g_hash_table_add(peers->nameless, link);
+    _pe_send_hello(link);
+}
+
+/* -- private: taking links in --------------------------------------------- */
+
+static void
+_pe_no_delay(GSocketConnection *connection)
+{
+    GSocket *socket = g_socket_connection_get_socket(connection);
+    g_socket_set_option(socket, 6 /* IPPROTO_TCP */, 1 /* TCP_NODELAY */, 1,
+                        NULL);
+}
+
+static void
+_pe_on_accepted(GIOStream *stream, void *data)
+{
+    pe_peers *peers = data;
+    if (stream && !peers->closed) {
+        _pe_adopt(peers, stream, false);
+    }
+    g_clear_object(&stream);
+    _pe_unref(peers);
+}
+
+static gboolean
+_pe_on_incoming(GSocketService *service, GSocketConnection *connection,
+                GObject *source, void *data)
+{
+    (void)service;
+    (void)source;
+    pe_peers *peers = data;
+    _pe_no_delay(connection);
+    peers->references++;
+    if (peers->tls) {
+        tl_wrap_server(peers->tls, G_IO_STREAM(connection), _pe_on_accepted,
+                       peers);
+    }
+    else {
+        _pe_on_accepted(G_IO_STREAM(g_object_ref(connection)), peers);
+    }
+    return TRUE;
+}
+
+static bool
+_pe_listen(pe_peers *peers, er_status *status)
+{
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GSocketConnectable) where =
+        g_network_address_parse(peers->address, 0, &error);
+    if (!where) {
+        er_set(status, ER_FILE, "%s: %s", peers->address, error->message);
+        return false;
+    }
+    GNetworkAddress *network = G_NETWORK_ADDRESS(where);
+    g_autoptr(GSocketAddress) address = g_inet_socket_address_new_from_string(
+        g_network_address_get_hostname(network),
+        g_network_address_get_port(network));
+    if (!address ||
+        !g_socket_listener_add_address(
+            G_SOCKET_LISTENER(peers->service), address, G_SOCKET_TYPE_STREAM,
+            G_SOCKET_PROTOCOL_TCP, NULL, NULL, &error)) {
+        er_set(status, ER_FILE, "%s: %s", peers->address,
+               error ? error->message : "not an IP number and port");
+        return false;
+    }
+    g_signal_connect(peers->service, "incoming", G_CALLBACK(_pe_on_incoming),
+                     peers);
+    g_socket_service_start(peers->service);
+    return true;
+}
+
+/* -- private: dialling ------------------------------------------------------
+ */
+
+typedef struct _pe_dial {
+    pe_peers *peers;
+    char *address;
+} _pe_dial;
+
+static void
+_pe_on_dialled(GIOStream *stream, void *data)
+{
+    _pe_dial *dial = data;
+    g_hash_table_remove(dial->peers->dialling, dial->address);
+    if (stream && !dial->peers->closed) {
+        _pe_adopt(dial->peers, stream, true);
+    }
+    g_clear_object(&stream);
+    _pe_unref(dial->peers);
+    g_free(dial->address);
+    g_free(dial);
+}
+
+static void
+_pe_on_connected(GObject *source, GAsyncResult *result, void *data)
+{
+    _pe_dial *dial = data;
+    GSocketConnection *connection = g_socket_client_connect_to_host_finish(
+        G_SOCKET_CLIENT(source), result, NULL);
+    if (!connection) {
+        _pe_on_dialled(NULL, dial);
+        return;
+    }
+    _pe_no_delay(connection);
+    g_socket_set_timeout(g_socket_connection_get_socket(connection), 0);
+    if (!dial->peers->tls) {
+        _pe_on_dialled(G_IO_STREAM(connection), dial);
+        return;
+    }
+    tl_wrap_client(dial->peers->tls, G_IO_STREAM(connection), _pe_on_dialled,
+                   dial);
+    g_object_unref(connection);
+}
+
+static void
+_pe_start_dial(pe_peers *peers, const char *address)
+{
+    if (!address || !*address || strcmp(address, peers->address) == 0 ||
+        !g_hash_table_add(peers->dialling, g_strdup(address))) {
+        return;
+    }
+    g_autoptr(GSocketClient) client = g_socket_client_new();
+    g_socket_client_set_timeout(client, _PE_DIAL_TIMEOUT_S);
+    g_socket_client_set_enable_proxy(client, FALSE);
+    _pe_dial *dial = g_new0(_pe_dial, 1);
+    dial->peers = peers;
+    dial->address = g_strdup(address);
+    peers->references++;
+    g_socket_client_connect_to_host_async(client, address, 0, NULL,
+                                          _pe_on_connected, dial);
+}
+
+/* -- public -----------------------------------------------------------------
+ */
+
+pe_peers *
+pe_create(const pe_desc *desc, er_status *status)
+{
+    pe_peers *peers = g_new0(pe_peers, 1);
+    peers->references = 1;
+    peers->instance = g_strdup(desc->instance);
+    peers->zone = g_strdup(desc->zone);
+    peers->address = g_strdup(desc->address);
+    peers->secret = g_strdup(desc->secret ? desc->secret : "");
+    peers->incarnation = desc->incarnation;
+    peers->tls = desc->tls;
+    peers->on_message = desc->on_message;
+    peers->on_lost = desc->on_lost;
+    peers->user_data = desc->user_data;
+    peers->service = g_socket_service_new();
+    peers->links =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _pe_link_free);
+    peers->nameless = g_hash_table_new_full(NULL, NULL, _pe_link_free, NULL);
+    peers->dialling =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    if (!_pe_listen(peers, status)) {
+        g_clear_pointer(&peers, pe_destroy);
+    }
+    return peers;
+}
+
+void
+pe_destroy(pe_peers *peers)
+{
+    if (!peers) {
+        return;
+    }
+    peers->closed = true;
+    g_socket_service_stop(peers->service);
+    g_socket_listener_close(G_SOCKET_LISTENER(peers->service));
+    g_clear_object(&peers->service);
+    g_hash_table_remove_all(peers->links);
+    g_hash_table_remove_all(peers->nameless);
+    _pe_unref(peers);
+}
+
+void
+pe_set_incarnation(pe_peers *peers, uint64_t incarnation)
+{
+    peers->incarnation = incarnation;
+}
+
+bool
+pe_send(pe_peers *peers, const char *instance, const char *address,
+        const Lacewing__Envelope *envelope)
+{
+    _pe_link *link = g_hash_table_lookup(peers->links, instance);
+    if (!link) {
+        _pe_start_dial(peers, address);
+        return false;
+    }
+    if (_pe_is_cut(peers, link->zone)) {
+        return true;
+    }
+    return lk_send(link->link, envelope);
+}
+
+static void
+_pe_broadcast(pe_peers *peers, const Lacewing__Envelope *envelope,
+              const char *zone)
+{
+    g_autoptr(GList) links = g_hash_table_get_values(peers->links);
+    for (GList *item = links; item; item = item->next) {
+        _pe_link *link = item->data;
+        bool wanted = !zone || strcmp(link->zone, zone) == 0;
+        if (wanted && !_pe_is_cut(peers, link->zone)) {
+            lk_send(link->link, envelope);
+        }
+    }
+}
+
+void
+pe_broadcast(pe_peers *peers, const Lacewing__Envelope *envelope)
+{
+    _pe_broadcast(peers, envelope, NULL);
+}
+
+void
+pe_broadcast_zone(pe_peers *peers, const Lacewing__Envelope *envelope)
+{
+    _pe_broadcast(peers, envelope, peers->zone);
+}
+
+void
+pe_drop(pe_peers *peers, const char *instance)
+{
+    _pe_link *link = g_hash_table_lookup(peers->links, instance);
+    if (link) {
+        _pe_remove(link, "dropped");
+    }
+}
+
+void
+pe_set_cut(pe_peers *peers, const char *const *zones)
+{
+    g_strfreev(peers->cut);
+    peers->cut = g_strdupv((char **)zones);
+}
+
+bool
+pe_query_linked(const pe_peers *peers, const char *instance)
+{
+    return g_hash_table_contains(peers->links, instance);
+}
+
+uint32_t
+pe_query_count(const pe_peers *peers)
+{
+    return g_hash_table_size(peers->links);
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler_draft.c
@@ -0,0 +1,573 @@
+/* Drafts: their streams on owned servers and their forwards to others. */
+#include "scheduler_private.h"
+
+#include "lacewing/counter.h"
+
+/* Tokens between two credits for a forwarded draft. */
+#define _SC_CREDIT_TOKENS 64
+
+static const lwd_failure _sc_failures[BE_END_NUM] = {
+    [BE_END_DEFAULT] = LWD_FAILURE_BROKEN,
+    [BE_END_NOT_STARTED] = LWD_FAILURE_NOT_STARTED,
+    [BE_END_NOT_RESIDENT] = LWD_FAILURE_NOT_RESIDENT,
+    [BE_END_FENCED] = LWD_FAILURE_FENCED,
+    [BE_END_BROKEN] = LWD_FAILURE_BROKEN,
+    [BE_END_SILENT] = LWD_FAILURE_BROKEN,
+    [BE_END_DIED] = LWD_FAILURE_DIED,
+};
+
+/* -- private: life ----------------------------------------------------------
+ */
+
+void
+_sc_draft_free(void *data)
+{
+    _sc_draft *draft = data;
+    g_free(draft->prompt);
+    g_free(draft->team);
+    g_free(draft->forward_instance);
+    g_free(draft);
+}
+
+void
+_sc_attempt_free(void *data)
+{
+    _sc_attempt *attempt = data;
+    attempt->server->open--;
+    be_stream_destroy(attempt->stream);
+    g_free(attempt);
+}
+
+static _sc_draft *
+_sc_find_draft(sc_scheduler *scheduler, uint64_t id)
+{
+    return g_hash_table_lookup(scheduler->drafts, &id);
+}
+
+static void
+_sc_drop_attempt(_sc_attempt *attempt)
+{
+    _sc_server *server = attempt->server;
+    uint64_t id = attempt->id.id;
+    g_hash_table_remove(attempt->scheduler->attempts, &id);
+    _sc_server_released(server);
+}
+
+/* Takes the draft out, then tells its sink. */
+static void
+_sc_draft_end(_sc_draft *draft, const dr_end *end)
+{
+    sc_scheduler *scheduler = draft->scheduler;
+    dr_sink *sink = draft->sink;
+    uint64_t id = draft->id;
+    g_hash_table_steal(scheduler->drafts, &id);
+    ct_set(CT_OPEN_REQUESTS, g_hash_table_size(scheduler->drafts));
+    if (sink) {
+        sink->vt->end(sink, end);
+    }
+    _sc_draft_free(draft);
+}
+
+static void
+_sc_draft_token(_sc_draft *draft, uint32_t index, const char *text)
+{
+    if (index != draft->next_index) {
+        ct_add(CT_PIECES_DROPPED, 1);
+        return;
+    }
+    draft->next_index++;
+    if (draft->sink) {
+        draft->sink->vt->token(draft->sink, index, text);
+    }
+}
+
+/* -- private: streams
+ * --------------------------------------------------------- */
+
+static void
+_sc_on_token(be_stream *stream, uint32_t index, const char *text, void *data)
+{
+    (void)stream;
+    _sc_attempt *attempt = data;
+    sc_scheduler *scheduler = attempt->scheduler;
+    bool first = attempt->tokens == 0;
+    attempt->tokens = index + 1;
+    lwd_attempt id = attempt->id;
+    _sc_draft *draft = _sc_find_draft(scheduler, attempt->draft_id);
+    if (draft) {
+        draft->started = true;
+        _sc_draft_token(draft, index, text);
+    }
+    _sc_feed(scheduler, &(lwd_event){.type = first ? LWD_EVENT_FIRST_TOKEN
+                                                   : LWD_EVENT_PROGRESS,
+                                     .attempt = id,
+                                     .tokens = index + 1});
+}
+
+static void
+_sc_stream_whole(_sc_attempt *attempt, const be_result *result)
+{
+    sc_scheduler *scheduler = attempt->scheduler;
+    lwd_attempt id = attempt->id;
+    _sc_draft *draft = _sc_find_draft(scheduler, attempt->draft_id);
+    if (draft) {
+        g_strlcpy(draft->last_server, attempt->server->name,
+                  sizeof(draft->last_server));
+    }
+    _sc_drop_attempt(attempt);
+    _sc_feed(scheduler, &(lwd_event){.type = LWD_EVENT_FINISHED,
+                                     .attempt = id,
+                                     .tokens = result->tokens});
+    if (draft && draft->next_index == result->tokens) {
+        _sc_draft_end(draft, &(dr_end){.code = ER_OK,
+                                       .ran = DR_RAN_RAN,
+                                       .tokens = result->tokens,
+                                       .finish_reason = result->finish_reason,
+                                       .server = draft->last_server});
+    }
+}
+
+static void
+_sc_stream_failed(_sc_attempt *attempt, const be_result *result)
+{
+    sc_scheduler *scheduler = attempt->scheduler;
+    g_autofree char *name = g_strdup(attempt->server->name);
+    lwd_event event = {.type = LWD_EVENT_FAILED,
+                       .attempt = attempt->id,
+                       .tokens = result->tokens,
+                       .failure = _sc_failures[result->end]};
+    if (result->end == BE_END_PAUSED) {
+        event.type = LWD_EVENT_PAUSED;
+    }
+    _sc_draft *draft = _sc_find_draft(scheduler, attempt->draft_id);
+    if (draft && event.failure == LWD_FAILURE_DIED) {
+        draft->started = true;
+    }
+    _sc_drop_attempt(attempt);
+    if (result->end == BE_END_DIED) {
+        lwd_feed(scheduler->policy, _sc_now_us(scheduler), &event);
+        _sc_server_died(g_hash_table_lookup(scheduler->servers, name));
+        _sc_pump(scheduler);
+    }
+    else {
+        _sc_feed(scheduler, &event);
+    }
+    if (result->end == BE_END_FENCED) {
+        scheduler->out->fenced(name, scheduler->out_data);
+    }
+}
+
+static void
+_sc_on_end(be_stream *stream, const be_result *result, void *data)
+{
+    (void)stream;
+    _sc_attempt *attempt = data;
+    if (result->end == BE_END_WHOLE) {
+        _sc_stream_whole(attempt, result);
+    }
+    else {
+        _sc_stream_failed(attempt, result);
+    }
+}
+
+/* -- private: actions
+ * ----------------------------------------------------------- */
+
+static void
+_sc_fail_attempt(sc_scheduler *scheduler, const lwd_action *action,
+                 lwd_failure failure)
+{
+    lwd_feed(scheduler->policy, _sc_now_us(scheduler),
+             &(lwd_event){.type = LWD_EVENT_FAILED,
+                          .attempt = action->attempt,
+                          .tokens = action->resume_from,
+                          .failure = failure});
+}
+
+static void
+_sc_start_stream(_sc_draft *draft, _sc_server *server,
+                 const lwd_action *action)
+{
+    sc_scheduler *scheduler = draft->scheduler;
+    _sc_attempt *attempt = g_new0(_sc_attempt, 1);
+    attempt->scheduler = scheduler;
+    attempt->id = action->attempt;
+    attempt->draft_id = draft->id;
+    attempt->server = server;
+    attempt->started_us = _sc_now_us(scheduler);
+    server->open++;
+    draft->attempts++;
+    g_autofree char *name =
+        g_strdup_printf("%s/%" G_GUINT64_FORMAT "/%u", scheduler->instance,
+                        draft->id, draft->attempts);
+    attempt->stream = be_complete(
+        server->backend, &(be_complete_desc){.model = draft->model->name,
+                                             .prompt = draft->prompt,
+                                             .attempt = name,
+                                             .max_tokens = draft->max_tokens,
+                                             .resume_from = draft->next_index,
+                                             .priority = action->priority,
+                                             .on_token = _sc_on_token,
+                                             .on_end = _sc_on_end,
+                                             .user_data = attempt});
+    be_stream_set_held(attempt->stream, draft->held);
+    g_hash_table_insert(scheduler->attempts, &attempt->id.id, attempt);
+}
+
+void
+_sc_act_send(sc_scheduler *scheduler, const lwd_action *action)
+{
+    _sc_draft *draft = _sc_find_draft(scheduler, action->tag);
+    _sc_server *server = _sc_find_server(scheduler, action->server);
+    if (!draft || !server) {
+        _sc_fail_attempt(scheduler, action, LWD_FAILURE_NOT_STARTED);
+        return;
+    }
+    if (!scheduler->out->may_order(server->name, false, scheduler->out_data)) {
+        _sc_fail_attempt(scheduler, action, LWD_FAILURE_FENCED);
+        return;
+    }
+    if (action->hedge) {
+        ct_add(CT_HEDGED, 1);
+    }
+    else if (draft->next_index > 0 && draft->attempts > 0) {
+        ct_add(CT_RESUMED, 1);
+    }
+    _sc_start_stream(draft, server, action);
+}
+
+static uint32_t
+_sc_time_left_ms(const _sc_draft *draft)
+{
+    if (!draft->deadline_us) {
+        return 0;
+    }
+    uint64_t now_us = _sc_now_us(draft->scheduler);
+    if (draft->deadline_us <= now_us + 1000) {
+        return 1;
+    }
+    return (uint32_t)((draft->deadline_us - now_us) / 1000);
+}
+
+static bool
+_sc_send_forward(_sc_draft *draft, const _sc_server *server,
+                 const char *instance)
+{
+    sc_scheduler *scheduler = draft->scheduler;
+    return scheduler->out->forward(
+        &(sc_forward){.draft = draft->id,
+                      .attempt = draft->attempts,
+                      .instance = instance,
+                      .server = server->name,
+                      .model = draft->model->name,
+                      .prompt = draft->prompt,
+                      .team = draft->team,
+                      .team_weight = draft->team_weight,
+                      .operation = draft->operation,
+                      .prompt_tokens = draft->prompt_tokens,
+                      .max_tokens = draft->max_tokens,
+                      .resume_from = draft->next_index,
+                      .time_left_ms = _sc_time_left_ms(draft),
+                      .fingerprint = draft->fingerprint,
+                      .prefix = draft->prefix},
+        scheduler->out_data);
+}
+
+void
+_sc_act_forward(sc_scheduler *scheduler, const lwd_action *action)
+{
+    _sc_draft *draft = _sc_find_draft(scheduler, action->tag);
+    const _sc_server *server = _sc_find_server(scheduler, action->server);
+    const char *instance = _sc_instance_name(scheduler, action->instance);
+    if (!draft) {
+        return;
+    }
+    draft->attempts++;
+    if (server && instance && _sc_send_forward(draft, server, instance)) {
+        draft->forward_attempt = draft->attempts;
+        g_free(draft->forward_instance);
+        draft->forward_instance = g_strdup(instance);
+        g_strlcpy(draft->last_server, server->name,
+                  sizeof(draft->last_server));
+        ct_add(CT_FORWARDED, 1);
+        return;
+    }
+    lwd_feed(scheduler->policy, _sc_now_us(scheduler),
+             &(lwd_event){.type = LWD_EVENT_FORWARD_FAILED,
+                          .request = draft->request,
+                          .reason = ER_CONNECTION,
+                          .tokens = draft->next_index,
+                          .failure = LWD_FAILURE_NOT_STARTED});
+}
+
+void
+_sc_act_refuse(sc_scheduler *scheduler, const lwd_action *action)
+{
+    _sc_draft *draft = _sc_find_draft(scheduler, action->tag);
+    if (!draft) {
+        return;
+    }
+    bool ran = action->ran || draft->started;
+    _sc_draft_end(draft, &(dr_end){.code = action->reason,
+                                   .ran = ran ? DR_RAN_RAN : DR_RAN_NOT_RUN,
+                                   .tokens = draft->next_index,
+                                   .retry_after_ms = action->retry_after_ms});
+}
+
+void
+_sc_act_cancel(sc_scheduler *scheduler, const lwd_action *action)
+{
+    _sc_attempt *attempt =
+        g_hash_table_lookup(scheduler->attempts, &action->attempt.id);
+    if (attempt) {
+        _sc_drop_attempt(attempt);
+    }
+}
+
+static void
+_sc_cancel_forward(_sc_draft *draft)
+{
+    sc_scheduler *scheduler = draft->scheduler;
+    if (draft->forward_attempt) {
+        scheduler->out->cancel_forward(draft->id, draft->forward_attempt,
+                                       draft->forward_instance,
+                                       scheduler->out_data);
+        draft->forward_attempt = 0;
+    }
+}
+
+void
+_sc_act_cancel_forward(sc_scheduler *scheduler, const lwd_action *action)
+{
+    _sc_draft *draft = _sc_find_draft(scheduler, action->tag);
+    if (draft) {
+        _sc_cancel_forward(draft);
+    }
+}
+
+void
+_sc_act_pause(sc_scheduler *scheduler, const lwd_action *action)
+{
+    const _sc_attempt *attempt =
+        g_hash_table_lookup(scheduler->attempts, &action->attempt.id);
+    if (attempt) {
+        be_stream_pause(attempt->stream);
+    }
+}
+
+/* -- public: drafts
+ * ------------------------------------------------------------- */
+
+static _sc_draft *
+_sc_draft_create(sc_scheduler *scheduler, _sc_model *model,
+                 const sc_draft_desc *desc)
+{
+    _sc_draft *draft = g_new0(_sc_draft, 1);
+    draft->scheduler = scheduler;
+    draft->id = scheduler->next_draft++;
+    draft->sink = desc->sink;
+    draft->model = model;
+    draft->prompt = g_strdup(desc->prompt);
+    draft->team = g_strdup(desc->team ? desc->team : "");
+    draft->team_weight = desc->team_weight;
+    draft->operation = desc->operation;
+    draft->prompt_tokens = desc->prompt_tokens;
+    draft->max_tokens = desc->max_tokens;
+    draft->fingerprint = desc->fingerprint;
+    draft->prefix = desc->prefix;
+    draft->next_index = desc->resume_from;
+    if (desc->time_left_ms) {
+        draft->deadline_us =
+            _sc_now_us(scheduler) + (uint64_t)desc->time_left_ms * 1000;
+    }
+    g_hash_table_insert(scheduler->drafts, &draft->id, draft);
+    ct_set(CT_OPEN_REQUESTS, g_hash_table_size(scheduler->drafts));
+    return draft;
+}
+
+static er_code
+_sc_draft_enter(_sc_draft *draft, const _sc_server *server, er_status *status)
+{
+    sc_scheduler *scheduler = draft->scheduler;
+    draft->request = lwd_make_request(
+        scheduler->policy, _sc_now_us(scheduler),
+        &(lwd_request_desc){.tag = draft->id,
+                            .adapter = draft->model->id,
+                            .team = g_str_hash(draft->team),
+                            .team_weight = draft->team_weight,
+                            .operation = draft->operation,
+                            .prompt_tokens = draft->prompt_tokens,
+                            .max_tokens = draft->max_tokens,
+                            .resume_from = draft->next_index,
+                            .deadline_us = draft->deadline_us,
+                            .fingerprint = draft->fingerprint,
+                            .prefix = draft->prefix,
+                            .server = server ? server->id : (lwd_server){0},
+                            .forwarded = server != NULL});
+    if (!draft->request.id) {
+        const er_status *last = lwd_query_last_status(scheduler->policy);
+        return er_set(status, last->code, "%s", last->message);
+    }
+    return ER_OK;
+}
+
+uint64_t
+sc_submit(sc_scheduler *scheduler, const sc_draft_desc *desc,
+          er_status *status)
+{
+    _sc_model *model = g_hash_table_lookup(scheduler->models, desc->model);
+    if (!model) {
+        er_set(status, ER_UNKNOWN_MODEL, "no adapter %s", desc->model);
+        return 0;
+    }
+    const _sc_server *server = NULL;
+    if (desc->server) {
+        server = g_hash_table_lookup(scheduler->servers, desc->server);
+        if (!server || !server->owned) {
+            er_set(status, ER_NO_SERVER, "%s is not owned here", desc->server);
+            return 0;
+        }
+    }
+    _sc_draft *draft = _sc_draft_create(scheduler, model, desc);
+    uint64_t id = draft->id;
+    if (_sc_draft_enter(draft, server, status) != ER_OK) {
+        g_hash_table_remove(scheduler->drafts, &id);
+        return 0;
+    }
+    _sc_pump_later(scheduler);
+    return id;
+}
+
+void
+sc_cancel(sc_scheduler *scheduler, uint64_t id)
+{
+    _sc_draft *draft = _sc_find_draft(scheduler, id);
+    if (!draft) {
+        return;
+    }
+    draft->sink = NULL;
+    ct_add(CT_CANCELLED, 1);
+    lwd_request request = draft->request;
+    _sc_feed(scheduler,
+             &(lwd_event){.type = LWD_EVENT_CALLER_GONE, .request = request});
+    draft = _sc_find_draft(scheduler, id);
+    if (draft) {
+        _sc_cancel_forward(draft);
+        g_hash_table_remove(scheduler->drafts, &id);
+        ct_set(CT_OPEN_REQUESTS, g_hash_table_size(scheduler->drafts));
+    }
+}
+
+static void
+_sc_send_credit(const _sc_draft *draft)
+{
+    sc_scheduler *scheduler = draft->scheduler;
+    scheduler->out->credit(draft->id, draft->forward_attempt,
+                           draft->forward_instance, draft->next_index,
+                           scheduler->out_data);
+}
+
+void
+sc_set_held(sc_scheduler *scheduler, uint64_t id, bool held)
+{
+    _sc_draft *draft = _sc_find_draft(scheduler, id);
+    if (!draft || draft->held == held) {
+        return;
+    }
+    draft->held = held;
+    if (!held && draft->forward_attempt) {
+        _sc_send_credit(draft);
+    }
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, scheduler->attempts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _sc_attempt *attempt = value;
+        if (attempt->draft_id == id) {
+            be_stream_set_held(attempt->stream, held);
+        }
+    }
+}
+
+/* -- public: from other instances --------------------------------------------
+ */
+
+void
+sc_take_piece(sc_scheduler *scheduler, uint64_t id, uint32_t attempt,
+              uint32_t index, const char *text)
+{
+    _sc_draft *draft = _sc_find_draft(scheduler, id);
+    if (!draft || draft->forward_attempt != attempt) {
+        ct_add(CT_PIECES_DROPPED, 1);
+        return;
+    }
+    draft->started = true;
+    _sc_draft_token(draft, index, text);
+    if (!draft->held && draft->next_index % _SC_CREDIT_TOKENS == 0) {
+        _sc_send_credit(draft);
+    }
+}
+
+static void
+_sc_forward_failed(_sc_draft *draft, const dr_end *end)
+{
+    draft->started = draft->started || end->ran != DR_RAN_NOT_RUN;
+    lwd_failure failure = end->ran == DR_RAN_NOT_RUN ? LWD_FAILURE_NOT_STARTED
+                                                     : LWD_FAILURE_BROKEN;
+    _sc_feed(draft->scheduler,
+             &(lwd_event){.type = LWD_EVENT_FORWARD_FAILED,
+                          .request = draft->request,
+                          .reason = end->code,
+                          .tokens = draft->next_index,
+                          .retry_after_ms = end->retry_after_ms,
+                          .failure = failure});
+}
+
+void
+sc_take_final(sc_scheduler *scheduler, uint64_t id, uint32_t attempt,
+              const dr_end *end)
+{
+    _sc_draft *draft = _sc_find_draft(scheduler, id);
+    if (!draft || draft->forward_attempt != attempt) {
+        ct_add(CT_PIECES_DROPPED, 1);
+        return;
+    }
+    draft->forward_attempt = 0;
+    if (end->code != ER_OK || end->tokens != draft->next_index) {
+        _sc_forward_failed(draft, end);
+        return;
+    }
+    lwd_request request = draft->request;
+    _sc_feed(scheduler, &(lwd_event){.type = LWD_EVENT_FORWARD_FINISHED,
+                                     .request = request,
+                                     .tokens = end->tokens});
+    draft = _sc_find_draft(scheduler, id);
+    if (draft) {
+        _sc_draft_end(draft, end);
+    }
+}
+
+void
+sc_take_link_lost(sc_scheduler *scheduler, const char *instance)
+{
+    g_autoptr(GArray) lost = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, scheduler->drafts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _sc_draft *draft = value;
+        if (draft->forward_attempt &&
+            g_strcmp0(draft->forward_instance, instance) == 0) {
+            g_array_append_val(lost, draft->id);
+        }
+    }
+    for (guint i = 0; i < lost->len; i++) {
+        _sc_draft *draft =
+            _sc_find_draft(scheduler, g_array_index(lost, uint64_t, i));
+        if (draft) {
+            draft->forward_attempt = 0;
+            _sc_forward_failed(draft, &(dr_end){.code = ER_CONNECTION,
+                                                .ran = DR_RAN_UNKNOWN});
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler_server.c
@@ -0,0 +1,542 @@
+/* Backend servers: ownership, loads, evictions, health. */
+#include "scheduler_private.h"
+
+#include "lacewing/counter.h"
+#include "lacewing/hash.h"
+#include "lacewing/log.h"
+
+/* One load or eviction order in flight. */
+typedef struct _sc_order {
+    sc_scheduler *scheduler;
+    lwd_server server;
+    lwd_adapter adapter;
+    bool load;
+} _sc_order;
+
+/* -- private: loads and evictions -------------------------------------------
+ */
+
+static void
+_sc_order_ended(const _sc_order *order, er_code code)
+{
+    lwd_event_type type = LWD_EVENT_LOAD_DONE;
+    if (!order->load) {
+        type = LWD_EVENT_EVICT_DONE;
+    }
+    else if (code != ER_OK) {
+        type = LWD_EVENT_LOAD_FAILED;
+        ct_add(CT_LOAD_FAILURES, 1);
+    }
+    _sc_feed(order->scheduler, &(lwd_event){.type = type,
+                                            .server = order->server,
+                                            .adapter = order->adapter});
+}
+
+static void
+_sc_on_order(be_server *backend, const be_order_result *result, void *data)
+{
+    (void)backend;
+    g_autofree _sc_order *order = data;
+    sc_scheduler *scheduler = order->scheduler;
+    _sc_server *server = _sc_find_server(scheduler, order->server);
+    if (server && order->load && result->code != ER_OK) {
+        lg_write(LG_LOAD_FAILED, "server", server->name, "why",
+                 er_query_name(result->code), NULL);
+    }
+    _sc_order_ended(order, result->code);
+    if (server && result->code == ER_FENCED) {
+        scheduler->out->fenced(server->name, scheduler->out_data);
+    }
+}
+
+static gboolean
+_sc_on_order_refused(void *data)
+{
+    _sc_order *order = data;
+    _sc_order_ended(order, ER_STALE);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+_sc_act_order(sc_scheduler *scheduler, const lwd_action *action, bool load)
+{
+    _sc_server *server = _sc_find_server(scheduler, action->server);
+    const _sc_model *model = g_hash_table_lookup(
+        scheduler->models_by_id, GUINT_TO_POINTER(action->adapter.id));
+    if (!server || !model) {
+        return;
+    }
+    _sc_order *order = g_new0(_sc_order, 1);
+    order->scheduler = scheduler;
+    order->server = action->server;
+    order->adapter = action->adapter;
+    order->load = load;
+    if (!scheduler->out->may_order(server->name, !load, scheduler->out_data)) {
+        g_idle_add_full(G_PRIORITY_DEFAULT, _sc_on_order_refused, order,
+                        g_free);
+    }
+    else if (load) {
+        ct_add(CT_LOADS, 1);
+        be_load(server->backend, model->name, _sc_on_order, order);
+    }
+    else {
+        ct_add(CT_EVICTIONS, 1);
+        be_evict(server->backend, model->name, _sc_on_order, order);
+    }
+}
+
+void
+_sc_act_load(sc_scheduler *scheduler, const lwd_action *action)
+{
+    _sc_act_order(scheduler, action, true);
+}
+
+void
+_sc_act_evict(sc_scheduler *scheduler, const lwd_action *action)
+{
+    _sc_act_order(scheduler, action, false);
+}
+
+/* -- private: checks of owned servers ---------------------------------------
+ */
+
+static void
+_sc_feed_state(_sc_server *server, lwd_server_state state)
+{
+    _sc_feed(server->scheduler, &(lwd_event){.type = LWD_EVENT_SERVER_STATE,
+                                             .server = server->id,
+                                             .server_state = state});
+}
+
+void
+_sc_server_died(_sc_server *server)
+{
+    if (server->down) {
+        return;
+    }
+    server->down = true;
+    lg_write(LG_SERVER_FAILED, "server", server->name, NULL);
+    _sc_feed_state(server, LWD_SERVER_DOWN);
+}
+
+static void
+_sc_feed_resident(_sc_server *server, const char *const *models)
+{
+    sc_scheduler *scheduler = server->scheduler;
+    for (; models && *models; models++) {
+        const _sc_model *model =
+            g_hash_table_lookup(scheduler->models, *models);
+        if (model) {
+            lwd_feed(scheduler->policy, _sc_now_us(scheduler),
+                     &(lwd_event){.type = LWD_EVENT_RESIDENT,
+                                  .server = server->id,
+                                  .adapter = model->id,
+                                  .resident = true});
+        }
+    }
+}
+
+static void
+_sc_feed_own(_sc_server *server)
+{
+    sc_scheduler *scheduler = server->scheduler;
+    lwd_feed(scheduler->policy, _sc_now_us(scheduler),
+             &(lwd_event){
+                 .type = LWD_EVENT_OWNER,
+                 .server = server->id,
+                 .owned = true,
+                 .owner = _sc_instance_number(scheduler, scheduler->instance),
+                 .settle_us = server->settle_until_us});
+}
+
+static void
+_sc_settle(_sc_server *server, const be_order_result *result)
+{
+    sc_scheduler *scheduler = server->scheduler;
+    server->settled = true;
+    g_free(server->incarnation);
+    server->incarnation = g_strdup(result->incarnation);
+    server->down = false;
+    _sc_feed_own(server);
+    lwd_feed(scheduler->policy, _sc_now_us(scheduler),
+             &(lwd_event){.type = LWD_EVENT_SERVER_STATE,
+                          .server = server->id,
+                          .server_state = LWD_SERVER_RESTARTED});
+    _sc_feed_resident(server, result->models);
+    if (server->leaving) {
+        _sc_feed_state(server, LWD_SERVER_LEAVING);
+    }
+    _sc_pump(scheduler);
+}
+
+/* The engine's list, read again: it may have restarted or come back. */
+static void
+_sc_compare(_sc_server *server, const be_order_result *result)
+{
+    bool restarted = g_strcmp0(server->incarnation, result->incarnation) != 0;
+    if (restarted) {
+        lg_write(LG_SERVER_RESTARTED, "server", server->name, NULL);
+        g_free(server->incarnation);
+        server->incarnation = g_strdup(result->incarnation);
+    }
+    if (!restarted && !server->down) {
+        return;
+    }
+    server->down = false;
+    _sc_feed_state(server,
+                   restarted ? LWD_SERVER_RESTARTED : LWD_SERVER_READY);
+    _sc_feed_resident(server, result->models);
+    _sc_pump(server->scheduler);
+}
+
+static void
+_sc_on_list(be_server *backend, const be_order_result *result, void *data)
+{
+    (void)backend;
+    _sc_server *server = data;
+    server->checking = false;
+    if (!server->owned) {
+        return;
+    }
+    if (result->code != ER_OK) {
+        _sc_server_died(server);
+        return;
+    }
+    if (!server->settled) {
+        _sc_settle(server, result);
+        return;
+    }
+    _sc_compare(server, result);
+}
+
+static void
+_sc_on_health(be_server *backend, const be_order_result *result, void *data)
+{
+    (void)backend;
+    _sc_server *server = data;
+    sc_scheduler *scheduler = server->scheduler;
+    if (server->owned && result->code == ER_OK && result->leaving &&
+        !server->leaving) {
+        scheduler->out->server_leaving(server->name, scheduler->out_data);
+    }
+}
+
+/* Attempts of this instance that surely run there: a token has come. */
+static uint32_t
+_sc_running_count(const _sc_server *server)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, server->scheduler->attempts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _sc_attempt *attempt = value;
+        count += attempt->server == server && attempt->tokens > 0;
+    }
+    return count;
+}
+
+static void
+_sc_on_report(be_server *backend, const be_order_result *result, void *data)
+{
+    (void)backend;
+    _sc_server *server = data;
+    sc_scheduler *scheduler = server->scheduler;
+    if (!server->owned || result->code != ER_OK) {
+        return;
+    }
+    uint64_t now_us = _sc_now_us(scheduler);
+    uint64_t sampled_us = now_us - (uint64_t)result->lag_ms * 1000;
+    _sc_feed(scheduler, &(lwd_event){.type = LWD_EVENT_LOAD_REPORT,
+                                     .server = server->id,
+                                     .running = result->running,
+                                     .waiting = result->waiting,
+                                     .sampled_us = sampled_us});
+    if (server->settle_until_us > now_us && sampled_us > server->owned_us) {
+        uint32_t ours = _sc_running_count(server);
+        uint32_t foreign = result->running > ours ? result->running - ours : 0;
+        scheduler->out->foreign(server->name, foreign, scheduler->out_data);
+    }
+}
+
+void
+_sc_server_check(_sc_server *server)
+{
+    if (server->checking) {
+        return;
+    }
+    server->checking = true;
+    be_list(server->backend, _sc_on_list, server);
+    be_health(server->backend, _sc_on_health, server);
+    be_report(server->backend, _sc_on_report, server);
+}
+
+void
+_sc_check_servers(uint64_t now_us, void *data)
+{
+    (void)now_us;
+    sc_scheduler *scheduler = data;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, scheduler->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _sc_server *server = value;
+        if (server->owned) {
+            _sc_server_check(server);
+        }
+    }
+}
+
+/* -- public
+ * ------------------------------------------------------------------- */
+
+void
+_sc_server_free(void *data)
+{
+    _sc_server *server = data;
+    be_destroy(server->backend);
+    g_free(server->name);
+    g_free(server->zone);
+    g_free(server->incarnation);
+    g_free(server->owner);
+    g_free(server);
+}
+
+static _sc_server *
+_sc_server_create(sc_scheduler *scheduler, const sc_server_desc *desc)
+{
+    _sc_server *server = g_new0(_sc_server, 1);
+    server->scheduler = scheduler;
+    server->name = g_strdup(desc->name);
+    server->zone = g_strdup(desc->zone);
+    server->backend = be_create(
+        &(be_desc){.address = desc->address, .timers = scheduler->timers});
+    server->desc = *desc;
+    server->id = lwd_make_server(
+        scheduler->policy, _sc_now_us(scheduler),
+        &(lwd_server_desc){.tag = hs_u64(desc->name),
+                           .zone = (uint32_t)hs_u64(desc->zone),
+                           .slots = desc->slots,
+                           .adapter_slots = desc->adapter_slots,
+                           .tokens_per_s = desc->tokens_per_s,
+                           .pausable = desc->pausable});
+    g_hash_table_insert(scheduler->servers, server->name, server);
+    g_hash_table_insert(scheduler->servers_by_id,
+                        GUINT_TO_POINTER(server->id.id), server);
+    return server;
+}
+
+static bool
+_sc_server_same(const _sc_server *server, const sc_server_desc *desc)
+{
+    return g_str_equal(be_query_address(server->backend), desc->address) &&
+           g_str_equal(server->zone, desc->zone) &&
+           server->desc.slots == desc->slots &&
+           server->desc.adapter_slots == desc->adapter_slots &&
+           server->desc.pausable == desc->pausable;
+}
+
+void
+sc_set_server(sc_scheduler *scheduler, const sc_server_desc *desc)
+{
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, desc->name);
+    if (server && !_sc_server_same(server, desc)) {
+        bool owned = server->owned;
+        uint64_t fence = server->fence;
+        sc_remove_server(scheduler, desc->name);
+        server = _sc_server_create(scheduler, desc);
+        if (owned) {
+            sc_own(scheduler, desc->name, fence, 0);
+        }
+    }
+    else if (!server) {
+        server = _sc_server_create(scheduler, desc);
+    }
+    if (desc->leaving) {
+        sc_set_leaving(scheduler, desc->name);
+    }
+    _sc_pump_later(scheduler);
+}
+
+static void
+_sc_drop_attempts(sc_scheduler *scheduler, const _sc_server *server)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, scheduler->attempts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((_sc_attempt *)value)->server == server) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+void
+sc_remove_server(sc_scheduler *scheduler, const char *name)
+{
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, name);
+    if (!server) {
+        return;
+    }
+    lwd_destroy_server(scheduler->policy, _sc_now_us(scheduler), server->id);
+    _sc_drop_attempts(scheduler, server);
+    g_hash_table_remove(scheduler->servers_by_id,
+                        GUINT_TO_POINTER(server->id.id));
+    g_hash_table_remove(scheduler->servers, name);
+    _sc_pump(scheduler);
+}
+
+/* A fresh entry of the same server, as if it had just been configured. */
+static _sc_server *
+_sc_server_renew(_sc_server *old)
+{
+    sc_scheduler *scheduler = old->scheduler;
+    g_autofree char *name = g_strdup(old->name);
+    g_autofree char *zone = g_strdup(old->zone);
+    g_autofree char *address = g_strdup(be_query_address(old->backend));
+    g_autofree char *owner = g_strdup(old->owner);
+    bool leaving = old->leaving;
+    sc_server_desc desc = old->desc;
+    desc.name = name;
+    desc.zone = zone;
+    desc.address = address;
+    sc_remove_server(scheduler, name);
+    _sc_server *server = _sc_server_create(scheduler, &desc);
+    if (leaving) {
+        sc_set_leaving(scheduler, name);
+    }
+    if (g_strcmp0(owner, scheduler->instance) != 0) {
+        sc_set_owner(scheduler, name, owner);
+    }
+    return server;
+}
+
+void
+sc_own(sc_scheduler *scheduler, const char *name, uint64_t fence,
+       uint64_t settle_us)
+{
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, name);
+    if (!server) {
+        return;
+    }
+    if (server->yielding) {
+        server = _sc_server_renew(server);
+    }
+    server->owned = true;
+    server->settled = false;
+    server->checking = false;
+    server->fence = fence;
+    server->owned_us = _sc_now_us(scheduler);
+    server->settle_until_us = settle_us;
+    g_free(server->owner);
+    server->owner = g_strdup(scheduler->instance);
+    be_set_fence(server->backend, fence, scheduler->instance);
+    _sc_server_check(server);
+}
+void
+sc_set_settle(sc_scheduler *scheduler, const char *name, uint64_t settle_us)
+{
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, name);
+    if (!server || !server->owned) {
+        return;
+    }
+    server->settle_until_us = settle_us;
+    if (server->settled) {
+        _sc_feed_own(server);
+        _sc_pump(scheduler);
+    }
+}
+
+static void
+_sc_feed_owner(_sc_server *server, const char *owner)
+{
+    sc_scheduler *scheduler = server->scheduler;
+    char *copy = g_strdup(owner);
+    g_free(server->owner);
+    server->owner = copy;
+    uint32_t number = copy ? _sc_instance_number(scheduler, copy) : 0;
+    _sc_feed(scheduler, &(lwd_event){.type = LWD_EVENT_OWNER,
+                                     .server = server->id,
+                                     .owned = false,
+                                     .owner = number});
+}
+
+/* Breaks off what runs on the server, so that it is resumed elsewhere. */
+static void
+_sc_break_attempts(_sc_server *server)
+{
+    sc_scheduler *scheduler = server->scheduler;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, scheduler->attempts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _sc_attempt *attempt = value;
+        if (attempt->server != server) {
+            continue;
+        }
+        lwd_feed(scheduler->policy, _sc_now_us(scheduler),
+                 &(lwd_event){.type = LWD_EVENT_FAILED,
+                              .attempt = attempt->id,
+                              .tokens = attempt->tokens,
+                              .failure = LWD_FAILURE_BROKEN});
+        g_hash_table_iter_remove(&iter);
+    }
+}
+
+void
+sc_disown(sc_scheduler *scheduler, const char *name, bool planned)
+{
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, name);
+    if (!server || !server->owned) {
+        return;
+    }
+    server->owned = false;
+    server->settled = false;
+    if (planned) {
+        server->yielding = true;
+        _sc_feed_state(server, LWD_SERVER_LEAVING);
+        _sc_server_released(server);
+        return;
+    }
+    _sc_break_attempts(server);
+    _sc_feed_owner(server, NULL);
+}
+
+void
+_sc_server_released(_sc_server *server)
+{
+    sc_scheduler *scheduler = server->scheduler;
+    if (!server->yielding || server->open > 0) {
+        return;
+    }
+    g_autofree char *name = g_strdup(server->name);
+    _sc_server_renew(server);
+    scheduler->out->idle(name, scheduler->out_data);
+}
+
+void
+sc_set_owner(sc_scheduler *scheduler, const char *name, const char *instance)
+{
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, name);
+    if (!server || server->owned || g_strcmp0(server->owner, instance) == 0) {
+        return;
+    }
+    if (server->yielding) {
+        g_free(server->owner);
+        server->owner = g_strdup(instance);
+        return;
+    }
+    _sc_feed_owner(server, instance);
+}
+
+void
+sc_set_leaving(sc_scheduler *scheduler, const char *name)
+{
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, name);
+    if (!server || server->leaving) {
+        return;
+    }
+    server->leaving = true;
+    lg_write(LG_SERVER_LEAVING, "server", name, NULL);
+    _sc_feed_state(server, LWD_SERVER_LEAVING);
+}
--- /dev/null
+++ b/packages/daemon/src/settings.c
@@ -0,0 +1,119 @@
+#include "settings.h"
+
+#include "lacewing/settings.h"
+
+static const char *const _ds_levels[] = {"debug", "info", "warning", "error",
+                                         NULL};
+
+#define _DS_STRING(group_, field, fallback_, help_)                           \
+    {                                                                         \
+        .group = (group_), .name = #field, .type = ST_STRING,                 \
+        .offset = offsetof(ds_settings, field), .fallback = (fallback_),      \
+        .help = (help_)                                                       \
+    }
+
+static const st_key _ds_keys[] = {
+    _DS_STRING("daemon", instance, NULL, "Name of this instance, unique."),
+    _DS_STRING("daemon", zone, NULL, "Availability zone it runs in."),
+    _DS_STRING("daemon", listen, NULL, "Address for callers, IP:PORT."),
+    _DS_STRING("daemon", link, NULL, "Address for other instances, IP:PORT."),
+    _DS_STRING("daemon", admin, NULL, "Address for operators, IP:PORT."),
+    _DS_STRING("daemon", platform, NULL, "URL of the platform's services."),
+    {.group = "daemon",
+     .name = "seeds",
+     .type = ST_LIST,
+     .offset = offsetof(ds_settings, seeds),
+     .fallback = "",
+     .help = "Other instances to try at start, NAME@ZONE@IP:PORT."},
+    _DS_STRING("daemon", link_secret, "",
+               "Word that both ends of a link must have."),
+    {.group = "daemon",
+     .name = "platform_timeout_ms",
+     .type = ST_U32,
+     .offset = offsetof(ds_settings, platform_timeout_ms),
+     .unit = "ms",
+     .min = 50,
+     .max = 60000,
+     .fallback = "1000",
+     .help = "Longest wait for one call of the platform."},
+    {.group = "daemon",
+     .name = "notice_ms",
+     .type = ST_U32,
+     .offset = offsetof(ds_settings, notice_ms),
+     .unit = "ms",
+     .min = 0,
+     .max = 600000,
+     .fallback = "2000",
+     .help = "Time the balancer needs to see that this instance leaves."},
+    {.group = "log",
+     .name = "level",
+     .type = ST_ENUM,
+     .offset = offsetof(ds_settings, log_level),
+     .choices = _ds_levels,
+     .fallback = "info",
+     .help = "Least level that is written."},
+    {.group = "log",
+     .name = "json",
+     .type = ST_BOOL,
+     .offset = offsetof(ds_settings, log_json),
+     .fallback = "false",
+     .help = "JSON lines in place of key=value."},
+    _DS_STRING("tls", certificate, "",
+               "PEM file shown to callers and operators; empty: no TLS."),
+    _DS_STRING("tls", key, "", "PEM file of its key."),
+    _DS_STRING("tls", client_ca, "",
+               "PEM file; callers must show a certificate from it."),
+    _DS_STRING("tls", link_certificate, "",
+               "PEM file shown to other instances; empty: no TLS."),
+    _DS_STRING("tls", link_key, "", "PEM file of its key."),
+    _DS_STRING("tls", link_ca, "",
+               "PEM file; other instances must show a certificate from it."),
+    {.group = "test",
+     .name = "hooks",
+     .type = ST_BOOL,
+     .offset = offsetof(ds_settings, test_hooks),
+     .fallback = "false",
+     .help = "Takes fault orders on the operators' port; never in service."},
+};
+
+static er_code
+_ds_check(const ds_settings *settings, const char *file, er_status *status)
+{
+    if (!*settings->certificate != !*settings->key) {
+        return er_set(status, ER_SETTING_CONFLICT,
+                      "%s: [tls] certificate and key go together", file);
+    }
+    if (!*settings->link_certificate != !*settings->link_key) {
+        return er_set(status, ER_SETTING_CONFLICT,
+                      "%s: [tls] link_certificate and link_key go together",
+                      file);
+    }
+    return ER_OK;
+}
+
+er_code
+ds_load(const char *file, ds_settings *settings, er_status *status)
+{
+    er_code code = st_load(&(st_load_desc){.file = file,
+                                           .keys = _ds_keys,
+                                           .key_count = G_N_ELEMENTS(_ds_keys),
+                                           .out = settings},
+                           status);
+    if (code == ER_OK) {
+        code = _ds_check(settings, file, status);
+    }
+    return code;
+}
+
+void
+ds_clear(ds_settings *settings)
+{
+    st_clear(_ds_keys, G_N_ELEMENTS(_ds_keys), settings);
+}
+
+char *
+ds_query_reference(void)
+{
+    return st_query_reference("Settings of lacewingd", _ds_keys,
+                              G_N_ELEMENTS(_ds_keys));
+}
--- a/packages/wire/src/lacewing.pb-c.c
+++ b/packages/wire/src/lacewing.pb-c.c
@@ -1212,14 +1212,14 @@
 static const ProtobufCFieldDescriptor lacewing__server_change__field_descriptors[2] =
 {
   {
-    "model",
+    "model_tag",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Lacewing__ServerChange, model),
+    offsetof(Lacewing__ServerChange, model_tag),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1237,7 +1237,7 @@
   },
 };
 static const unsigned lacewing__server_change__field_indices_by_name[] = {
-  0,   /* field[0] = model */
+  0,   /* field[0] = model_tag */
   1,   /* field[1] = resident */
 };
 static const ProtobufCIntRange lacewing__server_change__number_ranges[1 + 1] =
--- a/packages/wire/src/lacewing.pb-c.h
+++ b/packages/wire/src/lacewing.pb-c.h
@@ -155,12 +155,15 @@
 struct  Lacewing__ServerChange
 {
   ProtobufCMessage base;
-  char *model;
+  /*
+   * hs_u64() of ADAPTER@VERSION
+   */
+  uint64_t model_tag;
   protobuf_c_boolean resident;
 };
 #define LACEWING__SERVER_CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__server_change__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , 0, 0 }
 
 
 /*
