--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	@.ci/test build-asan
 
 demo: install-packages build
-	@tests/demo.sh $(BIN)
+	@$(BIN)/lacewing-demo $(BIN)
 
 bench: install-packages build
 	@$(BIN)/lacewing-bench --seed $(SEED) --measure $(MEASURE) \
--- /dev/null
+++ b/tests/demo.c
@@ -0,0 +1,203 @@
+/*
+ * The demo: a platform, four engines, two plain services and three daemons in
+ * two zones serve drafts and bookings; one daemon stops in the middle. Ends
+ * by itself and closes with one line. Exit code 0 when nothing was lost,
+ * doubled or answered by another adapter.
+ */
+#include "lacewing/standin_text.h"
+#include "shop.h"
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DRAFTS 160
+#define BOOKINGS 60
+#define LOOKUPS 30
+#define WORKERS 12
+#define TRIES_MAX 20
+#define TRY_PAUSE_US 200000
+#define DRAFT_TOKENS 24
+#define JOBS (DRAFTS + BOOKINGS + LOOKUPS)
+
+static const char *const daemons[] = {"a", "b", "c"};
+
+typedef struct demo {
+    hn_fleet *fleet;
+    const char *urls[G_N_ELEMENTS(daemons)];
+    gint drafts;
+    gint bookings;
+    gint retried;
+    gint refused;
+    gint lost;
+    gint wrong_adapter;
+    gint done;
+} demo;
+
+/* -- one request, sent again where a refusal or a break allows it -----------
+ */
+
+static void
+call_daemon(demo *state, uint32_t daemon, const char *path, const char *body,
+            const char *idempotency_key, ht_answer *answer)
+{
+    g_autofree char *url = g_strdup_printf(
+        "%s%s", state->urls[daemon % G_N_ELEMENTS(daemons)], path);
+    ht_call(&(ht_desc){.url = url,
+                       .body = body,
+                       .key = SHOP_KEY,
+                       .idempotency_key = idempotency_key},
+            answer);
+}
+
+static void
+note_failure(demo *state, const ht_answer *answer)
+{
+    if (answer->status >= 400) {
+        g_atomic_int_inc(&state->refused);
+    }
+    g_atomic_int_inc(&state->retried);
+    g_usleep(TRY_PAUSE_US);
+}
+
+static void
+run_draft(demo *state, uint32_t job)
+{
+    uint32_t adapter = (job * job) % SHOP_ADAPTERS;
+    uint32_t version = job % 2 + 1;
+    bool chat = job % 5 == 0;
+    g_autofree char *model = g_strdup_printf("shop-%u@v%u", adapter, version);
+    g_autofree char *prompt = g_strdup_printf("quote %u", job);
+    g_autofree char *body =
+        chat ? g_strdup_printf("{\"model\":\"%s\",\"max_tokens\":%d,"
+                               "\"stream\":%s,\"messages\":[{\"role\":"
+                               "\"user\",\"content\":\"%s\"}]}",
+                               model, DRAFT_TOKENS, job % 2 ? "true" : "false",
+                               prompt)
+             : g_strdup_printf("{\"model\":\"%s\",\"max_tokens\":%d,"
+                               "\"stream\":%s,\"prompt\":\"%s\"}",
+                               model, DRAFT_TOKENS, job % 2 ? "true" : "false",
+                               prompt);
+    g_autofree char *asked =
+        chat ? g_strdup_printf("user: %s\n", prompt) : g_strdup(prompt);
+    g_autofree char *expected = tx_query_answer(model, asked, DRAFT_TOKENS);
+    for (uint32_t try = 0; try < TRIES_MAX; try++) {
+        g_auto(ht_answer) answer = {0};
+        call_daemon(state, job + try,
+                    chat ? "/v1/chat/completions" : "/v1/completions", body,
+                    NULL, &answer);
+        g_autofree char *text = ht_query_text(&answer);
+        if (text) {
+            g_atomic_int_inc(&state->drafts);
+            if (strcmp(text, expected) != 0) {
+                g_atomic_int_inc(&state->wrong_adapter);
+                g_printerr("demo: %s answered \"%s\"\n", model, text);
+            }
+            return;
+        }
+        note_failure(state, &answer);
+    }
+    g_atomic_int_inc(&state->lost);
+}
+
+/* Sent again through the next daemon also after a good answer. */
+static void
+run_booking(demo *state, uint32_t job)
+{
+    g_autofree char *key = g_strdup_printf("booking-%u", job);
+    g_autofree char *body = g_strdup_printf("{\"order\":%u}", job);
+    uint32_t answers = 0;
+    for (uint32_t try = 0; try < TRIES_MAX && answers < 2; try++) {
+        g_auto(ht_answer) answer = {0};
+        call_daemon(state, job + try, "/v1/services/dispatch", body, key,
+                    &answer);
+        if (answer.status == 200) {
+            answers++;
+            continue;
+        }
+        note_failure(state, &answer);
+    }
+    g_atomic_int_inc(answers == 2 ? &state->bookings : &state->lost);
+}
+
+static void
+run_lookup(demo *state, uint32_t job)
+{
+    for (uint32_t try = 0; try < TRIES_MAX; try++) {
+        g_auto(ht_answer) answer = {0};
+        call_daemon(state, job + try, "/v1/services/stock", "{\"item\":1}",
+                    NULL, &answer);
+        if (answer.status == 200) {
+            return;
+        }
+        note_failure(state, &answer);
+    }
+    g_atomic_int_inc(&state->lost);
+}
+
+static void
+run_job(void *data, void *user_data)
+{
+    demo *state = user_data;
+    uint32_t job = GPOINTER_TO_UINT(data) - 1;
+    if (job % 5 == 3) {
+        run_booking(state, job);
+    }
+    else if (job % 8 == 2) {
+        run_lookup(state, job);
+    }
+    else {
+        run_draft(state, job);
+    }
+    g_atomic_int_inc(&state->done);
+}
+
+/* -- the run ----------------------------------------------------------------
+ */
+
+static bool
+run(demo *state)
+{
+    g_autofree char *config = sp_config_text();
+    sp_add_members(state->fleet);
+    if (!hn_start(state->fleet, config) ||
+        !hn_wait_ready(state->fleet, 15000)) {
+        return false;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(daemons); i++) {
+        state->urls[i] = hn_query_url(hn_find(state->fleet, daemons[i]));
+    }
+    GThreadPool *pool = g_thread_pool_new(run_job, state, WORKERS, TRUE, NULL);
+    for (uint32_t job = 0; job < JOBS; job++) {
+        g_thread_pool_push(pool, GUINT_TO_POINTER(job + 1), NULL);
+    }
+    while (g_atomic_int_get(&state->done) < JOBS / 2) {
+        g_usleep(TRY_PAUSE_US / 10);
+    }
+    hn_member *stopped = hn_find(state->fleet, "b");
+    hn_signal(stopped, SIGTERM);
+    g_thread_pool_free(pool, FALSE, TRUE);
+    int exit_code = -1;
+    bool ended = hn_wait_end(stopped, 20000, &exit_code);
+    if (!ended || exit_code != 0) {
+        g_printerr("demo: daemon b did not stop as planned\n");
+        return false;
+    }
+    return true;
+}
+
+int
+main(int argc, char **argv)
+{
+    demo state = {0};
+    state.fleet = hn_create(&(hn_desc){.bin = argc > 1 ? argv[1] : NULL});
+    bool stopped = run(&state);
+    uint32_t doubled = sp_query_doubled(state.fleet);
+    hn_destroy(state.fleet);
+    printf("demo: drafts=%d bookings=%d retried=%d refused=%d lost=%d "
+           "doubled=%u wrong_adapter=%d\n",
+           state.drafts, state.bookings, state.retried, state.refused,
+           state.lost, doubled, state.wrong_adapter);
+    bool good = stopped && !state.lost && !doubled && !state.wrong_adapter;
+    return good ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/harness/http.c
@@ -0,0 +1,187 @@
+#include "http.h"
+
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+#include <string.h>
+
+#define _HT_TIMEOUT_MS 30000
+
+static SoupMessage *
+_ht_message(const ht_desc *desc)
+{
+    const char *method = desc->method;
+    if (!method) {
+        method = desc->body ? "POST" : "GET";
+    }
+    SoupMessage *message = soup_message_new(method, desc->url);
+    SoupMessageHeaders *headers = soup_message_get_request_headers(message);
+    if (desc->key) {
+        g_autofree char *bearer = g_strdup_printf("Bearer %s", desc->key);
+        soup_message_headers_append(headers, "Authorization", bearer);
+    }
+    if (desc->idempotency_key) {
+        soup_message_headers_append(headers, "Idempotency-Key",
+                                    desc->idempotency_key);
+    }
+    if (desc->deadline_ms) {
+        g_autofree char *text = g_strdup_printf("%u", desc->deadline_ms);
+        soup_message_headers_append(headers, "X-Deadline-Ms", text);
+    }
+    if (desc->body) {
+        g_autoptr(GBytes) body = g_bytes_new(desc->body, strlen(desc->body));
+        soup_message_set_request_body_from_bytes(message, "application/json",
+                                                 body);
+    }
+    return message;
+}
+
+typedef struct _ht_wait {
+    GMainLoop *loop;
+    GCancellable *cancel;
+    GBytes *body;
+} _ht_wait;
+
+static void
+_ht_on_answer(GObject *source, GAsyncResult *result, void *data)
+{
+    _ht_wait *wait = data;
+    wait->body =
+        soup_session_send_and_read_finish(SOUP_SESSION(source), result, NULL);
+    g_main_loop_quit(wait->loop);
+}
+
+static gboolean
+_ht_on_timeout(void *data)
+{
+    g_cancellable_cancel(((_ht_wait *)data)->cancel);
+    return G_SOURCE_REMOVE;
+}
+
+void
+ht_call(const ht_desc *desc, ht_answer *answer)
+{
+    GMainContext *context = g_main_context_new();
+    g_main_context_push_thread_default(context);
+    SoupSession *session = soup_session_new();
+    if (desc->ca) {
+        g_autoptr(GTlsDatabase) authority =
+            g_tls_file_database_new(desc->ca, NULL);
+        soup_session_set_tls_database(session, authority);
+    }
+    g_autoptr(SoupMessage) message = _ht_message(desc);
+    _ht_wait wait = {.loop = g_main_loop_new(context, FALSE),
+                     .cancel = g_cancellable_new()};
+    GSource *timeout = g_timeout_source_new(desc->timeout_ms ? desc->timeout_ms
+                                                             : _HT_TIMEOUT_MS);
+    g_source_set_callback(timeout, _ht_on_timeout, &wait, NULL);
+    g_source_attach(timeout, context);
+    soup_session_send_and_read_async(session, message, G_PRIORITY_DEFAULT,
+                                     wait.cancel, _ht_on_answer, &wait);
+    g_main_loop_run(wait.loop);
+    if (wait.body) {
+        gsize size = 0;
+        const char *bytes = g_bytes_get_data(wait.body, &size);
+        answer->status = soup_message_get_status(message);
+        answer->body = g_strndup(bytes ? bytes : "", size);
+        answer->request_id = g_strdup(soup_message_headers_get_one(
+            soup_message_get_response_headers(message), "X-Request-Id"));
+        g_bytes_unref(wait.body);
+    }
+    else {
+        answer->body = g_strdup("");
+    }
+    g_source_destroy(timeout);
+    g_source_unref(timeout);
+    g_object_unref(wait.cancel);
+    g_main_loop_unref(wait.loop);
+    soup_session_abort(session);
+    g_object_unref(session);
+    g_main_context_pop_thread_default(context);
+    g_main_context_unref(context);
+}
+
+void
+ht_clear(ht_answer *answer)
+{
+    g_clear_pointer(&answer->body, g_free);
+    g_clear_pointer(&answer->request_id, g_free);
+}
+
+/* Text of the first choice of one object: a piece's or a whole answer's. */
+static const char *
+_ht_choice_text(JsonParser *parser, const char *json)
+{
+    if (!json_parser_load_from_data(parser, json, -1, NULL) ||
+        !JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser))) {
+        return NULL;
+    }
+    JsonObject *object = json_node_get_object(json_parser_get_root(parser));
+    if (!json_object_has_member(object, "choices")) {
+        return NULL;
+    }
+    JsonObject *choice = json_array_get_object_element(
+        json_object_get_array_member(object, "choices"), 0);
+    static const char *const holders[] = {"delta", "message"};
+    for (size_t i = 0; i < G_N_ELEMENTS(holders); i++) {
+        if (json_object_has_member(choice, holders[i])) {
+            return json_object_get_string_member_with_default(
+                json_object_get_object_member(choice, holders[i]), "content",
+                NULL);
+        }
+    }
+    return json_object_get_string_member_with_default(choice, "text", NULL);
+}
+
+static char *
+_ht_stream_text(const ht_answer *answer)
+{
+    g_autoptr(GString) text = g_string_new(NULL);
+    g_auto(GStrv) lines = g_strsplit(answer->body, "\n", -1);
+    for (char **line = lines; *line; line++) {
+        if (!g_str_has_prefix(*line, "data: ")) {
+            continue;
+        }
+        const char *data = *line + strlen("data: ");
+        if (strcmp(data, "[DONE]") == 0) {
+            return g_strdup(text->str);
+        }
+        g_autoptr(JsonParser) parser = json_parser_new();
+        const char *piece = _ht_choice_text(parser, data);
+        if (!piece) {
+            return NULL;
+        }
+        g_string_append(text, piece);
+    }
+    return NULL;
+}
+
+char *
+ht_query_text(const ht_answer *answer)
+{
+    if (answer->status != 200) {
+        return NULL;
+    }
+    if (g_str_has_prefix(answer->body, "data:")) {
+        return _ht_stream_text(answer);
+    }
+    g_autoptr(JsonParser) parser = json_parser_new();
+    return g_strdup(_ht_choice_text(parser, answer->body));
+}
+
+char *
+ht_query_error(const ht_answer *answer, const char *member)
+{
+    g_autoptr(JsonParser) parser = json_parser_new();
+    if (!json_parser_load_from_data(parser, answer->body, -1, NULL)) {
+        return NULL;
+    }
+    JsonNode *root = json_parser_get_root(parser);
+    if (!root || !JSON_NODE_HOLDS_OBJECT(root) ||
+        !json_object_has_member(json_node_get_object(root), "error")) {
+        return NULL;
+    }
+    JsonObject *error =
+        json_object_get_object_member(json_node_get_object(root), "error");
+    return g_strdup(
+        json_object_get_string_member_with_default(error, member, NULL));
+}
--- /dev/null
+++ b/tests/harness/http.h
@@ -0,0 +1,42 @@
+/*
+ * http.h: plain HTTP calls for tests (prefix ht_).
+ *
+ *     g_auto(ht_answer) answer = {0};
+ *     ht_call(&(ht_desc){.url = url, .body = "{}"}, &answer);
+ *
+ * Limits: synchronous; any thread.
+ */
+#ifndef LACEWING_TEST_HTTP_H
+#define LACEWING_TEST_HTTP_H
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct ht_desc {
+    const char *method; /* default POST with a body, else GET */
+    const char *url;
+    const char *body;
+    const char *key;             /* Authorization: Bearer */
+    const char *idempotency_key; /* header of that name */
+    const char *ca;              /* PEM file of the authority, for https */
+    uint32_t deadline_ms;        /* X-Deadline-Ms; 0 none */
+    uint32_t timeout_ms;         /* default 30000 */
+} ht_desc;
+
+typedef struct ht_answer {
+    uint32_t status; /* 0: no answer */
+    char *body;      /* never NULL after ht_call() */
+    char *request_id;
+} ht_answer;
+
+void ht_call(const ht_desc *desc, ht_answer *answer);
+void ht_clear(ht_answer *answer);
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(ht_answer, ht_clear)
+
+/* Text of a completion's answer, streamed or whole; NULL unless it ended as
+   whole. Free with g_free(). */
+char *ht_query_text(const ht_answer *answer);
+/* Member of the error object ("type", "ran"); NULL without one. Free it. */
+char *ht_query_error(const ht_answer *answer, const char *member);
+
+#endif
--- /dev/null
+++ b/tests/test_faults.c
@@ -0,0 +1,333 @@
+/* Real processes under one failure each: kills, freezes, silence, platform
+   outages, cut zones, requests that crash servers, planned stops. */
+#include "shop.h"
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_S 1000000
+
+static hn_fleet *fleet;
+
+static void
+start(void)
+{
+    fleet = sp_start(false);
+}
+
+static void
+stop(void)
+{
+    hn_destroy(fleet);
+}
+
+static const char *const engines[] = {"e1", "e2", "e3", "e4"};
+
+static void
+control_engines(const char *order)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(engines); i++) {
+        ck_assert(hn_control(hn_find(fleet, engines[i]), order));
+    }
+}
+
+/* Drafts in flight on threads of their own. */
+typedef struct draft {
+    const char *daemon;
+    char *model;
+    char *prompt;
+    uint32_t tokens;
+    ht_answer answer;
+    GThread *thread;
+} draft;
+
+static void *
+run_draft(void *data)
+{
+    draft *self = data;
+    sp_complete(fleet, self->daemon, self->model, self->prompt, self->tokens,
+                &self->answer);
+    return NULL;
+}
+
+static void
+begin_drafts(draft *drafts, uint32_t count, const char *daemon,
+             uint32_t tokens)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        drafts[i].daemon = daemon;
+        drafts[i].model = g_strdup_printf("shop-%u@v1", i % 8);
+        drafts[i].prompt = g_strdup_printf("draft %u", i);
+        drafts[i].tokens = tokens;
+        drafts[i].thread = g_thread_new("draft", run_draft, &drafts[i]);
+    }
+}
+
+/* Waits for all; how many were whole and right. */
+static uint32_t
+end_drafts(draft *drafts, uint32_t count)
+{
+    uint32_t right = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        g_thread_join(drafts[i].thread);
+        if (sp_is_right(&drafts[i].answer, drafts[i].model, drafts[i].prompt,
+                        drafts[i].tokens)) {
+            right++;
+        }
+        else {
+            g_printerr("draft %u: %u %s\n", i, drafts[i].answer.status,
+                       drafts[i].answer.body);
+        }
+        ht_clear(&drafts[i].answer);
+        g_free(drafts[i].model);
+        g_free(drafts[i].prompt);
+    }
+    return right;
+}
+
+/* -- backend servers --------------------------------------------------------
+ */
+
+START_TEST(test_engine_crash_in_mid_stream_is_resumed)
+    {
+        draft drafts[8] = {0};
+        begin_drafts(drafts, 8, "a", 200);
+        g_usleep(US_PER_S);
+        hn_signal(hn_find(fleet, "e1"), SIGKILL);
+        ck_assert_uint_eq(end_drafts(drafts, 8), 8);
+    }
+END_TEST
+
+START_TEST(test_silent_connections_are_replaced)
+    {
+        draft drafts[8] = {0};
+        begin_drafts(drafts, 8, "a", 200);
+        g_usleep(US_PER_S);
+        control_engines("{\"order\":\"silent\"}");
+        ck_assert_uint_eq(end_drafts(drafts, 8), 8);
+    }
+END_TEST
+
+START_TEST(test_request_that_crashes_servers_is_convicted)
+    {
+        control_engines("{\"order\":\"crash_on\",\"text\":\"POISON\"}");
+        uint32_t convicted = 0;
+        static const char *const daemons[] = {"a", "b", "c"};
+        for (uint32_t i = 0; i < 6; i++) {
+            g_auto(ht_answer) answer = {0};
+            sp_complete(fleet, daemons[i % 3], "shop-1@v1", "a POISON", 40,
+                        &answer);
+            g_autofree char *type = ht_query_error(&answer, "type");
+            ck_assert_uint_ne(answer.status, 200);
+            convicted += g_strcmp0(type, "request_crashes_servers") == 0;
+        }
+        uint32_t dead = 0;
+        for (size_t i = 0; i < G_N_ELEMENTS(engines); i++) {
+            dead += !hn_query_running(hn_find(fleet, engines[i]));
+        }
+        ck_assert_uint_ge(convicted, 5);
+        ck_assert_uint_le(dead, 2);
+        g_auto(ht_answer) innocent = {0};
+        sp_complete(fleet, "a", "shop-1@v1", "innocent", 10, &innocent);
+        ck_assert(sp_is_right(&innocent, "shop-1@v1", "innocent", 10));
+    }
+END_TEST
+
+START_TEST(test_leaving_server_gets_nothing_new)
+    {
+        ck_assert(hn_control(hn_find(fleet, "e1"), "{\"order\":\"leaving\"}"));
+        g_usleep(3 * US_PER_S);
+        g_autofree char *before = NULL;
+        g_autofree char *after = NULL;
+        const char *history = hn_query_history(hn_find(fleet, "e1"));
+        g_file_get_contents(history, &before, NULL, NULL);
+        draft drafts[24] = {0};
+        begin_drafts(drafts, 24, "a", 10);
+        ck_assert_uint_eq(end_drafts(drafts, 24), 24);
+        g_file_get_contents(history, &after, NULL, NULL);
+        ck_assert_str_eq(before ? before : "", after ? after : "");
+    }
+END_TEST
+
+/* -- instances --------------------------------------------------------------
+ */
+
+START_TEST(test_dead_owner_is_followed_within_five_seconds)
+    {
+        hn_signal(hn_find(fleet, "b"), SIGKILL);
+        gint64 killed_us = g_get_monotonic_time();
+        bool served = false;
+        /* Every adapter again, so that b's servers are needed. */
+        while (!served &&
+               g_get_monotonic_time() < killed_us + 5 * (gint64)US_PER_S) {
+            g_autofree char *url = g_strdup_printf(
+                "%s/status", hn_query_admin_url(hn_find(fleet, "a")));
+            g_auto(ht_answer) status = {0};
+            ht_call(&(ht_desc){.url = url}, &status);
+            served = !strstr(status.body, "\"owner\":\"b\"") &&
+                     !strstr(status.body, "\"owner\":\"\"");
+            g_usleep(50000);
+        }
+        ck_assert(served);
+        draft drafts[16] = {0};
+        begin_drafts(drafts, 16, "a", 20);
+        ck_assert_uint_eq(end_drafts(drafts, 16), 16);
+    }
+END_TEST
+
+START_TEST(test_killed_owner_cuts_off_no_forwarded_draft)
+    {
+        draft drafts[12] = {0};
+        begin_drafts(drafts, 12, "a", 150);
+        g_usleep(US_PER_S / 2);
+        hn_signal(hn_find(fleet, "b"), SIGKILL);
+        ck_assert_uint_eq(end_drafts(drafts, 12), 12);
+    }
+END_TEST
+
+START_TEST(test_planned_stop_cuts_nothing_off)
+    {
+        draft drafts[16] = {0};
+        begin_drafts(drafts, 8, "b", 200);
+        begin_drafts(drafts + 8, 8, "a", 200);
+        g_usleep(US_PER_S / 2);
+        hn_signal(hn_find(fleet, "b"), SIGTERM);
+        ck_assert_uint_eq(end_drafts(drafts, 16), 16);
+        int exit_code = -1;
+        ck_assert(hn_wait_end(hn_find(fleet, "b"), 10000, &exit_code));
+        ck_assert_int_eq(exit_code, 0);
+    }
+END_TEST
+
+START_TEST(test_frozen_owner_wakes_harmless)
+    {
+        hn_signal(hn_find(fleet, "b"), SIGSTOP);
+        g_usleep(5 * US_PER_S);
+        draft drafts[16] = {0};
+        begin_drafts(drafts, 16, "a", 20);
+        uint32_t right = end_drafts(drafts, 16);
+        hn_signal(hn_find(fleet, "b"), SIGCONT);
+        ck_assert_uint_eq(right, 16);
+        ck_assert(hn_wait_ready(fleet, 10000));
+        draft again[8] = {0};
+        begin_drafts(again, 8, "b", 20);
+        ck_assert_uint_eq(end_drafts(again, 8), 8);
+    }
+END_TEST
+
+/* -- the platform -----------------------------------------------------------
+ */
+
+START_TEST(test_platform_down_drafts_go_on_and_bookings_say_so)
+    {
+        hn_member *platform = hn_find(fleet, "platform");
+        draft before[8] = {0};
+        begin_drafts(before, 8, "a", 10);
+        ck_assert_uint_eq(end_drafts(before, 8), 8);
+        ck_assert(hn_control(platform, "{\"order\":\"down\",\"ms\":8000}"));
+        g_usleep(4 * US_PER_S);
+        draft drafts[8] = {0};
+        begin_drafts(drafts, 8, "a", 10);
+        ck_assert_uint_eq(end_drafts(drafts, 8), 8);
+        g_auto(ht_answer) refused = {0};
+        sp_book(fleet, "a", "down-1", "{}", &refused);
+        g_autofree char *ran = ht_query_error(&refused, "ran");
+        ck_assert_uint_eq(refused.status, 503);
+        ck_assert_str_eq(ran, "not_run");
+        ck_assert_uint_eq(sp_query_runs(fleet, "down-1"), 0);
+        g_usleep(6 * US_PER_S);
+        g_auto(ht_answer) booked = {0};
+        sp_book(fleet, "a", "down-1", "{}", &booked);
+        ck_assert_msg(booked.status == 200, "%s", booked.body);
+        ck_assert_uint_eq(sp_query_runs(fleet, "down-1"), 1);
+    }
+END_TEST
+
+START_TEST(test_lost_answers_double_no_booking)
+    {
+        static const char *const daemons[] = {"a", "b", "c"};
+        for (uint32_t i = 0; i < 12; i++) {
+            ck_assert(hn_control(hn_find(fleet, "platform"),
+                                 "{\"order\":\"lose_answers\",\"count\":2}"));
+            g_autofree char *key = g_strdup_printf("lost-%u", i);
+            for (uint32_t try = 0; try < 6; try++) {
+                g_auto(ht_answer) answer = {0};
+                sp_book(fleet, daemons[try % 3], key, "{}", &answer);
+                g_autofree char *ran = ht_query_error(&answer, "ran");
+                if (answer.status == 200) {
+                    break;
+                }
+                g_usleep(US_PER_S / 5);
+            }
+            ck_assert_uint_le(sp_query_runs(fleet, key), 1);
+        }
+        ck_assert_uint_eq(sp_query_doubled(fleet), 0);
+    }
+END_TEST
+
+/* -- zones ------------------------------------------------------------------
+ */
+
+START_TEST(test_cut_off_zone_goes_on_serving)
+    {
+        draft before[16] = {0};
+        begin_drafts(before, 16, "c", 10);
+        uint32_t served = end_drafts(before, 16);
+        ck_assert_uint_eq(served, 16);
+        ck_assert(hn_cut(hn_find(fleet, "c"), "{\"zones\":[\"z1\"]}"));
+        ck_assert(hn_cut(hn_find(fleet, "a"), "{\"zones\":[\"z2\"]}"));
+        ck_assert(hn_cut(hn_find(fleet, "b"), "{\"zones\":[\"z2\"]}"));
+        ck_assert(hn_control(hn_find(fleet, "platform"),
+                             "{\"order\":\"partition\",\"who\":[\"c\"]}"));
+        g_usleep(4 * US_PER_S);
+        draft during[32] = {0};
+        begin_drafts(during, 16, "c", 10);
+        begin_drafts(during + 16, 16, "a", 10);
+        ck_assert_uint_eq(end_drafts(during, 32), 32);
+    }
+END_TEST
+
+int
+main(void)
+{
+    /* One case for each, so that CK_RUN_CASE picks one. */
+    const struct {
+        const char *name;
+        const TTest *test;
+    } all[] = {
+        {"engine_crash_in_mid_stream_is_resumed",
+         test_engine_crash_in_mid_stream_is_resumed},
+        {"silent_connections_are_replaced",
+         test_silent_connections_are_replaced},
+        {"request_that_crashes_servers_is_convicted",
+         test_request_that_crashes_servers_is_convicted},
+        {"leaving_server_gets_nothing_new",
+         test_leaving_server_gets_nothing_new},
+        {"dead_owner_is_followed_within_five_seconds",
+         test_dead_owner_is_followed_within_five_seconds},
+        {"killed_owner_cuts_off_no_forwarded_draft",
+         test_killed_owner_cuts_off_no_forwarded_draft},
+        {"planned_stop_cuts_nothing_off", test_planned_stop_cuts_nothing_off},
+        {"frozen_owner_wakes_harmless", test_frozen_owner_wakes_harmless},
+        {"platform_down_drafts_go_on_and_bookings_say_so",
+         test_platform_down_drafts_go_on_and_bookings_say_so},
+        {"lost_answers_double_no_booking",
+         test_lost_answers_double_no_booking},
+        {"cut_off_zone_goes_on_serving", test_cut_off_zone_goes_on_serving},
+    };
+    Suite *suite = suite_create("faults");
+    for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
+        TCase *tests = tcase_create(all[i].name);
+        tcase_set_timeout(tests, 120);
+        tcase_add_checked_fixture(tests, start, stop);
+        tcase_add_test(tests, all[i].test);
+        suite_add_tcase(suite, tests);
+    }
+    SRunner *runner = srunner_create(suite);
+    srunner_set_fork_status(runner, CK_NOFORK);
+    srunner_run_all(runner, CK_VERBOSE);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
