--- a/packages/admin/include/lacewing/admin.h
+++ b/packages/admin/include/lacewing/admin.h
@@ -5,10 +5,10 @@
  * teams see and change: configuration, servers, adapters and versions, teams,
  * limits, status, audit trail, explanations. docs/ADMIN_API.md has each call.
  *
- *     ad_admin *admin = ad_create(&(ad_desc){
+ *     ad_admin *admin = ad_setup(&(ad_desc){
  *         .server = server, .table = table, .host = &host.base});
  *     ...
- *     ad_destroy(admin);
+ *     ad_shutdown(admin);
  *
  * Every change is a list of edits against the version that its author saw. It
  * is checked here (role, team, the configuration that results) and handed to
@@ -19,7 +19,7 @@
  * The host is the process that mounts the handlers: it holds the
  * configuration in force, commits changes and knows its live state.
  *
- * commands:  ad_create ad_destroy
+ * commands:  ad_setup ad_shutdown
  * queries:   ad_query_open ad_record_query_text ad_query_change_key
  *
  * Limits: one main context; a body up to AD_BODY_BYTES_MAX; the host and the
@@ -92,9 +92,9 @@
 
 typedef struct ad_admin ad_admin;
 
-ad_admin *ad_create(const ad_desc *desc);
+ad_admin *ad_setup(const ad_desc *desc);
 /* Takes the handlers out; calls still open are answered first. */
-void ad_destroy(ad_admin *admin);
+void ad_shutdown(ad_admin *admin);
 
 /* queries */
 /* Calls not yet answered. */
--- a/packages/admin/src/admin.c
+++ b/packages/admin/src/admin.c
@@ -268,7 +268,7 @@
 /* -- public --------------------------------------------------------------- */
 
 ad_admin *
-ad_create(const ad_desc *desc)
+ad_setup(const ad_desc *desc)
 {
     g_assert(desc->server && desc->table && desc->host);
     ad_admin *admin = g_rc_box_new0(ad_admin);
@@ -298,7 +298,7 @@
 }
 
 void
-ad_destroy(ad_admin *admin)
+ad_shutdown(ad_admin *admin)
 {
     if (admin) {
         soup_server_remove_handler(admin->server, admin->path);
--- a/packages/admin/tests/host.h
+++ b/packages/admin/tests/host.h
@@ -166,7 +166,7 @@
         g_strdup_printf("http://127.0.0.1:%d", g_uri_get_port(uris->data));
     g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
     at->session = soup_session_new();
-    at->admin = ad_create(&(ad_desc){
+    at->admin = ad_setup(&(ad_desc){
         .server = at->server, .table = at->table, .host = &at->base});
     return at;
 }
@@ -175,7 +175,7 @@
 host_destroy(host *at, bool with_table)
 {
     ck_assert_uint_eq(ad_query_open(at->admin), 0);
-    ad_destroy(at->admin);
+    ad_shutdown(at->admin);
     soup_session_abort(at->session);
     g_object_unref(at->session);
     soup_server_disconnect(at->server);
--- a/packages/daemon/src/daemon_admin.c
+++ b/packages/daemon/src/daemon_admin.c
@@ -274,9 +274,9 @@
     host->base.vt = &_dn_host_vt;
     host->daemon = daemon;
     daemon->admin_host = &host->base;
-    daemon->admin_api = ad_create(&(ad_desc){.server = daemon->admin,
-                                             .table = daemon->pf_table,
-                                             .host = daemon->admin_host});
+    daemon->admin_api = ad_setup(&(ad_desc){.server = daemon->admin,
+                                            .table = daemon->pf_table,
+                                            .host = daemon->admin_host});
     return _dn_admin_listen(daemon, settings->admin, status);
 }
 
@@ -284,7 +284,7 @@
 _dn_admin_shutdown(dn_daemon *daemon)
 {
     if (daemon->admin) {
-        ad_destroy(daemon->admin_api);
+        ad_shutdown(daemon->admin_api);
         soup_server_disconnect(daemon->admin);
         g_clear_object(&daemon->admin);
         g_clear_pointer(&daemon->admin_host, g_free);
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -529,11 +529,16 @@
 }
 
 static bool
-_hn_post(const char *base, const char *path, const char *json)
+_hn_post(const hn_member *member, const char *base, const char *path,
+         const char *json)
 {
     g_autofree char *url = g_strdup_printf("%s%s", base, path);
     g_auto(ht_answer) answer = {0};
-    ht_call(&(ht_desc){.url = url, .body = json, .timeout_ms = 2000}, &answer);
+    ht_call(&(ht_desc){.url = url,
+                       .body = json,
+                       .ca = member->fleet->ca,
+                       .timeout_ms = 2000},
+            &answer);
     return answer.status == 200;
 }
 
