Attempts end in the policy before they are dropped

Cause: on a planned stop the last stream of a server that is given up renewed that server, and the policy moved or refused the request whose end was still to be fed; the draft was used after it was freed. Seen by the demo with the address sanitizer (daemon b, SIGTERM in the middle). Ruled out: the sink's own lifetime. The end is now fed first and the attempt dropped after it.

--- a/packages/daemon/src/scheduler_draft.c
+++ b/packages/daemon/src/scheduler_draft.c
@@ -104,26 +104,38 @@
                                      .tokens = index + 1});
 }
 
+/* The policy hears of an attempt's end before the attempt is dropped: the last
+   one on a server that is given up ends that server too. */
 static void
-_sc_stream_whole(_sc_attempt *attempt, const be_result *result)
+_sc_end_attempt(_sc_attempt *attempt, const lwd_event *event)
 {
     sc_scheduler *scheduler = attempt->scheduler;
-    lwd_attempt id = attempt->id;
-    _sc_draft *draft = _sc_find_draft(scheduler, attempt->draft_id);
-    if (draft) {
-        g_strlcpy(draft->last_server, attempt->server->name,
-                  sizeof(draft->last_server));
+    uint64_t id = attempt->id.id;
+    _sc_feed(scheduler, event);
+    attempt = g_hash_table_lookup(scheduler->attempts, &id);
+    if (attempt) {
+        _sc_drop_attempt(attempt);
     }
-    _sc_drop_attempt(attempt);
-    _sc_feed(scheduler, &(lwd_event){.type = LWD_EVENT_FINISHED,
-                                     .attempt = id,
-                                     .tokens = result->tokens});
-    if (draft && draft->next_index == result->tokens) {
+}
+
+static void
+_sc_stream_whole(_sc_attempt *attempt, const be_result *result)
+{
+    sc_scheduler *scheduler = attempt->scheduler;
+    uint64_t draft_id = attempt->draft_id;
+    g_autofree char *server = g_strdup(attempt->server->name);
+    g_autofree char *reason = g_strdup(result->finish_reason);
+    uint32_t tokens = result->tokens;
+    _sc_end_attempt(attempt, &(lwd_event){.type = LWD_EVENT_FINISHED,
+                                          .attempt = attempt->id,
+                                          .tokens = tokens});
+    _sc_draft *draft = _sc_find_draft(scheduler, draft_id);
+    if (draft && draft->next_index == tokens) {
         _sc_draft_end(draft, &(dr_end){.code = ER_OK,
                                        .ran = DR_RAN_RAN,
-                                       .tokens = result->tokens,
-                                       .finish_reason = result->finish_reason,
-                                       .server = draft->last_server});
+                                       .tokens = tokens,
+                                       .finish_reason = reason,
+                                       .server = server});
     }
 }
 
@@ -132,27 +144,24 @@
 {
     sc_scheduler *scheduler = attempt->scheduler;
     g_autofree char *name = g_strdup(attempt->server->name);
+    be_end end = result->end;
     lwd_event event = {.type = LWD_EVENT_FAILED,
                        .attempt = attempt->id,
                        .tokens = result->tokens,
-                       .failure = _sc_failures[result->end]};
-    if (result->end == BE_END_PAUSED) {
+                       .failure = _sc_failures[end]};
+    if (end == BE_END_PAUSED) {
         event.type = LWD_EVENT_PAUSED;
     }
     _sc_draft *draft = _sc_find_draft(scheduler, attempt->draft_id);
-    if (draft && event.failure == LWD_FAILURE_DIED) {
+    if (draft && end == BE_END_DIED) {
         draft->started = true;
     }
-    _sc_drop_attempt(attempt);
-    if (result->end == BE_END_DIED) {
-        lwd_feed(scheduler->policy, _sc_now_us(scheduler), &event);
-        _sc_server_died(g_hash_table_lookup(scheduler->servers, name));
-        _sc_pump(scheduler);
-    }
-    else {
-        _sc_feed(scheduler, &event);
+    _sc_end_attempt(attempt, &event);
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, name);
+    if (server && end == BE_END_DIED) {
+        _sc_server_died(server);
     }
-    if (result->end == BE_END_FENCED) {
+    if (end == BE_END_FENCED) {
         scheduler->out->fenced(name, scheduler->out_data);
     }
 }
