Servers of an instance that does not answer get nothing; overdue forwards end

Cause: a forward counted as sent once the link took it, although membership held the peer dead (links to a cut zone connect and then say nothing), and the decisions kept choosing servers of a killed owner until another took them. Ruled out: the retry budget, the cut hook alone. The scheduler now tells the decisions that servers of a suspect, dead or disconnected owner are down until it is heard again, and ends a forward 500 ms after its deadline.

--- a/packages/daemon/src/caller.c
+++ b/packages/daemon/src/caller.c
@@ -503,22 +503,31 @@
 /* -- public -----------------------------------------------------------------
  */
 
+/* Sizes are checked on every path: the library asks only the handlers of the
+   path that fits best. */
+static const struct {
+    const char *path; /* NULL: any other */
+    SoupServerCallback handler;
+} _ca_handlers[] = {
+    {NULL, _ca_on_unknown},
+    {"/v1/completions", _ca_on_completions},
+    {"/v1/chat/completions", _ca_on_chat},
+    {"/v1/services", _ca_on_service},
+    {"/v1/models", _ca_on_models},
+    {"/metrics", _ca_on_metrics},
+    {"/healthz", _ca_on_health},
+    {"/readyz", _ca_on_ready},
+};
+
 static void
 _ca_add_handlers(ca_server *server)
 {
-    SoupServer *soup = server->soup;
-    soup_server_add_early_handler(soup, NULL, _ca_on_early, server, NULL);
-    soup_server_add_handler(soup, NULL, _ca_on_unknown, server, NULL);
-    soup_server_add_handler(soup, "/v1/completions", _ca_on_completions,
-                            server, NULL);
-    soup_server_add_handler(soup, "/v1/chat/completions", _ca_on_chat, server,
-                            NULL);
-    soup_server_add_handler(soup, "/v1/services", _ca_on_service, server,
-                            NULL);
-    soup_server_add_handler(soup, "/v1/models", _ca_on_models, server, NULL);
-    soup_server_add_handler(soup, "/metrics", _ca_on_metrics, server, NULL);
-    soup_server_add_handler(soup, "/healthz", _ca_on_health, server, NULL);
-    soup_server_add_handler(soup, "/readyz", _ca_on_ready, server, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(_ca_handlers); i++) {
+        soup_server_add_early_handler(server->soup, _ca_handlers[i].path,
+                                      _ca_on_early, server, NULL);
+        soup_server_add_handler(server->soup, _ca_handlers[i].path,
+                                _ca_handlers[i].handler, server, NULL);
+    }
 }
 
 ca_server *
--- a/packages/daemon/src/daemon_out.c
+++ b/packages/daemon/src/daemon_out.c
@@ -357,6 +357,7 @@
 _dn_lost(const char *instance, void *data)
 {
     dn_daemon *daemon = data;
+    sc_set_reachable(daemon->scheduler, instance, false);
     fw_take_lost(daemon->forwards, instance);
     sc_take_link_lost(daemon->scheduler, instance);
 }
@@ -372,6 +373,9 @@
     if (!action->incarnation) {
         return;
     }
+    if (action->state == CO_PEER_SUSPECT || action->state == CO_PEER_DEAD) {
+        sc_set_reachable(daemon->scheduler, action->instance, false);
+    }
     bool alive = action->state != CO_PEER_DEAD;
     cs_take_peer(daemon->calls, action->instance, action->incarnation, alive);
     if (!alive) {
@@ -383,6 +387,7 @@
 static void
 _dn_notice_heard(dn_daemon *daemon, const mb_action *action)
 {
+    sc_set_reachable(daemon->scheduler, action->instance, true);
     on_feed(daemon->owner, &(ow_event){.type = OW_EVENT_HEARD,
                                        .instance = action->instance,
                                        .incarnation = action->incarnation,
--- a/packages/daemon/src/peers.c
+++ b/packages/daemon/src/peers.c
@@ -138,6 +138,9 @@
 _pe_take_hello(_pe_link *link, const Lacewing__Hello *hello)
 {
     pe_peers *peers = link->peers;
+    if (_pe_is_cut(peers, hello->zone)) {
+        return;
+    }
     if (!_pe_hello_allowed(peers, hello)) {
         ct_add(CT_FRAMES_REFUSED, 1);
         lg_write(LG_FRAME_REFUSED, "why", "hello", NULL);
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -178,6 +178,8 @@
     scheduler->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                 NULL, _sc_attempt_free);
     scheduler->instances = g_ptr_array_new_with_free_func(g_free);
+    scheduler->unreachable =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     scheduler->next_draft = 1;
     wk_setup(&scheduler->wakeup, desc->timers, _sc_on_wakeup, scheduler);
     lwd_desc policy = desc->policy;
@@ -211,6 +213,7 @@
     g_hash_table_unref(scheduler->models_by_id);
     g_hash_table_unref(scheduler->models);
     g_ptr_array_unref(scheduler->instances);
+    g_hash_table_unref(scheduler->unreachable);
     lwd_destroy(scheduler->policy);
     g_free(scheduler->instance);
     g_free(scheduler->zone);
--- a/packages/daemon/src/scheduler.h
+++ b/packages/daemon/src/scheduler.h
@@ -114,6 +114,9 @@
 /* Another instance owns the server. */
 void sc_set_owner(sc_scheduler *scheduler, const char *server,
                   const char *instance);
+/* Whether the instance answers: servers of one that does not get nothing. */
+void sc_set_reachable(sc_scheduler *scheduler, const char *instance,
+                      bool reachable);
 /* The server gets nothing new; for good. */
 void sc_set_leaving(sc_scheduler *scheduler, const char *server);
 
--- a/packages/daemon/src/scheduler_draft.c
+++ b/packages/daemon/src/scheduler_draft.c
@@ -5,6 +5,8 @@
 
 /* Tokens between two credits for a forwarded draft. */
 #define _SC_CREDIT_TOKENS 64
+/* The owner's own refusal at the deadline gets this long to arrive. */
+#define _SC_OVERDUE_US UINT64_C(500000)
 
 static const lwd_failure _sc_failures[BE_END_NUM] = {
     [BE_END_DEFAULT] = LWD_FAILURE_BROKEN,
@@ -556,27 +558,64 @@
     }
 }
 
-void
-sc_take_link_lost(sc_scheduler *scheduler, const char *instance)
+/* Ids of the drafts that are forwarded and chosen. */
+static GArray *
+_sc_forwarded(sc_scheduler *scheduler,
+              bool (*chosen)(const _sc_draft *draft, const void *data),
+              const void *data)
 {
-    g_autoptr(GArray) lost = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, scheduler->drafts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const _sc_draft *draft = value;
-        if (draft->forward_attempt &&
-            g_strcmp0(draft->forward_instance, instance) == 0) {
-            g_array_append_val(lost, draft->id);
+        if (draft->forward_attempt && chosen(draft, data)) {
+            g_array_append_val(ids, draft->id);
         }
     }
-    for (guint i = 0; i < lost->len; i++) {
+    return ids;
+}
+
+static void
+_sc_fail_forwards(sc_scheduler *scheduler, const GArray *ids, er_code code)
+{
+    for (guint i = 0; i < ids->len; i++) {
         _sc_draft *draft =
-            _sc_find_draft(scheduler, g_array_index(lost, uint64_t, i));
-        if (draft) {
-            draft->forward_attempt = 0;
-            _sc_forward_failed(draft, &(dr_end){.code = ER_CONNECTION,
-                                                .ran = DR_RAN_UNKNOWN});
+            _sc_find_draft(scheduler, g_array_index(ids, uint64_t, i));
+        if (draft && draft->forward_attempt) {
+            _sc_cancel_forward(draft);
+            _sc_forward_failed(draft,
+                               &(dr_end){.code = code, .ran = DR_RAN_UNKNOWN});
         }
     }
 }
+
+static bool
+_sc_is_forwarded_to(const _sc_draft *draft, const void *instance)
+{
+    return g_strcmp0(draft->forward_instance, instance) == 0;
+}
+
+void
+sc_take_link_lost(sc_scheduler *scheduler, const char *instance)
+{
+    g_autoptr(GArray) ids =
+        _sc_forwarded(scheduler, _sc_is_forwarded_to, instance);
+    _sc_fail_forwards(scheduler, ids, ER_CONNECTION);
+}
+
+static bool
+_sc_is_overdue(const _sc_draft *draft, const void *now_us)
+{
+    return draft->deadline_us &&
+           draft->deadline_us + _SC_OVERDUE_US < *(const uint64_t *)now_us;
+}
+
+void
+_sc_check_forwards(sc_scheduler *scheduler)
+{
+    uint64_t now_us = _sc_now_us(scheduler);
+    g_autoptr(GArray) ids = _sc_forwarded(scheduler, _sc_is_overdue, &now_us);
+    _sc_fail_forwards(scheduler, ids, ER_DEADLINE);
+}
--- a/packages/daemon/src/scheduler_private.h
+++ b/packages/daemon/src/scheduler_private.h
@@ -19,7 +19,7 @@
     bool settled; /* the list of its adapters was read since sc_own() */
     bool leaving;
     bool yielding; /* given up as planned, streams still under way */
-    bool down;
+    bool down;     /* owned: does not answer; else: its owner does not */
     bool checking; /* a list order is open */
     uint64_t fence;
     uint64_t owned_us; /* when it was taken over */
@@ -83,6 +83,7 @@
     GHashTable *drafts;         /* id -> _sc_draft */
     GHashTable *attempts;       /* lwd_attempt.id -> _sc_attempt */
     GPtrArray *instances;       /* number - 1 -> name */
+    GHashTable *unreachable;    /* set of instance names */
     uint64_t next_draft;
     wk_wakeup wakeup;
     tm_timer checks;
@@ -111,6 +112,9 @@
 void _sc_draft_free(void *draft);
 void _sc_attempt_free(void *attempt);
 
+/* Ends forwards whose deadline has passed without a word. */
+void _sc_check_forwards(sc_scheduler *scheduler);
+
 /* scheduler_server.c: actions on servers, and their checks */
 void _sc_act_load(sc_scheduler *scheduler, const lwd_action *action);
 void _sc_act_evict(sc_scheduler *scheduler, const lwd_action *action);
--- a/packages/daemon/src/scheduler_server.c
+++ b/packages/daemon/src/scheduler_server.c
@@ -285,6 +285,7 @@
             _sc_server_check(server);
         }
     }
+    _sc_check_forwards(scheduler);
 }
 
 /* -- public
@@ -447,6 +448,37 @@
     }
 }
 
+/* A server that another instance owns can be used while that one answers. */
+static void
+_sc_follow_owner(_sc_server *server)
+{
+    bool down =
+        server->owner &&
+        g_hash_table_contains(server->scheduler->unreachable, server->owner);
+    if (!server->owned && !server->yielding && server->down != down) {
+        server->down = down;
+        _sc_feed_state(server, down ? LWD_SERVER_DOWN : LWD_SERVER_READY);
+    }
+}
+
+void
+sc_set_reachable(sc_scheduler *scheduler, const char *instance, bool reachable)
+{
+    bool changed =
+        reachable
+            ? g_hash_table_remove(scheduler->unreachable, instance)
+            : g_hash_table_add(scheduler->unreachable, g_strdup(instance));
+    if (!changed) {
+        return;
+    }
+    GHashTableIter iter;
+    void *server;
+    g_hash_table_iter_init(&iter, scheduler->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &server)) {
+        _sc_follow_owner(server);
+    }
+}
+
 static void
 _sc_feed_owner(_sc_server *server, const char *owner)
 {
@@ -459,6 +491,7 @@
                                      .server = server->id,
                                      .owned = false,
                                      .owner = number});
+    _sc_follow_owner(server);
 }
 
 /* Breaks off what runs on the server, so that it is resumed elsewhere. */
