--- a/packages/backend/src/stream.c
+++ b/packages/backend/src/stream.c
@@ -6,7 +6,6 @@
 #define _BE_ERROR_BYTES_MAX 65536
 
 struct be_stream {
-    uint32_t references;
     be_server *server;
     SoupMessage *message;
     GInputStream *body;
@@ -30,12 +29,9 @@
 static void _be_stream_read(be_stream *stream);
 
 static void
-_be_stream_unref(be_stream *stream)
+_be_stream_clear(void *data)
 {
-    stream->references--;
-    if (stream->references > 0) {
-        return;
-    }
+    be_stream *stream = data;
     g_clear_object(&stream->message);
     g_clear_object(&stream->body);
     g_object_unref(stream->cancel);
@@ -43,7 +39,19 @@
     g_object_unref(stream->json);
     g_free(stream->attempt);
     g_free(stream->model);
-    g_free(stream);
+}
+
+/* A stream lives while its user or an open call holds it. */
+static be_stream *
+_be_stream_ref(be_stream *stream)
+{
+    return g_rc_box_acquire(stream);
+}
+
+static void
+_be_stream_unref(be_stream *stream)
+{
+    g_rc_box_release_full(stream, _be_stream_clear);
 }
 
 /* Takes the stream out of use: no call back comes after this. */
@@ -69,7 +77,7 @@
     if (end != BE_END_WHOLE) {
         er_set(&result.status, ER_SERVER_FAILED, "%s", why ? why : "");
     }
-    stream->references++;
+    _be_stream_ref(stream);
     stream->on_end(stream, &result, stream->user_data);
     _be_stream_unref(stream);
 }
@@ -102,10 +110,9 @@
     }
     tm_destroy_timer(stream->server->timers, stream->silence);
     _be_probe *probe = g_new0(_be_probe, 1);
-    probe->stream = stream;
+    probe->stream = _be_stream_ref(stream);
     probe->alive = alive;
     probe->why = g_strdup(why);
-    stream->references++;
     be_health(stream->server, _be_on_probe, probe);
 }
 
@@ -243,10 +250,10 @@
         return;
     }
     stream->reading = true;
-    stream->references++;
     g_input_stream_read_async(stream->body, stream->buffer,
                               sizeof(stream->buffer), G_PRIORITY_DEFAULT,
-                              stream->cancel, _be_on_read, stream);
+                              stream->cancel, _be_on_read,
+                              _be_stream_ref(stream));
 }
 
 /* -- private: the answer's head ------------------------------------------ */
@@ -279,10 +286,9 @@
         _be_stream_broken(stream, BE_END_BROKEN, "the server failed");
         return;
     }
-    stream->references++;
     g_input_stream_read_bytes_async(stream->body, _BE_ERROR_BYTES_MAX,
                                     G_PRIORITY_DEFAULT, stream->cancel,
-                                    _be_on_error_body, stream);
+                                    _be_on_error_body, _be_stream_ref(stream));
 }
 
 static bool
@@ -370,8 +376,7 @@
 {
     g_assert(desc->model && desc->prompt && desc->attempt);
     g_assert(desc->on_token && desc->on_end);
-    be_stream *stream = g_new0(be_stream, 1);
-    stream->references = 1;
+    be_stream *stream = g_rc_box_new0(be_stream);
     stream->server = server;
     stream->message = _be_completion(server, desc);
     stream->cancel = g_cancellable_new();
@@ -385,10 +390,9 @@
     stream->user_data = desc->user_data;
     g_hash_table_add(server->streams, stream);
     _be_stream_watch(stream, server->start_ms);
-    stream->references++;
     soup_session_send_async(server->session, stream->message,
                             G_PRIORITY_DEFAULT, stream->cancel, _be_on_sent,
-                            stream);
+                            _be_stream_ref(stream));
     return stream;
 }
 
--- a/packages/daemon/src/caller.c
+++ b/packages/daemon/src/caller.c
@@ -429,20 +429,40 @@
     GSocketConnection *connection;
 } _ca_incoming;
 
+static void
+_ca_serve(ca_server *server, GSocketConnection *connection, GIOStream *stream)
+{
+    g_autoptr(GSocketAddress) local =
+        g_socket_connection_get_local_address(connection, NULL);
+    g_autoptr(GSocketAddress) remote =
+        g_socket_connection_get_remote_address(connection, NULL);
+    soup_server_accept_iostream(server->soup, stream, local, remote, NULL);
+}
+
 static void
 _ca_on_wrapped(GIOStream *stream, void *data)
 {
-    g_autofree _ca_incoming *incoming = data;
-    g_autoptr(GSocketConnection) connection = incoming->connection;
+    _ca_incoming *incoming = data;
     if (stream && incoming->server->soup) {
-        g_autoptr(GSocketAddress) local =
-            g_socket_connection_get_local_address(connection, NULL);
-        g_autoptr(GSocketAddress) remote =
-            g_socket_connection_get_remote_address(connection, NULL);
-        soup_server_accept_iostream(incoming->server->soup, stream, local,
-                                    remote, NULL);
+        _ca_serve(incoming->server, incoming->connection, stream);
     }
     g_clear_object(&stream);
+    g_object_unref(incoming->connection);
+    g_free(incoming);
+}
+
+static void
+_ca_take_connection(ca_server *server, GSocketConnection *connection)
+{
+    if (!server->tls) {
+        _ca_serve(server, connection, G_IO_STREAM(connection));
+        return;
+    }
+    _ca_incoming *incoming = g_new0(_ca_incoming, 1);
+    incoming->server = server;
+    incoming->connection = g_object_ref(connection);
+    tl_wrap_server(server->tls, G_IO_STREAM(connection), _ca_on_wrapped,
+                   incoming);
 }
 
 static gboolean
@@ -461,16 +481,7 @@
     g_socket_set_timeout(socket, server->idle_timeout_s);
     g_socket_set_option(socket, 6 /* IPPROTO_TCP */, 1 /* TCP_NODELAY */, 1,
                         NULL);
-    _ca_incoming *incoming = g_new0(_ca_incoming, 1);
-    incoming->server = server;
-    incoming->connection = g_object_ref(connection);
-    if (server->tls) {
-        tl_wrap_server(server->tls, G_IO_STREAM(connection), _ca_on_wrapped,
-                       incoming);
-    }
-    else {
-        _ca_on_wrapped(G_IO_STREAM(g_object_ref(connection)), incoming);
-    }
+    _ca_take_connection(server, connection);
     return TRUE;
 }
 
--- a/packages/daemon/src/scheduler_server.c
+++ b/packages/daemon/src/scheduler_server.c
@@ -344,14 +344,15 @@
     if (server && !_sc_server_same(server, desc)) {
         bool owned = server->owned;
         uint64_t fence = server->fence;
+        uint64_t settle_us = server->settle_until_us;
         sc_remove_server(scheduler, desc->name);
-        server = _sc_server_create(scheduler, desc);
+        _sc_server_create(scheduler, desc);
         if (owned) {
-            sc_own(scheduler, desc->name, fence, 0);
+            sc_own(scheduler, desc->name, fence, settle_us);
         }
     }
     else if (!server) {
-        server = _sc_server_create(scheduler, desc);
+        _sc_server_create(scheduler, desc);
     }
     if (desc->leaving) {
         sc_set_leaving(scheduler, desc->name);
