Waits of short work do not count the whole of pending long work

A pending long answer counted all its tokens in the wait that entries and owners expect of a server, although short work is put before it; so short work was refused or sent to load elsewhere in vain. It counts 2.5 times the usual length at most now.

--- a/packages/decisions/src/lengths.c
+++ b/packages/decisions/src/lengths.c
@@ -70,10 +70,22 @@
     return CLAMP(made / 4, 1, bound);
 }
 
+static double
+_le_usual(const dp_policy *policy)
+{
+    return policy->mean_tokens > 0 ? policy->mean_tokens : _LE_FIRST_USUAL;
+}
+
+uint32_t
+le_query_ahead(const dp_policy *policy, const dp_request *request)
+{
+    uint32_t remaining = le_query_remaining(request, request->resume_from);
+    uint32_t most = (uint32_t)(_le_usual(policy) * _LE_LONG_FACTOR);
+    return MIN(remaining, most);
+}
+
 bool
 le_query_is_long(const dp_policy *policy, const dp_request *request)
 {
-    double usual =
-        policy->mean_tokens > 0 ? policy->mean_tokens : _LE_FIRST_USUAL;
-    return request->expected_tokens > usual * _LE_LONG_FACTOR;
+    return request->expected_tokens > _le_usual(policy) * _LE_LONG_FACTOR;
 }
--- a/packages/decisions/src/lengths.h
+++ b/packages/decisions/src/lengths.h
@@ -19,6 +19,8 @@
 bool le_query_known(const dp_policy *policy, const dp_request *request);
 /* Tokens still to come after so many; at least 1. */
 uint32_t le_query_remaining(const dp_request *request, uint32_t made);
+/* Tokens of a pending request that short work may have to wait for. */
+uint32_t le_query_ahead(const dp_policy *policy, const dp_request *request);
 /* True for work that is long against the usual. */
 bool le_query_is_long(const dp_policy *policy, const dp_request *request);
 
--- a/packages/decisions/src/order.c
+++ b/packages/decisions/src/order.c
@@ -8,7 +8,7 @@
 #include "servers.h"
 
 #define _OR_WORK_WEIGHT 4     /* of the expected time of work against age */
-#define _OR_WORK_US 30000     /* expected time of one token */
+#define _OR_SPARE_PCT 200     /* of the expected work, left to the deadline */
 #define _OR_LONG_SLOTS_PCT 50 /* of a server's slots */
 #define _OR_PRIORITY_MS 100   /* of the key, in one step of priority */
 
@@ -19,7 +19,13 @@
         return request->entered_us;
     }
     uint64_t remaining = le_query_remaining(request, request->resume_from);
-    return request->entered_us + remaining * _OR_WORK_US * _OR_WORK_WEIGHT;
+    uint64_t work_us = remaining * (uint64_t)policy->token_us;
+    uint64_t key = request->entered_us + work_us * _OR_WORK_WEIGHT;
+    uint64_t spare_us = work_us * _OR_SPARE_PCT / 100;
+    if (request->deadline_us > request->entered_us + spare_us) {
+        key = MIN(key, request->deadline_us - spare_us);
+    }
+    return key;
 }
 
 static dp_class
@@ -47,8 +53,7 @@
     dp_adapter *adapter = request->adapter;
     or_classify(policy, request);
     request->phase = DP_PHASE_PENDING;
-    request->pending_tokens =
-        le_query_remaining(request, request->resume_from);
+    request->pending_tokens = le_query_ahead(policy, request);
     hp_push(&adapter->pending[request->class_], &request->pending,
             or_query_key(policy, request));
     adapter->pending_tokens += request->pending_tokens;
