--- a/packages/decisions/include/lacewing/decisions.h
+++ b/packages/decisions/include/lacewing/decisions.h
@@ -101,10 +101,10 @@
     uint64_t seed;              /* of all random choices; default 1 */
     uint32_t instance;          /* this instance's number */
     uint32_t zone;              /* this instance's availability zone */
-    uint32_t server_capacity;   /* default 1024 */
+    uint32_t server_capacity;   /* default 640 */
     uint32_t adapter_capacity;  /* default 16384 */
-    uint32_t request_capacity;  /* in flight; default 65536 */
-    uint32_t action_capacity;   /* not yet drained; default 65536 */
+    uint32_t request_capacity;  /* in flight; default 8192 */
+    uint32_t action_capacity;   /* not yet drained; default 8192 */
     uint32_t loads_per_s_milli; /* this instance's share of the weight
                                    store's rate, in loads per 1000 s;
                                    default 1000 */
--- a/packages/decisions/src/policy.c
+++ b/packages/decisions/src/policy.c
@@ -9,11 +9,11 @@
 #include "servers.h"
 
 #define _LWD_SEED 1
-#define _LWD_SERVERS 1024
+#define _LWD_SERVERS 640
 #define _LWD_ADAPTERS 16384
-#define _LWD_REQUESTS 65536
-#define _LWD_ACTIONS 65536
-#define _LWD_ATTEMPTS 16384
+#define _LWD_REQUESTS 8192
+#define _LWD_ACTIONS 8192
+#define _LWD_ATTEMPTS 8192
 #define _LWD_COPIES_PER_SERVER 32
 #define _LWD_LOADS_PER_S_MILLI 1000
 #define _LWD_LOADS_IN_TRANSIT 1
--- a/packages/decisions/tests/test_differential.c
+++ b/packages/decisions/tests/test_differential.c
@@ -201,13 +201,10 @@
 
 #define MEMORY_BOUND_BYTES (16U << 20)
 
-/* An instance at 600 servers and 13,000 adapters. */
+/* An instance of default size holds 600 servers and 13,000 adapters. */
 START_TEST(test_memory)
     {
-        lwd_policy *base = lwd_create(&(lwd_desc){.server_capacity = 640,
-                                                  .adapter_capacity = 13312,
-                                                  .request_capacity = 8192,
-                                                  .action_capacity = 8192});
+        lwd_policy *base = lwd_create(&(lwd_desc){0});
         size_t bytes = lwd_query_bytes(base);
         ck_assert_msg(bytes < MEMORY_BOUND_BYTES, "%zu bytes", bytes);
         if (g_getenv("SHOW")) {
