init waits for its open calls; servers are listed with their owner's view

Cause: a trial with the stand-in platform and two daemons: lacewing init wrote the configuration and then crashed, since a read of the chain was answered after it had ended. Ruled out: the platform client, which answers each call once as documented. The list of servers showed the owner's view as cut-off JSON; it has columns now.

--- a/packages/tool/src/cmd_show.c
+++ b/packages/tool/src/cmd_show.c
@@ -14,6 +14,42 @@
     {NULL},
 };
 
+/* What a list of servers shows to people; one server by name shows all. */
+static const char *const server_columns[] = {
+    "name",    "zone",    "kind",    "state",      "fence",
+    "owner",   "running", "waiting", "backlog_ms", "resident",
+    "loading", "ejected", "down",    NULL};
+
+/* A server's own values, and its owner's where they have none. */
+static void
+_tl_print_servers(JsonNode *answer)
+{
+    g_autoptr(GPtrArray) columns = g_ptr_array_new();
+    for (const char *const *name = server_columns; *name; name++) {
+        g_ptr_array_add(columns, (char *)*name);
+    }
+    g_autoptr(tl_table) table = tl_table_create_columns(columns);
+    JsonArray *items =
+        json_object_get_array_member(json_node_get_object(answer), "items");
+    for (uint32_t i = 0; items && i < json_array_get_length(items); i++) {
+        JsonObject *item = json_array_get_object_element(items, i);
+        JsonObject *live = json_object_has_member(item, "live")
+                               ? json_object_get_object_member(item, "live")
+                               : NULL;
+        g_autoptr(GPtrArray) cells = g_ptr_array_new_with_free_func(g_free);
+        for (uint32_t j = 0; j < columns->len; j++) {
+            const char *name = g_ptr_array_index(columns, j);
+            JsonNode *value = json_object_get_member(item, name);
+            value =
+                !value && live ? json_object_get_member(live, name) : value;
+            g_ptr_array_add(cells, value ? tl_cell_text(value) : NULL);
+        }
+        tl_table_add(table, (const char *const *)cells->pdata);
+    }
+    g_autofree char *text = tl_table_query_text(table, false);
+    fputs(text, stdout);
+}
+
 /* Prints one answer, or only the member of it that people read. */
 static tl_exit
 _tl_show(const char *path, const char *member)
@@ -28,6 +64,10 @@
         return tl_fail(&status);
     }
     bool json = tl_client_query_json();
+    if (!json && g_str_has_prefix(path, "servers?")) {
+        _tl_print_servers(answer);
+        return TL_EXIT_OK;
+    }
     JsonNode *shown =
         member && !json
             ? json_object_get_member(json_node_get_object(answer), member)
--- a/packages/tool/src/init.c
+++ b/packages/tool/src/init.c
@@ -25,6 +25,7 @@
     GPtrArray *parts; /* tl_part */
     cc_machine *chain;
     uint32_t next;
+    uint32_t open; /* calls of the table under way */
     bool done;
     er_code code;
     er_status *status;
@@ -129,6 +130,7 @@
     tl_run_state *run = open->run;
     result->number = open->number;
     g_free(open);
+    run->open--;
     cc_feed(run->chain, (uint64_t)g_get_monotonic_time(),
             &(cc_event){.type = CC_EVENT_TABLE, .table = result});
     _tl_pump(run);
@@ -155,6 +157,7 @@
     tl_open_call *open = g_new0(tl_open_call, 1);
     open->run = run;
     open->number = call->number;
+    run->open++;
     switch (call->kind) {
     case CO_TABLE_READ:
         pf_table_read(table, call->key, _tl_on_read, open);
@@ -276,6 +279,9 @@
         g_main_context_iteration(NULL, TRUE);
     }
     g_source_remove(tick);
+    while (run.open > 0) {
+        g_main_context_iteration(NULL, TRUE);
+    }
     cc_destroy(run.chain);
     *version = parts->len;
     return run.code;
--- a/packages/tool/tests/test_init.c
+++ b/packages/tool/tests/test_init.c
@@ -135,6 +135,86 @@
     }
 END_TEST
 
+/* A table whose reads take longer than its commits, and that counts the reads
+   still open. */
+typedef struct counting {
+    pf_table base;
+    pf_table *inner;
+    uint32_t open;
+    uint32_t reads;
+} counting;
+
+typedef struct counted {
+    counting *table;
+    pf_read_call call;
+    void *user_data;
+} counted;
+
+static void
+on_counted(const pf_read_result *result, void *data)
+{
+    counted *read = data;
+    read->table->open--;
+    read->call(result, read->user_data);
+    g_free(read);
+}
+
+static counted *
+count(pf_table *table, pf_read_call call, void *user_data)
+{
+    counted *read = g_new0(counted, 1);
+    *read = (counted){(counting *)table, call, user_data};
+    read->table->open++;
+    read->table->reads++;
+    pf_memory_table_set_faults(read->table->inner,
+                               &(pf_memory_table_faults){.delay_ms = 50});
+    return read;
+}
+
+static void
+counting_commit(pf_table *table, const pf_op *ops, size_t op_count,
+                pf_commit_call call, void *user_data)
+{
+    pf_table *inner = ((counting *)table)->inner;
+    pf_memory_table_set_faults(inner, &(pf_memory_table_faults){0});
+    pf_table_commit(inner, ops, op_count, call, user_data);
+}
+
+static void
+counting_read(pf_table *table, const char *key, pf_read_call call,
+              void *user_data)
+{
+    pf_table_read(((counting *)table)->inner, key, on_counted,
+                  count(table, call, user_data));
+}
+
+static void
+counting_scan(pf_table *table, const char *prefix, const char *after,
+              uint32_t limit, pf_read_call call, void *user_data)
+{
+    pf_table_scan(((counting *)table)->inner, prefix, after, limit, on_counted,
+                  count(table, call, user_data));
+}
+
+static const pf_table_vt counting_vt = {
+    .commit = counting_commit, .read = counting_read, .scan = counting_scan};
+
+/* Answers that come late find nobody gone. */
+START_TEST(test_no_call_left_open)
+    {
+        g_autoptr(dc_config) config = make_config(1);
+        counting table = {.base.vt = &counting_vt,
+                          .inner = pf_memory_table_create()};
+        uint64_t version = 0;
+        er_status status = {0};
+        ck_assert_int_eq(init(&table.base, config, 0, &version, &status),
+                         ER_OK);
+        ck_assert_uint_gt(table.reads, 0);
+        ck_assert_uint_eq(table.open, 0);
+        pf_table_destroy(table.inner);
+    }
+END_TEST
+
 START_TEST(test_table_down)
     {
         g_autoptr(dc_config) config = make_config(1);
@@ -161,6 +241,7 @@
     tcase_set_timeout(tests, 60);
     tcase_add_test(tests, test_whole_and_again);
     tcase_add_test(tests, test_lost_answers);
+    tcase_add_test(tests, test_no_call_left_open);
     tcase_add_test(tests, test_table_down);
     suite_add_tcase(suite, tests);
     SRunner *runner = srunner_create(suite);
--- a/packages/tool/tests/test_tool.c
+++ b/packages/tool/tests/test_tool.c
@@ -77,7 +77,7 @@
     {
         host *at = host_create(NULL);
         expect(at, "op-key", "status", 0, "instance");
-        expect(at, "op-key", "servers", 0, "engine-1");
+        expect(at, "op-key", "servers", 0, "ready  check   test");
         expect(at, "op-key", "servers engine-1", 0, "10.0.0.1:80");
         expect(at, "op-key", "servers nothing", 3, "not_found");
         expect(at, "editor-key", "adapters", 0, "binder");
