Loads: none for a single request that it would come too late for

With the queue full and the latest start in front, each load came at the last moment and some answers were late all the same. Tried and left: a gain of 45 and 60 % of the wait for a load, hot from 3 or 4 requests on, 3 s behind for further copies.

--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -21,6 +21,7 @@
 #define _LD_PATIENCE_MS 20000    /* longest start of work that has time */
 #define _LD_GAIN_MS 1000  /* less waiting that a further copy must bring */
 #define _LD_SCARCE_PCT 25 /* of the wait for a load, at least */
+#define _LD_SPARE_PCT 80  /* of the expected work, left after a load */
 #define _LD_BACKOFF_MS 200
 #define _LD_BACKOFF_DOUBLINGS 6
 #define _LD_FAILURES_MAX 4     /* in a row, then its requests are refused */
@@ -168,6 +169,24 @@
     return copy;
 }
 
+/* A load for this one request would come too late for its deadline. */
+static bool
+_ld_too_late(const dp_policy *policy, const dp_adapter *adapter)
+{
+    if (adapter->pending_count != 1 ||
+        !dp_part_on(policy, LWD_PART_ADMISSION)) {
+        return false;
+    }
+    const dp_request *request = NULL;
+    for (uint32_t class_ = 0; class_ < DP_CLASS_NUM && !request; class_++) {
+        hp_node *least = hp_query_least(&adapter->pending[class_]);
+        request = HP_ITEM(least, dp_request, pending);
+    }
+    uint64_t need_us = policy->desc.load_ms * DP_US_PER_MS +
+                       am_query_work_us(policy, request) * _LD_SPARE_PCT / 100;
+    return am_query_give_up_us(policy, request) < policy->now_us + need_us;
+}
+
 /* Seeks a place for the most urgent wanted adapters. */
 static void
 _ld_start_wanted(dp_policy *policy)
@@ -184,6 +203,10 @@
         if (adapter->extra && !_ld_extra_pays(policy, adapter)) {
             continue;
         }
+        if (_ld_too_late(policy, adapter)) {
+            rq_refuse_pending(policy, adapter, ER_DEADLINE);
+            continue;
+        }
         dp_server *server = pl_choose_server(policy, adapter, -INFINITY);
         if (!server || !_ld_make_place(policy, server, adapter)) {
             without_place[failed++] = adapter;
