--- a/packages/decisions/src/adapters.c
+++ b/packages/decisions/src/adapters.c
@@ -23,8 +23,6 @@
     adapter->popularity = PL_NEVER;
     adapter->recent = PL_NEVER;
     g_hash_table_insert(policy->adapter_tags, &adapter->desc.tag, adapter);
-    hp_push(&policy->absent, &adapter->absent,
-            UINT64_MAX - pl_query_key(adapter->popularity));
     return adapter;
 }
 
--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -27,8 +27,7 @@
 #define _LD_FAILURES_MAX 4     /* in a row, then its requests are refused */
 #define _LD_PREFETCH_MARGIN 1. /* logarithm: e times as popular */
 #define _LD_RECHECK_MS 100     /* for places that settling servers free */
-#define _LD_ABSENT_TRIES 8
-#define _LD_STARTS 4 /* places sought in one call */
+#define _LD_STARTS 4           /* places sought in one call */
 
 /* -- private: what is wanted ---------------------------------------------- */
 
@@ -219,48 +218,17 @@
     }
 }
 
-/* The most popular adapter that is held nowhere and whose first home is an
-   own server; others' are left to the owners of theirs. */
-static dp_adapter *
-_ld_best_absent(dp_policy *policy)
-{
-    for (uint32_t try = 0; try < _LD_ABSENT_TRIES; try++) {
-        dp_adapter *adapter =
-            HP_ITEM(hp_query_least(&policy->absent), dp_adapter, absent);
-        if (!adapter) {
-            return NULL;
-        }
-        pl_refresh_homes(policy, adapter);
-        const dp_server *first = adapter->home_count > 0
-                                     ? sv_query_at(policy, adapter->homes[0])
-                                     : NULL;
-        if (first && sv_query_usable(first)) {
-            return adapter;
-        }
-        hp_remove(&policy->absent, &adapter->absent);
-    }
-    return NULL;
-}
-
-static bool
-_ld_may_prefetch(const dp_policy *policy)
-{
-    return policy->rooms == 0 && policy->in_transit == 0 &&
-           !hp_query_least(&policy->wanted) && _ld_budget_spare(policy) &&
-           policy->now_us >= policy->next_prefetch_us &&
-           dp_part_on(policy, LWD_PART_LOADS);
-}
-
-/* Uses spare budget for what is held nowhere: in a free place, or in that of
-   something much less popular. */
+/* Uses spare budget for the most popular adapter that is held nowhere. */
 static void
 _ld_start_prefetch(dp_policy *policy)
 {
-    if (!_ld_may_prefetch(policy)) {
+    if (policy->rooms > 0 || policy->in_transit > 0 ||
+        hp_query_least(&policy->wanted) || !_ld_budget_spare(policy) ||
+        !dp_part_on(policy, LWD_PART_LOADS)) {
         return;
     }
-    policy->next_prefetch_us = policy->now_us + _ld_interval_us(policy);
-    dp_adapter *adapter = _ld_best_absent(policy);
+    dp_adapter *adapter =
+        HP_ITEM(hp_query_least(&policy->absent), dp_adapter, absent);
     if (!adapter || adapter->delayed) {
         return;
     }
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -305,7 +305,6 @@
     li_list ordered; /* copies in DP_COPY_ORDERED */
     dp_timer loads_timer;
     uint64_t next_load_us;
-    uint64_t next_prefetch_us;
     uint32_t rooms; /* copies in ROOM or ORDERED */
     uint32_t in_transit;
     /* learned */
