--- a/packages/decisions/src/admission.c
+++ b/packages/decisions/src/admission.c
@@ -96,8 +96,8 @@
 
 /* -- queries -------------------------------------------------------------- */
 
-uint64_t
-am_query_work_us(const dp_policy *policy, const dp_request *request)
+static uint64_t
+_am_work_us(const dp_policy *policy, const dp_request *request)
 {
     uint64_t tokens = le_query_remaining(request, request->resume_from);
     uint64_t prompt = request->prompt_tokens + request->resume_from;
@@ -114,7 +114,7 @@
     if (request->deadline_us == 0) {
         return ER_OK;
     }
-    uint64_t work_us = am_query_work_us(policy, request);
+    uint64_t work_us = _am_work_us(policy, request);
     uint64_t left_us = request->deadline_us > policy->now_us
                            ? request->deadline_us - policy->now_us
                            : 0;
@@ -138,7 +138,7 @@
     if (request->deadline_us == 0) {
         return UINT64_MAX;
     }
-    uint64_t work_us = am_query_work_us(policy, request);
+    uint64_t work_us = _am_work_us(policy, request);
     if (!dp_part_on(policy, LWD_PART_ADMISSION)) {
         work_us = 0;
     }
--- a/packages/decisions/src/admission.h
+++ b/packages/decisions/src/admission.h
@@ -23,8 +23,6 @@
 /* Why a request that would wait so long is refused; ER_OK: it is not. */
 er_code am_query_refusal(const dp_policy *policy, const dp_request *request,
                          uint64_t wait_us);
-/* Expected time of its work, once it runs. */
-uint64_t am_query_work_us(const dp_policy *policy, const dp_request *request);
 /* Time at which it is given up if it still does not run; UINT64_MAX: never. */
 uint64_t am_query_give_up_us(const dp_policy *policy,
                              const dp_request *request);
--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -182,9 +182,14 @@
         hp_node *least = hp_query_least(&adapter->pending[class_]);
         request = HP_ITEM(least, dp_request, pending);
     }
-    uint64_t need_us = policy->desc.load_ms * DP_US_PER_MS +
-                       am_query_work_us(policy, request) * _LD_SPARE_PCT / 100;
-    return am_query_give_up_us(policy, request) < policy->now_us + need_us;
+    uint64_t latest_us = am_query_give_up_us(policy, request);
+    if (latest_us == UINT64_MAX) {
+        return false;
+    }
+    uint64_t work_us = request->deadline_us - latest_us;
+    uint64_t need_us =
+        policy->desc.load_ms * DP_US_PER_MS + work_us * _LD_SPARE_PCT / 100;
+    return latest_us < policy->now_us + need_us;
 }
 
 /* Seeks a place for the most urgent wanted adapters. */
