--- a/packages/decisions/src/order.c
+++ b/packages/decisions/src/order.c
@@ -4,7 +4,6 @@
 #include "attempts.h"
 #include "copies.h"
 #include "lengths.h"
-#include "pace.h"
 #include "poison.h"
 #include "servers.h"
 
@@ -12,8 +11,6 @@
 #define _OR_SPARE_PCT 200     /* of the expected work, left to the deadline */
 #define _OR_LONG_SLOTS_PCT 50 /* of a server's slots */
 #define _OR_PRIORITY_MS 100   /* of the key, in one step of priority */
-#define _OR_BESIDE_LEAST_PART 3 /* of the slots, that others may take */
-#define _OR_PREFILL_PART 0.15   /* of the time of long work, by others */
 
 uint64_t
 or_query_key(const dp_policy *policy, const dp_request *request)
@@ -83,55 +80,10 @@
     }
 }
 
-/* Requests that may run beside long work so that it ends by its deadline
-   even if its answer gets as long as it may. */
-static uint32_t
-_or_batch_beside(const dp_policy *policy, const dp_server *server,
-                 const dp_attempt *attempt)
-{
-    const dp_request *request = attempt->request;
-    uint32_t batch = server->desc.slots;
-    if (request->deadline_us <= policy->now_us ||
-        request->max_tokens <= attempt->tokens) {
-        return batch;
-    }
-    double left_us = (double)(request->deadline_us - policy->now_us);
-    double tokens = request->max_tokens - attempt->tokens;
-    double interval_us = left_us * (1 - _OR_PREFILL_PART) / tokens;
-    uint32_t least = MAX(batch / _OR_BESIDE_LEAST_PART, 1);
-    while (batch > least &&
-           pc_query_interval_us(policy, server, batch) > interval_us) {
-        batch--;
-    }
-    return batch;
-}
-
-/* Slots of a server that may be taken now. */
-static uint32_t
-_or_slots(const dp_policy *policy, const dp_server *server)
-{
-    uint32_t slots = server->desc.slots;
-    if (server->long_running == 0 || !dp_part_on(policy, LWD_PART_ORDER)) {
-        return slots;
-    }
-    const li_link *link = server->attempts.first;
-    for (; link; link = link->next) {
-        const dp_attempt *attempt = LI_ITEM(link, const dp_attempt, of_server);
-        if (attempt->request && attempt->long_work) {
-            uint32_t beside = _or_batch_beside(policy, server, attempt);
-            slots = MIN(slots, beside);
-        }
-    }
-    return slots;
-}
-
 bool
 or_query_admits(const dp_policy *policy, const dp_server *server,
                 dp_class class_)
 {
-    if (server->running >= _or_slots(policy, server)) {
-        return false;
-    }
     if (class_ == DP_CLASS_LONG) {
         uint32_t bound = server->desc.slots * _OR_LONG_SLOTS_PCT / 100;
         return server->long_running < MAX(bound, 1) ||
