Stragglers: long work too slow for its deadline goes back to its entry

Ruled out: fewer slots beside them. Now an owner in calm times refuses a forwarded one as run, once, when an answer of max_tokens would end late at the present pace; its entry resumes it on another server.

--- a/packages/decisions/src/requests.c
+++ b/packages/decisions/src/requests.c
@@ -150,6 +150,7 @@
     request->max_tokens = desc->max_tokens ? desc->max_tokens : _RQ_MAX_TOKENS;
     request->resume_from = desc->resume_from;
     request->forwarded = desc->forwarded;
+    request->resumed = desc->resume_from > 0;
     request->expected_tokens = le_query_expected(policy, request);
 }
 
@@ -305,6 +306,14 @@
     _rq_submit(policy, request);
 }
 
+void
+rq_hand_back(dp_policy *policy, dp_attempt *attempt)
+{
+    dp_server *server = attempt->server;
+    _rq_refuse(policy, attempt->request, ER_SERVER_FAILED, 0);
+    or_fill(policy, server);
+}
+
 /* True for what no other instance can change. */
 static bool
 _rq_is_final(er_code reason)
--- a/packages/decisions/src/requests.h
+++ b/packages/decisions/src/requests.h
@@ -22,6 +22,9 @@
 void rq_paused(dp_policy *policy, dp_attempt *attempt);
 /* Stops the attempt; the request goes on elsewhere from what it has. */
 void rq_move(dp_policy *policy, dp_attempt *attempt);
+/* Gives a forwarded request back to the instance it came from, which goes on
+   elsewhere from the tokens made. */
+void rq_hand_back(dp_policy *policy, dp_attempt *attempt);
 void rq_caller_gone(dp_policy *policy, dp_request *request);
 void rq_forward_finished(dp_policy *policy, dp_request *request,
                          uint32_t tokens);
