--- a/packages/tool/src/client.c
+++ b/packages/tool/src/client.c
@@ -224,8 +224,8 @@
 {
     g_autofree char *path =
         g_strdup_printf("changes/%s?expect=%" G_GUINT64_FORMAT, id, expect);
+    fprintf(stderr, "lacewing: asking what became of %s ...\n", id);
     for (uint32_t i = 0; i < READ_BACK_TRIES; i++) {
-        fprintf(stderr, "lacewing: asking what became of %s ...\n", id);
         g_autoptr(JsonNode) answer = NULL;
         er_status failed = {0};
         const char *outcome = "open";
