Rescue: long work on a server too slow moves to a faster one

A module of its own now: the entry sends it to the fastest home of another instance by the owners' token intervals, also work of its own, and calm is pending work below an eighth of the own slots.

--- a/packages/decisions/src/requests.c
+++ b/packages/decisions/src/requests.c
@@ -11,6 +11,7 @@
 #include "pace.h"
 #include "placement.h"
 #include "poison.h"
+#include "rescue.h"
 #include "routing.h"
 #include "servers.h"
 
@@ -150,7 +151,7 @@
     request->max_tokens = desc->max_tokens ? desc->max_tokens : _RQ_MAX_TOKENS;
     request->resume_from = desc->resume_from;
     request->forwarded = desc->forwarded;
-    request->resumed = desc->resume_from > 0;
+    request->rescued = desc->resume_from > 0;
     request->expected_tokens = le_query_expected(policy, request);
 }
 
@@ -314,6 +315,17 @@
     or_fill(policy, server);
 }
 
+void
+rq_forward_on(dp_policy *policy, dp_attempt *attempt, dp_server *target)
+{
+    dp_request *request = attempt->request;
+    dp_server *server = attempt->server;
+    request->may_have_run = true;
+    at_cancel(policy, attempt);
+    _rq_forward(policy, request, target);
+    or_fill(policy, server);
+}
+
 /* True for what no other instance can change. */
 static bool
 _rq_is_final(er_code reason)
@@ -403,6 +415,11 @@
 {
     if (request->phase == DP_PHASE_DELAYED) {
         request->phase = DP_PHASE_DEFAULT;
+        dp_server *faster = rs_query_faster(policy, request, request->target);
+        if (faster) {
+            _rq_forward(policy, request, faster);
+            return;
+        }
         _rq_submit(policy, request);
         return;
     }
--- a/packages/decisions/src/requests.h
+++ b/packages/decisions/src/requests.h
@@ -25,6 +25,8 @@
 /* Gives a forwarded request back to the instance it came from, which goes on
    elsewhere from the tokens made. */
 void rq_hand_back(dp_policy *policy, dp_attempt *attempt);
+/* Stops the attempt; the request goes on at a server of another instance. */
+void rq_forward_on(dp_policy *policy, dp_attempt *attempt, dp_server *target);
 void rq_caller_gone(dp_policy *policy, dp_request *request);
 void rq_forward_finished(dp_policy *policy, dp_request *request,
                          uint32_t tokens);
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -221,7 +221,7 @@
     uint8_t moves;
     bool forwarded;
     bool may_have_run;
-    bool resumed; /* entered with tokens made elsewhere */
+    bool rescued; /* moved from a server too slow for it */
 };
 
 /* One action without the summary, which is filled in when taken out. */
--- a/packages/decisions/src/stragglers.c
+++ b/packages/decisions/src/stragglers.c
@@ -8,6 +8,7 @@
 #include "order.h"
 #include "pace.h"
 #include "requests.h"
+#include "rescue.h"
 #include "routing.h"
 #include "servers.h"
 
@@ -20,9 +21,7 @@
 #define _SG_SEEN_ENOUGH 4 /* observations that make a normal */
 #define _SG_PROBE_MS 400
 #define _SG_PROBE_DOUBLINGS 3
-#define _SG_HEDGE_FACTOR 2    /* times the first-token target */
-#define _SG_LATE_SEEN_PART 8  /* of max_tokens, made before it is judged */
-#define _SG_LATE_PREFILL 1.15 /* times the pace, for others' prefills */
+#define _SG_HEDGE_FACTOR 2 /* times the first-token target */
 
 /* -- private: silence ----------------------------------------------------- */
 
@@ -170,43 +169,6 @@
     }
 }
 
-/* -- private: long work on a server too slow for it ----------------------- */
-
-/* Its answer, if it gets as long as it may, ends after its deadline here. */
-static bool
-_sg_may_be_late(const dp_policy *policy, const dp_attempt *attempt)
-{
-    const dp_request *request = attempt->request;
-    if (!request || !attempt->long_work || request->deadline_us == 0 ||
-        attempt->tokens < request->max_tokens / _SG_LATE_SEEN_PART ||
-        attempt->tokens >= request->max_tokens) {
-        return false;
-    }
-    double rest = request->max_tokens - attempt->tokens;
-    double interval_us = pc_query_interval_us(policy, attempt->server,
-                                              attempt->server->running);
-    return (double)policy->now_us + rest * interval_us * _SG_LATE_PREFILL >
-           (double)request->deadline_us;
-}
-
-/* In calm times a forwarded request goes back once, to be sent elsewhere. */
-static void
-_sg_hand_back_late(dp_policy *policy, dp_server *server)
-{
-    if (policy->pending_count > 0 || !dp_part_on(policy, LWD_PART_ORDER)) {
-        return;
-    }
-    const li_link *link = server->attempts.first;
-    for (; link; link = link->next) {
-        dp_attempt *attempt = LI_ITEM(link, dp_attempt, of_server);
-        if (_sg_may_be_late(policy, attempt) && attempt->request->forwarded &&
-            !attempt->request->resumed) {
-            rq_hand_back(policy, attempt);
-            return;
-        }
-    }
-}
-
 /* -- events --------------------------------------------------------------- */
 
 void
@@ -230,7 +192,7 @@
     if (dp_part_on(policy, LWD_PART_STRAGGLERS)) {
         _sg_hedge_overdue(policy, server);
     }
-    _sg_hand_back_late(policy, server);
+    rs_check(policy, server);
     ti_set(policy, &server->progress_timer, DP_TIMER_SERVER,
            MAX(due_us, policy->now_us + patience_us / 2));
 }
