--- a/packages/control/src/membership.c
+++ b/packages/control/src/membership.c
@@ -224,12 +224,28 @@
     }
 }
 
+/* Time in which this process itself stood still says nothing of its peers. */
+static void
+_mb_forgive_pause(mb_machine *mb, uint64_t now_us)
+{
+    uint64_t late_us = mb->work_us ? now_us - mb->work_us : 0;
+    if (late_us < _MB_PAUSE_US) {
+        return;
+    }
+    for (guint i = 0; i < mb->order->len; i++) {
+        _mb_peer *peer = mb->order->pdata[i];
+        peer->heard_us = MIN(peer->heard_us + late_us, now_us);
+        peer->evidence_us = MIN(peer->evidence_us + late_us, now_us);
+    }
+}
+
 static void
 _mb_work(mb_machine *mb, uint64_t now_us)
 {
     if (now_us < mb->work_us) {
         return;
     }
+    _mb_forgive_pause(mb, now_us);
     mb->work_us = now_us + _MB_WORK_US;
     for (guint i = 0; i < mb->order->len; i++) {
         _mb_peer_age(mb, mb->order->pdata[i], now_us);
--- a/packages/control/src/membership_internal.h
+++ b/packages/control/src/membership_internal.h
@@ -14,6 +14,7 @@
 
 #define _MB_WORK_US UINT64_C(20000)    /* between looks at all peers */
 #define _MB_PROBE_US UINT64_C(2000000) /* between heartbeats to the dead */
+#define _MB_PAUSE_US UINT64_C(300000)  /* a look this late: we were paused */
 #define _MB_SENT_RING 32               /* heartbeats whose times are kept */
 
 typedef struct _mb_peer {
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -313,6 +313,22 @@
     return server ? server->open : 0;
 }
 
+bool
+sc_query_usable(const sc_scheduler *scheduler)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, scheduler->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _sc_server *server = value;
+        bool held = server->owned ? server->settled : server->owner != NULL;
+        if (held && !server->down && !server->leaving && !server->yielding) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 sc_query_has_model(const sc_scheduler *scheduler, const char *model)
 {
--- a/packages/daemon/src/scheduler.h
+++ b/packages/daemon/src/scheduler.h
@@ -169,6 +169,8 @@
 
 uint32_t sc_query_open(const sc_scheduler *scheduler);
 uint32_t sc_query_open_on(const sc_scheduler *scheduler, const char *server);
+/* Whether any backend server could take a draft now. */
+bool sc_query_usable(const sc_scheduler *scheduler);
 bool sc_query_has_model(const sc_scheduler *scheduler, const char *model);
 /* Appends an array with one object for each server to an open builder. */
 void sc_query_servers(const sc_scheduler *scheduler, JsonBuilder *json);
