A request waits a while for a backend server to come into use

Cause: in the seconds in which a zone's servers change owner no server can be chosen, and the request was refused at once although its deadline was far off. Seen by test_faults frozen_owner (8 of 8 refused as no_backend_server right after the owner woke). Ruled out: readiness alone, as the links that others closed are noticed only after the first request. It now looks again every 50 ms for at most 3 s and a quarter of its time left; forwarded requests go back to their entry at once.

--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -321,7 +321,11 @@
     g_hash_table_iter_init(&iter, scheduler->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const _sc_server *server = value;
-        bool held = server->owned ? server->settled : server->owner != NULL;
+        bool held = server->owned
+                        ? server->settled &&
+                              scheduler->out->may_order(server->name, false,
+                                                        scheduler->out_data)
+                        : server->owner != NULL;
         if (held && !server->down && !server->leaving && !server->yielding) {
             return true;
         }
--- a/packages/decisions/src/requests.c
+++ b/packages/decisions/src/requests.c
@@ -19,6 +19,9 @@
 #define _RQ_FORWARDS_MAX 3
 #define _RQ_BACKOFF_MS 5
 #define _RQ_BACKOFF_DOUBLINGS 5
+#define _RQ_PATIENCE_US UINT64_C(3000000) /* for a server to come into use */
+#define _RQ_PATIENCE_SHARE 4 /* at most this part of the time left */
+#define _RQ_LOOK_AGAIN_US UINT64_C(50000)
 #define _RQ_PROMPT_TOKENS 1
 #define _RQ_MAX_TOKENS 256
 
@@ -107,6 +110,43 @@
     ld_pump(policy);
 }
 
+/* Whether there are servers that may come into use again: an owner changed,
+   or they restart. */
+static bool
+_rq_servers_may_come(const dp_policy *policy)
+{
+    for (uint32_t i = 0; i < policy->servers.used_slots; i++) {
+        const dp_server *server = sv_query_at(policy, i);
+        if (server && server->state != LWD_SERVER_LEAVING) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* No server can take it now: looks again for a while, then refuses. One that
+   was forwarded goes back to its entry at once. */
+static void
+_rq_no_server(dp_policy *policy, dp_request *request)
+{
+    uint64_t now_us = policy->now_us;
+    request->none_us = request->none_us ? request->none_us : now_us;
+    uint64_t patience_us = _RQ_PATIENCE_US;
+    if (request->deadline_us) {
+        uint64_t left_us =
+            request->deadline_us - MIN(request->none_us, request->deadline_us);
+        patience_us = MIN(patience_us, left_us / _RQ_PATIENCE_SHARE);
+    }
+    if (request->forwarded || now_us >= request->none_us + patience_us ||
+        !_rq_servers_may_come(policy)) {
+        _rq_refuse(policy, request, ER_NO_SERVER, am_query_retry_ms(policy));
+        return;
+    }
+    request->phase = DP_PHASE_DELAYED;
+    ti_set(policy, &request->timer, DP_TIMER_REQUEST,
+           now_us + _RQ_LOOK_AGAIN_US);
+}
+
 /* Sends it where it goes now; the request may end by this. */
 static void
 _rq_submit(dp_policy *policy, dp_request *request)
@@ -115,9 +155,10 @@
     or_classify(policy, request);
     rt_route route = rt_query_route(policy, request);
     if (route.kind == RT_NONE) {
-        _rq_refuse(policy, request, ER_NO_SERVER, am_query_retry_ms(policy));
+        _rq_no_server(policy, request);
         return;
     }
+    request->none_us = 0;
     er_code refusal = am_query_refusal(policy, request, route.wait_us);
     if (refusal != ER_OK) {
         _rq_refuse(policy, request, refusal,
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -216,6 +216,7 @@
     uint32_t team_tokens;     /* its part of the team's */
     uint8_t phase;
     uint8_t class_;
+    uint64_t none_us; /* since when no server could take it; 0: one could */
     uint8_t retries;
     uint8_t forwards;
     uint8_t moves;
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -285,11 +285,9 @@
     g_autofree char *tool = g_strdup_printf("%s/lacewing", fleet->bin);
     g_file_set_contents(file, text, -1, NULL);
     g_autoptr(GError) error = NULL;
-    g_autoptr(GSubprocess) init =
-        g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_SILENCE |
-                             G_SUBPROCESS_FLAGS_STDERR_SILENCE,
-                         &error, tool, "init", "--platform",
-                         fleet->platform->url, file, NULL);
+    g_autoptr(GSubprocess) init = g_subprocess_new(
+        G_SUBPROCESS_FLAGS_STDOUT_SILENCE | G_SUBPROCESS_FLAGS_STDERR_SILENCE,
+        &error, tool, "init", "--platform", fleet->platform->url, file, NULL);
     if (!init || !g_subprocess_wait_check(init, NULL, &error)) {
         g_printerr("fleet: lacewing init: %s\n", error->message);
         return false;
