Decisions: a server whose owner is not known is not forwarded to

Cause: owner 0 stood for nobody in the daemon and for an instance in the decisions, so requests were forwarded to nobody and came back until their retries ran out.

--- a/packages/daemon/src/scheduler_server.c
+++ b/packages/daemon/src/scheduler_server.c
@@ -317,6 +317,7 @@
         scheduler->policy, _sc_now_us(scheduler),
         &(lwd_server_desc){.tag = hs_u64(desc->name),
                            .zone = (uint32_t)hs_u64(desc->zone),
+                           .owner = LWD_OWNER_NONE,
                            .slots = desc->slots,
                            .adapter_slots = desc->adapter_slots,
                            .tokens_per_s = desc->tokens_per_s,
@@ -487,7 +488,8 @@
     char *copy = g_strdup(owner);
     g_free(server->owner);
     server->owner = copy;
-    uint32_t number = copy ? _sc_instance_number(scheduler, copy) : 0;
+    uint32_t number =
+        copy ? _sc_instance_number(scheduler, copy) : LWD_OWNER_NONE;
     _sc_feed(scheduler, &(lwd_event){.type = LWD_EVENT_OWNER,
                                      .server = server->id,
                                      .owned = false,
--- a/packages/decisions/include/lacewing/decisions.h
+++ b/packages/decisions/include/lacewing/decisions.h
@@ -124,6 +124,9 @@
     uint32_t parts_off;        /* lwd_part bits switched off */
 } lwd_desc;
 
+/* No instance is known to own a server: nothing is forwarded for it. */
+#define LWD_OWNER_NONE UINT32_MAX
+
 typedef struct lwd_server_desc {
     uint64_t tag;           /* the user's own name of it */
     uint32_t zone;          /* availability zone */
@@ -131,7 +134,7 @@
     uint32_t adapter_slots; /* adapters held at once; default 16 */
     uint32_t tokens_per_s;  /* of one request alone, if known; default 40 */
     uint32_t prefill_per_s; /* prompt tokens a second; default 4000 */
-    uint32_t owner;         /* instance that owns it */
+    uint32_t owner;         /* instance that owns it, or LWD_OWNER_NONE */
     bool owned;             /* this instance owns it */
     bool pausable;          /* its engine can pause and resume streams */
 } lwd_server_desc;
@@ -185,7 +188,8 @@
     LWD_EVENT_FORWARD_FAILED,
     /* A server's state changed. Fields: server, server_state. */
     LWD_EVENT_SERVER_STATE,
-    /* Who owns a server changed. Fields: server, owner, owned,
+    /* Who owns a server changed. Fields: server, owner (or LWD_OWNER_NONE),
+       owned,
        settle_us: no eviction there before this time, and only adapters named
        by LWD_EVENT_RESIDENT or loaded since are used (an engine that ignores
        fencing numbers may still get the old owner's orders). */
--- a/packages/decisions/src/routing.c
+++ b/packages/decisions/src/routing.c
@@ -155,8 +155,8 @@
 static bool
 _rt_can_forward(const dp_server *server)
 {
-    return !server->desc.owned && server->state == LWD_SERVER_READY &&
-           !server->told.ejected;
+    return !server->desc.owned && server->desc.owner != LWD_OWNER_NONE &&
+           server->state == LWD_SERVER_READY && !server->told.ejected;
 }
 
 static uint64_t
--- a/packages/decisions/tests/test_no_server.c
+++ b/packages/decisions/tests/test_no_server.c
@@ -19,8 +19,9 @@
 setup(void)
 {
     fx.policy = lwd_create(&(lwd_desc){.instance = 1});
-    fx.server = lwd_make_server(fx.policy, START_US,
-                                &(lwd_server_desc){.tag = 1, .zone = 1});
+    fx.server = lwd_make_server(
+        fx.policy, START_US,
+        &(lwd_server_desc){.tag = 1, .zone = 1, .owner = LWD_OWNER_NONE});
     fx.adapter =
         lwd_make_adapter(fx.policy, START_US, &(lwd_adapter_desc){.tag = 7});
 }
