Waits for a copy on its way count what waits there already

Such a copy was taken to be free after its load, so a whole crowd was let in behind it (test_hopeless_work_is_refused_at_once found it: 60 requests of 6 s on four slots, none refused). A share of 0 loads divided by zero in the load timer (test_no_share_no_loads).

--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -108,7 +108,7 @@
 static uint64_t
 _ld_interval_us(const dp_policy *policy)
 {
-    uint32_t rate = policy->desc.loads_per_s_milli;
+    uint32_t rate = MAX(policy->desc.loads_per_s_milli, 1);
     return (_LD_MILLI_LOAD_US + rate - 1) / rate;
 }
 
@@ -380,3 +380,13 @@
     uint64_t scarce_us = ld_query_wait_us(policy) * _LD_SCARCE_PCT / 100;
     return MAX(scarce_us, _LD_GAIN_MS * DP_US_PER_MS);
 }
+
+uint64_t
+ld_query_coming_us(const dp_policy *policy, const dp_copy *copy)
+{
+    uint64_t load_us = policy->desc.load_ms * DP_US_PER_MS;
+    if (copy->state == DP_COPY_LOADING) {
+        return load_us;
+    }
+    return load_us + _ld_interval_us(policy);
+}
--- a/packages/decisions/src/loads.h
+++ b/packages/decisions/src/loads.h
@@ -34,6 +34,8 @@
 /* queries */
 /* Expected wait of a request for an adapter that is held nowhere. */
 uint64_t ld_query_wait_us(const dp_policy *policy);
+/* Expected wait until a copy on its way is held. */
+uint64_t ld_query_coming_us(const dp_policy *policy, const dp_copy *copy);
 /* Less waiting that a further copy of an adapter must bring; it grows as
    loads are scarce. */
 uint64_t ld_query_gain_us(const dp_policy *policy);
--- a/packages/decisions/src/routing.c
+++ b/packages/decisions/src/routing.c
@@ -121,6 +121,20 @@
     return (uint64_t)((first + tokens / slots) * interval_us);
 }
 
+/* Expected wait for an own copy, held or on its way; UINT64_MAX: none. */
+static uint64_t
+_rt_copy_wait_us(const dp_policy *policy, const dp_copy *copy)
+{
+    if (!sv_query_usable(copy->server) || !cp_query_told(copy)) {
+        return UINT64_MAX;
+    }
+    uint64_t wait_us = rt_query_wait_us(policy, copy->server);
+    if (!cp_query_resident(copy)) {
+        wait_us += ld_query_coming_us(policy, copy);
+    }
+    return wait_us;
+}
+
 uint64_t
 rt_query_adapter_wait_us(const dp_policy *policy, const dp_adapter *adapter)
 {
@@ -129,10 +143,8 @@
     const li_link *link = adapter->copies.first;
     for (; link && seen < _RT_COPIES_MAX; link = link->next, seen++) {
         const dp_copy *copy = LI_ITEM(link, const dp_copy, of_adapter);
-        if (cp_query_resident(copy) && sv_query_usable(copy->server)) {
-            uint64_t wait_us = rt_query_wait_us(policy, copy->server);
-            least_us = MIN(least_us, wait_us);
-        }
+        uint64_t wait_us = _rt_copy_wait_us(policy, copy);
+        least_us = MIN(least_us, wait_us);
     }
     return least_us;
 }
@@ -263,10 +275,6 @@
             rt_route *route)
 {
     uint64_t wait_us = rt_query_adapter_wait_us(policy, request->adapter);
-    if (request->adapter->coming > 0) {
-        wait_us =
-            MIN(wait_us, ld_query_adapter_wait_us(policy, request->adapter));
-    }
     if (wait_us != UINT64_MAX) {
         *route = (rt_route){.kind = RT_WAIT, .wait_us = wait_us};
     }
