daemon: lends and borrows shares of the weight store; checks a server whose load order found nobody

Each instance had a fixed part of the rate. Peers now lend what they do not need by message; the share machine decides.

--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -73,6 +73,11 @@
                                          .incarnation = daemon->incarnation,
                                          .out = &_dn_owner_out,
                                          .user_data = daemon});
+    daemon->weights = wg_create(&(wg_desc){.timers = daemon->timers,
+                                           .instance = daemon->instance,
+                                           .seed = daemon->incarnation,
+                                           .out = &_dn_weights_out,
+                                           .user_data = daemon});
     daemon->config = cf_create(&(cf_desc){.timers = daemon->timers,
                                           .table = daemon->table,
                                           .objects = daemon->objects,
@@ -158,6 +163,7 @@
     mm_destroy(daemon->members);
     cf_destroy(daemon->config);
     on_destroy(daemon->owner);
+    wg_destroy(daemon->weights);
     cs_destroy(daemon->calls);
     sc_destroy(daemon->scheduler);
     fw_destroy(daemon->forwards);
--- a/packages/daemon/src/daemon_config.c
+++ b/packages/daemon/src/daemon_config.c
@@ -79,16 +79,6 @@
     }
 }
 
-static void
-_dn_set_weight_share(dn_daemon *daemon, const dc_config *config)
-{
-    const dc_limits *limits = dc_query_limits(config);
-    uint32_t instances = MAX(limits->entry_instances, 1);
-    uint32_t rate_milli = (uint32_t)(limits->loads_per_s * 1000.0) / instances;
-    uint32_t in_transit = MAX(limits->loads_at_once / instances, 1);
-    sc_set_weight_share(daemon->scheduler, rate_milli, in_transit);
-}
-
 void
 _dn_check_ready(dn_daemon *daemon)
 {
@@ -112,7 +102,7 @@
     }
     _dn_set_servers(daemon, config);
     _dn_set_models(daemon, config, previous);
-    _dn_set_weight_share(daemon, config);
+    wg_set_limits(daemon->weights, dc_query_limits(config));
     cs_set_config(daemon->calls, config);
     on_set_config(daemon->owner, config);
     if (daemon->ready) {
--- a/packages/daemon/src/daemon_out.c
+++ b/packages/daemon/src/daemon_out.c
@@ -56,12 +56,15 @@
     summary.backlog_ms = from->backlog_ms;
     summary.token_interval_us = from->token_interval_us;
     summary.ejected = from->ejected;
+    summary.load_wait_ms = from->load_wait_ms;
     summary.n_changes = from->change_count;
     summary.changes = list;
     Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
     envelope.body_case = LACEWING__ENVELOPE__BODY_SUMMARY;
     envelope.summary = &summary;
     _dn_broadcast(data, &envelope);
+    wg_take_load_wait(((dn_daemon *)data)->weights, server,
+                      from->load_wait_ms);
 }
 
 static void
@@ -289,6 +292,7 @@
         .backlog_ms = from->backlog_ms,
         .token_interval_us = from->token_interval_us,
         .ejected = from->ejected,
+        .load_wait_ms = from->load_wait_ms,
     };
     for (size_t i = 0; i < from->n_changes && i < LWD_SUMMARY_CHANGES; i++) {
         summary.changes[i].adapter_tag = from->changes[i]->model_tag;
@@ -320,6 +324,17 @@
     _dn_check_ready(daemon);
 }
 
+static void
+_dn_take_grant(dn_daemon *daemon, const char *instance,
+               const Lacewing__LoanGrant *from)
+{
+    wg_feed(daemon->weights, &(ws_event){.type = WS_EVENT_GRANT,
+                                         .instance = instance,
+                                         .number = from->number,
+                                         .rate_milli = from->loads_per_s_milli,
+                                         .duration_ms = from->duration_ms});
+}
+
 static void
 _dn_message(const pe_peer *peer, const Lacewing__Envelope *envelope,
             void *data)
@@ -339,6 +354,17 @@
         sc_take_suspect(daemon->scheduler, envelope->suspect->fingerprint,
                         envelope->suspect->deaths);
         break;
+    case LACEWING__ENVELOPE__BODY_LOAN_ASK:
+        wg_feed(
+            daemon->weights,
+            &(ws_event){.type = WS_EVENT_ASK,
+                        .instance = peer->instance,
+                        .number = envelope->loan_ask->number,
+                        .rate_milli = envelope->loan_ask->loads_per_s_milli});
+        break;
+    case LACEWING__ENVELOPE__BODY_LOAN_GRANT:
+        _dn_take_grant(daemon, peer->instance, envelope->loan_grant);
+        break;
     case LACEWING__ENVELOPE__BODY_CONFIG_FETCH:
         cf_feed(daemon->config,
                 &(cc_event){.type = CC_EVENT_FETCH,
@@ -377,6 +403,9 @@
         sc_set_reachable(daemon->scheduler, action->instance, false);
     }
     bool alive = action->state != CO_PEER_DEAD;
+    wg_feed(daemon->weights, &(ws_event){.type = WS_EVENT_PEER,
+                                         .instance = action->instance,
+                                         .alive = alive});
     cs_take_peer(daemon->calls, action->instance, action->incarnation, alive);
     if (!alive) {
         cf_feed(daemon->config, &(cc_event){.type = CC_EVENT_PEER_GONE,
@@ -458,3 +487,46 @@
     .listed = _dn_listed,
     .unlisted = _dn_unlisted,
 };
+
+/* -- weights ----------------------------------------------------------------
+ */
+
+static void
+_dn_share(uint32_t rate_milli, uint32_t in_transit, void *data)
+{
+    sc_set_weight_share(((dn_daemon *)data)->scheduler, rate_milli,
+                        in_transit);
+}
+
+static void
+_dn_loan_ask(const char *instance, uint64_t number, uint32_t rate_milli,
+             void *data)
+{
+    Lacewing__LoanAsk ask = LACEWING__LOAN_ASK__INIT;
+    ask.number = number;
+    ask.loads_per_s_milli = rate_milli;
+    Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+    envelope.body_case = LACEWING__ENVELOPE__BODY_LOAN_ASK;
+    envelope.loan_ask = &ask;
+    mm_send(((dn_daemon *)data)->members, instance, &envelope);
+}
+
+static void
+_dn_loan_grant(const char *instance, uint64_t number, uint32_t rate_milli,
+               uint32_t duration_ms, void *data)
+{
+    Lacewing__LoanGrant grant = LACEWING__LOAN_GRANT__INIT;
+    grant.number = number;
+    grant.loads_per_s_milli = rate_milli;
+    grant.duration_ms = duration_ms;
+    Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+    envelope.body_case = LACEWING__ENVELOPE__BODY_LOAN_GRANT;
+    envelope.loan_grant = &grant;
+    mm_send(((dn_daemon *)data)->members, instance, &envelope);
+}
+
+const wg_out _dn_weights_out = {
+    .share = _dn_share,
+    .ask = _dn_loan_ask,
+    .grant = _dn_loan_grant,
+};
--- a/packages/daemon/src/daemon_private.h
+++ b/packages/daemon/src/daemon_private.h
@@ -7,8 +7,8 @@
 #include "daemon.h"
 #include "forwards.h"
 #include "lacewing/admin.h"
-#include "lacewing/weight_share.h"
 #include "owner_task.h"
+#include "weight_task.h"
 #include <libsoup/soup.h>
 
 struct dn_daemon {
@@ -23,6 +23,7 @@
     cs_calls *calls;
     cf_task *config;
     on_task *owner;
+    wg_task *weights;
     mm_members *members;
     fw_forwards *forwards;
     ex_ring *explain;
@@ -50,6 +51,7 @@
 extern const cf_out _dn_config_out;
 extern const on_out _dn_owner_out;
 extern const mm_out _dn_members_out;
+extern const wg_out _dn_weights_out;
 
 /* daemon_config.c: a new version, carried to the tasks */
 void _dn_config_changed(const dc_config *config, const dc_config *previous,
--- a/packages/daemon/src/scheduler_server.c
+++ b/packages/daemon/src/scheduler_server.c
@@ -44,6 +44,9 @@
                  er_query_name(result->code), NULL);
     }
     _sc_order_ended(order, result->code);
+    if (server && result->code == ER_CONNECTION) {
+        _sc_server_check(server);
+    }
     if (server && result->code == ER_FENCED) {
         scheduler->out->fenced(server->name, scheduler->out_data);
     }
--- a/packages/wire/src/lacewing.pb-c.c
+++ b/packages/wire/src/lacewing.pb-c.c
@@ -1260,7 +1260,7 @@
   (ProtobufCMessageInit) lacewing__server_change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__server_summary__field_descriptors[9] =
+static const ProtobufCFieldDescriptor lacewing__server_summary__field_descriptors[10] =
 {
   {
     "server",
@@ -1370,12 +1370,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load_wait_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__ServerSummary, load_wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__server_summary__field_indices_by_name[] = {
   5,   /* field[5] = backlog_ms */
   8,   /* field[8] = changes */
   7,   /* field[7] = ejected */
   1,   /* field[1] = fence */
+  9,   /* field[9] = load_wait_ms */
   3,   /* field[3] = running */
   2,   /* field[2] = sequence */
   0,   /* field[0] = server */
@@ -1385,7 +1398,7 @@
 static const ProtobufCIntRange lacewing__server_summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lacewing__server_summary__descriptor =
 {
@@ -1395,7 +1408,7 @@
   "Lacewing__ServerSummary",
   "lacewing",
   sizeof(Lacewing__ServerSummary),
-  9,
+  10,
   lacewing__server_summary__field_descriptors,
   lacewing__server_summary__field_indices_by_name,
   1,  lacewing__server_summary__number_ranges,
--- a/packages/wire/src/lacewing.pb-c.h
+++ b/packages/wire/src/lacewing.pb-c.h
@@ -182,10 +182,11 @@
   protobuf_c_boolean ejected;
   size_t n_changes;
   Lacewing__ServerChange **changes;
+  uint32_t load_wait_ms;
 };
 #define LACEWING__SERVER_SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__server_summary__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
