--- a/packages/control/include/lacewing/membership.h
+++ b/packages/control/include/lacewing/membership.h
@@ -10,9 +10,10 @@
  * further, so cost per daemon does not grow with the number of daemons.
  *
  * A peer not heard of, directly or by samples, is suspect and then dead on
- * this daemon's own clock. A dead incarnation comes back only by a heartbeat
- * of its own that is newer than any known (it was cut off, not dead); samples
- * and the platform's list never bring it back. A higher incarnation of the
+ * this daemon's own clock; the word of another that saw it die counts unless
+ * it was heard directly of late. A dead incarnation comes back only when its
+ * own sequence is seen to grow, directly or in samples (it was cut off, not
+ * dead); the platform's list never brings it back. A higher incarnation of the
  * same instance always does. The list only adds addresses and leaving marks.
  *
  *     mb_machine *mb = mb_create(&(mb_desc){.instance = "a", .zone = "z1",
@@ -42,18 +43,19 @@
     uint64_t incarnation;      /* required */
     uint64_t seed;             /* default 1 */
     uint32_t period_ms;        /* of heartbeats on one link; default 250 */
-    uint32_t remote_period_ms; /* on links to other zones; default 500 */
+    uint32_t remote_period_ms; /* on links to other zones; default 1000 */
     uint32_t zone_links;       /* default 6 */
     uint32_t remote_links;     /* in each other zone; default 1 */
-    uint32_t sample;           /* peers carried along; default 8 */
-    uint32_t suspect_ms;       /* default 800 */
-    uint32_t dead_ms;          /* default 1200, of peers with a link */
-    uint32_t far_dead_ms;      /* of peers known by samples; default 10000 */
-    uint32_t forget_ms;        /* dead peers kept; default 600000 */
-    uint32_t leaving_repeat;   /* heartbeats that name a leaving server;
-                                  default 8 on each link */
-    uint32_t peer_capacity;    /* default 1024 */
-    bool unsafe_list_revives;  /* tests only: the list brings back the dead */
+    uint32_t sample;      /* peers carried along within the zone, twice as many
+                             across; default 2 */
+    uint32_t suspect_ms;  /* default 800 */
+    uint32_t dead_ms;     /* default 1200, of peers with a link */
+    uint32_t far_dead_ms; /* of peers known by samples; default 30000 */
+    uint32_t forget_ms;   /* dead peers kept; default 600000 */
+    uint32_t leaving_repeat;  /* heartbeats that name a leaving server;
+                                 default 8 on each link */
+    uint32_t peer_capacity;   /* default 1024 */
+    bool unsafe_list_revives; /* tests only: the list brings back the dead */
 } mb_desc;
 
 typedef struct mb_peer {
@@ -75,6 +77,9 @@
                                  not known */
     uint64_t config_version;
     co_peer_state state;
+    bool watch;  /* the receiver is one of those that watch over the sender
+                    (ownership.h) from now on; else it is not any more */
+    bool answer; /* sent because the receiver sends, by no plan of its own */
     const mb_peer *peers;
     size_t peer_count;
     const char *const *leaving_servers;
@@ -121,12 +126,15 @@
        incarnation, state. */
     MB_ACTION_PEER,
     /* A peer's own heartbeat was taken in. Fields: instance, zone,
-       incarnation, version (of its configuration), names_us (it was meant
-       for our current incarnation). */
+       incarnation, version (of its configuration), names_us (it asks our
+       current incarnation to watch). */
     MB_ACTION_HEARD,
     /* A peer acknowledged a heartbeat of ours. Fields: instance, zone,
        incarnation, sent_us. */
     MB_ACTION_ACKED,
+    /* A peer knows that it does not watch over us any more. Fields: instance,
+       zone, incarnation. */
+    MB_ACTION_UNWATCHED,
     /* A backend server is leaving: nothing new to it; said once. Fields:
        server. */
     MB_ACTION_SERVER_LEAVING,
@@ -143,7 +151,7 @@
     uint64_t sent_us;
     uint64_t version;
     co_peer_state state;
-    bool names_us;
+    bool names_us; /* of a heartbeat that asks us to watch */
     mb_heartbeat heartbeat;
 } mb_action;
 
--- a/packages/control/include/lacewing/ownership.h
+++ b/packages/control/include/lacewing/ownership.h
@@ -34,7 +34,8 @@
  * unless it is OW_USE_FULL. A process that was paused finds its lease lapsed
  * there, however old its last tick is.
  *
- * Wiring: each MB_ACTION_SEND, before it is sent, feeds OW_EVENT_SENT; each
+ * Wiring: each MB_ACTION_SEND with heartbeat.watch set feeds OW_EVENT_SENT
+ * before it is sent; each MB_ACTION_UNWATCHED,
  * MB_ACTION_HEARD, MB_ACTION_ACKED and MB_ACTION_PEER feeds the event of the
  * same name; OW_ACTION_REFUSE feeds MB_EVENT_REFUSED at once.
  *
@@ -97,10 +98,14 @@
     /* A peer's state as membership sees it. Fields: instance, zone,
        incarnation, state. */
     OW_EVENT_PEER,
-    /* A heartbeat goes to a peer now. Fields: instance, zone, incarnation. */
+    /* A heartbeat that asks a peer to watch goes out now. Fields: instance,
+       zone, incarnation. */
     OW_EVENT_SENT,
+    /* A peer knows that it watches no more. Fields: instance, zone,
+       incarnation. */
+    OW_EVENT_UNWATCHED,
     /* A peer's own heartbeat came in. Fields: instance, incarnation,
-       names_us (it was meant for our current incarnation). */
+       names_us (it asks our current incarnation to watch). */
     OW_EVENT_HEARD,
     /* A peer acknowledged a heartbeat of ours. Fields: instance,
        incarnation, sent_us (when we sent it). */
--- a/packages/control/src/membership.c
+++ b/packages/control/src/membership.c
@@ -3,13 +3,13 @@
 #include <string.h>
 
 #define _MB_PERIOD_MS 250
-#define _MB_REMOTE_PERIOD_MS 500
+#define _MB_REMOTE_PERIOD_MS 1000
 #define _MB_ZONE_LINKS 6
 #define _MB_REMOTE_LINKS 1
-#define _MB_SAMPLE_DEFAULT 8
+#define _MB_SAMPLE_DEFAULT 2
 #define _MB_SUSPECT_MS 800
 #define _MB_DEAD_MS 1200
-#define _MB_FAR_DEAD_MS 10000
+#define _MB_FAR_DEAD_MS 30000
 #define _MB_FORGET_MS 600000
 #define _MB_LEAVING_REPEAT 8
 #define _MB_PEER_CAPACITY 1024
@@ -17,6 +17,21 @@
 /* -- private: events
  * ---------------------------------------------------------- */
 
+/* Another saw it die. Who hears of it directly knows better. */
+static void
+_mb_take_death(mb_machine *mb, uint64_t now_us, _mb_peer *peer,
+               const mb_peer *seen)
+{
+    bool fresh =
+        peer->direct && now_us - peer->heard_us < _co_us(mb->desc.suspect_ms);
+    if (seen->incarnation == peer->incarnation &&
+        seen->sequence >= peer->sequence && !fresh) {
+        peer->sequence = seen->sequence;
+        _mb_peer_set_state(mb, peer, CO_PEER_DEAD, now_us);
+        _mb_peer_tell(mb, peer);
+    }
+}
+
 static void
 _mb_take_sampled(mb_machine *mb, uint64_t now_us, const mb_peer *seen)
 {
@@ -31,6 +46,10 @@
     if (!peer || seen->incarnation < peer->incarnation) {
         return;
     }
+    if (seen->state == CO_PEER_DEAD) {
+        _mb_take_death(mb, now_us, peer, seen);
+        return;
+    }
     bool newer_life = seen->incarnation > peer->incarnation;
     if (!newer_life && seen->sequence <= peer->sequence) {
         return;
@@ -41,12 +60,10 @@
     }
     peer->sequence = seen->sequence;
     peer->config_version = MAX(peer->config_version, seen->config_version);
-    /* Only its own heartbeat brings a dead incarnation back. */
-    if (newer_life || peer->state != CO_PEER_DEAD) {
-        peer->evidence_us = now_us;
-        if (!(peer->linked && peer->direct)) {
-            _mb_peer_set_state(mb, peer, seen->state, now_us);
-        }
+    /* Only the peer itself makes its sequence grow: it lives. */
+    peer->evidence_us = now_us;
+    if (!(peer->linked && peer->direct) || peer->state == CO_PEER_DEAD) {
+        _mb_peer_set_state(mb, peer, seen->state, now_us);
     }
     _mb_peer_tell(mb, peer);
 }
@@ -86,6 +103,24 @@
     action->sent_us = peer->sent[slot].sent_us;
 }
 
+/* It has seen a heartbeat that no longer asks it to watch. */
+static void
+_mb_take_unwatched(mb_machine *mb, _mb_peer *peer,
+                   const mb_heartbeat *heartbeat)
+{
+    bool ours = heartbeat->ack_incarnation == mb->incarnation;
+    if (!peer->watched || !ours ||
+        heartbeat->ack_sequence <= peer->watch_sequence) {
+        return;
+    }
+    peer->watched = false;
+    mb_action *action = _co_outbox_push(mb->out);
+    action->type = MB_ACTION_UNWATCHED;
+    action->instance = _co_outbox_text(mb->out, peer->instance);
+    action->zone = _co_outbox_text(mb->out, peer->zone);
+    action->incarnation = peer->incarnation;
+}
+
 static void
 _mb_say_heard(mb_machine *mb, const _mb_peer *peer,
               const mb_heartbeat *heartbeat)
@@ -94,7 +129,8 @@
     action->type = MB_ACTION_HEARD;
     action->instance = _co_outbox_text(mb->out, peer->instance);
     action->zone = _co_outbox_text(mb->out, peer->zone);
-    action->names_us = heartbeat->ack_incarnation == mb->incarnation;
+    action->names_us =
+        heartbeat->watch && heartbeat->ack_incarnation == mb->incarnation;
     action->incarnation = peer->incarnation;
     action->version = peer->config_version;
 }
@@ -127,6 +163,7 @@
     }
     peer->direct = true;
     peer->heard_us = now_us;
+    peer->asked_us = heartbeat->answer ? peer->asked_us : now_us;
     peer->evidence_us = now_us;
     _mb_peer_set_state(mb, peer, heartbeat->state, now_us);
     return peer;
@@ -147,6 +184,7 @@
     _mb_peer_tell(mb, peer);
     _mb_say_heard(mb, peer, heartbeat);
     _mb_take_ack(mb, peer, heartbeat);
+    _mb_take_unwatched(mb, peer, heartbeat);
     for (size_t i = 0; i < heartbeat->peer_count; i++) {
         _mb_take_sampled(mb, now_us, &heartbeat->peers[i]);
     }
--- a/packages/control/src/membership_internal.h
+++ b/packages/control/src/membership_internal.h
@@ -16,6 +16,8 @@
 #define _MB_PROBE_US UINT64_C(2000000) /* between heartbeats to the dead */
 #define _MB_PAUSE_US UINT64_C(300000)  /* a look this late: we were paused */
 #define _MB_SENT_RING 32               /* heartbeats whose times are kept */
+#define _MB_NEWS_SENDS 8 /* heartbeats that carry a change first */
+#define _MB_SENT_RING 32 /* heartbeats whose times are kept */
 
 typedef struct _mb_peer {
     char *instance;
@@ -31,13 +33,17 @@
     uint64_t told_incarnation;
     bool listed; /* in the platform's list */
     bool listed_leaving;
-    bool direct;          /* this incarnation sent us a heartbeat */
-    bool linked;          /* heartbeats go to it */
-    uint64_t evidence_us; /* when it was last known to live */
-    uint64_t heard_us;    /* when its own heartbeat last came */
-    uint64_t dead_us;     /* when it was found dead */
-    uint64_t send_us;     /* next heartbeat to it */
-    GHashTable *named;    /* leaving server -> times named to it */
+    bool direct;             /* this incarnation sent us a heartbeat */
+    bool linked;             /* heartbeats go to it */
+    bool watched;            /* it was asked to watch, and may still */
+    uint64_t watch_sequence; /* newest heartbeat that asked it */
+    uint64_t evidence_us;    /* when it was last known to live */
+    uint64_t heard_us;       /* when its own heartbeat last came */
+    uint64_t asked_us;       /* when one came that was no answer */
+    uint32_t news;           /* heartbeats still to carry its change first */
+    uint64_t dead_us;        /* when it was found dead */
+    uint64_t send_us;        /* next heartbeat to it */
+    GHashTable *named;       /* leaving server -> times named to it */
     struct {
         uint64_t sequence;
         uint64_t sent_us;
--- a/packages/control/src/membership_peer.c
+++ b/packages/control/src/membership_peer.c
@@ -65,6 +65,8 @@
     peer->heard_sequence = 0;
     peer->config_version = 0;
     peer->direct = false;
+    peer->watched = false;
+    peer->asked_us = 0;
     peer->state = CO_PEER_STARTING;
     memset(peer->sent, 0, sizeof(peer->sent));
     g_hash_table_remove_all(peer->named);
@@ -98,6 +100,9 @@
         peer->dead_us = now_us;
     }
     peer->state = state;
+    if (state != CO_PEER_SUSPECT) {
+        peer->news = _MB_NEWS_SENDS;
+    }
 }
 
 void
--- a/packages/control/src/membership_send.c
+++ b/packages/control/src/membership_send.c
@@ -121,28 +121,51 @@
 /* -- private: what
  * ------------------------------------------------------------ */
 
-/* A turn of the peers that are known to live or to have died lately. */
+static mb_peer
+_mb_copy(mb_machine *mb, const _mb_peer *peer)
+{
+    bool suspect = peer->state == CO_PEER_SUSPECT;
+    return (mb_peer){
+        .instance = _co_outbox_text(mb->out, peer->instance),
+        .zone = _co_outbox_text(mb->out, peer->zone),
+        .address = _co_outbox_text(mb->out, peer->address),
+        .incarnation = peer->incarnation,
+        .sequence = peer->sequence,
+        .config_version = peer->config_version,
+        .state = suspect ? CO_PEER_READY : peer->state,
+    };
+}
+
+/* Peers whose state changed lately. */
 static size_t
-_mb_sample(mb_machine *mb, const _mb_peer *receiver, mb_peer *sample)
+_mb_sample_news(mb_machine *mb, const _mb_peer *receiver, mb_peer *sample,
+                size_t most)
 {
     size_t count = 0;
+    for (guint i = 0; i < mb->order->len && count < most; i++) {
+        _mb_peer *peer = mb->order->pdata[i];
+        if (peer != receiver && peer->incarnation && peer->news > 0) {
+            peer->news--;
+            sample[count++] = _mb_copy(mb, peer);
+        }
+    }
+    return count;
+}
+
+/* A turn of the peers that are known to live, after the news. */
+static size_t
+_mb_sample(mb_machine *mb, const _mb_peer *receiver, mb_peer *sample)
+{
+    bool near = strcmp(receiver->zone, mb->desc.zone) == 0;
+    size_t turn = MIN(mb->desc.sample * (near ? 1 : 2), MB_SAMPLE);
+    size_t count = _mb_sample_news(mb, receiver, sample, MB_SAMPLE - turn);
+    size_t most = count + turn;
     guint total = mb->order->len;
-    for (guint i = 0; i < total && count < mb->desc.sample; i++) {
+    for (guint i = 0; i < total && count < most; i++) {
         const _mb_peer *peer = mb->order->pdata[mb->sample_cursor++ % total];
-        if (peer == receiver || !peer->incarnation) {
-            continue;
+        if (peer != receiver && _mb_peer_alive(peer)) {
+            sample[count++] = _mb_copy(mb, peer);
         }
-        co_peer_state state =
-            peer->state == CO_PEER_SUSPECT ? CO_PEER_READY : peer->state;
-        sample[count++] = (mb_peer){
-            .instance = _co_outbox_text(mb->out, peer->instance),
-            .zone = _co_outbox_text(mb->out, peer->zone),
-            .address = _co_outbox_text(mb->out, peer->address),
-            .incarnation = peer->incarnation,
-            .sequence = peer->sequence,
-            .config_version = peer->config_version,
-            .state = state,
-        };
     }
     return count;
 }
@@ -166,6 +189,32 @@
     return count;
 }
 
+static uint64_t
+_mb_period_us(const mb_machine *mb, const _mb_peer *peer)
+{
+    if (peer->state == CO_PEER_DEAD || !peer->incarnation) {
+        return _MB_PROBE_US;
+    }
+    bool near = strcmp(peer->zone, mb->desc.zone) == 0;
+    return _co_us(near ? mb->desc.period_ms : mb->desc.remote_period_ms);
+}
+
+/* Not linked by our plan, but by its. An answer calls for no answer, so that
+   such a link ends with the plan that made it. */
+static bool
+_mb_is_answer(const mb_machine *mb, const _mb_peer *peer, uint64_t now_us)
+{
+    uint64_t wait_us = 3 * _mb_period_us(mb, peer);
+    return !peer->linked && peer->direct && peer->asked_us &&
+           now_us - peer->asked_us < wait_us;
+}
+
+static bool
+_mb_asks_to_watch(const mb_machine *mb, const _mb_peer *peer)
+{
+    return peer->linked && strcmp(peer->zone, mb->desc.zone) == 0;
+}
+
 static void
 _mb_send(mb_machine *mb, _mb_peer *peer, uint64_t now_us)
 {
@@ -173,6 +222,11 @@
     size_t slot = sequence % _MB_SENT_RING;
     peer->sent[slot].sequence = sequence;
     peer->sent[slot].sent_us = now_us;
+    bool watch = _mb_asks_to_watch(mb, peer);
+    if (watch) {
+        peer->watched = true;
+        peer->watch_sequence = sequence;
+    }
     mb_action *action = _co_outbox_push(mb->out);
     mb_peer *sample = g_new0(mb_peer, MB_SAMPLE);
     const char **leaving = g_new0(const char *, MB_LEAVING_SERVERS);
@@ -191,6 +245,8 @@
         .ack_incarnation = peer->incarnation,
         .config_version = mb->config_version,
         .state = mb->state,
+        .watch = watch,
+        .answer = _mb_is_answer(mb, peer, now_us),
         .peers = sample,
         .peer_count = _mb_sample(mb, peer, sample),
         .leaving_servers = leaving,
@@ -201,26 +257,17 @@
 /* -- private: when
  * ------------------------------------------------------------ */
 
-static uint64_t
-_mb_period_us(const mb_machine *mb, const _mb_peer *peer)
-{
-    if (peer->state == CO_PEER_DEAD || !peer->incarnation) {
-        return _MB_PROBE_US;
-    }
-    bool near = strcmp(peer->zone, mb->desc.zone) == 0;
-    return _co_us(near ? mb->desc.period_ms : mb->desc.remote_period_ms);
-}
-
-/* Linked peers, whoever sends to us, and now and then the dead that the
-   platform still lists or that may be cut off. */
+/* Linked peers, whoever asks us by its plan, and now and then the dead that
+   the platform still lists or that may be cut off. */
 static bool
 _mb_gets_heartbeats(const mb_machine *mb, const _mb_peer *peer,
                     uint64_t now_us)
 {
-    if (peer->linked || peer->state == CO_PEER_DEAD || !peer->incarnation) {
+    if (peer->linked || peer->watched || peer->state == CO_PEER_DEAD ||
+        !peer->incarnation) {
         return true;
     }
-    return peer->direct && now_us - peer->heard_us < _co_us(mb->desc.dead_ms);
+    return _mb_is_answer(mb, peer, now_us);
 }
 
 void
--- a/packages/control/src/ownership.c
+++ b/packages/control/src/ownership.c
@@ -369,9 +369,12 @@
     case OW_EVENT_SENT:
         _ow_feed_sent(ow, now_us, peer);
         return ER_OK;
+    case OW_EVENT_UNWATCHED:
+        peer->sent = false;
+        return ER_OK;
     case OW_EVENT_HEARD:
         peer->heard_us = now_us;
-        peer->direct = peer->direct || event->names_us;
+        peer->direct = event->names_us;
         return ER_OK;
     case OW_EVENT_ACKED:
         peer->acked_us = MAX(peer->acked_us, event->sent_us);
@@ -522,6 +525,7 @@
         return _ow_feed_table(ow, now_us, event->table);
     case OW_EVENT_PEER:
     case OW_EVENT_SENT:
+    case OW_EVENT_UNWATCHED:
     case OW_EVENT_HEARD:
     case OW_EVENT_ACKED:
         return _ow_feed_peer(ow, now_us, event);
--- a/packages/daemon/src/daemon_out.c
+++ b/packages/daemon/src/daemon_out.c
@@ -433,8 +433,17 @@
     dn_daemon *daemon = data;
     switch (action->type) {
     case MB_ACTION_SEND:
+        if (action->heartbeat.watch) {
+            on_feed(daemon->owner,
+                    &(ow_event){.type = OW_EVENT_SENT,
+                                .instance = action->instance,
+                                .zone = action->zone,
+                                .incarnation = action->incarnation});
+        }
+        break;
+    case MB_ACTION_UNWATCHED:
         on_feed(daemon->owner,
-                &(ow_event){.type = OW_EVENT_SENT,
+                &(ow_event){.type = OW_EVENT_UNWATCHED,
                             .instance = action->instance,
                             .zone = action->zone,
                             .incarnation = action->incarnation});
--- a/packages/daemon/src/members.c
+++ b/packages/daemon/src/members.c
@@ -61,6 +61,8 @@
     to.ack_sequence = from->ack_sequence;
     to.ack_incarnation = from->ack_incarnation;
     to.incarnation = from->incarnation;
+    to.watch = from->watch;
+    to.answer = from->answer;
     to.leaving_servers = (char **)from->leaving_servers;
     to.n_leaving_servers = from->leaving_count;
     Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
@@ -94,6 +96,8 @@
         .ack_incarnation = from->ack_incarnation,
         .config_version = from->config_version,
         .state = (co_peer_state)from->state,
+        .watch = from->watch,
+        .answer = from->answer,
         .peers = peers,
         .peer_count = count,
         .leaving_servers = (const char *const *)from->leaving_servers,
--- a/packages/wire/src/lacewing.pb-c.c
+++ b/packages/wire/src/lacewing.pb-c.c
@@ -978,7 +978,7 @@
   (ProtobufCMessageInit) lacewing__heartbeat_peer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__heartbeat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lacewing__heartbeat__field_descriptors[10] =
 {
   {
     "sequence",
@@ -1076,21 +1076,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answer",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Heartbeat, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "watch",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Heartbeat, watch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__heartbeat__field_indices_by_name[] = {
   7,   /* field[7] = ack_incarnation */
   5,   /* field[5] = ack_sequence */
+  8,   /* field[8] = answer */
   2,   /* field[2] = config_version */
   6,   /* field[6] = incarnation */
   4,   /* field[4] = leaving_servers */
   3,   /* field[3] = peers */
   0,   /* field[0] = sequence */
   1,   /* field[1] = state */
+  9,   /* field[9] = watch */
 };
 static const ProtobufCIntRange lacewing__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lacewing__heartbeat__descriptor =
 {
@@ -1100,7 +1126,7 @@
   "Lacewing__Heartbeat",
   "lacewing",
   sizeof(Lacewing__Heartbeat),
-  8,
+  10,
   lacewing__heartbeat__field_descriptors,
   lacewing__heartbeat__field_indices_by_name,
   1,  lacewing__heartbeat__number_ranges,
--- a/packages/wire/src/lacewing.pb-c.h
+++ b/packages/wire/src/lacewing.pb-c.h
@@ -118,10 +118,18 @@
    * of the other end, whose ack_sequence it is
    */
   uint64_t ack_incarnation;
+  /*
+   * sent only because the other end sends
+   */
+  protobuf_c_boolean answer;
+  /*
+   * the other end watches over the sender
+   */
+  protobuf_c_boolean watch;
 };
 #define LACEWING__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__heartbeat__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Lacewing__ConfigFetch
