--- a/packages/control/src/membership.c
+++ b/packages/control/src/membership.c
@@ -17,27 +17,43 @@
 /* -- private: events
  * ---------------------------------------------------------- */
 
-/* Another saw it die. Who hears of it directly knows better. */
+/* Another saw it die. Who had a sign of life lately knows better. */
 static void
 _mb_take_death(mb_machine *mb, uint64_t now_us, _mb_peer *peer,
                const mb_peer *seen)
 {
-    bool fresh =
-        peer->direct && now_us - peer->heard_us < _co_us(mb->desc.suspect_ms);
-    if (seen->incarnation == peer->incarnation &&
-        seen->sequence >= peer->sequence && !fresh) {
-        peer->sequence = seen->sequence;
+    bool fresh = now_us - peer->evidence_us < _co_us(mb->desc.dead_ms);
+    bool near = seen->sequence + _MB_SLACK >= peer->sequence;
+    if (seen->incarnation == peer->incarnation && near && !fresh) {
+        peer->sequence = MAX(peer->sequence, seen->sequence);
         _mb_peer_set_state(mb, peer, CO_PEER_DEAD, now_us);
         _mb_peer_tell(mb, peer);
     }
 }
 
+/* Somebody takes us for dead: the next heartbeat is newer than any word. */
+static void
+_mb_refute(mb_machine *mb, uint64_t now_us, const mb_peer *seen)
+{
+    bool ours =
+        seen->state == CO_PEER_DEAD && seen->incarnation == mb->incarnation;
+    if (ours && now_us >= mb->refuted_us + _MB_REFUTE_US) {
+        mb->refuted_us = now_us;
+        mb->sequence += 2 * _MB_SLACK;
+        _mb_send_soon(mb, now_us);
+    }
+}
+
 static void
 _mb_take_sampled(mb_machine *mb, uint64_t now_us, const mb_peer *seen)
 {
     if (!seen->instance || !seen->incarnation) {
         return;
     }
+    if (strcmp(seen->instance, mb->desc.instance) == 0) {
+        _mb_refute(mb, now_us, seen);
+        return;
+    }
     _mb_peer *peer = _mb_peer_find(mb, seen->instance);
     if (!peer && seen->state != CO_PEER_DEAD) {
         peer = _mb_peer_make(mb, now_us, seen->instance, seen->zone,
@@ -54,6 +70,11 @@
     if (!newer_life && seen->sequence <= peer->sequence) {
         return;
     }
+    bool late = peer->state == CO_PEER_DEAD &&
+                seen->sequence <= peer->sequence + _MB_SLACK;
+    if (!newer_life && late) {
+        return; /* said before it died */
+    }
     if (newer_life) {
         _mb_peer_set_incarnation(mb, peer, seen->incarnation);
         _mb_peer_set_address(mb, peer, seen->zone, seen->address);
--- a/packages/control/src/membership_internal.h
+++ b/packages/control/src/membership_internal.h
@@ -12,12 +12,15 @@
 #include "lacewing/membership.h"
 #include "support.h"
 
-#define _MB_WORK_US UINT64_C(20000)    /* between looks at all peers */
-#define _MB_PROBE_US UINT64_C(2000000) /* between heartbeats to the dead */
-#define _MB_PAUSE_US UINT64_C(300000)  /* a look this late: we were paused */
-#define _MB_SENT_RING 32               /* heartbeats whose times are kept */
-#define _MB_NEWS_SENDS 8 /* heartbeats that carry a change first */
-#define _MB_SENT_RING 32 /* heartbeats whose times are kept */
+#define _MB_WORK_US UINT64_C(20000)     /* between looks at all peers */
+#define _MB_PROBE_US UINT64_C(2000000)  /* between heartbeats to the dead */
+#define _MB_PAUSE_US UINT64_C(300000)   /* a look this late: we were paused */
+#define _MB_SENT_RING 32                /* heartbeats whose times are kept */
+#define _MB_NEWS_US UINT64_C(5000000)   /* a change of state goes first */
+#define _MB_REFUTE_US UINT64_C(1000000) /* between words that we live */
+/* Heartbeats that a daemon sends in some seconds: within this, words of
+   different peers about its sequence are of the same time. */
+#define _MB_SLACK 100
 
 typedef struct _mb_peer {
     char *instance;
@@ -40,7 +43,7 @@
     uint64_t evidence_us;    /* when it was last known to live */
     uint64_t heard_us;       /* when its own heartbeat last came */
     uint64_t asked_us;       /* when one came that was no answer */
-    uint32_t news;           /* heartbeats still to carry its change first */
+    uint64_t news_us;        /* heartbeats carry its change first until then */
     uint64_t dead_us;        /* when it was found dead */
     uint64_t send_us;        /* next heartbeat to it */
     GHashTable *named;       /* leaving server -> times named to it */
@@ -62,6 +65,7 @@
     uint64_t sequence;
     uint64_t config_version;
     co_peer_state state;
+    uint64_t refuted_us; /* when we last said that we live */
     uint32_t sample_cursor;
     uint64_t work_us;
     bool links_stale; /* who is linked must be worked out again */
--- a/packages/control/src/membership_peer.c
+++ b/packages/control/src/membership_peer.c
@@ -98,10 +98,11 @@
     if ((peer->state == CO_PEER_DEAD) != (state == CO_PEER_DEAD)) {
         mb->links_stale = true;
         peer->dead_us = now_us;
+        peer->send_us = now_us;
     }
     peer->state = state;
     if (state != CO_PEER_SUSPECT) {
-        peer->news = _MB_NEWS_SENDS;
+        peer->news_us = now_us + _MB_NEWS_US;
     }
 }
 
@@ -131,12 +132,16 @@
     }
     bool near = peer->linked && peer->direct;
     uint64_t seen_us = near ? peer->heard_us : peer->evidence_us;
-    uint32_t dead_ms = near ? mb->desc.dead_ms : mb->desc.far_dead_ms;
+    bool remote = strcmp(peer->zone, mb->desc.zone) != 0;
+    /* As many heartbeats as within the zone. */
+    uint32_t times =
+        remote ? 1 + mb->desc.remote_period_ms / mb->desc.period_ms : 1;
+    uint32_t dead_ms = near ? mb->desc.dead_ms * times : mb->desc.far_dead_ms;
     uint64_t silent_us = now_us - MIN(seen_us, now_us);
     if (silent_us >= _co_us(dead_ms)) {
         _mb_peer_set_state(mb, peer, CO_PEER_DEAD, now_us);
     }
-    else if (near && silent_us >= _co_us(mb->desc.suspect_ms)) {
+    else if (near && silent_us >= _co_us(mb->desc.suspect_ms * times)) {
         _mb_peer_set_state(mb, peer, CO_PEER_SUSPECT, now_us);
     }
     _mb_peer_tell(mb, peer);
--- a/packages/control/src/membership_send.c
+++ b/packages/control/src/membership_send.c
@@ -138,14 +138,13 @@
 
 /* Peers whose state changed lately. */
 static size_t
-_mb_sample_news(mb_machine *mb, const _mb_peer *receiver, mb_peer *sample,
-                size_t most)
+_mb_sample_news(mb_machine *mb, const _mb_peer *receiver, uint64_t now_us,
+                mb_peer *sample, size_t most)
 {
     size_t count = 0;
     for (guint i = 0; i < mb->order->len && count < most; i++) {
-        _mb_peer *peer = mb->order->pdata[i];
-        if (peer != receiver && peer->incarnation && peer->news > 0) {
-            peer->news--;
+        const _mb_peer *peer = mb->order->pdata[i];
+        if (peer != receiver && peer->incarnation && now_us < peer->news_us) {
             sample[count++] = _mb_copy(mb, peer);
         }
     }
@@ -154,11 +153,13 @@
 
 /* A turn of the peers that are known to live, after the news. */
 static size_t
-_mb_sample(mb_machine *mb, const _mb_peer *receiver, mb_peer *sample)
+_mb_sample(mb_machine *mb, const _mb_peer *receiver, uint64_t now_us,
+           mb_peer *sample)
 {
     bool near = strcmp(receiver->zone, mb->desc.zone) == 0;
     size_t turn = MIN(mb->desc.sample * (near ? 1 : 2), MB_SAMPLE);
-    size_t count = _mb_sample_news(mb, receiver, sample, MB_SAMPLE - turn);
+    size_t count =
+        _mb_sample_news(mb, receiver, now_us, sample, MB_SAMPLE - turn);
     size_t most = count + turn;
     guint total = mb->order->len;
     for (guint i = 0; i < total && count < most; i++) {
@@ -248,7 +249,7 @@
         .watch = watch,
         .answer = _mb_is_answer(mb, peer, now_us),
         .peers = sample,
-        .peer_count = _mb_sample(mb, peer, sample),
+        .peer_count = _mb_sample(mb, peer, now_us, sample),
         .leaving_servers = leaving,
         .leaving_count = _mb_leaving(mb, peer, leaving),
     };
