Chaos: one mixed run of faults over real processes

Starts the fleet of the tests (four engines, two services, three daemons in two zones), sends work, lets two operators race, makes the faults of a plan, then holds the record against the checker.

--- /dev/null
+++ b/packages/chaos/driver/chaos.c
@@ -0,0 +1,142 @@
+/*
+ * One mixed run of faults over real processes: stand-ins, three daemons in
+ * two zones, callers, racing operators. Records what happened, checks it and
+ * closes with one line. Exit code 0 when nothing was violated.
+ */
+#include "checker.h"
+#include "faults.h"
+#include "lacewing/hash.h"
+#include "operators.h"
+#include "reader.h"
+#include "shop.h"
+#include <stdlib.h>
+
+#define READY_MS 20000
+#define LENGTH_MS 30000
+
+typedef struct options {
+    gint64 seed;
+    char *bin;
+    gboolean verbose;
+} options;
+
+static const char *const servers[] = {"e1", "e2", "e3", "e4", "s1", "s2"};
+
+static bool
+start(hn_fleet *fleet)
+{
+    g_autofree char *shop = sp_config_text();
+    g_autofree char *key = hs_sha256(OP_KEY);
+    g_autofree char *config =
+        g_strdup_printf("%s[team operators]\nkeys = operator:%s\n", shop, key);
+    sp_add_members(fleet);
+    return hn_start(fleet, config) && hn_wait_ready(fleet, READY_MS);
+}
+
+static void *
+run_faults(void *data)
+{
+    ft_run(data);
+    return NULL;
+}
+
+static void
+run(hn_fleet *fleet, rc_record *record, uint64_t seed)
+{
+    g_autoptr(GArray) steps = pn_create(seed, LENGTH_MS);
+    cr_callers *callers =
+        cr_create(&(cr_desc){.fleet = fleet, .record = record, .seed = seed});
+    op_operators *operators = op_start(fleet, record);
+    ft_desc faults = {
+        .fleet = fleet, .record = record, .callers = callers, .steps = steps};
+    GThread *thread = g_thread_new("faults", run_faults, &faults);
+    cr_run(callers, LENGTH_MS);
+    g_thread_join(thread);
+    op_stop(operators);
+    op_read_final(operators);
+    cr_print(callers);
+    cr_destroy(callers);
+}
+
+static void
+print_outcomes(const hk_report *report, uint64_t seed)
+{
+    for (guint i = 0; i < report->evidence->len; i++) {
+        g_print("chaos: found: %s\n",
+                (const char *)g_ptr_array_index(report->evidence, i));
+    }
+    g_print("chaos: also: lost=%" G_GUINT64_FORMAT
+            " differing=%" G_GUINT64_FORMAT
+            " leaving_served=%" G_GUINT64_FORMAT "\n",
+            report->counts[HK_LOST], report->counts[HK_DIFFERING],
+            report->counts[HK_LEAVING_SERVED]);
+    g_print("chaos: cannot tell: whether refusals as run or unknown are "
+            "true; runs of a service that crashed before noting them\n");
+    double share =
+        report->calls ? (double)report->in_time / (double)report->calls : 0.0;
+    g_print("chaos: seed=%" G_GUINT64_FORMAT " calls=%" G_GUINT64_FORMAT
+            " faults=%" G_GUINT64_FORMAT,
+            seed, report->calls, report->faults);
+    for (int i = HK_DOUBLED; i <= HK_REVERTED; i++) {
+        g_print(" %s=%" G_GUINT64_FORMAT, hk_query_name((hk_violation)i),
+                report->counts[i]);
+    }
+    g_print(" answered_in_time=%.2f\n", share);
+}
+
+static bool
+check(hn_fleet *fleet, rc_record *record, uint64_t seed)
+{
+    bool read = true;
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        const char *file = hn_query_history(hn_find(fleet, servers[i]));
+        read = rd_add_file(record->history, servers[i], file) && read;
+    }
+    hk_report report;
+    hk_check(record->history, &report);
+    print_outcomes(&report, seed);
+    bool held = read && report.calls && hk_query_violations(&report) == 0;
+    hk_clear_report(&report);
+    return held;
+}
+
+static int
+carry_out(const options *chosen)
+{
+    rc_record record;
+    rc_setup(&record);
+    hn_fleet *fleet =
+        hn_create(&(hn_desc){.bin = chosen->bin, .verbose = chosen->verbose});
+    uint64_t seed = (uint64_t)chosen->seed;
+    bool held = false;
+    if (start(fleet)) {
+        run(fleet, &record, seed);
+        held = check(fleet, &record, seed);
+    }
+    hn_destroy(fleet);
+    rc_shutdown(&record);
+    return held ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int
+main(int argc, char **argv)
+{
+    options chosen = {.seed = 1};
+    GOptionEntry entries[] = {
+        {"seed", 0, 0, G_OPTION_ARG_INT64, &chosen.seed,
+         "Seed of faults and work (1)", "N"},
+        {"bin", 0, 0, G_OPTION_ARG_FILENAME, &chosen.bin,
+         "Folder of the programs", "DIR"},
+        {"verbose", 0, 0, G_OPTION_ARG_NONE, &chosen.verbose,
+         "Show the members' logs", NULL},
+        {0},
+    };
+    g_autoptr(GOptionContext) context = g_option_context_new(NULL);
+    g_option_context_add_main_entries(context, entries, NULL);
+    g_autoptr(GError) error = NULL;
+    if (!g_option_context_parse(context, &argc, &argv, &error)) {
+        g_printerr("lacewing-chaos: %s\n", error->message);
+        return EXIT_FAILURE;
+    }
+    return carry_out(&chosen);
+}
--- a/packages/chaos/src/plan.c
+++ b/packages/chaos/src/plan.c
@@ -6,6 +6,8 @@
 #define _PN_GAP_LEAST_MS 500
 #define _PN_GAP_MOST_MS 1700
 #define _PN_TRIES 20
+/* Time between two faults of one group, in which it can recover. */
+#define _PN_REST_MS 2000
 
 typedef struct _pn_kind {
     const char *name;
@@ -89,7 +91,7 @@
     }
     _pn_add(state, at_ms + lasts_ms, fault, member, true);
     g_hash_table_insert(state->busy, (void *)group,
-                        GSIZE_TO_POINTER(at_ms + lasts_ms));
+                        GSIZE_TO_POINTER(at_ms + lasts_ms + _PN_REST_MS));
     return true;
 }
 
