Settings of the daemon on the settings page; values that it does not read

Cause: a search of the daemon for each key of the configuration: nine are checked and kept but never read (eject_share_pct, hedge_budget_pct, retry_budget_pct, convict_deaths, loads_at_once, the tolerances, latency_ms, prefill_per_s), and pinned copies are held of every version, not only of those with a share. The pages said otherwise. Seen: the page now lists the fixed values in use; check counts pinned copies as the daemon does (a case of test_plan more). test_plan, test_questionnaire 27, test_tool 9 pass. Conclusion: the pages say what the code does; reading the keys is left open.

--- a/packages/config/tests/test_plan.c
+++ b/packages/config/tests/test_plan.c
@@ -17,6 +17,10 @@
     {"[{\"group\":\"server engine-1\",\"key\":\"adapter_slots\","
      "\"value\":\"2\"}]",
      DC_PINNED_OVER_SLOTS, "limits"},
+    {"[{\"group\":\"server engine-1\",\"key\":\"adapter_slots\","
+     "\"value\":\"2\"},{\"group\":\"adapter quote\",\"key\":\"shares\","
+     "\"value\":\"100;0;0\"}]",
+     DC_PINNED_OVER_SLOTS, "limits"},
     {"[{\"group\":\"server engine-1\",\"key\":\"adapter_slots\","
      "\"value\":\"0\"},"
      "{\"group\":\"adapter quote\",\"key\":\"pinned\"}]",
--- a/packages/tool/src/cmd_settings_reference.c
+++ b/packages/tool/src/cmd_settings_reference.c
@@ -2,6 +2,7 @@
 #include "command.h"
 
 #include "lacewing/questionnaire.h"
+#include "settings.h"
 
 static char *output_file = NULL;
 
@@ -18,11 +19,13 @@
                           &argv)) {
         return TL_EXIT_USAGE;
     }
+    g_autofree char *process = ds_query_reference();
     g_autofree char *config = dc_query_reference();
     g_autofree char *questions = qn_query_reference();
     g_autofree char *page = g_strconcat(
         "# Settings\n\nWritten by `lacewing settings-reference`; a test "
-        "compares it.\n\n# The deployment's configuration\n\n",
-        config, "# The questionnaire's answers\n\n", questions, NULL);
+        "compares it.\n\n# The daemon's own settings\n\n",
+        process, "\n# The deployment's configuration\n\n", config,
+        "# The questionnaire's answers\n\n", questions, NULL);
     return tl_write_output(output_file, page);
 }
