The tool over TLS, against a real daemon

Cause: --ca was untested. Seen: test_operators 2 checks: with the authority's file the call is answered, without it it ends with exit code 5 before anything is sent. Conclusion: the operators' port works by TLS end to end.

--- a/tests/test_operators.c
+++ b/tests/test_operators.c
@@ -16,7 +16,7 @@
 static hn_fleet *fleet;
 
 static void
-start(void)
+start_fleet(bool tls)
 {
     g_autofree char *shop = sp_config_text();
     g_autofree char *caller = hs_sha256(SHOP_KEY);
@@ -26,12 +26,24 @@
         g_strdup_printf("%s[team shop]\nkeys = caller:%s; editor:%s\n"
                         "[team operators]\nkeys = operator:%s\n",
                         shop, caller, editor, operator);
-    fleet = hn_create(&(hn_desc){0});
+    fleet = hn_create(&(hn_desc){.tls = tls});
     sp_add_members(fleet);
     ck_assert(hn_start(fleet, text));
     ck_assert(hn_wait_ready(fleet, READY_MS));
 }
 
+static void
+start(void)
+{
+    start_fleet(false);
+}
+
+static void
+start_tls(void)
+{
+    start_fleet(true);
+}
+
 static void
 stop(void)
 {
@@ -219,6 +231,16 @@
     }
 END_TEST
 
+/* The tool talks only to a daemon whose certificate it trusts. */
+START_TEST(test_tls)
+    {
+        g_autofree char *trusting =
+            g_strdup_printf("status --ca %s", hn_query_ca(fleet));
+        expect("a", trusting, 0, "config_version");
+        expect("a", "status", 5, "connection_lost");
+    }
+END_TEST
+
 int
 main(void)
 {
@@ -228,6 +250,11 @@
     tcase_add_checked_fixture(tests, start, stop);
     tcase_add_test(tests, test_walk);
     suite_add_tcase(suite, tests);
+    TCase *tls = tcase_create("tls");
+    tcase_set_timeout(tls, 60);
+    tcase_add_checked_fixture(tls, start_tls, stop);
+    tcase_add_test(tls, test_tls);
+    suite_add_tcase(suite, tls);
     SRunner *runner = srunner_create(suite);
     srunner_set_fork_status(runner, CK_NOFORK);
     srunner_run_all(runner, CK_VERBOSE);
