Control: less looking at every peer

Profile of 120 daemons (perf): 28% of the time in strcmp of zone names, 8% in looking for the newest peer while the table answers. The zone is compared once, cheap tests go first, membership looks every 50 ms in place of 20.

--- a/packages/control/src/chain_follow.c
+++ b/packages/control/src/chain_follow.c
@@ -210,8 +210,11 @@
 static void
 _cc_fetch(cc_machine *cc, uint64_t now_us)
 {
+    if (!cc->failing || now_us < cc->fetch_us) {
+        return;
+    }
     const char *peer = _cc_newest_peer(cc);
-    if (!peer || !cc->failing || now_us < cc->fetch_us) {
+    if (!peer) {
         return;
     }
     cc->fetch_us = now_us + _co_us(cc->desc.retry_ms);
--- a/packages/control/src/membership_internal.h
+++ b/packages/control/src/membership_internal.h
@@ -12,7 +12,7 @@
 #include "lacewing/membership.h"
 #include "support.h"
 
-#define _MB_WORK_US UINT64_C(20000)     /* between looks at all peers */
+#define _MB_WORK_US UINT64_C(50000)     /* between looks at all peers */
 #define _MB_PROBE_US UINT64_C(2000000)  /* between heartbeats to the dead */
 #define _MB_PAUSE_US UINT64_C(300000)   /* a look this late: we were paused */
 #define _MB_SENT_RING 32                /* heartbeats whose times are kept */
@@ -34,6 +34,7 @@
     co_peer_state state;
     co_peer_state told; /* as the last MB_ACTION_PEER said */
     uint64_t told_incarnation;
+    bool near;   /* of our zone */
     bool listed; /* in the platform's list */
     bool listed_leaving;
     bool direct;             /* this incarnation sent us a heartbeat */
--- a/packages/control/src/membership_peer.c
+++ b/packages/control/src/membership_peer.c
@@ -22,6 +22,7 @@
     _mb_peer *peer = g_new0(_mb_peer, 1);
     peer->instance = g_strdup(instance);
     peer->zone = g_strdup(zone);
+    peer->near = strcmp(zone, mb->desc.zone) == 0;
     peer->address = g_strdup(address);
     peer->evidence_us = now_us;
     peer->named = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -53,6 +54,7 @@
     if (zone && *zone && strcmp(peer->zone, zone) != 0) {
         g_free(peer->zone);
         peer->zone = g_strdup(zone);
+        peer->near = strcmp(zone, mb->desc.zone) == 0;
         mb->links_stale = true;
     }
 }
@@ -132,7 +134,7 @@
     }
     bool near = peer->linked && peer->direct;
     uint64_t seen_us = near ? peer->heard_us : peer->evidence_us;
-    bool remote = strcmp(peer->zone, mb->desc.zone) != 0;
+    bool remote = !peer->near;
     /* As many heartbeats as within the zone. */
     uint32_t times =
         remote ? 1 + mb->desc.remote_period_ms / mb->desc.period_ms : 1;
--- a/packages/control/src/membership_send.c
+++ b/packages/control/src/membership_send.c
@@ -30,8 +30,7 @@
     uint64_t own = _co_hash(mb->desc.instance, "", 0);
     for (guint i = 0; i < mb->order->len; i++) {
         _mb_peer *peer = mb->order->pdata[i];
-        if (peer->state == CO_PEER_DEAD ||
-            strcmp(peer->zone, mb->desc.zone) != 0) {
+        if (peer->state == CO_PEER_DEAD || !peer->near) {
             continue;
         }
         _mb_rank rank = {.peer = peer,
@@ -90,8 +89,7 @@
     g_autoptr(GHashTable) zones = g_hash_table_new(g_str_hash, g_str_equal);
     for (guint i = 0; i < mb->order->len; i++) {
         const _mb_peer *peer = mb->order->pdata[i];
-        if (strcmp(peer->zone, mb->desc.zone) != 0 &&
-            g_hash_table_add(zones, peer->zone)) {
+        if (!peer->near && g_hash_table_add(zones, peer->zone)) {
             _mb_link_remote_zone(mb, peer->zone);
         }
     }
@@ -156,7 +154,7 @@
 _mb_sample(mb_machine *mb, const _mb_peer *receiver, uint64_t now_us,
            mb_peer *sample)
 {
-    bool near = strcmp(receiver->zone, mb->desc.zone) == 0;
+    bool near = receiver->near;
     size_t turn = MIN(mb->desc.sample * (near ? 1 : 2), MB_SAMPLE);
     size_t count =
         _mb_sample_news(mb, receiver, now_us, sample, MB_SAMPLE - turn);
@@ -196,8 +194,7 @@
     if (peer->state == CO_PEER_DEAD || !peer->incarnation) {
         return _MB_PROBE_US;
     }
-    bool near = strcmp(peer->zone, mb->desc.zone) == 0;
-    return _co_us(near ? mb->desc.period_ms : mb->desc.remote_period_ms);
+    return _co_us(peer->near ? mb->desc.period_ms : mb->desc.remote_period_ms);
 }
 
 /* Not linked by our plan, but by its. An answer calls for no answer, so that
@@ -211,9 +208,9 @@
 }
 
 static bool
-_mb_asks_to_watch(const mb_machine *mb, const _mb_peer *peer)
+_mb_asks_to_watch(const _mb_peer *peer)
 {
-    return peer->linked && strcmp(peer->zone, mb->desc.zone) == 0;
+    return peer->linked && peer->near;
 }
 
 static void
@@ -223,7 +220,7 @@
     size_t slot = sequence % _MB_SENT_RING;
     peer->sent[slot].sequence = sequence;
     peer->sent[slot].sent_us = now_us;
-    bool watch = _mb_asks_to_watch(mb, peer);
+    bool watch = _mb_asks_to_watch(peer);
     if (watch) {
         peer->watched = true;
         peer->watch_sequence = sequence;
--- a/packages/control/src/ownership_watch.c
+++ b/packages/control/src/ownership_watch.c
@@ -46,9 +46,12 @@
 _ow_watched(const ow_machine *ow, const _ow_peer *peer)
 {
     bool quiet = !_ow_peer_alive(peer) || peer->gone;
+    if (!quiet || peer->final || peer->incarnation == 0) {
+        return false;
+    }
     bool self = peer->incarnation == ow->incarnation &&
                 g_str_equal(peer->instance, ow->instance);
-    if (peer->final || self || !quiet || peer->incarnation == 0) {
+    if (self) {
         return false;
     }
     return g_str_equal(peer->zone, ow->zone) || _ow_owns_covered(ow, peer);
