--- a/packages/control/include/lacewing/ownership.h
+++ b/packages/control/include/lacewing/ownership.h
@@ -5,7 +5,7 @@
  * agreed through the table:
  *
  *   live/ZONE/INSTANCE/INCARNATION   one row per running daemon, renewed by
- *                                    conditional write; deleted: ended
+ *                                    conditional write; "ended" by another
  *   owner/ZONE/SERVER                instance, incarnation and fence; written
  *                                    only when the owner changes
  *
--- a/packages/control/src/ownership_internal.h
+++ b/packages/control/src/ownership_internal.h
@@ -1,7 +1,8 @@
 /*
  * ownership_internal.h: state of the ownership machine, shared by its files.
  *
- *   ownership.c         events, queries, life of the machine
+ *   ownership.c         life of the machine, table calls, queries
+ *   ownership_event.c   what peers and engines say
  *   ownership_lease.c   the own live row and what it allows
  *   ownership_watch.c   ending silent incarnations
  *   ownership_server.c  taking, losing and handing over servers
@@ -178,6 +179,13 @@
 /* An absent row that may yet be created does not count any more. */
 void _ow_peer_back(_ow_peer *peer, uint64_t now_us);
 
+/* -- ownership_event.c ---------------------------------------------------- */
+
+er_code _ow_feed_peer(ow_machine *ow, uint64_t now_us, const ow_event *event);
+er_code _ow_feed_gone(ow_machine *ow, uint64_t now_us, const ow_event *event);
+er_code _ow_feed_server(ow_machine *ow, uint64_t now_us,
+                        const ow_event *event);
+
 /* -- ownership_lease.c ---------------------------------------------------- */
 
 void _ow_lease_work(ow_machine *ow, uint64_t now_us);
--- a/packages/control/src/ownership_watch.c
+++ b/packages/control/src/ownership_watch.c
@@ -105,8 +105,8 @@
     peer->call = open->number;
     _co_call *call = _co_commit_new(open->number);
     _ow_lease_add(ow, call);
-    _co_commit_add(call, row, peer->row_version,
-                   peer->row_version ? NULL : _OW_TOMBSTONE);
+    /* Never deleted: a version that starts anew could fit an old renewal. */
+    _co_commit_add(call, row, peer->row_version, _OW_TOMBSTONE);
     _ow_refuse(ow, peer->instance, peer->incarnation);
     _ow_call_send(ow, call);
 }
