Rescue: a second move, never to the same owner, only where it pays

Now the entry sends it to the fastest home of another instance than the one that gave it back; work with less than a quarter of max_tokens on entry may move once more; and an owner gives back only when a home has less than 0.7 of its own time between tokens.

--- a/packages/decisions/src/requests.c
+++ b/packages/decisions/src/requests.c
@@ -14,6 +14,7 @@
 #include "rescue.h"
 #include "routing.h"
 #include "servers.h"
+#include <math.h>
 
 #define _RQ_RETRIES_MAX 6
 #define _RQ_FORWARDS_MAX 3
@@ -192,7 +193,7 @@
     request->max_tokens = desc->max_tokens ? desc->max_tokens : _RQ_MAX_TOKENS;
     request->resume_from = desc->resume_from;
     request->forwarded = desc->forwarded;
-    request->rescued = desc->resume_from > 0;
+    request->entered_tokens = desc->resume_from;
     request->expected_tokens = le_query_expected(policy, request);
 }
 
@@ -456,7 +457,8 @@
 {
     if (request->phase == DP_PHASE_DELAYED) {
         request->phase = DP_PHASE_DEFAULT;
-        dp_server *faster = rs_query_faster(policy, request, request->target);
+        dp_server *faster =
+            rs_query_faster(policy, request, request->target, INFINITY);
         if (faster) {
             _rq_forward(policy, request, faster);
             return;
--- a/packages/decisions/src/rescue.c
+++ b/packages/decisions/src/rescue.c
@@ -5,9 +5,10 @@
 #include "requests.h"
 #include "servers.h"
 
-#define _RS_SEEN_PART 8   /* of max_tokens, made before it is judged */
+#define _RS_SEEN_PART 8   /* of max_tokens, made here before it is judged */
+#define _RS_STAYS_PART 4  /* of max_tokens: with so many it moves no more */
 #define _RS_PREFILLS 1.15 /* times the pace, for prefills of others */
-#define _RS_FASTER 0.8    /* times the interval of the server it leaves */
+#define _RS_FASTER 0.7    /* of its interval at most, that makes a move pay */
 #define _RS_CALM_PART 8   /* of the own slots: pending work in calm times */
 
 /* Its answer, if it gets as long as it may, ends after its deadline here. */
@@ -16,9 +17,12 @@
 {
     const dp_request *request = attempt->request;
     if (!request || !attempt->long_work || request->rescued ||
-        request->deadline_us == 0 ||
-        attempt->tokens < request->max_tokens / _RS_SEEN_PART ||
-        attempt->tokens >= request->max_tokens) {
+        request->deadline_us == 0 || attempt->tokens >= request->max_tokens) {
+        return false;
+    }
+    uint32_t made = attempt->tokens - request->entered_tokens;
+    if (made < request->max_tokens / _RS_SEEN_PART ||
+        request->entered_tokens >= request->max_tokens / _RS_STAYS_PART) {
         return false;
     }
     double rest = request->max_tokens - attempt->tokens;
@@ -39,7 +43,7 @@
 
 dp_server *
 rs_query_faster(dp_policy *policy, const dp_request *request,
-                const dp_server *left)
+                const dp_server *left, double factor)
 {
     if (!left || request->class_ != DP_CLASS_LONG ||
         request->resume_from == 0) {
@@ -47,10 +51,11 @@
     }
     pl_refresh_homes(policy, request->adapter);
     dp_server *best = NULL;
-    double best_us = _rs_interval_us(policy, left) * _RS_FASTER;
+    double best_us = _rs_interval_us(policy, left) * factor;
     for (uint32_t at = 0; at < request->adapter->home_count; at++) {
         dp_server *server = sv_query_at(policy, request->adapter->homes[at]);
-        if (!server || server->desc.owned || server == left ||
+        if (!server || server->desc.owned ||
+            server->desc.owner == left->desc.owner ||
             server->state != LWD_SERVER_READY || server->told.ejected ||
             server->told.running + server->forwarded_since >=
                 server->desc.slots) {
@@ -69,12 +74,12 @@
 _rs_move(dp_policy *policy, dp_attempt *attempt)
 {
     dp_request *request = attempt->request;
-    if (request->forwarded) {
+    dp_server *faster =
+        rs_query_faster(policy, request, attempt->server, _RS_FASTER);
+    if (faster && request->forwarded) {
         rq_hand_back(policy, attempt);
-        return;
     }
-    dp_server *faster = rs_query_faster(policy, request, attempt->server);
-    if (faster) {
+    else if (faster) {
         request->rescued = true;
         rq_forward_on(policy, attempt, faster);
     }
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -211,6 +211,7 @@
     uint32_t prompt_tokens;
     uint32_t max_tokens;
     uint32_t resume_from;
+    uint32_t entered_tokens;  /* made before it entered here */
     uint32_t expected_tokens; /* of the whole answer */
     uint32_t pending_tokens;  /* its part of the adapter's */
     uint32_t team_tokens;     /* its part of the team's */
@@ -222,7 +223,7 @@
     uint8_t moves;
     bool forwarded;
     bool may_have_run;
-    bool rescued; /* moved from a server too slow for it */
+    bool rescued; /* sent on from a server too slow for it */
 };
 
 /* One action without the summary, which is filled in when taken out. */
