Order: long work leaves time for the longest it may become

Long work waited 45 s behind the short work of its adapter, since its key left twice the expected work, and then ran 2.4 times as long.

--- a/packages/decisions/src/order.c
+++ b/packages/decisions/src/order.c
@@ -22,6 +22,12 @@
     uint64_t work_us = remaining * (uint64_t)policy->token_us;
     uint64_t key = request->entered_us + work_us * _OR_WORK_WEIGHT;
     uint64_t spare_us = work_us * _OR_SPARE_PCT / 100;
+    if (request->class_ == DP_CLASS_LONG) {
+        /* It may get as long as it is allowed to. */
+        uint64_t most = request->max_tokens -
+                        MIN(request->resume_from, request->max_tokens);
+        spare_us = MAX(spare_us, most * (uint64_t)policy->token_us);
+    }
     if (request->deadline_us > request->entered_us + spare_us) {
         key = MIN(key, request->deadline_us - spare_us);
     }
