--- a/packages/decisions/src/attempts.c
+++ b/packages/decisions/src/attempts.c
@@ -44,7 +44,6 @@
     server->running--;
     server->long_running -= attempt->long_work ? 1 : 0;
     server->suspects_running -= attempt->suspect ? 1 : 0;
-    server->pausing -= attempt->pausing ? 1 : 0;
     if (!attempt->first_token) {
         server->prefill_tokens -= attempt->prefill_tokens;
     }
--- a/packages/decisions/src/order.c
+++ b/packages/decisions/src/order.c
@@ -18,10 +18,6 @@
     if (!dp_part_on(policy, LWD_PART_ORDER)) {
         return request->entered_us;
     }
-    if (request->paused_us > 0) {
-        /* It gave way once: only to what waited then. */
-        return request->paused_us;
-    }
     uint64_t remaining = le_query_remaining(request, request->resume_from);
     uint64_t work_us = remaining * (uint64_t)policy->token_us;
     uint64_t key = request->entered_us + work_us * _OR_WORK_WEIGHT;
--- a/packages/decisions/src/requests.c
+++ b/packages/decisions/src/requests.c
@@ -9,7 +9,6 @@
 #include "loads.h"
 #include "order.h"
 #include "pace.h"
-#include "pauses.h"
 #include "placement.h"
 #include "poison.h"
 #include "rescue.h"
@@ -109,7 +108,6 @@
     or_push(policy, request);
     _rq_set_give_up(policy, request);
     ld_consider(policy, request->adapter);
-    pa_consider(policy, request);
     ld_pump(policy);
 }
 
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -122,7 +122,6 @@
     uint32_t running;
     uint32_t long_running;
     uint32_t suspects_running;
-    uint32_t pausing;        /* attempts asked to pause */
     uint32_t running_tokens; /* expected, not made yet */
     uint32_t prefill_tokens; /* of attempts without a first token */
     uint32_t prefills;       /* first tokens of all its attempts */
@@ -221,8 +220,6 @@
     uint64_t none_us; /* since when no server could take it; 0: one could */
     uint8_t retries;
     uint8_t forwards;
-    uint8_t pauses;
-    uint64_t paused_us; /* of its last pause; 0: never */
     uint8_t moves;
     bool forwarded;
     bool may_have_run;
--- a/packages/decisions/tests/driver.h
+++ b/packages/decisions/tests/driver.h
@@ -133,18 +133,6 @@
     dr_reply_later(driver, load ? 400 : 20, &reply);
 }
 
-static inline void
-dr_reply_pause(dr_driver *driver, const lwd_action *action)
-{
-    dr_reply reply = {.tag = action->tag,
-                      .adapter = (uint32_t)action->server_tag,
-                      .ran = true,
-                      .event = {.type = LWD_EVENT_PAUSED,
-                                .attempt = action->attempt,
-                                .tokens = 60}};
-    dr_reply_later(driver, 50, &reply);
-}
-
 static inline void
 dr_drain(dr_driver *driver)
 {
@@ -163,9 +151,6 @@
         case LWD_ACTION_SEND:
             dr_reply_send(driver, &action);
             break;
-        case LWD_ACTION_PAUSE:
-            dr_reply_pause(driver, &action);
-            break;
         case LWD_ACTION_FORWARD:
             dr_reply_forward(driver, &action);
             break;
@@ -196,7 +181,6 @@
     switch (event->type) {
     case LWD_EVENT_FINISHED:
     case LWD_EVENT_FAILED:
-    case LWD_EVENT_PAUSED:
         ck_attempt_over(checker, event->attempt.id, reply->ran);
         if (code == ER_OK && event->failure == LWD_FAILURE_NOT_RESIDENT) {
             uint32_t adapter = checker->requests[reply->tag].adapter;
