Copies of peers that are not told of again are forgotten; shares tested

A summary that was lost with the word that an adapter had left kept the copy in the peers' view for good, and work was sent there to load it.

--- a/packages/decisions/src/copies.c
+++ b/packages/decisions/src/copies.c
@@ -187,7 +187,7 @@
         er_set(&policy->status, ER_POOL_FULL, "no copy left in the pool");
         return NULL;
     }
-    copy->id = id;
+    copy->told_us = policy->now_us;
     copy->server = server;
     copy->adapter = adapter;
     dp_copy **bucket = _cp_bucket(policy, server, adapter);
--- a/packages/decisions/src/state.h
+++ b/packages/decisions/src/state.h
@@ -82,7 +82,7 @@
 } dp_phase;
 
 struct dp_copy {
-    uint64_t id; /* of the pool */
+    uint64_t told_us; /* when its owner told of it last; not own servers */
     dp_server *server;
     dp_adapter *adapter;
     dp_copy *next_hashed;
--- a/packages/decisions/src/summaries.c
+++ b/packages/decisions/src/summaries.c
@@ -10,7 +10,8 @@
 #include "servers.h"
 
 #define _SM_PERIOD_MS 250
-#define _SM_CHANGE_MS 20 /* after a change of residency */
+#define _SM_UNTOLD_MS 10000 /* each is told again within about a second */
+#define _SM_CHANGE_MS 20    /* after a change of residency */
 
 /* -- commands ------------------------------------------------------------- */
 
@@ -130,11 +131,30 @@
     if (resident && !copy) {
         cp_make(policy, server, adapter, DP_COPY_RESIDENT);
     }
-    if (!resident && copy) {
+    else if (resident) {
+        copy->told_us = policy->now_us;
+        li_remove(&server->copies, &copy->of_server);
+        li_append(&server->copies, &copy->of_server);
+    }
+    else if (copy) {
         cp_destroy(policy, copy);
     }
 }
 
+/* Adapters not told of for long have left unnoticed. */
+static void
+_sm_forget_untold(dp_policy *policy, dp_server *server)
+{
+    for (;;) {
+        dp_copy *oldest = LI_ITEM(server->copies.first, dp_copy, of_server);
+        if (!oldest ||
+            policy->now_us < oldest->told_us + _SM_UNTOLD_MS * DP_US_PER_MS) {
+            return;
+        }
+        cp_destroy(policy, oldest);
+    }
+}
+
 er_code
 sm_receive(dp_policy *policy, dp_server *server, const lwd_summary *summary)
 {
@@ -149,5 +169,6 @@
         _sm_apply_change(policy, server, summary->changes[at].adapter_tag,
                          summary->changes[at].resident);
     }
+    _sm_forget_untold(policy, server);
     return ER_OK;
 }
--- a/packages/decisions/tests/test_parts.c
+++ b/packages/decisions/tests/test_parts.c
@@ -215,6 +215,30 @@
     }
 END_TEST
 
+/* A crowd of one team leaves room for another. */
+START_TEST(test_shares_between_teams)
+    {
+        lwd_request_desc desc = {.adapter = held,
+                                 .max_tokens = 100,
+                                 .deadline_us = now_us + 6000 * MS,
+                                 .team = 2};
+        lwd_make_request(policy, now_us, &desc);
+        desc.team = 1;
+        er_code reason = ER_OK;
+        for (uint32_t at = 0; at < 60 && reason == ER_OK; at++) {
+            lwd_make_request(policy, now_us, &desc);
+            const lwd_action *refuse =
+                drain_find(drain_all(policy), LWD_ACTION_REFUSE, 0);
+            reason = refuse ? refuse->reason : ER_OK;
+        }
+        ck_assert_int_eq(reason, ER_SHARE_EXCEEDED);
+        desc.team = 2;
+        lwd_make_request(policy, now_us, &desc);
+        ck_assert_ptr_null(
+            drain_find(drain_all(policy), LWD_ACTION_REFUSE, 0));
+    }
+END_TEST
+
 START_TEST(test_busy_adapter_gets_another_copy)
     {
         for (uint64_t tag = 0; tag < 40; tag++) {
@@ -271,6 +295,7 @@
     tcase_add_test(tests, test_suspects_run_one_to_a_server);
     tcase_add_test(tests, test_short_before_long);
     tcase_add_test(tests, test_hopeless_work_is_refused_at_once);
+    tcase_add_test(tests, test_shares_between_teams);
     tcase_add_test(tests, test_busy_adapter_gets_another_copy);
     tcase_add_test(tests, test_failed_load_goes_elsewhere);
     tcase_add_test(tests, test_no_share_no_loads);
--- a/packages/decisions/tests/test_policy.c
+++ b/packages/decisions/tests/test_policy.c
@@ -257,6 +257,31 @@
     }
 END_TEST
 
+/* A lost word that an adapter has left is made good. */
+START_TEST(test_untold_copy_is_forgotten)
+    {
+        lwd_server remote = server(1, false);
+        lwd_adapter kept = adapter(7);
+        lwd_adapter left = adapter(8);
+        lwd_summary summary = {.change_count = 2};
+        summary.changes[0].adapter_tag = 7;
+        summary.changes[0].resident = true;
+        summary.changes[1].adapter_tag = 8;
+        summary.changes[1].resident = true;
+        for (uint64_t second = 0; second < 13; second++) {
+            summary.sequence++;
+            feed((lwd_event){.type = LWD_EVENT_SUMMARY,
+                             .server = remote,
+                             .summary = &summary});
+            ck_assert(lwd_query_resident(policy, remote, kept));
+            ck_assert_int_eq(lwd_query_resident(policy, remote, left),
+                             second < 10);
+            summary.change_count = 1;
+            tick_ms(1000);
+        }
+    }
+END_TEST
+
 START_TEST(test_poison_is_convicted_under_a_new_id)
     {
         lwd_adapter held = adapter(7);
@@ -336,6 +361,7 @@
     tcase_add_test(tests, test_leaving_server_gets_nothing);
     tcase_add_test(tests, test_down_server_moves_work);
     tcase_add_test(tests, test_forward_to_owner_and_back);
+    tcase_add_test(tests, test_untold_copy_is_forgotten);
     tcase_add_test(tests, test_poison_is_convicted_under_a_new_id);
     tcase_add_test(tests, test_caller_gone_cancels);
     tcase_add_test(tests, test_destroyed_adapter);
