--- a/packages/control/src/membership_internal.h
+++ b/packages/control/src/membership_internal.h
@@ -2,7 +2,8 @@
  * membership_internal.h: state of the membership machine, shared by its
  * files.
  *
- *   membership.c        life, events, queries
+ *   membership.c        life, commands, queries
+ *   membership_event.c  heartbeats, samples and the platform's list
  *   membership_peer.c   what is known of one peer, and when it is dead
  *   membership_send.c   whom heartbeats go to, and what they carry
  */
@@ -72,6 +73,16 @@
     bool links_stale; /* who is linked must be worked out again */
 };
 
+/* membership_event.c */
+er_code _mb_take_heartbeat(mb_machine *mb, uint64_t now_us,
+                           const mb_event *event);
+er_code _mb_take_listed(mb_machine *mb, uint64_t now_us,
+                        const mb_event *event);
+void _mb_take_unlisted(mb_machine *mb, const char *instance);
+void _mb_take_refused(mb_machine *mb, const mb_event *event);
+void _mb_note_leaving_server(mb_machine *mb, uint64_t now_us,
+                             const char *server);
+
 /* membership_peer.c */
 _mb_peer *_mb_peer_find(const mb_machine *mb, const char *instance);
 /* NULL when the pool is full or the name is our own. */
