--- /dev/null
+++ b/packages/decisions/tests/test_rescue.c
@@ -0,0 +1,198 @@
+/* Long work on a server too slow for its deadline moves to a faster one. */
+#include "lacewing/decisions.h"
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+
+#define SECOND_US 1000000ULL
+#define MAX_TOKENS 2560
+#define DEADLINE_US (145 * SECOND_US)
+#define SLOW_TOKENS_PER_S 10
+#define FAST_INTERVAL_US 20000
+#define SLOW_INTERVAL_US 100000
+
+static lwd_policy *policy;
+static lwd_server own;
+static lwd_server slow; /* of instance 1 */
+static lwd_server fast; /* of instance 2 */
+static lwd_adapter adapter;
+
+static lwd_server
+make_server(uint32_t owner, uint32_t tokens_per_s)
+{
+    return lwd_make_server(policy, 0,
+                           &(lwd_server_desc){.tag = owner + 1,
+                                              .owner = owner,
+                                              .owned = owner == 0,
+                                              .tokens_per_s = tokens_per_s});
+}
+
+static void
+tell(lwd_server server, uint64_t sequence, uint32_t interval_us)
+{
+    lwd_summary summary = {.sequence = sequence,
+                           .token_interval_us = interval_us};
+    ck_assert_int_eq(lwd_feed(policy, 0,
+                              &(lwd_event){.type = LWD_EVENT_SUMMARY,
+                                           .server = server,
+                                           .summary = &summary}),
+                     ER_OK);
+}
+
+static void
+setup(void)
+{
+    policy = lwd_create(&(lwd_desc){.seed = 3, .instance = 0});
+    own = make_server(0, SLOW_TOKENS_PER_S);
+    slow = make_server(1, SLOW_TOKENS_PER_S);
+    fast = make_server(2, SLOW_TOKENS_PER_S);
+    adapter = lwd_make_adapter(policy, 0, &(lwd_adapter_desc){.tag = 7});
+    tell(slow, 1, SLOW_INTERVAL_US);
+    tell(fast, 1, FAST_INTERVAL_US);
+}
+
+static void
+teardown(void)
+{
+    lwd_destroy(policy);
+}
+
+/* The next action of a type; false when none is left. */
+static bool
+next(lwd_action_type type, lwd_action *action)
+{
+    while (lwd_next_action(policy, action)) {
+        if (action->type == type) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The server holds the adapter; a forwarded long request runs there. */
+static lwd_action
+start_forwarded(uint32_t resume_from)
+{
+    lwd_feed(policy, 0,
+             &(lwd_event){.type = LWD_EVENT_RESIDENT,
+                          .server = own,
+                          .adapter = adapter,
+                          .resident = true});
+    lwd_make_request(policy, 0,
+                     &(lwd_request_desc){.tag = 5,
+                                         .adapter = adapter,
+                                         .max_tokens = MAX_TOKENS,
+                                         .resume_from = resume_from,
+                                         .deadline_us = DEADLINE_US,
+                                         .server = own,
+                                         .forwarded = true});
+    lwd_action send;
+    ck_assert(next(LWD_ACTION_SEND, &send));
+    return send;
+}
+
+/* Runs an attempt at the slow pace for a time; true when it was refused. */
+static bool
+run(const lwd_action *send, uint32_t from, uint32_t seconds,
+    lwd_action *refusal)
+{
+    lwd_feed(policy, SLOW_INTERVAL_US,
+             &(lwd_event){.type = LWD_EVENT_FIRST_TOKEN,
+                          .attempt = send->attempt,
+                          .tokens = from + 1});
+    for (uint32_t tokens = 2; tokens <= seconds * SLOW_TOKENS_PER_S;
+         tokens++) {
+        uint64_t now_us = (uint64_t)tokens * SLOW_INTERVAL_US;
+        lwd_feed(policy, now_us,
+                 &(lwd_event){.type = LWD_EVENT_PROGRESS,
+                              .attempt = send->attempt,
+                              .tokens = from + tokens});
+        lwd_feed(policy, now_us, &(lwd_event){.type = LWD_EVENT_TICK});
+        if (next(LWD_ACTION_REFUSE, refusal)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+START_TEST(test_owner_hands_back)
+    {
+        lwd_action send = start_forwarded(0);
+        lwd_action refusal = {0};
+        ck_assert(run(&send, 0, 60, &refusal));
+        ck_assert_uint_eq(refusal.tag, 5);
+        ck_assert_int_eq(refusal.reason, ER_SERVER_FAILED);
+        ck_assert(refusal.ran);
+    }
+END_TEST
+
+START_TEST(test_owner_keeps_what_has_moved_far)
+    {
+        lwd_action send = start_forwarded(MAX_TOKENS / 4);
+        lwd_action refusal = {0};
+        ck_assert(!run(&send, MAX_TOKENS / 4, 60, &refusal));
+    }
+END_TEST
+
+START_TEST(test_owner_keeps_without_a_faster_server)
+    {
+        tell(fast, 2, SLOW_INTERVAL_US);
+        lwd_action send = start_forwarded(0);
+        lwd_action refusal = {0};
+        ck_assert(!run(&send, 0, 60, &refusal));
+    }
+END_TEST
+
+START_TEST(test_entry_sends_on_to_another_owner)
+    {
+        lwd_feed(policy, 0,
+                 &(lwd_event){.type = LWD_EVENT_SERVER_STATE,
+                              .server = own,
+                              .server_state = LWD_SERVER_DOWN});
+        /* All else equal, the copy at the slow one draws the request. */
+        lwd_summary held = {.sequence = 2,
+                            .token_interval_us = SLOW_INTERVAL_US,
+                            .change_count = 1,
+                            .changes = {{.adapter_tag = 7, .resident = true}}};
+        lwd_feed(policy, 0,
+                 &(lwd_event){.type = LWD_EVENT_SUMMARY,
+                              .server = slow,
+                              .summary = &held});
+        lwd_request request =
+            lwd_make_request(policy, 0,
+                             &(lwd_request_desc){.adapter = adapter,
+                                                 .max_tokens = MAX_TOKENS,
+                                                 .deadline_us = DEADLINE_US});
+        lwd_action forward;
+        ck_assert(next(LWD_ACTION_FORWARD, &forward));
+        ck_assert_uint_eq(forward.server.id, slow.id);
+        lwd_feed(policy, 30 * SECOND_US,
+                 &(lwd_event){.type = LWD_EVENT_FORWARD_FAILED,
+                              .request = request,
+                              .reason = ER_SERVER_FAILED,
+                              .failure = LWD_FAILURE_BROKEN,
+                              .tokens = 320});
+        lwd_feed(policy, 31 * SECOND_US, &(lwd_event){.type = LWD_EVENT_TICK});
+        ck_assert(next(LWD_ACTION_FORWARD, &forward));
+        ck_assert_uint_eq(forward.server.id, fast.id);
+        ck_assert_uint_eq(forward.resume_from, 320);
+    }
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("rescue");
+    TCase *tests = tcase_create("long work");
+    tcase_add_checked_fixture(tests, setup, teardown);
+    tcase_add_test(tests, test_owner_hands_back);
+    tcase_add_test(tests, test_owner_keeps_what_has_moved_far);
+    tcase_add_test(tests, test_owner_keeps_without_a_faster_server);
+    tcase_add_test(tests, test_entry_sends_on_to_another_owner);
+    suite_add_tcase(suite, tests);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
