Tests: the entry of moved long work passes over slow holders and the old owner

The test of the entry could not fail before: the default route had the same answer. With the entry's choice or the rule of another owner taken out it fails now.

--- a/packages/decisions/tests/test_rescue.c
+++ b/packages/decisions/tests/test_rescue.c
@@ -20,8 +20,9 @@
 static lwd_server
 make_server(uint32_t owner, uint32_t tokens_per_s)
 {
+    static uint64_t tag;
     return lwd_make_server(policy, 0,
-                           &(lwd_server_desc){.tag = owner + 1,
+                           &(lwd_server_desc){.tag = ++tag,
                                               .owner = owner,
                                               .owned = owner == 0,
                                               .tokens_per_s = tokens_per_s});
@@ -39,6 +40,20 @@
                      ER_OK);
 }
 
+/* A slow server that holds the adapter. */
+static void
+tell_held(lwd_server server, uint64_t sequence)
+{
+    lwd_summary held = {.sequence = sequence,
+                        .token_interval_us = SLOW_INTERVAL_US,
+                        .change_count = 1,
+                        .changes = {{.adapter_tag = 7, .resident = true}}};
+    lwd_feed(policy, 0,
+             &(lwd_event){.type = LWD_EVENT_SUMMARY,
+                          .server = server,
+                          .summary = &held});
+}
+
 static void
 setup(void)
 {
@@ -149,15 +164,11 @@
                  &(lwd_event){.type = LWD_EVENT_SERVER_STATE,
                               .server = own,
                               .server_state = LWD_SERVER_DOWN});
-        /* All else equal, the copy at the slow one draws the request. */
-        lwd_summary held = {.sequence = 2,
-                            .token_interval_us = SLOW_INTERVAL_US,
-                            .change_count = 1,
-                            .changes = {{.adapter_tag = 7, .resident = true}}};
-        lwd_feed(policy, 0,
-                 &(lwd_event){.type = LWD_EVENT_SUMMARY,
-                              .server = slow,
-                              .summary = &held});
+        /* The copies at slow servers draw the request; the fastest server
+           belongs to the instance that gives it back. */
+        tell_held(slow, 2);
+        lwd_server fastest = make_server(1, SLOW_TOKENS_PER_S);
+        tell(fastest, 1, FAST_INTERVAL_US / 2);
         lwd_request request =
             lwd_make_request(policy, 0,
                              &(lwd_request_desc){.adapter = adapter,
@@ -166,6 +177,7 @@
         lwd_action forward;
         ck_assert(next(LWD_ACTION_FORWARD, &forward));
         ck_assert_uint_eq(forward.server.id, slow.id);
+        tell_held(make_server(3, SLOW_TOKENS_PER_S), 1);
         lwd_feed(policy, 30 * SECOND_US,
                  &(lwd_event){.type = LWD_EVENT_FORWARD_FAILED,
                               .request = request,
