A zone without daemons: its servers are probed, then taken

A zone with one daemon that dies left its servers without an owner, since nothing fed OW_EVENT_REACHED. Ownership now asks for a probe (OW_ACTION_PROBE, at most every 2 s, an answer counts for 5 s) and the daemon asks the server's /healthz. Not run: the probe between real processes with a zone killed.

--- a/packages/control/include/lacewing/ownership.h
+++ b/packages/control/include/lacewing/ownership.h
@@ -127,7 +127,7 @@
        ended. Fields: server, fence (of the notice OW_ACTION_LOSE). */
     OW_EVENT_IDLE,
     /* Whether this instance reaches a server of another zone, as a probe
-       found; needed only while that zone has no daemon. Fields: server,
+       asked for by OW_ACTION_PROBE found. Fields: server,
        reached. */
     OW_EVENT_REACHED,
     /* An engine refused our fence. Fields: server, fence (the engine's). */
@@ -170,6 +170,9 @@
     /* Tell the new owner that our streams on its server have ended. Fields:
        server, instance (new owner), fence (ours, the old one). */
     OW_ACTION_TELL_DRAINED,
+    /* Find out whether this instance reaches a server of another zone, and
+       feed OW_EVENT_REACHED. Fields: server. */
+    OW_ACTION_PROBE,
     /* Acknowledge no heartbeat of this incarnation any more, from before the
        next action on: it is being ended or its server taken. Feed
        MB_EVENT_REFUSED. Fields: instance, incarnation. */
--- a/packages/control/src/ownership_event.c
+++ b/packages/control/src/ownership_event.c
@@ -203,7 +203,7 @@
         _ow_feed_idle(ow, event, server);
         break;
     case OW_EVENT_REACHED:
-        server->reached = event->reached;
+        server->reached_us = event->reached ? now_us : 0;
         break;
     default:
         server->read_wanted = true;
--- a/packages/control/src/ownership_internal.h
+++ b/packages/control/src/ownership_internal.h
@@ -18,6 +18,8 @@
 #include "support.h"
 
 #define _OW_WORK_US UINT64_C(100000)      /* between looks at everything */
+#define _OW_PROBE_US UINT64_C(2000000)    /* between probes of one server */
+#define _OW_REACHED_US UINT64_C(5000000)  /* for which a probe counts */
 #define _OW_RETRY_US UINT64_C(500000)     /* after a failed table call */
 #define _OW_ACK_AGE_US UINT64_C(800000)   /* older: renew by the table */
 #define _OW_PATIENCE_US UINT64_C(1000000) /* before a second choice takes */
@@ -82,9 +84,10 @@
     char *zone;
     bool checks_fence;
     bool leaving;
-    bool reached;
-    bool named;     /* by the newest list */
-    bool row_known; /* the row, or that there is none */
+    uint64_t reached_us; /* a probe found it; 0: it did not */
+    uint64_t probe_us;   /* next probe */
+    bool named;          /* by the newest list */
+    bool row_known;      /* the row, or that there is none */
     _ow_row row;
     _ow_server_state state;
     uint64_t fence; /* while owned */
--- a/packages/control/src/ownership_server.c
+++ b/packages/control/src/ownership_server.c
@@ -215,7 +215,21 @@
     const _ow_peer *peer =
         nobody ? NULL : _ow_peer_find(ow, row->instance, row->incarnation);
     bool gone = peer && peer->gone;
-    return server->reached && (server->checks_fence || nobody || gone);
+    return server->checks_fence || nobody || gone;
+}
+
+/* True when a probe has reached the server lately; else asks for one. */
+static bool
+_ow_is_reached(ow_machine *ow, _ow_server *server, uint64_t now_us)
+{
+    if (server->reached_us && now_us < server->reached_us + _OW_REACHED_US) {
+        return true;
+    }
+    if (now_us >= server->probe_us) {
+        server->probe_us = now_us + _OW_PROBE_US;
+        _ow_act(ow, OW_ACTION_PROBE, server);
+    }
+    return false;
 }
 
 static void
@@ -267,7 +281,8 @@
     bool may = !ow->stopping && !server->leaving &&
                _ow_lease_fresh(ow, now_us) && now_us >= server->try_us;
     if (!g_str_equal(server->zone, ow->zone)) {
-        may = may && _ow_may_take_far(ow, server);
+        may = may && _ow_may_take_far(ow, server) &&
+              _ow_is_reached(ow, server, now_us);
     }
     bool chosen = server->wish && g_str_equal(server->wish, ow->instance);
     uint64_t patience_us =
--- a/packages/control/tests/test_ownership.c
+++ b/packages/control/tests/test_ownership.c
@@ -66,6 +66,7 @@
     uint32_t orders;
     uint32_t evictions;
     bool prompt; /* no late messages */
+    bool reach;  /* probes find servers of the other zone */
 };
 
 typedef struct message {
@@ -418,6 +419,11 @@
             }
         }
         break;
+    case OW_ACTION_PROBE:
+        feed(n, &(ow_event){.type = OW_EVENT_REACHED,
+                            .server = action->server,
+                            .reached = n->w->reach});
+        break;
     case OW_ACTION_REFUSE:
         n->refused[atoi(action->instance + 1)] = action->incarnation;
         break;
@@ -511,6 +517,7 @@
     world *w = g_new0(world, 1);
     w->s = sim_create(seed);
     w->unsafe = *unsafe;
+    w->reach = seed % 2;
     for (uint32_t i = 0; i < SERVERS; i++) {
         w->engines[i].checks = i >= SERVERS / 2;
     }
@@ -713,7 +720,7 @@
 caught(const ow_desc *unsafe)
 {
     uint32_t bad = 0;
-    for (uint32_t seed = 1; seed <= 40 && bad == 0; seed++) {
+    for (uint32_t seed = 1; seed <= 200 && bad == 0; seed++) {
         bad = run_seed(seed, unsafe, false);
     }
     return bad;
@@ -810,6 +817,45 @@
     }
 END_TEST
 
+static void
+feed_others(world *w, const ow_event *event)
+{
+    for (uint32_t i = 0; i < NODES; i += 2) {
+        feed(&w->nodes[i], event);
+    }
+}
+
+/* Both daemons of a zone die. Daemons of the other that reach its servers take
+   those that check fences, and the rest once the platform says that the old
+   owners' instances are gone. */
+START_TEST(test_zone_without_daemons)
+    {
+        world *w = world_create(5, &(ow_desc){0});
+        w->reach = false;
+        run_for(w, 20000);
+        halt(&w->nodes[1]);
+        halt(&w->nodes[3]);
+        run_for(w, 20000);
+        for (uint32_t i = 1; i < SERVERS; i += 2) {
+            ck_assert_uint_eq(users(w, i, OW_USE_FROZEN), 0);
+        }
+        w->reach = true;
+        run_for(w, 5000);
+        ck_assert_uint_eq(users(w, 1, OW_USE_FROZEN), 0);
+        ck_assert_uint_eq(users(w, 3, OW_USE_FROZEN), 1);
+        ck_assert_uint_eq(users(w, 5, OW_USE_FROZEN), 1);
+        feed_others(w, &(ow_event){.type = OW_EVENT_GONE, .instance = "d1"});
+        feed_others(w, &(ow_event){.type = OW_EVENT_GONE, .instance = "d3"});
+        run_for(w, 5000);
+        ck_assert_uint_eq(users(w, 1, OW_USE_FROZEN), 1);
+        heal(w);
+        run_for(w, 45000);
+        check_settled(w, 5);
+        ck_assert_uint_eq(w->evicted_in_use + w->two_owners, 0);
+        world_destroy(w);
+    }
+END_TEST
+
 int
 main(void)
 {
@@ -821,6 +867,7 @@
     tcase_add_test(tcase, test_takeover);
     tcase_add_test(tcase, test_outage);
     tcase_add_test(tcase, test_stop);
+    tcase_add_test(tcase, test_zone_without_daemons);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_ENV);
--- a/packages/daemon/src/daemon_out.c
+++ b/packages/daemon/src/daemon_out.c
@@ -102,6 +102,14 @@
     on_take_idle(((dn_daemon *)data)->owner, server);
 }
 
+static void
+_dn_reached(const char *server, bool reached, void *data)
+{
+    on_feed(((dn_daemon *)data)->owner, &(ow_event){.type = OW_EVENT_REACHED,
+                                                    .server = server,
+                                                    .reached = reached});
+}
+
 static void
 _dn_foreign(const char *server, uint32_t count, void *data)
 {
@@ -126,6 +134,7 @@
     .credit = _dn_credit,
     .idle = _dn_idle,
     .foreign = _dn_foreign,
+    .reached = _dn_reached,
     .server_leaving = _dn_server_leaving,
 };
 
@@ -221,6 +230,12 @@
     _dn_tell_owner(daemon, instance, server, daemon->instance, fence, true);
 }
 
+static void
+_dn_probe(const char *server, void *data)
+{
+    sc_probe(((dn_daemon *)data)->scheduler, server);
+}
+
 static void
 _dn_refuse(const char *instance, uint64_t incarnation, void *data)
 {
@@ -254,6 +269,7 @@
     .lose = _dn_lose,
     .owner = _dn_owner,
     .tell_drained = _dn_tell_drained,
+    .probe = _dn_probe,
     .refuse = _dn_refuse,
     .ended = _dn_ended,
 };
--- a/packages/daemon/src/owner_task.c
+++ b/packages/daemon/src/owner_task.c
@@ -74,6 +74,9 @@
         task->out->tell_drained(action->server, action->instance,
                                 action->fence, task->user_data);
         break;
+    case OW_ACTION_PROBE:
+        task->out->probe(action->server, task->user_data);
+        break;
     case OW_ACTION_REFUSE:
         task->out->refuse(action->instance, action->incarnation,
                           task->user_data);
--- a/packages/daemon/src/owner_task.h
+++ b/packages/daemon/src/owner_task.h
@@ -31,6 +31,8 @@
                   void *user_data);
     void (*tell_drained)(const char *server, const char *instance,
                          uint64_t fence, void *user_data);
+    /* Find out whether a server of another zone is reached. */
+    void (*probe)(const char *server, void *user_data);
     /* Acknowledge no heartbeat of this incarnation any more, at once. */
     void (*refuse)(const char *instance, uint64_t incarnation,
                    void *user_data);
--- a/packages/daemon/src/scheduler.h
+++ b/packages/daemon/src/scheduler.h
@@ -68,6 +68,8 @@
     void (*idle)(const char *server, void *data);
     /* An engine's report: requests there that are not from this instance. */
     void (*foreign)(const char *server, uint32_t count, void *data);
+    /* What came of sc_probe(). */
+    void (*reached)(const char *server, bool reached, void *data);
     /* An owned backend server said that it is leaving. */
     void (*server_leaving)(const char *server, void *data);
 } sc_out;
@@ -119,6 +121,8 @@
                       bool reachable);
 /* The server gets nothing new; for good. */
 void sc_set_leaving(sc_scheduler *scheduler, const char *server);
+/* Asks a server that is not owned whether it is there. */
+void sc_probe(sc_scheduler *scheduler, const char *server);
 
 /* -- drafts -----------------------------------------------------------------
  */
--- a/packages/daemon/src/scheduler_server.c
+++ b/packages/daemon/src/scheduler_server.c
@@ -224,6 +224,25 @@
     }
 }
 
+static void
+_sc_on_probe(be_server *backend, const be_order_result *result, void *data)
+{
+    (void)backend;
+    _sc_server *server = data;
+    sc_scheduler *scheduler = server->scheduler;
+    scheduler->out->reached(server->name, result->code == ER_OK,
+                            scheduler->out_data);
+}
+
+void
+sc_probe(sc_scheduler *scheduler, const char *name)
+{
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, name);
+    if (server) {
+        be_health(server->backend, _sc_on_probe, server);
+    }
+}
+
 /* Attempts of this instance that surely run there: a token has come. */
 static uint32_t
 _sc_running_count(const _sc_server *server)
