--- a/packages/bench/main.c
+++ b/packages/bench/main.c
@@ -279,6 +279,14 @@
 /* -- options ---------------------------------------------------------------
  */
 
+static void
+_default_to(gchar **option, const char *value)
+{
+    if (*option == NULL) {
+        *option = g_strdup(value);
+    }
+}
+
 static bool
 _is_valid(const bench_options *options)
 {
@@ -295,10 +303,7 @@
 int
 main(int argc, char **argv)
 {
-    bench_options options = {.seed = 1,
-                             .measure = g_strdup("all"),
-                             .deployment = g_strdup("all"),
-                             .part_off = g_strdup("none")};
+    bench_options options = {.seed = 1};
     const GOptionEntry entries[] = {
         {"seed", 0, 0, G_OPTION_ARG_INT, &options.seed, "Seed", "N"},
         {"measure", 0, 0, G_OPTION_ARG_STRING, &options.measure,
@@ -314,7 +319,11 @@
     g_option_context_add_main_entries(context, entries, NULL);
     g_autoptr(GError) error = NULL;
     int code = FAILED_OPTIONS;
-    if (!g_option_context_parse(context, &argc, &argv, &error)) {
+    bool parsed = g_option_context_parse(context, &argc, &argv, &error);
+    _default_to(&options.measure, "all");
+    _default_to(&options.deployment, "all");
+    _default_to(&options.part_off, "none");
+    if (!parsed) {
         fprintf(stderr, "bench: %s\n", error->message);
     }
     else if (!_is_valid(&options)) {
