--- a/packages/bench/src/engine.c
+++ b/packages/bench/src/engine.c
@@ -1,8 +1,8 @@
 /* Fake of one backend server's model engine. */
 #include "engine.h"
+#include "prefix_cache.h"
 #include <glib.h>
 
-#define CACHE_PREFIXES 48
 #define CACHE_LAG_US 1000000
 #define CACHE_GAP_PERCENT 10
 #define CACHED_PART 0.6 /* of a prompt, when its prefix is held */
@@ -28,8 +28,7 @@
     GArray *running; /* en_job */
     GArray *waiting; /* en_job, by priority and sequence */
     en_adapter *adapters;
-    uint64_t cache[CACHE_PREFIXES]; /* oldest first */
-    uint32_t cache_count;
+    px_cache cache;
     uint64_t sequence;
     uint64_t life; /* counts restarts: older calls are void */
     double factor;
@@ -107,30 +106,18 @@
                      .resident = resident});
 }
 
-/* Uses a prefix, the least recently used giving way; true when held. */
+/* Uses a prefix; true when it was held. */
 static bool
 _use_prefix(en_engine *engine, uint64_t prefix)
 {
-    uint32_t at = 0;
-    while (at < engine->cache_count && engine->cache[at] != prefix) {
-        at++;
+    px_use use = px_touch(&engine->cache, prefix);
+    if (use.evicted != 0) {
+        _tell_cache(engine, use.evicted, false);
     }
-    bool held = at < engine->cache_count;
-    if (!held && engine->cache_count < CACHE_PREFIXES) {
-        engine->cache_count++;
-    }
-    else if (!held) {
-        at = 0;
-        _tell_cache(engine, engine->cache[0], false);
-    }
-    for (; at + 1 < engine->cache_count; at++) {
-        engine->cache[at] = engine->cache[at + 1];
-    }
-    engine->cache[engine->cache_count - 1] = prefix;
-    if (!held) {
+    if (!use.held) {
         _tell_cache(engine, prefix, true);
     }
-    return held;
+    return use.held;
 }
 
 static uint32_t
@@ -472,7 +459,7 @@
         }
         engine->adapters[i].state = EN_ADAPTER_NONE;
     }
-    engine->cache_count = 0;
+    engine->cache = (px_cache){0};
     uint64_t now_us = eq_query_now_us(engine->desc.queue);
     eq_push(engine->desc.queue, now_us + EN_COLD_START_MS * 1000ULL,
             _on_started, engine, (eq_args){.value = engine->life});
--- a/packages/bench/tests/test_bench_fakes.c
+++ b/packages/bench/tests/test_bench_fakes.c
@@ -1,6 +1,7 @@
 /* The fakes keep the figures that they stand for. */
 #include "arrivals.h"
 #include "engine.h"
+#include "prefix_cache.h"
 #include <check.h>
 #include <glib.h>
 #include <stdlib.h>
@@ -197,6 +198,21 @@
     }
 END_TEST
 
+START_TEST(test_oldest_prefix_gives_way)
+    {
+        px_cache cache = {0};
+        for (uint64_t prefix = 1; prefix <= PX_PREFIXES; prefix++) {
+            px_use use = px_touch(&cache, prefix);
+            ck_assert(!use.held);
+            ck_assert_uint_eq(use.evicted, 0);
+        }
+        ck_assert(px_touch(&cache, 1).held);
+        ck_assert_uint_eq(px_touch(&cache, 1000).evicted, 2);
+        ck_assert(px_touch(&cache, 1).held);
+        ck_assert(!px_touch(&cache, 2).held);
+    }
+END_TEST
+
 START_TEST(test_reports_are_late)
     {
         run_until(5000000);
@@ -308,6 +324,7 @@
     tcase_add_test(tests, test_cancel_ends_the_work);
     tcase_add_test(tests, test_restart_loses_all);
     tcase_add_test(tests, test_adapters);
+    tcase_add_test(tests, test_oldest_prefix_gives_way);
     tcase_add_test(tests, test_reports_are_late);
     tcase_add_test(tests, test_store_rate_and_burst);
     tcase_add_test(tests, test_store_transit);
