--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -19,7 +19,7 @@
 #define _LD_HOT_BENEFIT 2.0      /* requests served: loaded before others */
 #define _LD_EXTRA_PENALTY_MS 500 /* a further copy waits behind these */
 #define _LD_PATIENCE_MS 20000    /* longest start of work that has time */
-#define _LD_GAIN_MS 3000  /* less waiting that a further copy must bring */
+#define _LD_GAIN_MS 2400  /* less waiting that a further copy must bring */
 #define _LD_SCARCE_PCT 25 /* of the wait for a load, at least */
 #define _LD_SPARE_PCT 80  /* of the expected work, left after a load */
 #define _LD_BACKOFF_MS 200
