Stops and starts without the platform; the configuration's targets reach the decisions

Cause of the start that refused all drafts: with the table down nobody's owner rows can be read; the peers' word now stands in until they can. Budgets and targets of the configuration were never handed to the decisions; lwd_set_limits() takes them. Versions without a share are not pinned.

--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -6,6 +6,8 @@
 #define _DN_GOSSIP_PERIOD_MS 1000
 #define _DN_STOP_CHECK_MS 50
 #define _DN_STOP_MS 120000
+/* Longest wait for the table once nothing else is open. */
+#define _DN_HAND_US UINT64_C(3000000)
 
 /* -- private: making the tasks ----------------------------------------------
  */
@@ -218,9 +220,17 @@
 _dn_check_stop(uint64_t now_us, void *data)
 {
     dn_daemon *daemon = data;
-    uint32_t open = _dn_open_count(daemon);
+    if (_dn_open_count(daemon) > 0) {
+        daemon->idle_us = 0;
+    }
+    else if (!daemon->idle_us) {
+        daemon->idle_us = now_us;
+    }
+    /* Without the table the lease lapses by itself. */
     bool handed = ow_query_stopped(on_query_machine(daemon->owner));
-    if (now_us >= daemon->stop_by_us || (open == 0 && handed)) {
+    bool waited = daemon->idle_us && now_us >= daemon->idle_us + _DN_HAND_US;
+    bool done = daemon->idle_us && (handed || waited);
+    if (now_us >= daemon->stop_by_us || done) {
         _dn_finish_stop(daemon);
     }
 }
--- a/packages/daemon/src/daemon_config.c
+++ b/packages/daemon/src/daemon_config.c
@@ -39,7 +39,10 @@
         }
         for (char **version = adapter->versions; *version; version++) {
             g_autofree char *name = _dn_model_name(adapter, *version);
-            sc_set_model(daemon->scheduler, name, adapter->pinned);
+            uint32_t share_pct =
+                adapter->share_pct[version - adapter->versions];
+            sc_set_model(daemon->scheduler, name,
+                         share_pct ? adapter->pinned : 0);
         }
     }
 }
@@ -73,12 +76,29 @@
                           .slots = server->slots,
                           .adapter_slots = server->adapter_slots,
                           .tokens_per_s = server->tokens_per_s,
+                          .prefill_per_s = server->prefill_per_s,
                           .pausable = server->pausable,
                           .leaving = server->state == DC_SERVER_DRAIN,
                       });
     }
 }
 
+static void
+_dn_set_limits(dn_daemon *daemon, const dc_config *config)
+{
+    const dc_limits *limits = dc_query_limits(config);
+    const dc_tolerances *tolerances = dc_query_tolerances(config);
+    sc_set_limits(
+        daemon->scheduler,
+        &(lwd_desc){.load_ms = limits->load_ms,
+                    .first_token_target_ms = tolerances->first_token_ms,
+                    .token_interval_ms = tolerances->token_interval_ms,
+                    .eject_share_pct = limits->eject_share_pct,
+                    .hedge_budget_pct = limits->hedge_budget_pct,
+                    .retry_budget_pct = limits->retry_budget_pct,
+                    .convict_deaths = limits->convict_deaths});
+}
+
 void
 _dn_check_ready(dn_daemon *daemon)
 {
@@ -103,6 +123,7 @@
     _dn_set_servers(daemon, config);
     _dn_set_models(daemon, config, previous);
     wg_set_limits(daemon->weights, dc_query_limits(config));
+    _dn_set_limits(daemon, config);
     cs_set_config(daemon->calls, config);
     on_set_config(daemon->owner, config);
     if (daemon->ready) {
--- a/packages/daemon/src/daemon_out.c
+++ b/packages/daemon/src/daemon_out.c
@@ -318,9 +318,20 @@
     sc_take_summary(daemon->scheduler, from->server, &summary);
 }
 
+/* With the table down from the start, the peers' word is all there is. */
+static void
+_dn_learn_owner(dn_daemon *daemon, const Lacewing__Ownership *from)
+{
+    const ow_machine *machine = on_query_machine(daemon->owner);
+    if (!from->drained && !ow_query_owner(machine, from->server, NULL)) {
+        sc_set_owner(daemon->scheduler, from->server, from->instance);
+    }
+}
+
 static void
 _dn_take_ownership(dn_daemon *daemon, const Lacewing__Ownership *from)
 {
+    _dn_learn_owner(daemon, from);
     on_feed(daemon->owner, &(ow_event){.type = from->drained ? OW_EVENT_DRAINED
                                                              : OW_EVENT_OWNER,
                                        .server = from->server,
--- a/packages/daemon/src/daemon_private.h
+++ b/packages/daemon/src/daemon_private.h
@@ -40,6 +40,7 @@
     bool ready;
     bool stopping;
     uint64_t stop_by_us;
+    uint64_t idle_us; /* stopping: since when nothing is open; 0: not */
     tm_timer gossip;
     tm_timer stop_timer;
     dn_stopped_call on_stopped;
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -220,6 +220,12 @@
     g_free(scheduler);
 }
 
+void
+sc_set_limits(sc_scheduler *scheduler, const lwd_desc *limits)
+{
+    lwd_set_limits(scheduler->policy, limits);
+}
+
 /* -- public: models ---------------------------------------------------------
  */
 
--- a/packages/daemon/src/scheduler.h
+++ b/packages/daemon/src/scheduler.h
@@ -94,7 +94,8 @@
     const char *address;
     uint32_t slots;
     uint32_t adapter_slots;
-    uint32_t tokens_per_s; /* 0: not known */
+    uint32_t tokens_per_s;  /* 0: not known */
+    uint32_t prefill_per_s; /* 0: not known */
     bool pausable;
     bool leaving; /* gets nothing new */
 } sc_server_desc;
@@ -104,6 +105,9 @@
 void sc_set_model(sc_scheduler *scheduler, const char *model, uint32_t pinned);
 void sc_remove_model(sc_scheduler *scheduler, const char *model);
 
+/* Targets and budgets of the decisions; see lwd_set_limits(). */
+void sc_set_limits(sc_scheduler *scheduler, const lwd_desc *limits);
+
 /* This instance owns the server from now on. No eviction there before
    settle_us. */
 void sc_own(sc_scheduler *scheduler, const char *server, uint64_t fence,
--- a/packages/daemon/src/scheduler_server.c
+++ b/packages/daemon/src/scheduler_server.c
@@ -343,6 +343,7 @@
                            .slots = desc->slots,
                            .adapter_slots = desc->adapter_slots,
                            .tokens_per_s = desc->tokens_per_s,
+                           .prefill_per_s = desc->prefill_per_s,
                            .pausable = desc->pausable});
     g_hash_table_insert(scheduler->servers, server->name, server);
     g_hash_table_insert(scheduler->servers_by_id,
--- a/packages/decisions/include/lacewing/decisions.h
+++ b/packages/decisions/include/lacewing/decisions.h
@@ -43,7 +43,7 @@
  *
  * commands:  lwd_create lwd_destroy lwd_make_server lwd_destroy_server
  *            lwd_make_adapter lwd_destroy_adapter lwd_make_request lwd_feed
- *            lwd_next_action
+ *            lwd_next_action lwd_set_limits
  * queries:   lwd_query_wakeup_us lwd_query_server_state
  *            lwd_query_adapter_state lwd_query_request_state
  *            lwd_query_server_info lwd_query_resident lwd_query_bytes
@@ -397,6 +397,11 @@
                              const lwd_request_desc *desc);
 /* Takes in one event. ER_STALE and ER_INVALID_ID change nothing. */
 er_code lwd_feed(lwd_policy *policy, uint64_t now_us, const lwd_event *event);
+/* New targets and budgets of a policy made by lwd_create(): of the desc,
+   load_ms, first_token_target_ms, token_interval_ms, eject_share_pct,
+   hedge_budget_pct, retry_budget_pct and convict_deaths; the rest is not
+   read. */
+void lwd_set_limits(lwd_policy *policy, const lwd_desc *desc);
 /* Takes out the next action, in order; false when there is none. */
 bool lwd_next_action(lwd_policy *policy, lwd_action *action);
 
--- a/packages/decisions/src/policy.c
+++ b/packages/decisions/src/policy.c
@@ -289,3 +289,17 @@
 {
     return policy->vt->query_wakeup_us(policy);
 }
+
+void
+lwd_set_limits(lwd_policy *base, const lwd_desc *desc)
+{
+    dp_policy *policy = (dp_policy *)base;
+    lwd_desc limits = _lwd_resolve(desc);
+    policy->desc.load_ms = limits.load_ms;
+    policy->desc.first_token_target_ms = limits.first_token_target_ms;
+    policy->desc.token_interval_ms = limits.token_interval_ms;
+    policy->desc.eject_share_pct = limits.eject_share_pct;
+    policy->desc.hedge_budget_pct = limits.hedge_budget_pct;
+    policy->desc.retry_budget_pct = limits.retry_budget_pct;
+    policy->desc.convict_deaths = limits.convict_deaths;
+}
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -484,6 +484,24 @@
     return true;
 }
 
+bool
+hn_wait_member_ready(const hn_member *daemon, uint32_t timeout_ms)
+{
+    g_autofree char *url = g_strdup_printf("%s/readyz", daemon->url);
+    gint64 end_us = g_get_monotonic_time() + (gint64)timeout_ms * 1000;
+    while (g_get_monotonic_time() < end_us) {
+        g_auto(ht_answer) answer = {0};
+        ht_call(
+            &(ht_desc){.url = url, .ca = daemon->fleet->ca, .timeout_ms = 500},
+            &answer);
+        if (answer.status == 200) {
+            return true;
+        }
+        g_usleep(_HN_POLL_US);
+    }
+    return false;
+}
+
 /* -- public: members --------------------------------------------------------
  */
 
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -59,6 +59,9 @@
 /* Waits until every daemon is ready and every engine has an owner. */
 bool hn_wait_ready(hn_fleet *fleet, uint32_t timeout_ms);
 
+/* The same for one daemon, which need not know every owner. */
+bool hn_wait_member_ready(const hn_member *daemon, uint32_t timeout_ms);
+
 hn_member *hn_find(hn_fleet *fleet, const char *name);
 void hn_signal(hn_member *member, int signal);
 /* Waits for a member's end; false on timeout. exit_code may be NULL. */
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -244,6 +244,42 @@
     }
 END_TEST
 
+START_TEST(test_planned_stop_ends_without_the_platform)
+    {
+        hn_member *stopped = hn_find(fleet, "b");
+        ck_assert(hn_control(hn_find(fleet, "platform"),
+                             "{\"order\":\"down\",\"ms\":60000}"));
+        g_usleep(US_PER_S);
+        hn_signal(stopped, SIGTERM);
+        int exit_code = -1;
+        ck_assert(hn_wait_end(stopped, 10000, &exit_code));
+        ck_assert_int_eq(exit_code, 0);
+    }
+END_TEST
+
+START_TEST(test_instance_started_without_the_platform_serves)
+    {
+        hn_member *again = hn_find(fleet, "c");
+        hn_signal(again, SIGKILL);
+        ck_assert(hn_wait_end(again, 5000, NULL));
+        /* The weight store goes down as well: only held adapters serve. */
+        draft before[8] = {0};
+        begin_drafts(before, 8, "a", 10);
+        ck_assert_uint_eq(end_drafts(before, 8), 8);
+        ck_assert(hn_control(hn_find(fleet, "platform"),
+                             "{\"order\":\"down\",\"ms\":60000}"));
+        ck_assert(hn_restart(again));
+        ck_assert(hn_wait_member_ready(again, 10000));
+        /* The owners tell in turn which adapters their servers hold. */
+        g_usleep(3 * US_PER_S);
+        /* The owners tell in turn which adapters their servers hold. */
+        g_usleep(3 * US_PER_S);
+        draft drafts[8] = {0};
+        begin_drafts(drafts, 8, "c", 10);
+        ck_assert_uint_eq(end_drafts(drafts, 8), 8);
+    }
+END_TEST
+
 START_TEST(test_lost_answers_double_no_booking)
     {
         static const char *const daemons[] = {"a", "b", "c"};
@@ -312,6 +348,10 @@
         {"frozen_owner_wakes_harmless", test_frozen_owner_wakes_harmless},
         {"platform_down_drafts_go_on_and_bookings_say_so",
          test_platform_down_drafts_go_on_and_bookings_say_so},
+        {"planned_stop_ends_without_the_platform",
+         test_planned_stop_ends_without_the_platform},
+        {"instance_started_without_the_platform_serves",
+         test_instance_started_without_the_platform_serves},
         {"lost_answers_double_no_booking",
          test_lost_answers_double_no_booking},
         {"cut_off_zone_goes_on_serving", test_cut_off_zone_goes_on_serving},
