--- a/packages/backend/src/stream.c
+++ b/packages/backend/src/stream.c
@@ -4,6 +4,7 @@
 
 #define _BE_READ_BYTES 16384
 #define _BE_ERROR_BYTES_MAX 65536
+#define _BE_US_PER_MS UINT64_C(1000)
 
 struct be_stream {
     be_server *server;
@@ -13,6 +14,8 @@
     es_parser *parser;
     JsonParser *json;
     tm_timer silence;
+    uint64_t progress_us; /* when something last came */
+    uint64_t patience_us; /* for the next thing to come */
     char *attempt;
     char *model;
     uint32_t next_index;
@@ -116,26 +119,45 @@
     be_health(stream->server, _be_on_probe, probe);
 }
 
+static void _be_stream_watch(be_stream *stream, uint64_t wait_us);
+
+/* Progress since the timer was set only moves it on. */
 static void
 _be_on_silence(uint64_t now_us, void *data)
 {
-    (void)now_us;
     be_stream *stream = data;
-    if (!stream->held) {
+    uint64_t due_us = stream->progress_us + stream->patience_us;
+    if (now_us < due_us) {
+        _be_stream_watch(stream, due_us - now_us);
+    }
+    else if (!stream->held) {
         _be_stream_broken(stream, BE_END_SILENT, "no progress");
     }
 }
 
 static void
-_be_stream_watch(be_stream *stream, uint32_t wait_ms)
+_be_stream_watch(be_stream *stream, uint64_t wait_us)
 {
     tm_service *timers = stream->server->timers;
     tm_destroy_timer(timers, stream->silence);
-    stream->silence =
-        tm_make_timer(timers, &(tm_timer_desc){.period_ms = wait_ms,
-                                               .once = true,
-                                               .call = _be_on_silence,
-                                               .user_data = stream});
+    stream->silence = tm_make_timer(
+        timers,
+        &(tm_timer_desc){.period_ms = (uint32_t)(wait_us / _BE_US_PER_MS) + 1,
+                         .once = true,
+                         .call = _be_on_silence,
+                         .user_data = stream});
+}
+
+/* The stream must make progress within this time from now. */
+static void
+_be_stream_expect(be_stream *stream, uint32_t patience_ms)
+{
+    bool sooner = patience_ms * _BE_US_PER_MS < stream->patience_us;
+    stream->progress_us = tm_query_now_us(stream->server->timers);
+    stream->patience_us = patience_ms * _BE_US_PER_MS;
+    if (sooner || !tm_is_valid(stream->server->timers, stream->silence)) {
+        _be_stream_watch(stream, stream->patience_us);
+    }
 }
 
 /* -- private: events ---------------------------------------------------- */
@@ -217,7 +239,7 @@
 _be_stream_took(be_stream *stream, gssize size, const GError *error)
 {
     if (size > 0) {
-        _be_stream_watch(stream, stream->server->silence_ms);
+        _be_stream_expect(stream, stream->server->silence_ms);
         es_push(stream->parser, stream->buffer, (size_t)size);
         _be_stream_events(stream);
         if (!stream->ended && !stream->held) {
@@ -389,7 +411,7 @@
     stream->on_end = desc->on_end;
     stream->user_data = desc->user_data;
     g_hash_table_add(server->streams, stream);
-    _be_stream_watch(stream, server->start_ms);
+    _be_stream_expect(stream, server->start_ms);
     soup_session_send_async(server->session, stream->message,
                             G_PRIORITY_DEFAULT, stream->cancel, _be_on_sent,
                             _be_stream_ref(stream));
@@ -425,7 +447,7 @@
     if (!resumed || stream->ended) {
         return;
     }
-    _be_stream_watch(stream, stream->server->silence_ms);
+    _be_stream_expect(stream, stream->server->silence_ms);
     if (stream->body) {
         _be_stream_read(stream);
     }
--- a/packages/daemon/src/wakeup.c
+++ b/packages/daemon/src/wakeup.c
@@ -25,7 +25,11 @@
 void
 wk_set(wk_wakeup *wakeup, uint64_t at_us)
 {
+    if (at_us == wakeup->at_us && tm_is_valid(wakeup->timers, wakeup->timer)) {
+        return;
+    }
     wk_shutdown(wakeup);
+    wakeup->at_us = at_us;
     if (at_us == UINT64_MAX) {
         return;
     }
--- a/packages/daemon/src/wakeup.h
+++ b/packages/daemon/src/wakeup.h
@@ -15,6 +15,7 @@
 typedef struct wk_wakeup {
     tm_service *timers;
     tm_timer timer;
+    uint64_t at_us; /* when the timer is due */
     tm_call call;
     void *user_data;
 } wk_wakeup;
