--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN = $(BUILD)/bin
 
 .PHONY: all build install-packages test lint format demo bench load chaos \
-	sanitize proto
+	sanitize fuzz proto
 
 all: build
 
@@ -45,6 +45,16 @@
 chaos: install-packages build
 	@$(BIN)/lacewing-chaos --seed $(SEED) --bin $(BIN)
 
+# Searches for input that breaks a decoder, FUZZ_SECONDS for each.
+FUZZ_SECONDS ?= 20
+fuzz: install-packages
+	@CC=clang cmake -S . -B build-fuzz -G Ninja -DLACEWING_FUZZ=ON >/dev/null
+	@cmake --build build-fuzz --target fuzz_frames fuzz_events fuzz_edits \
+		fuzz_config
+	@for name in frames events edits config; do \
+		build-fuzz/bin/fuzz_$$name -max_total_time=$(FUZZ_SECONDS) \
+			-print_final_stats=1 -verbosity=0 || exit 1; done
+
 # Regenerates the committed code of the inner protocol.
 proto:
 	protoc-c --c_out=packages/wire/src -Ipackages/wire/proto \
--- a/packages/backend/src/event_stream.c
+++ b/packages/backend/src/event_stream.c
@@ -2,22 +2,22 @@
 
 #include <string.h>
 
-struct es_parser {
+struct se_parser {
     GString *buffer;
     size_t read_offset;
     bool failed;
 };
 
-es_parser *
-es_create(void)
+se_parser *
+se_create(void)
 {
-    es_parser *parser = g_new0(es_parser, 1);
+    se_parser *parser = g_new0(se_parser, 1);
     parser->buffer = g_string_new(NULL);
     return parser;
 }
 
 void
-es_destroy(es_parser *parser)
+se_destroy(se_parser *parser)
 {
     if (parser) {
         g_string_free(parser->buffer, TRUE);
@@ -26,7 +26,7 @@
 }
 
 void
-es_push(es_parser *parser, const char *bytes, size_t size)
+se_push(se_parser *parser, const char *bytes, size_t size)
 {
     g_string_erase(parser->buffer, 0, (gssize)parser->read_offset);
     parser->read_offset = 0;
@@ -34,13 +34,13 @@
 }
 
 static char *
-_es_take_line(es_parser *parser)
+_se_take_line(se_parser *parser)
 {
     char *start = parser->buffer->str + parser->read_offset;
     size_t left = parser->buffer->len - parser->read_offset;
     char *end = memchr(start, '\n', left);
     if (!end) {
-        parser->failed = parser->failed || left > ES_LINE_BYTES_MAX;
+        parser->failed = parser->failed || left > SE_LINE_BYTES_MAX;
         return NULL;
     }
     *end = '\0';
@@ -52,10 +52,10 @@
 }
 
 const char *
-es_next(es_parser *parser)
+se_next(se_parser *parser)
 {
     const char *line;
-    while (!parser->failed && (line = _es_take_line(parser))) {
+    while (!parser->failed && (line = _se_take_line(parser))) {
         if (g_str_has_prefix(line, "data:")) {
             const char *data = line + strlen("data:");
             return *data == ' ' ? data + 1 : data;
@@ -65,7 +65,7 @@
 }
 
 bool
-es_query_failed(const es_parser *parser)
+se_query_failed(const se_parser *parser)
 {
     return parser->failed;
 }
--- a/packages/backend/src/stream.c
+++ b/packages/backend/src/stream.c
@@ -11,7 +11,7 @@
     SoupMessage *message;
     GInputStream *body;
     GCancellable *cancel;
-    es_parser *parser;
+    se_parser *parser;
     JsonParser *json;
     tm_timer silence;
     uint64_t progress_us; /* when something last came */
@@ -38,7 +38,7 @@
     g_clear_object(&stream->message);
     g_clear_object(&stream->body);
     g_object_unref(stream->cancel);
-    es_destroy(stream->parser);
+    se_destroy(stream->parser);
     g_object_unref(stream->json);
     g_free(stream->attempt);
     g_free(stream->model);
@@ -225,10 +225,10 @@
 _be_stream_events(be_stream *stream)
 {
     const char *data;
-    while (!stream->ended && (data = es_next(stream->parser))) {
+    while (!stream->ended && (data = se_next(stream->parser))) {
         _be_stream_event(stream, data);
     }
-    if (!stream->ended && es_query_failed(stream->parser)) {
+    if (!stream->ended && se_query_failed(stream->parser)) {
         _be_stream_end(stream, BE_END_BROKEN, NULL, "an event is too long");
     }
 }
@@ -240,7 +240,7 @@
 {
     if (size > 0) {
         _be_stream_expect(stream, stream->server->silence_ms);
-        es_push(stream->parser, stream->buffer, (size_t)size);
+        se_push(stream->parser, stream->buffer, (size_t)size);
         _be_stream_events(stream);
         if (!stream->ended && !stream->held) {
             _be_stream_read(stream);
@@ -402,7 +402,7 @@
     stream->server = server;
     stream->message = _be_completion(server, desc);
     stream->cancel = g_cancellable_new();
-    stream->parser = es_create();
+    stream->parser = se_create();
     stream->json = json_parser_new();
     stream->attempt = g_strdup(desc->attempt);
     stream->model = g_strdup(desc->model);
--- a/packages/backend/tests/test_backend.c
+++ b/packages/backend/tests/test_backend.c
@@ -329,29 +329,29 @@
         static const char text[] = "data: one\n\n: note\r\ndata:two\r\n\r\n"
                                    "event: x\ndata: three\n\n";
         for (size_t piece = 1; piece <= sizeof(text); piece++) {
-            es_parser *parser = es_create();
+            se_parser *parser = se_create();
             g_autoptr(GString) seen = g_string_new(NULL);
             for (size_t at = 0; at < sizeof(text) - 1; at += piece) {
-                es_push(parser, text + at, MIN(piece, sizeof(text) - 1 - at));
+                se_push(parser, text + at, MIN(piece, sizeof(text) - 1 - at));
                 const char *data;
-                while ((data = es_next(parser))) {
+                while ((data = se_next(parser))) {
                     g_string_append_printf(seen, "%s;", data);
                 }
             }
             ck_assert_str_eq(seen->str, "one;two;three;");
-            es_destroy(parser);
+            se_destroy(parser);
         }
     }
 END_TEST
 
 START_TEST(test_an_endless_line_fails)
     {
-        es_parser *parser = es_create();
-        g_autofree char *line = g_strnfill(ES_LINE_BYTES_MAX + 1, 'x');
-        es_push(parser, line, ES_LINE_BYTES_MAX + 1);
-        ck_assert_ptr_null(es_next(parser));
-        ck_assert(es_query_failed(parser));
-        es_destroy(parser);
+        se_parser *parser = se_create();
+        g_autofree char *line = g_strnfill(SE_LINE_BYTES_MAX + 1, 'x');
+        se_push(parser, line, SE_LINE_BYTES_MAX + 1);
+        ck_assert_ptr_null(se_next(parser));
+        ck_assert(se_query_failed(parser));
+        se_destroy(parser);
     }
 END_TEST
 
--- /dev/null
+++ b/tests/test_fuzz.c
@@ -0,0 +1,113 @@
+/* Replay of a fixed corpus, and of fixed mutations of it, on every decoder
+   that is fuzzed. */
+#include "fuzz/targets.h"
+#include "lacewing/frame.h"
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MUTATIONS 3000
+#define SEED 20261204
+
+static const char *const texts[] = {
+    "data: {\"index\":0,\"text\":\" w\",\"model\":\"a@1\"}\n\ndata: {\"done\":"
+    "true,\"tokens\":1}\n\n",
+    "[{\"group\":\"team a\",\"key\":\"weight\",\"value\":\"2\"},"
+    "{\"group\":\"adapter x\",\"key\":null,\"value\":null}]",
+    "[deployment]\nname = t\nregion = r\n[zone z]\nlatency_ms = 1\n"
+    "[server s]\nzone = z\naddress = 127.0.0.1:1\nkind = engine\n"
+    "[model m]\n[team t]\n[adapter a]\nmodel = m\nteam = t\nversions = 1\n"
+    "[operation o]\nkind = draft\nidempotent = true\ndeadline_ms = 10\n",
+    "",
+};
+
+static void
+run_all(const uint8_t *bytes, size_t size)
+{
+    fz_frames(bytes, size);
+    fz_events(bytes, size);
+    fz_edits(bytes, size);
+    fz_config(bytes, size);
+}
+
+/* One change of one of the usual kinds: a byte, a cut, a doubled part. */
+static void
+mutate(GRand *rand, GByteArray *bytes)
+{
+    guint at = bytes->len ? g_rand_int_range(rand, 0, bytes->len) : 0;
+    switch (g_rand_int_range(rand, 0, 4)) {
+    case 0:
+        if (bytes->len) {
+            bytes->data[at] = (guint8)g_rand_int(rand);
+        }
+        break;
+    case 1:
+        g_byte_array_set_size(bytes, at);
+        break;
+    case 2:
+        if (bytes->len) {
+            g_autofree guint8 *tail =
+                g_memdup2(bytes->data + at, bytes->len - at);
+            g_byte_array_append(bytes, tail, bytes->len - at);
+        }
+        break;
+    default: {
+        guint8 byte = (guint8) "\n\0[]{}\":=;"[g_rand_int_range(rand, 0, 10)];
+        g_byte_array_append(bytes, &byte, 1);
+        break;
+    }
+    }
+}
+
+static void
+replay(const uint8_t *bytes, size_t size)
+{
+    g_autoptr(GRand) rand = g_rand_new_with_seed(SEED);
+    run_all(bytes, size);
+    for (uint32_t i = 0; i < MUTATIONS; i++) {
+        g_autoptr(GByteArray) copy = g_byte_array_new();
+        g_byte_array_append(copy, bytes, (guint)size);
+        guint changes = (guint)g_rand_int_range(rand, 1, 6);
+        for (guint change = 0; change < changes; change++) {
+            mutate(rand, copy);
+        }
+        run_all(copy->data ? copy->data : (const guint8 *)"", copy->len);
+    }
+}
+
+START_TEST(test_texts)
+    {
+        replay((const uint8_t *)texts[_i], strlen(texts[_i]));
+    }
+END_TEST
+
+START_TEST(test_frames)
+    {
+        Lacewing__Hello hello = LACEWING__HELLO__INIT;
+        hello.instance = "a";
+        hello.zone = "z";
+        Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+        envelope.body_case = LACEWING__ENVELOPE__BODY_HELLO;
+        envelope.hello = &hello;
+        g_autoptr(GByteArray) bytes = g_byte_array_new();
+        fr_encode(&envelope, bytes);
+        replay(bytes->data, bytes->len);
+    }
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("fuzz");
+    TCase *tests = tcase_create("all");
+    tcase_set_timeout(tests, 120);
+    tcase_add_loop_test(tests, test_texts, 0, G_N_ELEMENTS(texts));
+    tcase_add_test(tests, test_frames);
+    suite_add_tcase(suite, tests);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
