--- a/packages/tool/tests/test_questionnaire.c
+++ b/packages/tool/tests/test_questionnaire.c
@@ -38,48 +38,48 @@
 };
 
 START_TEST(test_examples_generate_and_check_clean)
-    {
-        g_autoptr(GKeyFile) answers = load_example(examples[_i].name);
-        g_autofree char *text = generate(answers);
-        g_autoptr(dc_config) config = NULL;
-        ck_assert_int_eq(dc_parse(text, "generated", &config, NULL), ER_OK);
-        ck_assert_uint_eq(dc_query_count(config, DC_ADAPTER), 3000);
-        ck_assert_uint_eq(dc_query_count(config, DC_ZONE), 4);
-        ck_assert_uint_eq(dc_query_count(config, DC_SERVER),
-                          examples[_i].engines + examples[_i].services);
-        uint32_t drafts = 0;
-        for (uint32_t i = 0; i < dc_query_count(config, DC_OPERATION); i++) {
-            const dc_operation *operation = dc_query_operation_at(config, i);
-            drafts += operation->kind == DC_OPERATION_DRAFT ? 1 : 0;
-        }
-        ck_assert_uint_eq(drafts, examples[_i].drafts);
-        ck_assert(dc_query_limits(config)->loads_per_s ==
-                  examples[_i].loads_per_s);
-        g_autoptr(dc_findings) findings = dc_check_plan(config);
-        ck_assert_uint_eq(dc_findings_query_count(findings), 0);
+{
+    g_autoptr(GKeyFile) answers = load_example(examples[_i].name);
+    g_autofree char *text = generate(answers);
+    g_autoptr(dc_config) config = NULL;
+    ck_assert_int_eq(dc_parse(text, "generated", &config, NULL), ER_OK);
+    ck_assert_uint_eq(dc_query_count(config, DC_ADAPTER), 3000);
+    ck_assert_uint_eq(dc_query_count(config, DC_ZONE), 4);
+    ck_assert_uint_eq(dc_query_count(config, DC_SERVER),
+                      examples[_i].engines + examples[_i].services);
+    uint32_t drafts = 0;
+    for (uint32_t i = 0; i < dc_query_count(config, DC_OPERATION); i++) {
+        const dc_operation *operation = dc_query_operation_at(config, i);
+        drafts += operation->kind == DC_OPERATION_DRAFT ? 1 : 0;
     }
+    ck_assert_uint_eq(drafts, examples[_i].drafts);
+    ck_assert(dc_query_limits(config)->loads_per_s ==
+              examples[_i].loads_per_s);
+    g_autoptr(dc_findings) findings = dc_check_plan(config);
+    ck_assert_uint_eq(dc_findings_query_count(findings), 0);
+}
 END_TEST
 
 /* Values that the answers do not give word for word have a reason. */
 START_TEST(test_reasons)
-    {
-        g_autoptr(GKeyFile) answers = load_example("trust.answers.ini");
-        g_autofree char *text = generate(answers);
-        static const char *const derived[] = {
-            "eject_share_pct=", "hedge_budget_pct=", "stop_ms=", "fence=",
-            "deadline_ms=",     "idempotent=",       "pinned=",  "pausable="};
-        g_auto(GStrv) lines = g_strsplit(text, "\n", -1);
-        uint32_t found = 0;
-        for (uint32_t i = 1; lines[i]; i++) {
-            for (size_t j = 0; j < G_N_ELEMENTS(derived); j++) {
-                if (g_str_has_prefix(lines[i], derived[j])) {
-                    found++;
-                    ck_assert_msg(lines[i - 1][0] == '#', "%s", lines[i]);
-                }
+{
+    g_autoptr(GKeyFile) answers = load_example("trust.answers.ini");
+    g_autofree char *text = generate(answers);
+    static const char *const derived[] = {
+        "eject_share_pct=", "hedge_budget_pct=", "stop_ms=", "fence=",
+        "deadline_ms=",     "idempotent=",       "pinned=",  "pausable="};
+    g_auto(GStrv) lines = g_strsplit(text, "\n", -1);
+    uint32_t found = 0;
+    for (uint32_t i = 1; lines[i]; i++) {
+        for (size_t j = 0; j < G_N_ELEMENTS(derived); j++) {
+            if (g_str_has_prefix(lines[i], derived[j])) {
+                found++;
+                ck_assert_msg(lines[i - 1][0] == '#', "%s", lines[i]);
             }
         }
-        ck_assert_uint_gt(found, G_N_ELEMENTS(derived));
     }
+    ck_assert_uint_gt(found, G_N_ELEMENTS(derived));
+}
 END_TEST
 
 static const struct {
@@ -135,86 +135,85 @@
 };
 
 START_TEST(test_contradictions)
-    {
-        g_autoptr(GKeyFile) answers = load_example("trust.answers.ini");
-        if (contradictions[_i].value) {
-            g_key_file_set_string(answers, contradictions[_i].group,
-                                  contradictions[_i].key,
-                                  contradictions[_i].value);
-        }
-        else {
-            g_key_file_remove_key(answers, contradictions[_i].group,
-                                  contradictions[_i].key, NULL);
-        }
-        char *text = NULL;
-        qn_problem problem = {0};
-        er_code code = qn_generate(answers, "answers", &text, &problem);
-        ck_assert_int_eq(code, ER_SETTING_CONFLICT);
-        ck_assert_ptr_null(text);
-        ck_assert_str_eq(qn_query_problem_name(problem.code),
-                         qn_query_problem_name(contradictions[_i].code));
-        ck_assert_str_eq(problem.question, contradictions[_i].question);
-        ck_assert_msg(strstr(problem.would_do, contradictions[_i].would_do),
-                      "%s", problem.would_do);
-        qn_problem_clear(&problem);
+{
+    g_autoptr(GKeyFile) answers = load_example("trust.answers.ini");
+    if (contradictions[_i].value) {
+        g_key_file_set_string(answers, contradictions[_i].group,
+                              contradictions[_i].key,
+                              contradictions[_i].value);
+    }
+    else {
+        g_key_file_remove_key(answers, contradictions[_i].group,
+                              contradictions[_i].key, NULL);
     }
+    char *text = NULL;
+    qn_problem problem = {0};
+    er_code code = qn_generate(answers, "answers", &text, &problem);
+    ck_assert_int_eq(code, ER_SETTING_CONFLICT);
+    ck_assert_ptr_null(text);
+    ck_assert_str_eq(qn_query_problem_name(problem.code),
+                     qn_query_problem_name(contradictions[_i].code));
+    ck_assert_str_eq(problem.question, contradictions[_i].question);
+    ck_assert_msg(strstr(problem.would_do, contradictions[_i].would_do), "%s",
+                  problem.would_do);
+    qn_problem_clear(&problem);
+}
 END_TEST
 
 START_TEST(test_zone_without_server)
-    {
-        g_autoptr(GKeyFile) answers = load_example("trust.answers.ini");
-        g_auto(GStrv) groups = g_key_file_get_groups(answers, NULL);
-        for (char **group = groups; *group; group++) {
-            if (g_str_has_prefix(*group, "servers ")) {
-                g_key_file_set_string(answers, *group, "zones", "guj-west-a");
-            }
+{
+    g_autoptr(GKeyFile) answers = load_example("trust.answers.ini");
+    g_auto(GStrv) groups = g_key_file_get_groups(answers, NULL);
+    for (char **group = groups; *group; group++) {
+        if (g_str_has_prefix(*group, "servers ")) {
+            g_key_file_set_string(answers, *group, "zones", "guj-west-a");
         }
-        char *text = NULL;
-        qn_problem problem = {0};
-        ck_assert_int_eq(qn_generate(answers, "answers", &text, &problem),
-                         ER_SETTING_CONFLICT);
-        ck_assert_int_eq(problem.code, QN_ZONE_EMPTY);
-        ck_assert_ptr_nonnull(strstr(problem.would_do, "guj-west-b"));
-        qn_problem_clear(&problem);
     }
+    char *text = NULL;
+    qn_problem problem = {0};
+    ck_assert_int_eq(qn_generate(answers, "answers", &text, &problem),
+                     ER_SETTING_CONFLICT);
+    ck_assert_int_eq(problem.code, QN_ZONE_EMPTY);
+    ck_assert_ptr_nonnull(strstr(problem.would_do, "guj-west-b"));
+    qn_problem_clear(&problem);
+}
 END_TEST
 
 /* What a person answers by hand leads to what the same file leads to. */
 START_TEST(test_interview)
-    {
-        static const char lines[] = "small\n\n\nslowed\n" /* trade */
-                                    "one\n1\na\n\n" /* a refused count first */
-                                    "4\n\n\n\n"     /* store */
-                                    "\n\n"          /* tolerances */
-                                    "e; s\n"        /* servers */
-                                    "engine\n2\n\n10.0.0.1:80\n\n\n\n\n\n\n"
-                                    "service\n2\n\n10.0.1.1:80\n\n\n\n\n\n\n"
-                                    "draft-it\n" /* operations */
-                                    "draft\nyes\n9000\n\n\n"
-                                    "t\n\n\n\n"              /* teams */
-                                    "all\n3\nx-\n\nt\n\n\n"; /* adapters */
-        g_autoptr(GKeyFile) answers = g_key_file_new();
-        FILE *in = fmemopen((void *)lines, sizeof lines - 1, "r");
-        char *said = NULL;
-        size_t said_bytes = 0;
-        FILE *out = open_memstream(&said, &said_bytes);
-        er_status status = {0};
-        er_code code = qn_interview(in, out, answers, &status);
-        ck_assert_msg(code == ER_OK, "%s", status.message);
-        ck_assert_int_eq(fgetc(in), EOF);
-        fclose(in);
-        fclose(out);
-        ck_assert_ptr_nonnull(strstr(said, "1 to 10000 instances"));
-        free(said);
-        g_autofree char *text = generate(answers);
-        g_autoptr(dc_config) config = NULL;
-        ck_assert_int_eq(dc_parse(text, "generated", &config, NULL), ER_OK);
-        ck_assert_str_eq(dc_query_server(config, "e-2")->address,
-                         "10.0.0.2:80");
-        ck_assert_uint_eq(dc_query_limits(config)->entry_instances, 1);
-        ck_assert_uint_eq(dc_query_limits(config)->hedge_budget_pct, 5);
-        ck_assert_ptr_nonnull(dc_query_adapter(config, "x-3"));
-    }
+{
+    static const char lines[] = "small\n\n\nslowed\n" /* trade */
+                                "one\n1\na\n\n" /* a refused count first */
+                                "4\n\n\n\n"     /* store */
+                                "\n\n"          /* tolerances */
+                                "e; s\n"        /* servers */
+                                "engine\n2\n\n10.0.0.1:80\n\n\n\n\n\n\n"
+                                "service\n2\n\n10.0.1.1:80\n\n\n\n\n\n\n"
+                                "draft-it\n" /* operations */
+                                "draft\nyes\n9000\n\n\n"
+                                "t\n\n\n\n"              /* teams */
+                                "all\n3\nx-\n\nt\n\n\n"; /* adapters */
+    g_autoptr(GKeyFile) answers = g_key_file_new();
+    FILE *in = fmemopen((void *)lines, sizeof lines - 1, "r");
+    char *said = NULL;
+    size_t said_bytes = 0;
+    FILE *out = open_memstream(&said, &said_bytes);
+    er_status status = {0};
+    er_code code = qn_interview(in, out, answers, &status);
+    ck_assert_msg(code == ER_OK, "%s", status.message);
+    ck_assert_int_eq(fgetc(in), EOF);
+    fclose(in);
+    fclose(out);
+    ck_assert_ptr_nonnull(strstr(said, "1 to 10000 instances"));
+    free(said);
+    g_autofree char *text = generate(answers);
+    g_autoptr(dc_config) config = NULL;
+    ck_assert_int_eq(dc_parse(text, "generated", &config, NULL), ER_OK);
+    ck_assert_str_eq(dc_query_server(config, "e-2")->address, "10.0.0.2:80");
+    ck_assert_uint_eq(dc_query_limits(config)->entry_instances, 1);
+    ck_assert_uint_eq(dc_query_limits(config)->hedge_budget_pct, 5);
+    ck_assert_ptr_nonnull(dc_query_adapter(config, "x-3"));
+}
 END_TEST
 
 int
--- a/packages/wire/tests/test_wire.c
+++ b/packages/wire/tests/test_wire.c
@@ -15,75 +15,70 @@
 }
 
 START_TEST(test_frames_in_any_pieces)
-    {
-        g_autoptr(GByteArray) bytes = g_byte_array_new();
-        for (uint64_t i = 1; i <= 100; i++) {
-            encode_cancel(bytes, i);
-        }
-        for (size_t piece = 1; piece < 40; piece++) {
-            g_autoptr(fr_decoder) decoder = fr_create(&(fr_desc){0});
-            uint64_t seen = 0;
-            for (size_t at = 0; at < bytes->len; at += piece) {
-                fr_push(decoder, bytes->data + at,
-                        MIN(piece, bytes->len - at));
-                Lacewing__Envelope *envelope = NULL;
-                while (fr_next(decoder, &envelope, NULL) == ER_OK &&
-                       envelope) {
-                    ck_assert_uint_eq(envelope->cancel->request, ++seen);
-                    lacewing__envelope__free_unpacked(envelope, NULL);
-                }
+{
+    g_autoptr(GByteArray) bytes = g_byte_array_new();
+    for (uint64_t i = 1; i <= 100; i++) {
+        encode_cancel(bytes, i);
+    }
+    for (size_t piece = 1; piece < 40; piece++) {
+        g_autoptr(fr_decoder) decoder = fr_create(&(fr_desc){0});
+        uint64_t seen = 0;
+        for (size_t at = 0; at < bytes->len; at += piece) {
+            fr_push(decoder, bytes->data + at, MIN(piece, bytes->len - at));
+            Lacewing__Envelope *envelope = NULL;
+            while (fr_next(decoder, &envelope, NULL) == ER_OK && envelope) {
+                ck_assert_uint_eq(envelope->cancel->request, ++seen);
+                lacewing__envelope__free_unpacked(envelope, NULL);
             }
-            ck_assert_uint_eq(seen, 100);
-            ck_assert_int_eq(fr_query_end(decoder, NULL), ER_OK);
         }
+        ck_assert_uint_eq(seen, 100);
+        ck_assert_int_eq(fr_query_end(decoder, NULL), ER_OK);
     }
+}
 END_TEST
 
 START_TEST(test_each_flipped_bit_is_refused)
-    {
-        g_autoptr(GByteArray) bytes = g_byte_array_new();
-        encode_cancel(bytes, 77);
-        for (size_t bit = 0; bit < (size_t)bytes->len * 8; bit++) {
-            g_autoptr(fr_decoder) decoder = fr_create(&(fr_desc){0});
-            bytes->data[bit / 8] ^= (uint8_t)(1u << (bit % 8));
-            fr_push(decoder, bytes->data, bytes->len);
-            Lacewing__Envelope *envelope = NULL;
-            er_code code = fr_next(decoder, &envelope, NULL);
-            bool incomplete = fr_query_end(decoder, NULL) != ER_OK;
-            ck_assert_ptr_null(envelope);
-            ck_assert(code != ER_OK || incomplete);
-            bytes->data[bit / 8] ^= (uint8_t)(1u << (bit % 8));
-        }
+{
+    g_autoptr(GByteArray) bytes = g_byte_array_new();
+    encode_cancel(bytes, 77);
+    for (size_t bit = 0; bit < (size_t)bytes->len * 8; bit++) {
+        g_autoptr(fr_decoder) decoder = fr_create(&(fr_desc){0});
+        bytes->data[bit / 8] ^= (uint8_t)(1u << (bit % 8));
+        fr_push(decoder, bytes->data, bytes->len);
+        Lacewing__Envelope *envelope = NULL;
+        er_code code = fr_next(decoder, &envelope, NULL);
+        bool incomplete = fr_query_end(decoder, NULL) != ER_OK;
+        ck_assert_ptr_null(envelope);
+        ck_assert(code != ER_OK || incomplete);
+        bytes->data[bit / 8] ^= (uint8_t)(1u << (bit % 8));
     }
+}
 END_TEST
 
 START_TEST(test_truncated_frame_is_told)
-    {
-        g_autoptr(GByteArray) bytes = g_byte_array_new();
-        encode_cancel(bytes, 77);
-        for (size_t size = 1; size < bytes->len; size++) {
-            g_autoptr(fr_decoder) decoder = fr_create(&(fr_desc){0});
-            fr_push(decoder, bytes->data, size);
-            Lacewing__Envelope *envelope = NULL;
-            ck_assert_int_eq(fr_next(decoder, &envelope, NULL), ER_OK);
-            ck_assert_ptr_null(envelope);
-            ck_assert_int_eq(fr_query_end(decoder, NULL), ER_FRAME_TRUNCATED);
-        }
+{
+    g_autoptr(GByteArray) bytes = g_byte_array_new();
+    encode_cancel(bytes, 77);
+    for (size_t size = 1; size < bytes->len; size++) {
+        g_autoptr(fr_decoder) decoder = fr_create(&(fr_desc){0});
+        fr_push(decoder, bytes->data, size);
+        Lacewing__Envelope *envelope = NULL;
+        ck_assert_int_eq(fr_next(decoder, &envelope, NULL), ER_OK);
+        ck_assert_ptr_null(envelope);
+        ck_assert_int_eq(fr_query_end(decoder, NULL), ER_FRAME_TRUNCATED);
     }
+}
 END_TEST
 
 START_TEST(test_length_over_limit_is_refused_before_its_payload)
-    {
-        static const uint8_t header[FR_HEADER_BYTES] = {0x7f, 0xff, 0xff,
-                                                        0xff};
-        g_autoptr(fr_decoder) decoder = fr_create(&(fr_desc){0});
-        fr_push(decoder, header, sizeof(header));
-        Lacewing__Envelope *envelope = NULL;
-        ck_assert_int_eq(fr_next(decoder, &envelope, NULL),
-                         ER_FRAME_TOO_LARGE);
-        ck_assert_int_eq(fr_next(decoder, &envelope, NULL),
-                         ER_FRAME_TOO_LARGE);
-    }
+{
+    static const uint8_t header[FR_HEADER_BYTES] = {0x7f, 0xff, 0xff, 0xff};
+    g_autoptr(fr_decoder) decoder = fr_create(&(fr_desc){0});
+    fr_push(decoder, header, sizeof(header));
+    Lacewing__Envelope *envelope = NULL;
+    ck_assert_int_eq(fr_next(decoder, &envelope, NULL), ER_FRAME_TOO_LARGE);
+    ck_assert_int_eq(fr_next(decoder, &envelope, NULL), ER_FRAME_TOO_LARGE);
+}
 END_TEST
 
 int
--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -69,37 +69,36 @@
 };
 
 START_TEST(test_bad_requests_are_refused_as_not_run)
-    {
-        for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
-            g_autofree char *url = g_strdup_printf(
-                "%s%s", hn_query_url(hn_find(fleet, "a")), bad[i].path);
-            g_auto(ht_answer) answer = {0};
-            ht_call(&(ht_desc){.url = url,
-                               .body = bad[i].body,
-                               .key = bad[i].key,
-                               .idempotency_key = bad[i].idempotency_key},
-                    &answer);
-            g_autofree char *type = ht_query_error(&answer, "type");
-            g_autofree char *ran = ht_query_error(&answer, "ran");
-            ck_assert_msg(answer.status == bad[i].status,
-                          "case %zu: status %u body %s", i, answer.status,
-                          answer.body);
-            ck_assert_str_eq(type, bad[i].type);
-            ck_assert_str_eq(ran, "not_run");
-        }
-    }
-END_TEST
-
-START_TEST(test_oversized_body_is_refused)
-    {
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         g_autofree char *url = g_strdup_printf(
-            "%s/v1/completions", hn_query_url(hn_find(fleet, "a")));
-        g_autofree char *body = g_strnfill(200000, 'x');
+            "%s%s", hn_query_url(hn_find(fleet, "a")), bad[i].path);
         g_auto(ht_answer) answer = {0};
-        ht_call(&(ht_desc){.url = url, .body = body, .key = SHOP_KEY},
+        ht_call(&(ht_desc){.url = url,
+                           .body = bad[i].body,
+                           .key = bad[i].key,
+                           .idempotency_key = bad[i].idempotency_key},
                 &answer);
-        ck_assert_uint_eq(answer.status, 413);
+        g_autofree char *type = ht_query_error(&answer, "type");
+        g_autofree char *ran = ht_query_error(&answer, "ran");
+        ck_assert_msg(answer.status == bad[i].status,
+                      "case %zu: status %u body %s", i, answer.status,
+                      answer.body);
+        ck_assert_str_eq(type, bad[i].type);
+        ck_assert_str_eq(ran, "not_run");
     }
+}
+END_TEST
+
+START_TEST(test_oversized_body_is_refused)
+{
+    g_autofree char *url = g_strdup_printf("%s/v1/completions",
+                                           hn_query_url(hn_find(fleet, "a")));
+    g_autofree char *body = g_strnfill(200000, 'x');
+    g_auto(ht_answer) answer = {0};
+    ht_call(&(ht_desc){.url = url, .body = body, .key = SHOP_KEY}, &answer);
+    ck_assert_uint_eq(answer.status, 413);
+}
 END_TEST
 
 /* -- raw connections --------------------------------------------------------
@@ -130,88 +129,85 @@
 }
 
 START_TEST(test_header_flood_and_half_open_connections)
-    {
-        const char *url = hn_query_url(hn_find(fleet, "a"));
-        int fds[200];
-        for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
-            fds[i] = connect_raw(url);
-            const char *start_only =
-                "POST /v1/completions HTTP/1.1\r\nHost: x";
-            send(fds[i], start_only, strlen(start_only), MSG_NOSIGNAL);
-        }
-        int flood = connect_raw(url);
-        g_autofree char *header = g_strnfill(1000, 'h');
-        g_autofree char *line = g_strdup_printf("X-%s: 1\r\n", header);
-        const char *request = "GET /healthz HTTP/1.1\r\nHost: x\r\n";
-        send(flood, request, strlen(request), MSG_NOSIGNAL);
-        for (uint32_t i = 0; i < 5000; i++) {
-            if (send(flood, line, strlen(line), MSG_NOSIGNAL) < 0) {
-                break;
-            }
-        }
-        check_still_serving();
-        close(flood);
-        for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
-            close(fds[i]);
+{
+    const char *url = hn_query_url(hn_find(fleet, "a"));
+    int fds[200];
+    for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
+        fds[i] = connect_raw(url);
+        const char *start_only = "POST /v1/completions HTTP/1.1\r\nHost: x";
+        send(fds[i], start_only, strlen(start_only), MSG_NOSIGNAL);
+    }
+    int flood = connect_raw(url);
+    g_autofree char *header = g_strnfill(1000, 'h');
+    g_autofree char *line = g_strdup_printf("X-%s: 1\r\n", header);
+    const char *request = "GET /healthz HTTP/1.1\r\nHost: x\r\n";
+    send(flood, request, strlen(request), MSG_NOSIGNAL);
+    for (uint32_t i = 0; i < 5000; i++) {
+        if (send(flood, line, strlen(line), MSG_NOSIGNAL) < 0) {
+            break;
         }
     }
+    check_still_serving();
+    close(flood);
+    for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
+        close(fds[i]);
+    }
+}
 END_TEST
 
 START_TEST(test_corrupt_and_truncated_frames_on_a_link)
-    {
-        g_autofree char *link = g_strdup(hn_query_url(hn_find(fleet, "a")));
-        /* The links' port is the next one after the callers'. */
-        g_auto(GStrv) parts = g_strsplit(link + strlen("http://"), ":", 2);
-        g_autofree char *url =
-            g_strdup_printf("http://%s:%d", parts[0], atoi(parts[1]) + 1);
-        static const char *const texts[] = {"GET / HTTP/1.1\r\n\r\n",
-                                            "\xff\xff\xff\xff\xff\xff\xff\xff",
-                                            "abc"};
-        for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
-            int fd = connect_raw(url);
-            send(fd, texts[i], strlen(texts[i]), MSG_NOSIGNAL);
-            shutdown(fd, SHUT_WR);
-            char buffer[4096];
-            while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
-            }
-            close(fd);
+{
+    g_autofree char *link = g_strdup(hn_query_url(hn_find(fleet, "a")));
+    /* The links' port is the next one after the callers'. */
+    g_auto(GStrv) parts = g_strsplit(link + strlen("http://"), ":", 2);
+    g_autofree char *url =
+        g_strdup_printf("http://%s:%d", parts[0], atoi(parts[1]) + 1);
+    static const char *const texts[] = {
+        "GET / HTTP/1.1\r\n\r\n", "\xff\xff\xff\xff\xff\xff\xff\xff", "abc"};
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        int fd = connect_raw(url);
+        send(fd, texts[i], strlen(texts[i]), MSG_NOSIGNAL);
+        shutdown(fd, SHUT_WR);
+        char buffer[4096];
+        while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
         }
-        check_still_serving();
+        close(fd);
     }
+    check_still_serving();
+}
 END_TEST
 
 /* -- good requests ----------------------------------------------------------
  */
 
 START_TEST(test_every_version_through_every_daemon)
-    {
-        static const char *const daemons[] = {"a", "b", "c"};
-        for (uint32_t i = 0; i < 12; i++) {
-            g_autofree char *model =
-                g_strdup_printf("shop-%u@v%u", i, i % 2 + 1);
-            g_auto(ht_answer) answer = {0};
-            sp_complete(fleet, daemons[i % 3], model, "hello", 12, &answer);
-            ck_assert_msg(sp_is_right(&answer, model, "hello", 12),
-                          "%s: %u %s", model, answer.status, answer.body);
-        }
+{
+    static const char *const daemons[] = {"a", "b", "c"};
+    for (uint32_t i = 0; i < 12; i++) {
+        g_autofree char *model = g_strdup_printf("shop-%u@v%u", i, i % 2 + 1);
+        g_auto(ht_answer) answer = {0};
+        sp_complete(fleet, daemons[i % 3], model, "hello", 12, &answer);
+        ck_assert_msg(sp_is_right(&answer, model, "hello", 12), "%s: %u %s",
+                      model, answer.status, answer.body);
     }
+}
 END_TEST
 
 START_TEST(test_booking_is_replayed_and_its_key_protected)
-    {
-        g_auto(ht_answer) first = {0};
-        g_auto(ht_answer) again = {0};
-        g_auto(ht_answer) other = {0};
-        sp_book(fleet, "a", "k1", "{\"order\":1}", &first);
-        sp_book(fleet, "c", "k1", "{\"order\":1}", &again);
-        sp_book(fleet, "b", "k1", "{\"order\":2}", &other);
-        ck_assert_uint_eq(first.status, 200);
-        ck_assert_uint_eq(again.status, 200);
-        ck_assert_str_eq(first.body, again.body);
-        g_autofree char *type = ht_query_error(&other, "type");
-        ck_assert_str_eq(type, "idempotency_key_reused");
-        ck_assert_uint_eq(sp_query_runs(fleet, "k1"), 1);
-    }
+{
+    g_auto(ht_answer) first = {0};
+    g_auto(ht_answer) again = {0};
+    g_auto(ht_answer) other = {0};
+    sp_book(fleet, "a", "k1", "{\"order\":1}", &first);
+    sp_book(fleet, "c", "k1", "{\"order\":1}", &again);
+    sp_book(fleet, "b", "k1", "{\"order\":2}", &other);
+    ck_assert_uint_eq(first.status, 200);
+    ck_assert_uint_eq(again.status, 200);
+    ck_assert_str_eq(first.body, again.body);
+    g_autofree char *type = ht_query_error(&other, "type");
+    ck_assert_str_eq(type, "idempotency_key_reused");
+    ck_assert_uint_eq(sp_query_runs(fleet, "k1"), 1);
+}
 END_TEST
 
 int
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -119,239 +119,239 @@
 }
 
 START_TEST(test_engine_crash_in_mid_stream_is_resumed)
-    {
-        warm_up("a");
-        draft drafts[16] = {0};
-        begin_drafts(drafts, 16, "a", 300);
-        g_usleep(US_PER_S);
-        hn_signal(busiest_engine(), SIGKILL);
-        ck_assert_uint_eq(end_drafts(drafts, 16), 16);
-    }
+{
+    warm_up("a");
+    draft drafts[16] = {0};
+    begin_drafts(drafts, 16, "a", 300);
+    g_usleep(US_PER_S);
+    hn_signal(busiest_engine(), SIGKILL);
+    ck_assert_uint_eq(end_drafts(drafts, 16), 16);
+}
 END_TEST
 
 START_TEST(test_silent_connections_are_replaced)
-    {
-        draft drafts[8] = {0};
-        begin_drafts(drafts, 8, "a", 200);
-        g_usleep(US_PER_S);
-        control_engines("{\"order\":\"silent\"}");
-        ck_assert_uint_eq(end_drafts(drafts, 8), 8);
-    }
+{
+    draft drafts[8] = {0};
+    begin_drafts(drafts, 8, "a", 200);
+    g_usleep(US_PER_S);
+    control_engines("{\"order\":\"silent\"}");
+    ck_assert_uint_eq(end_drafts(drafts, 8), 8);
+}
 END_TEST
 
 START_TEST(test_request_that_crashes_servers_is_convicted)
-    {
-        control_engines("{\"order\":\"crash_on\",\"text\":\"POISON\"}");
-        uint32_t convicted = 0;
-        static const char *const daemons[] = {"a", "b", "c"};
-        for (uint32_t i = 0; i < 6; i++) {
-            g_auto(ht_answer) answer = {0};
-            sp_complete(fleet, daemons[i % 3], "shop-1@v1", "a POISON", 40,
-                        &answer);
-            g_autofree char *type = ht_query_error(&answer, "type");
-            ck_assert_uint_ne(answer.status, 200);
-            convicted += g_strcmp0(type, "request_crashes_servers") == 0;
-        }
-        uint32_t dead = 0;
-        for (size_t i = 0; i < G_N_ELEMENTS(engines); i++) {
-            dead += !hn_query_running(hn_find(fleet, engines[i]));
-        }
-        ck_assert_uint_ge(convicted, 5);
-        ck_assert_uint_le(dead, 2);
-        g_auto(ht_answer) innocent = {0};
-        sp_complete(fleet, "a", "shop-1@v1", "innocent", 10, &innocent);
-        ck_assert(sp_is_right(&innocent, "shop-1@v1", "innocent", 10));
+{
+    control_engines("{\"order\":\"crash_on\",\"text\":\"POISON\"}");
+    uint32_t convicted = 0;
+    static const char *const daemons[] = {"a", "b", "c"};
+    for (uint32_t i = 0; i < 6; i++) {
+        g_auto(ht_answer) answer = {0};
+        sp_complete(fleet, daemons[i % 3], "shop-1@v1", "a POISON", 40,
+                    &answer);
+        g_autofree char *type = ht_query_error(&answer, "type");
+        ck_assert_uint_ne(answer.status, 200);
+        convicted += g_strcmp0(type, "request_crashes_servers") == 0;
+    }
+    uint32_t dead = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(engines); i++) {
+        dead += !hn_query_running(hn_find(fleet, engines[i]));
     }
+    ck_assert_uint_ge(convicted, 5);
+    ck_assert_uint_le(dead, 2);
+    g_auto(ht_answer) innocent = {0};
+    sp_complete(fleet, "a", "shop-1@v1", "innocent", 10, &innocent);
+    ck_assert(sp_is_right(&innocent, "shop-1@v1", "innocent", 10));
+}
 END_TEST
 
 START_TEST(test_leaving_server_gets_nothing_new)
-    {
-        warm_up("a");
-        hn_member *leaving = busiest_engine();
-        ck_assert(hn_control(leaving, "{\"order\":\"leaving\"}"));
-        g_usleep(3 * US_PER_S);
-        g_autofree char *before = NULL;
-        g_autofree char *after = NULL;
-        g_file_get_contents(hn_query_history(leaving), &before, NULL, NULL);
-        warm_up("a");
-        warm_up("c");
-        g_file_get_contents(hn_query_history(leaving), &after, NULL, NULL);
-        ck_assert_msg(strcmp(before, after) == 0, "it got new orders");
-    }
+{
+    warm_up("a");
+    hn_member *leaving = busiest_engine();
+    ck_assert(hn_control(leaving, "{\"order\":\"leaving\"}"));
+    g_usleep(3 * US_PER_S);
+    g_autofree char *before = NULL;
+    g_autofree char *after = NULL;
+    g_file_get_contents(hn_query_history(leaving), &before, NULL, NULL);
+    warm_up("a");
+    warm_up("c");
+    g_file_get_contents(hn_query_history(leaving), &after, NULL, NULL);
+    ck_assert_msg(strcmp(before, after) == 0, "it got new orders");
+}
 END_TEST
 
 /* -- instances --------------------------------------------------------------
  */
 
 START_TEST(test_dead_owner_is_followed_within_five_seconds)
-    {
-        hn_signal(hn_find(fleet, "b"), SIGKILL);
-        gint64 killed_us = g_get_monotonic_time();
-        bool served = false;
-        /* Every adapter again, so that b's servers are needed. */
-        while (!served &&
-               g_get_monotonic_time() < killed_us + 5 * (gint64)US_PER_S) {
-            g_autofree char *url = g_strdup_printf(
-                "%s/status", hn_query_admin_url(hn_find(fleet, "a")));
-            g_auto(ht_answer) status = {0};
-            ht_call(&(ht_desc){.url = url}, &status);
-            served = !strstr(status.body, "\"owner\":\"b\"") &&
-                     !strstr(status.body, "\"owner\":\"\"");
-            g_usleep(50000);
-        }
-        ck_assert(served);
-        draft drafts[16] = {0};
-        begin_drafts(drafts, 16, "a", 20);
-        ck_assert_uint_eq(end_drafts(drafts, 16), 16);
+{
+    hn_signal(hn_find(fleet, "b"), SIGKILL);
+    gint64 killed_us = g_get_monotonic_time();
+    bool served = false;
+    /* Every adapter again, so that b's servers are needed. */
+    while (!served &&
+           g_get_monotonic_time() < killed_us + 5 * (gint64)US_PER_S) {
+        g_autofree char *url = g_strdup_printf(
+            "%s/status", hn_query_admin_url(hn_find(fleet, "a")));
+        g_auto(ht_answer) status = {0};
+        ht_call(&(ht_desc){.url = url}, &status);
+        served = !strstr(status.body, "\"owner\":\"b\"") &&
+                 !strstr(status.body, "\"owner\":\"\"");
+        g_usleep(50000);
     }
+    ck_assert(served);
+    draft drafts[16] = {0};
+    begin_drafts(drafts, 16, "a", 20);
+    ck_assert_uint_eq(end_drafts(drafts, 16), 16);
+}
 END_TEST
 
 START_TEST(test_killed_owner_cuts_off_no_forwarded_draft)
-    {
-        draft drafts[12] = {0};
-        begin_drafts(drafts, 12, "a", 150);
-        g_usleep(US_PER_S / 2);
-        hn_signal(hn_find(fleet, "b"), SIGKILL);
-        ck_assert_uint_eq(end_drafts(drafts, 12), 12);
-    }
+{
+    draft drafts[12] = {0};
+    begin_drafts(drafts, 12, "a", 150);
+    g_usleep(US_PER_S / 2);
+    hn_signal(hn_find(fleet, "b"), SIGKILL);
+    ck_assert_uint_eq(end_drafts(drafts, 12), 12);
+}
 END_TEST
 
 START_TEST(test_planned_stop_cuts_nothing_off)
-    {
-        draft drafts[16] = {0};
-        begin_drafts(drafts, 8, "b", 200);
-        begin_drafts(drafts + 8, 8, "a", 200);
-        g_usleep(US_PER_S / 2);
-        hn_signal(hn_find(fleet, "b"), SIGTERM);
-        ck_assert_uint_eq(end_drafts(drafts, 16), 16);
-        int exit_code = -1;
-        ck_assert(hn_wait_end(hn_find(fleet, "b"), 10000, &exit_code));
-        ck_assert_int_eq(exit_code, 0);
-    }
+{
+    draft drafts[16] = {0};
+    begin_drafts(drafts, 8, "b", 200);
+    begin_drafts(drafts + 8, 8, "a", 200);
+    g_usleep(US_PER_S / 2);
+    hn_signal(hn_find(fleet, "b"), SIGTERM);
+    ck_assert_uint_eq(end_drafts(drafts, 16), 16);
+    int exit_code = -1;
+    ck_assert(hn_wait_end(hn_find(fleet, "b"), 10000, &exit_code));
+    ck_assert_int_eq(exit_code, 0);
+}
 END_TEST
 
 START_TEST(test_frozen_owner_wakes_harmless)
-    {
-        hn_signal(hn_find(fleet, "b"), SIGSTOP);
-        g_usleep(5 * US_PER_S);
-        draft drafts[16] = {0};
-        begin_drafts(drafts, 16, "a", 20);
-        uint32_t right = end_drafts(drafts, 16);
-        hn_signal(hn_find(fleet, "b"), SIGCONT);
-        ck_assert_uint_eq(right, 16);
-        ck_assert(hn_wait_ready(fleet, 10000));
-        draft again[8] = {0};
-        begin_drafts(again, 8, "b", 20);
-        ck_assert_uint_eq(end_drafts(again, 8), 8);
-    }
+{
+    hn_signal(hn_find(fleet, "b"), SIGSTOP);
+    g_usleep(5 * US_PER_S);
+    draft drafts[16] = {0};
+    begin_drafts(drafts, 16, "a", 20);
+    uint32_t right = end_drafts(drafts, 16);
+    hn_signal(hn_find(fleet, "b"), SIGCONT);
+    ck_assert_uint_eq(right, 16);
+    ck_assert(hn_wait_ready(fleet, 10000));
+    draft again[8] = {0};
+    begin_drafts(again, 8, "b", 20);
+    ck_assert_uint_eq(end_drafts(again, 8), 8);
+}
 END_TEST
 
 /* -- the platform -----------------------------------------------------------
  */
 
 START_TEST(test_platform_down_drafts_go_on_and_bookings_say_so)
-    {
-        hn_member *platform = hn_find(fleet, "platform");
-        draft before[8] = {0};
-        begin_drafts(before, 8, "a", 10);
-        ck_assert_uint_eq(end_drafts(before, 8), 8);
-        ck_assert(hn_control(platform, "{\"order\":\"down\",\"ms\":8000}"));
-        g_usleep(4 * US_PER_S);
-        draft drafts[8] = {0};
-        begin_drafts(drafts, 8, "a", 10);
-        ck_assert_uint_eq(end_drafts(drafts, 8), 8);
-        g_auto(ht_answer) refused = {0};
-        sp_book(fleet, "a", "down-1", "{}", &refused);
-        g_autofree char *ran = ht_query_error(&refused, "ran");
-        ck_assert_uint_eq(refused.status, 503);
-        ck_assert_str_eq(ran, "not_run");
-        ck_assert_uint_eq(sp_query_runs(fleet, "down-1"), 0);
-        g_usleep(6 * US_PER_S);
-        g_auto(ht_answer) booked = {0};
-        sp_book(fleet, "a", "down-1", "{}", &booked);
-        ck_assert_msg(booked.status == 200, "%s", booked.body);
-        ck_assert_uint_eq(sp_query_runs(fleet, "down-1"), 1);
-    }
+{
+    hn_member *platform = hn_find(fleet, "platform");
+    draft before[8] = {0};
+    begin_drafts(before, 8, "a", 10);
+    ck_assert_uint_eq(end_drafts(before, 8), 8);
+    ck_assert(hn_control(platform, "{\"order\":\"down\",\"ms\":8000}"));
+    g_usleep(4 * US_PER_S);
+    draft drafts[8] = {0};
+    begin_drafts(drafts, 8, "a", 10);
+    ck_assert_uint_eq(end_drafts(drafts, 8), 8);
+    g_auto(ht_answer) refused = {0};
+    sp_book(fleet, "a", "down-1", "{}", &refused);
+    g_autofree char *ran = ht_query_error(&refused, "ran");
+    ck_assert_uint_eq(refused.status, 503);
+    ck_assert_str_eq(ran, "not_run");
+    ck_assert_uint_eq(sp_query_runs(fleet, "down-1"), 0);
+    g_usleep(6 * US_PER_S);
+    g_auto(ht_answer) booked = {0};
+    sp_book(fleet, "a", "down-1", "{}", &booked);
+    ck_assert_msg(booked.status == 200, "%s", booked.body);
+    ck_assert_uint_eq(sp_query_runs(fleet, "down-1"), 1);
+}
 END_TEST
 
 START_TEST(test_planned_stop_ends_without_the_platform)
-    {
-        hn_member *stopped = hn_find(fleet, "b");
-        ck_assert(hn_control(hn_find(fleet, "platform"),
-                             "{\"order\":\"down\",\"ms\":60000}"));
-        g_usleep(US_PER_S);
-        hn_signal(stopped, SIGTERM);
-        int exit_code = -1;
-        ck_assert(hn_wait_end(stopped, 10000, &exit_code));
-        ck_assert_int_eq(exit_code, 0);
-    }
+{
+    hn_member *stopped = hn_find(fleet, "b");
+    ck_assert(hn_control(hn_find(fleet, "platform"),
+                         "{\"order\":\"down\",\"ms\":60000}"));
+    g_usleep(US_PER_S);
+    hn_signal(stopped, SIGTERM);
+    int exit_code = -1;
+    ck_assert(hn_wait_end(stopped, 10000, &exit_code));
+    ck_assert_int_eq(exit_code, 0);
+}
 END_TEST
 
 START_TEST(test_instance_started_without_the_platform_serves)
-    {
-        hn_member *again = hn_find(fleet, "c");
-        hn_signal(again, SIGKILL);
-        ck_assert(hn_wait_end(again, 5000, NULL));
-        /* The weight store goes down as well: only held adapters serve. */
-        draft before[8] = {0};
-        begin_drafts(before, 8, "a", 10);
-        ck_assert_uint_eq(end_drafts(before, 8), 8);
-        ck_assert(hn_control(hn_find(fleet, "platform"),
-                             "{\"order\":\"down\",\"ms\":60000}"));
-        ck_assert(hn_restart(again));
-        ck_assert(hn_wait_member_ready(again, 10000));
-        /* The owners tell in turn which adapters their servers hold. */
-        g_usleep(3 * US_PER_S);
-        /* The owners tell in turn which adapters their servers hold. */
-        g_usleep(3 * US_PER_S);
-        draft drafts[8] = {0};
-        begin_drafts(drafts, 8, "c", 10);
-        ck_assert_uint_eq(end_drafts(drafts, 8), 8);
-    }
+{
+    hn_member *again = hn_find(fleet, "c");
+    hn_signal(again, SIGKILL);
+    ck_assert(hn_wait_end(again, 5000, NULL));
+    /* The weight store goes down as well: only held adapters serve. */
+    draft before[8] = {0};
+    begin_drafts(before, 8, "a", 10);
+    ck_assert_uint_eq(end_drafts(before, 8), 8);
+    ck_assert(hn_control(hn_find(fleet, "platform"),
+                         "{\"order\":\"down\",\"ms\":60000}"));
+    ck_assert(hn_restart(again));
+    ck_assert(hn_wait_member_ready(again, 10000));
+    /* The owners tell in turn which adapters their servers hold. */
+    g_usleep(3 * US_PER_S);
+    /* The owners tell in turn which adapters their servers hold. */
+    g_usleep(3 * US_PER_S);
+    draft drafts[8] = {0};
+    begin_drafts(drafts, 8, "c", 10);
+    ck_assert_uint_eq(end_drafts(drafts, 8), 8);
+}
 END_TEST
 
 START_TEST(test_lost_answers_double_no_booking)
-    {
-        static const char *const daemons[] = {"a", "b", "c"};
-        for (uint32_t i = 0; i < 12; i++) {
-            ck_assert(hn_control(hn_find(fleet, "platform"),
-                                 "{\"order\":\"lose_answers\",\"count\":2}"));
-            g_autofree char *key = g_strdup_printf("lost-%u", i);
-            for (uint32_t try = 0; try < 6; try++) {
-                g_auto(ht_answer) answer = {0};
-                sp_book(fleet, daemons[try % 3], key, "{}", &answer);
-                g_autofree char *ran = ht_query_error(&answer, "ran");
-                if (answer.status == 200) {
-                    break;
-                }
-                g_usleep(US_PER_S / 5);
+{
+    static const char *const daemons[] = {"a", "b", "c"};
+    for (uint32_t i = 0; i < 12; i++) {
+        ck_assert(hn_control(hn_find(fleet, "platform"),
+                             "{\"order\":\"lose_answers\",\"count\":2}"));
+        g_autofree char *key = g_strdup_printf("lost-%u", i);
+        for (uint32_t try = 0; try < 6; try++) {
+            g_auto(ht_answer) answer = {0};
+            sp_book(fleet, daemons[try % 3], key, "{}", &answer);
+            g_autofree char *ran = ht_query_error(&answer, "ran");
+            if (answer.status == 200) {
+                break;
             }
-            ck_assert_uint_le(sp_query_runs(fleet, key), 1);
+            g_usleep(US_PER_S / 5);
         }
-        ck_assert_uint_eq(sp_query_doubled(fleet), 0);
+        ck_assert_uint_le(sp_query_runs(fleet, key), 1);
     }
+    ck_assert_uint_eq(sp_query_doubled(fleet), 0);
+}
 END_TEST
 
 /* -- zones ------------------------------------------------------------------
  */
 
 START_TEST(test_cut_off_zone_goes_on_serving)
-    {
-        draft before[16] = {0};
-        begin_drafts(before, 16, "c", 10);
-        uint32_t served = end_drafts(before, 16);
-        ck_assert_uint_eq(served, 16);
-        ck_assert(hn_cut(hn_find(fleet, "c"), "{\"zones\":[\"z1\"]}"));
-        ck_assert(hn_cut(hn_find(fleet, "a"), "{\"zones\":[\"z2\"]}"));
-        ck_assert(hn_cut(hn_find(fleet, "b"), "{\"zones\":[\"z2\"]}"));
-        ck_assert(hn_control(hn_find(fleet, "platform"),
-                             "{\"order\":\"partition\",\"who\":[\"c\"]}"));
-        g_usleep(4 * US_PER_S);
-        draft during[32] = {0};
-        begin_drafts(during, 16, "c", 10);
-        begin_drafts(during + 16, 16, "a", 10);
-        ck_assert_uint_eq(end_drafts(during, 32), 32);
-    }
+{
+    draft before[16] = {0};
+    begin_drafts(before, 16, "c", 10);
+    uint32_t served = end_drafts(before, 16);
+    ck_assert_uint_eq(served, 16);
+    ck_assert(hn_cut(hn_find(fleet, "c"), "{\"zones\":[\"z1\"]}"));
+    ck_assert(hn_cut(hn_find(fleet, "a"), "{\"zones\":[\"z2\"]}"));
+    ck_assert(hn_cut(hn_find(fleet, "b"), "{\"zones\":[\"z2\"]}"));
+    ck_assert(hn_control(hn_find(fleet, "platform"),
+                         "{\"order\":\"partition\",\"who\":[\"c\"]}"));
+    g_usleep(4 * US_PER_S);
+    draft during[32] = {0};
+    begin_drafts(during, 16, "c", 10);
+    begin_drafts(during + 16, 16, "a", 10);
+    ck_assert_uint_eq(end_drafts(during, 32), 32);
+}
 END_TEST
 
 int
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -77,23 +77,23 @@
 }
 
 START_TEST(test_texts)
-    {
-        replay((const uint8_t *)texts[_i], strlen(texts[_i]));
-    }
+{
+    replay((const uint8_t *)texts[_i], strlen(texts[_i]));
+}
 END_TEST
 
 START_TEST(test_frames)
-    {
-        Lacewing__Hello hello = LACEWING__HELLO__INIT;
-        hello.instance = "a";
-        hello.zone = "z";
-        Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
-        envelope.body_case = LACEWING__ENVELOPE__BODY_HELLO;
-        envelope.hello = &hello;
-        g_autoptr(GByteArray) bytes = g_byte_array_new();
-        fr_encode(&envelope, bytes);
-        replay(bytes->data, bytes->len);
-    }
+{
+    Lacewing__Hello hello = LACEWING__HELLO__INIT;
+    hello.instance = "a";
+    hello.zone = "z";
+    Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
+    envelope.body_case = LACEWING__ENVELOPE__BODY_HELLO;
+    envelope.hello = &hello;
+    g_autoptr(GByteArray) bytes = g_byte_array_new();
+    fr_encode(&envelope, bytes);
+    replay(bytes->data, bytes->len);
+}
 END_TEST
 
 int
--- a/tests/test_operators.c
+++ b/tests/test_operators.c
@@ -218,27 +218,27 @@
 }
 
 START_TEST(test_walk)
-    {
-        change_a_limit();
-        roll_a_version_out();
-        expect_shares_served();
-        drain_in_mid_work();
-        expect_nothing_new_on_e1();
-        expect_soon("c", "audit", "retry_budget_pct: (default) -> 12");
-        expect("c", "audit --who shop:editor", 0, "v1; v2; v3");
-        expect("c", "audit --group 'server e1'", 0, "-> drain");
-        expect("b", "audit --refused", 0, "version_conflict");
-    }
+{
+    change_a_limit();
+    roll_a_version_out();
+    expect_shares_served();
+    drain_in_mid_work();
+    expect_nothing_new_on_e1();
+    expect_soon("c", "audit", "retry_budget_pct: (default) -> 12");
+    expect("c", "audit --who shop:editor", 0, "v1; v2; v3");
+    expect("c", "audit --group 'server e1'", 0, "-> drain");
+    expect("b", "audit --refused", 0, "version_conflict");
+}
 END_TEST
 
 /* The tool talks only to a daemon whose certificate it trusts. */
 START_TEST(test_tls)
-    {
-        g_autofree char *trusting =
-            g_strdup_printf("status --ca %s", hn_query_ca(fleet));
-        expect("a", trusting, 0, "config_version");
-        expect("a", "status", 5, "connection_lost");
-    }
+{
+    g_autofree char *trusting =
+        g_strdup_printf("status --ca %s", hn_query_ca(fleet));
+    expect("a", trusting, 0, "config_version");
+    expect("a", "status", 5, "connection_lost");
+}
 END_TEST
 
 int
--- a/tests/test_tls.c
+++ b/tests/test_tls.c
@@ -29,41 +29,41 @@
 }
 
 START_TEST(test_drafts_pass_through_callers_and_links)
-    {
-        for (uint32_t i = 0; i < 12; i++) {
-            g_autofree char *model = g_strdup_printf("shop-%u@v1", i);
-            ck_assert(answers_rightly(i % 2 ? "a" : "c", model));
-        }
+{
+    for (uint32_t i = 0; i < 12; i++) {
+        g_autofree char *model = g_strdup_printf("shop-%u@v1", i);
+        ck_assert(answers_rightly(i % 2 ? "a" : "c", model));
     }
+}
 END_TEST
 
 START_TEST(test_plain_http_and_strangers_are_refused)
-    {
-        const char *url = hn_query_url(hn_find(fleet, "a"));
-        g_autofree char *plain =
-            g_strdup_printf("http%s/healthz", url + strlen("https"));
-        g_auto(ht_answer) refused = {0};
-        ht_call(&(ht_desc){.url = plain, .timeout_ms = 2000}, &refused);
-        ck_assert_uint_eq(refused.status, 0);
-        /* A caller that does not know the authority does not trust it. */
-        g_autofree char *healthz = g_strdup_printf("%s/healthz", url);
-        g_auto(ht_answer) untrusted = {0};
-        ht_call(&(ht_desc){.url = healthz, .timeout_ms = 2000}, &untrusted);
-        ck_assert_uint_eq(untrusted.status, 0);
-    }
+{
+    const char *url = hn_query_url(hn_find(fleet, "a"));
+    g_autofree char *plain =
+        g_strdup_printf("http%s/healthz", url + strlen("https"));
+    g_auto(ht_answer) refused = {0};
+    ht_call(&(ht_desc){.url = plain, .timeout_ms = 2000}, &refused);
+    ck_assert_uint_eq(refused.status, 0);
+    /* A caller that does not know the authority does not trust it. */
+    g_autofree char *healthz = g_strdup_printf("%s/healthz", url);
+    g_auto(ht_answer) untrusted = {0};
+    ht_call(&(ht_desc){.url = healthz, .timeout_ms = 2000}, &untrusted);
+    ck_assert_uint_eq(untrusted.status, 0);
+}
 END_TEST
 
 START_TEST(test_certificates_are_read_again_without_a_restart)
-    {
-        ck_assert(answers_rightly("a", "shop-1@v1"));
-        ck_assert(hn_renew_certificates(fleet));
-        ck_assert(!answers_rightly("a", "shop-1@v1"));
-        hn_signal(hn_find(fleet, "a"), SIGHUP);
-        hn_signal(hn_find(fleet, "b"), SIGHUP);
-        hn_signal(hn_find(fleet, "c"), SIGHUP);
-        ck_assert(hn_wait_ready(fleet, 10000));
-        ck_assert(answers_rightly("a", "shop-1@v1"));
-    }
+{
+    ck_assert(answers_rightly("a", "shop-1@v1"));
+    ck_assert(hn_renew_certificates(fleet));
+    ck_assert(!answers_rightly("a", "shop-1@v1"));
+    hn_signal(hn_find(fleet, "a"), SIGHUP);
+    hn_signal(hn_find(fleet, "b"), SIGHUP);
+    hn_signal(hn_find(fleet, "c"), SIGHUP);
+    ck_assert(hn_wait_ready(fleet, 10000));
+    ck_assert(answers_rightly("a", "shop-1@v1"));
+}
 END_TEST
 
 int
