--- a/packages/admin/src/internal.h
+++ b/packages/admin/src/internal.h
@@ -41,8 +41,7 @@
 /* Open calls hold a reference each. */
 void ad_admin_unref(ad_admin *admin);
 
-/* -- call.c: life and answers of a call ------------------------------------
- */
+/* -- call.c: life and answers of a call ----------------------------------- */
 
 ad_call *ad_call_create(ad_admin *admin, SoupServerMessage *message,
                         const char *path, GHashTable *query);
@@ -54,8 +53,7 @@
 /* {"error":..., "message":...} begun; the caller adds members and ends it. */
 JsonBuilder *ad_error_begin(const er_status *status);
 
-/* -- request.c: reading a call ---------------------------------------------
- */
+/* -- request.c: reading a call -------------------------------------------- */
 
 /* Fills call->actor from the key in the header. */
 er_code ad_read_actor(ad_call *call, er_status *status);
@@ -72,8 +70,7 @@
 /* A JSON value as the configuration writes it; NULL: cannot be one. */
 char *ad_value_text(JsonNode *node);
 
-/* -- change.c: a change and its outcome ------------------------------------
- */
+/* -- change.c: a change and its outcome ----------------------------------- */
 
 /* Checks, commits and answers; takes over edits and ends the call. */
 void ad_change_begin(ad_call *call, dc_edits *edits);
@@ -81,22 +78,19 @@
 void ad_change_refuse(ad_call *call, const dc_edits *edits,
                       const er_status *status);
 
-/* -- authorize.c ----------------------------------------------------------
- */
+/* -- authorize.c ---------------------------------------------------------- */
 
 bool ad_may_see(const ad_call *call, dc_kind kind, const char *name);
 er_code ad_may_edit(const ad_call *call, const dc_config *after,
                     const dc_edits *edits, er_status *status);
 
-/* -- resources.c: the groups of the configuration ---------------------------
- */
+/* -- resources.c: the groups of the configuration ------------------------- */
 
 /* True when the path's first part names a kind of group. */
 bool ad_resource_kind(const char *part, dc_kind *kind);
 void ad_resource_handle(ad_call *call, dc_kind kind);
 
-/* -- roll.c: versions of an adapter, keys of a team -------------------------
- */
+/* -- roll.c: versions of an adapter, keys of a team ----------------------- */
 
 /* POST adapters/NAME/roll and adapters/NAME/rollback. */
 void ad_roll_handle(ad_call *call, const char *name);
@@ -104,8 +98,7 @@
 /* POST teams/NAME/keys. */
 void ad_keys_handle(ad_call *call, const char *name);
 
-/* -- trail.c: reading the audit trail ---------------------------------------
- */
+/* -- trail.c: reading the audit trail ------------------------------------- */
 
 /* A read of the trail on behalf of a call. */
 typedef struct ad_reading {
@@ -130,8 +123,7 @@
 void ad_committed_answer(ad_call *call, uint64_t version, const char *id,
                          bool changed);
 
-/* -- rollback.c -----------------------------------------------------------
- */
+/* -- rollback.c ----------------------------------------------------------- */
 
 void ad_rollback_handle(ad_call *call);
 
--- a/packages/backend/include/lacewing/backend.h
+++ b/packages/backend/include/lacewing/backend.h
@@ -53,8 +53,7 @@
 /* Fencing number and owner name sent with whatever is sent from now on. */
 void be_set_fence(be_server *server, uint64_t fence, const char *owner);
 
-/* -- completions ------------------------------------------------------------
- */
+/* -- completions ---------------------------------------------------------- */
 
 typedef enum be_end {
     BE_END_DEFAULT = 0,  /* broken */
@@ -103,8 +102,7 @@
 /* Stops or starts reading, for back pressure. */
 void be_stream_set_held(be_stream *stream, bool held);
 
-/* -- orders -----------------------------------------------------------------
- */
+/* -- orders --------------------------------------------------------------- */
 
 typedef struct be_order_result {
     er_code code;              /* ER_OK, ER_FENCED, ER_LOAD_FAILED, ... */
--- a/packages/backend/src/order.c
+++ b/packages/backend/src/order.c
@@ -13,7 +13,7 @@
     bool timed_out;
 } _be_order;
 
-/* -- private: life of an order ------------------------------------------- */
+/* -- private: life of an order -------------------------------------------- */
 
 static void
 _be_on_server_cancelled(GCancellable *server_cancel, void *data)
--- a/packages/backend/src/stream.c
+++ b/packages/backend/src/stream.c
@@ -160,7 +160,7 @@
     }
 }
 
-/* -- private: events ---------------------------------------------------- */
+/* -- private: events ------------------------------------------------------ */
 
 static void
 _be_stream_token(be_stream *stream, JsonObject *event)
@@ -233,7 +233,7 @@
     }
 }
 
-/* -- private: reading --------------------------------------------------- */
+/* -- private: reading ----------------------------------------------------- */
 
 static void
 _be_stream_took(be_stream *stream, gssize size, const GError *error)
@@ -278,7 +278,7 @@
                               _be_stream_ref(stream));
 }
 
-/* -- private: the answer's head ------------------------------------------ */
+/* -- private: the answer's head ------------------------------------------- */
 
 static void
 _be_on_error_body(GObject *source, GAsyncResult *result, void *data)
@@ -391,7 +391,7 @@
                                      NULL);
 }
 
-/* -- public ------------------------------------------------------------- */
+/* -- public --------------------------------------------------------------- */
 
 be_stream *
 be_complete(be_server *server, const be_complete_desc *desc)
--- a/packages/backend/tests/test_backend.c
+++ b/packages/backend/tests/test_backend.c
@@ -19,8 +19,7 @@
 
 static fixture fx;
 
-/* -- the bad server ---------------------------------------------------------
- */
+/* -- the bad server ------------------------------------------------------- */
 
 static void
 append(SoupServerMessage *message, const char *text)
@@ -169,8 +168,7 @@
     g_free(fx.address);
 }
 
-/* -- streams ----------------------------------------------------------------
- */
+/* -- streams -------------------------------------------------------------- */
 
 typedef struct outcome {
     uint32_t tokens;
@@ -268,8 +266,7 @@
 }
 END_TEST
 
-/* -- calls ------------------------------------------------------------------
- */
+/* -- calls ---------------------------------------------------------------- */
 
 typedef struct call_outcome {
     uint32_t ends;
@@ -320,8 +317,7 @@
 }
 END_TEST
 
-/* -- events -----------------------------------------------------------------
- */
+/* -- events --------------------------------------------------------------- */
 
 START_TEST(test_events_in_any_pieces)
 {
--- a/packages/bench/src/arrivals.c
+++ b/packages/bench/src/arrivals.c
@@ -53,8 +53,7 @@
      .transit_bound = 16},
 };
 
-/* -- queries ---------------------------------------------------------------
- */
+/* -- queries -------------------------------------------------------------- */
 
 const ar_deployment *
 ar_query_deployment(const char *name)
@@ -121,8 +120,7 @@
     return deployment->loads_per_s_milli / 1000.0 / (1 - held / all);
 }
 
-/* -- private: drawing ------------------------------------------------------
- */
+/* -- private: drawing ----------------------------------------------------- */
 
 typedef struct ar_draw {
     const ar_desc *desc;
@@ -307,8 +305,7 @@
     }
 }
 
-/* -- life ------------------------------------------------------------------
- */
+/* -- life ----------------------------------------------------------------- */
 
 ar_trace *
 ar_create(const ar_desc *desc)
--- a/packages/bench/src/baseline.c
+++ b/packages/bench/src/baseline.c
@@ -56,8 +56,7 @@
     return &g_array_index(policy->requests, bl_request, index);
 }
 
-/* -- private: actions ------------------------------------------------------
- */
+/* -- private: actions ----------------------------------------------------- */
 
 static void
 _act(bl_policy *policy, const lwd_action *action)
@@ -99,8 +98,7 @@
                      .ran = request->tokens > 0});
 }
 
-/* -- private: adapters on a server -----------------------------------------
- */
+/* -- private: adapters on a server ---------------------------------------- */
 
 static bl_slot *
 _find_slot(const bl_server *server, uint32_t adapter)
@@ -148,8 +146,7 @@
     _act_adapter(policy, LWD_ACTION_LOAD, index, adapter);
 }
 
-/* -- private: requests -----------------------------------------------------
- */
+/* -- private: requests ---------------------------------------------------- */
 
 static void
 _send(bl_policy *policy, uint32_t index, bl_slot *slot, uint64_t now_us)
@@ -245,8 +242,7 @@
     }
 }
 
-/* -- private: events -------------------------------------------------------
- */
+/* -- private: events ------------------------------------------------------ */
 
 static er_code
 _on_attempt(bl_policy *policy, uint64_t now_us, const lwd_event *event)
@@ -378,8 +374,7 @@
     }
 }
 
-/* -- private: the rest of the table ----------------------------------------
- */
+/* -- private: the rest of the table --------------------------------------- */
 
 static void
 _free_server(gpointer data)
--- a/packages/bench/src/engine.c
+++ b/packages/bench/src/engine.c
@@ -37,8 +37,7 @@
     en_totals totals;
 };
 
-/* -- private: notes --------------------------------------------------------
- */
+/* -- private: notes ------------------------------------------------------- */
 
 static void
 _on_note(void *owner, uint64_t now_us, const eq_args *args)
@@ -91,8 +90,7 @@
             (eq_args){0});
 }
 
-/* -- private: prefix cache -------------------------------------------------
- */
+/* -- private: prefix cache ------------------------------------------------ */
 
 static void
 _tell_cache(en_engine *engine, uint64_t prefix, bool resident)
@@ -130,8 +128,7 @@
     return tokens + job->made;
 }
 
-/* -- private: steps --------------------------------------------------------
- */
+/* -- private: steps ------------------------------------------------------- */
 
 static void _on_step(void *owner, uint64_t now_us, const eq_args *args);
 
@@ -223,8 +220,7 @@
     }
 }
 
-/* -- private: adapters -----------------------------------------------------
- */
+/* -- private: adapters ---------------------------------------------------- */
 
 static en_adapter *
 _find_adapter(const en_engine *engine, uint32_t adapter)
@@ -297,8 +293,7 @@
     return -1;
 }
 
-/* -- life ------------------------------------------------------------------
- */
+/* -- life ----------------------------------------------------------------- */
 
 en_engine *
 en_create(const en_desc *desc)
@@ -331,8 +326,7 @@
     g_free(engine);
 }
 
-/* -- commands --------------------------------------------------------------
- */
+/* -- commands ------------------------------------------------------------- */
 
 void
 en_send(en_engine *engine, const en_job *job)
@@ -471,8 +465,7 @@
     engine->factor = factor;
 }
 
-/* -- queries ---------------------------------------------------------------
- */
+/* -- queries -------------------------------------------------------------- */
 
 en_totals
 en_query_totals(const en_engine *engine)
--- a/packages/bench/src/measures.c
+++ b/packages/bench/src/measures.c
@@ -7,8 +7,7 @@
 #include <math.h>
 #include <string.h>
 
-/* -- private: times of a run -----------------------------------------------
- */
+/* -- private: times of a run ---------------------------------------------- */
 
 typedef enum ms_work {
     MS_WORK_ALL = 0,
@@ -73,8 +72,7 @@
     return _count(runs, scenario, policy, MS_WORK_ALL, true) / all;
 }
 
-/* -- private: measures -----------------------------------------------------
- */
+/* -- private: measures ---------------------------------------------------- */
 
 static double
 _load_stall(const rn_runs *runs, wd_policy_kind policy)
@@ -159,8 +157,7 @@
     return 1 - (double)result->useful_tokens / (double)result->all.tokens;
 }
 
-/* -- private: the table ----------------------------------------------------
- */
+/* -- private: the table --------------------------------------------------- */
 
 typedef enum ms_figure {
     MS_FIGURE_OURS = 0,
@@ -195,8 +192,7 @@
     {"extra_work", BIT(AR_SLOWED), _extra_work, MS_FIGURE_OURS, false, 0.05},
 };
 
-/* -- queries ---------------------------------------------------------------
- */
+/* -- queries -------------------------------------------------------------- */
 
 uint32_t
 ms_query_count(void)
--- a/packages/bench/src/world.c
+++ b/packages/bench/src/world.c
@@ -12,8 +12,7 @@
 #define LIST_LAG_US 1000000ULL /* of the list of live and leaving servers */
 #define LOAD_MS 250
 
-/* -- private: faults -------------------------------------------------------
- */
+/* -- private: faults ------------------------------------------------------ */
 
 static void
 _on_slow(void *owner, uint64_t now_us, const eq_args *args)
@@ -86,8 +85,7 @@
     }
 }
 
-/* -- private: totals -------------------------------------------------------
- */
+/* -- private: totals ------------------------------------------------------ */
 
 static en_totals
 _totals(const wd_world *world)
@@ -115,8 +113,7 @@
     world->result->window.tokens = totals.tokens - world->window_start.tokens;
 }
 
-/* -- private: setup --------------------------------------------------------
- */
+/* -- private: setup ------------------------------------------------------- */
 
 /* Servers go to the instances of their zone in turn. */
 static void
@@ -269,8 +266,7 @@
     eq_destroy(world->queue);
 }
 
-/* -- runs ------------------------------------------------------------------
- */
+/* -- runs ----------------------------------------------------------------- */
 
 void
 wd_run(const wd_desc *desc, wd_result *result)
--- a/packages/bench/src/world_actions.c
+++ b/packages/bench/src/world_actions.c
@@ -33,8 +33,7 @@
     return index;
 }
 
-/* -- private: requests -----------------------------------------------------
- */
+/* -- private: requests ---------------------------------------------------- */
 
 /* Time that a request has waited for the load it needed. */
 static void
@@ -160,8 +159,7 @@
     leg->child = WD_NONE;
 }
 
-/* -- private: adapters and peers -------------------------------------------
- */
+/* -- private: adapters and peers ------------------------------------------ */
 
 static void
 _order(wd_world *world, wd_instance *instance, const lwd_action *action)
--- a/packages/bench/src/world_events.c
+++ b/packages/bench/src/world_events.c
@@ -45,8 +45,7 @@
             _on_message, world, (eq_args){.index = instance, .data = message});
 }
 
-/* -- private: ends ---------------------------------------------------------
- */
+/* -- private: ends -------------------------------------------------------- */
 
 void
 wd_end_request(wd_world *world, uint32_t leg, wd_end end)
@@ -131,8 +130,7 @@
             (eq_args){.index = leg, .data = report});
 }
 
-/* -- private: entries ------------------------------------------------------
- */
+/* -- private: entries ----------------------------------------------------- */
 
 /* Hands a leg's request to its instance. */
 static void
@@ -236,8 +234,7 @@
     _leave(owner, args->index);
 }
 
-/* -- private: notes --------------------------------------------------------
- */
+/* -- private: notes ------------------------------------------------------- */
 
 static void
 _on_job_note(wd_world *world, wd_instance *instance, const en_note *note)
--- a/packages/chaos/driver/faults.c
+++ b/packages/chaos/driver/faults.c
@@ -181,8 +181,7 @@
     }
 }
 
-/* -- private: crashed engines -----------------------------------------------
- */
+/* -- private: crashed engines --------------------------------------------- */
 
 static bool
 _ft_is_out(const _ft_state *state, const char *engine)
--- a/packages/common/src/settings.c
+++ b/packages/common/src/settings.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* -- private: names ----------------------------------------------------- */
+/* -- private: names ------------------------------------------------------- */
 
 static bool
 _st_group_matches(const char *pattern, const char *group)
@@ -51,7 +51,7 @@
                   value ? value : "(missing)", allowed);
 }
 
-/* -- private: values ---------------------------------------------------- */
+/* -- private: values ------------------------------------------------------ */
 
 static bool
 _st_number(const char *text, double *number)
@@ -153,7 +153,7 @@
     return ER_INTERNAL;
 }
 
-/* -- private: loading --------------------------------------------------- */
+/* -- private: loading ----------------------------------------------------- */
 
 static er_code
 _st_load_key(const st_load_desc *desc, GKeyFile *parsed, const st_key *key,
@@ -206,7 +206,7 @@
     return code;
 }
 
-/* -- public ------------------------------------------------------------- */
+/* -- public --------------------------------------------------------------- */
 
 er_code
 st_load(const st_load_desc *desc, er_status *status)
--- a/packages/common/src/timer.c
+++ b/packages/common/src/timer.c
@@ -25,7 +25,7 @@
     GSequenceIter *place; /* in due */
 } _tm_timer;
 
-/* -- private: order ----------------------------------------------------- */
+/* -- private: order ------------------------------------------------------- */
 
 static gint
 _tm_compare(gconstpointer a, gconstpointer b, gpointer user_data)
@@ -109,7 +109,7 @@
     g_free(timer);
 }
 
-/* -- public ------------------------------------------------------------- */
+/* -- public --------------------------------------------------------------- */
 
 tm_service *
 tm_create(const tm_desc *desc)
--- a/packages/config/include/lacewing/config.h
+++ b/packages/config/include/lacewing/config.h
@@ -192,8 +192,7 @@
 typedef struct dc_config dc_config;
 typedef struct dc_edits dc_edits;
 
-/* -- configuration --------------------------------------------------------
- */
+/* -- configuration -------------------------------------------------------- */
 
 /* Reads a document; file is named in messages. */
 er_code dc_parse(const char *text, const char *file, dc_config **config,
@@ -268,8 +267,7 @@
 dc_kind dc_query_group_kind(const char *group, const char **name);
 bool dc_query_is_name(const char *name);
 
-/* -- edits ----------------------------------------------------------------
- */
+/* -- edits ---------------------------------------------------------------- */
 
 dc_edits *dc_edits_create(void);
 void dc_edits_destroy(dc_edits *edits);
--- a/packages/config/src/entry.c
+++ b/packages/config/src/entry.c
@@ -3,7 +3,7 @@
 #include <gio/gio.h>
 #include <string.h>
 
-/* -- private: names ----------------------------------------------------- */
+/* -- private: names ------------------------------------------------------- */
 
 static const struct {
     const char *name;
@@ -59,7 +59,7 @@
     return length > 0 && length <= DC_NAME_BYTES_MAX && name[length] == '\0';
 }
 
-/* -- private: reading a group -------------------------------------------- */
+/* -- private: reading a group --------------------------------------------- */
 
 static GKeyFile *
 _dc_key_file(const char *group, char **pairs)
--- a/packages/control/src/membership.c
+++ b/packages/control/src/membership.c
@@ -14,7 +14,7 @@
 #define _MB_LEAVING_REPEAT 8
 #define _MB_PEER_CAPACITY 1024
 
-/* -- private: work ------------------------------------------------------- */
+/* -- private: work -------------------------------------------------------- */
 
 /* Forgets peers that are gone for long and not listed. */
 static void
@@ -65,8 +65,7 @@
     _mb_send_due(mb, now_us);
 }
 
-/* -- public: life
- * ------------------------------------------------------------- */
+/* -- public: life --------------------------------------------------------- */
 
 static mb_desc
 _mb_resolve(const mb_desc *desc)
@@ -129,8 +128,7 @@
     }
 }
 
-/* -- public: commands
- * --------------------------------------------------------- */
+/* -- public: commands ----------------------------------------------------- */
 
 void
 mb_set_state(mb_machine *mb, uint64_t now_us, co_peer_state state)
@@ -209,8 +207,7 @@
     return _co_outbox_pop(mb->out, action);
 }
 
-/* -- public: queries
- * ---------------------------------------------------------- */
+/* -- public: queries ------------------------------------------------------ */
 
 uint64_t
 mb_query_wakeup_us(const mb_machine *mb)
--- a/packages/control/src/membership_peer.c
+++ b/packages/control/src/membership_peer.c
@@ -2,8 +2,7 @@
 
 #include <string.h>
 
-/* -- private: life ----------------------------------------------------------
- */
+/* -- private: life -------------------------------------------------------- */
 
 _mb_peer *
 _mb_peer_find(const mb_machine *mb, const char *instance)
@@ -75,8 +74,7 @@
     mb->links_stale = true;
 }
 
-/* -- private: state
- * ----------------------------------------------------------- */
+/* -- private: state ------------------------------------------------------- */
 
 bool
 _mb_peer_alive(const _mb_peer *peer)
--- a/packages/control/src/membership_send.c
+++ b/packages/control/src/membership_send.c
@@ -2,8 +2,7 @@
 
 #include <string.h>
 
-/* -- private: whom
- * ------------------------------------------------------------ */
+/* -- private: whom -------------------------------------------------------- */
 
 typedef struct _mb_rank {
     _mb_peer *peer;
@@ -116,8 +115,7 @@
     }
 }
 
-/* -- private: what
- * ------------------------------------------------------------ */
+/* -- private: what -------------------------------------------------------- */
 
 static mb_peer
 _mb_copy(mb_machine *mb, const _mb_peer *peer)
@@ -252,8 +250,7 @@
     };
 }
 
-/* -- private: when
- * ------------------------------------------------------------ */
+/* -- private: when -------------------------------------------------------- */
 
 /* Linked peers, whoever asks us by its plan, and now and then the dead that
    the platform still lists or that may be cut off. */
--- a/packages/daemon/src/caller_draft.c
+++ b/packages/daemon/src/caller_draft.c
@@ -63,8 +63,7 @@
     gulong written_handler;
 } _ca_draft;
 
-/* -- private: life ----------------------------------------------------------
- */
+/* -- private: life -------------------------------------------------------- */
 
 static void
 _ca_draft_free(_ca_draft *draft)
@@ -93,8 +92,7 @@
     return g_strdup(head->str);
 }
 
-/* -- private: writing a stream ----------------------------------------------
- */
+/* -- private: writing a stream -------------------------------------------- */
 
 static void
 _ca_on_written(SoupServerMessage *message, guint bytes, void *data)
@@ -169,8 +167,7 @@
     soup_server_message_unpause(message);
 }
 
-/* -- private: the sink
- * -------------------------------------------------------- */
+/* -- private: the sink ---------------------------------------------------- */
 
 static void
 _ca_on_token(dr_sink *sink, uint32_t index, const char *text)
@@ -298,8 +295,7 @@
     _ca_draft_free(draft);
 }
 
-/* -- private: parsing -------------------------------------------------------
- */
+/* -- private: parsing ----------------------------------------------------- */
 
 static const dc_operation *
 _ca_draft_operation(const ca_server *server, SoupServerMessage *message,
@@ -408,8 +404,7 @@
     return draft->model != NULL;
 }
 
-/* -- private: submission ----------------------------------------------------
- */
+/* -- private: submission -------------------------------------------------- */
 
 static uint64_t
 _ca_hash(const char *model, const char *prompt, size_t prompt_bytes)
@@ -489,8 +484,7 @@
     _ca_draft_free(draft);
 }
 
-/* -- handlers ---------------------------------------------------------------
- */
+/* -- handlers ------------------------------------------------------------- */
 
 void
 _ca_on_completions(SoupServer *soup, SoupServerMessage *message,
--- a/packages/daemon/src/calls.c
+++ b/packages/daemon/src/calls.c
@@ -1,6 +1,5 @@
-#include "calls.h"
+#include "calls_private.h"
 
-#include "lacewing/backend.h"
 #include "lacewing/counter.h"
 #include <inttypes.h>
 #include <string.h>
@@ -9,70 +8,16 @@
 #define _CS_REST_MS 1000
 #define _CS_RETRY_AFTER_MS 1000
 
-typedef struct _cs_server {
-    char *name;
-    char *zone;
-    be_server *backend;
-    bool leaving;
-    uint64_t rests_until_us; /* after a failure; tried last until then */
-} _cs_server;
-
-typedef struct _cs_call {
-    cs_calls *calls;
-    uint64_t id;
-    char *operation;
-    char *key;
-    char **servers; /* allowed; empty: all */
-    bool idempotent;
-    GBytes *body;
-    uint64_t deadline_us;
-    cs_answer_call answer; /* NULL: the caller has left or is answered */
-    bool sending;          /* a request to a service is open */
-    void *user_data;
-    cl_claim claim; /* id 0: idempotent */
-    char *attempt;
-    char *server; /* name of the one last tried */
-    uint32_t tries;
-    uint32_t skip; /* position in the order of servers */
-} _cs_call;
-
-struct cs_calls {
-    cl_machine *claims;
-    tm_service *timers;
-    tb_table *table;
-    wk_wakeup wakeup;
-    char *instance;
-    char *zone;
-    uint64_t incarnation;
-    GHashTable *servers; /* name -> _cs_server */
-    GHashTable *leaving; /* set of names, whether configured or not */
-    GHashTable *calls;   /* id -> _cs_call */
-    uint64_t next_call;
-    uint32_t turn; /* spreads calls over equal servers */
-    bool pumping;
-};
-
 static void _cs_pump(cs_calls *calls);
 
-/* -- private: helpers -------------------------------------------------------
- */
+/* -- private: helpers ----------------------------------------------------- */
 
-static uint64_t
+uint64_t
 _cs_now_us(const cs_calls *calls)
 {
     return tm_query_now_us(calls->timers);
 }
 
-static void
-_cs_server_free(void *data)
-{
-    _cs_server *server = data;
-    be_destroy(server->backend);
-    g_free(server->name);
-    g_free(server->zone);
-    g_free(server);
-}
-
 static void
 _cs_call_free(void *data)
 {
@@ -121,76 +66,7 @@
     return (uint32_t)((call->deadline_us - now_us) / 1000);
 }
 
-/* -- private: choice of a server --------------------------------------------
- */
-
-static bool
-_cs_allowed(const _cs_call *call, const _cs_server *server)
-{
-    if (server->leaving) {
-        return false;
-    }
-    return !call->servers[0] ||
-           g_strv_contains((const char *const *)call->servers, server->name);
-}
-
-/* Less is better: resting servers last, then other zones. */
-static uint32_t
-_cs_rank(const cs_calls *calls, const _cs_server *server)
-{
-    uint32_t rank = strcmp(server->zone, calls->zone) == 0 ? 0 : 1;
-    if (server->rests_until_us > _cs_now_us(calls)) {
-        rank += 2;
-    }
-    return rank;
-}
-
-typedef struct _cs_choice {
-    _cs_server *server;
-    uint32_t rank;
-    uint32_t turn;
-} _cs_choice;
-
-static int
-_cs_compare(const void *a, const void *b)
-{
-    const _cs_choice *left = a;
-    const _cs_choice *right = b;
-    if (left->rank != right->rank) {
-        return left->rank < right->rank ? -1 : 1;
-    }
-    return left->turn < right->turn ? -1 : left->turn > right->turn;
-}
-
-/* The call->skip-th best server; NULL when there are not so many. */
-static _cs_server *
-_cs_choose(const _cs_call *call)
-{
-    cs_calls *calls = call->calls;
-    g_autoptr(GArray) choices = g_array_new(FALSE, FALSE, sizeof(_cs_choice));
-    g_autoptr(GList) names = g_hash_table_get_keys(calls->servers);
-    names = g_list_sort(names, (GCompareFunc)strcmp);
-    uint32_t count = g_hash_table_size(calls->servers);
-    uint32_t position = 0;
-    for (GList *item = names; item; item = item->next, position++) {
-        _cs_server *server = g_hash_table_lookup(calls->servers, item->data);
-        if (_cs_allowed(call, server)) {
-            _cs_choice choice = {
-                .server = server,
-                .rank = _cs_rank(calls, server),
-                .turn = (uint32_t)((position + call->id) % count)};
-            g_array_append_val(choices, choice);
-        }
-    }
-    g_array_sort(choices, _cs_compare);
-    if (call->skip >= choices->len) {
-        return NULL;
-    }
-    return g_array_index(choices, _cs_choice, call->skip).server;
-}
-
-/* -- private: sending -------------------------------------------------------
- */
+/* -- private: sending ----------------------------------------------------- */
 
 static void _cs_try(_cs_call *call);
 
@@ -307,8 +183,7 @@
     return G_SOURCE_REMOVE;
 }
 
-/* -- private: claims --------------------------------------------------------
- */
+/* -- private: claims ------------------------------------------------------ */
 
 static const dr_ran _cs_rans[CL_RAN_NUM] = {
     [CL_RAN_NO] = DR_RAN_NOT_RUN,
@@ -406,8 +281,7 @@
     _cs_pump(calls);
 }
 
-/* -- public -----------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 cs_calls *
 cs_create(const cs_desc *desc)
@@ -447,79 +321,6 @@
     }
 }
 
-static void
-_cs_add_server(cs_calls *calls, const dc_server *desc)
-{
-    _cs_server *server = g_hash_table_lookup(calls->servers, desc->name);
-    if (server &&
-        strcmp(be_query_address(server->backend), desc->address) != 0) {
-        return;
-    }
-    if (!server) {
-        server = g_new0(_cs_server, 1);
-        server->name = g_strdup(desc->name);
-        server->zone = g_strdup(desc->zone);
-        server->backend = be_create(
-            &(be_desc){.address = desc->address, .timers = calls->timers});
-        be_set_fence(server->backend, 0, calls->instance);
-        g_hash_table_insert(calls->servers, server->name, server);
-    }
-    server->leaving = desc->state == DC_SERVER_DRAIN ||
-                      g_hash_table_contains(calls->leaving, desc->name);
-}
-
-static gboolean
-_cs_sends_to(void *key, void *value, void *name)
-{
-    (void)key;
-    const _cs_call *call = value;
-    return call->sending && strcmp(call->server, name) == 0;
-}
-
-/* Servers that are no longer configured, or elsewhere now. One with a call
-   open stays, without new calls, until a later configuration. */
-static void
-_cs_remove_servers(cs_calls *calls, const dc_config *config)
-{
-    GHashTableIter iter;
-    void *value;
-    g_hash_table_iter_init(&iter, calls->servers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        _cs_server *server = value;
-        const dc_server *desc = dc_query_server(config, server->name);
-        if (desc && desc->kind == DC_SERVER_SERVICE &&
-            strcmp(be_query_address(server->backend), desc->address) == 0) {
-            continue;
-        }
-        server->leaving = true;
-        if (!g_hash_table_find(calls->calls, _cs_sends_to, server->name)) {
-            g_hash_table_iter_remove(&iter);
-        }
-    }
-}
-
-void
-cs_set_config(cs_calls *calls, const dc_config *config)
-{
-    _cs_remove_servers(calls, config);
-    for (uint32_t i = 0; i < dc_query_count(config, DC_SERVER); i++) {
-        const dc_server *desc = dc_query_server_at(config, i);
-        if (desc->kind == DC_SERVER_SERVICE) {
-            _cs_add_server(calls, desc);
-        }
-    }
-}
-
-void
-cs_set_leaving(cs_calls *calls, const char *name)
-{
-    g_hash_table_add(calls->leaving, g_strdup(name));
-    _cs_server *server = g_hash_table_lookup(calls->servers, name);
-    if (server) {
-        server->leaving = true;
-    }
-}
-
 void
 cs_take_peer(cs_calls *calls, const char *instance, uint64_t incarnation,
              bool alive)
--- a/packages/daemon/src/config_task.c
+++ b/packages/daemon/src/config_task.c
@@ -42,8 +42,7 @@
     return tm_query_now_us(task->timers);
 }
 
-/* -- private: versions ------------------------------------------------------
- */
+/* -- private: versions ---------------------------------------------------- */
 
 static void
 _cf_in_force(cf_task *task, dc_config *next, uint64_t version)
@@ -98,8 +97,7 @@
     }
 }
 
-/* -- private: the object store ----------------------------------------------
- */
+/* -- private: the object store -------------------------------------------- */
 
 static void
 _cf_object_ended(_cf_object *object, er_code code, const char *text)
@@ -146,8 +144,7 @@
     return object;
 }
 
-/* -- private: actions -------------------------------------------------------
- */
+/* -- private: actions ----------------------------------------------------- */
 
 static void
 _cf_on_table(const co_table_result *result, void *data)
@@ -229,8 +226,7 @@
     cf_feed(data, &(cc_event){.type = CC_EVENT_TICK});
 }
 
-/* -- public -----------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 cf_task *
 cf_create(const cf_desc *desc)
--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -9,8 +9,7 @@
 /* Longest wait for the table once nothing else is open. */
 #define _DN_HAND_US UINT64_C(3000000)
 
-/* -- private: making the tasks ----------------------------------------------
- */
+/* -- private: making the tasks -------------------------------------------- */
 
 static void
 _dn_make_platform(dn_daemon *daemon, const ds_settings *settings)
@@ -120,8 +119,7 @@
     return daemon->members != NULL;
 }
 
-/* -- public: life -----------------------------------------------------------
- */
+/* -- public: life --------------------------------------------------------- */
 
 dn_daemon *
 dn_create(const ds_settings *settings, er_status *status)
@@ -198,8 +196,7 @@
     }
 }
 
-/* -- public: planned stop ---------------------------------------------------
- */
+/* -- public: planned stop ------------------------------------------------- */
 
 static uint32_t
 _dn_open_count(const dn_daemon *daemon)
--- a/packages/daemon/src/daemon_admin.c
+++ b/packages/daemon/src/daemon_admin.c
@@ -6,8 +6,7 @@
 #include "lacewing/log.h"
 #include <string.h>
 
-/* -- private: what the administration API asks ------------------------------
- */
+/* -- private: what the administration API asks ---------------------------- */
 
 typedef struct _dn_host {
     ad_host base; /* first member */
@@ -176,8 +175,7 @@
     .explain = _dn_host_explain,
 };
 
-/* -- private: pages ---------------------------------------------------------
- */
+/* -- private: pages ------------------------------------------------------- */
 
 /* For probes: status and servers, without a key. */
 static void
@@ -228,8 +226,7 @@
     hp_text(message, SOUP_STATUS_OK, "application/json", "{}");
 }
 
-/* -- private: the port ------------------------------------------------------
- */
+/* -- private: the port ---------------------------------------------------- */
 
 static bool
 _dn_admin_listen(dn_daemon *daemon, const char *text, er_status *status)
@@ -256,8 +253,7 @@
     return true;
 }
 
-/* -- what the daemon uses ---------------------------------------------------
- */
+/* -- what the daemon uses ------------------------------------------------- */
 
 bool
 _dn_admin_setup(dn_daemon *daemon, const ds_settings *settings,
--- /dev/null
+++ b/packages/daemon/src/daemon_members.c
@@ -0,0 +1,230 @@
+/* What other instances say, carried to the tasks. */
+#include "daemon_private.h"
+
+/* -- membership ----------------------------------------------------------- */
+
+static void
+_dn_take_summary(dn_daemon *daemon, const Lacewing__ServerSummary *from)
+{
+    lwd_summary summary = {
+        .sequence = from->sequence,
+        .running = from->running,
+        .waiting = from->waiting,
+        .backlog_ms = from->backlog_ms,
+        .token_interval_us = from->token_interval_us,
+        .ejected = from->ejected,
+        .load_wait_ms = from->load_wait_ms,
+    };
+    for (size_t i = 0; i < from->n_changes && i < LWD_SUMMARY_CHANGES; i++) {
+        summary.changes[i].adapter_tag = from->changes[i]->model_tag;
+        summary.changes[i].resident = from->changes[i]->resident;
+        summary.change_count++;
+    }
+    sc_take_summary(daemon->scheduler, from->server, &summary);
+}
+
+/* With the table down from the start, the peers' word is all there is. */
+static void
+_dn_learn_owner(dn_daemon *daemon, const Lacewing__Ownership *from)
+{
+    const ow_machine *machine = on_query_machine(daemon->owner);
+    if (!from->drained && !ow_query_owner(machine, from->server, NULL)) {
+        sc_set_owner(daemon->scheduler, from->server, from->instance);
+    }
+}
+
+static void
+_dn_take_ownership(dn_daemon *daemon, const Lacewing__Ownership *from)
+{
+    _dn_learn_owner(daemon, from);
+    on_feed(daemon->owner, &(ow_event){.type = from->drained ? OW_EVENT_DRAINED
+                                                             : OW_EVENT_OWNER,
+                                       .server = from->server,
+                                       .instance = from->instance,
+                                       .fence = from->fence});
+}
+
+static void
+_dn_take_config(dn_daemon *daemon, const char *instance,
+                const Lacewing__ConfigText *from)
+{
+    cf_feed(daemon->config, &(cc_event){.type = CC_EVENT_TEXT,
+                                        .instance = instance,
+                                        .version = from->version,
+                                        .text = from->text,
+                                        .snapshot = from->snapshot});
+    _dn_check_ready(daemon);
+}
+
+static void
+_dn_take_grant(dn_daemon *daemon, const char *instance,
+               const Lacewing__LoanGrant *from)
+{
+    wg_feed(daemon->weights, &(ws_event){.type = WS_EVENT_GRANT,
+                                         .instance = instance,
+                                         .number = from->number,
+                                         .rate_milli = from->loads_per_s_milli,
+                                         .duration_ms = from->duration_ms});
+}
+
+static void
+_dn_message(const pe_peer *peer, const Lacewing__Envelope *envelope,
+            void *data)
+{
+    dn_daemon *daemon = data;
+    if (fw_take_message(daemon->forwards, peer, envelope)) {
+        return;
+    }
+    switch (envelope->body_case) {
+    case LACEWING__ENVELOPE__BODY_SUMMARY:
+        _dn_take_summary(daemon, envelope->summary);
+        break;
+    case LACEWING__ENVELOPE__BODY_OWNERSHIP:
+        _dn_take_ownership(daemon, envelope->ownership);
+        break;
+    case LACEWING__ENVELOPE__BODY_SUSPECT:
+        sc_take_suspect(daemon->scheduler, envelope->suspect->fingerprint,
+                        envelope->suspect->deaths);
+        break;
+    case LACEWING__ENVELOPE__BODY_LOAN_ASK:
+        wg_feed(
+            daemon->weights,
+            &(ws_event){.type = WS_EVENT_ASK,
+                        .instance = peer->instance,
+                        .number = envelope->loan_ask->number,
+                        .rate_milli = envelope->loan_ask->loads_per_s_milli});
+        break;
+    case LACEWING__ENVELOPE__BODY_LOAN_GRANT:
+        _dn_take_grant(daemon, peer->instance, envelope->loan_grant);
+        break;
+    case LACEWING__ENVELOPE__BODY_CONFIG_FETCH:
+        cf_feed(daemon->config,
+                &(cc_event){.type = CC_EVENT_FETCH,
+                            .instance = peer->instance,
+                            .version = envelope->config_fetch->version});
+        break;
+    case LACEWING__ENVELOPE__BODY_CONFIG_TEXT:
+        _dn_take_config(daemon, peer->instance, envelope->config_text);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+_dn_lost(const char *instance, void *data)
+{
+    dn_daemon *daemon = data;
+    sc_set_reachable(daemon->scheduler, instance, false);
+    fw_take_lost(daemon->forwards, instance);
+    sc_take_link_lost(daemon->scheduler, instance);
+}
+
+static void
+_dn_notice_peer(dn_daemon *daemon, const mb_action *action)
+{
+    on_feed(daemon->owner, &(ow_event){.type = OW_EVENT_PEER,
+                                       .instance = action->instance,
+                                       .zone = action->zone,
+                                       .incarnation = action->incarnation,
+                                       .state = action->state});
+    if (!action->incarnation) {
+        return;
+    }
+    if (action->state == CO_PEER_SUSPECT || action->state == CO_PEER_DEAD) {
+        sc_set_reachable(daemon->scheduler, action->instance, false);
+    }
+    bool alive = action->state != CO_PEER_DEAD;
+    wg_feed(daemon->weights, &(ws_event){.type = WS_EVENT_PEER,
+                                         .instance = action->instance,
+                                         .alive = alive});
+    cs_take_peer(daemon->calls, action->instance, action->incarnation, alive);
+    if (!alive) {
+        cf_feed(daemon->config, &(cc_event){.type = CC_EVENT_PEER_GONE,
+                                            .instance = action->instance});
+    }
+}
+
+static void
+_dn_notice_heard(dn_daemon *daemon, const mb_action *action)
+{
+    sc_set_reachable(daemon->scheduler, action->instance, true);
+    on_feed(daemon->owner, &(ow_event){.type = OW_EVENT_HEARD,
+                                       .instance = action->instance,
+                                       .incarnation = action->incarnation,
+                                       .names_us = action->names_us});
+    cf_feed(daemon->config, &(cc_event){.type = CC_EVENT_HEARD,
+                                        .instance = action->instance,
+                                        .version = action->version});
+    _dn_check_ready(daemon);
+}
+
+static void
+_dn_notice(const mb_action *action, void *data)
+{
+    dn_daemon *daemon = data;
+    switch (action->type) {
+    case MB_ACTION_SEND:
+        if (action->heartbeat.watch) {
+            on_feed(daemon->owner,
+                    &(ow_event){.type = OW_EVENT_SENT,
+                                .instance = action->instance,
+                                .zone = action->zone,
+                                .incarnation = action->incarnation});
+        }
+        break;
+    case MB_ACTION_UNWATCHED:
+        on_feed(daemon->owner,
+                &(ow_event){.type = OW_EVENT_UNWATCHED,
+                            .instance = action->instance,
+                            .zone = action->zone,
+                            .incarnation = action->incarnation});
+        break;
+    case MB_ACTION_PEER:
+        _dn_notice_peer(daemon, action);
+        break;
+    case MB_ACTION_HEARD:
+        _dn_notice_heard(daemon, action);
+        break;
+    case MB_ACTION_ACKED:
+        on_feed(daemon->owner, &(ow_event){.type = OW_EVENT_ACKED,
+                                           .instance = action->instance,
+                                           .incarnation = action->incarnation,
+                                           .sent_us = action->sent_us});
+        break;
+    case MB_ACTION_SERVER_LEAVING:
+        sc_set_leaving(daemon->scheduler, action->server);
+        cs_set_leaving(daemon->calls, action->server);
+        break;
+    case MB_ACTION_DEFAULT:
+    case MB_ACTION_NUM:
+        break;
+    }
+}
+
+static void
+_dn_listed(const pf_instances_result *result, void *data)
+{
+    dn_daemon *daemon = data;
+    for (size_t i = 0; result->code == ER_OK && i < result->count; i++) {
+        const pf_instance *instance = &result->instances[i];
+        if (instance->kind == PF_INSTANCE_SERVER && instance->leaving) {
+            mm_take_server_leaving(daemon->members, instance->name);
+        }
+    }
+}
+
+static void
+_dn_unlisted(const char *instance, void *data)
+{
+    on_feed(((dn_daemon *)data)->owner,
+            &(ow_event){.type = OW_EVENT_GONE, .instance = instance});
+}
+
+const mm_out _dn_members_out = {
+    .message = _dn_message,
+    .lost = _dn_lost,
+    .notice = _dn_notice,
+    .listed = _dn_listed,
+    .unlisted = _dn_unlisted,
+};
--- a/packages/daemon/src/forwards.c
+++ b/packages/daemon/src/forwards.c
@@ -36,8 +36,7 @@
     return g_strdup_printf("%s/%" PRIu64, instance, request);
 }
 
-/* -- private: back to the instance that forwarded ---------------------------
- */
+/* -- private: back to the instance that forwarded ------------------------- */
 
 static void
 _fw_send_final(fw_forwards *forwards, const char *instance, uint64_t request,
@@ -94,8 +93,7 @@
     .end = _fw_on_end,
 };
 
-/* -- private: messages ------------------------------------------------------
- */
+/* -- private: messages ---------------------------------------------------- */
 
 static void
 _fw_drop(fw_forwards *forwards, const char *key)
@@ -199,8 +197,7 @@
     }
 }
 
-/* -- public -----------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 fw_forwards *
 fw_create(sc_scheduler *scheduler, mm_members *members)
--- a/packages/daemon/src/members.c
+++ b/packages/daemon/src/members.c
@@ -27,8 +27,7 @@
     return tm_query_now_us(members->timers);
 }
 
-/* -- private: heartbeats on the wire ----------------------------------------
- */
+/* -- private: heartbeats on the wire -------------------------------------- */
 
 static void
 _mm_pack_peer(const mb_peer *from, Lacewing__HeartbeatPeer *to)
@@ -111,8 +110,7 @@
                         .heartbeat = &heartbeat});
 }
 
-/* -- private: actions -------------------------------------------------------
- */
+/* -- private: actions ----------------------------------------------------- */
 
 static void
 _mm_log_peer(const mb_action *action)
@@ -175,8 +173,7 @@
     _mm_feed(data, &(mb_event){.type = MB_EVENT_TICK});
 }
 
-/* -- private: links ---------------------------------------------------------
- */
+/* -- private: links ------------------------------------------------------- */
 
 static void
 _mm_on_message(const pe_peer *peer, const Lacewing__Envelope *envelope,
@@ -198,8 +195,7 @@
     members->out->lost(instance, members->user_data);
 }
 
-/* -- private: the platform's list -------------------------------------------
- */
+/* -- private: the platform's list ----------------------------------------- */
 
 typedef struct _mm_list_call {
     mm_members *members;
@@ -290,8 +286,7 @@
     }
 }
 
-/* -- public -----------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 mm_members *
 mm_create(const mm_desc *desc, er_status *status)
--- a/packages/daemon/src/peers.c
+++ b/packages/daemon/src/peers.c
@@ -277,8 +277,7 @@
     return true;
 }
 
-/* -- private: dialling ------------------------------------------------------
- */
+/* -- private: dialling ---------------------------------------------------- */
 
 typedef struct _pe_dial {
     pe_peers *peers;
@@ -338,8 +337,7 @@
                                           _pe_on_connected, dial);
 }
 
-/* -- public -----------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 pe_peers *
 pe_create(const pe_desc *desc, er_status *status)
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -7,8 +7,7 @@
 
 #define _SC_CHECK_PERIOD_MS 500
 
-/* -- private: helpers -------------------------------------------------------
- */
+/* -- private: helpers ----------------------------------------------------- */
 
 uint64_t
 _sc_now_us(const sc_scheduler *scheduler)
@@ -44,8 +43,7 @@
                                GUINT_TO_POINTER(id.id));
 }
 
-/* -- private: the pump ------------------------------------------------------
- */
+/* -- private: the pump ---------------------------------------------------- */
 
 static void
 _sc_act_summary(sc_scheduler *scheduler, const lwd_action *action)
@@ -145,8 +143,7 @@
     _sc_pump(scheduler);
 }
 
-/* -- public: life -----------------------------------------------------------
- */
+/* -- public: life --------------------------------------------------------- */
 
 static void
 _sc_model_free(void *data)
@@ -226,8 +223,7 @@
     lwd_set_limits(scheduler->policy, limits);
 }
 
-/* -- public: models ---------------------------------------------------------
- */
+/* -- public: models ------------------------------------------------------- */
 
 void
 sc_set_model(sc_scheduler *scheduler, const char *name, uint32_t pinned)
@@ -271,8 +267,7 @@
     g_hash_table_remove(scheduler->models, name);
 }
 
-/* -- public: from other instances -------------------------------------------
- */
+/* -- public: from other instances ----------------------------------------- */
 
 void
 sc_take_summary(sc_scheduler *scheduler, const char *name,
@@ -303,8 +298,7 @@
                                      .loads_in_transit = loads_in_transit});
 }
 
-/* -- public: queries --------------------------------------------------------
- */
+/* -- public: queries ------------------------------------------------------ */
 
 uint32_t
 sc_query_open(const sc_scheduler *scheduler)
--- a/packages/daemon/src/scheduler.h
+++ b/packages/daemon/src/scheduler.h
@@ -128,8 +128,7 @@
 /* Asks a server that is not owned whether it is there. */
 void sc_probe(sc_scheduler *scheduler, const char *server);
 
-/* -- drafts -----------------------------------------------------------------
- */
+/* -- drafts --------------------------------------------------------------- */
 
 typedef struct sc_draft_desc {
     dr_sink *sink;      /* required */
@@ -156,8 +155,7 @@
 /* Back pressure from the taker. */
 void sc_set_held(sc_scheduler *scheduler, uint64_t draft, bool held);
 
-/* -- from other instances ---------------------------------------------------
- */
+/* -- from other instances ------------------------------------------------- */
 
 void sc_take_piece(sc_scheduler *scheduler, uint64_t draft, uint32_t attempt,
                    uint32_t index, const char *text);
@@ -172,8 +170,7 @@
 void sc_set_weight_share(sc_scheduler *scheduler, uint32_t loads_per_s_milli,
                          uint32_t loads_in_transit);
 
-/* -- queries ----------------------------------------------------------------
- */
+/* -- queries -------------------------------------------------------------- */
 
 uint32_t sc_query_open(const sc_scheduler *scheduler);
 uint32_t sc_query_open_on(const sc_scheduler *scheduler, const char *server);
--- /dev/null
+++ b/packages/daemon/src/scheduler_check.c
@@ -0,0 +1,192 @@
+/* Checks of owned servers: health, restarts, what they hold and report. */
+#include "scheduler_private.h"
+
+#include "lacewing/log.h"
+
+/* -- private: checks of owned servers ------------------------------------- */
+
+void
+_sc_server_died(_sc_server *server)
+{
+    if (server->down) {
+        return;
+    }
+    server->down = true;
+    lg_write(LG_SERVER_FAILED, "server", server->name, NULL);
+    _sc_feed_state(server, LWD_SERVER_DOWN);
+}
+
+static void
+_sc_feed_resident(_sc_server *server, const char *const *models)
+{
+    sc_scheduler *scheduler = server->scheduler;
+    for (; models && *models; models++) {
+        const _sc_model *model =
+            g_hash_table_lookup(scheduler->models, *models);
+        if (model) {
+            lwd_feed(scheduler->policy, _sc_now_us(scheduler),
+                     &(lwd_event){.type = LWD_EVENT_RESIDENT,
+                                  .server = server->id,
+                                  .adapter = model->id,
+                                  .resident = true});
+        }
+    }
+}
+
+static void
+_sc_settle(_sc_server *server, const be_order_result *result)
+{
+    sc_scheduler *scheduler = server->scheduler;
+    server->settled = true;
+    g_free(server->incarnation);
+    server->incarnation = g_strdup(result->incarnation);
+    server->down = false;
+    _sc_feed_own(server);
+    lwd_feed(scheduler->policy, _sc_now_us(scheduler),
+             &(lwd_event){.type = LWD_EVENT_SERVER_STATE,
+                          .server = server->id,
+                          .server_state = LWD_SERVER_RESTARTED});
+    _sc_feed_resident(server, result->models);
+    if (server->leaving) {
+        _sc_feed_state(server, LWD_SERVER_LEAVING);
+    }
+    _sc_pump(scheduler);
+}
+
+/* The engine's list, read again: it may have restarted or come back. */
+static void
+_sc_compare(_sc_server *server, const be_order_result *result)
+{
+    bool restarted = g_strcmp0(server->incarnation, result->incarnation) != 0;
+    if (restarted) {
+        lg_write(LG_SERVER_RESTARTED, "server", server->name, NULL);
+        g_free(server->incarnation);
+        server->incarnation = g_strdup(result->incarnation);
+    }
+    if (!restarted && !server->down) {
+        return;
+    }
+    server->down = false;
+    _sc_feed_state(server,
+                   restarted ? LWD_SERVER_RESTARTED : LWD_SERVER_READY);
+    _sc_feed_resident(server, result->models);
+    _sc_pump(server->scheduler);
+}
+
+static void
+_sc_on_list(be_server *backend, const be_order_result *result, void *data)
+{
+    (void)backend;
+    _sc_server *server = data;
+    server->checking = false;
+    if (!server->owned) {
+        return;
+    }
+    if (result->code != ER_OK) {
+        _sc_server_died(server);
+        return;
+    }
+    if (!server->settled) {
+        _sc_settle(server, result);
+        return;
+    }
+    _sc_compare(server, result);
+}
+
+static void
+_sc_on_health(be_server *backend, const be_order_result *result, void *data)
+{
+    (void)backend;
+    _sc_server *server = data;
+    sc_scheduler *scheduler = server->scheduler;
+    if (server->owned && result->code == ER_OK && result->leaving &&
+        !server->leaving) {
+        scheduler->out->server_leaving(server->name, scheduler->out_data);
+    }
+}
+
+static void
+_sc_on_probe(be_server *backend, const be_order_result *result, void *data)
+{
+    (void)backend;
+    _sc_server *server = data;
+    sc_scheduler *scheduler = server->scheduler;
+    scheduler->out->reached(server->name, result->code == ER_OK,
+                            scheduler->out_data);
+}
+
+void
+sc_probe(sc_scheduler *scheduler, const char *name)
+{
+    _sc_server *server = g_hash_table_lookup(scheduler->servers, name);
+    if (server) {
+        be_health(server->backend, _sc_on_probe, server);
+    }
+}
+
+/* Attempts of this instance that surely run there: a token has come. */
+static uint32_t
+_sc_running_count(const _sc_server *server)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, server->scheduler->attempts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _sc_attempt *attempt = value;
+        count += attempt->server == server && attempt->tokens > 0;
+    }
+    return count;
+}
+
+static void
+_sc_on_report(be_server *backend, const be_order_result *result, void *data)
+{
+    (void)backend;
+    _sc_server *server = data;
+    sc_scheduler *scheduler = server->scheduler;
+    if (!server->owned || result->code != ER_OK) {
+        return;
+    }
+    uint64_t now_us = _sc_now_us(scheduler);
+    uint64_t sampled_us = now_us - (uint64_t)result->lag_ms * 1000;
+    _sc_feed(scheduler, &(lwd_event){.type = LWD_EVENT_LOAD_REPORT,
+                                     .server = server->id,
+                                     .running = result->running,
+                                     .waiting = result->waiting,
+                                     .sampled_us = sampled_us});
+    if (server->settle_until_us > now_us && sampled_us > server->owned_us) {
+        uint32_t ours = _sc_running_count(server);
+        uint32_t foreign = result->running > ours ? result->running - ours : 0;
+        scheduler->out->foreign(server->name, foreign, scheduler->out_data);
+    }
+}
+
+void
+_sc_server_check(_sc_server *server)
+{
+    if (server->checking) {
+        return;
+    }
+    server->checking = true;
+    be_list(server->backend, _sc_on_list, server);
+    be_health(server->backend, _sc_on_health, server);
+    be_report(server->backend, _sc_on_report, server);
+}
+
+void
+_sc_check_servers(uint64_t now_us, void *data)
+{
+    (void)now_us;
+    sc_scheduler *scheduler = data;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, scheduler->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _sc_server *server = value;
+        if (server->owned) {
+            _sc_server_check(server);
+        }
+    }
+    _sc_check_forwards(scheduler);
+}
--- a/packages/daemon/src/scheduler_private.h
+++ b/packages/daemon/src/scheduler_private.h
@@ -112,6 +112,16 @@
 void _sc_draft_free(void *draft);
 void _sc_attempt_free(void *attempt);
 
+_sc_draft *_sc_find_draft(sc_scheduler *scheduler, uint64_t id);
+/* Passes a token on unless it is late or doubled. */
+void _sc_draft_token(_sc_draft *draft, uint32_t index, const char *text);
+/* Takes the draft out, then tells its sink. */
+void _sc_draft_end(_sc_draft *draft, const dr_end *end);
+
+/* scheduler_forward.c */
+void _sc_cancel_forward(_sc_draft *draft);
+/* Tells the owner how many tokens were passed on. */
+void _sc_send_credit(const _sc_draft *draft);
 /* Ends forwards whose deadline has passed without a word. */
 void _sc_check_forwards(sc_scheduler *scheduler);
 
@@ -119,6 +129,11 @@
 void _sc_act_load(sc_scheduler *scheduler, const lwd_action *action);
 void _sc_act_evict(sc_scheduler *scheduler, const lwd_action *action);
 void _sc_server_free(void *server);
+void _sc_feed_state(_sc_server *server, lwd_server_state state);
+/* This instance owns it, with the time before which nothing is evicted. */
+void _sc_feed_own(_sc_server *server);
+
+/* scheduler_check.c */
 void _sc_server_check(_sc_server *server);
 void _sc_server_died(_sc_server *server);
 /* A stream on it has ended. */
--- a/packages/decisions/include/lacewing/decisions.h
+++ b/packages/decisions/include/lacewing/decisions.h
@@ -84,7 +84,7 @@
     LWD_STATE_NUM
 } lwd_resource_state;
 
-/* -- descriptions: zero means default ------------------------------------ */
+/* -- descriptions: zero means default ------------------------------------- */
 
 /* Parts that can be switched off one at a time, for measuring. */
 typedef enum lwd_part {
@@ -162,8 +162,7 @@
     bool forwarded;         /* entered at another instance */
 } lwd_request_desc;
 
-/* -- events -----------------------------------------------------------------
- */
+/* -- events --------------------------------------------------------------- */
 
 typedef enum lwd_event_type {
     LWD_EVENT_DEFAULT = 0, /* refused */
@@ -282,8 +281,7 @@
     const lwd_summary *summary; /* valid during the call */
 } lwd_event;
 
-/* -- actions ----------------------------------------------------------------
- */
+/* -- actions -------------------------------------------------------------- */
 
 typedef enum lwd_action_type {
     LWD_ACTION_DEFAULT = 0,
@@ -335,8 +333,7 @@
     lwd_summary summary;
 } lwd_action;
 
-/* -- the policy -------------------------------------------------------------
- */
+/* -- the policy ----------------------------------------------------------- */
 
 typedef struct lwd_policy lwd_policy;
 
--- a/packages/decisions/src/routing.c
+++ b/packages/decisions/src/routing.c
@@ -219,8 +219,7 @@
     }
 }
 
-/* -- private: homes --------------------------------------------------------
- */
+/* -- private: homes ------------------------------------------------------- */
 
 /* Expected wait when a home server of the adapter loads it. */
 static uint64_t
--- a/packages/wire/src/link.c
+++ b/packages/wire/src/link.c
@@ -71,7 +71,7 @@
     _lk_fail(link, &why);
 }
 
-/* -- private: reading --------------------------------------------------- */
+/* -- private: reading ----------------------------------------------------- */
 
 static void
 _lk_deliver(lk_link *link)
@@ -136,7 +136,7 @@
                               link);
 }
 
-/* -- private: writing --------------------------------------------------- */
+/* -- private: writing ----------------------------------------------------- */
 
 static void
 _lk_on_written(GObject *source, GAsyncResult *result, void *data)
@@ -175,7 +175,7 @@
         G_PRIORITY_DEFAULT, link->cancel, _lk_on_written, link);
 }
 
-/* -- public ------------------------------------------------------------- */
+/* -- public --------------------------------------------------------------- */
 
 lk_link *
 lk_create(const lk_desc *desc)
--- a/tests/demo.c
+++ b/tests/demo.c
@@ -34,8 +34,7 @@
     gint done;
 } demo;
 
-/* -- one request, sent again where a refusal or a break allows it -----------
- */
+/* -- one request, sent again where a refusal or a break allows it --------- */
 
 static void
 call_daemon(demo *state, uint32_t daemon, const char *path, const char *body,
@@ -152,8 +151,7 @@
     g_atomic_int_inc(&state->done);
 }
 
-/* -- the run ----------------------------------------------------------------
- */
+/* -- the run -------------------------------------------------------------- */
 
 static bool
 run(demo *state)
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -49,8 +49,7 @@
     GPtrArray *members; /* platform first */
 };
 
-/* -- private: members -------------------------------------------------------
- */
+/* -- private: members ----------------------------------------------------- */
 
 static void
 _hn_member_free(void *data)
@@ -99,8 +98,7 @@
     return _hn_member_create(fleet, kind, name, zone, port);
 }
 
-/* -- private: command lines -------------------------------------------------
- */
+/* -- private: command lines ----------------------------------------------- */
 
 static void _hn_arg(GPtrArray *argv, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
@@ -200,8 +198,7 @@
     member->argv = (char **)g_ptr_array_free(argv, FALSE);
 }
 
-/* -- private: starting ------------------------------------------------------
- */
+/* -- private: starting ---------------------------------------------------- */
 
 static bool
 _hn_wait_up(const hn_member *member)
@@ -245,8 +242,7 @@
     return member->process && _hn_wait_up(member);
 }
 
-/* -- private: the first configuration ---------------------------------------
- */
+/* -- private: the first configuration ------------------------------------- */
 
 static char *
 _hn_config_text(hn_fleet *fleet, const char *extra)
@@ -295,8 +291,7 @@
     return true;
 }
 
-/* -- public: certificates ----------------------------------------------------
- */
+/* -- public: certificates ------------------------------------------------- */
 
 static bool
 _hn_certtool(const hn_fleet *fleet, const char *arguments)
@@ -335,8 +330,7 @@
                         "ca-key.pem --template leaf.cfg --outfile cert.pem");
 }
 
-/* -- public: life -----------------------------------------------------------
- */
+/* -- public: life --------------------------------------------------------- */
 
 hn_fleet *
 hn_create(const hn_desc *desc)
@@ -447,8 +441,7 @@
     return true;
 }
 
-/* -- public: waiting --------------------------------------------------------
- */
+/* -- public: waiting ------------------------------------------------------ */
 
 static bool
 _hn_daemon_ready(const hn_member *member)
@@ -502,8 +495,7 @@
     return false;
 }
 
-/* -- public: members --------------------------------------------------------
- */
+/* -- public: members ------------------------------------------------------ */
 
 hn_member *
 hn_find(hn_fleet *fleet, const char *name)
@@ -574,8 +566,7 @@
     return _hn_post(daemon, daemon->admin_url, "/test/cut", json);
 }
 
-/* -- public: queries --------------------------------------------------------
- */
+/* -- public: queries ------------------------------------------------------ */
 
 const char *
 hn_query_url(const hn_member *member)
--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -21,8 +21,7 @@
     hn_destroy(fleet);
 }
 
-/* -- bad requests -----------------------------------------------------------
- */
+/* -- bad requests --------------------------------------------------------- */
 
 static const struct {
     const char *path;
@@ -101,8 +100,7 @@
 }
 END_TEST
 
-/* -- raw connections --------------------------------------------------------
- */
+/* -- raw connections ------------------------------------------------------ */
 
 static int
 connect_raw(const char *url)
@@ -177,8 +175,7 @@
 }
 END_TEST
 
-/* -- good requests ----------------------------------------------------------
- */
+/* -- good requests -------------------------------------------------------- */
 
 START_TEST(test_every_version_through_every_daemon)
 {
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -86,8 +86,7 @@
     return right;
 }
 
-/* -- backend servers --------------------------------------------------------
- */
+/* -- backend servers ------------------------------------------------------ */
 
 /* The engine that has done most so far, by its history. */
 static hn_member *
@@ -180,8 +179,7 @@
 }
 END_TEST
 
-/* -- instances --------------------------------------------------------------
- */
+/* -- instances ------------------------------------------------------------ */
 
 START_TEST(test_dead_owner_is_followed_within_five_seconds)
 {
@@ -246,8 +244,7 @@
 }
 END_TEST
 
-/* -- the platform -----------------------------------------------------------
- */
+/* -- the platform --------------------------------------------------------- */
 
 START_TEST(test_platform_down_drafts_go_on_and_bookings_say_so)
 {
@@ -332,8 +329,7 @@
 }
 END_TEST
 
-/* -- zones ------------------------------------------------------------------
- */
+/* -- zones ---------------------------------------------------------------- */
 
 START_TEST(test_cut_off_zone_goes_on_serving)
 {
--- a/tests/test_operators.c
+++ b/tests/test_operators.c
@@ -50,8 +50,7 @@
     hn_destroy(fleet);
 }
 
-/* -- the tool ---------------------------------------------------------------
- */
+/* -- the tool ------------------------------------------------------------- */
 
 /* Runs "lacewing WORDS" against a daemon; what it prints. */
 static char *
@@ -109,8 +108,7 @@
     }
 }
 
-/* -- steps ------------------------------------------------------------------
- */
+/* -- steps ---------------------------------------------------------------- */
 
 static void
 change_a_limit(void)
