--- a/packages/config/src/plan.c
+++ b/packages/config/src/plan.c
@@ -117,6 +117,17 @@
 
 /* -- private: adapters ---------------------------------------------------- */
 
+/* Versions that have a share; only these are pinned. */
+static uint32_t
+_dc_shared_versions(const dc_adapter *adapter)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < adapter->version_count; i++) {
+        count += adapter->share_pct[i] > 0;
+    }
+    return count;
+}
+
 static void
 _dc_check_pinned(const dc_config *config, const dc_supply *supply,
                  dc_findings *findings)
@@ -124,7 +135,7 @@
     uint64_t pinned = 0;
     for (uint32_t i = 0; i < dc_query_count(config, DC_ADAPTER); i++) {
         const dc_adapter *adapter = dc_query_adapter_at(config, i);
-        pinned += (uint64_t)adapter->pinned * adapter->version_count;
+        pinned += (uint64_t)adapter->pinned * _dc_shared_versions(adapter);
         if (adapter->pinned > supply->engines) {
             _dc_find(findings, DC_PINNED_OVER_SERVERS, "adapter",
                      adapter->name, "pinned = %u copies on %u ready engines",
