--- a/packages/daemon/src/caller_draft.c
+++ b/packages/daemon/src/caller_draft.c
@@ -248,6 +248,7 @@
     ex_entry entry = {.code = end->code,
                       .ran = end->ran,
                       .tokens = end->tokens,
+                      .attempts = end->attempts,
                       .first_token_ms = draft->first_token_ms};
     g_strlcpy(entry.model, draft->model, sizeof(entry.model));
     g_strlcpy(entry.server, end->server ? end->server : "",
--- a/packages/daemon/src/draft.h
+++ b/packages/daemon/src/draft.h
@@ -29,6 +29,7 @@
     er_code code; /* ER_OK: whole */
     dr_ran ran;
     uint32_t tokens;
+    uint32_t attempts; /* sends and forwards by this instance */
     uint32_t retry_after_ms;
     const char *finish_reason;
     const char *message;
--- a/packages/daemon/src/explain.c
+++ b/packages/daemon/src/explain.c
@@ -68,6 +68,7 @@
     _ex_string(json, "outcome", er_query_name(entry->code));
     _ex_string(json, "ran", dr_query_ran_name(entry->ran));
     _ex_int(json, "tokens", entry->tokens);
+    _ex_int(json, "attempts", entry->attempts);
     _ex_int(json, "first_token_ms", entry->first_token_ms);
     _ex_int(json, "total_ms", entry->total_ms);
     _ex_int(json, "deadline_ms", entry->deadline_ms);
--- a/packages/daemon/src/explain.h
+++ b/packages/daemon/src/explain.h
@@ -27,6 +27,7 @@
     er_code code;
     dr_ran ran;
     uint32_t tokens;
+    uint32_t attempts;
     uint32_t first_token_ms;
     uint32_t total_ms;
     uint32_t deadline_ms;
--- a/packages/daemon/src/scheduler_draft.c
+++ b/packages/daemon/src/scheduler_draft.c
@@ -56,10 +56,12 @@
     sc_scheduler *scheduler = draft->scheduler;
     dr_sink *sink = draft->sink;
     uint64_t id = draft->id;
+    dr_end counted = *end;
+    counted.attempts = draft->attempts;
     g_hash_table_steal(scheduler->drafts, &id);
     ct_set(CT_OPEN_REQUESTS, g_hash_table_size(scheduler->drafts));
     if (sink) {
-        sink->vt->end(sink, end);
+        sink->vt->end(sink, &counted);
     }
     _sc_draft_free(draft);
 }
