Ownership: another zone's free servers are left to its own daemons for 5 s

Cause: with the probe of zones without daemons an instance that started first took the engines of a zone whose instances were still starting, and a zone cut off right after had none of its own. Ruled out: the cut hook.

--- a/packages/control/src/ownership_internal.h
+++ b/packages/control/src/ownership_internal.h
@@ -19,6 +19,7 @@
 
 #define _OW_WORK_US UINT64_C(100000)      /* between looks at everything */
 #define _OW_PROBE_US UINT64_C(2000000)    /* between probes of one server */
+#define _OW_FAR_US UINT64_C(5000000)      /* free, before another zone takes */
 #define _OW_REACHED_US UINT64_C(5000000)  /* for which a probe counts */
 #define _OW_RETRY_US UINT64_C(500000)     /* after a failed table call */
 #define _OW_ACK_AGE_US UINT64_C(800000)   /* older: renew by the table */
--- a/packages/control/src/ownership_server.c
+++ b/packages/control/src/ownership_server.c
@@ -281,7 +281,9 @@
     bool may = !ow->stopping && !server->leaving &&
                _ow_lease_fresh(ow, now_us) && now_us >= server->try_us;
     if (!g_str_equal(server->zone, ow->zone)) {
-        may = may && _ow_may_take_far(ow, server) &&
+        /* The zone's own daemons may only just be starting. */
+        may = may && now_us >= server->free_us + _OW_FAR_US &&
+              _ow_may_take_far(ow, server) &&
               _ow_is_reached(ow, server, now_us);
     }
     bool chosen = server->wish && g_str_equal(server->wish, ow->instance);
--- a/packages/control/tests/test_ownership.c
+++ b/packages/control/tests/test_ownership.c
@@ -855,6 +855,27 @@
 }
 END_TEST
 
+/* Servers never owned before are left to their own zone's daemons for a while,
+   even where a probe reaches them: those may only just be starting. */
+START_TEST(test_zone_whose_daemons_start_late)
+{
+    world *w = world_create(1, &(ow_desc){0});
+    ck_assert(w->reach);
+    for (uint32_t i = 1; i < NODES; i += 2) {
+        halt(&w->nodes[i]);
+    }
+    run_for(w, 4000);
+    for (uint32_t i = 1; i < SERVERS; i += 2) {
+        ck_assert_uint_eq(users(w, i, OW_USE_FROZEN), 0);
+    }
+    run_for(w, 20000);
+    for (uint32_t i = 1; i < SERVERS; i += 2) {
+        ck_assert_uint_eq(users(w, i, OW_USE_FROZEN), 1);
+    }
+    world_destroy(w);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -867,6 +888,7 @@
     tcase_add_test(tcase, test_outage);
     tcase_add_test(tcase, test_stop);
     tcase_add_test(tcase, test_zone_without_daemons);
+    tcase_add_test(tcase, test_zone_whose_daemons_start_late);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_ENV);
