--- a/packages/control/tests/slopes.c
+++ b/packages/control/tests/slopes.c
@@ -3,7 +3,7 @@
  *
  * Runs the real machines of N daemons in virtual time in one process, with a
  * stand-in for the table and for the links, and prints one line: bytes a
- * second on links (packed by the real codec, with the frame's 4 bytes),
+ * second on links (packed by the real codec, with the frame's header),
  * processor time inside the machines, memory and the table's load.
  *
  *     lacewing-slopes --daemons 410 --zones 10 --servers 600 --seconds 60
@@ -11,6 +11,7 @@
 #include "lacewing.pb-c.h"
 #include "lacewing/chain.h"
 #include "lacewing/claims.h"
+#include "lacewing/frame.h"
 #include "lacewing/membership.h"
 #include "lacewing/ownership.h"
 #include "lacewing/weight_share.h"
@@ -20,7 +21,6 @@
 #include <stdlib.h>
 #include <time.h>
 
-#define FRAME_BYTES 4
 #define LINK_US (1 * SIM_MS)
 #define STEP_US (20 * SIM_MS)
 #define WARM_UP_US (20000 * SIM_MS)
@@ -129,7 +129,7 @@
     Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
     envelope.body_case = LACEWING__ENVELOPE__BODY_HEARTBEAT;
     envelope.heartbeat = &out;
-    return lacewing__envelope__get_packed_size(&envelope) + FRAME_BYTES;
+    return lacewing__envelope__get_packed_size(&envelope) + FR_HEADER_BYTES;
 }
 
 static void
@@ -553,7 +553,8 @@
 static void
 measure(void)
 {
-    world w = {.s = sim_create(1)};
+    static world w; /* lives as long as the process */
+    w.s = sim_create(1);
     w.by_name = g_hash_table_new(g_str_hash, g_str_equal);
     w.nodes = g_new0(node, (gsize)daemons);
     uint64_t before = machine_bytes();
