Daemons of tests end by themselves

Cause: three daemons of a fleet lived on for 16 minutes after their test program had aborted; the stand-ins ended by themselves. [test] max_seconds ends a daemon as well. Ruled out: a signal at the parent's death, which comes when the thread that restarted a member ends.

--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -49,6 +49,13 @@
     return G_SOURCE_CONTINUE;
 }
 
+static gboolean
+_mn_on_overtime(void *loop)
+{
+    g_main_loop_quit(loop);
+    return G_SOURCE_REMOVE;
+}
+
 static int
 _mn_serve(const ds_settings *settings)
 {
@@ -63,6 +70,10 @@
     g_unix_signal_add(SIGTERM, _mn_on_terminate, &process);
     g_unix_signal_add(SIGINT, _mn_on_terminate, &process);
     g_unix_signal_add(SIGHUP, _mn_on_hangup, &process);
+    if (settings->test_max_s) {
+        g_timeout_add_seconds(settings->test_max_s, _mn_on_overtime,
+                              process.loop);
+    }
     lg_write(LG_STARTED, "zone", settings->zone, "listen", settings->listen,
              NULL);
     g_main_loop_run(process.loop);
--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -74,6 +74,15 @@
      .offset = offsetof(ds_settings, test_hooks),
      .fallback = "false",
      .help = "Takes fault orders on the operators' port; never in service."},
+    {.group = "test",
+     .name = "max_seconds",
+     .type = ST_U32,
+     .offset = offsetof(ds_settings, test_max_s),
+     .unit = "s",
+     .min = 0,
+     .max = 86400,
+     .fallback = "0",
+     .help = "The process ends by itself after this time; 0: it does not."},
 };
 
 static er_code
--- a/packages/daemon/src/settings.h
+++ b/packages/daemon/src/settings.h
@@ -31,7 +31,8 @@
     uint32_t log_level; /* index into debug, info, warning, error */
     bool log_json;
     bool test_hooks;
-    char *certificate; /* callers and operators */
+    uint32_t test_max_s; /* the process ends by itself; 0: it does not */
+    char *certificate;   /* callers and operators */
     char *key;
     char *client_ca; /* callers must show a certificate from it */
     char *link_certificate;
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -173,7 +173,8 @@
     g_autofree char *text = g_strdup_printf(
         "[daemon]\ninstance = %s\nzone = %s\nlisten = %s\nlink = %s\n"
         "admin = %s\nplatform = %s\nnotice_ms = %u\n"
-        "platform_timeout_ms = 500\n[test]\nhooks = true\n%s",
+        "platform_timeout_ms = 500\n[test]\nhooks = true\n"
+        "max_seconds = " _HN_MAX_SECONDS "\n%s",
         member->name, member->zone, member->address, member->link,
         member->admin, fleet->platform->url, member->daemon.notice_ms, tls);
     g_file_set_contents(file, text, -1, NULL);
