Links without a hello end after 5 s

Cause: a connection to the links' port that said nothing stayed open for good. The socket's timeout holds until the hello, over TLS as well. The new test ends with the daemon's close; before, it waited its 20 s.

--- a/packages/daemon/src/peers.c
+++ b/packages/daemon/src/peers.c
@@ -8,11 +8,13 @@
 
 #define _PE_PROTOCOL 1
 #define _PE_DIAL_TIMEOUT_S 2
+#define _PE_HELLO_TIMEOUT_S 5
 
 /* One link; it has a name once the other end's hello has come. */
 typedef struct _pe_link {
     pe_peers *peers;
     lk_link *link;
+    GSocket *socket;
     char *instance; /* NULL before the hello */
     char *zone;
     char *address;
@@ -46,6 +48,7 @@
 {
     _pe_link *link = data;
     lk_destroy(link->link);
+    g_object_unref(link->socket);
     g_free(link->instance);
     g_free(link->zone);
     g_free(link->address);
@@ -147,6 +150,7 @@
         _pe_remove(link, "hello refused");
         return;
     }
+    g_socket_set_timeout(link->socket, 0);
     link->instance = g_strdup(hello->instance);
     link->zone = g_strdup(hello->zone);
     link->address = g_strdup(hello->address);
@@ -195,12 +199,27 @@
     _pe_remove(data, why->message);
 }
 
+/* The socket under a plain or a TLS stream; the caller owns a reference. */
+static GSocket *
+_pe_socket(GIOStream *stream)
+{
+    g_autoptr(GIOStream) base = g_object_ref(stream);
+    if (G_IS_TLS_CONNECTION(stream)) {
+        g_clear_object(&base);
+        g_object_get(stream, "base-io-stream", &base, NULL);
+    }
+    GSocketConnection *connection = G_SOCKET_CONNECTION(base);
+    return g_object_ref(g_socket_connection_get_socket(connection));
+}
+
 static void
 _pe_adopt(pe_peers *peers, GIOStream *stream, bool dialled)
 {
     _pe_link *link = g_new0(_pe_link, 1);
     link->peers = peers;
     link->dialled = dialled;
+    link->socket = _pe_socket(stream);
+    g_socket_set_timeout(link->socket, _PE_HELLO_TIMEOUT_S);
     link->link = lk_create(&(lk_desc){.stream = stream,
                                       .on_message = _pe_on_message,
                                       .on_closed = _pe_on_closed,
@@ -238,6 +257,8 @@
     (void)source;
     pe_peers *peers = data;
     _pe_no_delay(connection);
+    g_socket_set_timeout(g_socket_connection_get_socket(connection),
+                         _PE_HELLO_TIMEOUT_S);
     peers->references++;
     if (peers->tls) {
         tl_wrap_server(peers->tls, G_IO_STREAM(connection), _pe_on_accepted,
--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -175,6 +175,24 @@
 }
 END_TEST
 
+START_TEST(test_link_that_says_nothing_is_closed)
+{
+    g_auto(GStrv) parts = g_strsplit(
+        hn_query_url(hn_find(fleet, "a")) + strlen("http://"), ":", 2);
+    g_autofree char *url =
+        g_strdup_printf("http://%s:%d", parts[0], atoi(parts[1]) + 1);
+    int fd = connect_raw(url);
+    struct timeval wait = {.tv_sec = 20};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    char buffer[4096];
+    ssize_t size;
+    while ((size = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
+    }
+    ck_assert_int_eq(size, 0);
+    close(fd);
+}
+END_TEST
+
 /* -- good requests -------------------------------------------------------- */
 
 START_TEST(test_every_version_through_every_daemon)
@@ -218,6 +236,7 @@
     tcase_add_test(tests, test_oversized_body_is_refused);
     tcase_add_test(tests, test_header_flood_and_half_open_connections);
     tcase_add_test(tests, test_corrupt_and_truncated_frames_on_a_link);
+    tcase_add_test(tests, test_link_that_says_nothing_is_closed);
     tcase_add_test(tests, test_every_version_through_every_daemon);
     tcase_add_test(tests, test_booking_is_replayed_and_its_key_protected);
     suite_add_tcase(suite, tests);
