One place each for listening addresses, TCP_NODELAY and never-connected errors

The links, the callers' port and the operators' port each parsed IP:PORT, two of them opened the listener and set TCP_NODELAY by bare numbers; streams and calls each had the same test for errors from before a connection. listen.c and _be_never_connected() now serve all.

--- a/packages/backend/src/backend_private.h
+++ b/packages/backend/src/backend_private.h
@@ -32,6 +32,10 @@
                             const char *fallback);
 int64_t _be_json_int(JsonObject *object, const char *name, int64_t fallback);
 
+/* Whether the error is certain to come from before a connection: nothing was
+   sent. */
+bool _be_never_connected(const GError *error);
+
 /* Type of the error in an answer's body; NULL without one. Free it. */
 char *_be_error_type(GBytes *body);
 
--- a/packages/backend/src/order.c
+++ b/packages/backend/src/order.c
@@ -220,19 +220,11 @@
 
 /* -- public: calls of plain services -------------------------------------- */
 
-static bool
-_be_refused_connection(const GError *error)
-{
-    return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
-           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
-           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE);
-}
-
 static void
 _be_call_failure(const _be_order *order, const GError *error,
                  be_call_result *result)
 {
-    if (_be_refused_connection(error)) {
+    if (_be_never_connected(error)) {
         result->code = ER_SERVER_FAILED;
         result->ran = BE_RAN_NO;
     }
--- a/packages/backend/src/server.c
+++ b/packages/backend/src/server.c
@@ -119,6 +119,14 @@
         _be_json_string(json_node_get_object(error), "type", NULL));
 }
 
+bool
+_be_never_connected(const GError *error)
+{
+    return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
+           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
+           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE);
+}
+
 uint32_t
 be_query_open(const be_server *server)
 {
--- a/packages/backend/src/stream.c
+++ b/packages/backend/src/stream.c
@@ -313,14 +313,6 @@
                                     _be_on_error_body, _be_stream_ref(stream));
 }
 
-static bool
-_be_never_connected(const GError *error)
-{
-    return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
-           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
-           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE);
-}
-
 static void
 _be_on_sent(GObject *source, GAsyncResult *result, void *data)
 {
--- a/packages/daemon/src/caller.c
+++ b/packages/daemon/src/caller.c
@@ -462,7 +462,7 @@
         soup_server_new("server-header", "lacewing", "raw-paths", FALSE, NULL);
     server->service = g_socket_service_new();
     _ca_add_handlers(server);
-    if (!_ca_listen(server, desc->address, status)) {
+    if (_ca_listen(server, desc->address, status) != ER_OK) {
         g_clear_pointer(&server, ca_destroy);
     }
     return server;
--- a/packages/daemon/src/caller_listen.c
+++ b/packages/daemon/src/caller_listen.c
@@ -1,6 +1,8 @@
 /* The callers' connections: accepted, bounded, wrapped in TLS. */
 #include "caller_private.h"
 
+#include "listen.h"
+
 /* -- private: connections ------------------------------------------------- */
 
 static void
@@ -63,36 +65,17 @@
     }
     server->connections++;
     g_object_weak_ref(G_OBJECT(connection), _ca_on_connection_gone, server);
-    GSocket *socket = g_socket_connection_get_socket(connection);
-    g_socket_set_timeout(socket, server->idle_timeout_s);
-    g_socket_set_option(socket, 6 /* IPPROTO_TCP */, 1 /* TCP_NODELAY */, 1,
-                        NULL);
+    g_socket_set_timeout(g_socket_connection_get_socket(connection),
+                         server->idle_timeout_s);
+    ln_no_delay(connection);
     _ca_take_connection(server, connection);
     return TRUE;
 }
 
-bool
-_ca_listen(ca_server *server, const char *text, er_status *status)
+er_code
+_ca_listen(ca_server *server, const char *address, er_status *status)
 {
-    g_autoptr(GError) error = NULL;
-    g_autoptr(GSocketConnectable) where =
-        g_network_address_parse(text, 0, &error);
-    GNetworkAddress *network = where ? G_NETWORK_ADDRESS(where) : NULL;
-    g_autoptr(GSocketAddress) address =
-        network ? g_inet_socket_address_new_from_string(
-                      g_network_address_get_hostname(network),
-                      g_network_address_get_port(network))
-                : NULL;
-    if (!address ||
-        !g_socket_listener_add_address(
-            G_SOCKET_LISTENER(server->service), address, G_SOCKET_TYPE_STREAM,
-            G_SOCKET_PROTOCOL_TCP, NULL, NULL, &error)) {
-        er_set(status, ER_FILE, "%s: %s", text,
-               error ? error->message : "not an IP number and port");
-        return false;
-    }
     g_signal_connect(server->service, "incoming", G_CALLBACK(_ca_on_incoming),
                      server);
-    g_socket_service_start(server->service);
-    return true;
+    return ln_listen(server->service, address, status);
 }
--- a/packages/daemon/src/caller_private.h
+++ b/packages/daemon/src/caller_private.h
@@ -61,7 +61,7 @@
 JsonObject *_ca_body(SoupServerMessage *message, JsonParser *parser);
 
 /* caller_listen.c: takes connections at IP:PORT. */
-bool _ca_listen(ca_server *server, const char *address, er_status *status);
+er_code _ca_listen(ca_server *server, const char *address, er_status *status);
 
 /* caller_draft.c */
 void _ca_on_completions(SoupServer *soup, SoupServerMessage *message,
--- a/packages/daemon/src/daemon_admin.c
+++ b/packages/daemon/src/daemon_admin.c
@@ -4,6 +4,7 @@
 
 #include "http_reply.h"
 #include "lacewing/log.h"
+#include "listen.h"
 #include <string.h>
 
 /* -- private: what the administration API asks ---------------------------- */
@@ -232,22 +233,18 @@
 _dn_admin_listen(dn_daemon *daemon, const char *text, er_status *status)
 {
     g_autoptr(GError) error = NULL;
-    g_auto(GStrv) parts = g_strsplit(text, ":", 2);
-    g_autoptr(GSocketAddress) address = NULL;
+    g_autoptr(GSocketAddress) address = ln_parse(text, status);
     SoupServerListenOptions options = 0;
-    if (parts[0] && parts[1]) {
-        address = g_inet_socket_address_new_from_string(
-            parts[0], (guint)g_ascii_strtoull(parts[1], NULL, 10));
+    if (!address) {
+        return false;
     }
     if (daemon->tls) {
         soup_server_set_tls_certificate(daemon->admin,
                                         tl_query_certificate(daemon->tls));
         options = SOUP_SERVER_LISTEN_HTTPS;
     }
-    if (!address ||
-        !soup_server_listen(daemon->admin, address, options, &error)) {
-        er_set(status, ER_FILE, "%s: %s", text,
-               error ? error->message : "not an IP number and port");
+    if (!soup_server_listen(daemon->admin, address, options, &error)) {
+        er_set(status, ER_FILE, "%s: %s", text, error->message);
         return false;
     }
     return true;
--- a/packages/daemon/src/peers.c
+++ b/packages/daemon/src/peers.c
@@ -3,6 +3,7 @@
 #include "lacewing/counter.h"
 #include "lacewing/link.h"
 #include "lacewing/log.h"
+#include "listen.h"
 #include <gio/gio.h>
 #include <string.h>
 
@@ -230,14 +231,6 @@
 
 /* -- private: taking links in --------------------------------------------- */
 
-static void
-_pe_no_delay(GSocketConnection *connection)
-{
-    GSocket *socket = g_socket_connection_get_socket(connection);
-    g_socket_set_option(socket, 6 /* IPPROTO_TCP */, 1 /* TCP_NODELAY */, 1,
-                        NULL);
-}
-
 static void
 _pe_on_accepted(GIOStream *stream, void *data)
 {
@@ -256,7 +249,7 @@
     (void)service;
     (void)source;
     pe_peers *peers = data;
-    _pe_no_delay(connection);
+    ln_no_delay(connection);
     g_socket_set_timeout(g_socket_connection_get_socket(connection),
                          _PE_HELLO_TIMEOUT_S);
     peers->references++;
@@ -270,34 +263,6 @@
     return TRUE;
 }
 
-static bool
-_pe_listen(pe_peers *peers, er_status *status)
-{
-    g_autoptr(GError) error = NULL;
-    g_autoptr(GSocketConnectable) where =
-        g_network_address_parse(peers->address, 0, &error);
-    if (!where) {
-        er_set(status, ER_FILE, "%s: %s", peers->address, error->message);
-        return false;
-    }
-    GNetworkAddress *network = G_NETWORK_ADDRESS(where);
-    g_autoptr(GSocketAddress) address = g_inet_socket_address_new_from_string(
-        g_network_address_get_hostname(network),
-        g_network_address_get_port(network));
-    if (!address ||
-        !g_socket_listener_add_address(
-            G_SOCKET_LISTENER(peers->service), address, G_SOCKET_TYPE_STREAM,
-            G_SOCKET_PROTOCOL_TCP, NULL, NULL, &error)) {
-        er_set(status, ER_FILE, "%s: %s", peers->address,
-               error ? error->message : "not an IP number and port");
-        return false;
-    }
-    g_signal_connect(peers->service, "incoming", G_CALLBACK(_pe_on_incoming),
-                     peers);
-    g_socket_service_start(peers->service);
-    return true;
-}
-
 /* -- private: dialling ---------------------------------------------------- */
 
 typedef struct _pe_dial {
@@ -329,7 +294,7 @@
         _pe_on_dialled(NULL, dial);
         return;
     }
-    _pe_no_delay(connection);
+    ln_no_delay(connection);
     g_socket_set_timeout(g_socket_connection_get_socket(connection), 0);
     if (!dial->peers->tls) {
         _pe_on_dialled(G_IO_STREAM(connection), dial);
@@ -380,7 +345,9 @@
     peers->nameless = g_hash_table_new_full(NULL, NULL, _pe_link_free, NULL);
     peers->dialling =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    if (!_pe_listen(peers, status)) {
+    g_signal_connect(peers->service, "incoming", G_CALLBACK(_pe_on_incoming),
+                     peers);
+    if (ln_listen(peers->service, peers->address, status) != ER_OK) {
         g_clear_pointer(&peers, pe_destroy);
     }
     return peers;
