--- a/cmake/lacewing.cmake
+++ b/cmake/lacewing.cmake
@@ -13,6 +13,9 @@
 
 # lacewing_tests([target...]): one Check program for each tests/test_*.c.
 function(lacewing_tests)
+  if(NOT LACEWING_TESTS)
+    return()
+  endif()
   file(GLOB tests CONFIGURE_DEPENDS
     ${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.c
     ${CMAKE_CURRENT_SOURCE_DIR}/test_*.c)
--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -53,6 +53,17 @@
       "Control bytes sent on links between daemons")                          \
     X(CT_FRAMES_REFUSED, "frames_refused_total", "counter",                   \
       "Frames refused on links between daemons")                              \
+    X(CT_STORE_CALLS, "store_calls_total", "counter",                         \
+      "Calls of the platform's store")                                        \
+    X(CT_ORDERS, "orders_total", "counter", "Orders sent to servers")         \
+    X(CT_REPORTS, "reports_total", "counter",                                 \
+      "Questions to servers for their state")                                 \
+    X(CT_SENT, "sent_total", "counter", "Requests sent to servers")           \
+    X(CT_SENT_AGAIN, "sent_again_total", "counter",                           \
+      "Requests sent to a further server")                                    \
+    X(CT_FAILED, "failed_total", "counter",                                   \
+      "Requests whose outcome is not known")                                  \
+    X(CT_BROKEN, "broken_total", "counter", "Answers broken off")             \
     X(CT_CONFIG_VERSION, "config_version", "gauge",                           \
       "Configuration version in force")                                       \
     X(CT_OPEN_REQUESTS, "open_requests", "gauge", "Requests in flight")       \
--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -33,6 +33,7 @@
     X(LG_STOP_WAITS, INFO, "daemon", "stop waits")                            \
     X(LG_STOPPED, INFO, "daemon", "stopped")                                  \
     X(LG_SETTINGS_REFUSED, ERROR, "daemon", "settings refused")               \
+    X(LG_SETTINGS_READ, INFO, "daemon", "settings read again")                \
     X(LG_LISTEN_FAILED, ERROR, "daemon", "cannot listen")                     \
     X(LG_TLS_RELOADED, INFO, "daemon", "certificate reloaded")                \
     X(LG_TLS_REFUSED, ERROR, "daemon", "certificate refused")                 \
@@ -62,6 +63,28 @@
     X(LG_CONFIG_ACCEPTED, INFO, "config", "change accepted")                  \
     X(LG_POISON, WARNING, "poison", "request convicted")                      \
     X(LG_ADMIN_CALL, INFO, "admin", "call")                                   \
+    X(LG_STORE_LOST, WARNING, "store", "not reachable")                       \
+    X(LG_STORE_REGAINED, INFO, "store", "reachable again")                    \
+    X(LG_STORE_HISTORY, WARNING, "store", "history gone, reads all")          \
+    X(LG_ROW_REFUSED, WARNING, "store", "row not understood")                 \
+    X(LG_LEASE_GOT, INFO, "lease", "held")                                    \
+    X(LG_LEASE_GONE, WARNING, "lease", "lapsed")                              \
+    X(LG_SERVER_SEEN, INFO, "fleet", "backend server began")                  \
+    X(LG_SERVER_LEAVES, INFO, "fleet", "backend server leaves")               \
+    X(LG_SERVER_GONE, INFO, "fleet", "backend server gone")                   \
+    X(LG_HOLDER_BEGAN, INFO, "orders", "orders a backend server")             \
+    X(LG_HOLDER_ENDED, INFO, "orders", "orders a backend server no more")     \
+    X(LG_ORDER_SENT, DEBUG, "orders", "order")                                \
+    X(LG_ORDER_FAILED, WARNING, "orders", "order without effect")             \
+    X(LG_REPORT_READ, DEBUG, "orders", "state of a backend server")           \
+    X(LG_VERSION_NEW, INFO, "config", "adapter version declared")             \
+    X(LG_SENT, DEBUG, "request", "sent")                                      \
+    X(LG_SENT_AGAIN, INFO, "request", "goes to another server")               \
+    X(LG_REFUSED, INFO, "request", "refused, not run")                        \
+    X(LG_FAILED, WARNING, "request", "failed")                                \
+    X(LG_BROKEN, WARNING, "request", "answer broken off")                     \
+    X(LG_LEFT, DEBUG, "request", "caller left")                               \
+    X(LG_DONE, DEBUG, "request", "answered")                                  \
     X(LG_STANDIN, INFO, "stand-in", "event")
 
 typedef enum lg_item {
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -5,7 +5,9 @@
  * line, 2 for refused settings, 3 when it cannot start.
  */
 #include "daemon.h"
+#include "lacewing/exchange.h"
 #include "lacewing/log.h"
+#include "lacewing/users_platform.h"
 #include <glib-unix.h>
 #include <glib.h>
 #include <stdio.h>
@@ -82,6 +84,95 @@
     return EXIT_SUCCESS;
 }
 
+/* -- private: an instance on a platform with its own protocol -------------- */
+
+typedef struct _mn_instance {
+    lp_loop *loop;
+    nd_node *node;
+    const char *file;
+} _mn_instance;
+
+static void
+_mn_on_node_stopped(void *data)
+{
+    lp_quit(((_mn_instance *)data)->loop);
+}
+
+static gboolean
+_mn_on_node_terminate(void *data)
+{
+    nd_stop(((_mn_instance *)data)->node);
+    return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+_mn_on_node_hangup(void *data)
+{
+    _mn_instance *instance = data;
+    nd_settings settings = {0};
+    er_status status = {0};
+    if (nd_load_settings(instance->file, &settings, &status) == ER_OK) {
+        nd_reload(instance->node, &settings);
+    }
+    else {
+        lg_write(LG_SETTINGS_REFUSED, "why", status.message, NULL);
+    }
+    nd_clear_settings(&settings);
+    return G_SOURCE_CONTINUE;
+}
+
+static int
+_mn_serve_node(const nd_settings *settings, const char *file)
+{
+    er_status status = {0};
+    _mn_instance instance = {.file = file};
+    instance.loop = lp_create();
+    instance.node =
+        nd_create(&(nd_desc){.settings = settings,
+                             .dialect = up_query_dialect(),
+                             .loop = instance.loop,
+                             .stopped = _mn_on_node_stopped,
+                             .user_data = &instance},
+                  &status);
+    if (!instance.node) {
+        lg_write(LG_LISTEN_FAILED, "why", status.message, NULL);
+        lp_destroy(instance.loop);
+        return EXIT_START;
+    }
+    g_unix_signal_add(SIGTERM, _mn_on_node_terminate, &instance);
+    g_unix_signal_add(SIGINT, _mn_on_node_terminate, &instance);
+    g_unix_signal_add(SIGHUP, _mn_on_node_hangup, &instance);
+    lg_write(LG_STARTED, "zone", settings->zone, "listen", settings->listen,
+             NULL);
+    lp_run(instance.loop);
+    nd_destroy(instance.node);
+    lp_destroy(instance.loop);
+    return EXIT_SUCCESS;
+}
+
+static int
+_mn_run_node(const _mn_options *options)
+{
+    er_status status = {0};
+    nd_settings settings = {0};
+    int code = EXIT_SUCCESS;
+    if (nd_load_settings(options->settings, &settings, &status) != ER_OK) {
+        fprintf(stderr, "lacewingd: %s\n", status.message);
+        code = EXIT_SETTINGS;
+    }
+    else if (options->check) {
+        printf("%s: good\n", options->settings);
+    }
+    else {
+        lg_setup(&(lg_desc){
+            .level = (lg_level)(LG_LEVEL_DEBUG + settings.log_level),
+            .instance = settings.instance});
+        code = _mn_serve_node(&settings, options->settings);
+    }
+    nd_clear_settings(&settings);
+    return code;
+}
+
 static int
 _mn_run(const _mn_options *options)
 {
@@ -136,7 +227,8 @@
         fprintf(stderr, "lacewingd: --settings FILE is needed\n");
         return EXIT_USAGE;
     }
-    int code = _mn_run(&options);
+    int code = nd_query_meant(options.settings) ? _mn_run_node(&options)
+                                                : _mn_run(&options);
     g_free(options.settings);
     return code;
 }
--- /dev/null
+++ b/packages/exchange/include/lacewing/exchange.h
@@ -0,0 +1,73 @@
+/*
+ * exchange.h: an instance on a platform that has its own protocol
+ * (prefix nd_).
+ *
+ * Callers' requests go through byte for byte to the backend servers that hold
+ * their adapters; the platform's store has the configuration, the list of
+ * servers and the leases. What the platform speaks comes as a dl_dialect.
+ *
+ *     nd_settings settings;
+ *     if (nd_load_settings(path, &settings, &status) == ER_OK) {
+ *         nd_node *node = nd_create(&(nd_desc){.settings = &settings,
+ *             .dialect = up_query_dialect(), .loop = loop}, &status);
+ *         lp_run(loop);
+ *         nd_destroy(node);
+ *     }
+ *
+ * Limits: one node a process; the loop's thread.
+ */
+#ifndef LACEWING_EXCHANGE_H
+#define LACEWING_EXCHANGE_H
+
+#include "lacewing/dialect.h"
+#include "lacewing/loop.h"
+
+typedef struct nd_node nd_node;
+
+typedef struct nd_settings {
+    char *instance;
+    char *zone;
+    char *listen;
+    char *ready;
+    char *peer_ip;
+    char *peer_ports; /* FIRST,LAST */
+    char *store;
+    double grace_s;
+    uint32_t config_apply_ms;
+    uint32_t drain_ms;
+    uint32_t lease_ms;
+    uint32_t version_ms;
+    double retry_ratio;
+    double retry_window_s;
+    double retry_slack;
+    uint32_t memory_mb;
+    uint32_t descriptors;
+    uint32_t log_level;
+} nd_settings;
+
+typedef void (*nd_stopped)(void *user_data);
+
+typedef struct nd_desc {
+    const nd_settings *settings; /* required */
+    const dl_dialect *dialect;   /* required */
+    lp_loop *loop;               /* required */
+    nd_stopped stopped;          /* a stop is complete */
+    void *user_data;
+} nd_desc;
+
+/* Whether a settings file is for this kind of instance. */
+bool nd_query_meant(const char *file);
+er_code nd_load_settings(const char *file, nd_settings *settings,
+                         er_status *status);
+void nd_clear_settings(nd_settings *settings);
+/* Reference page of the settings; free with g_free(). */
+char *nd_query_reference(void);
+
+nd_node *nd_create(const nd_desc *desc, er_status *status);
+void nd_destroy(nd_node *node);
+/* Takes over settings that may change while running. */
+void nd_reload(nd_node *node, const nd_settings *settings);
+/* Graceful stop: nothing under way is cut off within the grace period. */
+void nd_stop(nd_node *node);
+
+#endif
--- /dev/null
+++ b/packages/exchange/src/caller.c
@@ -0,0 +1,446 @@
+#include "caller.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* Until a configuration is known. */
+#define _CR_HEAD_BYTES 65536
+#define _CR_BODY_BYTES (8 * 1024 * 1024)
+#define _CR_HEAD_MS 10000
+#define _CR_IDLE_MS 60000
+/* A connection that was answered with an error is read on for this long, so
+   that the answer is not lost in a reset. */
+#define _CR_LINGER_US 1000000
+/* Idle connections end somewhat later than callers are told. */
+#define _CR_IDLE_GRACE 1.05
+
+typedef enum _cr_state {
+    _CR_IDLE = 0,
+    _CR_READING,
+    _CR_BUSY,    /* a request is with the user */
+    _CR_CLOSING  /* the last answer is on its way */
+} _cr_state;
+
+struct cr_port {
+    cr_desc desc;
+    nc_listener *listener;
+    rc_limits limits;
+    GQueue conns; /* cr_conn */
+    uint32_t busy;
+    bool leaving;
+};
+
+struct cr_conn {
+    cr_port *port;
+    nc_conn *conn;
+    h1_reader *reader;
+    GList link;
+    _cr_state state;
+    uint64_t since_us; /* of the state */
+    GByteArray *body;
+    void *request;
+    uint32_t refused; /* status that the request gets without being run */
+    bool chunked;     /* the answer under way is sent in chunks */
+    bool begun;
+    bool in_request;  /* the user's request() is being called */
+    bool keep;
+};
+
+/* -- private: states ---------------------------------------------------------- */
+
+static void
+_cr_free(cr_conn *conn)
+{
+    g_queue_unlink(&conn->port->conns, &conn->link);
+    conn->port->busy -= conn->state == _CR_BUSY;
+    nc_close(conn->conn);
+    h1_destroy(conn->reader);
+    g_byte_array_unref(conn->body);
+    g_free(conn);
+}
+
+static void
+_cr_enter(cr_conn *conn, _cr_state state)
+{
+    conn->port->busy -= conn->state == _CR_BUSY;
+    conn->port->busy += state == _CR_BUSY;
+    conn->state = state;
+    conn->since_us = lp_query_now_us(conn->port->desc.loop);
+}
+
+static void
+_cr_finish(cr_conn *conn)
+{
+    conn->request = NULL;
+    conn->begun = false;
+    if (!conn->keep) {
+        _cr_enter(conn, _CR_CLOSING);
+        nc_finish(conn->conn);
+        return;
+    }
+    _cr_enter(conn, _CR_IDLE);
+    h1_reset(conn->reader);
+    g_byte_array_set_size(conn->body, 0);
+    if (!conn->in_request) {
+        nc_resume(conn->conn);
+    }
+}
+
+/* -- private: reading ---------------------------------------------------------- */
+
+static bool
+_cr_on_head(const h1_head *head, void *user_data)
+{
+    cr_conn *conn = user_data;
+    uint64_t most = conn->port->limits.body_bytes;
+    if (head->length != H1_LENGTH_NONE && head->length > most) {
+        conn->refused = 413;
+        return false;
+    }
+    const char *expect = h1_query_header(head, "expect");
+    if (expect && strcasecmp(expect, "100-continue") == 0) {
+        static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+        nc_write(conn->conn, go_on, strlen(go_on));
+    }
+    return false;
+}
+
+static void
+_cr_on_body(const char *bytes, size_t count, void *user_data)
+{
+    cr_conn *conn = user_data;
+    if (conn->body->len + count > conn->port->limits.body_bytes) {
+        conn->refused = 413;
+        return;
+    }
+    g_byte_array_append(conn->body, (const guint8 *)bytes, (guint)count);
+}
+
+static const h1_calls _cr_reader_calls = {.head = _cr_on_head,
+                                          .body = _cr_on_body};
+
+static void
+_cr_refuse(cr_conn *conn, uint32_t status)
+{
+    _cr_enter(conn, _CR_BUSY);
+    cr_respond(conn, &(cr_answer){.status = status, .close = true});
+}
+
+static void
+_cr_hand_over(cr_conn *conn)
+{
+    _cr_enter(conn, _CR_BUSY);
+    const h1_head *head = h1_query_head(conn->reader);
+    conn->keep = head->keep_alive && !conn->port->leaving;
+    conn->in_request = true;
+    void *request = conn->port->desc.calls->request(
+        conn, head, (const char *)conn->body->data, conn->body->len,
+        conn->port->desc.user_data);
+    conn->in_request = false;
+    if (conn->state == _CR_BUSY) {
+        conn->request = request;
+    }
+}
+
+static size_t
+_cr_on_data(nc_conn *nc, const char *bytes, size_t count, void *user_data)
+{
+    (void)nc;
+    cr_conn *conn = user_data;
+    size_t used = 0;
+    while (used < count &&
+           (conn->state == _CR_IDLE || conn->state == _CR_READING)) {
+        if (conn->state == _CR_IDLE) {
+            conn->refused = 0;
+            _cr_enter(conn, _CR_READING);
+        }
+        used += h1_feed(conn->reader, bytes + used, count - used);
+        h1_state state = h1_query_state(conn->reader);
+        if (state == H1_TOO_LARGE) {
+            _cr_refuse(conn, 431);
+        }
+        else if (state == H1_BROKEN) {
+            _cr_refuse(conn, 400);
+        }
+        else if (conn->refused) {
+            _cr_refuse(conn, conn->refused);
+        }
+        else if (state == H1_DONE) {
+            _cr_hand_over(conn);
+        }
+    }
+    return conn->state == _CR_CLOSING ? count : used;
+}
+
+static void
+_cr_on_closed(nc_conn *nc, nc_end end, void *user_data)
+{
+    (void)nc;
+    (void)end;
+    cr_conn *conn = user_data;
+    if (conn->state == _CR_BUSY && conn->request) {
+        void *request = conn->request;
+        conn->request = NULL;
+        conn->port->desc.calls->gone(request, conn->port->desc.user_data);
+    }
+    _cr_free(conn);
+}
+
+static void
+_cr_on_drained(nc_conn *nc, void *user_data)
+{
+    (void)nc;
+    cr_conn *conn = user_data;
+    if (conn->state == _CR_BUSY && conn->request &&
+        conn->port->desc.calls->drained) {
+        conn->port->desc.calls->drained(conn->request,
+                                        conn->port->desc.user_data);
+    }
+}
+
+static const nc_calls _cr_conn_calls = {.data = _cr_on_data,
+                                        .closed = _cr_on_closed,
+                                        .drained = _cr_on_drained};
+
+static void
+_cr_on_accepted(nc_conn *nc, void *user_data)
+{
+    cr_port *port = user_data;
+    cr_conn *conn = g_new0(cr_conn, 1);
+    conn->port = port;
+    conn->conn = nc;
+    conn->link.data = conn;
+    conn->body = g_byte_array_new();
+    conn->since_us = lp_query_now_us(port->desc.loop);
+    conn->reader = h1_create(&(h1_desc){.kind = H1_REQUEST,
+                                        .head_bytes = port->limits.head_bytes,
+                                        .calls = &_cr_reader_calls,
+                                        .user_data = conn});
+    g_queue_push_tail_link(&port->conns, &conn->link);
+    nc_set_calls(nc, &_cr_conn_calls, conn);
+}
+
+/* -- public: the port ------------------------------------------------------------ */
+
+cr_port *
+cr_create(const cr_desc *desc, er_status *status)
+{
+    cr_port *port = g_new0(cr_port, 1);
+    port->desc = *desc;
+    g_queue_init(&port->conns);
+    cr_set_limits(port, &(rc_limits){0});
+    port->listener = nc_listen(desc->hub, desc->address, _cr_on_accepted,
+                               port, status);
+    if (!port->listener) {
+        g_free(port);
+        return NULL;
+    }
+    return port;
+}
+
+void
+cr_destroy(cr_port *port)
+{
+    if (!port) {
+        return;
+    }
+    nc_unlisten(port->listener);
+    while (port->conns.head) {
+        cr_conn *conn = port->conns.head->data;
+        if (conn->request) {
+            port->desc.calls->gone(conn->request, port->desc.user_data);
+        }
+        _cr_free(conn);
+    }
+    g_free(port);
+}
+
+void
+cr_set_limits(cr_port *port, const rc_limits *limits)
+{
+    port->limits = (rc_limits){
+        .head_bytes = limits->head_bytes ? limits->head_bytes
+                                         : _CR_HEAD_BYTES,
+        .body_bytes = limits->body_bytes ? limits->body_bytes
+                                         : _CR_BODY_BYTES,
+        .head_ms = limits->head_ms ? limits->head_ms : _CR_HEAD_MS,
+        .idle_ms = limits->idle_ms ? limits->idle_ms : _CR_IDLE_MS,
+    };
+    for (GList *at = port->conns.head; at; at = at->next) {
+        h1_set_head_limit(((cr_conn *)at->data)->reader,
+                          port->limits.head_bytes);
+    }
+}
+
+static void
+_cr_look(cr_conn *conn, uint64_t now_us)
+{
+    const rc_limits *limits = &conn->port->limits;
+    uint64_t age_us = now_us - conn->since_us;
+    switch (conn->state) {
+    case _CR_IDLE:
+        if ((double)age_us > limits->idle_ms * 1000.0 * _CR_IDLE_GRACE) {
+            _cr_free(conn);
+        }
+        break;
+    case _CR_READING:
+        if (h1_query_state(conn->reader) == H1_HEAD &&
+            age_us > limits->head_ms * 1000ULL) {
+            _cr_refuse(conn, 408);
+        }
+        else if (age_us > limits->idle_ms * 1000ULL) {
+            _cr_refuse(conn, 408);
+        }
+        break;
+    case _CR_CLOSING:
+        if (age_us > _CR_LINGER_US) {
+            _cr_free(conn);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void
+cr_tick(cr_port *port, uint64_t now_us)
+{
+    GList *next;
+    for (GList *at = port->conns.head; at; at = next) {
+        next = at->next;
+        _cr_look(at->data, now_us);
+    }
+}
+
+void
+cr_leave(cr_port *port)
+{
+    port->leaving = true;
+    for (GList *at = port->conns.head; at; at = at->next) {
+        cr_conn *conn = at->data;
+        conn->keep = conn->keep && conn->begun;
+    }
+}
+
+void
+cr_close_idle(cr_port *port)
+{
+    GList *next;
+    for (GList *at = port->conns.head; at; at = next) {
+        next = at->next;
+        cr_conn *conn = at->data;
+        if (conn->state == _CR_IDLE && nc_query_kept(conn->conn) == 0) {
+            _cr_free(conn);
+        }
+    }
+}
+
+/* -- public: answers --------------------------------------------------------------- */
+
+static void
+_cr_write_head(cr_conn *conn, GString *text, uint32_t status,
+               const char *headers)
+{
+    g_string_append_printf(text, "HTTP/1.1 %u %s\r\n%s", status,
+                           h1_query_reason(status), headers ? headers : "");
+    const h1_head *head = h1_query_head(conn->reader);
+    if (!conn->keep) {
+        g_string_append(text, "Connection: close\r\n");
+    }
+    else if (head->minor == 0) {
+        g_string_append(text, "Connection: keep-alive\r\n");
+    }
+}
+
+void
+cr_respond(cr_conn *conn, const cr_answer *answer)
+{
+    g_assert(conn->state == _CR_BUSY && !conn->begun);
+    conn->keep = conn->keep && !answer->close && !conn->port->leaving;
+    g_autoptr(GString) text = g_string_sized_new(512);
+    _cr_write_head(conn, text, answer->status, answer->headers);
+    if (!answer->no_body) {
+        g_string_append_printf(text, "Content-Length: %zu\r\n",
+                               answer->body_count);
+    }
+    g_string_append(text, "\r\n");
+    nc_write(conn->conn, text->str, text->len);
+    if (!answer->no_body) {
+        nc_write(conn->conn, answer->body, answer->body_count);
+    }
+    _cr_finish(conn);
+}
+
+void
+cr_begin(cr_conn *conn, uint32_t status, const char *headers)
+{
+    g_assert(conn->state == _CR_BUSY && !conn->begun);
+    conn->chunked = h1_query_head(conn->reader)->minor >= 1;
+    conn->keep = conn->keep && conn->chunked && !conn->port->leaving;
+    conn->begun = true;
+    g_autoptr(GString) text = g_string_sized_new(512);
+    _cr_write_head(conn, text, status, headers);
+    g_string_append(text, conn->chunked
+                              ? "Transfer-Encoding: chunked\r\n\r\n"
+                              : "\r\n");
+    nc_write(conn->conn, text->str, text->len);
+}
+
+void
+cr_piece(cr_conn *conn, const char *bytes, size_t count)
+{
+    g_assert(conn->begun);
+    if (count == 0) {
+        return;
+    }
+    char size[24];
+    int length = g_snprintf(size, sizeof(size), "%zx\r\n", count);
+    if (conn->chunked) {
+        nc_write(conn->conn, size, (size_t)length);
+    }
+    nc_write(conn->conn, bytes, count);
+    if (conn->chunked) {
+        nc_write(conn->conn, "\r\n", 2);
+    }
+}
+
+void
+cr_end(cr_conn *conn)
+{
+    g_assert(conn->begun);
+    if (conn->chunked) {
+        nc_write(conn->conn, "0\r\n\r\n", 5);
+    }
+    _cr_finish(conn);
+}
+
+void
+cr_abort(cr_conn *conn)
+{
+    conn->request = NULL;
+    if (conn->chunked || !conn->begun) {
+        /* What was written leaves first; the last chunk is missing. */
+        conn->keep = false;
+        _cr_finish(conn);
+        return;
+    }
+    _cr_free(conn);
+}
+
+uint32_t
+cr_query_open(const cr_port *port)
+{
+    return port->conns.length;
+}
+
+uint32_t
+cr_query_busy(const cr_port *port)
+{
+    return port->busy;
+}
+
+size_t
+cr_query_unsent(const cr_conn *conn)
+{
+    return nc_query_unsent(conn->conn);
+}
--- /dev/null
+++ b/packages/exchange/src/exchange.c
@@ -0,0 +1,484 @@
+#include "exchange_private.h"
+
+#include "lacewing/counter.h"
+#include "lacewing/log.h"
+#include <string.h>
+
+/* Deadline of a caller that tells none. */
+#define _XC_DEADLINE_MS 30000
+/* A load is asked for again when nothing was heard: the datagram or the
+   order may be lost. */
+#define _XC_ASK_AGAIN_US 200000
+/* The same adapter at a further server, at most this often. */
+#define _XC_MORE_COPIES_US 400000
+/* Connecting within a zone or across takes some ms. */
+#define _XC_CONNECT_US 300000
+/* A plain answer that takes this many times its usual time, and at least
+   some time, is looked for elsewhere if it may run twice. */
+#define _XC_SLOW_TIMES 8.0
+#define _XC_SLOW_LEAST_US 700000
+/* A resumable stream without a first event by this many times its target. */
+#define _XC_SLOW_STREAM_TIMES 2
+/* A resumable stream whose pause is this many times its target. */
+#define _XC_SLOW_GAP_TIMES 4
+#define _XC_SLOW_GAP_LEAST_US 800000
+/* Callers that must not wait longer than this for a place. */
+#define _XC_NO_SERVER_US 300000
+#define _XC_WAIT_TIMES 3
+#define _XC_WAIT_LEAST_US 600000
+/* Back in this time when no server can take a request, spread. */
+#define _XC_BACK_MS 400
+
+/* -- private: core ------------------------------------------------------------ */
+
+uint64_t
+xc_now_us(const xc_exchange *exchange)
+{
+    return lp_query_now_us(exchange->core->desc.loop);
+}
+
+bg_budget *
+xc_budget(xc_core *core, const char *service)
+{
+    bg_budget *budget = g_hash_table_lookup(core->budgets, service);
+    if (!budget) {
+        budget =
+            bg_create(&(bg_desc){.ratio = core->desc.retry_ratio,
+                                 .slack = core->desc.retry_slack,
+                                 .window_ms = core->desc.retry_window_ms});
+        g_hash_table_insert(core->budgets, g_strdup(service), budget);
+    }
+    return budget;
+}
+
+/* -- private: one exchange ------------------------------------------------------ */
+
+void
+xc_stop_waiting(xc_exchange *exchange)
+{
+    if (exchange->state == XC_WAITS_COPY) {
+        g_queue_unlink(&exchange->adapter->waiting, &exchange->wait_link);
+    }
+    else if (exchange->state == XC_WAITS_ROOM) {
+        g_queue_unlink(&exchange->core->crowded, &exchange->wait_link);
+    }
+    exchange->state = XC_NEW;
+}
+
+void
+xc_free(xc_exchange *exchange)
+{
+    xc_stop_waiting(exchange);
+    g_queue_unlink(&exchange->core->active, &exchange->link);
+    ct_add(CT_OPEN_REQUESTS, -1);
+    rc_unref(exchange->table);
+    if (exchange->answer_headers) {
+        g_string_free(exchange->answer_headers, TRUE);
+    }
+    g_clear_pointer(&exchange->answer, g_byte_array_unref);
+    g_clear_pointer(&exchange->event, g_byte_array_unref);
+    g_free(exchange->last_event);
+    g_free(exchange);
+}
+
+static uint32_t
+_xc_back_ms(xc_core *core)
+{
+    return _XC_BACK_MS +
+           (uint32_t)g_rand_int_range(core->random, 0, _XC_BACK_MS);
+}
+
+/* How long a request waits before it is sent. */
+static uint64_t
+_xc_patience_us(const xc_exchange *exchange, fl_why why)
+{
+    uint64_t target_us = exchange->route->target_ms * 1000ULL;
+    switch (why) {
+    case FL_NO_SERVER:
+        return _XC_NO_SERVER_US;
+    case FL_ALL_FULL:
+        return exchange->adapter ? target_us : target_us;
+    default:
+        return MAX(target_us * _XC_WAIT_TIMES, _XC_WAIT_LEAST_US);
+    }
+}
+
+void
+xc_give_up(xc_exchange *exchange, const char *why)
+{
+    if (exchange->may_have_run || exchange->begun) {
+        xc_fail(exchange, 502, why);
+    }
+    else {
+        xc_refuse(exchange, 503, _xc_back_ms(exchange->core), why);
+    }
+}
+
+static void
+_xc_wait(xc_exchange *exchange, fl_why why)
+{
+    uint64_t now_us = xc_now_us(exchange);
+    uint64_t patience_us = _xc_patience_us(exchange, why);
+    if (now_us >= exchange->begun_us + patience_us) {
+        xc_give_up(exchange, why == FL_NO_COPY    ? "no copy of the adapter"
+                             : why == FL_ALL_FULL ? "all servers full"
+                                                  : "no server");
+        return;
+    }
+    exchange->wait_link.data = exchange;
+    if (why == FL_NO_COPY && exchange->adapter) {
+        exchange->state = XC_WAITS_COPY;
+        g_queue_push_tail_link(&exchange->adapter->waiting,
+                               &exchange->wait_link);
+    }
+    else {
+        exchange->state = XC_WAITS_ROOM;
+        g_queue_push_tail_link(&exchange->core->crowded,
+                               &exchange->wait_link);
+    }
+}
+
+static void
+_xc_ask(xc_exchange *exchange, uint64_t again_us)
+{
+    fl_adapter *adapter = exchange->adapter;
+    uint64_t now_us = xc_now_us(exchange);
+    if (!adapter->name || now_us < adapter->asked_us + again_us) {
+        return;
+    }
+    for (guint i = 0; i < adapter->copies->len; i++) {
+        const fl_copy *copy = adapter->copies->pdata[i];
+        if (copy->loading && copy->server->state == FL_READY) {
+            return; /* on its way already */
+        }
+    }
+    fl_server *server = fl_place(exchange->core->desc.fleet,
+                                 exchange->service->name, adapter, now_us);
+    if (server) {
+        adapter->asked_us = now_us;
+        exchange->core->desc.calls->ask(server, adapter,
+                                        exchange->core->desc.user_data);
+    }
+}
+
+void
+xc_dispatch(xc_exchange *exchange)
+{
+    fl_want want = {
+        .service = exchange->service->name,
+        .adapter = exchange->adapter,
+        .zone = exchange->core->desc.zone,
+        .now_us = xc_now_us(exchange),
+        .tried_count = exchange->tried_count,
+    };
+    memcpy(want.tried, exchange->tried, sizeof(want.tried));
+    fl_choice choice;
+    while (fl_choose(exchange->core->desc.fleet, &want, &choice)) {
+        if (choice.more_copies) {
+            _xc_ask(exchange, _XC_MORE_COPIES_US);
+        }
+        if (xc_send(exchange, choice.server, choice.version)) {
+            return;
+        }
+        if (want.tried_count == FL_TRIED) {
+            choice.why = FL_ALL_FULL;
+            break;
+        }
+        want.tried[want.tried_count++] = choice.server;
+    }
+    if (choice.why == FL_NO_COPY || choice.more_copies) {
+        _xc_ask(exchange, _XC_ASK_AGAIN_US);
+    }
+    if (exchange->tried_count && choice.why != FL_NO_COPY) {
+        /* Nothing but what refused it or failed: that is final. */
+        exchange->tried_count = 0;
+    }
+    _xc_wait(exchange, choice.why);
+}
+
+/* -- private: from the caller's connection ---------------------------------------- */
+
+static uint32_t
+_xc_number(const char *text, uint32_t fallback)
+{
+    guint64 number = 0;
+    return text && g_ascii_string_to_unsigned(text, 10, 0, UINT32_MAX,
+                                              &number, NULL)
+               ? (uint32_t)number
+               : fallback;
+}
+
+static bool
+_xc_find_route(xc_core *core, cr_conn *caller, const h1_head *head,
+               const rc_route **route)
+{
+    static const char back[] = "Retry-After: 0.5\r\n";
+    const char *host = h1_query_header(head, "host");
+    *route = core->table && host
+                 ? rc_query_route(core->table, host, head->target)
+                 : NULL;
+    if (*route) {
+        return true;
+    }
+    /* Without a configuration, or with one that may be old, it is not known
+       that the route does not exist. */
+    bool known =
+        core->table && core->desc.calls->config_fresh(core->desc.user_data);
+    uint32_t status = !known ? 503 : host ? 404 : 400;
+    cr_respond(caller,
+               &(cr_answer){.status = status,
+                            .headers = status == 503 ? back : NULL});
+    ct_refused(status == 503 ? ER_NOT_READY : ER_NOT_FOUND);
+    lg_write(LG_REFUSED, "why", known ? "no such route" : "no configuration",
+             "target", head->target, NULL);
+    return false;
+}
+
+static fl_adapter *
+_xc_adapter(xc_core *core, const rc_service *service, const h1_head *head)
+{
+    const char *key =
+        h1_query_header(head, core->desc.dialect->headers[DL_MODEL]);
+    return service && service->engine && key ? fl_intern(core->desc.fleet, key)
+                                             : NULL;
+}
+
+static void *
+_xc_on_request(cr_conn *caller, const h1_head *head, const char *body,
+               size_t body_count, void *user_data)
+{
+    xc_core *core = user_data;
+    const rc_route *route;
+    if (!_xc_find_route(core, caller, head, &route)) {
+        return NULL;
+    }
+    ct_add(CT_REQUESTS, 1);
+    ct_add(CT_OPEN_REQUESTS, 1);
+    xc_exchange *exchange = g_new0(xc_exchange, 1);
+    exchange->core = core;
+    exchange->caller = caller;
+    exchange->head = head;
+    exchange->body = body;
+    exchange->body_count = body_count;
+    exchange->link.data = exchange;
+    g_queue_push_tail_link(&core->active, &exchange->link);
+    exchange->table = rc_ref(core->table);
+    exchange->route = route;
+    exchange->service = rc_query_service(
+        core->table,
+        rc_query_target(route, g_rand_int(core->random) >> 1));
+    exchange->begun_us = xc_now_us(exchange);
+    const char *const *names = core->desc.dialect->headers;
+    exchange->id = h1_query_header(head, names[DL_REQUEST_ID]);
+    uint32_t wait_ms = _xc_number(h1_query_header(head, names[DL_DEADLINE]),
+                                  _XC_DEADLINE_MS);
+    if (route->timeout_ms) {
+        wait_ms = MIN(wait_ms, route->timeout_ms);
+    }
+    exchange->end_us = exchange->begun_us + wait_ms * 1000ULL;
+    exchange->may_repeat = route->kind == RC_SAFE;
+    if (!exchange->service || !exchange->id) {
+        xc_refuse(exchange, exchange->id ? 503 : 400, _xc_back_ms(core),
+                  exchange->id ? "no such service" : "no request id");
+        return NULL;
+    }
+    exchange->adapter = _xc_adapter(core, exchange->service, head);
+    if (exchange->adapter) {
+        fl_use(core->desc.fleet, exchange->adapter, exchange->begun_us);
+    }
+    xc_dispatch(exchange);
+    /* It may be answered and freed by now; then the caller's connection does
+       not keep this. */
+    return exchange;
+}
+
+static void
+_xc_on_gone(void *request, void *user_data)
+{
+    (void)user_data;
+    xc_exchange *exchange = request;
+    ct_add(CT_CANCELLED, 1);
+    lg_write(LG_LEFT, "request", exchange->id, NULL);
+    xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
+    xc_free(exchange);
+}
+
+static void
+_xc_on_drained(void *request, void *user_data)
+{
+    (void)user_data;
+    xc_exchange *exchange = request;
+    if (exchange->line) {
+        us_pause(exchange->line, false);
+    }
+}
+
+static const cr_calls _xc_caller_calls = {.request = _xc_on_request,
+                                          .gone = _xc_on_gone,
+                                          .drained = _xc_on_drained};
+
+const cr_calls *
+xc_query_caller_calls(void)
+{
+    return &_xc_caller_calls;
+}
+
+/* -- private: time ------------------------------------------------------------------ */
+
+static void
+_xc_time_out(xc_exchange *exchange)
+{
+    if (exchange->state == XC_SENT) {
+        xc_cancel_send(exchange, FL_BAD_ANSWER);
+    }
+    if (exchange->may_have_run || exchange->begun) {
+        xc_fail(exchange, 504, "time is over");
+    }
+    else {
+        xc_give_up(exchange, "time is over");
+    }
+}
+
+/* The server is late with the next part of what can be had elsewhere. */
+static bool
+_xc_slow(const xc_exchange *exchange, uint64_t now_us)
+{
+    const rc_route *route = exchange->route;
+    if (exchange->state != XC_SENT || exchange->sends >= XC_SENDS ||
+        exchange->ran_at >= route->max_servers) {
+        return false;
+    }
+    uint64_t age_us = now_us - exchange->sent_us;
+    if (route->kind == RC_SAFE) {
+        double usual_us = exchange->server->latency_ms * 1000.0;
+        return age_us > _XC_SLOW_LEAST_US &&
+               (double)age_us > usual_us * _XC_SLOW_TIMES;
+    }
+    if (!route->resumable) {
+        return false;
+    }
+    if (exchange->begun && exchange->last_us > exchange->sent_us) {
+        return now_us - exchange->last_us >
+               MAX(route->gap_target_ms * 1000ULL * _XC_SLOW_GAP_TIMES,
+                   _XC_SLOW_GAP_LEAST_US);
+    }
+    return age_us > route->target_ms * 1000ULL * _XC_SLOW_STREAM_TIMES;
+}
+
+static void
+_xc_look(xc_exchange *exchange, uint64_t now_us)
+{
+    if (now_us >= exchange->end_us) {
+        _xc_time_out(exchange);
+        return;
+    }
+    if (exchange->state == XC_SENT && !us_query_connected(exchange->line) &&
+        now_us >= exchange->sent_us + _XC_CONNECT_US) {
+        xc_cancel_send(exchange, FL_UNREACHABLE);
+        xc_dispatch(exchange);
+        return;
+    }
+    if (_xc_slow(exchange, now_us) &&
+        bg_take(xc_budget(exchange->core, exchange->service->name), now_us,
+                exchange->core->desc.calls->live(
+                    exchange->core->desc.user_data))) {
+        lg_write(LG_SENT_AGAIN, "request", exchange->id, "why",
+                 "no answer in time", "server", exchange->server->id, NULL);
+        xc_cancel_send(exchange, FL_BAD_ANSWER);
+        exchange->resumed = exchange->begun;
+        xc_dispatch(exchange);
+        return;
+    }
+    if (exchange->state == XC_WAITS_COPY) {
+        uint64_t patience_us = _xc_patience_us(exchange, FL_NO_COPY);
+        if (now_us >= exchange->begun_us + patience_us ||
+            now_us >= exchange->adapter->asked_us + _XC_ASK_AGAIN_US) {
+            xc_stop_waiting(exchange);
+            xc_dispatch(exchange);
+        }
+    }
+}
+
+void
+xc_tick(xc_core *core)
+{
+    uint64_t now_us = lp_query_now_us(core->desc.loop);
+    GList *next;
+    for (GList *at = core->active.head; at; at = next) {
+        next = at->next;
+        _xc_look(at->data, now_us);
+    }
+    guint waiting = core->crowded.length;
+    for (guint i = 0; i < waiting && core->crowded.head; i++) {
+        xc_exchange *exchange = core->crowded.head->data;
+        xc_stop_waiting(exchange);
+        xc_dispatch(exchange);
+    }
+}
+
+/* -- public --------------------------------------------------------------------------- */
+
+xc_core *
+xc_create(const xc_desc *desc)
+{
+    g_assert(desc->loop && desc->hub && desc->fleet && desc->dialect);
+    xc_core *core = g_new0(xc_core, 1);
+    core->desc = *desc;
+    g_queue_init(&core->active);
+    g_queue_init(&core->crowded);
+    core->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)bg_destroy);
+    core->random = g_rand_new();
+    return core;
+}
+
+void
+xc_destroy(xc_core *core)
+{
+    if (!core) {
+        return;
+    }
+    while (core->active.head) {
+        xc_exchange *exchange = core->active.head->data;
+        xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
+        xc_free(exchange);
+    }
+    g_hash_table_unref(core->budgets);
+    g_rand_free(core->random);
+    rc_unref(core->table);
+    g_free(core);
+}
+
+void
+xc_set_table(xc_core *core, rc_table *table)
+{
+    rc_unref(core->table);
+    core->table = rc_ref(table);
+}
+
+void
+xc_wake(xc_core *core, fl_adapter *adapter)
+{
+    (void)core;
+    guint waiting = adapter->waiting.length;
+    for (guint i = 0; i < waiting && adapter->waiting.head; i++) {
+        xc_exchange *exchange = adapter->waiting.head->data;
+        xc_stop_waiting(exchange);
+        xc_dispatch(exchange);
+    }
+}
+
+void
+xc_drop_server(xc_core *core, fl_server *server)
+{
+    (void)core;
+    if (server->pool) {
+        us_drop_idle(server->pool);
+    }
+}
+
+uint32_t
+xc_query_active(const xc_core *core)
+{
+    return core->active.length;
+}
--- /dev/null
+++ b/packages/exchange/src/exchange_private.h
@@ -0,0 +1,98 @@
+/* exchange_private.h: what the parts of the exchange share (prefix xc_). */
+#ifndef LACEWING_XC_PRIVATE_H
+#define LACEWING_XC_PRIVATE_H
+
+#include "budget.h"
+#include "exchange.h"
+
+/* A request goes to so many servers at the most, refusals included. */
+#define XC_SENDS 4
+
+struct xc_core {
+    xc_desc desc;
+    rc_table *table;
+    GQueue active;      /* xc_exchange */
+    GQueue crowded;     /* xc_exchange that wait for room at any server */
+    GHashTable *budgets; /* service -> bg_budget */
+    GRand *random;
+};
+
+typedef enum xc_state {
+    XC_NEW = 0,
+    XC_WAITS_COPY,  /* in adapter->waiting */
+    XC_WAITS_ROOM,  /* in core->crowded */
+    XC_SENT         /* a server has it */
+} xc_state;
+
+typedef struct xc_exchange {
+    xc_core *core;
+    cr_conn *caller;
+    GList link;      /* in core->active */
+    GList wait_link; /* in adapter->waiting or core->crowded */
+    xc_state state;
+    const h1_head *head; /* of the request, kept by the caller's connection */
+    const char *body;
+    size_t body_count;
+    const char *id;
+    rc_table *table; /* holds route and service */
+    const rc_route *route;
+    const rc_service *service;
+    fl_adapter *adapter; /* NULL: a plain service */
+    uint64_t begun_us;
+    uint64_t end_us;   /* the caller or the route waits no longer */
+    uint64_t asked_us; /* last time an adapter was asked for */
+    bool begun;        /* the caller has the head of the answer */
+    bool may_repeat;   /* its kind may run again after a failure */
+    bool may_have_run;
+    /* the send under way */
+    us_line *line;
+    fl_server *server;
+    const fl_server *tried[FL_TRIED];
+    uint32_t tried_count;
+    uint32_t sends;
+    uint32_t ran_at; /* servers that may have run it */
+    uint64_t sent_us;
+    bool refused;
+    bool spoilt;
+    uint32_t status; /* of the answer */
+    GString *answer_headers;
+    GByteArray *answer; /* gathered, when it is not passed on as it comes */
+    /* streams */
+    uint64_t first_us;
+    uint64_t last_us;
+    uint32_t pieces;
+    GByteArray *event; /* resumable: the event that is not whole yet */
+    char *last_event;  /* id of the last whole event that was passed on */
+    bool resumed;
+} xc_exchange;
+
+uint64_t xc_now_us(const xc_exchange *exchange);
+bg_budget *xc_budget(xc_core *core, const char *service);
+
+/* Looks for a server and sends, or waits, or refuses. */
+void xc_dispatch(xc_exchange *exchange);
+void xc_stop_waiting(xc_exchange *exchange);
+/* Ends it without a send: refused if that is true, else failed. */
+void xc_give_up(xc_exchange *exchange, const char *why);
+/* Frees it; the caller has had its answer, or has left. */
+void xc_free(xc_exchange *exchange);
+
+/* -- exchange_send.c */
+/* False: no connection could be had. */
+bool xc_send(xc_exchange *exchange, fl_server *server, uint64_t version);
+/* Ends the send under way; the server stops work on it. */
+void xc_cancel_send(xc_exchange *exchange, fl_outcome outcome);
+
+/* -- exchange_answer.c */
+/* Not run, and never will be: the caller may come back. */
+void xc_refuse(xc_exchange *exchange, uint32_t status, uint32_t after_ms,
+               const char *why);
+/* Promises nothing. */
+void xc_fail(xc_exchange *exchange, uint32_t status, const char *why);
+/* What the server made, whole. */
+void xc_answer(xc_exchange *exchange);
+/* The head of a stream. */
+void xc_begin_answer(xc_exchange *exchange);
+void xc_pass_events(xc_exchange *exchange, const char *bytes, size_t count);
+
+#endif
--- /dev/null
+++ b/packages/exchange/src/exchange_send.c
@@ -0,0 +1,369 @@
+#include "exchange_private.h"
+
+#include "lacewing/counter.h"
+#include "lacewing/log.h"
+#include <string.h>
+#include <strings.h>
+
+/* Part of a server's connections that one instance leaves to those it cannot
+   see. */
+#define _XC_POOL_SHARE 0.85
+#define _XC_POOL_LEAST 3
+/* A caller that takes nothing holds up its own stream only. */
+#define _XC_UNSENT_BYTES (256 * 1024)
+/* Largest plain answer that is gathered. */
+#define _XC_GATHER_BYTES (8 * 1024 * 1024)
+
+static void _xc_go_on(xc_exchange *exchange, us_end end);
+
+/* -- private: the answer comes ---------------------------------------------------- */
+
+static bool
+_xc_is_stream(const xc_exchange *exchange)
+{
+    return exchange->route->kind == RC_STREAM && exchange->status == 200;
+}
+
+static bool
+_xc_own_header(const xc_exchange *exchange, const char *name)
+{
+    const char *const *names = exchange->core->desc.dialect->headers;
+    return strcasecmp(name, "content-length") == 0 ||
+           strcasecmp(name, names[DL_SERVER_LOAD]) == 0;
+}
+
+static void
+_xc_keep_headers(xc_exchange *exchange, const h1_head *head)
+{
+    if (!exchange->answer_headers) {
+        exchange->answer_headers = g_string_sized_new(256);
+    }
+    GString *text = exchange->answer_headers;
+    g_string_truncate(text, 0);
+    for (uint32_t i = 0; i < head->header_count; i++) {
+        const h1_header *header = &head->headers[i];
+        if (!h1_query_hop_by_hop(head, header->name) &&
+            !_xc_own_header(exchange, header->name)) {
+            g_string_append(text, header->name);
+            g_string_append(text, ": ");
+            g_string_append(text, header->value);
+            g_string_append(text, "\r\n");
+        }
+    }
+}
+
+static void
+_xc_on_head(us_line *line, const h1_head *head, void *user_data)
+{
+    (void)line;
+    xc_exchange *exchange = user_data;
+    const dl_dialect *dialect = exchange->core->desc.dialect;
+    dl_load load;
+    if (dialect->read_load(
+            h1_query_header(head, dialect->headers[DL_SERVER_LOAD]), &load)) {
+        fl_told_load(exchange->server, &load, xc_now_us(exchange));
+    }
+    exchange->refused = dialect->read_refusal(
+        head->status, h1_query_header(head, dialect->headers[DL_NOT_RUN]));
+    exchange->status = head->status;
+    bool sealed = h1_query_header(head, dialect->headers[DL_SEAL]) != NULL;
+    bool named =
+        h1_query_header(head, dialect->headers[DL_REQUEST_ID]) != NULL;
+    exchange->spoilt =
+        !exchange->refused &&
+        (!sealed || !named || h1_query_header(head, "content-encoding"));
+    if (exchange->begun) {
+        /* The caller has the first server's head already. */
+        exchange->spoilt = exchange->spoilt || head->status != 200;
+        return;
+    }
+    if (exchange->refused || exchange->spoilt) {
+        return;
+    }
+    _xc_keep_headers(exchange, head);
+    if (_xc_is_stream(exchange)) {
+        xc_begin_answer(exchange);
+    }
+}
+
+static void
+_xc_on_body(us_line *line, const char *bytes, size_t count, void *user_data)
+{
+    xc_exchange *exchange = user_data;
+    if (exchange->refused || exchange->spoilt) {
+        return;
+    }
+    if (exchange->begun) {
+        xc_pass_events(exchange, bytes, count);
+        if (cr_query_unsent(exchange->caller) > _XC_UNSENT_BYTES) {
+            us_pause(line, true);
+        }
+        return;
+    }
+    if (!exchange->answer) {
+        exchange->answer = g_byte_array_new();
+    }
+    if (exchange->answer->len + count > _XC_GATHER_BYTES) {
+        exchange->spoilt = true;
+        return;
+    }
+    g_byte_array_append(exchange->answer, (const guint8 *)bytes,
+                        (guint)count);
+}
+
+/* -- private: the send has ended --------------------------------------------------- */
+
+static void
+_xc_forget_send(xc_exchange *exchange, fl_outcome outcome)
+{
+    uint64_t now_us = xc_now_us(exchange);
+    fl_result result = {.outcome = outcome, .now_us = now_us};
+    if (outcome == FL_GOOD && exchange->pieces > 4) {
+        result.event_ms = (double)(exchange->last_us - exchange->first_us) /
+                          1000.0 / (exchange->pieces - 1);
+    }
+    else if (outcome == FL_GOOD && !exchange->adapter) {
+        result.latency_ms = (double)(now_us - exchange->sent_us) / 1000.0;
+    }
+    fl_end(exchange->server, exchange->adapter, &result);
+    if (exchange->tried_count < FL_TRIED) {
+        exchange->tried[exchange->tried_count++] = exchange->server;
+    }
+    exchange->line = NULL;
+    exchange->server = NULL;
+}
+
+void
+xc_cancel_send(xc_exchange *exchange, fl_outcome outcome)
+{
+    if (!exchange->line) {
+        return;
+    }
+    bool sent = us_query_sent(exchange->line);
+    exchange->may_have_run = exchange->may_have_run || sent;
+    us_cancel(exchange->line);
+    _xc_forget_send(exchange, outcome);
+    exchange->state = XC_NEW;
+    if (!sent && exchange->ran_at > 0) {
+        exchange->ran_at--;
+    }
+}
+
+static fl_outcome
+_xc_outcome(const xc_exchange *exchange, us_end end)
+{
+    if (end == US_NOT_SENT) {
+        return FL_UNREACHABLE;
+    }
+    if (end == US_BROKEN || exchange->spoilt) {
+        return FL_BAD_ANSWER;
+    }
+    if (exchange->refused) {
+        return FL_REFUSED;
+    }
+    return exchange->status >= 500 ? FL_BAD_ANSWER : FL_GOOD;
+}
+
+static void
+_xc_on_end(us_line *line, us_end end, void *user_data)
+{
+    (void)line;
+    xc_exchange *exchange = user_data;
+    if (exchange->refused && exchange->status == 421 && exchange->adapter) {
+        /* The server does not hold it, or is another one. */
+        exchange->core->desc.calls->mismatch(exchange->server,
+                                             exchange->adapter,
+                                             exchange->core->desc.user_data);
+    }
+    if (exchange->refused || end == US_NOT_SENT) {
+        exchange->ran_at--;
+    }
+    else {
+        exchange->may_have_run = true;
+    }
+    g_autofree char *server = g_strdup(exchange->server->id);
+    _xc_forget_send(exchange, _xc_outcome(exchange, end));
+    bool good =
+        end == US_COMPLETE && !exchange->refused && !exchange->spoilt;
+    bool again_better =
+        good && exchange->may_repeat && exchange->status >= 500;
+    exchange->state = XC_NEW;
+    if (good && !again_better) {
+        xc_answer(exchange);
+        return;
+    }
+    lg_write(LG_SENT_AGAIN, "request", exchange->id, "server", server, "why",
+             end == US_NOT_SENT    ? "not connected"
+             : exchange->refused   ? "not run there"
+             : exchange->spoilt    ? "spoilt answer"
+             : end == US_BROKEN    ? "answer broken off"
+                                   : "server's error",
+             NULL);
+    _xc_go_on(exchange, end);
+}
+
+/* A send without a good answer: again elsewhere, or the end. */
+static void
+_xc_go_on(xc_exchange *exchange, us_end end)
+{
+    xc_core *core = exchange->core;
+    uint64_t now_us = xc_now_us(exchange);
+    bool arrived = end != US_NOT_SENT;
+    bool not_run = !arrived || exchange->refused;
+    bool resumes = exchange->route->resumable;
+    bool allowed = not_run || exchange->may_repeat || resumes;
+    bool servers_left = exchange->ran_at < exchange->route->max_servers;
+    if (allowed && servers_left && exchange->sends < XC_SENDS &&
+        now_us < exchange->end_us &&
+        (!arrived ||
+         bg_take(xc_budget(core, exchange->service->name), now_us,
+                 core->desc.calls->live(core->desc.user_data)))) {
+        exchange->resumed = exchange->begun;
+        ct_add(CT_SENT_AGAIN, 1);
+        xc_dispatch(exchange);
+        return;
+    }
+    bool has_answer = end == US_COMPLETE && !exchange->refused &&
+                      !exchange->spoilt && !exchange->begun;
+    if (has_answer) {
+        xc_answer(exchange);
+    }
+    else {
+        xc_give_up(exchange, exchange->may_have_run ? "server failed"
+                                                    : "not run anywhere");
+    }
+}
+
+static const us_calls _xc_line_calls = {
+    .head = _xc_on_head, .body = _xc_on_body, .end = _xc_on_end};
+
+/* -- private: the request goes out -------------------------------------------------- */
+
+/* Headers that only the system may set, and those that are written anew. */
+static bool
+_xc_replaced(const xc_exchange *exchange, const char *name)
+{
+    static const dl_header own[] = {
+        DL_DEADLINE,  DL_EXPECT_SERVER,  DL_URGENCY, DL_EXPECT_VERSION,
+        DL_PIN,       DL_HOLD,           DL_COPY_TO, DL_COPY_FROM,
+        DL_FETCH_FROM};
+    const char *const *names = exchange->core->desc.dialect->headers;
+    for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
+        if (strcasecmp(name, names[own[i]]) == 0) {
+            return true;
+        }
+    }
+    if (exchange->resumed &&
+        strcasecmp(name, names[DL_LAST_EVENT]) == 0) {
+        return true;
+    }
+    return strcasecmp(name, "content-length") == 0 ||
+           strcasecmp(name, "expect") == 0;
+}
+
+static void
+_xc_append_number(GString *text, const char *name, uint64_t value)
+{
+    g_string_append_printf(text, "%s: %" G_GUINT64_FORMAT "\r\n", name,
+                           value);
+}
+
+static void
+_xc_write_request(xc_exchange *exchange, uint64_t version)
+{
+    const h1_head *head = exchange->head;
+    const char *const *names = exchange->core->desc.dialect->headers;
+    g_autoptr(GString) text = g_string_sized_new(768);
+    g_string_append(text, head->method);
+    g_string_append_c(text, ' ');
+    g_string_append(text, head->target);
+    g_string_append(text, " HTTP/1.1\r\n");
+    for (uint32_t i = 0; i < head->header_count; i++) {
+        const h1_header *header = &head->headers[i];
+        if (!h1_query_hop_by_hop(head, header->name) &&
+            !_xc_replaced(exchange, header->name)) {
+            g_string_append(text, header->name);
+            g_string_append(text, ": ");
+            g_string_append(text, header->value);
+            g_string_append(text, "\r\n");
+        }
+    }
+    uint64_t now_us = xc_now_us(exchange);
+    uint64_t left_us =
+        exchange->end_us > now_us ? exchange->end_us - now_us : 0;
+    _xc_append_number(text, names[DL_DEADLINE], MAX(left_us / 1000, 1));
+    g_string_append_printf(text, "%s: %s\r\n", names[DL_EXPECT_SERVER],
+                           exchange->server->id);
+    if (exchange->adapter) {
+        _xc_append_number(text, names[DL_URGENCY],
+                          MIN(exchange->route->urgency * 2 + 1, 9));
+    }
+    if (version) {
+        _xc_append_number(text, names[DL_EXPECT_VERSION], version);
+    }
+    if (exchange->resumed && exchange->last_event) {
+        g_string_append_printf(text, "%s: %s\r\n", names[DL_LAST_EVENT],
+                               exchange->last_event);
+    }
+    if (exchange->body_count || head->chunked ||
+        head->length != H1_LENGTH_NONE) {
+        _xc_append_number(text, "Content-Length", exchange->body_count);
+    }
+    g_string_append(text, "\r\n");
+    us_write(exchange->line, text->str, text->len);
+    us_write(exchange->line, exchange->body, exchange->body_count);
+}
+
+static us_pool *
+_xc_pool(xc_exchange *exchange, fl_server *server)
+{
+    xc_core *core = exchange->core;
+    if (!server->pool) {
+        server->pool = us_create(&(us_pool_desc){.hub = core->desc.hub,
+                                                 .loop = core->desc.loop,
+                                                 .address = server->address});
+    }
+    uint32_t live = core->desc.calls->live(core->desc.user_data);
+    uint32_t capacity = (uint32_t)(exchange->service->max_connections *
+                                   _XC_POOL_SHARE / MAX(live, 1));
+    us_set_capacity(server->pool, MAX(capacity, _XC_POOL_LEAST));
+    return server->pool;
+}
+
+bool
+xc_send(xc_exchange *exchange, fl_server *server, uint64_t version)
+{
+    us_line *line = us_start(
+        _xc_pool(exchange, server),
+        &(us_desc){.calls = &_xc_line_calls,
+                   .user_data = exchange,
+                   .id_header =
+                       exchange->core->desc.dialect->headers[DL_REQUEST_ID],
+                   .id = exchange->id,
+                   .head_only = strcmp(exchange->head->method, "HEAD") == 0});
+    if (!line) {
+        return false;
+    }
+    exchange->line = line;
+    exchange->server = server;
+    exchange->sent_us = xc_now_us(exchange);
+    exchange->refused = false;
+    exchange->spoilt = false;
+    if (exchange->answer) {
+        g_byte_array_set_size(exchange->answer, 0);
+    }
+    if (exchange->event) {
+        g_byte_array_set_size(exchange->event, 0);
+    }
+    exchange->state = XC_SENT;
+    if (exchange->sends == 0) {
+        bg_first(xc_budget(exchange->core, exchange->service->name),
+                 exchange->sent_us);
+    }
+    exchange->sends++;
+    exchange->ran_at++;
+    ct_add(CT_SENT, 1);
+    fl_begin(server, exchange->adapter, exchange->sent_us);
+    _xc_write_request(exchange, version);
+    return true;
+}
--- /dev/null
+++ b/packages/exchange/src/fleet.c
@@ -0,0 +1,732 @@
+#include "fleet.h"
+
+#include "lacewing/hash.h"
+#include <math.h>
+#include <string.h>
+
+#define _FL_VERSION_MS 5000
+/* Copies of an older version serve this share of the time that a new version
+   has: the rest is for requests that wait at the server, and for the news. */
+#define _FL_OLD_VERSION_SHARE 0.5
+/* Demand moves within about 5 s. */
+#define _FL_USE_HALF_LIFE_US 4000000.0
+/* Word of another instance's requests is trusted this long: three of its
+   periods. */
+#define _FL_PEER_LOAD_US 1500000
+/* Slowness that a server tells holds about as long as its neighbours' noise,
+   some 600 ms. */
+#define _FL_SLOWNESS_US 600000.0
+/* Weight of one request in what is learned of a server. */
+#define _FL_LEARN 0.1
+#define _FL_FAIL_LEARN 0.12
+/* Another zone costs a few ms and paid bytes; worth this much load. */
+#define _FL_ZONE_COST 0.06
+/* A request that fails costs several good ones. */
+#define _FL_FAIL_COST 6.0
+/* Failures in a row before a server is left alone for a moment. */
+#define _FL_SHUN_AFTER 2
+#define _FL_SHUN_US 400000
+#define _FL_SHUN_LONGEST_US 3000000
+#define _FL_SHUN_DOUBLINGS 3
+/* A further copy is due when the best one is this full, and a server without
+   one is at most half as full. */
+#define _FL_CROWDED 0.5
+/* Requests beyond the slots wait at the server; up to this many per slot. */
+#define _FL_FULL 1.5
+/* Servers that an adapter is loaded to by choice: its first two by hash, so
+   that weights kept in a server's memory are found again. */
+#define _FL_HOMES 2
+/* A copy that was used so lately may be in use by another instance. */
+#define _FL_IN_USE_US 300000
+
+struct fl_fleet {
+    GHashTable *servers;  /* id -> fl_server */
+    GHashTable *services; /* name -> GPtrArray of fl_server */
+    GHashTable *adapters; /* key -> fl_adapter */
+    GPtrArray *retired;   /* fl_server: gone, kept for what refers to them */
+    GPtrArray *used;      /* fl_adapter with uses to tell */
+    uint64_t old_version_us;
+    GRand *random;
+};
+
+/* -- private: making and freeing ------------------------------------------- */
+
+static void
+_fl_free_server(void *data)
+{
+    fl_server *server = data;
+    fl_drop_copies(server);
+    g_ptr_array_unref(server->copies);
+    g_array_unref(server->peer_loads);
+    g_free(server->id);
+    g_free(server->address);
+    g_free(server->service);
+    g_free(server->zone);
+    g_free(server);
+}
+
+static void
+_fl_free_adapter(void *data)
+{
+    fl_adapter *adapter = data;
+    g_ptr_array_unref(adapter->copies);
+    g_free(adapter->key);
+    g_free(adapter->model);
+    g_free(adapter->name);
+    g_free(adapter);
+}
+
+static GPtrArray *
+_fl_service(fl_fleet *fleet, const char *name)
+{
+    GPtrArray *list = g_hash_table_lookup(fleet->services, name);
+    if (!list) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(fleet->services, g_strdup(name), list);
+    }
+    return list;
+}
+
+static fl_server *
+_fl_add_server(fl_fleet *fleet, const dl_server *entry)
+{
+    fl_server *server = g_new0(fl_server, 1);
+    server->id = g_strdup(entry->id);
+    server->address = g_strdup(entry->address);
+    server->service = g_strdup(entry->service);
+    server->zone = g_strdup(entry->zone);
+    server->copies = g_ptr_array_new();
+    server->peer_loads = g_array_new(FALSE, TRUE, sizeof(fl_peer_load));
+    server->pace = 1.0;
+    server->hash = hs_u64(server->id);
+    g_hash_table_insert(fleet->servers, server->id, server);
+    g_ptr_array_add(_fl_service(fleet, server->service), server);
+    return server;
+}
+
+static void
+_fl_retire(fl_fleet *fleet, fl_server *server)
+{
+    server->state = FL_GONE;
+    server->orders_possible = false;
+    fl_drop_copies(server);
+    g_ptr_array_remove(_fl_service(fleet, server->service), server);
+    g_hash_table_remove(fleet->servers, server->id);
+    g_ptr_array_add(fleet->retired, server);
+}
+
+/* -- public: servers and adapters ------------------------------------------ */
+
+fl_fleet *
+fl_create(const fl_desc *desc)
+{
+    fl_fleet *fleet = g_new0(fl_fleet, 1);
+    fleet->servers = g_hash_table_new(g_str_hash, g_str_equal);
+    fleet->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                              (GDestroyNotify)g_ptr_array_unref);
+    fleet->adapters = g_hash_table_new(g_str_hash, g_str_equal);
+    fleet->retired = g_ptr_array_new_with_free_func(_fl_free_server);
+    fleet->used = g_ptr_array_new();
+    uint32_t version_ms = desc->version_ms ? desc->version_ms : _FL_VERSION_MS;
+    fleet->old_version_us =
+        (uint64_t)(version_ms * 1000.0 * _FL_OLD_VERSION_SHARE);
+    fleet->random = g_rand_new_with_seed(desc->seed ? desc->seed : 1);
+    return fleet;
+}
+
+void
+fl_destroy(fl_fleet *fleet)
+{
+    if (!fleet) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _fl_free_server(value);
+    }
+    g_ptr_array_unref(fleet->retired);
+    g_ptr_array_unref(fleet->used);
+    g_hash_table_iter_init(&iter, fleet->adapters);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _fl_free_adapter(value);
+    }
+    g_hash_table_unref(fleet->servers);
+    g_hash_table_unref(fleet->services);
+    g_hash_table_unref(fleet->adapters);
+    g_rand_free(fleet->random);
+    g_free(fleet);
+}
+
+static bool
+_fl_same_place(const fl_server *server, const dl_server *entry)
+{
+    return strcmp(server->address, entry->address) == 0 &&
+           strcmp(server->service, entry->service) == 0;
+}
+
+bool
+fl_put_server(fl_fleet *fleet, const dl_server *entry, fl_server **out)
+{
+    fl_server *server = g_hash_table_lookup(fleet->servers, entry->id);
+    if (server && !_fl_same_place(server, entry)) {
+        _fl_retire(fleet, server);
+        server = NULL;
+    }
+    bool anew = !server || server->born_ms != entry->born_ms;
+    if (server && server->born_ms > entry->born_ms) {
+        *out = server; /* an entry of a process that has ended since */
+        return false;
+    }
+    if (!server) {
+        server = _fl_add_server(fleet, entry);
+    }
+    if (anew) {
+        fl_drop_copies(server);
+        server->failed_in_row = 0;
+        server->failing = 0;
+        server->shunned_until_us = 0;
+        server->load = (dl_load){0};
+    }
+    server->born_ms = entry->born_ms;
+    server->slots = MAX(entry->slots, 1);
+    server->state =
+        entry->state == DL_SERVER_READY ? FL_READY : FL_LEAVING;
+    *out = server;
+    return anew;
+}
+
+void
+fl_remove_server(fl_fleet *fleet, const char *id)
+{
+    fl_server *server = g_hash_table_lookup(fleet->servers, id);
+    if (server) {
+        _fl_retire(fleet, server);
+    }
+}
+
+fl_adapter *
+fl_intern(fl_fleet *fleet, const char *key)
+{
+    fl_adapter *adapter = g_hash_table_lookup(fleet->adapters, key);
+    if (adapter) {
+        return adapter;
+    }
+    adapter = g_new0(fl_adapter, 1);
+    const char *slash = strchr(key, '/');
+    adapter->key = g_strdup(key);
+    adapter->model =
+        slash ? g_strndup(key, (gsize)(slash - key)) : g_strdup(key);
+    adapter->name = slash ? g_strdup(slash + 1) : NULL;
+    adapter->copies = g_ptr_array_new();
+    adapter->hash = hs_u64(key);
+    g_queue_init(&adapter->waiting);
+    g_hash_table_insert(fleet->adapters, adapter->key, adapter);
+    return adapter;
+}
+
+void
+fl_declare_version(fl_fleet *fleet, const char *model, const char *name,
+                   uint64_t version, uint64_t now_us)
+{
+    g_autofree char *key =
+        name ? g_strdup_printf("%s/%s", model, name) : g_strdup(model);
+    fl_adapter *adapter = fl_intern(fleet, key);
+    if (version > adapter->version) {
+        adapter->version = version;
+        adapter->version_us = now_us;
+    }
+}
+
+/* -- public: copies -------------------------------------------------------- */
+
+fl_copy *
+fl_query_copy(const fl_server *server, const fl_adapter *adapter)
+{
+    for (guint i = 0; i < server->copies->len; i++) {
+        fl_copy *copy = server->copies->pdata[i];
+        if (copy->adapter == adapter) {
+            return copy;
+        }
+    }
+    return NULL;
+}
+
+bool
+fl_query_current(const fl_copy *copy)
+{
+    return copy->adapter->version == 0 ||
+           copy->version >= copy->adapter->version;
+}
+
+fl_copy *
+fl_put_copy(fl_server *server, fl_adapter *adapter, uint64_t version,
+            bool loading, uint64_t now_us)
+{
+    fl_copy *copy = fl_query_copy(server, adapter);
+    if (!copy) {
+        copy = g_new0(fl_copy, 1);
+        copy->adapter = adapter;
+        copy->server = server;
+        copy->since_us = now_us;
+        g_ptr_array_add(server->copies, copy);
+        g_ptr_array_add(adapter->copies, copy);
+    }
+    if (copy->loading != loading) {
+        copy->since_us = now_us;
+    }
+    copy->version = version;
+    copy->loading = loading;
+    return copy;
+}
+
+static void
+_fl_free_copy(fl_copy *copy)
+{
+    g_ptr_array_remove_fast(copy->adapter->copies, copy);
+    g_free(copy);
+}
+
+void
+fl_drop_copy(fl_server *server, fl_adapter *adapter)
+{
+    fl_copy *copy = fl_query_copy(server, adapter);
+    if (copy) {
+        g_ptr_array_remove_fast(server->copies, copy);
+        _fl_free_copy(copy);
+    }
+}
+
+void
+fl_drop_copies(fl_server *server)
+{
+    for (guint i = 0; i < server->copies->len; i++) {
+        _fl_free_copy(server->copies->pdata[i]);
+    }
+    g_ptr_array_set_size(server->copies, 0);
+}
+
+/* -- public: load ----------------------------------------------------------- */
+
+void
+fl_set_peer_load(fl_server *server, uint32_t peer, uint32_t in_flight,
+                 uint64_t now_us)
+{
+    for (guint i = 0; i < server->peer_loads->len; i++) {
+        fl_peer_load *load =
+            &g_array_index(server->peer_loads, fl_peer_load, i);
+        if (load->peer == peer) {
+            load->in_flight = in_flight;
+            load->at_us = now_us;
+            return;
+        }
+    }
+    fl_peer_load load = {peer, in_flight, now_us};
+    g_array_append_val(server->peer_loads, load);
+}
+
+uint32_t
+fl_query_in_flight(const fl_server *server, uint64_t now_us)
+{
+    uint32_t sum = server->own_in_flight;
+    for (guint i = 0; i < server->peer_loads->len; i++) {
+        const fl_peer_load *load =
+            &g_array_index(server->peer_loads, fl_peer_load, i);
+        if (now_us < load->at_us + _FL_PEER_LOAD_US) {
+            sum += load->in_flight;
+        }
+    }
+    return sum;
+}
+
+double
+fl_query_use(const fl_adapter *adapter, uint64_t now_us)
+{
+    double age_us = now_us > adapter->use_us
+                        ? (double)(now_us - adapter->use_us)
+                        : 0;
+    return adapter->use * exp2(-age_us / _FL_USE_HALF_LIFE_US);
+}
+
+void
+fl_add_use(fl_adapter *adapter, double uses, uint64_t now_us)
+{
+    adapter->use = fl_query_use(adapter, now_us) + uses;
+    adapter->use_us = now_us;
+}
+
+void
+fl_told_load(fl_server *server, const dl_load *load, uint64_t now_us)
+{
+    server->load = *load;
+    server->load_us = now_us;
+}
+
+void
+fl_use(fl_fleet *fleet, fl_adapter *adapter, uint64_t now_us)
+{
+    fl_add_use(adapter, 1, now_us);
+    if (adapter->uses_to_tell++ == 0) {
+        g_ptr_array_add(fleet->used, adapter);
+    }
+}
+
+/* Time of work now against the usual, as the server told it, fading. */
+static double
+_fl_slowness(const fl_server *server, uint64_t now_us)
+{
+    if (server->load.slowness_percent == 0 || now_us < server->load_us) {
+        return 1.0;
+    }
+    double age_us = (double)(now_us - server->load_us);
+    return 1.0 + (server->load.slowness_percent / 100.0 - 1.0) *
+                     exp(-age_us / _FL_SLOWNESS_US);
+}
+
+/* -- private: choosing ------------------------------------------------------ */
+
+static bool
+_fl_tried(const fl_want *want, const fl_server *server)
+{
+    for (uint32_t i = 0; i < want->tried_count; i++) {
+        if (want->tried[i] == server) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+_fl_usable(const fl_want *want, const fl_server *server)
+{
+    return server->state == FL_READY && !_fl_tried(want, server);
+}
+
+/* Cost of one more request at a server; lower is better. */
+static double
+_fl_cost(fl_fleet *fleet, const fl_want *want, const fl_server *server)
+{
+    double in_flight = fl_query_in_flight(server, want->now_us);
+    double fill = in_flight / server->slots;
+    double cost = server->pace * _fl_slowness(server, want->now_us);
+    if (!want->adapter && server->latency_ms > 0) {
+        cost *= server->latency_ms / 100.0;
+    }
+    cost *= 1.0 + fill + 4.0 * MAX(fill - 0.8, 0);
+    cost *= 1.0 + _FL_FAIL_COST * server->failing;
+    if (want->zone && strcmp(want->zone, server->zone) != 0) {
+        cost *= 1.0 + _FL_ZONE_COST;
+    }
+    if (want->now_us < server->shunned_until_us) {
+        cost *= 100.0;
+    }
+    return cost * (1.0 + 0.04 * g_rand_double(fleet->random));
+}
+
+static bool
+_fl_full(const fl_server *server, uint64_t now_us)
+{
+    return fl_query_in_flight(server, now_us) >=
+           (uint32_t)(server->slots * _FL_FULL) + 1;
+}
+
+static void
+_fl_consider(fl_fleet *fleet, const fl_want *want, fl_server *server,
+             double *best, fl_choice *out)
+{
+    if (_fl_full(server, want->now_us)) {
+        out->why = out->why == FL_CHOSEN ? FL_CHOSEN : FL_ALL_FULL;
+        return;
+    }
+    double cost = _fl_cost(fleet, want, server);
+    if (out->why != FL_CHOSEN || cost < *best) {
+        *best = cost;
+        out->server = server;
+        out->why = FL_CHOSEN;
+    }
+}
+
+/* Copies that may serve now: current ones; old ones for a while if none. */
+static void
+_fl_choose_copy(fl_fleet *fleet, const fl_want *want, bool old,
+                fl_choice *out)
+{
+    double best = 0;
+    const fl_adapter *adapter = want->adapter;
+    for (guint i = 0; i < adapter->copies->len; i++) {
+        const fl_copy *copy = adapter->copies->pdata[i];
+        if (copy->loading || fl_query_current(copy) == old ||
+            !_fl_usable(want, copy->server)) {
+            continue;
+        }
+        _fl_consider(fleet, want, copy->server, &best, out);
+    }
+}
+
+static bool
+_fl_crowded(const fl_fleet *fleet, const fl_want *want,
+            const fl_server *server)
+{
+    double fill =
+        (double)fl_query_in_flight(server, want->now_us) / server->slots;
+    if (fill < _FL_CROWDED) {
+        return false;
+    }
+    const GPtrArray *list =
+        g_hash_table_lookup(fleet->services, server->service);
+    for (guint i = 0; list && i < list->len; i++) {
+        const fl_server *other = list->pdata[i];
+        double other_fill =
+            (double)fl_query_in_flight(other, want->now_us) / other->slots;
+        if (other->state == FL_READY && other->orders_possible &&
+            other_fill <= fill / 2 && !fl_query_copy(other, want->adapter)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+_fl_choose_any(fl_fleet *fleet, const fl_want *want, fl_choice *out)
+{
+    double best = 0;
+    const GPtrArray *list =
+        g_hash_table_lookup(fleet->services, want->service);
+    for (guint i = 0; list && i < list->len; i++) {
+        if (_fl_usable(want, list->pdata[i])) {
+            _fl_consider(fleet, want, list->pdata[i], &best, out);
+        }
+    }
+}
+
+bool
+fl_choose(fl_fleet *fleet, const fl_want *want, fl_choice *out)
+{
+    *out = (fl_choice){.why = FL_NO_SERVER};
+    fl_adapter *adapter = want->adapter;
+    if (!adapter) {
+        _fl_choose_any(fleet, want, out);
+        return out->why == FL_CHOSEN;
+    }
+    if (fl_query_usable(fleet, want->service) > 0) {
+        out->why = FL_NO_COPY;
+    }
+    _fl_choose_copy(fleet, want, false, out);
+    bool old_allowed =
+        adapter->version > 0 &&
+        want->now_us < adapter->version_us + fleet->old_version_us;
+    if (out->why == FL_NO_COPY && old_allowed) {
+        _fl_choose_copy(fleet, want, true, out);
+        out->more_copies = out->why == FL_CHOSEN;
+        return out->why == FL_CHOSEN;
+    }
+    if (out->why != FL_CHOSEN) {
+        out->more_copies = out->why == FL_ALL_FULL;
+        return false;
+    }
+    out->version = adapter->name ? adapter->version : 0;
+    out->more_copies =
+        adapter->name && _fl_crowded(fleet, want, out->server);
+    return true;
+}
+
+/* -- public: placing -------------------------------------------------------- */
+
+static uint64_t
+_fl_rank(const fl_adapter *adapter, const fl_server *server)
+{
+    uint64_t mixed = adapter->hash ^ (server->hash * 0x9e3779b97f4a7c15ULL);
+    mixed ^= mixed >> 29;
+    mixed *= 0xbf58476d1ce4e5b9ULL;
+    return mixed ^ (mixed >> 32);
+}
+
+static bool
+_fl_takes_copy(const fl_fleet *fleet, fl_server *server,
+               const fl_adapter *adapter, uint64_t now_us)
+{
+    fl_adapter *model = g_hash_table_lookup(fleet->adapters, adapter->model);
+    const fl_copy *base = model ? fl_query_copy(server, model) : NULL;
+    return server->state == FL_READY && server->orders_possible && base &&
+           !base->loading && now_us >= server->shunned_until_us &&
+           !fl_query_copy(server, adapter);
+}
+
+static double
+_fl_fill(const fl_server *server, uint64_t now_us)
+{
+    uint32_t loading = 0;
+    for (guint i = 0; i < server->copies->len; i++) {
+        loading += ((fl_copy *)server->copies->pdata[i])->loading;
+    }
+    return (double)fl_query_in_flight(server, now_us) / server->slots *
+               server->pace +
+           loading * 0.1;
+}
+
+fl_server *
+fl_place(fl_fleet *fleet, const char *service, fl_adapter *adapter,
+         uint64_t now_us)
+{
+    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
+    fl_server *homes[_FL_HOMES] = {0};
+    fl_server *emptiest = NULL;
+    for (guint i = 0; list && i < list->len; i++) {
+        fl_server *server = list->pdata[i];
+        if (!_fl_takes_copy(fleet, server, adapter, now_us)) {
+            continue;
+        }
+        if (!emptiest ||
+            _fl_fill(server, now_us) < _fl_fill(emptiest, now_us)) {
+            emptiest = server;
+        }
+        for (uint32_t j = 0; j < _FL_HOMES; j++) {
+            if (!homes[j] ||
+                _fl_rank(adapter, server) > _fl_rank(adapter, homes[j])) {
+                memmove(&homes[j + 1], &homes[j],
+                        (_FL_HOMES - 1 - j) * sizeof(homes[0]));
+                homes[j] = server;
+                break;
+            }
+        }
+    }
+    fl_server *best = homes[0];
+    if (homes[1] && _fl_fill(homes[1], now_us) + 0.25 <
+                        _fl_fill(homes[0], now_us)) {
+        best = homes[1];
+    }
+    return best && _fl_fill(best, now_us) > 0.8 ? emptiest : best;
+}
+
+fl_copy *
+fl_query_victim(const fl_server *server, uint64_t now_us)
+{
+    fl_copy *victim = NULL;
+    double least = 0;
+    for (guint i = 0; i < server->copies->len; i++) {
+        fl_copy *copy = server->copies->pdata[i];
+        bool old = !fl_query_current(copy);
+        if (copy->loading || !copy->adapter->name || copy->own_in_flight ||
+            (!old && now_us < copy->adapter->use_us + _FL_IN_USE_US) ||
+            now_us < copy->since_us + _FL_IN_USE_US) {
+            continue;
+        }
+        double use = old ? -1.0 : fl_query_use(copy->adapter, now_us);
+        if (!victim || use < least) {
+            victim = copy;
+            least = use;
+        }
+    }
+    return victim;
+}
+
+/* -- public: requests ------------------------------------------------------- */
+
+void
+fl_begin(fl_server *server, fl_adapter *adapter, uint64_t now_us)
+{
+    (void)now_us;
+    server->own_in_flight++;
+    fl_copy *copy = adapter ? fl_query_copy(server, adapter) : NULL;
+    if (copy) {
+        copy->own_in_flight++;
+    }
+}
+
+static void
+_fl_learn_failure(fl_server *server, const fl_result *result)
+{
+    server->failing += _FL_FAIL_LEARN * (1.0 - server->failing);
+    server->failed_in_row++;
+    uint32_t needed =
+        result->outcome == FL_UNREACHABLE ? 1 : _FL_SHUN_AFTER;
+    if (server->failed_in_row >= needed) {
+        uint32_t doublings =
+            MIN(server->failed_in_row - needed, _FL_SHUN_DOUBLINGS);
+        uint64_t span_us = (uint64_t)_FL_SHUN_US << doublings;
+        server->shunned_until_us =
+            result->now_us + MIN(span_us, _FL_SHUN_LONGEST_US);
+    }
+}
+
+static void
+_fl_learn_good(fl_server *server, const fl_result *result)
+{
+    server->failing *= 1.0 - _FL_FAIL_LEARN;
+    server->failed_in_row = 0;
+    server->shunned_until_us = 0;
+    if (result->latency_ms > 0) {
+        server->latency_ms +=
+            (server->latency_ms > 0 ? _FL_LEARN : 1.0) *
+            (result->latency_ms - server->latency_ms);
+    }
+    if (result->event_ms > 0) {
+        /* Against 40 ms an event, about the usual of these engines; only the
+           ratio between servers counts. */
+        double pace = CLAMP(result->event_ms / 40.0, 0.3, 6.0);
+        server->pace += _FL_LEARN * (pace - server->pace);
+    }
+}
+
+void
+fl_end(fl_server *server, fl_adapter *adapter, const fl_result *result)
+{
+    g_assert(server->own_in_flight > 0);
+    server->own_in_flight--;
+    fl_copy *copy = adapter ? fl_query_copy(server, adapter) : NULL;
+    if (copy && copy->own_in_flight > 0) {
+        copy->own_in_flight--;
+    }
+    switch (result->outcome) {
+    case FL_GOOD:
+        _fl_learn_good(server, result);
+        break;
+    case FL_BAD_ANSWER:
+    case FL_UNREACHABLE:
+        _fl_learn_failure(server, result);
+        break;
+    default:
+        break;
+    }
+}
+
+/* -- public: queries -------------------------------------------------------- */
+
+fl_server *
+fl_query_server(const fl_fleet *fleet, const char *id)
+{
+    return g_hash_table_lookup(fleet->servers, id);
+}
+
+uint32_t
+fl_query_usable(const fl_fleet *fleet, const char *service)
+{
+    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
+    uint32_t count = 0;
+    for (guint i = 0; list && i < list->len; i++) {
+        count += ((fl_server *)list->pdata[i])->state == FL_READY;
+    }
+    return count;
+}
+
+void
+fl_each_server(const fl_fleet *fleet, fl_server_call call, void *user_data)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        call(value, user_data);
+    }
+}
+
+void
+fl_each_used(fl_fleet *fleet, fl_adapter_call call, void *user_data)
+{
+    for (guint i = 0; i < fleet->used->len; i++) {
+        call(fleet->used->pdata[i], user_data);
+    }
+    g_ptr_array_set_size(fleet->used, 0);
+}
--- /dev/null
+++ b/packages/exchange/src/fleet.h
@@ -0,0 +1,192 @@
+/*
+ * fleet.h: backend servers, what they hold and how busy they are
+ * (prefix fl_).
+ *
+ * One view of all backend servers: the platform's entries, copies of adapters
+ * with their versions, requests under way from here and from other instances,
+ * and what our own requests learned of speed and failures. It chooses the
+ * server of a request, the server that an adapter is loaded to, and the copy
+ * that makes way. No sockets and no clock: the time comes in.
+ *
+ *     fl_adapter *adapter = fl_intern(fleet, "base/a17");
+ *     fl_choice choice;
+ *     if (fl_choose(fleet, &(fl_want){.service = "s", .adapter = adapter,
+ *                                     .now_us = now_us}, &choice)) {
+ *         fl_begin(fleet, choice.server, adapter);
+ *         ... send ...
+ *         fl_end(fleet, choice.server, adapter, &outcome);
+ *     }
+ *
+ * Answers the load of a skewed set of adapters, each server holding few of
+ * them, on servers of different and changing speed.
+ *
+ * Limits: servers and adapters live until fl_destroy(); a server that is gone
+ * stays as a record with state FL_GONE while requests refer to it.
+ */
+#ifndef LACEWING_FLEET_H
+#define LACEWING_FLEET_H
+
+#include "lacewing/dialect.h"
+
+#define FL_TRIED 4
+
+typedef struct fl_fleet fl_fleet;
+typedef struct fl_server fl_server;
+typedef struct fl_adapter fl_adapter;
+
+typedef enum fl_state {
+    FL_STATE_DEFAULT = 0, /* gone */
+    FL_READY,
+    FL_LEAVING,
+    FL_GONE
+} fl_state;
+
+/* An adapter at a server, or a model itself. */
+typedef struct fl_copy {
+    fl_adapter *adapter;
+    fl_server *server;
+    uint64_t version; /* 0: not told */
+    bool loading;
+    uint64_t since_us; /* of this state */
+    uint32_t own_in_flight;
+} fl_copy;
+
+struct fl_adapter {
+    char *key;   /* MODEL/ADAPTER, or MODEL */
+    uint64_t hash;
+    char *model;
+    char *name;  /* NULL: the model itself */
+    uint64_t version;    /* newest that was declared; 0: none */
+    uint64_t version_us; /* when it became known here */
+    GPtrArray *copies;   /* fl_copy */
+    double use;          /* requests, halved every FL_USE_HALF_LIFE_US */
+    uint64_t use_us;
+    uint32_t uses_to_tell; /* requests from here since peers were told */
+    GQueue waiting;        /* of the exchange: requests without a copy */
+    uint64_t asked_us;     /* of the exchange: last order asked for */
+};
+
+typedef struct fl_peer_load {
+    uint32_t peer; /* hash of its name */
+    uint32_t in_flight;
+    uint64_t at_us;
+} fl_peer_load;
+
+struct fl_server {
+    char *id;
+    char *address;
+    char *service;
+    char *zone;
+    uint64_t hash;
+    uint32_t slots;
+    fl_state state;
+    uint64_t born_ms;
+    GPtrArray *copies; /* fl_copy, models too */
+    uint32_t own_in_flight;
+    GArray *peer_loads; /* fl_peer_load */
+    dl_load load;       /* as it told last */
+    uint64_t load_us;
+    double pace;          /* time of work against the service's usual */
+    double latency_ms;    /* plain services: of an answer */
+    double failing;       /* share of late requests that failed, 0 to 1 */
+    uint32_t failed_in_row;
+    uint64_t shunned_until_us;
+    bool orders_possible; /* an instance may give it orders now */
+    void *pool;           /* of the exchange: its connections */
+    void *orders;         /* of the exchange: its orders, if owned here */
+};
+
+typedef struct fl_want {
+    const char *service;
+    fl_adapter *adapter; /* NULL: any server of the service */
+    const char *zone;    /* preferred */
+    uint64_t now_us;
+    const fl_server *tried[FL_TRIED]; /* not again */
+    uint32_t tried_count;
+} fl_want;
+
+typedef enum fl_why {
+    FL_WHY_DEFAULT = 0,
+    FL_CHOSEN,
+    FL_NO_SERVER, /* none of that service can be used */
+    FL_NO_COPY,   /* none of them holds the adapter in its version */
+    FL_ALL_FULL   /* all that could are full */
+} fl_why;
+
+typedef struct fl_choice {
+    fl_why why;
+    fl_server *server;
+    uint64_t version; /* that the request must find; 0: any */
+    bool more_copies; /* demand asks for a further copy */
+} fl_choice;
+
+typedef enum fl_outcome {
+    FL_OUTCOME_DEFAULT = 0, /* says nothing of the server */
+    FL_GOOD,
+    FL_BAD_ANSWER,  /* an error of the server, or a spoilt answer */
+    FL_UNREACHABLE, /* no connection */
+    FL_REFUSED      /* it did not run the request */
+} fl_outcome;
+
+typedef struct fl_result {
+    fl_outcome outcome;
+    double latency_ms; /* FL_GOOD: to the whole answer; 0: not measured */
+    double event_ms;   /* FL_GOOD, streams: between events; 0: none */
+    uint64_t now_us;
+} fl_result;
+
+typedef struct fl_desc {
+    uint32_t version_ms; /* a new version is used within; default 5000 */
+    uint32_t seed;       /* default 1 */
+} fl_desc;
+
+fl_fleet *fl_create(const fl_desc *desc);
+void fl_destroy(fl_fleet *fleet);
+
+/* Entries of the platform. True: it is new or began anew. */
+bool fl_put_server(fl_fleet *fleet, const dl_server *entry,
+                   fl_server **out);
+void fl_remove_server(fl_fleet *fleet, const char *id);
+
+fl_adapter *fl_intern(fl_fleet *fleet, const char *key);
+void fl_declare_version(fl_fleet *fleet, const char *model, const char *name,
+                        uint64_t version, uint64_t now_us);
+
+fl_copy *fl_put_copy(fl_server *server, fl_adapter *adapter, uint64_t version,
+                     bool loading, uint64_t now_us);
+void fl_drop_copy(fl_server *server, fl_adapter *adapter);
+void fl_drop_copies(fl_server *server);
+
+/* Requests of other instances. */
+void fl_set_peer_load(fl_server *server, uint32_t peer, uint32_t in_flight,
+                      uint64_t now_us);
+void fl_add_use(fl_adapter *adapter, double uses, uint64_t now_us);
+/* A request of this instance. */
+void fl_use(fl_fleet *fleet, fl_adapter *adapter, uint64_t now_us);
+
+bool fl_choose(fl_fleet *fleet, const fl_want *want, fl_choice *out);
+/* Server to load a further copy to; NULL: none can take orders. */
+fl_server *fl_place(fl_fleet *fleet, const char *service, fl_adapter *adapter,
+                    uint64_t now_us);
+/* Loaded copy that is needed least and not in use; NULL: none. */
+fl_copy *fl_query_victim(const fl_server *server, uint64_t now_us);
+
+void fl_begin(fl_server *server, fl_adapter *adapter, uint64_t now_us);
+void fl_end(fl_server *server, fl_adapter *adapter, const fl_result *result);
+void fl_told_load(fl_server *server, const dl_load *load, uint64_t now_us);
+
+/* queries */
+fl_server *fl_query_server(const fl_fleet *fleet, const char *id);
+fl_copy *fl_query_copy(const fl_server *server, const fl_adapter *adapter);
+uint32_t fl_query_in_flight(const fl_server *server, uint64_t now_us);
+double fl_query_use(const fl_adapter *adapter, uint64_t now_us);
+bool fl_query_current(const fl_copy *copy);
+uint32_t fl_query_usable(const fl_fleet *fleet, const char *service);
+typedef void (*fl_server_call)(fl_server *server, void *user_data);
+void fl_each_server(const fl_fleet *fleet, fl_server_call call,
+                    void *user_data);
+typedef void (*fl_adapter_call)(fl_adapter *adapter, void *user_data);
+/* Adapters with uses to tell, each once; the list begins anew. */
+void fl_each_used(fl_fleet *fleet, fl_adapter_call call, void *user_data);
+
+#endif
--- /dev/null
+++ b/packages/exchange/src/gossip.c
@@ -0,0 +1,415 @@
+#include "gossip.h"
+
+#include "exchange.pb-c.h"
+#include "lacewing/counter.h"
+#include "lacewing/hash.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define _GP_DATAGRAM_BYTES 65536
+/* Read in one turn. */
+#define _GP_BATCH 32
+/* Adapters in one datagram of uses. */
+#define _GP_USES 64
+
+typedef struct _gp_told {
+    uint64_t fence;
+    uint64_t number;
+    uint64_t at_us;
+} _gp_told;
+
+struct gp_peers {
+    gp_desc desc;
+    lp_watch watch;
+    char *instance;
+    GHashTable *told; /* server id -> _gp_told */
+    GHashTable *loaded; /* server ids that had requests when last told */
+    uint8_t *buffer;
+};
+
+/* -- private: sending ------------------------------------------------------------- */
+
+static bool
+_gp_parse(const char *address, struct sockaddr_in *out)
+{
+    const char *colon = strrchr(address, ':');
+    g_autofree char *host =
+        colon ? g_strndup(address, (gsize)(colon - address)) : NULL;
+    memset(out, 0, sizeof(*out));
+    out->sin_family = AF_INET;
+    out->sin_port =
+        colon ? htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10)) : 0;
+    return host && inet_pton(AF_INET, host, &out->sin_addr) == 1;
+}
+
+typedef struct _gp_parcel {
+    gp_peers *peers;
+    const uint8_t *bytes;
+    size_t count;
+    const char *only; /* instance; NULL: all */
+    bool sent;
+} _gp_parcel;
+
+static void
+_gp_send_to(const le_peer *peer, void *user_data)
+{
+    _gp_parcel *parcel = user_data;
+    struct sockaddr_in name;
+    if ((parcel->only && strcmp(parcel->only, peer->instance) != 0) ||
+        !_gp_parse(peer->address, &name)) {
+        return;
+    }
+    ssize_t count =
+        sendto(parcel->peers->watch.fd, parcel->bytes, parcel->count,
+               MSG_NOSIGNAL, (struct sockaddr *)&name, sizeof(name));
+    if (count > 0) {
+        ct_add(CT_LINK_BYTES_OUT, count);
+        parcel->sent = true;
+    }
+}
+
+static bool
+_gp_send(gp_peers *peers, Lacewing__Exchange__Word *word, const char *only)
+{
+    word->instance = peers->instance;
+    word->incarnation = peers->desc.incarnation;
+    size_t count = lacewing__exchange__word__get_packed_size(word);
+    g_autofree uint8_t *bytes = g_malloc(count);
+    lacewing__exchange__word__pack(word, bytes);
+    _gp_parcel parcel = {peers, bytes, count, only, false};
+    le_each_peer(peers->desc.lease, _gp_send_to, &parcel);
+    return parcel.sent;
+}
+
+bool
+gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter)
+{
+    const char *holder = le_query_holder(peers->desc.lease, server->id);
+    if (!holder) {
+        return false;
+    }
+    Lacewing__Exchange__LoadAsk ask = LACEWING__EXCHANGE__LOAD_ASK__INIT;
+    ask.server = server->id;
+    ask.model = adapter->model;
+    ask.adapter = adapter->name;
+    Lacewing__Exchange__LoadAsk *asks[] = {&ask};
+    Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
+    word.n_asks = 1;
+    word.asks = asks;
+    return _gp_send(peers, &word, holder);
+}
+
+typedef struct _gp_state {
+    Lacewing__Exchange__ServerState message;
+    GPtrArray *models; /* ModelState */
+    GPtrArray *copies; /* CopyState, of all models */
+} _gp_state;
+
+static Lacewing__Exchange__ModelState *
+_gp_model(_gp_state *state, const char *name)
+{
+    for (guint i = 0; i < state->models->len; i++) {
+        Lacewing__Exchange__ModelState *model = state->models->pdata[i];
+        if (strcmp(model->name, name) == 0) {
+            return model;
+        }
+    }
+    Lacewing__Exchange__ModelState *model =
+        g_new(Lacewing__Exchange__ModelState, 1);
+    lacewing__exchange__model_state__init(model);
+    model->name = (char *)name;
+    model->copies = g_new0(Lacewing__Exchange__CopyState *, 256);
+    g_ptr_array_add(state->models, model);
+    return model;
+}
+
+static void
+_gp_add_copy(_gp_state *state, const fl_copy *copy)
+{
+    Lacewing__Exchange__ModelState *model =
+        _gp_model(state, copy->adapter->model);
+    if (!copy->adapter->name) {
+        model->version = copy->version;
+        model->loading = copy->loading;
+        return;
+    }
+    if (model->n_copies == 256) {
+        return;
+    }
+    Lacewing__Exchange__CopyState *message =
+        g_new(Lacewing__Exchange__CopyState, 1);
+    lacewing__exchange__copy_state__init(message);
+    message->name = copy->adapter->name;
+    message->version = copy->version;
+    message->loading = copy->loading;
+    model->copies[model->n_copies++] = message;
+    g_ptr_array_add(state->copies, message);
+}
+
+void
+gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number)
+{
+    _gp_state state = {.models = g_ptr_array_new_with_free_func(g_free),
+                       .copies = g_ptr_array_new_with_free_func(g_free)};
+    lacewing__exchange__server_state__init(&state.message);
+    for (guint i = 0; i < server->copies->len; i++) {
+        _gp_add_copy(&state, server->copies->pdata[i]);
+    }
+    state.message.id = server->id;
+    state.message.born_ms = server->born_ms;
+    state.message.number = number;
+    state.message.fence = le_query_fence(
+        peers->desc.lease, lp_query_now_us(peers->desc.loop), server->id);
+    state.message.n_models = state.models->len;
+    state.message.models =
+        (Lacewing__Exchange__ModelState **)state.models->pdata;
+    Lacewing__Exchange__ServerState *servers[] = {&state.message};
+    Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
+    word.n_servers = 1;
+    word.servers = servers;
+    _gp_send(peers, &word, NULL);
+    for (guint i = 0; i < state.models->len; i++) {
+        g_free(((Lacewing__Exchange__ModelState *)state.models->pdata[i])
+                   ->copies);
+    }
+    g_ptr_array_unref(state.models);
+    g_ptr_array_unref(state.copies);
+}
+
+typedef struct _gp_loads {
+    gp_peers *peers;
+    GPtrArray *loads; /* ServerLoad */
+    GPtrArray *uses;  /* Use */
+} _gp_loads;
+
+static void
+_gp_add_load(fl_server *server, void *user_data)
+{
+    _gp_loads *all = user_data;
+    bool had = g_hash_table_contains(all->peers->loaded, server->id);
+    if (server->own_in_flight == 0 && !had) {
+        return;
+    }
+    Lacewing__Exchange__ServerLoad *load =
+        g_new(Lacewing__Exchange__ServerLoad, 1);
+    lacewing__exchange__server_load__init(load);
+    load->id = server->id;
+    load->in_flight = server->own_in_flight;
+    g_ptr_array_add(all->loads, load);
+    if (server->own_in_flight) {
+        g_hash_table_add(all->peers->loaded, g_strdup(server->id));
+    }
+    else {
+        g_hash_table_remove(all->peers->loaded, server->id);
+    }
+}
+
+static void
+_gp_add_use(fl_adapter *adapter, void *user_data)
+{
+    _gp_loads *all = user_data;
+    if (all->uses->len == _GP_USES) {
+        adapter->uses_to_tell = 0; /* the rest is no guide to demand */
+        return;
+    }
+    Lacewing__Exchange__Use *use = g_new(Lacewing__Exchange__Use, 1);
+    lacewing__exchange__use__init(use);
+    use->key = adapter->key;
+    use->count = adapter->uses_to_tell;
+    adapter->uses_to_tell = 0;
+    g_ptr_array_add(all->uses, use);
+}
+
+void
+gp_tell_load(gp_peers *peers)
+{
+    _gp_loads all = {peers, g_ptr_array_new_with_free_func(g_free),
+                     g_ptr_array_new_with_free_func(g_free)};
+    fl_each_server(peers->desc.fleet, _gp_add_load, &all);
+    fl_each_used(peers->desc.fleet, _gp_add_use, &all);
+    Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
+    word.n_loads = all.loads->len;
+    word.loads = (Lacewing__Exchange__ServerLoad **)all.loads->pdata;
+    word.n_uses = all.uses->len;
+    word.uses = (Lacewing__Exchange__Use **)all.uses->pdata;
+    if (word.n_loads || word.n_uses) {
+        _gp_send(peers, &word, NULL);
+    }
+    g_ptr_array_unref(all.loads);
+    g_ptr_array_unref(all.uses);
+}
+
+/* -- private: receiving ---------------------------------------------------------------- */
+
+static bool
+_gp_is_news(gp_peers *peers, const Lacewing__Exchange__ServerState *state)
+{
+    _gp_told *told = g_hash_table_lookup(peers->told, state->id);
+    if (!told) {
+        told = g_new0(_gp_told, 1);
+        g_hash_table_insert(peers->told, g_strdup(state->id), told);
+    }
+    if (state->fence < told->fence ||
+        (state->fence == told->fence && state->number < told->number)) {
+        return false;
+    }
+    told->fence = state->fence;
+    told->number = state->number;
+    told->at_us = lp_query_now_us(peers->desc.loop);
+    return true;
+}
+
+static void
+_gp_take_model(gp_peers *peers, fl_server *server,
+               const Lacewing__Exchange__ModelState *model, GHashTable *seen)
+{
+    uint64_t now_us = lp_query_now_us(peers->desc.loop);
+    fl_adapter *base = fl_intern(peers->desc.fleet, model->name);
+    fl_put_copy(server, base, model->version, model->loading, now_us);
+    g_hash_table_add(seen, base);
+    for (size_t i = 0; i < model->n_copies; i++) {
+        const Lacewing__Exchange__CopyState *copy = model->copies[i];
+        g_autofree char *key =
+            g_strdup_printf("%s/%s", model->name, copy->name);
+        fl_adapter *adapter = fl_intern(peers->desc.fleet, key);
+        fl_put_copy(server, adapter, copy->version, copy->loading, now_us);
+        g_hash_table_add(seen, adapter);
+    }
+}
+
+static void
+_gp_take_server(gp_peers *peers, const Lacewing__Exchange__ServerState *state)
+{
+    fl_server *server = fl_query_server(peers->desc.fleet, state->id);
+    if (!server || server->orders || state->fence == 0 ||
+        state->born_ms != server->born_ms || !_gp_is_news(peers, state)) {
+        return;
+    }
+    g_autoptr(GHashTable) seen = g_hash_table_new(NULL, NULL);
+    for (size_t i = 0; i < state->n_models; i++) {
+        _gp_take_model(peers, server, state->models[i], seen);
+    }
+    for (guint i = server->copies->len; i > 0; i--) {
+        fl_copy *copy = server->copies->pdata[i - 1];
+        if (!g_hash_table_contains(seen, copy->adapter)) {
+            fl_drop_copy(server, copy->adapter);
+        }
+    }
+    peers->desc.calls->changed(server, peers->desc.user_data);
+}
+
+static void
+_gp_take_ask(gp_peers *peers, const Lacewing__Exchange__LoadAsk *ask)
+{
+    fl_server *server = fl_query_server(peers->desc.fleet, ask->server);
+    if (!server) {
+        return;
+    }
+    g_autofree char *key =
+        g_strdup_printf("%s/%s", ask->model, ask->adapter);
+    peers->desc.calls->asked(server, fl_intern(peers->desc.fleet, key),
+                             peers->desc.user_data);
+}
+
+static void
+_gp_take(gp_peers *peers, const Lacewing__Exchange__Word *word)
+{
+    uint64_t now_us = lp_query_now_us(peers->desc.loop);
+    uint32_t peer = (uint32_t)g_str_hash(word->instance);
+    for (size_t i = 0; i < word->n_loads; i++) {
+        fl_server *server =
+            fl_query_server(peers->desc.fleet, word->loads[i]->id);
+        if (server) {
+            fl_set_peer_load(server, peer, word->loads[i]->in_flight, now_us);
+        }
+    }
+    for (size_t i = 0; i < word->n_uses; i++) {
+        fl_add_use(fl_intern(peers->desc.fleet, word->uses[i]->key),
+                   word->uses[i]->count, now_us);
+    }
+    for (size_t i = 0; i < word->n_servers; i++) {
+        _gp_take_server(peers, word->servers[i]);
+    }
+    for (size_t i = 0; i < word->n_asks; i++) {
+        _gp_take_ask(peers, word->asks[i]);
+    }
+}
+
+static void
+_gp_on_ready(lp_watch *watch, uint32_t ready, void *user_data)
+{
+    (void)ready;
+    gp_peers *peers = user_data;
+    for (int i = 0; i < _GP_BATCH; i++) {
+        ssize_t count = recv(watch->fd, peers->buffer, _GP_DATAGRAM_BYTES, 0);
+        if (count <= 0) {
+            return;
+        }
+        ct_add(CT_LINK_BYTES_IN, count);
+        Lacewing__Exchange__Word *word = lacewing__exchange__word__unpack(
+            NULL, (size_t)count, peers->buffer);
+        if (!word) {
+            ct_add(CT_FRAMES_REFUSED, 1);
+            continue;
+        }
+        if (strcmp(word->instance, peers->instance) != 0) {
+            _gp_take(peers, word);
+        }
+        lacewing__exchange__word__free_unpacked(word, NULL);
+    }
+}
+
+/* -- public ------------------------------------------------------------------------------- */
+
+gp_peers *
+gp_create(const gp_desc *desc, er_status *status)
+{
+    struct sockaddr_in name;
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0 || !_gp_parse(desc->address, &name) ||
+        bind(fd, (struct sockaddr *)&name, sizeof(name))) {
+        er_set(status, ER_CONNECTION, "%s: %s", desc->address,
+               g_strerror(errno));
+        if (fd >= 0) {
+            close(fd);
+        }
+        return NULL;
+    }
+    gp_peers *peers = g_new0(gp_peers, 1);
+    peers->desc = *desc;
+    peers->instance = g_strdup(desc->instance);
+    peers->told =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    peers->loaded =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    peers->buffer = g_malloc(_GP_DATAGRAM_BYTES);
+    peers->watch =
+        (lp_watch){.fd = fd, .call = _gp_on_ready, .user_data = peers};
+    lp_set(desc->loop, &peers->watch, LP_READ);
+    return peers;
+}
+
+void
+gp_destroy(gp_peers *peers)
+{
+    if (!peers) {
+        return;
+    }
+    lp_clear(peers->desc.loop, &peers->watch);
+    close(peers->watch.fd);
+    g_hash_table_unref(peers->told);
+    g_hash_table_unref(peers->loaded);
+    g_free(peers->buffer);
+    g_free(peers->instance);
+    g_free(peers);
+}
+
+uint64_t
+gp_query_told_us(const gp_peers *peers, const fl_server *server)
+{
+    const _gp_told *told = g_hash_table_lookup(peers->told, server->id);
+    return told ? told->at_us : 0;
+}
--- /dev/null
+++ b/packages/exchange/src/gossip.h
@@ -0,0 +1,52 @@
+/*
+ * gossip.h: datagrams between instances (prefix gp_).
+ *
+ * Each instance tells the others what the servers that it orders hold, how
+ * many requests it has under way at each server, and which adapters its
+ * callers asked for; it asks the holder of a server to load an adapter. All
+ * of it is state or can be asked again, so a lost datagram only costs time.
+ *
+ * Limits: a datagram holds at most one server's state, some 600 bytes.
+ */
+#ifndef LACEWING_GOSSIP_H
+#define LACEWING_GOSSIP_H
+
+#include "fleet.h"
+#include "lacewing/loop.h"
+#include "lease.h"
+
+typedef struct gp_peers gp_peers;
+
+typedef struct gp_calls {
+    /* Another instance asks this one to load an adapter. */
+    void (*asked)(fl_server *server, fl_adapter *adapter, void *user_data);
+    /* What a server holds has changed, as its holder tells. */
+    void (*changed)(fl_server *server, void *user_data);
+} gp_calls;
+
+typedef struct gp_desc {
+    lp_loop *loop;        /* required */
+    fl_fleet *fleet;      /* required */
+    le_lease *lease;      /* required */
+    const char *instance; /* required */
+    const char *address;  /* required, IP:PORT of datagrams */
+    uint64_t incarnation;
+    const gp_calls *calls;
+    void *user_data;
+} gp_desc;
+
+gp_peers *gp_create(const gp_desc *desc, er_status *status);
+void gp_destroy(gp_peers *peers);
+
+/* Asks the holder of a server. False: none is known. */
+bool gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter);
+/* Tells all others what a server holds that is ordered from here. */
+void gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number);
+/* Tells all others the requests under way here, and uses since last time. */
+void gp_tell_load(gp_peers *peers);
+
+/* queries */
+/* When the holder of a server last told what it holds; 0: never. */
+uint64_t gp_query_told_us(const gp_peers *peers, const fl_server *server);
+
+#endif
--- /dev/null
+++ b/packages/exchange/src/lease.c
@@ -0,0 +1,788 @@
+#include "lease.h"
+
+#include "exchange.pb-c.h"
+#include <string.h>
+
+#define _LE_LEASE_MS 3000
+/* An instance orders for this part of the lease after a renewal was sent: two
+   renewals may fail. */
+#define _LE_VALID_SHARE 0.75
+/* Added to the lease before another instance orders: clocks drift and timers
+   fire late. */
+#define _LE_MARGIN_MS 300
+/* From the first registration to the first claim, so that instances that
+   start together share the servers. */
+#define _LE_SETTLE_MS 1000
+/* A server that the instance meant for it does not claim is anybody's. */
+#define _LE_LEFT_MS 4000
+/* Answers of the store further apart are an interruption; after one, others
+   have as long to renew before they are ended. */
+#define _LE_GAP_MS 2500
+#define _LE_TX_ROWS 40
+
+typedef struct _le_peer {
+    le_peer public;
+    char *instance;
+    char *zone;
+    char *address;
+    uint64_t version;
+    uint64_t seen_us; /* when this version was first seen */
+    bool read;
+} _le_peer;
+
+typedef struct _le_server {
+    char *id;
+    char *zone; /* NULL: not listed */
+    char *holder;
+    uint64_t incarnation;
+    uint64_t fence;
+    uint64_t version;  /* of its row; 0: none */
+    uint64_t since_us; /* of this row, or of the entry without one */
+    bool read;
+} _le_server;
+
+typedef enum _le_tx_kind {
+    _LE_NONE = 0,
+    _LE_RENEW,
+    _LE_END,
+    _LE_CLAIM,
+    _LE_GIVE_UP,
+    _LE_PRUNE
+} _le_tx_kind;
+
+struct le_lease {
+    char *instance;
+    char *zone;
+    char *address;
+    uint64_t incarnation;
+    uint64_t lease_us;
+    uint64_t valid_us;
+    uint64_t takeover_us;
+    uint64_t quiet_us;
+    uint64_t renew_us;
+    GHashTable *peers;   /* name -> _le_peer, ourselves too */
+    GHashTable *servers; /* id -> _le_server */
+    bool known;          /* the own table has been read */
+    bool registered;
+    uint64_t registered_us;
+    uint64_t row_version; /* of our own row */
+    uint64_t renewed_us;  /* when the last good renewal was sent */
+    uint64_t next_renew_us;
+    uint64_t store_version;
+    uint64_t fresh_us;
+    uint64_t contact_us; /* since when the store answers without a gap */
+    bool leaving;
+    bool given_up;
+    _le_tx_kind tx;
+    uint64_t tx_sent_us;
+    GPtrArray *tx_servers; /* _le_server of the transaction */
+    char *tx_peer;
+    GArray *conditions; /* dl_condition */
+    GArray *writes;     /* dl_write */
+    GPtrArray *keys;
+};
+
+/* -- private: rows ---------------------------------------------------------- */
+
+static void
+_le_free_peer(void *data)
+{
+    _le_peer *peer = data;
+    g_free(peer->instance);
+    g_free(peer->zone);
+    g_free(peer->address);
+    g_free(peer);
+}
+
+static void
+_le_free_server(void *data)
+{
+    _le_server *server = data;
+    g_free(server->id);
+    g_free(server->zone);
+    g_free(server->holder);
+    g_free(server);
+}
+
+static void
+_le_clear_write(void *data)
+{
+    GBytes *value = ((dl_write *)data)->value;
+    if (value) {
+        g_bytes_unref(value);
+    }
+}
+
+static _le_server *
+_le_server_of(le_lease *lease, const char *id)
+{
+    _le_server *server = g_hash_table_lookup(lease->servers, id);
+    if (!server) {
+        server = g_new0(_le_server, 1);
+        server->id = g_strdup(id);
+        g_hash_table_insert(lease->servers, server->id, server);
+    }
+    return server;
+}
+
+static bool
+_le_is_self(const le_lease *lease, const char *instance)
+{
+    return strcmp(lease->instance, instance) == 0;
+}
+
+static void
+_le_lose(le_lease *lease)
+{
+    lease->registered = false;
+    lease->row_version = 0;
+    lease->renewed_us = 0;
+    lease->next_renew_us = 0;
+    lease->incarnation++;
+}
+
+static void
+_le_feed_instance(le_lease *lease, uint64_t now_us, const char *name,
+                  const dl_row *row)
+{
+    _le_peer *peer = g_hash_table_lookup(lease->peers, name);
+    if (peer && row->version < peer->version) {
+        return;
+    }
+    if (!row->value) {
+        g_hash_table_remove(lease->peers, name);
+        if (_le_is_self(lease, name) && lease->registered &&
+            row->version > lease->row_version) {
+            _le_lose(lease);
+        }
+        return;
+    }
+    gsize size = 0;
+    const uint8_t *bytes = g_bytes_get_data(row->value, &size);
+    Lacewing__Exchange__InstanceRow *read =
+        lacewing__exchange__instance_row__unpack(NULL, size, bytes);
+    if (!read) {
+        return;
+    }
+    if (!peer) {
+        peer = g_new0(_le_peer, 1);
+        peer->instance = g_strdup(name);
+        g_hash_table_insert(lease->peers, peer->instance, peer);
+    }
+    if (row->version != peer->version) {
+        peer->seen_us = now_us;
+    }
+    peer->version = row->version;
+    peer->read = true;
+    g_free(peer->zone);
+    g_free(peer->address);
+    peer->zone = g_strdup(read->zone);
+    peer->address = g_strdup(read->address);
+    peer->public = (le_peer){.instance = peer->instance,
+                             .zone = peer->zone,
+                             .address = peer->address,
+                             .incarnation = read->incarnation,
+                             .leaving = read->leaving};
+    if (_le_is_self(lease, name)) {
+        lease->row_version = MAX(lease->row_version, row->version);
+    }
+    lacewing__exchange__instance_row__free_unpacked(read, NULL);
+}
+
+static void
+_le_feed_holder(le_lease *lease, uint64_t now_us, const char *id,
+                const dl_row *row)
+{
+    _le_server *server = _le_server_of(lease, id);
+    server->read = true;
+    if (row->version <= server->version) {
+        return;
+    }
+    g_clear_pointer(&server->holder, g_free);
+    server->version = row->value ? row->version : 0;
+    server->since_us = now_us;
+    server->incarnation = 0;
+    if (!row->value) {
+        return;
+    }
+    gsize size = 0;
+    const uint8_t *bytes = g_bytes_get_data(row->value, &size);
+    Lacewing__Exchange__HolderRow *read =
+        lacewing__exchange__holder_row__unpack(NULL, size, bytes);
+    if (read) {
+        server->holder = g_strdup(read->instance);
+        server->incarnation = read->incarnation;
+        server->fence = read->fence;
+        lacewing__exchange__holder_row__free_unpacked(read, NULL);
+    }
+}
+
+/* -- private: who should have what ------------------------------------------ */
+
+static gint
+_le_by_name(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static bool
+_le_peer_alive(const le_lease *lease, const _le_peer *peer, uint64_t now_us)
+{
+    return !peer->public.leaving &&
+           now_us < peer->seen_us + lease->takeover_us;
+}
+
+/* Names of the live instances of a zone, or of all; sorted. */
+static GPtrArray *
+_le_live_names(const le_lease *lease, const char *zone, uint64_t now_us)
+{
+    GPtrArray *names = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _le_peer *peer = value;
+        if (_le_peer_alive(lease, peer, now_us) &&
+            (!zone || strcmp(zone, peer->zone) == 0)) {
+            g_ptr_array_add(names, peer->instance);
+        }
+    }
+    g_ptr_array_sort(names, _le_by_name);
+    return names;
+}
+
+/* Place of a server among those of its zone, by id. */
+static uint32_t
+_le_rank(const le_lease *lease, const _le_server *server)
+{
+    uint32_t rank = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _le_server *other = value;
+        rank += other->zone && strcmp(other->zone, server->zone) == 0 &&
+                strcmp(other->id, server->id) < 0;
+    }
+    return rank;
+}
+
+static bool
+_le_meant_for_self(const le_lease *lease, const _le_server *server,
+                   uint64_t now_us)
+{
+    g_autoptr(GPtrArray) names =
+        _le_live_names(lease, server->zone, now_us);
+    if (names->len == 0) {
+        g_ptr_array_unref(names);
+        names = _le_live_names(lease, NULL, now_us);
+    }
+    return names->len > 0 &&
+           _le_is_self(lease,
+                       names->pdata[_le_rank(lease, server) % names->len]);
+}
+
+static bool
+_le_holds(const le_lease *lease, const _le_server *server)
+{
+    return server->holder && _le_is_self(lease, server->holder) &&
+           server->incarnation == lease->incarnation;
+}
+
+static bool
+_le_may_claim(const le_lease *lease, const _le_server *server,
+              uint64_t now_us)
+{
+    if (!server->zone || _le_holds(lease, server)) {
+        return false;
+    }
+    uint64_t free_us = server->since_us; /* from when it may be claimed */
+    if (server->holder && server->holder[0]) {
+        if (_le_is_self(lease, server->holder)) {
+            return true;
+        }
+        const _le_peer *holder =
+            g_hash_table_lookup(lease->peers, server->holder);
+        if (holder && holder->public.incarnation == server->incarnation) {
+            return false;
+        }
+        free_us = holder ? holder->seen_us + lease->quiet_us : 0;
+    }
+    else if (server->holder) {
+        free_us = server->since_us + lease->quiet_us;
+    }
+    if (now_us < free_us) {
+        return false;
+    }
+    return _le_meant_for_self(lease, server, now_us) ||
+           now_us >= MAX(free_us, server->since_us) + _LE_LEFT_MS * 1000ULL;
+}
+
+/* -- private: transactions --------------------------------------------------- */
+
+static const char *
+_le_key(le_lease *lease, const char *kind, const char *name)
+{
+    char *key = g_strconcat(kind, name, NULL);
+    g_ptr_array_add(lease->keys, key);
+    return key;
+}
+
+static void
+_le_add(le_lease *lease, const char *key, uint64_t version, GBytes *value)
+{
+    dl_condition condition = {key, version};
+    dl_write write = {key, value};
+    g_array_append_val(lease->conditions, condition);
+    g_array_append_val(lease->writes, write);
+}
+
+static GBytes *
+_le_pack(const ProtobufCMessage *message)
+{
+    size_t size = protobuf_c_message_get_packed_size(message);
+    uint8_t *bytes = g_malloc(size);
+    protobuf_c_message_pack(message, bytes);
+    return g_bytes_new_take(bytes, size);
+}
+
+static void
+_le_write_renewal(le_lease *lease)
+{
+    Lacewing__Exchange__InstanceRow row =
+        LACEWING__EXCHANGE__INSTANCE_ROW__INIT;
+    row.incarnation = lease->incarnation;
+    row.zone = lease->zone;
+    row.address = lease->address;
+    row.leaving = lease->leaving;
+    _le_add(lease, _le_key(lease, "i/", lease->instance), lease->row_version,
+            _le_pack(&row.base));
+}
+
+static void
+_le_write_holder(le_lease *lease, _le_server *server, const char *holder)
+{
+    Lacewing__Exchange__HolderRow row = LACEWING__EXCHANGE__HOLDER_ROW__INIT;
+    row.instance = (char *)holder;
+    row.incarnation = lease->incarnation;
+    row.fence = MAX(lease->store_version, server->version) + 1;
+    _le_add(lease, _le_key(lease, "o/", server->id), server->version,
+            _le_pack(&row.base));
+    g_ptr_array_add(lease->tx_servers, server);
+}
+
+static bool
+_le_write_end(le_lease *lease, uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _le_peer *peer = value;
+        if (!_le_is_self(lease, peer->instance) &&
+            now_us >= peer->seen_us + lease->takeover_us) {
+            _le_add(lease, _le_key(lease, "i/", peer->instance),
+                    peer->version, NULL);
+            g_free(lease->tx_peer);
+            lease->tx_peer = g_strdup(peer->instance);
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+_le_write_servers(le_lease *lease, uint64_t now_us, _le_tx_kind kind)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value) &&
+           lease->tx_servers->len < _LE_TX_ROWS) {
+        _le_server *server = value;
+        if (kind == _LE_CLAIM && _le_may_claim(lease, server, now_us)) {
+            _le_write_holder(lease, server, lease->instance);
+        }
+        else if (kind == _LE_GIVE_UP && _le_holds(lease, server)) {
+            _le_write_holder(lease, server, "");
+        }
+        else if (kind == _LE_PRUNE && !server->zone &&
+                 _le_holds(lease, server)) {
+            _le_add(lease, _le_key(lease, "o/", server->id), server->version,
+                    NULL);
+            g_ptr_array_add(lease->tx_servers, server);
+        }
+    }
+    return lease->tx_servers->len > 0;
+}
+
+static bool
+_le_settled(const le_lease *lease, uint64_t now_us)
+{
+    return lease->registered &&
+           now_us >= lease->registered_us + _LE_SETTLE_MS * 1000ULL &&
+           now_us < lease->renewed_us + lease->valid_us;
+}
+
+static _le_tx_kind
+_le_fill_tx(le_lease *lease, uint64_t now_us)
+{
+    if (lease->leaving) {
+        if (_le_write_servers(lease, now_us, _LE_GIVE_UP) ||
+            lease->registered) {
+            if (lease->registered) {
+                _le_add(lease, _le_key(lease, "i/", lease->instance),
+                        lease->row_version, NULL);
+            }
+            return _LE_GIVE_UP;
+        }
+        lease->given_up = true;
+        return _LE_NONE;
+    }
+    if (now_us >= lease->next_renew_us) {
+        _le_write_renewal(lease);
+        return _LE_RENEW;
+    }
+    if (!_le_settled(lease, now_us)) {
+        return _LE_NONE;
+    }
+    if (now_us >= lease->contact_us + _LE_GAP_MS * 1000ULL &&
+        _le_write_end(lease, now_us)) {
+        return _LE_END;
+    }
+    if (_le_write_servers(lease, now_us, _LE_CLAIM)) {
+        return _LE_CLAIM;
+    }
+    return _le_write_servers(lease, now_us, _LE_PRUNE) ? _LE_PRUNE : _LE_NONE;
+}
+
+/* -- private: results -------------------------------------------------------- */
+
+static void
+_le_take_renewal(le_lease *lease, uint64_t now_us, uint64_t version)
+{
+    if (!lease->registered) {
+        lease->registered = true;
+        lease->registered_us = now_us;
+    }
+    lease->row_version = version;
+    lease->renewed_us = lease->tx_sent_us;
+    lease->next_renew_us = lease->tx_sent_us + lease->renew_us;
+}
+
+static void
+_le_take_servers(le_lease *lease, uint64_t now_us, uint64_t version)
+{
+    for (guint i = 0; i < lease->tx_servers->len; i++) {
+        _le_server *server = lease->tx_servers->pdata[i];
+        const dl_write *write = &g_array_index(lease->writes, dl_write, i);
+        dl_row row = {.key = (char *)write->key,
+                      .value = write->value,
+                      .version = version};
+        _le_feed_holder(lease, now_us, server->id, &row);
+    }
+}
+
+static void
+_le_take_ok(le_lease *lease, uint64_t now_us, uint64_t version)
+{
+    lease->store_version = MAX(lease->store_version, version);
+    switch (lease->tx) {
+    case _LE_RENEW:
+        _le_take_renewal(lease, now_us, version);
+        break;
+    case _LE_END:
+        g_hash_table_remove(lease->peers, lease->tx_peer);
+        break;
+    case _LE_CLAIM:
+    case _LE_PRUNE:
+        _le_take_servers(lease, now_us, version);
+        break;
+    case _LE_GIVE_UP:
+        lease->registered = false;
+        _le_take_servers(lease, now_us, version);
+        break;
+    default:
+        break;
+    }
+}
+
+/* The rows as they stand, where a condition failed. A row that is absent is
+   not among them. */
+static void
+_le_take_conflict(le_lease *lease, uint64_t now_us, const GArray *rows)
+{
+    for (guint i = 0; i < lease->conditions->len; i++) {
+        const dl_condition *condition =
+            &g_array_index(lease->conditions, dl_condition, i);
+        const dl_row *found = NULL;
+        for (guint j = 0; rows && j < rows->len; j++) {
+            const dl_row *row = &g_array_index(rows, dl_row, j);
+            if (strcmp(row->key, condition->key) == 0 && row->value) {
+                found = row;
+            }
+        }
+        dl_row gone = {.key = (char *)condition->key,
+                       .version = condition->version + 1};
+        if (found || condition->version) {
+            le_feed_row(lease, now_us, found ? found : &gone);
+        }
+    }
+}
+
+static void
+_le_take_renewal_conflict(le_lease *lease, const GArray *rows)
+{
+    for (guint i = 0; rows && i < rows->len; i++) {
+        const dl_row *row = &g_array_index(rows, dl_row, i);
+        const _le_peer *self =
+            g_hash_table_lookup(lease->peers, lease->instance);
+        if (row->value && self &&
+            self->public.incarnation == lease->incarnation) {
+            lease->row_version = row->version; /* our own, unanswered */
+            return;
+        }
+    }
+    if (lease->registered) {
+        _le_lose(lease);
+    }
+}
+
+/* -- public ------------------------------------------------------------------ */
+
+le_lease *
+le_create(const le_desc *desc)
+{
+    g_assert(desc->instance && desc->zone && desc->incarnation);
+    le_lease *lease = g_new0(le_lease, 1);
+    lease->instance = g_strdup(desc->instance);
+    lease->zone = g_strdup(desc->zone);
+    lease->address = g_strdup(desc->address ? desc->address : "");
+    lease->incarnation = desc->incarnation;
+    uint32_t lease_ms = desc->lease_ms ? desc->lease_ms : _LE_LEASE_MS;
+    lease->lease_us = lease_ms * 1000ULL;
+    lease->valid_us = (uint64_t)((double)lease->lease_us * _LE_VALID_SHARE);
+    lease->quiet_us = lease->lease_us + _LE_MARGIN_MS * 1000ULL;
+    lease->takeover_us = lease->valid_us + lease->quiet_us;
+    lease->renew_us = desc->renew_ms ? desc->renew_ms * 1000ULL
+                                     : lease->lease_us / 3;
+    lease->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _le_free_peer);
+    lease->servers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _le_free_server);
+    lease->tx_servers = g_ptr_array_new();
+    lease->conditions = g_array_new(FALSE, TRUE, sizeof(dl_condition));
+    lease->writes = g_array_new(FALSE, TRUE, sizeof(dl_write));
+    g_array_set_clear_func(lease->writes, _le_clear_write);
+    lease->keys = g_ptr_array_new_with_free_func(g_free);
+    return lease;
+}
+
+void
+le_destroy(le_lease *lease)
+{
+    if (!lease) {
+        return;
+    }
+    g_hash_table_unref(lease->peers);
+    g_hash_table_unref(lease->servers);
+    g_ptr_array_unref(lease->tx_servers);
+    g_array_unref(lease->conditions);
+    g_array_unref(lease->writes);
+    g_ptr_array_unref(lease->keys);
+    g_free(lease->tx_peer);
+    g_free(lease->instance);
+    g_free(lease->zone);
+    g_free(lease->address);
+    g_free(lease);
+}
+
+void
+le_feed_row(le_lease *lease, uint64_t now_us, const dl_row *row)
+{
+    if (g_str_has_prefix(row->key, "i/")) {
+        _le_feed_instance(lease, now_us, row->key + 2, row);
+    }
+    else if (g_str_has_prefix(row->key, "o/")) {
+        _le_feed_holder(lease, now_us, row->key + 2, row);
+    }
+}
+
+void
+le_begin_read(le_lease *lease)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((_le_peer *)value)->read = false;
+    }
+    g_hash_table_iter_init(&iter, lease->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((_le_server *)value)->read = false;
+    }
+}
+
+void
+le_end_read(le_lease *lease, uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _le_server *server = value;
+        if (!server->read && server->version) {
+            dl_row gone = {.version = server->version + 1};
+            _le_feed_holder(lease, now_us, server->id, &gone);
+        }
+    }
+    g_autoptr(GPtrArray) gone = g_ptr_array_new();
+    g_hash_table_iter_init(&iter, lease->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (!((_le_peer *)value)->read) {
+            g_ptr_array_add(gone, value);
+        }
+    }
+    for (guint i = 0; i < gone->len; i++) {
+        _le_peer *peer = gone->pdata[i];
+        dl_row row = {.version = peer->version + 1};
+        _le_feed_instance(lease, now_us, peer->instance, &row);
+    }
+    lease->known = true;
+}
+
+void
+le_feed_fresh(le_lease *lease, uint64_t now_us, uint64_t version)
+{
+    if (now_us > lease->fresh_us + _LE_GAP_MS * 1000ULL) {
+        lease->contact_us = now_us;
+    }
+    lease->fresh_us = now_us;
+    lease->store_version = MAX(lease->store_version, version);
+}
+
+void
+le_put_server(le_lease *lease, const char *id, const char *zone)
+{
+    _le_server *server = _le_server_of(lease, id);
+    if (g_strcmp0(server->zone, zone) != 0) {
+        g_free(server->zone);
+        server->zone = g_strdup(zone);
+    }
+}
+
+void
+le_remove_server(le_lease *lease, const char *id)
+{
+    _le_server *server = g_hash_table_lookup(lease->servers, id);
+    if (server) {
+        g_clear_pointer(&server->zone, g_free);
+    }
+}
+
+void
+le_leave(le_lease *lease)
+{
+    lease->leaving = true;
+}
+
+bool
+le_next_tx(le_lease *lease, uint64_t now_us, dl_tx *tx)
+{
+    if (!lease->known || lease->tx != _LE_NONE) {
+        return false;
+    }
+    g_array_set_size(lease->conditions, 0);
+    g_array_set_size(lease->writes, 0);
+    g_ptr_array_set_size(lease->keys, 0);
+    g_ptr_array_set_size(lease->tx_servers, 0);
+    lease->tx = _le_fill_tx(lease, now_us);
+    if (lease->tx == _LE_NONE) {
+        return false;
+    }
+    lease->tx_sent_us = now_us;
+    *tx = (dl_tx){
+        .conditions = (const dl_condition *)(void *)lease->conditions->data,
+        .condition_count = lease->conditions->len,
+        .writes = (const dl_write *)(void *)lease->writes->data,
+        .write_count = lease->writes->len,
+    };
+    return true;
+}
+
+void
+le_feed_result(le_lease *lease, uint64_t now_us, er_code code,
+               uint64_t version, const GArray *rows)
+{
+    _le_tx_kind kind = lease->tx;
+    if (code == ER_OK) {
+        _le_take_ok(lease, now_us, version);
+    }
+    else if (code == ER_CONFLICT) {
+        _le_take_conflict(lease, now_us, rows);
+        if (kind == _LE_RENEW) {
+            _le_take_renewal_conflict(lease, rows);
+        }
+    }
+    else if (kind == _LE_RENEW) {
+        /* Tried again soon: the lease goes on for a part of its time only. */
+        lease->next_renew_us = now_us + lease->renew_us / 4;
+    }
+    lease->tx = _LE_NONE;
+}
+
+uint64_t
+le_query_fence(const le_lease *lease, uint64_t clock_us, const char *id)
+{
+    const _le_server *server = g_hash_table_lookup(lease->servers, id);
+    bool held = lease->registered && !lease->leaving &&
+                clock_us < lease->renewed_us + lease->valid_us;
+    return held && server && _le_holds(lease, server) ? server->fence : 0;
+}
+
+const char *
+le_query_holder(const le_lease *lease, const char *id)
+{
+    const _le_server *server = g_hash_table_lookup(lease->servers, id);
+    if (!server || !server->holder || !server->holder[0]) {
+        return NULL;
+    }
+    const _le_peer *peer = g_hash_table_lookup(lease->peers, server->holder);
+    return peer && peer->public.incarnation == server->incarnation &&
+                   !peer->public.leaving
+               ? server->holder
+               : NULL;
+}
+
+uint32_t
+le_query_live(const le_lease *lease)
+{
+    return MAX(g_hash_table_size(lease->peers), 1);
+}
+
+bool
+le_query_held(const le_lease *lease, uint64_t clock_us)
+{
+    return lease->registered &&
+           clock_us < lease->renewed_us + lease->valid_us;
+}
+
+bool
+le_query_given_up(const le_lease *lease)
+{
+    return lease->given_up;
+}
+
+void
+le_each_peer(const le_lease *lease, le_peer_call call, void *user_data)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _le_peer *peer = value;
+        if (!_le_is_self(lease, peer->instance)) {
+            call(&peer->public, user_data);
+        }
+    }
+}
--- /dev/null
+++ b/packages/exchange/src/lease.h
@@ -0,0 +1,88 @@
+/*
+ * lease.h: which instance gives a backend server orders (prefix le_).
+ *
+ * Two kinds of rows in the own table of the platform's store:
+ *
+ *   i/INSTANCE  one for each running instance, written anew every renew_ms
+ *               under the condition of its last version
+ *   o/SERVER    the instance that orders, its incarnation, and the fence;
+ *               written when that changes only
+ *
+ * An instance orders while its last acknowledged renewal was sent less than
+ * valid_ms ago. Another ends it by removing its row, under the condition
+ * that the row has not changed, after it stood unchanged for takeover_ms on
+ * the other's own clock: the old one is silent for takeover_ms - valid_ms
+ * before any server of it has a new holder. A holder that leaves gives its
+ * servers up in the store; they wait for quiet_ms. A machine that starts
+ * again takes its own servers back at once, with a higher fence. Fences are
+ * versions of the store, so they rise also where rows were removed.
+ *
+ *     le_feed_row(lease, now_us, "i/b", value, 17);
+ *     if (le_next_tx(lease, now_us, &tx)) { write it; le_feed_result(...); }
+ *     if (le_query_fence(lease, clock_us, server_id)) { order }
+ *
+ * No sockets and no clock: the time comes in, of CLOCK_BOOTTIME, so that a
+ * suspended process finds its lease lapsed.
+ *
+ * Limits: one transaction at a time; names hold no slash.
+ */
+#ifndef LACEWING_LEASE_H
+#define LACEWING_LEASE_H
+
+#include "lacewing/dialect.h"
+
+typedef struct le_lease le_lease;
+
+typedef struct le_desc {
+    const char *instance; /* required */
+    const char *zone;     /* required */
+    const char *address;  /* for other instances, IP:PORT */
+    uint64_t incarnation; /* required, another at each start */
+    uint32_t lease_ms;    /* holders are this far apart; default 3000 */
+    uint32_t renew_ms;    /* default lease_ms / 3 */
+} le_desc;
+
+typedef struct le_peer {
+    const char *instance;
+    const char *zone;
+    const char *address;
+    uint64_t incarnation;
+    bool leaving;
+} le_peer;
+
+le_lease *le_create(const le_desc *desc);
+void le_destroy(le_lease *lease);
+
+/* Rows of the own table, as read or followed; value NULL: removed. */
+void le_feed_row(le_lease *lease, uint64_t now_us, const dl_row *row);
+/* All rows were read; those not fed since le_begin_read() are gone. */
+void le_begin_read(le_lease *lease);
+void le_end_read(le_lease *lease, uint64_t now_us);
+/* The store answered a read of the own table that was up to date then. */
+void le_feed_fresh(le_lease *lease, uint64_t now_us, uint64_t version);
+/* Servers that take orders; others are given up. */
+void le_put_server(le_lease *lease, const char *id, const char *zone);
+void le_remove_server(le_lease *lease, const char *id);
+/* The instance leaves: no order from now on, servers are given up. */
+void le_leave(le_lease *lease);
+
+/* The next transaction to write; valid until the next call. False: none. */
+bool le_next_tx(le_lease *lease, uint64_t now_us, dl_tx *tx);
+/* What came of it. rows: of ER_CONFLICT; version: of ER_OK. */
+void le_feed_result(le_lease *lease, uint64_t now_us, er_code code,
+                    uint64_t version, const GArray *rows);
+
+/* queries */
+/* Fence of an order to a server now; 0: none may be given from here. Ask
+   right before each order, with the clock read then. */
+uint64_t le_query_fence(const le_lease *lease, uint64_t clock_us,
+                        const char *server);
+/* Instance that orders a server, as far as known; NULL: none alive. */
+const char *le_query_holder(const le_lease *lease, const char *server);
+uint32_t le_query_live(const le_lease *lease);
+bool le_query_held(const le_lease *lease, uint64_t clock_us);
+bool le_query_given_up(const le_lease *lease);
+typedef void (*le_peer_call)(const le_peer *peer, void *user_data);
+void le_each_peer(const le_lease *lease, le_peer_call call, void *user_data);
+
+#endif
--- /dev/null
+++ b/packages/exchange/src/watch.c
@@ -0,0 +1,262 @@
+#include "watch.h"
+
+#include "lacewing/counter.h"
+#include "lacewing/log.h"
+
+#define _WT_WAIT_MS 3000
+/* An answer that the store holds comes this long after its time at the
+   latest; links across zones take some ms. */
+#define _WT_LATE_MS 900
+#define _WT_READ_TIMEOUT_MS 1500
+/* Between tries while the store does not answer, halved and doubled by
+   chance. */
+#define _WT_RETRY_MS 150
+#define _WT_RETRY_LONGEST_MS 600
+/* Answers further apart are an interruption. */
+#define _WT_GAP_US 1500000
+
+struct wt_watch {
+    wt_desc desc;
+    char *address;
+    char *table;
+    bool following;
+    char *page_after; /* last key of the page before */
+    uint64_t page_version;
+    uint64_t version;
+    uint64_t sent_us;
+    uint64_t fresh_us;
+    uint64_t gap_us;
+    uint64_t regained_us;
+    uint32_t failures;
+    bool lost;
+    bool *alive; /* false once destroyed, for calls under way */
+    tm_timer timer;
+};
+
+static void _wt_ask(wt_watch *watch);
+
+static void
+_wt_on_timer(uint64_t now_us, void *user_data)
+{
+    (void)now_us;
+    wt_watch *watch = user_data;
+    watch->timer.id = 0;
+    _wt_ask(watch);
+}
+
+static void
+_wt_ask_in(wt_watch *watch, uint32_t delay_ms)
+{
+    watch->timer = tm_make_timer(
+        watch->desc.timers, &(tm_timer_desc){.period_ms = MAX(delay_ms, 1),
+                                             .once = true,
+                                             .call = _wt_on_timer,
+                                             .user_data = watch});
+}
+
+static void
+_wt_failed(wt_watch *watch, const char *why)
+{
+    if (!watch->lost) {
+        watch->lost = true;
+        lg_write(LG_STORE_LOST, "table", watch->table, "why", why, NULL);
+    }
+    watch->failures++;
+    uint32_t delay_ms =
+        MIN(_WT_RETRY_MS << MIN(watch->failures, 2), _WT_RETRY_LONGEST_MS);
+    _wt_ask_in(watch, delay_ms / 2 +
+                          (uint32_t)g_random_int_range(0, (int)delay_ms));
+}
+
+static void
+_wt_good(wt_watch *watch, uint64_t version)
+{
+    uint64_t now_us = lp_query_now_us(watch->desc.loop);
+    if (watch->fresh_us &&
+        now_us - watch->fresh_us >
+            _WT_GAP_US + watch->desc.wait_ms * 1000ULL) {
+        watch->gap_us = now_us - watch->fresh_us;
+        watch->regained_us = now_us;
+    }
+    if (watch->lost) {
+        watch->lost = false;
+        watch->regained_us = now_us;
+        watch->gap_us = now_us - watch->fresh_us;
+        lg_write(LG_STORE_REGAINED, "table", watch->table, NULL);
+    }
+    watch->failures = 0;
+    watch->fresh_us = watch->sent_us;
+    watch->version = version;
+    watch->desc.calls->fresh(version, watch->desc.user_data);
+}
+
+static void
+_wt_tell(wt_watch *watch, const dl_rows *rows)
+{
+    for (guint i = 0; i < rows->rows->len; i++) {
+        watch->desc.calls->row(&g_array_index(rows->rows, dl_row, i),
+                               watch->desc.user_data);
+    }
+}
+
+static void
+_wt_take_page(wt_watch *watch, const dl_rows *rows)
+{
+    const wt_calls *calls = watch->desc.calls;
+    if (!watch->page_after) {
+        calls->read_began(watch->desc.user_data);
+        watch->page_version = rows->version;
+    }
+    _wt_tell(watch, rows);
+    g_clear_pointer(&watch->page_after, g_free);
+    if (rows->more && rows->rows->len) {
+        watch->page_after = g_strdup(
+            g_array_index(rows->rows, dl_row, rows->rows->len - 1).key);
+        _wt_ask(watch);
+        return;
+    }
+    calls->read_ended(watch->desc.user_data);
+    watch->following = true;
+    _wt_good(watch, watch->page_version);
+    _wt_ask_in(watch, watch->desc.pause_ms);
+}
+
+static void
+_wt_take(wt_watch *watch, const hc_answer *answer)
+{
+    er_status status = {0};
+    dl_rows rows = {0};
+    if (answer->status == 410 && watch->following) {
+        lg_write(LG_STORE_HISTORY, "table", watch->table, NULL);
+        watch->following = false;
+        _wt_ask(watch);
+        return;
+    }
+    if (answer->status != 200 ||
+        watch->desc.dialect->read_rows(answer->bytes, answer->count, &rows,
+                                       &status) != ER_OK) {
+        g_autofree char *why = g_strdup_printf(
+            "status %u %s", answer->status, status.message);
+        _wt_failed(watch, why);
+        return;
+    }
+    if (!watch->following) {
+        _wt_take_page(watch, &rows);
+    }
+    else {
+        _wt_tell(watch, &rows);
+        _wt_good(watch, MAX(rows.version, watch->version));
+        _wt_ask_in(watch, watch->desc.pause_ms);
+    }
+    dl_clear_rows(&rows);
+}
+
+typedef struct _wt_under_way {
+    wt_watch *watch;
+    bool *alive;
+} _wt_under_way;
+
+static void
+_wt_on_done(const hc_answer *answer, void *user_data)
+{
+    g_autofree _wt_under_way *call = user_data;
+    bool alive = *call->alive;
+    if (!alive) {
+        g_free(call->alive);
+        return;
+    }
+    call->watch->alive = NULL;
+    g_free(call->alive);
+    if (answer->code == ER_OK) {
+        _wt_take(call->watch, answer);
+    }
+    else {
+        _wt_failed(call->watch, er_query_name(answer->code));
+    }
+}
+
+static void
+_wt_ask(wt_watch *watch)
+{
+    const dl_dialect *dialect = watch->desc.dialect;
+    GString *path =
+        watch->following
+            ? dialect->write_feed_path(watch->table, watch->version,
+                                       watch->desc.wait_ms)
+            : dialect->write_get_path(watch->table, watch->page_after);
+    _wt_under_way *call = g_new0(_wt_under_way, 1);
+    call->watch = watch;
+    call->alive = g_new(bool, 1);
+    *call->alive = true;
+    watch->alive = call->alive;
+    watch->sent_us = lp_query_now_us(watch->desc.loop);
+    ct_add(CT_STORE_CALLS, 1);
+    hc_call(watch->desc.client,
+            &(hc_request){.address = watch->address,
+                          .method = "GET",
+                          .path = path->str,
+                          .timeout_ms = watch->following
+                                            ? watch->desc.wait_ms +
+                                                  _WT_LATE_MS
+                                            : _WT_READ_TIMEOUT_MS,
+                          .done = _wt_on_done,
+                          .user_data = call});
+    g_string_free(path, TRUE);
+}
+
+wt_watch *
+wt_create(const wt_desc *desc)
+{
+    g_assert(desc->client && desc->dialect && desc->calls);
+    wt_watch *watch = g_new0(wt_watch, 1);
+    watch->desc = *desc;
+    watch->address = g_strdup(desc->address);
+    watch->table = g_strdup(desc->table);
+    if (!watch->desc.wait_ms) {
+        watch->desc.wait_ms = _WT_WAIT_MS;
+    }
+    _wt_ask(watch);
+    return watch;
+}
+
+void
+wt_destroy(wt_watch *watch)
+{
+    if (!watch) {
+        return;
+    }
+    if (watch->alive) {
+        *watch->alive = false;
+    }
+    if (watch->timer.id) {
+        tm_destroy_timer(watch->desc.timers, watch->timer);
+    }
+    g_free(watch->page_after);
+    g_free(watch->address);
+    g_free(watch->table);
+    g_free(watch);
+}
+
+uint64_t
+wt_query_fresh_us(const wt_watch *watch)
+{
+    return watch->fresh_us;
+}
+
+uint64_t
+wt_query_gap_us(const wt_watch *watch)
+{
+    return watch->gap_us;
+}
+
+uint64_t
+wt_query_regained_us(const wt_watch *watch)
+{
+    return watch->regained_us;
+}
+
+bool
+wt_query_reachable(const wt_watch *watch)
+{
+    return !watch->lost;
+}
--- /dev/null
+++ b/packages/exchange/src/watch.h
@@ -0,0 +1,54 @@
+/*
+ * watch.h: follows the platform's tables (prefix wt_).
+ *
+ * Reads each table once, then asks for its changes. An answer that history is
+ * no longer there, or a row that is missing from a new read, is told as
+ * removals. After an interruption it goes on from the version it had.
+ *
+ * Limits: one answer at a time for each table; calls are priced, so tables
+ * that change all the time are asked with a pause.
+ */
+#ifndef LACEWING_WATCH_H
+#define LACEWING_WATCH_H
+
+#include "lacewing/call.h"
+#include "lacewing/dialect.h"
+
+typedef struct wt_watch wt_watch;
+
+typedef struct wt_calls {
+    /* A row as it is now; value NULL: removed. */
+    void (*row)(const dl_row *row, void *user_data);
+    /* A read of the whole table begins and ends; what it does not hold is
+       gone. */
+    void (*read_began)(void *user_data);
+    void (*read_ended)(void *user_data);
+    /* The table is known as of this version of the store. */
+    void (*fresh)(uint64_t version, void *user_data);
+} wt_calls;
+
+typedef struct wt_desc {
+    hc_client *client;         /* required */
+    lp_loop *loop;             /* required */
+    tm_service *timers;        /* required */
+    const dl_dialect *dialect; /* required */
+    const char *address;       /* required, of the store */
+    const char *table;         /* required */
+    uint32_t pause_ms;         /* between two answers; default 0 */
+    uint32_t wait_ms;          /* the store holds a call; default 3000 */
+    const wt_calls *calls;     /* required */
+    void *user_data;
+} wt_desc;
+
+wt_watch *wt_create(const wt_desc *desc);
+void wt_destroy(wt_watch *watch);
+
+/* queries */
+/* When the call was sent whose answer told the table last; 0: never. */
+uint64_t wt_query_fresh_us(const wt_watch *watch);
+/* Length of the last interruption and when it ended; 0: none. */
+uint64_t wt_query_gap_us(const wt_watch *watch);
+uint64_t wt_query_regained_us(const wt_watch *watch);
+bool wt_query_reachable(const wt_watch *watch);
+
+#endif
--- /dev/null
+++ b/packages/net/src/call.c
@@ -0,0 +1,194 @@
+#include "lacewing/call.h"
+
+#include <string.h>
+
+#define _HC_TICK_MS 50
+#define _HC_CAPACITY 16
+/* Connections that wait long for answers are in use, not idle; the rest goes
+   when nothing has used it for this long. */
+#define _HC_IDLE_MS 3000
+
+struct hc_client {
+    hc_desc desc;
+    GHashTable *pools; /* address -> us_pool */
+    GQueue calls;      /* _hc_call under way */
+    tm_timer tick;
+};
+
+typedef struct _hc_call {
+    hc_client *client;
+    us_line *line;
+    GList link;
+    uint64_t end_us;
+    hc_done done;
+    void *user_data;
+    GByteArray *body;
+} _hc_call;
+
+static void
+_hc_finish(_hc_call *call, const hc_answer *answer)
+{
+    g_queue_unlink(&call->client->calls, &call->link);
+    hc_done done = call->done;
+    void *user_data = call->user_data;
+    done(answer, user_data);
+    g_byte_array_unref(call->body);
+    g_free(call);
+}
+
+static void
+_hc_on_head(us_line *line, const h1_head *head, void *user_data)
+{
+    (void)line;
+    (void)head;
+    (void)user_data;
+}
+
+static void
+_hc_on_body(us_line *line, const char *bytes, size_t count, void *user_data)
+{
+    (void)line;
+    _hc_call *call = user_data;
+    if (call->body->len + count <= HC_ANSWER_BYTES) {
+        g_byte_array_append(call->body, (const guint8 *)bytes, (guint)count);
+    }
+}
+
+static void
+_hc_on_end(us_line *line, us_end end, void *user_data)
+{
+    _hc_call *call = user_data;
+    const h1_head *head = us_query_head(line);
+    hc_answer answer = {.code = ER_CONNECTION, .sent = end != US_NOT_SENT};
+    if (end == US_COMPLETE) {
+        answer.code = ER_OK;
+        answer.status = head->status;
+        answer.head = head;
+        answer.bytes = (const char *)call->body->data;
+        answer.count = call->body->len;
+    }
+    _hc_finish(call, &answer);
+}
+
+static const us_calls _hc_calls = {
+    .head = _hc_on_head, .body = _hc_on_body, .end = _hc_on_end};
+
+static void
+_hc_on_tick(uint64_t now_us, void *user_data)
+{
+    (void)now_us;
+    hc_client *client = user_data;
+    uint64_t clock_us = lp_query_now_us(client->desc.loop);
+    GList *next;
+    for (GList *at = client->calls.head; at; at = next) {
+        next = at->next;
+        _hc_call *call = at->data;
+        if (clock_us < call->end_us) {
+            continue;
+        }
+        hc_answer answer = {.code = ER_TIMEOUT, .sent = true};
+        if (call->line) {
+            answer.sent = us_query_sent(call->line);
+            us_cancel(call->line);
+        }
+        else {
+            answer.code = ER_CONNECTION;
+            answer.sent = false;
+        }
+        _hc_finish(call, &answer);
+        next = client->calls.head; /* a call back may have begun others */
+    }
+}
+
+hc_client *
+hc_create(const hc_desc *desc)
+{
+    g_assert(desc->hub && desc->loop && desc->timers);
+    hc_client *client = g_new0(hc_client, 1);
+    client->desc = *desc;
+    client->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)us_destroy);
+    g_queue_init(&client->calls);
+    client->tick = tm_make_timer(
+        desc->timers, &(tm_timer_desc){.period_ms = _HC_TICK_MS,
+                                       .call = _hc_on_tick,
+                                       .user_data = client});
+    return client;
+}
+
+void
+hc_destroy(hc_client *client)
+{
+    if (!client) {
+        return;
+    }
+    tm_destroy_timer(client->desc.timers, client->tick);
+    while (client->calls.head) {
+        _hc_call *call = client->calls.head->data;
+        if (call->line) {
+            us_cancel(call->line);
+        }
+        g_queue_unlink(&client->calls, &call->link);
+        g_byte_array_unref(call->body);
+        g_free(call);
+    }
+    g_hash_table_unref(client->pools);
+    g_free(client);
+}
+
+static us_pool *
+_hc_pool(hc_client *client, const char *address)
+{
+    us_pool *pool = g_hash_table_lookup(client->pools, address);
+    if (!pool) {
+        pool = us_create(&(us_pool_desc){.hub = client->desc.hub,
+                                         .loop = client->desc.loop,
+                                         .address = address,
+                                         .capacity = _HC_CAPACITY,
+                                         .idle_ms = _HC_IDLE_MS});
+        g_hash_table_insert(client->pools, g_strdup(address), pool);
+    }
+    return pool;
+}
+
+static void
+_hc_write(us_line *line, const hc_request *request)
+{
+    g_autoptr(GString) text = g_string_sized_new(256);
+    g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s",
+                           request->method, request->path, request->address,
+                           request->headers ? request->headers : "");
+    if (request->body) {
+        g_string_append_printf(
+            text, "Content-Type: %s\r\nContent-Length: %zu\r\n",
+            request->type, request->body_count);
+    }
+    g_string_append(text, "\r\n");
+    us_write(line, text->str, text->len);
+    if (request->body) {
+        us_write(line, request->body, request->body_count);
+    }
+}
+
+void
+hc_call(hc_client *client, const hc_request *request)
+{
+    _hc_call *call = g_new0(_hc_call, 1);
+    call->client = client;
+    call->link.data = call;
+    call->done = request->done;
+    call->user_data = request->user_data;
+    call->body = g_byte_array_new();
+    call->end_us = lp_query_now_us(client->desc.loop) +
+                   request->timeout_ms * 1000ULL;
+    g_queue_push_tail_link(&client->calls, &call->link);
+    call->line =
+        us_start(_hc_pool(client, request->address),
+                 &(us_desc){.calls = &_hc_calls, .user_data = call});
+    if (call->line) {
+        _hc_write(call->line, request);
+    }
+    else {
+        call->end_us = 0; /* the next tick tells the caller */
+    }
+}
--- /dev/null
+++ b/packages/net/src/conn.c
@@ -0,0 +1,498 @@
+#include "lacewing/conn.h"
+
+#include "lacewing/log.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define _NC_USER_TIMEOUT_MS 2000
+#define _NC_KEPT_BYTES 65536
+/* One read of a socket; larger inputs take further turns. */
+#define _NC_SCRATCH_BYTES 65536
+#define _NC_BACKLOG 512
+/* Accepted in one turn, so that requests under way are not held up. */
+#define _NC_ACCEPT_BATCH 64
+/* Keep-alive probes: silence ends an idle connection after about 2 s. */
+#define _NC_KEEPALIVE_IDLE_S 1
+#define _NC_KEEPALIVE_INTERVAL_S 1
+#define _NC_KEEPALIVE_PROBES 2
+
+struct nc_hub {
+    lp_loop *loop;
+    uint32_t user_timeout_ms;
+    uint32_t kept_bytes;
+    uint32_t count;
+    GPtrArray *dirty;
+    GPtrArray *dead;
+    char scratch[_NC_SCRATCH_BYTES];
+};
+
+struct nc_conn {
+    lp_watch watch;
+    nc_hub *hub;
+    const nc_calls *calls;
+    void *user_data;
+    GByteArray *kept;
+    GByteArray *out;
+    size_t out_start;
+    bool connecting;
+    bool closed;
+    bool dirty;
+    uint64_t sent_bytes;
+    bool paused;
+    bool finishing;
+};
+
+struct nc_listener {
+    lp_watch watch;
+    nc_hub *hub;
+    nc_accepted accepted;
+    void *user_data;
+};
+
+/* -- private: sockets ------------------------------------------------------ */
+
+static bool
+_nc_parse(const char *address, struct sockaddr_in *out)
+{
+    const char *colon = strrchr(address, ':');
+    char host[INET_ADDRSTRLEN];
+    if (!colon || (size_t)(colon - address) >= sizeof(host)) {
+        return false;
+    }
+    memcpy(host, address, (size_t)(colon - address));
+    host[colon - address] = '\0';
+    guint64 port = 0;
+    memset(out, 0, sizeof(*out));
+    out->sin_family = AF_INET;
+    if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL)) {
+        return false;
+    }
+    out->sin_port = htons((uint16_t)port);
+    return inet_pton(AF_INET, host, &out->sin_addr) == 1;
+}
+
+static void
+_nc_set_option(int fd, int level, int name, int value)
+{
+    setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+static void
+_nc_tune(const nc_hub *hub, int fd)
+{
+    _nc_set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    _nc_set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    _nc_set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, _NC_KEEPALIVE_IDLE_S);
+    _nc_set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, _NC_KEEPALIVE_INTERVAL_S);
+    _nc_set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, _NC_KEEPALIVE_PROBES);
+    _nc_set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   (int)hub->user_timeout_ms);
+}
+
+/* -- private: one connection ----------------------------------------------- */
+
+static void
+_nc_want(nc_conn *conn)
+{
+    uint32_t wanted = 0;
+    if (conn->connecting || conn->out->len > conn->out_start) {
+        wanted |= LP_WRITE;
+    }
+    if (!conn->connecting && !conn->paused) {
+        wanted |= LP_READ;
+    }
+    lp_set(conn->hub->loop, &conn->watch, wanted);
+}
+
+static void
+_nc_end(nc_conn *conn, nc_end end)
+{
+    if (conn->closed) {
+        return;
+    }
+    nc_close(conn);
+    if (conn->calls) {
+        conn->calls->closed(conn, end, conn->user_data);
+    }
+}
+
+static void
+_nc_flush(nc_conn *conn)
+{
+    while (!conn->closed && !conn->connecting &&
+           conn->out->len > conn->out_start) {
+        ssize_t count =
+            send(conn->watch.fd, conn->out->data + conn->out_start,
+                 conn->out->len - conn->out_start, MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR) {
+            continue;
+        }
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            break;
+        }
+        if (count < 0) {
+            _nc_end(conn, NC_LOST);
+            return;
+        }
+        conn->sent_bytes += (uint64_t)count;
+        conn->out_start += (size_t)count;
+    }
+    if (conn->closed || conn->connecting) {
+        return;
+    }
+    if (conn->out->len == conn->out_start) {
+        g_byte_array_set_size(conn->out, 0);
+        conn->out_start = 0;
+        if (conn->finishing) {
+            shutdown(conn->watch.fd, SHUT_WR);
+        }
+    }
+    _nc_want(conn);
+    if (conn->out->len == 0 && conn->calls && conn->calls->drained) {
+        conn->calls->drained(conn, conn->user_data);
+    }
+}
+
+static void
+_nc_mark(nc_conn *conn)
+{
+    if (!conn->dirty) {
+        conn->dirty = true;
+        g_ptr_array_add(conn->hub->dirty, conn);
+    }
+}
+
+static void
+_nc_offer(nc_conn *conn, const char *bytes, size_t count)
+{
+    if (conn->finishing || !conn->calls) {
+        return;
+    }
+    size_t used = conn->calls->data(conn, bytes, count, conn->user_data);
+    g_assert(used <= count);
+    if (!conn->closed && used < count) {
+        g_byte_array_append(conn->kept, (const guint8 *)bytes + used,
+                            (guint)(count - used));
+    }
+}
+
+static void
+_nc_offer_kept(nc_conn *conn)
+{
+    if (conn->kept->len == 0 || !conn->calls) {
+        return;
+    }
+    size_t used = conn->calls->data(conn, (const char *)conn->kept->data,
+                                    conn->kept->len, conn->user_data);
+    if (!conn->closed && used > 0) {
+        g_byte_array_remove_range(conn->kept, 0, (guint)used);
+    }
+}
+
+static void
+_nc_read(nc_conn *conn)
+{
+    nc_hub *hub = conn->hub;
+    ssize_t count = recv(conn->watch.fd, hub->scratch, sizeof(hub->scratch),
+                         0);
+    if (count < 0 &&
+        (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+        return;
+    }
+    if (count <= 0) {
+        _nc_end(conn, count == 0 ? NC_FINISHED : NC_LOST);
+        return;
+    }
+    if (conn->kept->len == 0) {
+        _nc_offer(conn, hub->scratch, (size_t)count);
+    }
+    else if (!conn->finishing) {
+        g_byte_array_append(conn->kept, (const guint8 *)hub->scratch,
+                            (guint)count);
+        _nc_offer_kept(conn);
+    }
+    if (!conn->closed && conn->kept->len > hub->kept_bytes) {
+        nc_pause(conn, true);
+    }
+}
+
+static void
+_nc_on_connected(nc_conn *conn)
+{
+    int failure = 0;
+    socklen_t size = sizeof(failure);
+    getsockopt(conn->watch.fd, SOL_SOCKET, SO_ERROR, &failure, &size);
+    if (failure) {
+        _nc_end(conn, NC_REFUSED);
+        return;
+    }
+    conn->connecting = false;
+    if (conn->calls->opened) {
+        conn->calls->opened(conn, conn->user_data);
+    }
+    if (!conn->closed) {
+        _nc_flush(conn);
+    }
+}
+
+static void
+_nc_on_ready(lp_watch *watch, uint32_t ready, void *user_data)
+{
+    (void)watch;
+    nc_conn *conn = user_data;
+    if (conn->connecting) {
+        if (ready & (LP_WRITE | LP_ERROR)) {
+            _nc_on_connected(conn);
+        }
+        return;
+    }
+    if (ready & (LP_READ | LP_ERROR)) {
+        _nc_read(conn);
+    }
+    if (!conn->closed && (ready & LP_WRITE)) {
+        _nc_flush(conn);
+    }
+}
+
+static nc_conn *
+_nc_make(nc_hub *hub, int fd)
+{
+    nc_conn *conn = g_new0(nc_conn, 1);
+    conn->hub = hub;
+    conn->kept = g_byte_array_new();
+    conn->out = g_byte_array_new();
+    conn->watch =
+        (lp_watch){.fd = fd, .call = _nc_on_ready, .user_data = conn};
+    hub->count++;
+    _nc_tune(hub, fd);
+    return conn;
+}
+
+static void
+_nc_free(void *data)
+{
+    nc_conn *conn = data;
+    g_byte_array_unref(conn->kept);
+    g_byte_array_unref(conn->out);
+    g_free(conn);
+}
+
+static void
+_nc_before_sleep(void *user_data)
+{
+    nc_hub *hub = user_data;
+    for (guint i = 0; i < hub->dirty->len; i++) {
+        nc_conn *conn = hub->dirty->pdata[i];
+        conn->dirty = false;
+        if (!conn->closed) {
+            _nc_flush(conn);
+        }
+    }
+    g_ptr_array_set_size(hub->dirty, 0);
+    g_ptr_array_set_size(hub->dead, 0);
+}
+
+/* -- public: hub and listener ---------------------------------------------- */
+
+nc_hub *
+nc_create(const nc_hub_desc *desc)
+{
+    g_assert(desc->loop);
+    nc_hub *hub = g_new0(nc_hub, 1);
+    hub->loop = desc->loop;
+    hub->user_timeout_ms =
+        desc->user_timeout_ms ? desc->user_timeout_ms : _NC_USER_TIMEOUT_MS;
+    hub->kept_bytes = desc->kept_bytes ? desc->kept_bytes : _NC_KEPT_BYTES;
+    hub->dirty = g_ptr_array_new();
+    hub->dead = g_ptr_array_new_with_free_func(_nc_free);
+    lp_add_before_sleep(hub->loop, _nc_before_sleep, hub);
+    return hub;
+}
+
+void
+nc_destroy(nc_hub *hub)
+{
+    if (hub) {
+        g_ptr_array_unref(hub->dirty);
+        g_ptr_array_unref(hub->dead);
+        g_free(hub);
+    }
+}
+
+static void
+_nc_on_accept(lp_watch *watch, uint32_t ready, void *user_data)
+{
+    (void)ready;
+    nc_listener *listener = user_data;
+    for (uint32_t i = 0; i < _NC_ACCEPT_BATCH; i++) {
+        int fd = accept4(watch->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        nc_conn *conn = _nc_make(listener->hub, fd);
+        listener->accepted(conn, listener->user_data);
+        if (!conn->closed) {
+            _nc_want(conn);
+        }
+    }
+}
+
+nc_listener *
+nc_listen(nc_hub *hub, const char *address, nc_accepted accepted,
+          void *user_data, er_status *status)
+{
+    struct sockaddr_in name;
+    if (!_nc_parse(address, &name)) {
+        er_set(status, ER_SETTING_RANGE, "%s: not IP:PORT", address);
+        return NULL;
+    }
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    _nc_set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (fd < 0 || bind(fd, (struct sockaddr *)&name, sizeof(name)) ||
+        listen(fd, _NC_BACKLOG)) {
+        er_set(status, ER_CONNECTION, "%s: %s", address, g_strerror(errno));
+        if (fd >= 0) {
+            close(fd);
+        }
+        return NULL;
+    }
+    nc_listener *listener = g_new0(nc_listener, 1);
+    listener->hub = hub;
+    listener->accepted = accepted;
+    listener->user_data = user_data;
+    listener->watch =
+        (lp_watch){.fd = fd, .call = _nc_on_accept, .user_data = listener};
+    lp_set(hub->loop, &listener->watch, LP_READ);
+    return listener;
+}
+
+void
+nc_unlisten(nc_listener *listener)
+{
+    if (listener) {
+        lp_clear(listener->hub->loop, &listener->watch);
+        close(listener->watch.fd);
+        g_free(listener);
+    }
+}
+
+/* -- public: connections --------------------------------------------------- */
+
+nc_conn *
+nc_connect(nc_hub *hub, const char *address, const nc_calls *calls,
+           void *user_data)
+{
+    struct sockaddr_in name;
+    if (!_nc_parse(address, &name)) {
+        return NULL;
+    }
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return NULL;
+    }
+    if (connect(fd, (struct sockaddr *)&name, sizeof(name)) &&
+        errno != EINPROGRESS) {
+        close(fd);
+        return NULL;
+    }
+    nc_conn *conn = _nc_make(hub, fd);
+    conn->connecting = true;
+    nc_set_calls(conn, calls, user_data);
+    _nc_want(conn);
+    return conn;
+}
+
+void
+nc_set_calls(nc_conn *conn, const nc_calls *calls, void *user_data)
+{
+    conn->calls = calls;
+    conn->user_data = user_data;
+}
+
+void
+nc_write(nc_conn *conn, const char *bytes, size_t count)
+{
+    if (conn->closed || count == 0) {
+        return;
+    }
+    g_byte_array_append(conn->out, (const guint8 *)bytes, (guint)count);
+    _nc_mark(conn);
+}
+
+void
+nc_resume(nc_conn *conn)
+{
+    if (!conn->closed) {
+        _nc_offer_kept(conn);
+    }
+    if (!conn->closed && conn->paused &&
+        conn->kept->len <= conn->hub->kept_bytes) {
+        nc_pause(conn, false);
+    }
+}
+
+void
+nc_pause(nc_conn *conn, bool paused)
+{
+    if (!conn->closed && conn->paused != paused) {
+        conn->paused = paused;
+        _nc_want(conn);
+    }
+}
+
+void
+nc_finish(nc_conn *conn)
+{
+    if (!conn->closed) {
+        conn->finishing = true;
+        _nc_mark(conn);
+    }
+}
+
+void
+nc_close(nc_conn *conn)
+{
+    if (conn->closed) {
+        return;
+    }
+    conn->closed = true;
+    lp_clear(conn->hub->loop, &conn->watch);
+    close(conn->watch.fd);
+    conn->hub->count--;
+    g_ptr_array_add(conn->hub->dead, conn);
+}
+
+bool
+nc_query_open(const nc_conn *conn)
+{
+    return !conn->connecting && !conn->closed;
+}
+
+uint64_t
+nc_query_sent(const nc_conn *conn)
+{
+    return conn->sent_bytes;
+}
+
+size_t
+nc_query_unsent(const nc_conn *conn)
+{
+    return conn->out->len - conn->out_start;
+}
+
+size_t
+nc_query_kept(const nc_conn *conn)
+{
+    return conn->kept->len;
+}
+
+uint32_t
+nc_query_count(const nc_hub *hub)
+{
+    return hub->count;
+}
