--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -500,6 +500,7 @@
     (void)now_us;
     nd_node *node = user_data;
     xc_tick(node->core);
+    or_tick(node->orderer);
 }
 
 static void
@@ -517,7 +518,6 @@
     (void)now_us;
     nd_node *node = user_data;
     _nd_write_tx(node);
-    or_tick(node->orderer);
     fl_each_server(node->fleet, _nd_mark_orders, node);
     bool held =
         le_query_held(node->lease, lp_query_now_us(node->desc.loop));
--- a/packages/exchange/src/orderer.c
+++ b/packages/exchange/src/orderer.c
@@ -7,9 +7,11 @@
 /* Orders and reports are answered within some ms; a server that is emptied
    or frozen is not. */
 #define _OR_TIMEOUT_MS 700
-/* Adapters on their way at full speed, over all servers. */
+/* Adapters on their way at full speed, over all servers; beyond it each takes
+   longer in proportion, so an uneven demand may take half as much more. */
 #define _OR_LOADING_ALL 16
-#define _OR_LOADING_LEAST 3
+#define _OR_LOADING_UNEVEN 1.5
+#define _OR_LOADING_LEAST 4
 /* Model loads of one instance in a row, beside its part of the rate. */
 #define _OR_MODEL_BURST 1.0
 /* Steps of one server in a turn. */
@@ -130,8 +132,9 @@
     if (!model) {
         return false;
     }
-    uint32_t share =
-        _OR_LOADING_ALL / le_query_live(orderer->desc.lease) + 1;
+    uint32_t servers = fl_query_usable(orderer->desc.fleet, server->service);
+    uint32_t share = (uint32_t)(_OR_LOADING_ALL * _OR_LOADING_UNEVEN *
+                                orderer->held->len / MAX(servers, 1));
     *room = (od_room){
         .model = model->name,
         .model_load_ms = model->load_ms,
