--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -330,7 +330,9 @@
         next = at->next;
         cr_conn *conn = at->data;
         if (conn->state == _CR_IDLE && nc_query_kept(conn->conn) == 0) {
-            _cr_free(conn);
+            /* What was answered last may still be on its way. */
+            _cr_enter(conn, _CR_CLOSING);
+            nc_finish(conn->conn);
         }
     }
 }
