Stop: orders go on to its end, and what might not end in time is refused

A leaving instance also gave up its servers at once, so that nobody ordered them for over 3 s; a machine that starts again now takes its own back at once.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -28,6 +28,15 @@
 #define _XC_WAIT_LEAST_US 600000
 /* Back in this time when no server can take a request, spread. */
 #define _XC_BACK_MS 400
+/* Of a whole answer at a busy server: a plain one, or a stream's first event;
+   and for each token that a stream may have. */
+#define _XC_PLAIN_LONGEST_US 1200000
+#define _XC_TOKEN_US 11000
+#define _XC_TOKENS_MOST 1000
+/* Another instance can take it at once. */
+#define _XC_ELSEWHERE_MS 20
+/* All instances leave: one is back in about this time. */
+#define _XC_RESTART_MS 1500
 
 /* -- private: core ------------------------------------------------------------ */
 
@@ -119,7 +128,11 @@
 {
     uint64_t now_us = xc_now_us(exchange);
     uint64_t patience_us = _xc_patience_us(exchange, why);
-    if (now_us >= exchange->begun_us + patience_us) {
+    if (exchange->waits_since_us == 0) {
+        exchange->waits_since_us = exchange->sends ? now_us
+                                                   : exchange->begun_us;
+    }
+    if (now_us >= exchange->waits_since_us + patience_us) {
         xc_give_up(exchange, why == FL_NO_COPY    ? "no copy of the adapter"
                              : why == FL_ALL_FULL ? "all servers full"
                                                   : "no server");
@@ -161,8 +174,8 @@
     }
 }
 
-void
-xc_dispatch(xc_exchange *exchange)
+static fl_want
+_xc_want(const xc_exchange *exchange)
 {
     fl_want want = {
         .service = exchange->service->name,
@@ -172,6 +185,26 @@
         .tried_count = exchange->tried_count,
     };
     memcpy(want.tried, exchange->tried, sizeof(want.tried));
+    return want;
+}
+
+/* Another server could take over what the present one is late with. */
+static bool
+_xc_has_other(const xc_exchange *exchange)
+{
+    fl_want want = _xc_want(exchange);
+    fl_choice choice;
+    if (want.tried_count == FL_TRIED) {
+        return false;
+    }
+    want.tried[want.tried_count++] = exchange->server;
+    return fl_choose(exchange->core->desc.fleet, &want, &choice);
+}
+
+void
+xc_dispatch(xc_exchange *exchange)
+{
+    fl_want want = _xc_want(exchange);
     fl_choice choice;
     while (fl_choose(exchange->core->desc.fleet, &want, &choice)) {
         if (choice.more_copies) {
@@ -243,6 +276,21 @@
                                              : NULL;
 }
 
+/* Time that the whole answer takes if it is as long as it may be. */
+static uint64_t
+_xc_longest_us(const xc_exchange *exchange)
+{
+    if (exchange->route->kind != RC_STREAM) {
+        return _XC_PLAIN_LONGEST_US;
+    }
+    const char *name = exchange->core->desc.dialect->headers[DL_TOKENS];
+    const char *tokens = h1_query_header(exchange->head, name);
+    const char *comma = tokens ? strchr(tokens, ',') : NULL;
+    uint64_t most = comma ? g_ascii_strtoull(comma + 1, NULL, 10)
+                          : _XC_TOKENS_MOST;
+    return _XC_PLAIN_LONGEST_US + most * _XC_TOKEN_US;
+}
+
 static void *
 _xc_on_request(cr_conn *caller, const h1_head *head, const char *body,
                size_t body_count, void *user_data)
@@ -283,6 +331,14 @@
         return NULL;
     }
     exchange->adapter = _xc_adapter(core, exchange->service, head);
+    if (core->leave_us &&
+        exchange->begun_us + _xc_longest_us(exchange) > core->leave_us) {
+        bool others = core->desc.calls->live(core->desc.user_data) > 1;
+        xc_refuse(exchange, 503,
+                  others ? _XC_ELSEWHERE_MS : _XC_RESTART_MS,
+                  "instance leaves");
+        return NULL;
+    }
     if (exchange->adapter) {
         fl_use(core->desc.fleet, exchange->adapter, exchange->begun_us);
     }
@@ -368,7 +424,8 @@
 static void
 _xc_look(xc_exchange *exchange, uint64_t now_us)
 {
-    if (now_us >= exchange->end_us) {
+    uint64_t leave_us = exchange->core->leave_us;
+    if (now_us >= exchange->end_us || (leave_us && now_us >= leave_us)) {
         _xc_time_out(exchange);
         return;
     }
@@ -378,7 +435,7 @@
         xc_dispatch(exchange);
         return;
     }
-    if (_xc_slow(exchange, now_us) &&
+    if (_xc_slow(exchange, now_us) && _xc_has_other(exchange) &&
         bg_take(xc_budget(exchange->core, exchange->service->name), now_us,
                 exchange->core->desc.calls->live(
                     exchange->core->desc.user_data))) {
@@ -391,7 +448,7 @@
     }
     if (exchange->state == XC_WAITS_COPY) {
         uint64_t patience_us = _xc_patience_us(exchange, FL_NO_COPY);
-        if (now_us >= exchange->begun_us + patience_us ||
+        if (now_us >= exchange->waits_since_us + patience_us ||
             now_us >= exchange->adapter->asked_us + _XC_ASK_AGAIN_US) {
             xc_stop_waiting(exchange);
             xc_dispatch(exchange);
@@ -468,6 +525,12 @@
     }
 }
 
+void
+xc_set_leave(xc_core *core, uint64_t leave_us)
+{
+    core->leave_us = leave_us;
+}
+
 void
 xc_drop_server(xc_core *core, fl_server *server)
 {
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -534,7 +534,7 @@
   (ProtobufCMessageInit) lacewing__exchange__instance_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__holder_row__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lacewing__exchange__holder_row__field_descriptors[4] =
 {
   {
     "instance",
@@ -572,16 +572,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "given_up",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__HolderRow, given_up),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__holder_row__field_indices_by_name[] = {
   2,   /* field[2] = fence */
+  3,   /* field[3] = given_up */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
 };
 static const ProtobufCIntRange lacewing__exchange__holder_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__holder_row__descriptor =
 {
@@ -591,7 +604,7 @@
   "Lacewing__Exchange__HolderRow",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__HolderRow),
-  3,
+  4,
   lacewing__exchange__holder_row__field_descriptors,
   lacewing__exchange__holder_row__field_indices_by_name,
   1,  lacewing__exchange__holder_row__number_ranges,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -52,7 +52,7 @@
 
 
 /*
- * Row o/SERVER. No holder: given up.
+ * Row o/SERVER.
  */
 struct  Lacewing__Exchange__HolderRow
 {
@@ -60,10 +60,14 @@
   char *instance;
   uint64_t incarnation;
   uint64_t fence;
+  /*
+   * the holder orders no more
+   */
+  protobuf_c_boolean given_up;
 };
 #define LACEWING__EXCHANGE__HOLDER_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__holder_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Lacewing__Exchange__CopyState
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -15,6 +15,7 @@
     GQueue crowded;     /* xc_exchange that wait for room at any server */
     GHashTable *budgets; /* service -> bg_budget */
     GRand *random;
+    uint64_t leave_us; /* the instance ends then; 0: it stays */
 };
 
 typedef enum xc_state {
@@ -40,6 +41,7 @@
     fl_adapter *adapter; /* NULL: a plain service */
     uint64_t begun_us;
     uint64_t end_us;   /* the caller or the route waits no longer */
+    uint64_t waits_since_us; /* without a server; 0: it does not */
     uint64_t asked_us; /* last time an adapter was asked for */
     bool begun;        /* the caller has the head of the answer */
     bool may_repeat;   /* its kind may run again after a failure */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -347,6 +347,7 @@
     exchange->line = line;
     exchange->server = server;
     exchange->sent_us = xc_now_us(exchange);
+    exchange->waits_since_us = 0;
     exchange->refused = false;
     exchange->spoilt = false;
     if (exchange->answer) {
--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -35,6 +35,7 @@
     char *zone; /* NULL: not listed */
     char *holder;
     uint64_t incarnation;
+    bool given_up;
     uint64_t fence;
     uint64_t version;  /* of its row; 0: none */
     uint64_t since_us; /* of this row, or of the entry without one */
@@ -71,7 +72,8 @@
     uint64_t store_version;
     uint64_t fresh_us;
     uint64_t contact_us; /* since when the store answers without a gap */
-    bool leaving;
+    bool leaving; /* takes no more servers */
+    bool left;    /* orders no more */
     bool given_up;
     _le_tx_kind tx;
     uint64_t tx_sent_us;
@@ -202,6 +204,7 @@
     server->version = row->value ? row->version : 0;
     server->since_us = now_us;
     server->incarnation = 0;
+    server->given_up = false;
     if (!row->value) {
         return;
     }
@@ -212,6 +215,7 @@
     if (read) {
         server->holder = g_strdup(read->instance);
         server->incarnation = read->incarnation;
+        server->given_up = read->given_up;
         server->fence = read->fence;
         lacewing__exchange__holder_row__free_unpacked(read, NULL);
     }
@@ -286,7 +290,7 @@
 _le_holds(const le_lease *lease, const _le_server *server)
 {
     return server->holder && _le_is_self(lease, server->holder) &&
-           server->incarnation == lease->incarnation;
+           server->incarnation == lease->incarnation && !server->given_up;
 }
 
 static bool
@@ -297,21 +301,23 @@
         return false;
     }
     uint64_t free_us = server->since_us; /* from when it may be claimed */
-    if (server->holder && server->holder[0]) {
+    if (server->holder) {
         if (_le_is_self(lease, server->holder)) {
-            return true;
+            return true; /* one machine is one holder */
         }
         const _le_peer *holder =
             g_hash_table_lookup(lease->peers, server->holder);
-        if (holder && holder->public.incarnation == server->incarnation) {
+        bool same =
+            holder && holder->public.incarnation == server->incarnation;
+        if (same && !server->given_up) {
             return false;
         }
-        free_us = holder ? holder->seen_us + lease->quiet_us : 0;
-    }
-    else if (server->holder) {
-        free_us = server->since_us + lease->quiet_us;
+        free_us = server->given_up ? server->since_us + lease->quiet_us
+                  : holder         ? holder->seen_us + lease->quiet_us
+                                   : 0;
     }
-    if (now_us < free_us) {
+    if (now_us < free_us ||
+        now_us < lease->registered_us + _LE_SETTLE_MS * 1000ULL) {
         return false;
     }
     return _le_meant_for_self(lease, server, now_us) ||
@@ -360,12 +366,13 @@
 }
 
 static void
-_le_write_holder(le_lease *lease, _le_server *server, const char *holder)
+_le_write_holder(le_lease *lease, _le_server *server, bool given_up)
 {
     Lacewing__Exchange__HolderRow row = LACEWING__EXCHANGE__HOLDER_ROW__INIT;
-    row.instance = (char *)holder;
+    row.instance = lease->instance;
     row.incarnation = lease->incarnation;
     row.fence = MAX(lease->store_version, server->version) + 1;
+    row.given_up = given_up;
     _le_add(lease, _le_key(lease, "o/", server->id), server->version,
             _le_pack(&row.base));
     g_ptr_array_add(lease->tx_servers, server);
@@ -401,10 +408,10 @@
            lease->tx_servers->len < _LE_TX_ROWS) {
         _le_server *server = value;
         if (kind == _LE_CLAIM && _le_may_claim(lease, server, now_us)) {
-            _le_write_holder(lease, server, lease->instance);
+            _le_write_holder(lease, server, false);
         }
         else if (kind == _LE_GIVE_UP && _le_holds(lease, server)) {
-            _le_write_holder(lease, server, "");
+            _le_write_holder(lease, server, true);
         }
         else if (kind == _LE_PRUNE && !server->zone &&
                  _le_holds(lease, server)) {
@@ -416,18 +423,10 @@
     return lease->tx_servers->len > 0;
 }
 
-static bool
-_le_settled(const le_lease *lease, uint64_t now_us)
-{
-    return lease->registered &&
-           now_us >= lease->registered_us + _LE_SETTLE_MS * 1000ULL &&
-           now_us < lease->renewed_us + lease->valid_us;
-}
-
 static _le_tx_kind
 _le_fill_tx(le_lease *lease, uint64_t now_us)
 {
-    if (lease->leaving) {
+    if (lease->left) {
         if (_le_write_servers(lease, now_us, _LE_GIVE_UP) ||
             lease->registered) {
             if (lease->registered) {
@@ -443,7 +442,8 @@
         _le_write_renewal(lease);
         return _LE_RENEW;
     }
-    if (!_le_settled(lease, now_us)) {
+    if (lease->leaving || !lease->registered ||
+        now_us >= lease->renewed_us + lease->valid_us) {
         return _LE_NONE;
     }
     if (now_us >= lease->contact_us + _LE_GAP_MS * 1000ULL &&
@@ -680,10 +680,18 @@
     }
 }
 
+void
+le_announce_leave(le_lease *lease)
+{
+    lease->leaving = true;
+    lease->next_renew_us = 0;
+}
+
 void
 le_leave(le_lease *lease)
 {
     lease->leaving = true;
+    lease->left = true;
 }
 
 bool
@@ -735,7 +743,7 @@
 le_query_fence(const le_lease *lease, uint64_t clock_us, const char *id)
 {
     const _le_server *server = g_hash_table_lookup(lease->servers, id);
-    bool held = lease->registered && !lease->leaving &&
+    bool held = lease->registered && !lease->left &&
                 clock_us < lease->renewed_us + lease->valid_us;
     return held && server && _le_holds(lease, server) ? server->fence : 0;
 }
@@ -744,12 +752,11 @@
 le_query_holder(const le_lease *lease, const char *id)
 {
     const _le_server *server = g_hash_table_lookup(lease->servers, id);
-    if (!server || !server->holder || !server->holder[0]) {
+    if (!server || !server->holder || server->given_up) {
         return NULL;
     }
     const _le_peer *peer = g_hash_table_lookup(lease->peers, server->holder);
-    return peer && peer->public.incarnation == server->incarnation &&
-                   !peer->public.leaving
+    return peer && peer->public.incarnation == server->incarnation
                ? server->holder
                : NULL;
 }
@@ -757,7 +764,14 @@
 uint32_t
 le_query_live(const le_lease *lease)
 {
-    return MAX(g_hash_table_size(lease->peers), 1);
+    uint32_t live = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        live += !((_le_peer *)value)->public.leaving;
+    }
+    return MAX(live, 1);
 }
 
 bool
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -63,7 +63,9 @@
 /* Servers that take orders; others are given up. */
 void le_put_server(le_lease *lease, const char *id, const char *zone);
 void le_remove_server(le_lease *lease, const char *id);
-/* The instance leaves: no order from now on, servers are given up. */
+/* The instance will leave: it takes no more servers, others see that. */
+void le_announce_leave(le_lease *lease);
+/* It leaves now: no order from now on, servers are given up. */
 void le_leave(le_lease *lease);
 
 /* The next transaction to write; valid until the next call. False: none. */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -37,7 +37,7 @@
    misses. */
 #define _ND_NOTICE_US 2600000
 /* Left of the grace period when the last answers are broken off. */
-#define _ND_LAST_US 400000
+#define _ND_LAST_US 500000
 #define _ND_TX_TIMEOUT_MS 1200
 
 struct nd_node {
@@ -571,11 +571,16 @@
     if (now_us < node->stop_us + _ND_NOTICE_US) {
         return;
     }
+    xc_set_leave(node->core, node->stop_us + grace_us - _ND_LAST_US);
     cr_close_idle(node->callers);
     bool idle = cr_query_busy(node->callers) == 0 &&
                 cr_query_open(node->callers) == 0;
+    uint64_t last_us = node->stop_us + grace_us - _ND_LAST_US;
+    if (idle || now_us >= last_us) {
+        le_leave(node->lease);
+    }
     if ((idle && le_query_given_up(node->lease)) ||
-        now_us >= node->stop_us + grace_us - _ND_LAST_US) {
+        now_us >= last_us + _ND_LAST_US / 2) {
         _nd_end_stop(node);
     }
 }
@@ -777,6 +782,6 @@
     }
     node->stop_us = lp_query_now_us(node->desc.loop);
     lg_write(LG_STOPPING, NULL);
-    le_leave(node->lease);
+    le_announce_leave(node->lease);
     cr_leave(node->callers);
 }
