Placement: copies move to fast servers by use; their speed is learned together

Ruled out: processor time (0.013 cores), waits for adapters (81 first events late). Also: a load that is asked after while on its way answers 202 and is no further order; counted as one, it led to a conflict and a new report.

--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -107,6 +107,9 @@
 /* Writes one entry; pairs of key and value follow, closed with NULL. */
 void lg_write(lg_item item, ...) __attribute__((sentinel));
 
+/* An entry of this item would be written: for fields that cost time. */
+bool lg_query_writes(lg_item item);
+
 /* Level of a name ("debug"...); LG_LEVEL_NUM when it is not one. */
 lg_level lg_query_level(const char *name);
 
--- a/packages/common/src/log.c
+++ b/packages/common/src/log.c
@@ -124,6 +124,12 @@
     }
 }
 
+bool
+lg_query_writes(lg_item item)
+{
+    return _lg.valid && _lg_entries[item].level >= _lg.level;
+}
+
 void
 lg_write(lg_item item, ...)
 {
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -842,7 +842,7 @@
   (ProtobufCMessageInit) lacewing__exchange__server_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__server_load__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lacewing__exchange__server_load__field_descriptors[4] =
 {
   {
     "id",
@@ -868,15 +868,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__ServerLoad, streams),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "event_ms_sum",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__ServerLoad, event_ms_sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__server_load__field_indices_by_name[] = {
+  3,   /* field[3] = event_ms_sum */
   0,   /* field[0] = id */
   1,   /* field[1] = in_flight */
+  2,   /* field[2] = streams */
 };
 static const ProtobufCIntRange lacewing__exchange__server_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__server_load__descriptor =
 {
@@ -886,7 +912,7 @@
   "Lacewing__Exchange__ServerLoad",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__ServerLoad),
-  2,
+  4,
   lacewing__exchange__server_load__field_descriptors,
   lacewing__exchange__server_load__field_indices_by_name,
   1,  lacewing__exchange__server_load__number_ranges,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -125,10 +125,16 @@
   ProtobufCMessage base;
   char *id;
   uint32_t in_flight;
+  /*
+   * Streams that ended since the last word, and the sum of their mean times
+   * between events.
+   */
+  uint32_t streams;
+  float event_ms_sum;
 };
 #define LACEWING__EXCHANGE__SERVER_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__server_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Lacewing__Exchange__Use
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -130,10 +130,15 @@
 void
 xc_pass_events(xc_exchange *exchange, const char *bytes, size_t count)
 {
-    exchange->last_us = xc_now_us(exchange);
+    uint64_t now_us = xc_now_us(exchange);
     if (exchange->pieces == 0) {
-        exchange->first_us = exchange->last_us;
+        exchange->first_us = now_us;
     }
+    else {
+        exchange->pause_us =
+            MAX(exchange->pause_us, now_us - exchange->last_us);
+    }
+    exchange->last_us = now_us;
     exchange->pieces++;
     if (exchange->route->resumable) {
         _xc_pass_whole(exchange, bytes, count);
@@ -143,10 +148,29 @@
     }
 }
 
+static void
+_xc_log_done(const xc_exchange *exchange)
+{
+    uint64_t begun_us = exchange->begun_us;
+    g_autofree char *times = g_strdup_printf(
+        "%u/%u/%u/%u", (uint32_t)((exchange->sent_us - begun_us) / 1000),
+        exchange->pieces ? (uint32_t)((exchange->first_us - begun_us) / 1000)
+                         : 0,
+        (uint32_t)(exchange->pause_us / 1000),
+        (uint32_t)((xc_now_us(exchange) - begun_us) / 1000));
+    lg_write(LG_DONE, "request", exchange->id, "route", exchange->route->name,
+             "adapter", exchange->adapter ? exchange->adapter->key : "-",
+             "server", exchange->answered_by, "sent/first/pause/all_ms",
+             times, NULL);
+}
+
 void
 xc_answer(xc_exchange *exchange)
 {
     ct_add(CT_ANSWERED, 1);
+    if (lg_query_writes(LG_DONE)) {
+        _xc_log_done(exchange);
+    }
     cr_conn *caller = exchange->caller;
     if (exchange->begun) {
         if (exchange->event && exchange->event->len) {
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -62,6 +62,8 @@
     /* streams */
     uint64_t first_us;
     uint64_t last_us;
+    uint64_t pause_us; /* longest between two pieces */
+    char answered_by[40]; /* server of the last send */
     uint32_t pieces;
     GByteArray *event; /* resumable: the event that is not whole yet */
     char *last_event;  /* id of the last whole event that was passed on */
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -28,14 +28,21 @@
 #define _FL_SHUN_US 400000
 #define _FL_SHUN_LONGEST_US 3000000
 #define _FL_SHUN_DOUBLINGS 3
-/* A further copy is due when the best one is this full, and a server without
-   one is at most half as full. */
-#define _FL_CROWDED 0.5
+/* A further copy is due when a server without one costs this much less, and
+   the adapter is used so often that it pays for the load. */
+#define _FL_DEARER 1.6
+#define _FL_COPY_USE 2.5
+/* Time between events where none is known yet; only ratios count. */
+#define _FL_EVENT_MS 40.0
+/* Slow servers are homes less often: a server's weight falls with this power
+   of its time between events. */
+#define _FL_HOME_POWER 1.5
 /* Requests beyond the slots wait at the server; up to this many per slot. */
 #define _FL_FULL 1.5
-/* Servers that an adapter is loaded to by choice: its first two by hash, so
-   that weights kept in a server's memory are found again. */
-#define _FL_HOMES 2
+/* Adapters on their way to a server at once; a home that is full of them or
+   of requests is passed over, unless others are far behind. */
+#define _FL_LOADING_FULL 4
+#define _FL_BUSY_RANK 0.2
 /* A copy that was used so lately may be in use by another instance. */
 #define _FL_IN_USE_US 300000
 
@@ -97,7 +104,6 @@
     server->zone = g_strdup(entry->zone);
     server->copies = g_ptr_array_new();
     server->peer_loads = g_array_new(FALSE, TRUE, sizeof(fl_peer_load));
-    server->pace = 1.0;
     server->hash = hs_u64(server->id);
     g_hash_table_insert(fleet->servers, server->id, server);
     g_ptr_array_add(_fl_service(fleet, server->service), server);
@@ -404,17 +410,25 @@
     return server->state == FL_READY && !_fl_tried(want, server);
 }
 
+/* Time of work at a server with what it has to do, in ms of an event or an
+   answer; only ratios count. */
+static double
+_fl_time(const fl_server *server, bool engine, uint64_t now_us)
+{
+    double fill = (double)fl_query_in_flight(server, now_us) / server->slots;
+    double time_ms = engine ? server->event_ms : server->latency_ms;
+    if (time_ms <= 0) {
+        time_ms = _FL_EVENT_MS;
+    }
+    return time_ms * (1.0 + fill + 4.0 * MAX(fill - 0.8, 0));
+}
+
 /* Cost of one more request at a server; lower is better. */
 static double
 _fl_cost(fl_fleet *fleet, const fl_want *want, const fl_server *server)
 {
-    double in_flight = fl_query_in_flight(server, want->now_us);
-    double fill = in_flight / server->slots;
-    double cost = server->pace * _fl_slowness(server, want->now_us);
-    if (!want->adapter && server->latency_ms > 0) {
-        cost *= server->latency_ms / 100.0;
-    }
-    cost *= 1.0 + fill + 4.0 * MAX(fill - 0.8, 0);
+    double cost = _fl_time(server, want->adapter != NULL, want->now_us) *
+                  _fl_slowness(server, want->now_us);
     cost *= 1.0 + _FL_FAIL_COST * server->failing;
     if (want->zone && strcmp(want->zone, server->zone) != 0) {
         cost *= 1.0 + _FL_ZONE_COST;
@@ -466,26 +480,44 @@
 }
 
 static bool
-_fl_crowded(const fl_fleet *fleet, const fl_want *want,
-            const fl_server *server)
+_fl_takes_copy(const fl_fleet *fleet, const fl_server *server,
+               const fl_adapter *adapter, uint64_t now_us)
 {
-    double fill =
-        (double)fl_query_in_flight(server, want->now_us) / server->slots;
-    if (fill < _FL_CROWDED) {
-        return false;
-    }
-    const GPtrArray *list =
-        g_hash_table_lookup(fleet->services, server->service);
+    fl_adapter *model = g_hash_table_lookup(fleet->adapters, adapter->model);
+    const fl_copy *base = model ? fl_query_copy(server, model) : NULL;
+    return server->state == FL_READY && server->orders_possible && base &&
+           !base->loading && now_us >= server->shunned_until_us &&
+           !fl_query_copy(server, adapter);
+}
+
+/* The server without a copy that would serve best. */
+static fl_server *
+_fl_best_without(const fl_fleet *fleet, const char *service,
+                 const fl_adapter *adapter, uint64_t now_us)
+{
+    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
+    fl_server *best = NULL;
     for (guint i = 0; list && i < list->len; i++) {
-        const fl_server *other = list->pdata[i];
-        double other_fill =
-            (double)fl_query_in_flight(other, want->now_us) / other->slots;
-        if (other->state == FL_READY && other->orders_possible &&
-            other_fill <= fill / 2 && !fl_query_copy(other, want->adapter)) {
-            return true;
+        fl_server *server = list->pdata[i];
+        if (_fl_takes_copy(fleet, server, adapter, now_us) &&
+            (!best || _fl_time(server, true, now_us) <
+                          _fl_time(best, true, now_us))) {
+            best = server;
         }
     }
-    return false;
+    return best;
+}
+
+static bool
+_fl_pays(const fl_fleet *fleet, const fl_want *want, const fl_server *server)
+{
+    if (fl_query_use(want->adapter, want->now_us) < _FL_COPY_USE) {
+        return false;
+    }
+    const fl_server *other = _fl_best_without(fleet, want->service,
+                                              want->adapter, want->now_us);
+    return other && _fl_time(server, true, want->now_us) >
+                        _fl_time(other, true, want->now_us) * _FL_DEARER;
 }
 
 static void
@@ -528,76 +560,62 @@
     }
     out->version = adapter->name ? adapter->version : 0;
     out->more_copies =
-        adapter->name && _fl_crowded(fleet, want, out->server);
+        adapter->name && _fl_pays(fleet, want, out->server);
     return true;
 }
 
 /* -- public: placing -------------------------------------------------------- */
 
-static uint64_t
+/* Weighted rendezvous: each adapter has its own order of the servers, where
+   fast ones come first more often. */
+static double
 _fl_rank(const fl_adapter *adapter, const fl_server *server)
 {
     uint64_t mixed = adapter->hash ^ (server->hash * 0x9e3779b97f4a7c15ULL);
     mixed ^= mixed >> 29;
     mixed *= 0xbf58476d1ce4e5b9ULL;
-    return mixed ^ (mixed >> 32);
+    mixed ^= mixed >> 32;
+    double draw = ((double)(mixed >> 11) + 0.5) / 9007199254740992.0;
+    double event_ms =
+        server->event_ms > 0 ? server->event_ms : _FL_EVENT_MS;
+    return -pow(_FL_EVENT_MS / event_ms, _FL_HOME_POWER) / log(draw);
 }
 
 static bool
-_fl_takes_copy(const fl_fleet *fleet, fl_server *server,
-               const fl_adapter *adapter, uint64_t now_us)
-{
-    fl_adapter *model = g_hash_table_lookup(fleet->adapters, adapter->model);
-    const fl_copy *base = model ? fl_query_copy(server, model) : NULL;
-    return server->state == FL_READY && server->orders_possible && base &&
-           !base->loading && now_us >= server->shunned_until_us &&
-           !fl_query_copy(server, adapter);
-}
-
-static double
-_fl_fill(const fl_server *server, uint64_t now_us)
+_fl_loading_full(const fl_server *server)
 {
     uint32_t loading = 0;
     for (guint i = 0; i < server->copies->len; i++) {
         loading += ((fl_copy *)server->copies->pdata[i])->loading;
     }
-    return (double)fl_query_in_flight(server, now_us) / server->slots *
-               server->pace +
-           loading * 0.1;
+    return loading >= _FL_LOADING_FULL;
 }
 
 fl_server *
 fl_place(fl_fleet *fleet, const char *service, fl_adapter *adapter,
          uint64_t now_us)
 {
+    if (adapter->copies->len) {
+        return _fl_best_without(fleet, service, adapter, now_us);
+    }
     const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
-    fl_server *homes[_FL_HOMES] = {0};
-    fl_server *emptiest = NULL;
+    fl_server *home = NULL;
+    double best = 0;
     for (guint i = 0; list && i < list->len; i++) {
         fl_server *server = list->pdata[i];
         if (!_fl_takes_copy(fleet, server, adapter, now_us)) {
             continue;
         }
-        if (!emptiest ||
-            _fl_fill(server, now_us) < _fl_fill(emptiest, now_us)) {
-            emptiest = server;
+        double rank = _fl_rank(adapter, server);
+        if (_fl_loading_full(server) || _fl_full(server, now_us)) {
+            rank *= _FL_BUSY_RANK;
         }
-        for (uint32_t j = 0; j < _FL_HOMES; j++) {
-            if (!homes[j] ||
-                _fl_rank(adapter, server) > _fl_rank(adapter, homes[j])) {
-                memmove(&homes[j + 1], &homes[j],
-                        (_FL_HOMES - 1 - j) * sizeof(homes[0]));
-                homes[j] = server;
-                break;
-            }
+        if (!home || rank > best) {
+            home = server;
+            best = rank;
         }
     }
-    fl_server *best = homes[0];
-    if (homes[1] && _fl_fill(homes[1], now_us) + 0.25 <
-                        _fl_fill(homes[0], now_us)) {
-        best = homes[1];
-    }
-    return best && _fl_fill(best, now_us) > 0.8 ? emptiest : best;
+    return home;
 }
 
 fl_copy *
@@ -651,6 +669,19 @@
     }
 }
 
+void
+fl_learn_streams(fl_server *server, uint32_t streams, double event_ms_sum)
+{
+    if (streams == 0 || !(event_ms_sum > 0)) {
+        return;
+    }
+    double mean_ms = event_ms_sum / streams;
+    double part = server->event_ms > 0
+                      ? 1.0 - pow(1.0 - _FL_LEARN, streams)
+                      : 1.0;
+    server->event_ms += part * (mean_ms - server->event_ms);
+}
+
 static void
 _fl_learn_good(fl_server *server, const fl_result *result)
 {
@@ -663,10 +694,9 @@
             (result->latency_ms - server->latency_ms);
     }
     if (result->event_ms > 0) {
-        /* Against 40 ms an event, about the usual of these engines; only the
-           ratio between servers counts. */
-        double pace = CLAMP(result->event_ms / 40.0, 0.3, 6.0);
-        server->pace += _FL_LEARN * (pace - server->pace);
+        fl_learn_streams(server, 1, result->event_ms);
+        server->streams_to_tell++;
+        server->event_ms_to_tell += result->event_ms;
     }
 }
 
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -48,6 +48,7 @@
     uint64_t version; /* 0: not told */
     bool loading;
     uint64_t since_us; /* of this state */
+    uint64_t asked_us; /* of the holder: not asked after before */
     uint32_t own_in_flight;
 } fl_copy;
 
@@ -86,7 +87,9 @@
     GArray *peer_loads; /* fl_peer_load */
     dl_load load;       /* as it told last */
     uint64_t load_us;
-    double pace;          /* time of work against the service's usual */
+    double event_ms;      /* streams: between two events; 0: not known */
+    uint32_t streams_to_tell; /* that ended since peers were told */
+    double event_ms_to_tell;  /* sum over these */
     double latency_ms;    /* plain services: of an answer */
     double failing;       /* share of late requests that failed, 0 to 1 */
     uint32_t failed_in_row;
@@ -157,6 +160,9 @@
 void fl_drop_copy(fl_server *server, fl_adapter *adapter);
 void fl_drop_copies(fl_server *server);
 
+/* Streams that other instances had there. */
+void fl_learn_streams(fl_server *server, uint32_t streams,
+                      double event_ms_sum);
 /* Requests of other instances. */
 void fl_set_peer_load(fl_server *server, uint32_t peer, uint32_t in_flight,
                       uint64_t now_us);
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -190,7 +190,7 @@
 {
     _gp_loads *all = user_data;
     bool had = g_hash_table_contains(all->peers->loaded, server->id);
-    if (server->own_in_flight == 0 && !had) {
+    if (server->own_in_flight == 0 && !had && !server->streams_to_tell) {
         return;
     }
     Lacewing__Exchange__ServerLoad *load =
@@ -198,6 +198,10 @@
     lacewing__exchange__server_load__init(load);
     load->id = server->id;
     load->in_flight = server->own_in_flight;
+    load->streams = server->streams_to_tell;
+    load->event_ms_sum = (float)server->event_ms_to_tell;
+    server->streams_to_tell = 0;
+    server->event_ms_to_tell = 0;
     g_ptr_array_add(all->loads, load);
     if (server->own_in_flight) {
         g_hash_table_add(all->peers->loaded, g_strdup(server->id));
@@ -324,6 +328,8 @@
             fl_query_server(peers->desc.fleet, word->loads[i]->id);
         if (server) {
             fl_set_peer_load(server, peer, word->loads[i]->in_flight, now_us);
+            fl_learn_streams(server, word->loads[i]->streams,
+                             word->loads[i]->event_ms_sum);
         }
     }
     for (size_t i = 0; i < word->n_uses; i++) {
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -5,15 +5,14 @@
 #define _OD_LOADING_CAPACITY 4
 #define _OD_ADAPTER_LOAD_MS 250
 /* Weights that a server has at hand arrive this much sooner. */
-#define _OD_AT_HAND_MS 25
+#define _OD_AT_HAND_US 26000
 /* A load that is not done when it should be is asked after again. */
-#define _OD_AGAIN_US 30000
+#define _OD_AGAIN_US 15000
 /* State of a server is some hundred ms old when it tells it. */
 #define _OD_REPORT_LAG_US 350000
 #define _OD_REPORT_RETRY_US 500000
 /* Nobody waits for an adapter that was asked for longer ago. */
 #define _OD_WANT_US 1500000
-/* What has been loaded stays at least as long, unless it is out of date. */
 
 typedef struct _od_want {
     fl_adapter *adapter;
@@ -34,7 +33,9 @@
     fl_adapter *ordered; /* of the order under way */
     dl_order_kind ordered_kind;
     uint64_t ordered_version;
-    GArray *wants; /* _od_want */
+    bool asking;       /* the order under way asks after a load */
+    GHashTable *known_here; /* adapters whose weights the server has at hand */
+    GArray *wants;     /* _od_want */
 };
 
 od_plan *
@@ -49,6 +50,7 @@
     plan->adapter_load_us =
         1000ULL *
         (desc->adapter_load_ms ? desc->adapter_load_ms : _OD_ADAPTER_LOAD_MS);
+    plan->known_here = g_hash_table_new(NULL, NULL);
     plan->wants = g_array_new(FALSE, TRUE, sizeof(_od_want));
     return plan;
 }
@@ -57,6 +59,7 @@
 od_destroy(od_plan *plan)
 {
     if (plan) {
+        g_hash_table_unref(plan->known_here);
         g_array_unref(plan->wants);
         g_free(plan);
     }
@@ -91,6 +94,7 @@
 {
     plan->under_way = true;
     plan->reporting = false;
+    plan->asking = false;
     plan->ordered = adapter;
     plan->ordered_kind = kind;
     plan->ordered_version = version;
@@ -109,16 +113,28 @@
     return adapter->name ? adapter->version : 0;
 }
 
+/* Time until a load is asked after: what it usually takes. */
+static uint64_t
+_od_span_us(const od_plan *plan, const fl_adapter *adapter,
+            uint32_t model_load_ms)
+{
+    if (!adapter->name) {
+        return model_load_ms * 1000ULL;
+    }
+    return g_hash_table_contains(plan->known_here, adapter)
+               ? _OD_AT_HAND_US
+               : plan->adapter_load_us;
+}
+
 /* A load that should have arrived: the same order tells. */
 static fl_copy *
 _od_due(const od_plan *plan, uint64_t now_us, const od_room *room)
 {
     for (guint i = 0; i < plan->server->copies->len; i++) {
         fl_copy *copy = plan->server->copies->pdata[i];
-        uint64_t span_us = copy->adapter->name
-                               ? plan->adapter_load_us
-                               : room->model_load_ms * 1000ULL;
-        if (copy->loading && now_us >= copy->since_us + span_us) {
+        if (copy->loading && now_us >= copy->asked_us &&
+            now_us >= copy->since_us + _od_span_us(plan, copy->adapter,
+                                                   room->model_load_ms)) {
             return copy;
         }
     }
@@ -212,8 +228,10 @@
     }
     fl_copy *due = _od_due(plan, now_us, room);
     if (due) {
-        return _od_order(plan, DL_LOAD, due->adapter,
-                         _od_version(due->adapter));
+        od_step step = _od_order(plan, DL_LOAD, due->adapter,
+                                 _od_version(due->adapter));
+        plan->asking = true;
+        return step;
     }
     fl_adapter *model = fl_intern(plan->fleet, room->model);
     fl_copy *base = fl_query_copy(plan->server, model);
@@ -231,6 +249,11 @@
 static void
 _od_taken(od_plan *plan, uint64_t now_us)
 {
+    fl_copy *copy = fl_query_copy(plan->server, plan->ordered);
+    if (plan->asking && copy && copy->loading) {
+        copy->asked_us = now_us + _OD_AGAIN_US; /* not a further order */
+        return;
+    }
     plan->orders++;
     if (plan->ordered_kind == DL_UNLOAD) {
         /* Its runs go on first: what it still holds is asked for. */
@@ -252,19 +275,13 @@
     }
     fl_put_copy(plan->server, plan->ordered, plan->ordered_version, false,
                 now_us);
+    g_hash_table_add(plan->known_here, plan->ordered);
     _od_drop_want(plan, plan->ordered);
 }
 
 static void
 _od_conflict(od_plan *plan, uint64_t now_us)
 {
-    fl_copy *copy = fl_query_copy(plan->server, plan->ordered);
-    if (copy && copy->loading) {
-        /* Still on its way, as it seems; after a while its state is asked. */
-        uint64_t span_us = copy->adapter->name ? plan->adapter_load_us
-                                               : _OD_REPORT_RETRY_US;
-        copy->since_us = now_us + _OD_AGAIN_US - span_us;
-    }
     od_forget(plan, now_us + _OD_REPORT_LAG_US);
 }
 
