--- a/packages/net/include/lacewing/call.h
+++ b/packages/net/include/lacewing/call.h
@@ -53,5 +53,8 @@
 /* Calls under way are dropped without a call back. */
 void hc_destroy(hc_client *client);
 void hc_call(hc_client *client, const hc_request *request);
+/* The same with another Host than the address. */
+void hc_call_as(hc_client *client, const hc_request *request,
+                const char *host);
 
 #endif
--- a/packages/net/src/call.c
+++ b/packages/net/src/call.c
@@ -17,6 +17,7 @@
 
 typedef struct _hc_call {
     hc_client *client;
+    us_pool *pool;
     us_line *line;
     GList link;
     uint64_t end_us;
@@ -90,6 +91,8 @@
         if (call->line) {
             answer.sent = us_query_sent(call->line);
             us_cancel(call->line);
+            /* Others of that address may be as silent. */
+            us_drop_idle(call->pool);
         }
         else {
             answer.code = ER_CONNECTION;
@@ -152,11 +155,11 @@
 }
 
 static void
-_hc_write(us_line *line, const hc_request *request)
+_hc_write(us_line *line, const hc_request *request, const char *host)
 {
     g_autoptr(GString) text = g_string_sized_new(256);
     g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s",
-                           request->method, request->path, request->address,
+                           request->method, request->path, host,
                            request->headers ? request->headers : "");
     if (request->body) {
         g_string_append_printf(
@@ -172,6 +175,12 @@
 
 void
 hc_call(hc_client *client, const hc_request *request)
+{
+    hc_call_as(client, request, request->address);
+}
+
+void
+hc_call_as(hc_client *client, const hc_request *request, const char *host)
 {
     _hc_call *call = g_new0(_hc_call, 1);
     call->client = client;
@@ -182,11 +191,12 @@
     call->end_us = lp_query_now_us(client->desc.loop) +
                    request->timeout_ms * 1000ULL;
     g_queue_push_tail_link(&client->calls, &call->link);
+    call->pool = _hc_pool(client, request->address);
     call->line =
-        us_start(_hc_pool(client, request->address),
+        us_start(call->pool,
                  &(us_desc){.calls = &_hc_calls, .user_data = call});
     if (call->line) {
-        _hc_write(call->line, request);
+        _hc_write(call->line, request, host);
     }
     else {
         call->end_us = 0; /* the next tick tells the caller */
