--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -84,7 +84,8 @@
     return EXIT_SUCCESS;
 }
 
-/* -- private: an instance on a platform with its own protocol -------------- */
+/* -- private: an instance on a platform with its own protocol --------------
+ */
 
 typedef struct _mn_instance {
     lp_loop *loop;
@@ -127,13 +128,12 @@
     er_status status = {0};
     _mn_instance instance = {.file = file};
     instance.loop = lp_create();
-    instance.node =
-        nd_create(&(nd_desc){.settings = settings,
-                             .dialect = up_query_dialect(),
-                             .loop = instance.loop,
-                             .stopped = _mn_on_node_stopped,
-                             .user_data = &instance},
-                  &status);
+    instance.node = nd_create(&(nd_desc){.settings = settings,
+                                         .dialect = up_query_dialect(),
+                                         .loop = instance.loop,
+                                         .stopped = _mn_on_node_stopped,
+                                         .user_data = &instance},
+                              &status);
     if (!instance.node) {
         lg_write(LG_LISTEN_FAILED, "why", status.message, NULL);
         lp_destroy(instance.loop);
--- a/packages/exchange/include/lacewing/routes.h
+++ b/packages/exchange/include/lacewing/routes.h
@@ -37,13 +37,13 @@
     char *host;
     char *prefix; /* begins and ends with a slash */
     rc_kind kind;
-    uint32_t timeout_ms;       /* longest wait for the whole answer */
-    uint32_t target_ms;        /* full credit: to the answer or first event */
-    uint32_t gap_target_ms;    /* streams: longest pause between events */
-    uint32_t urgency;          /* 0 first */
-    uint32_t max_servers;      /* that may run one request */
-    bool resumable;            /* streams: may go on at another server */
-    GArray *targets;           /* rc_target; one unless the route is split */
+    uint32_t timeout_ms;    /* longest wait for the whole answer */
+    uint32_t target_ms;     /* full credit: to the answer or first event */
+    uint32_t gap_target_ms; /* streams: longest pause between events */
+    uint32_t urgency;       /* 0 first */
+    uint32_t max_servers;   /* that may run one request */
+    bool resumable;         /* streams: may go on at another server */
+    GArray *targets;        /* rc_target; one unless the route is split */
     uint32_t weight_sum;
 } rc_route;
 
--- a/packages/exchange/src/budget.c
+++ b/packages/exchange/src/budget.c
@@ -68,9 +68,8 @@
         first += i < _BG_STEPS ? budget->first[i] : 0;
         again += budget->again[i];
     }
-    double allowed =
-        _BG_SHARE * (budget->desc.ratio * first +
-                     budget->desc.slack / MAX(live_instances, 1));
+    double allowed = _BG_SHARE * (budget->desc.ratio * first +
+                                  budget->desc.slack / MAX(live_instances, 1));
     return allowed - again;
 }
 
--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -17,8 +17,8 @@
 typedef enum _cr_state {
     _CR_IDLE = 0,
     _CR_READING,
-    _CR_BUSY,    /* a request is with the user */
-    _CR_CLOSING  /* the last answer is on its way */
+    _CR_BUSY,   /* a request is with the user */
+    _CR_CLOSING /* the last answer is on its way */
 } _cr_state;
 
 struct cr_port {
@@ -42,11 +42,12 @@
     uint32_t refused; /* status that the request gets without being run */
     bool chunked;     /* the answer under way is sent in chunks */
     bool begun;
-    bool in_request;  /* the user's request() is being called */
+    bool in_request; /* the user's request() is being called */
     bool keep;
 };
 
-/* -- private: states ---------------------------------------------------------- */
+/* -- private: states
+ * ---------------------------------------------------------- */
 
 static void
 _cr_free(cr_conn *conn)
@@ -86,7 +87,8 @@
     }
 }
 
-/* -- private: reading ---------------------------------------------------------- */
+/* -- private: reading
+ * ---------------------------------------------------------- */
 
 static bool
 _cr_on_head(const h1_head *head, void *user_data)
@@ -198,9 +200,8 @@
     }
 }
 
-static const nc_calls _cr_conn_calls = {.data = _cr_on_data,
-                                        .closed = _cr_on_closed,
-                                        .drained = _cr_on_drained};
+static const nc_calls _cr_conn_calls = {
+    .data = _cr_on_data, .closed = _cr_on_closed, .drained = _cr_on_drained};
 
 static void
 _cr_on_accepted(nc_conn *nc, void *user_data)
@@ -220,7 +221,8 @@
     nc_set_calls(nc, &_cr_conn_calls, conn);
 }
 
-/* -- public: the port ------------------------------------------------------------ */
+/* -- public: the port
+ * ------------------------------------------------------------ */
 
 cr_port *
 cr_create(const cr_desc *desc, er_status *status)
@@ -229,8 +231,8 @@
     port->desc = *desc;
     g_queue_init(&port->conns);
     cr_set_limits(port, &(rc_limits){0});
-    port->listener = nc_listen(desc->hub, desc->address, _cr_on_accepted,
-                               port, status);
+    port->listener =
+        nc_listen(desc->hub, desc->address, _cr_on_accepted, port, status);
     if (!port->listener) {
         g_free(port);
         return NULL;
@@ -259,10 +261,8 @@
 cr_set_limits(cr_port *port, const rc_limits *limits)
 {
     port->limits = (rc_limits){
-        .head_bytes = limits->head_bytes ? limits->head_bytes
-                                         : _CR_HEAD_BYTES,
-        .body_bytes = limits->body_bytes ? limits->body_bytes
-                                         : _CR_BODY_BYTES,
+        .head_bytes = limits->head_bytes ? limits->head_bytes : _CR_HEAD_BYTES,
+        .body_bytes = limits->body_bytes ? limits->body_bytes : _CR_BODY_BYTES,
         .head_ms = limits->head_ms ? limits->head_ms : _CR_HEAD_MS,
         .idle_ms = limits->idle_ms ? limits->idle_ms : _CR_IDLE_MS,
     };
@@ -337,7 +337,8 @@
     }
 }
 
-/* -- public: answers --------------------------------------------------------------- */
+/* -- public: answers
+ * --------------------------------------------------------------- */
 
 static void
 _cr_write_head(cr_conn *conn, GString *text, uint32_t status,
@@ -382,9 +383,8 @@
     conn->begun = true;
     g_autoptr(GString) text = g_string_sized_new(512);
     _cr_write_head(conn, text, status, headers);
-    g_string_append(text, conn->chunked
-                              ? "Transfer-Encoding: chunked\r\n\r\n"
-                              : "\r\n");
+    g_string_append(text, conn->chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+                                        : "\r\n");
     nc_write(conn->conn, text->str, text->len);
 }
 
--- a/packages/exchange/src/caller.h
+++ b/packages/exchange/src/caller.h
@@ -30,9 +30,9 @@
 } cr_calls;
 
 typedef struct cr_desc {
-    nc_hub *hub;          /* required */
-    lp_loop *loop;        /* required */
-    const char *address;  /* required, IP:PORT */
+    nc_hub *hub;         /* required */
+    lp_loop *loop;       /* required */
+    const char *address; /* required, IP:PORT */
     const cr_calls *calls;
     void *user_data;
 } cr_desc;
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -38,7 +38,8 @@
 /* All instances leave: one is back in about this time. */
 #define _XC_RESTART_MS 1500
 
-/* -- private: core ------------------------------------------------------------ */
+/* -- private: core
+ * ------------------------------------------------------------ */
 
 uint64_t
 xc_now_us(const xc_exchange *exchange)
@@ -60,7 +61,8 @@
     return budget;
 }
 
-/* -- private: one exchange ------------------------------------------------------ */
+/* -- private: one exchange
+ * ------------------------------------------------------ */
 
 void
 xc_stop_waiting(xc_exchange *exchange)
@@ -129,8 +131,8 @@
     uint64_t now_us = xc_now_us(exchange);
     uint64_t patience_us = _xc_patience_us(exchange, why);
     if (exchange->waits_since_us == 0) {
-        exchange->waits_since_us = exchange->sends ? now_us
-                                                   : exchange->begun_us;
+        exchange->waits_since_us =
+            exchange->sends ? now_us : exchange->begun_us;
     }
     if (now_us >= exchange->waits_since_us + patience_us) {
         xc_give_up(exchange, why == FL_NO_COPY    ? "no copy of the adapter"
@@ -146,8 +148,7 @@
     }
     else {
         exchange->state = XC_WAITS_ROOM;
-        g_queue_push_tail_link(&exchange->core->crowded,
-                               &exchange->wait_link);
+        g_queue_push_tail_link(&exchange->core->crowded, &exchange->wait_link);
     }
 }
 
@@ -229,14 +230,15 @@
     _xc_wait(exchange, choice.why);
 }
 
-/* -- private: from the caller's connection ---------------------------------------- */
+/* -- private: from the caller's connection
+ * ---------------------------------------- */
 
 static uint32_t
 _xc_number(const char *text, uint32_t fallback)
 {
     guint64 number = 0;
-    return text && g_ascii_string_to_unsigned(text, 10, 0, UINT32_MAX,
-                                              &number, NULL)
+    return text && g_ascii_string_to_unsigned(text, 10, 0, UINT32_MAX, &number,
+                                              NULL)
                ? (uint32_t)number
                : fallback;
 }
@@ -258,9 +260,8 @@
     bool known =
         core->table && core->desc.calls->config_fresh(core->desc.user_data);
     uint32_t status = !known ? 503 : host ? 404 : 400;
-    cr_respond(caller,
-               &(cr_answer){.status = status,
-                            .headers = status == 503 ? back : NULL});
+    cr_respond(caller, &(cr_answer){.status = status,
+                                    .headers = status == 503 ? back : NULL});
     ct_refused(status == 503 ? ER_NOT_READY : ER_NOT_FOUND);
     lg_write(LG_REFUSED, "why", known ? "no such route" : "no configuration",
              "target", head->target, NULL);
@@ -286,8 +287,8 @@
     const char *name = exchange->core->desc.dialect->headers[DL_TOKENS];
     const char *tokens = h1_query_header(exchange->head, name);
     const char *comma = tokens ? strchr(tokens, ',') : NULL;
-    uint64_t most = comma ? g_ascii_strtoull(comma + 1, NULL, 10)
-                          : _XC_TOKENS_MOST;
+    uint64_t most =
+        comma ? g_ascii_strtoull(comma + 1, NULL, 10) : _XC_TOKENS_MOST;
     return _XC_PLAIN_LONGEST_US + most * _XC_TOKEN_US;
 }
 
@@ -313,13 +314,12 @@
     exchange->table = rc_ref(core->table);
     exchange->route = route;
     exchange->service = rc_query_service(
-        core->table,
-        rc_query_target(route, g_rand_int(core->random) >> 1));
+        core->table, rc_query_target(route, g_rand_int(core->random) >> 1));
     exchange->begun_us = xc_now_us(exchange);
     const char *const *names = core->desc.dialect->headers;
     exchange->id = h1_query_header(head, names[DL_REQUEST_ID]);
-    uint32_t wait_ms = _xc_number(h1_query_header(head, names[DL_DEADLINE]),
-                                  _XC_DEADLINE_MS);
+    uint32_t wait_ms =
+        _xc_number(h1_query_header(head, names[DL_DEADLINE]), _XC_DEADLINE_MS);
     if (route->timeout_ms) {
         wait_ms = MIN(wait_ms, route->timeout_ms);
     }
@@ -334,8 +334,7 @@
     if (core->leave_us &&
         exchange->begun_us + _xc_longest_us(exchange) > core->leave_us) {
         bool others = core->desc.calls->live(core->desc.user_data) > 1;
-        xc_refuse(exchange, 503,
-                  others ? _XC_ELSEWHERE_MS : _XC_RESTART_MS,
+        xc_refuse(exchange, 503, others ? _XC_ELSEWHERE_MS : _XC_RESTART_MS,
                   "instance leaves");
         return NULL;
     }
@@ -369,9 +368,8 @@
     }
 }
 
-static const cr_calls _xc_caller_calls = {.request = _xc_on_request,
-                                          .gone = _xc_on_gone,
-                                          .drained = _xc_on_drained};
+static const cr_calls _xc_caller_calls = {
+    .request = _xc_on_request, .gone = _xc_on_gone, .drained = _xc_on_drained};
 
 const cr_calls *
 xc_query_caller_calls(void)
@@ -379,7 +377,8 @@
     return &_xc_caller_calls;
 }
 
-/* -- private: time ------------------------------------------------------------------ */
+/* -- private: time
+ * ------------------------------------------------------------------ */
 
 static void
 _xc_time_out(xc_exchange *exchange)
@@ -473,7 +472,9 @@
     }
 }
 
-/* -- public --------------------------------------------------------------------------- */
+/* -- public
+ * ---------------------------------------------------------------------------
+ */
 
 xc_core *
 xc_create(const xc_desc *desc)
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -26,8 +26,7 @@
     /* An adapter is wanted at a server. */
     void (*ask)(fl_server *server, fl_adapter *adapter, void *user_data);
     /* A server said that it does not hold what it was thought to hold. */
-    void (*mismatch)(fl_server *server, fl_adapter *adapter,
-                     void *user_data);
+    void (*mismatch)(fl_server *server, fl_adapter *adapter, void *user_data);
     /* Instances that share the budgets. */
     uint32_t (*live)(void *user_data);
     /* The configuration is known to be the newest. */
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -4,19 +4,20 @@
 #include "lacewing/log.h"
 #include <string.h>
 
-/* -- public: answers of our own ----------------------------------------------------- */
+/* -- public: answers of our own
+ * ----------------------------------------------------- */
 
 static void
 _xc_log(lg_item item, const xc_exchange *exchange, const char *why)
 {
-    g_autofree char *age = g_strdup_printf(
-        "%" G_GUINT64_FORMAT,
-        (xc_now_us(exchange) - exchange->begun_us) / 1000);
+    g_autofree char *age =
+        g_strdup_printf("%" G_GUINT64_FORMAT,
+                        (xc_now_us(exchange) - exchange->begun_us) / 1000);
     g_autofree char *sends = g_strdup_printf("%u", exchange->sends);
     lg_write(item, "request", exchange->id ? exchange->id : "-", "why", why,
              "route", exchange->route->name, "adapter",
-             exchange->adapter ? exchange->adapter->key : "-", "after_ms",
-             age, "sends", sends, NULL);
+             exchange->adapter ? exchange->adapter->key : "-", "after_ms", age,
+             "sends", sends, NULL);
 }
 
 void
@@ -52,7 +53,8 @@
     }
 }
 
-/* -- public: the server's answer ------------------------------------------------------ */
+/* -- public: the server's answer
+ * ------------------------------------------------------ */
 
 void
 xc_begin_answer(xc_exchange *exchange)
@@ -160,8 +162,8 @@
         (uint32_t)((xc_now_us(exchange) - begun_us) / 1000));
     lg_write(LG_DONE, "request", exchange->id, "route", exchange->route->name,
              "adapter", exchange->adapter ? exchange->adapter->key : "-",
-             "server", exchange->answered_by, "sent/first/pause/all_ms",
-             times, NULL);
+             "server", exchange->answered_by, "sent/first/pause/all_ms", times,
+             NULL);
 }
 
 void
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -11,8 +11,8 @@
 struct xc_core {
     xc_desc desc;
     rc_table *table;
-    GQueue active;      /* xc_exchange */
-    GQueue crowded;     /* xc_exchange that wait for room at any server */
+    GQueue active;       /* xc_exchange */
+    GQueue crowded;      /* xc_exchange that wait for room at any server */
     GHashTable *budgets; /* service -> bg_budget */
     GRand *random;
     uint64_t leave_us; /* the instance ends then; 0: it stays */
@@ -20,9 +20,9 @@
 
 typedef enum xc_state {
     XC_NEW = 0,
-    XC_WAITS_COPY,  /* in adapter->waiting */
-    XC_WAITS_ROOM,  /* in core->crowded */
-    XC_SENT         /* a server has it */
+    XC_WAITS_COPY, /* in adapter->waiting */
+    XC_WAITS_ROOM, /* in core->crowded */
+    XC_SENT        /* a server has it */
 } xc_state;
 
 typedef struct xc_exchange {
@@ -40,11 +40,11 @@
     const rc_service *service;
     fl_adapter *adapter; /* NULL: a plain service */
     uint64_t begun_us;
-    uint64_t end_us;   /* the caller or the route waits no longer */
+    uint64_t end_us;         /* the caller or the route waits no longer */
     uint64_t waits_since_us; /* without a server; 0: it does not */
-    uint64_t asked_us; /* last time an adapter was asked for */
-    bool begun;        /* the caller has the head of the answer */
-    bool may_repeat;   /* its kind may run again after a failure */
+    uint64_t asked_us;       /* last time an adapter was asked for */
+    bool begun;              /* the caller has the head of the answer */
+    bool may_repeat;         /* its kind may run again after a failure */
     bool may_have_run;
     /* the send under way */
     us_line *line;
@@ -62,7 +62,7 @@
     /* streams */
     uint64_t first_us;
     uint64_t last_us;
-    uint64_t pause_us; /* longest between two pieces */
+    uint64_t pause_us;    /* longest between two pieces */
     char answered_by[40]; /* server of the last send */
     uint32_t pieces;
     GByteArray *event; /* resumable: the event that is not whole yet */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -16,7 +16,8 @@
 
 static void _xc_go_on(xc_exchange *exchange, us_end end);
 
-/* -- private: the answer comes ---------------------------------------------------- */
+/* -- private: the answer comes
+ * ---------------------------------------------------- */
 
 static bool
 _xc_is_stream(const xc_exchange *exchange)
@@ -107,11 +108,11 @@
         exchange->spoilt = true;
         return;
     }
-    g_byte_array_append(exchange->answer, (const guint8 *)bytes,
-                        (guint)count);
+    g_byte_array_append(exchange->answer, (const guint8 *)bytes, (guint)count);
 }
 
-/* -- private: the send has ended --------------------------------------------------- */
+/* -- private: the send has ended
+ * --------------------------------------------------- */
 
 static void
 _xc_forget_send(xc_exchange *exchange, fl_outcome outcome)
@@ -183,8 +184,7 @@
     }
     g_autofree char *server = g_strdup(exchange->server->id);
     _xc_forget_send(exchange, _xc_outcome(exchange, end));
-    bool good =
-        end == US_COMPLETE && !exchange->refused && !exchange->spoilt;
+    bool good = end == US_COMPLETE && !exchange->refused && !exchange->spoilt;
     bool again_better =
         good && exchange->may_repeat && exchange->status >= 500;
     exchange->state = XC_NEW;
@@ -193,11 +193,11 @@
         return;
     }
     lg_write(LG_SENT_AGAIN, "request", exchange->id, "server", server, "why",
-             end == US_NOT_SENT    ? "not connected"
-             : exchange->refused   ? "not run there"
-             : exchange->spoilt    ? "spoilt answer"
-             : end == US_BROKEN    ? "answer broken off"
-                                   : "server's error",
+             end == US_NOT_SENT  ? "not connected"
+             : exchange->refused ? "not run there"
+             : exchange->spoilt  ? "spoilt answer"
+             : end == US_BROKEN  ? "answer broken off"
+                                 : "server's error",
              NULL);
     _xc_go_on(exchange, end);
 }
@@ -215,9 +215,8 @@
     bool servers_left = exchange->ran_at < exchange->route->max_servers;
     if (allowed && servers_left && exchange->sends < XC_SENDS &&
         now_us < exchange->end_us &&
-        (!arrived ||
-         bg_take(xc_budget(core, exchange->service->name), now_us,
-                 core->desc.calls->live(core->desc.user_data)))) {
+        (!arrived || bg_take(xc_budget(core, exchange->service->name), now_us,
+                             core->desc.calls->live(core->desc.user_data)))) {
         exchange->resumed = exchange->begun;
         ct_add(CT_SENT_AGAIN, 1);
         xc_dispatch(exchange);
@@ -237,24 +236,23 @@
 static const us_calls _xc_line_calls = {
     .head = _xc_on_head, .body = _xc_on_body, .end = _xc_on_end};
 
-/* -- private: the request goes out -------------------------------------------------- */
+/* -- private: the request goes out
+ * -------------------------------------------------- */
 
 /* Headers that only the system may set, and those that are written anew. */
 static bool
 _xc_replaced(const xc_exchange *exchange, const char *name)
 {
     static const dl_header own[] = {
-        DL_DEADLINE,  DL_EXPECT_SERVER,  DL_URGENCY, DL_EXPECT_VERSION,
-        DL_PIN,       DL_HOLD,           DL_COPY_TO, DL_COPY_FROM,
-        DL_FETCH_FROM};
+        DL_DEADLINE, DL_EXPECT_SERVER, DL_URGENCY,   DL_EXPECT_VERSION, DL_PIN,
+        DL_HOLD,     DL_COPY_TO,       DL_COPY_FROM, DL_FETCH_FROM};
     const char *const *names = exchange->core->desc.dialect->headers;
     for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
         if (strcasecmp(name, names[own[i]]) == 0) {
             return true;
         }
     }
-    if (exchange->resumed &&
-        strcasecmp(name, names[DL_LAST_EVENT]) == 0) {
+    if (exchange->resumed && strcasecmp(name, names[DL_LAST_EVENT]) == 0) {
         return true;
     }
     return strcasecmp(name, "content-length") == 0 ||
@@ -264,8 +262,7 @@
 static void
 _xc_append_number(GString *text, const char *name, uint64_t value)
 {
-    g_string_append_printf(text, "%s: %" G_GUINT64_FORMAT "\r\n", name,
-                           value);
+    g_string_append_printf(text, "%s: %" G_GUINT64_FORMAT "\r\n", name, value);
 }
 
 static void
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -56,7 +56,8 @@
     GRand *random;
 };
 
-/* -- private: making and freeing ------------------------------------------- */
+/* -- private: making and freeing -------------------------------------------
+ */
 
 static void
 _fl_free_server(void *data)
@@ -121,16 +122,16 @@
     g_ptr_array_add(fleet->retired, server);
 }
 
-/* -- public: servers and adapters ------------------------------------------ */
+/* -- public: servers and adapters ------------------------------------------
+ */
 
 fl_fleet *
 fl_create(const fl_desc *desc)
 {
     fl_fleet *fleet = g_new0(fl_fleet, 1);
     fleet->servers = g_hash_table_new(g_str_hash, g_str_equal);
-    fleet->services =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                              (GDestroyNotify)g_ptr_array_unref);
+    fleet->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                            (GDestroyNotify)g_ptr_array_unref);
     fleet->adapters = g_hash_table_new(g_str_hash, g_str_equal);
     fleet->retired = g_ptr_array_new_with_free_func(_fl_free_server);
     fleet->used = g_ptr_array_new();
@@ -198,8 +199,7 @@
     }
     server->born_ms = entry->born_ms;
     server->slots = MAX(entry->slots, 1);
-    server->state =
-        entry->state == DL_SERVER_READY ? FL_READY : FL_LEAVING;
+    server->state = entry->state == DL_SERVER_READY ? FL_READY : FL_LEAVING;
     *out = server;
     return anew;
 }
@@ -246,7 +246,8 @@
     }
 }
 
-/* -- public: copies -------------------------------------------------------- */
+/* -- public: copies --------------------------------------------------------
+ */
 
 fl_copy *
 fl_query_copy(const fl_server *server, const fl_adapter *adapter)
@@ -314,7 +315,8 @@
     g_ptr_array_set_size(server->copies, 0);
 }
 
-/* -- public: load ----------------------------------------------------------- */
+/* -- public: load -----------------------------------------------------------
+ */
 
 void
 fl_set_peer_load(fl_server *server, uint32_t peer, uint32_t in_flight,
@@ -350,9 +352,8 @@
 double
 fl_query_use(const fl_adapter *adapter, uint64_t now_us)
 {
-    double age_us = now_us > adapter->use_us
-                        ? (double)(now_us - adapter->use_us)
-                        : 0;
+    double age_us =
+        now_us > adapter->use_us ? (double)(now_us - adapter->use_us) : 0;
     return adapter->use * exp2(-age_us / _FL_USE_HALF_LIFE_US);
 }
 
@@ -391,7 +392,8 @@
                      exp(-age_us / _FL_SLOWNESS_US);
 }
 
-/* -- private: choosing ------------------------------------------------------ */
+/* -- private: choosing ------------------------------------------------------
+ */
 
 static bool
 _fl_tried(const fl_want *want, const fl_server *server)
@@ -464,8 +466,7 @@
 
 /* Copies that may serve now: current ones; old ones for a while if none. */
 static void
-_fl_choose_copy(fl_fleet *fleet, const fl_want *want, bool old,
-                fl_choice *out)
+_fl_choose_copy(fl_fleet *fleet, const fl_want *want, bool old, fl_choice *out)
 {
     double best = 0;
     const fl_adapter *adapter = want->adapter;
@@ -500,8 +501,8 @@
     for (guint i = 0; list && i < list->len; i++) {
         fl_server *server = list->pdata[i];
         if (_fl_takes_copy(fleet, server, adapter, now_us) &&
-            (!best || _fl_time(server, true, now_us) <
-                          _fl_time(best, true, now_us))) {
+            (!best ||
+             _fl_time(server, true, now_us) < _fl_time(best, true, now_us))) {
             best = server;
         }
     }
@@ -514,8 +515,8 @@
     if (fl_query_use(want->adapter, want->now_us) < _FL_COPY_USE) {
         return false;
     }
-    const fl_server *other = _fl_best_without(fleet, want->service,
-                                              want->adapter, want->now_us);
+    const fl_server *other =
+        _fl_best_without(fleet, want->service, want->adapter, want->now_us);
     return other && _fl_time(server, true, want->now_us) >
                         _fl_time(other, true, want->now_us) * _FL_DEARER;
 }
@@ -559,12 +560,12 @@
         return false;
     }
     out->version = adapter->name ? adapter->version : 0;
-    out->more_copies =
-        adapter->name && _fl_pays(fleet, want, out->server);
+    out->more_copies = adapter->name && _fl_pays(fleet, want, out->server);
     return true;
 }
 
-/* -- public: placing -------------------------------------------------------- */
+/* -- public: placing --------------------------------------------------------
+ */
 
 /* Weighted rendezvous: each adapter has its own order of the servers, where
    fast ones come first more often. */
@@ -576,8 +577,7 @@
     mixed *= 0xbf58476d1ce4e5b9ULL;
     mixed ^= mixed >> 32;
     double draw = ((double)(mixed >> 11) + 0.5) / 9007199254740992.0;
-    double event_ms =
-        server->event_ms > 0 ? server->event_ms : _FL_EVENT_MS;
+    double event_ms = server->event_ms > 0 ? server->event_ms : _FL_EVENT_MS;
     return -pow(_FL_EVENT_MS / event_ms, _FL_HOME_POWER) / log(draw);
 }
 
@@ -640,7 +640,8 @@
     return victim;
 }
 
-/* -- public: requests ------------------------------------------------------- */
+/* -- public: requests -------------------------------------------------------
+ */
 
 void
 fl_begin(fl_server *server, fl_adapter *adapter, uint64_t now_us)
@@ -658,8 +659,7 @@
 {
     server->failing += _FL_FAIL_LEARN * (1.0 - server->failing);
     server->failed_in_row++;
-    uint32_t needed =
-        result->outcome == FL_UNREACHABLE ? 1 : _FL_SHUN_AFTER;
+    uint32_t needed = result->outcome == FL_UNREACHABLE ? 1 : _FL_SHUN_AFTER;
     if (server->failed_in_row >= needed) {
         uint32_t doublings =
             MIN(server->failed_in_row - needed, _FL_SHUN_DOUBLINGS);
@@ -676,9 +676,8 @@
         return;
     }
     double mean_ms = event_ms_sum / streams;
-    double part = server->event_ms > 0
-                      ? 1.0 - pow(1.0 - _FL_LEARN, streams)
-                      : 1.0;
+    double part =
+        server->event_ms > 0 ? 1.0 - pow(1.0 - _FL_LEARN, streams) : 1.0;
     server->event_ms += part * (mean_ms - server->event_ms);
 }
 
@@ -689,9 +688,8 @@
     server->failed_in_row = 0;
     server->shunned_until_us = 0;
     if (result->latency_ms > 0) {
-        server->latency_ms +=
-            (server->latency_ms > 0 ? _FL_LEARN : 1.0) *
-            (result->latency_ms - server->latency_ms);
+        server->latency_ms += (server->latency_ms > 0 ? _FL_LEARN : 1.0) *
+                              (result->latency_ms - server->latency_ms);
     }
     if (result->event_ms > 0) {
         fl_learn_streams(server, 1, result->event_ms);
@@ -722,7 +720,8 @@
     }
 }
 
-/* -- public: queries -------------------------------------------------------- */
+/* -- public: queries --------------------------------------------------------
+ */
 
 fl_server *
 fl_query_server(const fl_fleet *fleet, const char *id)
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -53,10 +53,10 @@
 } fl_copy;
 
 struct fl_adapter {
-    char *key;   /* MODEL/ADAPTER, or MODEL */
+    char *key; /* MODEL/ADAPTER, or MODEL */
     uint64_t hash;
     char *model;
-    char *name;  /* NULL: the model itself */
+    char *name;          /* NULL: the model itself */
     uint64_t version;    /* newest that was declared; 0: none */
     uint64_t version_us; /* when it became known here */
     GPtrArray *copies;   /* fl_copy */
@@ -87,11 +87,11 @@
     GArray *peer_loads; /* fl_peer_load */
     dl_load load;       /* as it told last */
     uint64_t load_us;
-    double event_ms;      /* streams: between two events; 0: not known */
+    double event_ms;          /* streams: between two events; 0: not known */
     uint32_t streams_to_tell; /* that ended since peers were told */
     double event_ms_to_tell;  /* sum over these */
-    double latency_ms;    /* plain services: of an answer */
-    double failing;       /* share of late requests that failed, 0 to 1 */
+    double latency_ms;        /* plain services: of an answer */
+    double failing;           /* share of late requests that failed, 0 to 1 */
     uint32_t failed_in_row;
     uint64_t shunned_until_us;
     bool orders_possible; /* an instance may give it orders now */
@@ -147,8 +147,7 @@
 void fl_destroy(fl_fleet *fleet);
 
 /* Entries of the platform. True: it is new or began anew. */
-bool fl_put_server(fl_fleet *fleet, const dl_server *entry,
-                   fl_server **out);
+bool fl_put_server(fl_fleet *fleet, const dl_server *entry, fl_server **out);
 void fl_remove_server(fl_fleet *fleet, const char *id);
 
 fl_adapter *fl_intern(fl_fleet *fleet, const char *key);
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -25,12 +25,13 @@
     gp_desc desc;
     lp_watch watch;
     char *instance;
-    GHashTable *told; /* server id -> _gp_told */
+    GHashTable *told;   /* server id -> _gp_told */
     GHashTable *loaded; /* server ids that had requests when last told */
     uint8_t *buffer;
 };
 
-/* -- private: sending ------------------------------------------------------------- */
+/* -- private: sending
+ * ------------------------------------------------------------- */
 
 static bool
 _gp_parse(const char *address, struct sockaddr_in *out)
@@ -246,7 +247,8 @@
     g_ptr_array_unref(all.uses);
 }
 
-/* -- private: receiving ---------------------------------------------------------------- */
+/* -- private: receiving
+ * ---------------------------------------------------------------- */
 
 static bool
 _gp_is_news(gp_peers *peers, const Lacewing__Exchange__ServerState *state)
@@ -312,8 +314,7 @@
     if (!server) {
         return;
     }
-    g_autofree char *key =
-        g_strdup_printf("%s/%s", ask->model, ask->adapter);
+    g_autofree char *key = g_strdup_printf("%s/%s", ask->model, ask->adapter);
     peers->desc.calls->asked(server, fl_intern(peers->desc.fleet, key),
                              peers->desc.user_data);
 }
@@ -368,7 +369,9 @@
     }
 }
 
-/* -- public ------------------------------------------------------------------------------- */
+/* -- public
+ * -------------------------------------------------------------------------------
+ */
 
 gp_peers *
 gp_create(const gp_desc *desc, er_status *status)
--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -72,8 +72,8 @@
     uint64_t store_version;
     uint64_t fresh_us;
     uint64_t contact_us; /* since when the store answers without a gap */
-    bool leaving; /* takes no more servers */
-    bool left;    /* orders no more */
+    bool leaving;        /* takes no more servers */
+    bool left;           /* orders no more */
     bool given_up;
     _le_tx_kind tx;
     uint64_t tx_sent_us;
@@ -84,7 +84,8 @@
     GPtrArray *keys;
 };
 
-/* -- private: rows ---------------------------------------------------------- */
+/* -- private: rows ----------------------------------------------------------
+ */
 
 static void
 _le_free_peer(void *data)
@@ -221,7 +222,8 @@
     }
 }
 
-/* -- private: who should have what ------------------------------------------ */
+/* -- private: who should have what ------------------------------------------
+ */
 
 static gint
 _le_by_name(gconstpointer a, gconstpointer b)
@@ -275,8 +277,7 @@
 _le_meant_for_self(const le_lease *lease, const _le_server *server,
                    uint64_t now_us)
 {
-    g_autoptr(GPtrArray) names =
-        _le_live_names(lease, server->zone, now_us);
+    g_autoptr(GPtrArray) names = _le_live_names(lease, server->zone, now_us);
     if (names->len == 0) {
         g_ptr_array_unref(names);
         names = _le_live_names(lease, NULL, now_us);
@@ -294,8 +295,7 @@
 }
 
 static bool
-_le_may_claim(const le_lease *lease, const _le_server *server,
-              uint64_t now_us)
+_le_may_claim(const le_lease *lease, const _le_server *server, uint64_t now_us)
 {
     if (!server->zone || _le_holds(lease, server)) {
         return false;
@@ -324,7 +324,8 @@
            now_us >= MAX(free_us, server->since_us) + _LE_LEFT_MS * 1000ULL;
 }
 
-/* -- private: transactions --------------------------------------------------- */
+/* -- private: transactions ---------------------------------------------------
+ */
 
 static const char *
 _le_key(le_lease *lease, const char *kind, const char *name)
@@ -388,8 +389,8 @@
         const _le_peer *peer = value;
         if (!_le_is_self(lease, peer->instance) &&
             now_us >= peer->seen_us + lease->takeover_us) {
-            _le_add(lease, _le_key(lease, "i/", peer->instance),
-                    peer->version, NULL);
+            _le_add(lease, _le_key(lease, "i/", peer->instance), peer->version,
+                    NULL);
             g_free(lease->tx_peer);
             lease->tx_peer = g_strdup(peer->instance);
             return true;
@@ -456,7 +457,8 @@
     return _le_write_servers(lease, now_us, _LE_PRUNE) ? _LE_PRUNE : _LE_NONE;
 }
 
-/* -- private: results -------------------------------------------------------- */
+/* -- private: results --------------------------------------------------------
+ */
 
 static void
 _le_take_renewal(le_lease *lease, uint64_t now_us, uint64_t version)
@@ -548,7 +550,8 @@
     }
 }
 
-/* -- public ------------------------------------------------------------------ */
+/* -- public ------------------------------------------------------------------
+ */
 
 le_lease *
 le_create(const le_desc *desc)
@@ -564,8 +567,8 @@
     lease->valid_us = (uint64_t)((double)lease->lease_us * _LE_VALID_SHARE);
     lease->quiet_us = lease->lease_us + _LE_MARGIN_MS * 1000ULL;
     lease->takeover_us = lease->valid_us + lease->quiet_us;
-    lease->renew_us = desc->renew_ms ? desc->renew_ms * 1000ULL
-                                     : lease->lease_us / 3;
+    lease->renew_us =
+        desc->renew_ms ? desc->renew_ms * 1000ULL : lease->lease_us / 3;
     lease->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _le_free_peer);
     lease->servers =
@@ -777,8 +780,7 @@
 bool
 le_query_held(const le_lease *lease, uint64_t clock_us)
 {
-    return lease->registered &&
-           clock_us < lease->renewed_us + lease->valid_us;
+    return lease->registered && clock_us < lease->renewed_us + lease->valid_us;
 }
 
 bool
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -2,12 +2,12 @@
 
 #include "caller.h"
 #include "exchange.h"
+#include "gossip.h"
 #include "lacewing/call.h"
 #include "lacewing/counter.h"
 #include "lacewing/log.h"
 #include "lease.h"
 #include "orderer.h"
-#include "gossip.h"
 #include "watch.h"
 #include <string.h>
 
@@ -56,7 +56,7 @@
     wt_watch *server_watch;
     wt_watch *own_watch;
     rc_table *table;
-    GHashTable *lapsed;      /* server id -> when it goes, in us */
+    GHashTable *lapsed;       /* server id -> when it goes, in us */
     GHashTable *read_servers; /* ids of the read under way; or NULL */
     bool servers_known;
     bool lease_held;
@@ -69,13 +69,14 @@
     bool stopped;
 };
 
-/* -- private: configuration --------------------------------------------------------- */
+/* -- private: configuration
+ * --------------------------------------------------------- */
 
 static void
 _nd_take_config(nd_node *node, rc_table *table)
 {
-    if (node->table && rc_query_version(table) <=
-                           rc_query_version(node->table)) {
+    if (node->table &&
+        rc_query_version(table) <= rc_query_version(node->table)) {
         return; /* never back to an older one */
     }
     rc_unref(node->table);
@@ -98,22 +99,22 @@
     dl_operator read = {0};
     er_status status = {0};
     if (node->desc.dialect->read_operator(row, &read, &status) != ER_OK) {
-        lg_write(LG_ROW_REFUSED, "key", row->key, "why", status.message,
-                 NULL);
+        lg_write(LG_ROW_REFUSED, "key", row->key, "why", status.message, NULL);
         return;
     }
     if (read.kind == DL_OPERATOR_CONFIG) {
         _nd_take_config(node, read.config);
     }
     else if (read.kind == DL_OPERATOR_VERSION) {
-        fl_declare_version(node->fleet, read.model, read.adapter,
-                           read.version, lp_query_now_us(node->desc.loop));
+        fl_declare_version(node->fleet, read.model, read.adapter, read.version,
+                           lp_query_now_us(node->desc.loop));
         lg_write(LG_VERSION_NEW, "key", row->key, NULL);
     }
     dl_clear_operator(&read);
 }
 
-/* -- private: servers ----------------------------------------------------------------- */
+/* -- private: servers
+ * ----------------------------------------------------------------- */
 
 static void
 _nd_wake_server(fl_server *server, void *user_data)
@@ -150,8 +151,8 @@
                 &g_array_index(model->adapters, dl_adapter, j);
             g_autofree char *key =
                 g_strdup_printf("%s/%s", model->name, adapter->name);
-            fl_put_copy(server, fl_intern(node->fleet, key),
-                        adapter->version, false, now_us);
+            fl_put_copy(server, fl_intern(node->fleet, key), adapter->version,
+                        false, now_us);
         }
     }
     _nd_wake_server(server, node);
@@ -229,8 +230,7 @@
     dl_server entry = {0};
     er_status status = {0};
     if (node->desc.dialect->read_server(row, &entry, &status) != ER_OK) {
-        lg_write(LG_ROW_REFUSED, "key", row->key, "why", status.message,
-                 NULL);
+        lg_write(LG_ROW_REFUSED, "key", row->key, "why", status.message, NULL);
         return;
     }
     if (node->read_servers) {
@@ -290,7 +290,8 @@
     }
 }
 
-/* -- private: own table ------------------------------------------------------------------ */
+/* -- private: own table
+ * ------------------------------------------------------------------ */
 
 static void
 _nd_on_own_row(const dl_row *row, void *user_data)
@@ -378,20 +379,20 @@
     tx.table = dialect->own_table;
     GString *body = dialect->write_tx(&tx);
     ct_add(CT_STORE_CALLS, 1);
-    hc_call(node->client,
-            &(hc_request){.address = node->desc.settings->store,
-                          .method = "POST",
-                          .path = dialect->tx_path,
-                          .type = dialect->body_type,
-                          .body = body->str,
-                          .body_count = body->len,
-                          .timeout_ms = _ND_TX_TIMEOUT_MS,
-                          .done = _nd_on_tx,
-                          .user_data = node});
+    hc_call(node->client, &(hc_request){.address = node->desc.settings->store,
+                                        .method = "POST",
+                                        .path = dialect->tx_path,
+                                        .type = dialect->body_type,
+                                        .body = body->str,
+                                        .body_count = body->len,
+                                        .timeout_ms = _ND_TX_TIMEOUT_MS,
+                                        .done = _nd_on_tx,
+                                        .user_data = node});
     g_string_free(body, TRUE);
 }
 
-/* -- private: adapters ---------------------------------------------------------------------- */
+/* -- private: adapters
+ * ---------------------------------------------------------------------- */
 
 static void
 _nd_on_ask(fl_server *server, fl_adapter *adapter, void *user_data)
@@ -451,7 +452,9 @@
 static const gp_calls _nd_peer_calls = {.asked = _nd_on_asked,
                                         .changed = _nd_wake_server};
 
-/* -- private: pages --------------------------------------------------------------------------- */
+/* -- private: pages
+ * ---------------------------------------------------------------------------
+ */
 
 static bool
 _nd_ready(const nd_node *node)
@@ -492,7 +495,9 @@
 static const cr_calls _nd_page_calls = {.request = _nd_on_page,
                                         .gone = _nd_on_page_gone};
 
-/* -- private: time ------------------------------------------------------------------------------ */
+/* -- private: time
+ * ------------------------------------------------------------------------------
+ */
 
 static void
 _nd_on_tick(uint64_t now_us, void *user_data)
@@ -507,9 +512,8 @@
 _nd_mark_orders(fl_server *server, void *user_data)
 {
     nd_node *node = user_data;
-    server->orders_possible =
-        or_query_held(server) ||
-        le_query_holder(node->lease, server->id) != NULL;
+    server->orders_possible = or_query_held(server) ||
+                              le_query_holder(node->lease, server->id) != NULL;
 }
 
 static void
@@ -519,8 +523,7 @@
     nd_node *node = user_data;
     _nd_write_tx(node);
     fl_each_server(node->fleet, _nd_mark_orders, node);
-    bool held =
-        le_query_held(node->lease, lp_query_now_us(node->desc.loop));
+    bool held = le_query_held(node->lease, lp_query_now_us(node->desc.loop));
     if (held != node->lease_held) {
         node->lease_held = held;
         lg_write(held ? LG_LEASE_GOT : LG_LEASE_GONE, NULL);
@@ -573,8 +576,8 @@
     }
     xc_set_leave(node->core, node->stop_us + grace_us - _ND_LAST_US);
     cr_close_idle(node->callers);
-    bool idle = cr_query_busy(node->callers) == 0 &&
-                cr_query_open(node->callers) == 0;
+    bool idle =
+        cr_query_busy(node->callers) == 0 && cr_query_open(node->callers) == 0;
     uint64_t last_us = node->stop_us + grace_us - _ND_LAST_US;
     if (idle || now_us >= last_us) {
         le_leave(node->lease);
@@ -603,7 +606,9 @@
     }
 }
 
-/* -- private: making ------------------------------------------------------------------------------- */
+/* -- private: making
+ * -------------------------------------------------------------------------------
+ */
 
 static wt_watch *
 _nd_watch(nd_node *node, const char *table, uint32_t pause_ms,
@@ -626,15 +631,13 @@
 {
     const dl_dialect *dialect = node->desc.dialect;
     uint32_t drain_ms = node->desc.settings->drain_ms;
-    node->operator_watch =
-        _nd_watch(node, dialect->operator_table, 0, _ND_CONFIG_WAIT_MS,
-                  &_nd_operator_calls);
+    node->operator_watch = _nd_watch(node, dialect->operator_table, 0,
+                                     _ND_CONFIG_WAIT_MS, &_nd_operator_calls);
     node->server_watch =
         _nd_watch(node, dialect->server_table, drain_ms / _ND_SERVER_READS,
                   1000, &_nd_server_calls);
     node->own_watch = _nd_watch(node, dialect->own_table,
-                                _ND_OWN_TABLE_PAUSE_MS, 1000,
-                                &_nd_own_calls);
+                                _ND_OWN_TABLE_PAUSE_MS, 1000, &_nd_own_calls);
 }
 
 static char *
@@ -652,8 +655,8 @@
     lp_loop *loop = node->desc.loop;
     node->timers = tm_create(&(tm_desc){0});
     node->hub = nc_create(&(nc_hub_desc){.loop = loop});
-    node->client = hc_create(&(hc_desc){
-        .hub = node->hub, .loop = loop, .timers = node->timers});
+    node->client = hc_create(
+        &(hc_desc){.hub = node->hub, .loop = loop, .timers = node->timers});
     node->fleet = fl_create(&(fl_desc){.version_ms = settings->version_ms,
                                        .seed = g_random_int() | 1U});
     node->lease = le_create(&(le_desc){.instance = settings->instance,
@@ -713,10 +716,9 @@
 static tm_timer
 _nd_every(nd_node *node, uint32_t period_ms, tm_call call)
 {
-    return tm_make_timer(node->timers,
-                         &(tm_timer_desc){.period_ms = period_ms,
-                                          .call = call,
-                                          .user_data = node});
+    return tm_make_timer(node->timers, &(tm_timer_desc){.period_ms = period_ms,
+                                                        .call = call,
+                                                        .user_data = node});
 }
 
 nd_node *
--- a/packages/exchange/src/orderer.c
+++ b/packages/exchange/src/orderer.c
@@ -42,14 +42,15 @@
 
 static void _or_step(or_orderer *orderer, fl_server *server);
 
-/* -- private: plans ------------------------------------------------------------- */
+/* -- private: plans
+ * ------------------------------------------------------------- */
 
 static void
 _or_begin(or_orderer *orderer, fl_server *server)
 {
     _or_plan *plan = g_new0(_or_plan, 1);
-    plan->plan = od_create(
-        &(od_desc){.fleet = orderer->desc.fleet, .server = server});
+    plan->plan =
+        od_create(&(od_desc){.fleet = orderer->desc.fleet, .server = server});
     plan->generation = ++orderer->generation;
     plan->born_ms = server->born_ms;
     server->orders = plan;
@@ -78,7 +79,8 @@
                           server->id) != 0;
 }
 
-/* -- private: room ---------------------------------------------------------------- */
+/* -- private: room
+ * ---------------------------------------------------------------- */
 
 static bool
 _or_may_load_model(or_orderer *orderer, const rc_service *service)
@@ -149,7 +151,8 @@
     return true;
 }
 
-/* -- private: calls ----------------------------------------------------------------- */
+/* -- private: calls
+ * ----------------------------------------------------------------- */
 
 static void
 _or_take_report(or_orderer *orderer, fl_server *server,
@@ -171,8 +174,7 @@
 }
 
 static void
-_or_take_order(or_orderer *orderer, fl_server *server,
-               const hc_answer *answer)
+_or_take_order(or_orderer *orderer, fl_server *server, const hc_answer *answer)
 {
     _or_plan *plan = server->orders;
     uint64_t now_us = lp_query_now_us(orderer->desc.loop);
@@ -251,8 +253,8 @@
 {
     _or_plan *plan = server->orders;
     order->holder = orderer->desc.instance;
-    order->fence = le_query_fence(orderer->desc.lease, lp_query_clock_us(),
-                                  server->id);
+    order->fence =
+        le_query_fence(orderer->desc.lease, lp_query_clock_us(), server->id);
     if (order->fence == 0) {
         od_feed_order(plan->plan, lp_query_now_us(orderer->desc.loop),
                       DL_ORDER_DEFAULT);
@@ -271,8 +273,8 @@
              order->kind == DL_LOAD ? "load" : "unload", "adapter",
              order->adapter ? order->adapter : "-", "orders", number, NULL);
     GString *body = orderer->desc.dialect->write_order(order);
-    _or_call_server(orderer, server, "POST",
-                    orderer->desc.dialect->order_path, body);
+    _or_call_server(orderer, server, "POST", orderer->desc.dialect->order_path,
+                    body);
     g_string_free(body, TRUE);
 }
 
@@ -300,7 +302,9 @@
     }
 }
 
-/* -- public ----------------------------------------------------------------------------- */
+/* -- public
+ * -----------------------------------------------------------------------------
+ */
 
 or_orderer *
 or_create(const or_desc *desc)
@@ -352,12 +356,10 @@
 {
     _or_plan *plan = server->orders;
     if (plan && od_query_known(plan->plan)) {
-        od_forget(plan->plan,
-                  lp_query_now_us(orderer->desc.loop) + 250000);
+        od_forget(plan->plan, lp_query_now_us(orderer->desc.loop) + 250000);
     }
 }
 
-
 static void
 _or_look(fl_server *server, void *user_data)
 {
@@ -391,8 +393,7 @@
 or_query_number(const fl_server *server)
 {
     const _or_plan *plan = server->orders;
-    return plan ? plan->generation * 1000000 + od_query_number(plan->plan)
-                : 0;
+    return plan ? plan->generation * 1000000 + od_query_number(plan->plan) : 0;
 }
 
 bool
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -33,9 +33,9 @@
     fl_adapter *ordered; /* of the order under way */
     dl_order_kind ordered_kind;
     uint64_t ordered_version;
-    bool asking;       /* the order under way asks after a load */
+    bool asking;            /* the order under way asks after a load */
     GHashTable *known_here; /* adapters whose weights the server has at hand */
-    GArray *wants;     /* _od_want */
+    GArray *wants;          /* _od_want */
 };
 
 od_plan *
@@ -45,8 +45,8 @@
     od_plan *plan = g_new0(od_plan, 1);
     plan->fleet = desc->fleet;
     plan->server = desc->server;
-    plan->loading_capacity = desc->loading_capacity ? desc->loading_capacity
-                                                    : _OD_LOADING_CAPACITY;
+    plan->loading_capacity =
+        desc->loading_capacity ? desc->loading_capacity : _OD_LOADING_CAPACITY;
     plan->adapter_load_us =
         1000ULL *
         (desc->adapter_load_ms ? desc->adapter_load_ms : _OD_ADAPTER_LOAD_MS);
@@ -86,7 +86,8 @@
     plan->report_us = retry_us;
 }
 
-/* -- private: steps ---------------------------------------------------------- */
+/* -- private: steps ----------------------------------------------------------
+ */
 
 static od_step
 _od_order(od_plan *plan, dl_order_kind kind, fl_adapter *adapter,
@@ -156,8 +157,7 @@
 _od_places(const od_room *room)
 {
     double left_mb = room->server_mb - room->model_mb;
-    double by_size =
-        room->adapter_mb > 0 ? left_mb / room->adapter_mb : 1e9;
+    double by_size = room->adapter_mb > 0 ? left_mb / room->adapter_mb : 1e9;
     return (uint32_t)CLAMP(by_size, 0, room->max_adapters);
 }
 
@@ -228,8 +228,8 @@
     }
     fl_copy *due = _od_due(plan, now_us, room);
     if (due) {
-        od_step step = _od_order(plan, DL_LOAD, due->adapter,
-                                 _od_version(due->adapter));
+        od_step step =
+            _od_order(plan, DL_LOAD, due->adapter, _od_version(due->adapter));
         plan->asking = true;
         return step;
     }
@@ -240,11 +240,11 @@
         return room->may_load_model ? _od_order(plan, DL_LOAD, model, 0)
                                     : (od_step){0};
     }
-    return base->loading ? (od_step){0}
-                         : _od_next_adapter(plan, now_us, room);
+    return base->loading ? (od_step){0} : _od_next_adapter(plan, now_us, room);
 }
 
-/* -- private: results -------------------------------------------------------- */
+/* -- private: results --------------------------------------------------------
+ */
 
 static void
 _od_taken(od_plan *plan, uint64_t now_us)
--- a/packages/exchange/src/orders.h
+++ b/packages/exchange/src/orders.h
@@ -37,8 +37,8 @@
 } od_step;
 
 typedef struct od_desc {
-    fl_fleet *fleet;   /* required */
-    fl_server *server; /* required */
+    fl_fleet *fleet;           /* required */
+    fl_server *server;         /* required */
     uint32_t loading_capacity; /* adapters on their way at once; default 4 */
     uint32_t adapter_load_ms;  /* usual time of one; default 250 */
 } od_desc;
--- a/packages/exchange/src/routes.c
+++ b/packages/exchange/src/routes.c
@@ -13,7 +13,8 @@
     GHashTable *by_name; /* name -> rc_service */
 };
 
-/* -- private --------------------------------------------------------------- */
+/* -- private ---------------------------------------------------------------
+ */
 
 static void
 _rc_clear_target(void *data)
@@ -84,7 +85,8 @@
     return length <= path_length && memcmp(path, prefix, length) == 0;
 }
 
-/* -- public ---------------------------------------------------------------- */
+/* -- public ----------------------------------------------------------------
+ */
 
 rc_table *
 rc_create(uint64_t version)
@@ -94,9 +96,8 @@
     table->version = version;
     table->routes = g_ptr_array_new_with_free_func(_rc_free_route);
     table->services = g_ptr_array_new_with_free_func(_rc_free_service);
-    table->by_host =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                              (GDestroyNotify)g_ptr_array_unref);
+    table->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                           (GDestroyNotify)g_ptr_array_unref);
     table->by_name = g_hash_table_new(g_str_hash, g_str_equal);
     return table;
 }
@@ -137,8 +138,7 @@
     rc_route *own = g_memdup2(route, sizeof(*route));
     own->weight_sum = 0;
     for (guint i = 0; i < own->targets->len; i++) {
-        own->weight_sum +=
-            g_array_index(own->targets, rc_target, i).weight;
+        own->weight_sum += g_array_index(own->targets, rc_target, i).weight;
     }
     g_ptr_array_add(table->routes, own);
     char *host = g_ascii_strdown(own->host, -1);
@@ -227,8 +227,7 @@
     }
     uint32_t left = route->weight_sum ? draw % route->weight_sum : 0;
     for (guint i = 0; i < route->targets->len; i++) {
-        const rc_target *target =
-            &g_array_index(route->targets, rc_target, i);
+        const rc_target *target = &g_array_index(route->targets, rc_target, i);
         if (left < target->weight) {
             return target->service;
         }
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -64,17 +64,16 @@
     watch->failures++;
     uint32_t delay_ms =
         MIN(_WT_RETRY_MS << MIN(watch->failures, 2), _WT_RETRY_LONGEST_MS);
-    _wt_ask_in(watch, delay_ms / 2 +
-                          (uint32_t)g_random_int_range(0, (int)delay_ms));
+    _wt_ask_in(watch,
+               delay_ms / 2 + (uint32_t)g_random_int_range(0, (int)delay_ms));
 }
 
 static void
 _wt_good(wt_watch *watch, uint64_t version)
 {
     uint64_t now_us = lp_query_now_us(watch->desc.loop);
-    if (watch->fresh_us &&
-        now_us - watch->fresh_us >
-            _WT_GAP_US + watch->desc.wait_ms * 1000ULL) {
+    if (watch->fresh_us && now_us - watch->fresh_us >
+                               _WT_GAP_US + watch->desc.wait_ms * 1000ULL) {
         watch->gap_us = now_us - watch->fresh_us;
         watch->regained_us = now_us;
     }
@@ -135,8 +134,8 @@
     if (answer->status != 200 ||
         watch->desc.dialect->read_rows(answer->bytes, answer->count, &rows,
                                        &status) != ER_OK) {
-        g_autofree char *why = g_strdup_printf(
-            "status %u %s", answer->status, status.message);
+        g_autofree char *why =
+            g_strdup_printf("status %u %s", answer->status, status.message);
         _wt_failed(watch, why);
         return;
     }
@@ -196,8 +195,7 @@
                           .method = "GET",
                           .path = path->str,
                           .timeout_ms = watch->following
-                                            ? watch->desc.wait_ms +
-                                                  _WT_LATE_MS
+                                            ? watch->desc.wait_ms + _WT_LATE_MS
                                             : _WT_READ_TIMEOUT_MS,
                           .done = _wt_on_done,
                           .user_data = call});
--- a/packages/exchange/tests/test_budget.c
+++ b/packages/exchange/tests/test_budget.c
@@ -46,8 +46,8 @@
 
 START_TEST(test_comes_back)
 {
-    bg_budget *budget = bg_create(
-        &(bg_desc){.ratio = 0.2, .slack = 10, .window_ms = 1000});
+    bg_budget *budget =
+        bg_create(&(bg_desc){.ratio = 0.2, .slack = 10, .window_ms = 1000});
     uint32_t taken = 0;
     while (bg_take(budget, 0, 1)) {
         taken++;
--- a/packages/exchange/tests/test_fleet.c
+++ b/packages/exchange/tests/test_fleet.c
@@ -214,10 +214,10 @@
     GHashTable *used = g_hash_table_new(g_str_hash, g_str_equal);
     for (int i = 0; i < 200; i++) {
         g_autofree char *key = g_strdup_printf("base/a%d", i);
-        fl_server *here = fl_place(s.fleet, "llm", fl_intern(s.fleet, key),
-                                   s.now_us);
-        fl_server *there = fl_place(t.fleet, "llm", fl_intern(t.fleet, key),
-                                    t.now_us);
+        fl_server *here =
+            fl_place(s.fleet, "llm", fl_intern(s.fleet, key), s.now_us);
+        fl_server *there =
+            fl_place(t.fleet, "llm", fl_intern(t.fleet, key), t.now_us);
         ck_assert_str_eq(here->id, there->id);
         g_hash_table_add(used, here->id);
     }
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -24,7 +24,7 @@
     le_lease *lease;
     bool running;
     bool frozen;
-    bool cut;           /* from the store */
+    bool cut; /* from the store */
     uint64_t started_us;
     uint64_t next_read_us;
     bool waits; /* for an answer of its transaction */
@@ -42,7 +42,7 @@
     bool down;
     uint32_t lose_pct;
     node nodes[INSTANCES];
-    GPtrArray *late; /* late_tx */
+    GPtrArray *late;           /* late_tx */
     char last_holder[SERVERS]; /* index + 1 of who ordered last */
     uint64_t last_order_us[SERVERS];
     uint64_t last_fence[SERVERS];
@@ -149,12 +149,12 @@
     node *n = &w->nodes[i];
     *n = (node){.running = true, .started_us = w->now_us};
     n->next_read_us = w->now_us + 50 * MS;
-    n->lease = le_create(&(le_desc){
-        .instance = names[i],
-        .zone = zones[i],
-        .address = "127.0.0.1:1",
-        .incarnation = ((uint64_t)g_rand_int(w->random) << 20) | 1,
-        .lease_ms = LEASE_MS});
+    n->lease = le_create(
+        &(le_desc){.instance = names[i],
+                   .zone = zones[i],
+                   .address = "127.0.0.1:1",
+                   .incarnation = ((uint64_t)g_rand_int(w->random) << 20) | 1,
+                   .lease_ms = LEASE_MS});
     for (int s = 0; s < SERVERS; s++) {
         char id[16];
         char zone[4];
@@ -205,15 +205,14 @@
         n->answer_us = w->now_us + 1200 * MS;
         return;
     }
-    bool lost =
-        (uint32_t)g_rand_int_range(w->random, 0, 100) < w->lose_pct;
+    bool lost = (uint32_t)g_rand_int_range(w->random, 0, 100) < w->lose_pct;
     if (lost && g_rand_boolean(w->random)) {
         keep_late(w, &tx);
         n->answer_us = w->now_us + 1200 * MS;
         return;
     }
-    bool done = apply(w, tx.conditions, tx.condition_count, tx.writes,
-                      tx.write_count);
+    bool done =
+        apply(w, tx.conditions, tx.condition_count, tx.writes, tx.write_count);
     n->answer = done ? ER_OK : ER_CONFLICT;
     n->answer_version = w->version;
     n->answer_rows = done ? NULL : read_rows(w, &tx);
@@ -232,8 +231,7 @@
     n->waits = false;
     bool told = n->answer == ER_OK || n->answer == ER_CONFLICT;
     le_feed_result(n->lease, w->now_us, n->answer,
-                   told ? n->answer_version : 0,
-                   told ? n->answer_rows : NULL);
+                   told ? n->answer_version : 0, told ? n->answer_rows : NULL);
     g_clear_pointer(&n->answer_rows, g_array_unref);
 }
 
@@ -244,17 +242,14 @@
     for (int s = 0; s < SERVERS; s++) {
         char id[16];
         g_snprintf(id, sizeof(id), "s%02d", s);
-        uint64_t fence =
-            le_query_fence(w->nodes[i].lease, w->now_us, id);
+        uint64_t fence = le_query_fence(w->nodes[i].lease, w->now_us, id);
         if (fence == 0) {
             continue;
         }
         w->orders++;
         if (w->last_holder[s] && w->last_holder[s] != i + 1) {
-            ck_assert_msg(w->now_us >=
-                              w->last_order_us[s] + LEASE_MS * MS,
-                          "%s ordered by %s %" G_GUINT64_FORMAT
-                          " ms after %s",
+            ck_assert_msg(w->now_us >= w->last_order_us[s] + LEASE_MS * MS,
+                          "%s ordered by %s %" G_GUINT64_FORMAT " ms after %s",
                           id, names[i],
                           (w->now_us - w->last_order_us[s]) / 1000,
                           names[w->last_holder[s] - 1]);
--- a/packages/exchange/tests/test_orders.c
+++ b/packages/exchange/tests/test_orders.c
@@ -25,7 +25,7 @@
     GArray *late;     /* late */
     uint64_t orders;
     bool model;
-    bool crashed; /* more was loaded than it holds */
+    bool crashed;       /* more was loaded than it holds */
     uint64_t report_us; /* what it tells is so old */
 } engine;
 
@@ -127,8 +127,7 @@
 static void
 carry_out(scene *s, const od_step *step)
 {
-    bool lost =
-        (uint32_t)g_rand_int_range(s->random, 0, 100) < s->lose_pct;
+    bool lost = (uint32_t)g_rand_int_range(s->random, 0, 100) < s->lose_pct;
     if (step->kind == OD_REPORT) {
         if (lost) {
             od_feed_silence(s->plan, s->now_us);
@@ -141,9 +140,8 @@
     const dl_order *order = &step->order;
     ck_assert(order->conditional);
     if (lost && g_rand_boolean(s->random)) {
-        late one = {s->now_us + (uint64_t)g_rand_int_range(s->random, 500,
-                                                           8000) *
-                                    MS,
+        late one = {s->now_us +
+                        (uint64_t)g_rand_int_range(s->random, 500, 8000) * MS,
                     order->kind, g_strdup(order->adapter), order->orders};
         g_array_append_val(s->engine.late, one);
         od_feed_silence(s->plan, s->now_us);
@@ -193,8 +191,7 @@
                        .state = DL_SERVER_READY,
                        .born_ms = 1};
     fl_put_server(s->fleet, &entry, &s->server);
-    s->plan =
-        od_create(&(od_desc){.fleet = s->fleet, .server = s->server});
+    s->plan = od_create(&(od_desc){.fleet = s->fleet, .server = s->server});
     return s;
 }
 
@@ -211,8 +208,7 @@
 loaded(scene *s, int number)
 {
     g_autofree char *key = g_strdup_printf("base/a%d", number);
-    const fl_copy *copy =
-        fl_query_copy(s->server, fl_intern(s->fleet, key));
+    const fl_copy *copy = fl_query_copy(s->server, fl_intern(s->fleet, key));
     return copy && !copy->loading;
 }
 
@@ -290,8 +286,8 @@
         run_for(s, 9000);
         want(s, 3);
         run_for(s, 1500);
-        ck_assert_msg(loaded(s, 3) && find(&s->engine, "a3") >= 0,
-                      "seed %u", seed);
+        ck_assert_msg(loaded(s, 3) && find(&s->engine, "a3") >= 0, "seed %u",
+                      seed);
         ck_assert_msg(!s->engine.crashed, "seed %u", seed);
     }
 }
--- a/packages/exchange/tests/test_routes.c
+++ b/packages/exchange/tests/test_routes.c
@@ -13,11 +13,11 @@
     rc_table *table = rc_create(7);
     for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
         rc_target targets[] = {{g_strdup("s1"), 90}, {g_strdup("s2"), 10}};
-        rc_route route = {
-            .name = g_strdup(routes[i].name),
-            .host = g_strdup(routes[i].host),
-            .prefix = g_strdup(routes[i].prefix),
-            .targets = g_array_new(FALSE, TRUE, sizeof(rc_target))};
+        rc_route route = {.name = g_strdup(routes[i].name),
+                          .host = g_strdup(routes[i].host),
+                          .prefix = g_strdup(routes[i].prefix),
+                          .targets =
+                              g_array_new(FALSE, TRUE, sizeof(rc_target))};
         g_array_append_vals(route.targets, targets, 2);
         rc_add_route(table, &route);
     }
--- a/packages/net/include/lacewing/http1.h
+++ b/packages/net/include/lacewing/http1.h
@@ -34,9 +34,9 @@
     H1_IDLE = 0, /* no byte of a message yet */
     H1_HEAD,
     H1_BODY,
-    H1_DONE,     /* message complete; h1_reset() goes on */
+    H1_DONE,      /* message complete; h1_reset() goes on */
     H1_TOO_LARGE, /* the head is over its limit */
-    H1_BROKEN    /* not HTTP/1.1, or ambiguous */
+    H1_BROKEN     /* not HTTP/1.1, or ambiguous */
 } h1_state;
 
 typedef struct h1_header {
--- a/packages/net/include/lacewing/upstream.h
+++ b/packages/net/include/lacewing/upstream.h
@@ -42,11 +42,11 @@
 } us_calls;
 
 typedef struct us_pool_desc {
-    nc_hub *hub;           /* required */
-    lp_loop *loop;         /* required */
-    const char *address;   /* required, IP:PORT */
-    uint32_t capacity;     /* connections; default 64 */
-    uint32_t idle_ms;      /* unused ones are closed; default 4000 */
+    nc_hub *hub;             /* required */
+    lp_loop *loop;           /* required */
+    const char *address;     /* required, IP:PORT */
+    uint32_t capacity;       /* connections; default 64 */
+    uint32_t idle_ms;        /* unused ones are closed; default 4000 */
     uint32_t idle_margin_ms; /* before the server's own idle limit; default
                                 800 */
 } us_pool_desc;
--- a/packages/net/src/call.c
+++ b/packages/net/src/call.c
@@ -112,10 +112,10 @@
     client->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)us_destroy);
     g_queue_init(&client->calls);
-    client->tick = tm_make_timer(
-        desc->timers, &(tm_timer_desc){.period_ms = _HC_TICK_MS,
-                                       .call = _hc_on_tick,
-                                       .user_data = client});
+    client->tick =
+        tm_make_timer(desc->timers, &(tm_timer_desc){.period_ms = _HC_TICK_MS,
+                                                     .call = _hc_on_tick,
+                                                     .user_data = client});
     return client;
 }
 
@@ -162,9 +162,9 @@
                            request->method, request->path, host,
                            request->headers ? request->headers : "");
     if (request->body) {
-        g_string_append_printf(
-            text, "Content-Type: %s\r\nContent-Length: %zu\r\n",
-            request->type, request->body_count);
+        g_string_append_printf(text,
+                               "Content-Type: %s\r\nContent-Length: %zu\r\n",
+                               request->type, request->body_count);
     }
     g_string_append(text, "\r\n");
     us_write(line, text->str, text->len);
@@ -188,13 +188,12 @@
     call->done = request->done;
     call->user_data = request->user_data;
     call->body = g_byte_array_new();
-    call->end_us = lp_query_now_us(client->desc.loop) +
-                   request->timeout_ms * 1000ULL;
+    call->end_us =
+        lp_query_now_us(client->desc.loop) + request->timeout_ms * 1000ULL;
     g_queue_push_tail_link(&client->calls, &call->link);
     call->pool = _hc_pool(client, request->address);
-    call->line =
-        us_start(call->pool,
-                 &(us_desc){.calls = &_hc_calls, .user_data = call});
+    call->line = us_start(call->pool,
+                          &(us_desc){.calls = &_hc_calls, .user_data = call});
     if (call->line) {
         _hc_write(call->line, request, host);
     }
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -54,7 +54,8 @@
     void *user_data;
 };
 
-/* -- private: sockets ------------------------------------------------------ */
+/* -- private: sockets ------------------------------------------------------
+ */
 
 static bool
 _nc_parse(const char *address, struct sockaddr_in *out)
@@ -94,7 +95,8 @@
                    (int)hub->user_timeout_ms);
 }
 
-/* -- private: one connection ----------------------------------------------- */
+/* -- private: one connection -----------------------------------------------
+ */
 
 static void
 _nc_want(nc_conn *conn)
@@ -126,9 +128,8 @@
 {
     while (!conn->closed && !conn->connecting &&
            conn->out->len > conn->out_start) {
-        ssize_t count =
-            send(conn->watch.fd, conn->out->data + conn->out_start,
-                 conn->out->len - conn->out_start, MSG_NOSIGNAL);
+        ssize_t count = send(conn->watch.fd, conn->out->data + conn->out_start,
+                             conn->out->len - conn->out_start, MSG_NOSIGNAL);
         if (count < 0 && errno == EINTR) {
             continue;
         }
@@ -198,8 +199,8 @@
 _nc_read(nc_conn *conn)
 {
     nc_hub *hub = conn->hub;
-    ssize_t count = recv(conn->watch.fd, hub->scratch, sizeof(hub->scratch),
-                         0);
+    ssize_t count =
+        recv(conn->watch.fd, hub->scratch, sizeof(hub->scratch), 0);
     if (count < 0 &&
         (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
         return;
@@ -297,7 +298,8 @@
     g_ptr_array_set_size(hub->dead, 0);
 }
 
-/* -- public: hub and listener ---------------------------------------------- */
+/* -- public: hub and listener ----------------------------------------------
+ */
 
 nc_hub *
 nc_create(const nc_hub_desc *desc)
@@ -381,7 +383,8 @@
     }
 }
 
-/* -- public: connections --------------------------------------------------- */
+/* -- public: connections ---------------------------------------------------
+ */
 
 nc_conn *
 nc_connect(nc_hub *hub, const char *address, const nc_calls *calls,
--- a/packages/net/src/http1.c
+++ b/packages/net/src/http1.c
@@ -17,7 +17,7 @@
     void *user_data;
     h1_state state;
     h1_head head;
-    GString *text;       /* target, then names and values, NUL between */
+    GString *text; /* target, then names and values, NUL between */
     uint32_t names[H1_HEADERS];
     uint32_t values[H1_HEADERS];
     uint32_t header_count;
@@ -75,8 +75,7 @@
     }
     if (!reader->in_value) {
         g_string_append_c(reader->text, '\0');
-        reader->values[reader->header_count - 1] =
-            (uint32_t)reader->text->len;
+        reader->values[reader->header_count - 1] = (uint32_t)reader->text->len;
         reader->in_value = true;
     }
     g_string_append_len(reader->text, at, (gssize)length);
@@ -123,8 +122,7 @@
 _h1_on_head(http_parser *parser)
 {
     h1_reader *reader = parser->data;
-    size_t size =
-        reader->text->len + reader->header_count * _H1_HEADER_EXTRA;
+    size_t size = reader->text->len + reader->header_count * _H1_HEADER_EXTRA;
     if (size > reader->head_limit) {
         reader->too_many = true;
         return -1;
@@ -164,7 +162,8 @@
     .on_message_complete = _h1_on_end,
 };
 
-/* -- public ---------------------------------------------------------------- */
+/* -- public ----------------------------------------------------------------
+ */
 
 h1_reader *
 h1_create(const h1_desc *desc)
@@ -289,8 +288,8 @@
 h1_query_hop_by_hop(const h1_head *head, const char *name)
 {
     static const char *const fixed[] = {
-        "connection", "keep-alive",        "proxy-connection",
-        "te",         "transfer-encoding", "upgrade",
+        "connection", "keep-alive",         "proxy-connection",
+        "te",         "transfer-encoding",  "upgrade",
         "trailer",    "proxy-authenticate", "proxy-authorization"};
     for (size_t i = 0; i < G_N_ELEMENTS(fixed); i++) {
         if (strcasecmp(fixed[i], name) == 0) {
--- a/packages/net/src/upstream.c
+++ b/packages/net/src/upstream.c
@@ -38,7 +38,8 @@
     guint free_source;    /* of a cancelled line */
 };
 
-/* -- private: lines ---------------------------------------------------------- */
+/* -- private: lines ----------------------------------------------------------
+ */
 
 static void
 _us_free(us_line *line)
@@ -79,7 +80,8 @@
     nc_pause(line->conn, false);
 }
 
-/* -- private: the reader's calls ---------------------------------------------- */
+/* -- private: the reader's calls
+ * ---------------------------------------------- */
 
 static void
 _us_read_keep_alive(us_line *line, const h1_head *head)
@@ -129,7 +131,8 @@
 static const h1_calls _us_reader_calls = {.head = _us_on_head,
                                           .body = _us_on_body};
 
-/* -- private: the connection's calls ------------------------------------------ */
+/* -- private: the connection's calls
+ * ------------------------------------------ */
 
 static size_t
 _us_on_data(nc_conn *conn, const char *bytes, size_t count, void *user_data)
@@ -193,7 +196,8 @@
 static const nc_calls _us_conn_calls = {.data = _us_on_data,
                                         .closed = _us_on_closed};
 
-/* -- public -------------------------------------------------------------------- */
+/* -- public
+ * -------------------------------------------------------------------- */
 
 us_pool *
 us_create(const us_pool_desc *desc)
@@ -206,8 +210,8 @@
     pool->capacity = desc->capacity ? desc->capacity : _US_CAPACITY;
     pool->idle_us = 1000ULL * (desc->idle_ms ? desc->idle_ms : _US_IDLE_MS);
     pool->idle_margin_us =
-        1000ULL * (desc->idle_margin_ms ? desc->idle_margin_ms
-                                        : _US_IDLE_MARGIN_MS);
+        1000ULL *
+        (desc->idle_margin_ms ? desc->idle_margin_ms : _US_IDLE_MARGIN_MS);
     g_queue_init(&pool->idle);
     g_queue_init(&pool->active);
     return pool;
@@ -271,9 +275,8 @@
     }
     line->pool = pool;
     line->link.data = line;
-    line->reader = h1_create(&(h1_desc){.kind = H1_RESPONSE,
-                                        .calls = &_us_reader_calls,
-                                        .user_data = line});
+    line->reader = h1_create(&(h1_desc){
+        .kind = H1_RESPONSE, .calls = &_us_reader_calls, .user_data = line});
     pool->made++;
     return line;
 }
--- a/packages/net/tests/test_http1.c
+++ b/packages/net/tests/test_http1.c
@@ -30,10 +30,8 @@
 make(h1_kind kind, seen *out)
 {
     out->body = g_string_new(NULL);
-    return h1_create(&(h1_desc){.kind = kind,
-                                .head_bytes = 512,
-                                .calls = &calls,
-                                .user_data = out});
+    return h1_create(&(h1_desc){
+        .kind = kind, .head_bytes = 512, .calls = &calls, .user_data = out});
 }
 
 static h1_state
