--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -49,10 +49,10 @@
 /* -- private: states
  * ---------------------------------------------------------- */
 
+/* Frees a connection that is in no queue. */
 static void
-_cr_free(cr_conn *conn)
+_cr_release(cr_conn *conn)
 {
-    g_queue_unlink(&conn->port->conns, &conn->link);
     conn->port->busy -= conn->state == _CR_BUSY;
     nc_close(conn->conn);
     h1_destroy(conn->reader);
@@ -60,6 +60,13 @@
     g_free(conn);
 }
 
+static void
+_cr_free(cr_conn *conn)
+{
+    g_queue_unlink(&conn->port->conns, &conn->link);
+    _cr_release(conn);
+}
+
 static void
 _cr_enter(cr_conn *conn, _cr_state state)
 {
@@ -247,12 +254,13 @@
         return;
     }
     nc_unlisten(port->listener);
-    while (port->conns.head) {
-        cr_conn *conn = port->conns.head->data;
+    GList *link;
+    while ((link = g_queue_pop_head_link(&port->conns))) {
+        cr_conn *conn = link->data;
         if (conn->request) {
             port->desc.calls->gone(conn->request, port->desc.user_data);
         }
-        _cr_free(conn);
+        _cr_release(conn);
     }
     g_free(port);
 }
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -76,11 +76,11 @@
     exchange->state = XC_NEW;
 }
 
-void
-xc_free(xc_exchange *exchange)
+/* Frees an exchange that is not among the active ones. */
+static void
+_xc_release(xc_exchange *exchange)
 {
     xc_stop_waiting(exchange);
-    g_queue_unlink(&exchange->core->active, &exchange->link);
     ct_add(CT_OPEN_REQUESTS, -1);
     rc_unref(exchange->table);
     if (exchange->answer_headers) {
@@ -92,6 +92,13 @@
     g_free(exchange);
 }
 
+void
+xc_free(xc_exchange *exchange)
+{
+    g_queue_unlink(&exchange->core->active, &exchange->link);
+    _xc_release(exchange);
+}
+
 static uint32_t
 _xc_back_ms(xc_core *core)
 {
@@ -496,10 +503,11 @@
     if (!core) {
         return;
     }
-    while (core->active.head) {
-        xc_exchange *exchange = core->active.head->data;
+    GList *link;
+    while ((link = g_queue_pop_head_link(&core->active))) {
+        xc_exchange *exchange = link->data;
         xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
-        xc_free(exchange);
+        _xc_release(exchange);
     }
     g_hash_table_unref(core->budgets);
     g_rand_free(core->random);
--- a/packages/net/src/call.c
+++ b/packages/net/src/call.c
@@ -74,32 +74,41 @@
 static const us_calls _hc_calls = {
     .head = _hc_on_head, .body = _hc_on_body, .end = _hc_on_end};
 
+static void
+_hc_look(_hc_call *call, uint64_t clock_us)
+{
+    if (clock_us < call->end_us) {
+        return;
+    }
+    hc_answer answer = {.code = ER_TIMEOUT, .sent = true};
+    if (call->line) {
+        answer.sent = us_query_sent(call->line);
+        us_cancel(call->line);
+        /* Others of that address may be as silent. */
+        us_drop_idle(call->pool);
+    }
+    else {
+        answer.code = ER_CONNECTION;
+        answer.sent = false;
+    }
+    _hc_finish(call, &answer);
+}
+
 static void
 _hc_on_tick(uint64_t now_us, void *user_data)
 {
     (void)now_us;
     hc_client *client = user_data;
     uint64_t clock_us = lp_query_now_us(client->desc.loop);
-    GList *next;
-    for (GList *at = client->calls.head; at; at = next) {
-        next = at->next;
-        _hc_call *call = at->data;
-        if (clock_us < call->end_us) {
-            continue;
-        }
-        hc_answer answer = {.code = ER_TIMEOUT, .sent = true};
-        if (call->line) {
-            answer.sent = us_query_sent(call->line);
-            us_cancel(call->line);
-            /* Others of that address may be as silent. */
-            us_drop_idle(call->pool);
-        }
-        else {
-            answer.code = ER_CONNECTION;
-            answer.sent = false;
+    /* A call back may begin others: these are looked at next time. */
+    guint count = client->calls.length;
+    for (guint i = 0; i < count; i++) {
+        GList *link = g_queue_pop_head_link(&client->calls);
+        if (!link) {
+            return;
         }
-        _hc_finish(call, &answer);
-        next = client->calls.head; /* a call back may have begun others */
+        g_queue_push_tail_link(&client->calls, link);
+        _hc_look(link->data, clock_us);
     }
 }
 
@@ -126,12 +135,12 @@
         return;
     }
     tm_destroy_timer(client->desc.timers, client->tick);
-    while (client->calls.head) {
-        _hc_call *call = client->calls.head->data;
+    GList *link;
+    while ((link = g_queue_pop_head_link(&client->calls))) {
+        _hc_call *call = link->data;
         if (call->line) {
             us_cancel(call->line);
         }
-        g_queue_unlink(&client->calls, &call->link);
         g_byte_array_unref(call->body);
         g_free(call);
     }
--- a/packages/net/src/upstream.c
+++ b/packages/net/src/upstream.c
@@ -41,8 +41,9 @@
 /* -- private: lines ----------------------------------------------------------
  */
 
+/* Frees a line that is in no queue. */
 static void
-_us_free(us_line *line)
+_us_release(us_line *line)
 {
     if (line->free_source) {
         g_source_remove(line->free_source);
@@ -50,13 +51,19 @@
     if (!line->closed) {
         nc_close(line->conn);
     }
-    g_queue_unlink(line->active ? &line->pool->active : &line->pool->idle,
-                   &line->link);
     h1_destroy(line->reader);
     g_free(line->id);
     g_free(line);
 }
 
+static void
+_us_free(us_line *line)
+{
+    g_queue_unlink(line->active ? &line->pool->active : &line->pool->idle,
+                   &line->link);
+    _us_release(line);
+}
+
 static void
 _us_finish(us_line *line, us_end end)
 {
@@ -220,8 +227,9 @@
 void
 us_drop_idle(us_pool *pool)
 {
-    while (pool->idle.head) {
-        _us_free(pool->idle.head->data);
+    GList *link;
+    while ((link = g_queue_pop_head_link(&pool->idle))) {
+        _us_release(link->data);
     }
 }
 
@@ -231,11 +239,15 @@
     if (!pool) {
         return;
     }
-    while (pool->active.head) {
-        us_line *line = pool->active.head->data;
+    GList *link;
+    while ((link = g_queue_pop_head_link(&pool->active))) {
+        us_line *line = link->data;
         nc_close(line->conn);
         line->closed = true;
-        _us_finish(line, US_BROKEN);
+        if (line->desc.calls) {
+            line->desc.calls->end(line, US_BROKEN, line->desc.user_data);
+        }
+        _us_release(line);
     }
     us_drop_idle(pool);
     g_free(pool->address);
@@ -285,11 +297,8 @@
 _us_take_idle(us_pool *pool)
 {
     us_tick(pool, lp_query_now_us(pool->loop));
-    us_line *line = pool->idle.head ? pool->idle.head->data : NULL;
-    if (line) {
-        g_queue_unlink(&pool->idle, &line->link);
-    }
-    return line;
+    GList *link = g_queue_pop_head_link(&pool->idle);
+    return link ? link->data : NULL;
 }
 
 us_line *
