Store: instances tell each other what its tables were; leases grow with their number

An instance that hears what the store said a moment ago puts its own call off; news makes it ask at once. Ruled out: longer pauses for each (configurations and leaving servers would come late).

--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &lacewing__exchange__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lacewing__exchange__table_word__init
+                     (Lacewing__Exchange__TableWord         *message)
+{
+  static const Lacewing__Exchange__TableWord init_value = LACEWING__EXCHANGE__TABLE_WORD__INIT;
+  *message = init_value;
+}
+size_t lacewing__exchange__table_word__get_packed_size
+                     (const Lacewing__Exchange__TableWord *message)
+{
+  assert(message->base.descriptor == &lacewing__exchange__table_word__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lacewing__exchange__table_word__pack
+                     (const Lacewing__Exchange__TableWord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lacewing__exchange__table_word__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lacewing__exchange__table_word__pack_to_buffer
+                     (const Lacewing__Exchange__TableWord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lacewing__exchange__table_word__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lacewing__Exchange__TableWord *
+       lacewing__exchange__table_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lacewing__Exchange__TableWord *)
+     protobuf_c_message_unpack (&lacewing__exchange__table_word__descriptor,
+                                allocator, len, data);
+}
+void   lacewing__exchange__table_word__free_unpacked
+                     (Lacewing__Exchange__TableWord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lacewing__exchange__table_word__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lacewing__exchange__word__init
                      (Lacewing__Exchange__Word         *message)
 {
@@ -457,7 +502,7 @@
   assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lacewing__exchange__instance_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lacewing__exchange__instance_row__field_descriptors[5] =
 {
   {
     "incarnation",
@@ -507,17 +552,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "valid_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__InstanceRow, valid_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__instance_row__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = incarnation */
   3,   /* field[3] = leaving */
+  4,   /* field[4] = valid_ms */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange lacewing__exchange__instance_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__instance_row__descriptor =
 {
@@ -527,7 +585,7 @@
   "Lacewing__Exchange__InstanceRow",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__InstanceRow),
-  4,
+  5,
   lacewing__exchange__instance_row__field_descriptors,
   lacewing__exchange__instance_row__field_indices_by_name,
   1,  lacewing__exchange__instance_row__number_ranges,
@@ -1085,7 +1143,71 @@
   (ProtobufCMessageInit) lacewing__exchange__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lacewing__exchange__table_word__field_descriptors[3] =
+{
+  {
+    "table",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__TableWord, table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__TableWord, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__TableWord, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lacewing__exchange__table_word__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = digest */
+  0,   /* field[0] = table */
+};
+static const ProtobufCIntRange lacewing__exchange__table_word__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor lacewing__exchange__table_word__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lacewing.exchange.TableWord",
+  "TableWord",
+  "Lacewing__Exchange__TableWord",
+  "lacewing.exchange",
+  sizeof(Lacewing__Exchange__TableWord),
+  3,
+  lacewing__exchange__table_word__field_descriptors,
+  lacewing__exchange__table_word__field_indices_by_name,
+  1,  lacewing__exchange__table_word__number_ranges,
+  (ProtobufCMessageInit) lacewing__exchange__table_word__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[8] =
 {
   {
     "instance",
@@ -1171,6 +1293,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tables",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lacewing__Exchange__Word, n_tables),
+    offsetof(Lacewing__Exchange__Word, tables),
+    &lacewing__exchange__table_word__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
   5,   /* field[5] = asks */
@@ -1179,12 +1313,13 @@
   3,   /* field[3] = loads */
   2,   /* field[2] = servers */
   6,   /* field[6] = suspects */
+  7,   /* field[7] = tables */
   4,   /* field[4] = uses */
 };
 static const ProtobufCIntRange lacewing__exchange__word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor =
 {
@@ -1194,7 +1329,7 @@
   "Lacewing__Exchange__Word",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__Word),
-  7,
+  8,
   lacewing__exchange__word__field_descriptors,
   lacewing__exchange__word__field_indices_by_name,
   1,  lacewing__exchange__word__number_ranges,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Lacewing__Exchange__Use Lacewing__Exchange__Use;
 typedef struct Lacewing__Exchange__LoadAsk Lacewing__Exchange__LoadAsk;
 typedef struct Lacewing__Exchange__Suspect Lacewing__Exchange__Suspect;
+typedef struct Lacewing__Exchange__TableWord Lacewing__Exchange__TableWord;
 typedef struct Lacewing__Exchange__Word Lacewing__Exchange__Word;
 
 
@@ -45,10 +46,14 @@
    */
   char *address;
   protobuf_c_boolean leaving;
+  /*
+   * it orders so long after a renewal at the most
+   */
+  uint32_t valid_ms;
 };
 #define LACEWING__EXCHANGE__INSTANCE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__instance_row__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -174,6 +179,27 @@
     , 0, 0 }
 
 
+/*
+ * What the sender knows of a table of the platform's store.
+ */
+struct  Lacewing__Exchange__TableWord
+{
+  ProtobufCMessage base;
+  uint32_t table;
+  /*
+   * of what matters in its rows
+   */
+  uint64_t digest;
+  /*
+   * since the store said so
+   */
+  uint32_t age_ms;
+};
+#define LACEWING__EXCHANGE__TABLE_WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__table_word__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * One datagram.
  */
@@ -192,10 +218,12 @@
   Lacewing__Exchange__LoadAsk **asks;
   size_t n_suspects;
   Lacewing__Exchange__Suspect **suspects;
+  size_t n_tables;
+  Lacewing__Exchange__TableWord **tables;
 };
 #define LACEWING__EXCHANGE__WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__word__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Lacewing__Exchange__InstanceRow methods */
@@ -369,6 +397,25 @@
 void   lacewing__exchange__suspect__free_unpacked
                      (Lacewing__Exchange__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__TableWord methods */
+void   lacewing__exchange__table_word__init
+                     (Lacewing__Exchange__TableWord         *message);
+size_t lacewing__exchange__table_word__get_packed_size
+                     (const Lacewing__Exchange__TableWord   *message);
+size_t lacewing__exchange__table_word__pack
+                     (const Lacewing__Exchange__TableWord   *message,
+                      uint8_t             *out);
+size_t lacewing__exchange__table_word__pack_to_buffer
+                     (const Lacewing__Exchange__TableWord   *message,
+                      ProtobufCBuffer     *buffer);
+Lacewing__Exchange__TableWord *
+       lacewing__exchange__table_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lacewing__exchange__table_word__free_unpacked
+                     (Lacewing__Exchange__TableWord *message,
+                      ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__Word methods */
 void   lacewing__exchange__word__init
                      (Lacewing__Exchange__Word         *message);
@@ -417,6 +464,9 @@
 typedef void (*Lacewing__Exchange__Suspect_Closure)
                  (const Lacewing__Exchange__Suspect *message,
                   void *closure_data);
+typedef void (*Lacewing__Exchange__TableWord_Closure)
+                 (const Lacewing__Exchange__TableWord *message,
+                  void *closure_data);
 typedef void (*Lacewing__Exchange__Word_Closure)
                  (const Lacewing__Exchange__Word *message,
                   void *closure_data);
@@ -435,6 +485,7 @@
 extern const ProtobufCMessageDescriptor lacewing__exchange__use__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__load_ask__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__suspect__descriptor;
+extern const ProtobufCMessageDescriptor lacewing__exchange__table_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -12,6 +12,8 @@
 #define _GP_DATAGRAM_BYTES 65536
 /* Read in one turn. */
 #define _GP_BATCH 32
+/* A datagram is on its way so long at the most, between near regions. */
+#define _GP_WAY_US 10000
 /* Adapters in one datagram of uses. */
 #define _GP_USES 64
 
@@ -228,9 +230,32 @@
     g_ptr_array_add(all->uses, use);
 }
 
+static size_t
+_gp_fill_tables(gp_peers *peers, const gp_known known[GP_TABLE_NUM],
+                Lacewing__Exchange__TableWord *words,
+                Lacewing__Exchange__TableWord **list)
+{
+    uint64_t now_us = lp_query_now_us(peers->desc.loop);
+    size_t count = 0;
+    for (uint32_t i = 0; i < GP_TABLE_NUM; i++) {
+        if (known[i].at_us == 0 || known[i].at_us > now_us) {
+            continue;
+        }
+        lacewing__exchange__table_word__init(&words[count]);
+        words[count].table = i;
+        words[count].digest = known[i].digest;
+        words[count].age_ms = (uint32_t)((now_us - known[i].at_us) / 1000);
+        list[count] = &words[count];
+        count++;
+    }
+    return count;
+}
+
 void
-gp_tell_load(gp_peers *peers)
+gp_tell_load(gp_peers *peers, const gp_known known[GP_TABLE_NUM])
 {
+    Lacewing__Exchange__TableWord words[GP_TABLE_NUM];
+    Lacewing__Exchange__TableWord *tables[GP_TABLE_NUM];
     _gp_loads all = {peers, g_ptr_array_new_with_free_func(g_free),
                      g_ptr_array_new_with_free_func(g_free)};
     fl_each_server(peers->desc.fleet, _gp_add_load, &all);
@@ -240,7 +265,9 @@
     word.loads = (Lacewing__Exchange__ServerLoad **)all.loads->pdata;
     word.n_uses = all.uses->len;
     word.uses = (Lacewing__Exchange__Use **)all.uses->pdata;
-    if (word.n_loads || word.n_uses) {
+    word.n_tables = _gp_fill_tables(peers, known, words, tables);
+    word.tables = tables;
+    if (word.n_loads || word.n_uses || word.n_tables) {
         _gp_send(peers, &word, NULL);
     }
     g_ptr_array_unref(all.loads);
@@ -340,6 +367,15 @@
     for (size_t i = 0; i < word->n_servers; i++) {
         _gp_take_server(peers, word->servers[i]);
     }
+    for (size_t i = 0; i < word->n_tables; i++) {
+        const Lacewing__Exchange__TableWord *table = word->tables[i];
+        uint64_t age_us = table->age_ms * 1000ULL + _GP_WAY_US;
+        if (table->table < GP_TABLE_NUM && age_us < now_us) {
+            gp_known known = {table->digest, now_us - age_us};
+            peers->desc.calls->known((gp_table)table->table, &known,
+                                     peers->desc.user_data);
+        }
+    }
     for (size_t i = 0; i < word->n_asks; i++) {
         _gp_take_ask(peers, word->asks[i]);
     }
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -17,7 +17,24 @@
 
 typedef struct gp_peers gp_peers;
 
+/* Tables of the platform's store. */
+typedef enum gp_table {
+    GP_OPERATOR = 0,
+    GP_SERVERS,
+    GP_OWN,
+    GP_TABLE_NUM
+} gp_table;
+
+/* What is known of a table: a digest of what matters, and when it was so;
+   0: it is not known. */
+typedef struct gp_known {
+    uint64_t digest;
+    uint64_t at_us;
+} gp_known;
+
 typedef struct gp_calls {
+    /* Another instance knew this of a table; at_us on this one's clock. */
+    void (*known)(gp_table table, const gp_known *known, void *user_data);
     /* Another instance asks this one to load an adapter. */
     void (*asked)(fl_server *server, fl_adapter *adapter, void *user_data);
     /* What a server holds has changed, as its holder tells. */
@@ -42,8 +59,9 @@
 bool gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter);
 /* Tells all others what a server holds that is ordered from here. */
 void gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number);
-/* Tells all others the requests under way here, and uses since last time. */
-void gp_tell_load(gp_peers *peers);
+/* Tells all others the requests under way here, uses since last time, and
+   what is known of the store's tables. */
+void gp_tell_load(gp_peers *peers, const gp_known known[GP_TABLE_NUM]);
 
 /* queries */
 /* When the holder of a server last told what it holds; 0: never. */
--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -4,9 +4,11 @@
 #include <string.h>
 
 #define _LE_LEASE_MS 3000
-/* An instance orders for this part of the lease after a renewal was sent: two
-   renewals may fail. */
-#define _LE_VALID_SHARE 0.75
+/* An instance orders for so many renewals' time after one was sent: one may
+   fail. */
+#define _LE_VALID_RENEWALS 2.25
+#define _LE_RENEW_PER_INSTANCE 0.06
+#define _LE_RENEW_MOST 5.0
 /* Added to the lease before another instance orders: clocks drift and timers
    fire late. */
 #define _LE_MARGIN_MS 300
@@ -15,9 +17,6 @@
 #define _LE_SETTLE_MS 1000
 /* A server that the instance meant for it does not claim is anybody's. */
 #define _LE_LEFT_MS 4000
-/* Answers of the store further apart are an interruption; after one, others
-   have as long to renew before they are ended. */
-#define _LE_GAP_MS 2500
 #define _LE_TX_ROWS 40
 
 typedef struct _le_peer {
@@ -26,7 +25,8 @@
     char *zone;
     char *address;
     uint64_t version;
-    uint64_t seen_us; /* when this version was first seen */
+    uint64_t seen_us;  /* when this version was first seen */
+    uint64_t valid_us; /* it orders so long after a renewal */
     bool read;
 } _le_peer;
 
@@ -57,8 +57,6 @@
     char *address;
     uint64_t incarnation;
     uint64_t lease_us;
-    uint64_t valid_us;
-    uint64_t takeover_us;
     uint64_t quiet_us;
     uint64_t renew_us;
     GHashTable *peers;   /* name -> _le_peer, ourselves too */
@@ -68,10 +66,11 @@
     uint64_t registered_us;
     uint64_t row_version; /* of our own row */
     uint64_t renewed_us;  /* when the last good renewal was sent */
+    uint64_t valid_us;    /* as that renewal says */
+    uint64_t tx_valid_us; /* as the renewal under way says */
     uint64_t next_renew_us;
     uint64_t store_version;
-    uint64_t fresh_us;
-    uint64_t contact_us; /* since when the store answers without a gap */
+    uint64_t contact_us; /* since when the store answers; 0: it does not */
     bool leaving;        /* takes no more servers */
     bool left;           /* orders no more */
     bool given_up;
@@ -176,6 +175,7 @@
         peer->seen_us = now_us;
     }
     peer->version = row->version;
+    peer->valid_us = read->valid_ms * 1000ULL;
     peer->read = true;
     g_free(peer->zone);
     g_free(peer->address);
@@ -231,11 +231,17 @@
     return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
+static uint64_t
+_le_takeover_us(const le_lease *lease, const _le_peer *peer)
+{
+    return peer->valid_us + lease->quiet_us;
+}
+
 static bool
 _le_peer_alive(const le_lease *lease, const _le_peer *peer, uint64_t now_us)
 {
     return !peer->public.leaving &&
-           now_us < peer->seen_us + lease->takeover_us;
+           now_us < peer->seen_us + _le_takeover_us(lease, peer);
 }
 
 /* Names of the live instances of a zone, or of all; sorted. */
@@ -353,6 +359,21 @@
     return g_bytes_new_take(bytes, size);
 }
 
+/* The more instances there are, the fewer servers wait for one that is gone,
+   and the more renewals the store bears: leases grow with them. */
+static uint64_t
+_le_renew_us(const le_lease *lease)
+{
+    double times = 1.0 + le_query_live(lease) * _LE_RENEW_PER_INSTANCE;
+    return (uint64_t)((double)lease->renew_us * MIN(times, _LE_RENEW_MOST));
+}
+
+static uint64_t
+_le_valid_us(const le_lease *lease)
+{
+    return (uint64_t)((double)_le_renew_us(lease) * _LE_VALID_RENEWALS);
+}
+
 static void
 _le_write_renewal(le_lease *lease)
 {
@@ -362,6 +383,7 @@
     row.zone = lease->zone;
     row.address = lease->address;
     row.leaving = lease->leaving;
+    row.valid_ms = (uint32_t)(_le_valid_us(lease) / 1000);
     _le_add(lease, _le_key(lease, "i/", lease->instance), lease->row_version,
             _le_pack(&row.base));
 }
@@ -388,7 +410,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const _le_peer *peer = value;
         if (!_le_is_self(lease, peer->instance) &&
-            now_us >= peer->seen_us + lease->takeover_us) {
+            now_us >= peer->seen_us + _le_takeover_us(lease, peer)) {
             _le_add(lease, _le_key(lease, "i/", peer->instance), peer->version,
                     NULL);
             g_free(lease->tx_peer);
@@ -440,6 +462,7 @@
         return _LE_NONE;
     }
     if (now_us >= lease->next_renew_us) {
+        lease->tx_valid_us = _le_valid_us(lease);
         _le_write_renewal(lease);
         return _LE_RENEW;
     }
@@ -447,7 +470,8 @@
         now_us >= lease->renewed_us + lease->valid_us) {
         return _LE_NONE;
     }
-    if (now_us >= lease->contact_us + _LE_GAP_MS * 1000ULL &&
+    /* After an interruption others have time to renew. */
+    if (now_us >= lease->contact_us + _le_valid_us(lease) &&
         _le_write_end(lease, now_us)) {
         return _LE_END;
     }
@@ -469,7 +493,8 @@
     }
     lease->row_version = version;
     lease->renewed_us = lease->tx_sent_us;
-    lease->next_renew_us = lease->tx_sent_us + lease->renew_us;
+    lease->valid_us = lease->tx_valid_us;
+    lease->next_renew_us = lease->tx_sent_us + _le_renew_us(lease);
 }
 
 static void
@@ -564,9 +589,7 @@
     lease->incarnation = desc->incarnation;
     uint32_t lease_ms = desc->lease_ms ? desc->lease_ms : _LE_LEASE_MS;
     lease->lease_us = lease_ms * 1000ULL;
-    lease->valid_us = (uint64_t)((double)lease->lease_us * _LE_VALID_SHARE);
     lease->quiet_us = lease->lease_us + _LE_MARGIN_MS * 1000ULL;
-    lease->takeover_us = lease->valid_us + lease->quiet_us;
     lease->renew_us =
         desc->renew_ms ? desc->renew_ms * 1000ULL : lease->lease_us / 3;
     lease->peers =
@@ -657,13 +680,16 @@
 void
 le_feed_fresh(le_lease *lease, uint64_t now_us, uint64_t version)
 {
-    if (now_us > lease->fresh_us + _LE_GAP_MS * 1000ULL) {
-        lease->contact_us = now_us;
-    }
-    lease->fresh_us = now_us;
+    lease->contact_us = lease->contact_us ? lease->contact_us : now_us;
     lease->store_version = MAX(lease->store_version, version);
 }
 
+void
+le_note_interruption(le_lease *lease)
+{
+    lease->contact_us = 0;
+}
+
 void
 le_put_server(le_lease *lease, const char *id, const char *zone)
 {
@@ -783,6 +809,37 @@
     return lease->registered && clock_us < lease->renewed_us + lease->valid_us;
 }
 
+static uint64_t
+_le_mix(uint64_t number)
+{
+    number ^= number >> 31;
+    number *= 0x9e3779b97f4a7c15ULL;
+    return number ^ (number >> 29);
+}
+
+uint64_t
+le_query_digest(const le_lease *lease)
+{
+    uint64_t digest = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _le_peer *peer = value;
+        digest ^=
+            _le_mix(g_str_hash(peer->instance) ^
+                    peer->public.incarnation << 1 ^ peer->public.leaving);
+    }
+    g_hash_table_iter_init(&iter, lease->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _le_server *server = value;
+        digest ^= server->version
+                      ? _le_mix(g_str_hash(server->id) ^ server->version << 20)
+                      : 0;
+    }
+    return digest;
+}
+
 bool
 le_query_given_up(const le_lease *lease)
 {
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -10,12 +10,12 @@
  *
  * An instance orders while its last acknowledged renewal was sent less than
  * valid_ms ago. Another ends it by removing its row, under the condition
- * that the row has not changed, after it stood unchanged for takeover_ms on
- * the other's own clock: the old one is silent for takeover_ms - valid_ms
- * before any server of it has a new holder. A holder that leaves gives its
- * servers up in the store; they wait for quiet_ms. A machine that starts
- * again takes its own servers back at once, with a higher fence. Fences are
- * versions of the store, so they rise also where rows were removed.
+ * that the row has not changed, after it stood unchanged on the other's own
+ * clock for valid_ms, which the row tells, and lease_ms: the old one is silent
+ * for lease_ms before any server of it has a new holder. A holder that leaves
+ * gives its servers up in the store; they wait for quiet_ms. A machine that
+ * starts again takes its own servers back at once, with a higher fence. Fences
+ * are versions of the store, so they rise also where rows were removed.
  *
  *     le_feed_row(lease, now_us, "i/b", value, 17);
  *     if (le_next_tx(lease, now_us, &tx)) { write it; le_feed_result(...); }
@@ -60,6 +60,8 @@
 void le_end_read(le_lease *lease, uint64_t now_us);
 /* The store answered a read of the own table that was up to date then. */
 void le_feed_fresh(le_lease *lease, uint64_t now_us, uint64_t version);
+/* The store did not answer for a while: others may not have renewed. */
+void le_note_interruption(le_lease *lease);
 /* Servers that take orders; others are given up. */
 void le_put_server(le_lease *lease, const char *id, const char *zone);
 void le_remove_server(le_lease *lease, const char *id);
@@ -82,6 +84,8 @@
 /* Instance that orders a server, as far as known; NULL: none alive. */
 const char *le_query_holder(const le_lease *lease, const char *server);
 uint32_t le_query_live(const le_lease *lease);
+/* Of all rows but for their renewals. */
+uint64_t le_query_digest(const le_lease *lease);
 bool le_query_held(const le_lease *lease, uint64_t clock_us);
 bool le_query_given_up(const le_lease *lease);
 typedef void (*le_peer_call)(const le_peer *peer, void *user_data);
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -5,6 +5,7 @@
 #include "gossip.h"
 #include "lacewing/call.h"
 #include "lacewing/counter.h"
+#include "lacewing/hash.h"
 #include "lacewing/log.h"
 #include "lease.h"
 #include "orderer.h"
@@ -24,10 +25,17 @@
 #define _ND_TELL_SERVERS_US 1000000
 /* A leaving server gets nothing new within the drain time: the list is read
    this many times in it. */
-#define _ND_SERVER_READS 3
-#define _ND_OWN_TABLE_PAUSE_MS 800
+#define _ND_SERVER_READS 4
+/* Calls of the operator's table, over all instances, in the time that a
+   configuration has; the store holds each for a short while. */
+#define _ND_OPERATOR_READS 4
+#define _ND_OPERATOR_WAIT_MS 100
+/* The own table changes with renewals only, but for what others tell of. */
+#define _ND_OWN_TABLE_PAUSE_MS 2500
+#define _ND_OWN_TABLE_PAUSE_FIRST_MS 400
+#define _ND_OWN_TABLE_PAUSE_PER_INSTANCE_MS 60
 /* A configuration is the newest when the store said so this lately. */
-#define _ND_CONFIG_WAIT_MS 2500
+#define _ND_CONFIG_FRESH_US 4000000
 /* Servers that are missing after the store was away have this long to come
    back; the platform's word is about 2 s. */
 #define _ND_LAPSED_US 1700000
@@ -59,6 +67,10 @@
     GHashTable *lapsed;       /* server id -> when it goes, in us */
     GHashTable *read_servers; /* ids of the read under way; or NULL */
     bool servers_known;
+    GHashTable *row_digests; /* key of a row -> its digest, both tables */
+    uint64_t digests[GP_TABLE_NUM];
+    uint64_t own_regained_us;
+    uint64_t own_written_us; /* when a transaction of the own table held */
     bool lease_held;
     bool ready_said;
     tm_timer ticks[4];
@@ -69,6 +81,57 @@
     bool stopped;
 };
 
+/* -- private: digests of tables ------------------------------------------ */
+
+/* Replaces a row's part in the digest of its table; 0: the row is gone. */
+static void
+_nd_digest(nd_node *node, gp_table table, const char *key, uint64_t digest)
+{
+    g_autofree char *name = g_strdup_printf("%d/%s", (int)table, key);
+    uint64_t *old = g_hash_table_lookup(node->row_digests, name);
+    node->digests[table] ^= old ? *old : 0;
+    node->digests[table] ^= digest;
+    if (digest == 0) {
+        g_hash_table_remove(node->row_digests, name);
+        return;
+    }
+    uint64_t *kept = g_new(uint64_t, 1);
+    *kept = digest;
+    g_hash_table_replace(node->row_digests, g_steal_pointer(&name), kept);
+}
+
+static uint64_t
+_nd_digest_of(const char *key, uint64_t number, uint64_t other)
+{
+    g_autofree char *text = g_strdup_printf(
+        "%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, key, number, other);
+    return hs_u64(text);
+}
+
+static wt_watch *
+_nd_watch_of(const nd_node *node, gp_table table)
+{
+    return table == GP_OPERATOR  ? node->operator_watch
+           : table == GP_SERVERS ? node->server_watch
+                                 : node->own_watch;
+}
+
+/* Another instance knows as much: no need to ask. It knows something else,
+   and later: the store has news. */
+static void
+_nd_on_known(gp_table table, const gp_known *known, void *user_data)
+{
+    nd_node *node = user_data;
+    wt_watch *watch = _nd_watch_of(node, table);
+    bool same = known->digest == node->digests[table];
+    if (same && table != GP_OWN) {
+        wt_note_fresh(watch, known->at_us);
+    }
+    else if (!same && known->at_us > wt_query_fresh_us(watch)) {
+        wt_ask_now(watch);
+    }
+}
+
 /* -- private: configuration
  * --------------------------------------------------------- */
 
@@ -105,7 +168,9 @@
     if (read.kind == DL_OPERATOR_CONFIG) {
         _nd_take_config(node, read.config);
     }
-    else if (read.kind == DL_OPERATOR_VERSION) {
+    _nd_digest(node, GP_OPERATOR, row->key,
+               row->value ? _nd_digest_of(row->key, row->version, 0) : 0);
+    if (read.kind == DL_OPERATOR_VERSION) {
         fl_declare_version(node->fleet, read.model, read.adapter, read.version,
                            lp_query_now_us(node->desc.loop));
         lg_write(LG_VERSION_NEW, "key", row->key, NULL);
@@ -224,6 +289,7 @@
 {
     nd_node *node = user_data;
     if (!row->value) {
+        _nd_digest(node, GP_SERVERS, row->key, 0);
         _nd_lapse_server(node, row->key);
         return;
     }
@@ -236,6 +302,8 @@
     if (node->read_servers) {
         g_hash_table_add(node->read_servers, g_strdup(row->key));
     }
+    _nd_digest(node, GP_SERVERS, row->key,
+               _nd_digest_of(row->key, entry.born_ms, entry.state));
     _nd_put_server(node, &entry);
     dl_clear_server(&entry);
 }
@@ -265,6 +333,7 @@
     for (guint i = 0; i < ids->len; i++) {
         if (!g_hash_table_contains(read, ids->pdata[i])) {
             g_autofree char *id = g_strdup(ids->pdata[i]);
+            _nd_digest(node, GP_SERVERS, id, 0);
             _nd_lapse_server(node, id);
         }
     }
@@ -317,7 +386,15 @@
 _nd_on_own_fresh(uint64_t version, void *user_data)
 {
     nd_node *node = user_data;
+    uint64_t regained_us = wt_query_regained_us(node->own_watch);
+    if (regained_us != node->own_regained_us) {
+        node->own_regained_us = regained_us;
+        le_note_interruption(node->lease);
+    }
     le_feed_fresh(node->lease, lp_query_now_us(node->desc.loop), version);
+    wt_set_pause(node->own_watch, _ND_OWN_TABLE_PAUSE_MS +
+                                      le_query_live(node->lease) *
+                                          _ND_OWN_TABLE_PAUSE_PER_INSTANCE_MS);
 }
 
 static void
@@ -326,21 +403,24 @@
     (void)user_data;
 }
 
+static void _nd_tell(nd_node *node);
+
+/* What was asked of the store spares the others their calls. */
 static void
-_nd_ignore_fresh(uint64_t version, void *user_data)
+_nd_on_fresh(uint64_t version, void *user_data)
 {
     (void)version;
-    (void)user_data;
+    _nd_tell(user_data);
 }
 
 static const wt_calls _nd_operator_calls = {.row = _nd_on_operator_row,
                                             .read_began = _nd_ignore,
                                             .read_ended = _nd_ignore,
-                                            .fresh = _nd_ignore_fresh};
+                                            .fresh = _nd_on_fresh};
 static const wt_calls _nd_server_calls = {.row = _nd_on_server_row,
                                           .read_began = _nd_on_servers_began,
                                           .read_ended = _nd_on_servers_ended,
-                                          .fresh = _nd_ignore_fresh};
+                                          .fresh = _nd_on_fresh};
 static const wt_calls _nd_own_calls = {.row = _nd_on_own_row,
                                        .read_began = _nd_on_own_began,
                                        .read_ended = _nd_on_own_ended,
@@ -365,6 +445,7 @@
         code = read == ER_OK ? code : ER_PLATFORM_DOWN;
     }
     le_feed_result(node->lease, now_us, code, rows.version, rows.rows);
+    node->own_written_us = code == ER_OK ? now_us : node->own_written_us;
     dl_clear_rows(&rows);
 }
 
@@ -441,16 +522,15 @@
     nd_node *node = user_data;
     uint64_t fresh_us = wt_query_fresh_us(node->operator_watch);
     return fresh_us && wt_query_reachable(node->operator_watch) &&
-           lp_query_now_us(node->desc.loop) <
-               fresh_us + 2 * _ND_CONFIG_WAIT_MS * 1000ULL;
+           lp_query_now_us(node->desc.loop) < fresh_us + _ND_CONFIG_FRESH_US;
 }
 
 static const xc_calls _nd_core_calls = {.ask = _nd_on_ask,
                                         .mismatch = _nd_on_mismatch,
                                         .live = _nd_live,
                                         .config_fresh = _nd_config_fresh};
-static const gp_calls _nd_peer_calls = {.asked = _nd_on_asked,
-                                        .changed = _nd_wake_server};
+static const gp_calls _nd_peer_calls = {
+    .known = _nd_on_known, .asked = _nd_on_asked, .changed = _nd_wake_server};
 
 /* -- private: pages
  * ---------------------------------------------------------------------------
@@ -539,13 +619,27 @@
     }
 }
 
+static void
+_nd_tell(nd_node *node)
+{
+    node->digests[GP_OWN] = le_query_digest(node->lease);
+    gp_known known[GP_TABLE_NUM];
+    for (int i = 0; i < GP_TABLE_NUM; i++) {
+        known[i] =
+            (gp_known){node->digests[i],
+                       wt_query_fresh_us(_nd_watch_of(node, (gp_table)i))};
+    }
+    known[GP_OWN].at_us = MAX(known[GP_OWN].at_us, node->own_written_us);
+    gp_tell_load(node->peers, known);
+}
+
 static void
 _nd_on_tell_tick(uint64_t now_us, void *user_data)
 {
     (void)now_us;
     nd_node *node = user_data;
     uint64_t clock_us = lp_query_now_us(node->desc.loop);
-    gp_tell_load(node->peers);
+    _nd_tell(node);
     if (clock_us >= node->told_servers_us + _ND_TELL_SERVERS_US) {
         node->told_servers_us = clock_us;
         fl_each_server(node->fleet, _nd_tell_held, node);
@@ -630,14 +724,17 @@
 _nd_make_watches(nd_node *node)
 {
     const dl_dialect *dialect = node->desc.dialect;
-    uint32_t drain_ms = node->desc.settings->drain_ms;
-    node->operator_watch = _nd_watch(node, dialect->operator_table, 0,
-                                     _ND_CONFIG_WAIT_MS, &_nd_operator_calls);
-    node->server_watch =
-        _nd_watch(node, dialect->server_table, drain_ms / _ND_SERVER_READS,
-                  1000, &_nd_server_calls);
-    node->own_watch = _nd_watch(node, dialect->own_table,
-                                _ND_OWN_TABLE_PAUSE_MS, 1000, &_nd_own_calls);
+    const nd_settings *settings = node->desc.settings;
+    node->operator_watch =
+        _nd_watch(node, dialect->operator_table,
+                  settings->config_apply_ms / _ND_OPERATOR_READS,
+                  _ND_OPERATOR_WAIT_MS, &_nd_operator_calls);
+    node->server_watch = _nd_watch(node, dialect->server_table,
+                                   settings->drain_ms / _ND_SERVER_READS, 100,
+                                   &_nd_server_calls);
+    node->own_watch =
+        _nd_watch(node, dialect->own_table, _ND_OWN_TABLE_PAUSE_FIRST_MS, 100,
+                  &_nd_own_calls);
 }
 
 static char *
@@ -728,6 +825,8 @@
     nd_node *node = g_new0(nd_node, 1);
     node->desc = *desc;
     node->incarnation = ((uint64_t)g_random_int() << 20) | 1;
+    node->row_digests =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     node->lapsed =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_autofree char *peer_address = _nd_peer_address(desc->settings);
@@ -765,6 +864,7 @@
     nc_destroy(node->hub);
     rc_unref(node->table);
     g_hash_table_unref(node->lapsed);
+    g_hash_table_unref(node->row_digests);
     g_clear_pointer(&node->read_servers, g_hash_table_unref);
     g_free(node);
 }
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -12,6 +12,11 @@
    chance. */
 #define _WT_RETRY_MS 150
 #define _WT_RETRY_LONGEST_MS 600
+/* Calls for changes that others tell of are this far apart at least. */
+#define _WT_HURRY_US 150000
+/* An answer tells the table as it was so long ago at the most, unless the
+   call itself was sent later. */
+#define _WT_WAY_US 100000
 /* Answers further apart are an interruption. */
 #define _WT_GAP_US 1500000
 
@@ -47,6 +52,9 @@
 static void
 _wt_ask_in(wt_watch *watch, uint32_t delay_ms)
 {
+    if (watch->timer.id) {
+        tm_destroy_timer(watch->desc.timers, watch->timer);
+    }
     watch->timer = tm_make_timer(
         watch->desc.timers, &(tm_timer_desc){.period_ms = MAX(delay_ms, 1),
                                              .once = true,
@@ -54,6 +62,20 @@
                                              .user_data = watch});
 }
 
+/* Spread, so that one of many instances is first and spares the others. */
+static uint32_t
+_wt_pause_ms(const wt_watch *watch)
+{
+    uint32_t pause_ms = watch->desc.pause_ms;
+    return pause_ms + (uint32_t)g_random_int_range(0, (gint32)pause_ms + 1);
+}
+
+static void
+_wt_ask_after_pause(wt_watch *watch)
+{
+    _wt_ask_in(watch, _wt_pause_ms(watch));
+}
+
 static void
 _wt_failed(wt_watch *watch, const char *why)
 {
@@ -84,7 +106,8 @@
         lg_write(LG_STORE_REGAINED, "table", watch->table, NULL);
     }
     watch->failures = 0;
-    watch->fresh_us = watch->sent_us;
+    watch->fresh_us =
+        MAX(watch->sent_us, MAX(now_us, _WT_WAY_US) - _WT_WAY_US);
     watch->version = version;
     watch->desc.calls->fresh(version, watch->desc.user_data);
 }
@@ -117,7 +140,7 @@
     calls->read_ended(watch->desc.user_data);
     watch->following = true;
     _wt_good(watch, watch->page_version);
-    _wt_ask_in(watch, watch->desc.pause_ms);
+    _wt_ask_after_pause(watch);
 }
 
 static void
@@ -145,7 +168,7 @@
     else {
         _wt_tell(watch, &rows);
         _wt_good(watch, MAX(rows.version, watch->version));
-        _wt_ask_in(watch, watch->desc.pause_ms);
+        _wt_ask_after_pause(watch);
     }
     dl_clear_rows(&rows);
 }
@@ -235,6 +258,38 @@
     g_free(watch);
 }
 
+void
+wt_note_fresh(wt_watch *watch, uint64_t at_us)
+{
+    uint64_t now_us = lp_query_now_us(watch->desc.loop);
+    if (!watch->following || at_us <= watch->fresh_us) {
+        return;
+    }
+    watch->fresh_us = at_us;
+    if (watch->timer.id && !watch->lost) {
+        uint64_t next_us = at_us + _wt_pause_ms(watch) * 1000ULL;
+        _wt_ask_in(watch, next_us > now_us
+                              ? (uint32_t)((next_us - now_us) / 1000)
+                              : 1);
+    }
+}
+
+void
+wt_ask_now(wt_watch *watch)
+{
+    uint64_t now_us = lp_query_now_us(watch->desc.loop);
+    if (watch->timer.id && !watch->lost &&
+        now_us >= watch->sent_us + _WT_HURRY_US) {
+        _wt_ask_in(watch, 1);
+    }
+}
+
+void
+wt_set_pause(wt_watch *watch, uint32_t pause_ms)
+{
+    watch->desc.pause_ms = pause_ms;
+}
+
 uint64_t
 wt_query_fresh_us(const wt_watch *watch)
 {
--- a/packages/exchange/src/watch.h
+++ b/packages/exchange/src/watch.h
@@ -5,8 +5,11 @@
  * no longer there, or a row that is missing from a new read, is told as
  * removals. After an interruption it goes on from the version it had.
  *
- * Limits: one answer at a time for each table; calls are priced, so tables
- * that change all the time are asked with a pause.
+ * Calls are priced, and all instances ask for the same: an instance that hears
+ * from another what the table was a moment ago puts its own call off
+ * (wt_note_fresh), and one that hears of a change asks at once (wt_ask_now).
+ *
+ * Limits: one answer at a time for each table.
  */
 #ifndef LACEWING_WATCH_H
 #define LACEWING_WATCH_H
@@ -34,7 +37,8 @@
     const dl_dialect *dialect; /* required */
     const char *address;       /* required, of the store */
     const char *table;         /* required */
-    uint32_t pause_ms;         /* between two answers; default 0 */
+    uint32_t pause_ms;         /* between two answers; up to as much
+                                  more by chance */
     uint32_t wait_ms;          /* the store holds a call; default 3000 */
     const wt_calls *calls;     /* required */
     void *user_data;
@@ -43,6 +47,12 @@
 wt_watch *wt_create(const wt_desc *desc);
 void wt_destroy(wt_watch *watch);
 
+/* The table was at this time what is known of it here. */
+void wt_note_fresh(wt_watch *watch, uint64_t at_us);
+/* It has changed since. */
+void wt_ask_now(wt_watch *watch);
+void wt_set_pause(wt_watch *watch, uint32_t pause_ms);
+
 /* queries */
 /* When the call was sent whose answer told the table last; 0: never. */
 uint64_t wt_query_fresh_us(const wt_watch *watch);
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -275,6 +275,9 @@
         if (!w->down && !n->cut) {
             read_table(w, n);
         }
+        else {
+            le_note_interruption(n->lease);
+        }
     }
     write_tx(w, n);
     order_all(w, i);
