--- a/packages/exchange/src/orderer.c
+++ b/packages/exchange/src/orderer.c
@@ -249,8 +249,9 @@
 }
 
 static void
-_or_send_order(or_orderer *orderer, fl_server *server, dl_order *order)
+_or_send_order(or_orderer *orderer, fl_server *server, od_step *step)
 {
+    dl_order *order = &step->order;
     _or_plan *plan = server->orders;
     order->holder = orderer->desc.instance;
     order->fence =
@@ -260,11 +261,11 @@
                       DL_ORDER_DEFAULT);
         return;
     }
-    if (!order->adapter) {
-        orderer->model_tokens -= order->kind == DL_LOAD ? 1.0 : 0.0;
+    if (!order->adapter && order->kind == DL_LOAD && !step->asks) {
+        orderer->model_tokens -= 1.0;
     }
     ct_add(CT_ORDERS, 1);
-    if (order->adapter) {
+    if (order->adapter && !step->asks) {
         ct_add(order->kind == DL_LOAD ? CT_LOADS : CT_EVICTIONS, 1);
     }
     char number[24];
@@ -298,7 +299,7 @@
                             orderer->desc.dialect->report_path, NULL);
             return;
         }
-        _or_send_order(orderer, server, &step.order);
+        _or_send_order(orderer, server, &step);
     }
 }
 
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -8,6 +8,7 @@
 #define _OD_AT_HAND_US 26000
 /* A load that is not done when it should be is asked after again. */
 #define _OD_AGAIN_US 15000
+#define _OD_MODEL_AGAIN_US 100000
 /* State of a server is some hundred ms old when it tells it. */
 #define _OD_REPORT_LAG_US 350000
 #define _OD_REPORT_RETRY_US 500000
@@ -231,6 +232,7 @@
         od_step step =
             _od_order(plan, DL_LOAD, due->adapter, _od_version(due->adapter));
         plan->asking = true;
+        step.asks = true;
         return step;
     }
     fl_adapter *model = fl_intern(plan->fleet, room->model);
@@ -251,7 +253,8 @@
 {
     fl_copy *copy = fl_query_copy(plan->server, plan->ordered);
     if (plan->asking && copy && copy->loading) {
-        copy->asked_us = now_us + _OD_AGAIN_US; /* not a further order */
+        copy->asked_us =
+            now_us + (plan->ordered->name ? _OD_AGAIN_US : _OD_MODEL_AGAIN_US);
         return;
     }
     plan->orders++;
--- a/packages/exchange/src/orders.h
+++ b/packages/exchange/src/orders.h
@@ -34,6 +34,7 @@
 typedef struct od_step {
     od_step_kind kind;
     dl_order order;
+    bool asks; /* after a load that is under way: no further load */
 } od_step;
 
 typedef struct od_desc {
--- a/packages/exchange/tests/test_orders.c
+++ b/packages/exchange/tests/test_orders.c
@@ -237,6 +237,32 @@
 }
 END_TEST
 
+/* A load that takes longer than usual is one load, asked after now and then:
+   what pays for loads must not pay for that. */
+START_TEST(test_slow_model_is_one_load)
+{
+    scene *s = make(1);
+    s->engine.model = false;
+    uint32_t loads = 0;
+    uint32_t asks = 0;
+    for (int i = 0; i < 300; i++) {
+        s->now_us += 10 * MS;
+        od_step step = od_next(s->plan, s->now_us, &room);
+        if (step.kind == OD_REPORT) {
+            report(s);
+        }
+        else if (step.kind == OD_ORDER) {
+            loads += !step.asks;
+            asks += step.asks;
+            od_feed_order(s->plan, s->now_us, DL_ORDER_TAKEN);
+        }
+    }
+    ck_assert_uint_eq(loads, 1);
+    ck_assert_uint_ge(asks, 5);
+    ck_assert_uint_le(asks, 30);
+}
+END_TEST
+
 START_TEST(test_makes_room)
 {
     scene *s = make(1);
@@ -300,6 +326,7 @@
     tcase_set_timeout(tcase, 60);
     tcase_add_test(tcase, test_loads_what_is_wanted);
     tcase_add_test(tcase, test_model_first);
+    tcase_add_test(tcase, test_slow_model_is_one_load);
     tcase_add_test(tcase, test_makes_room);
     tcase_add_test(tcase, test_at_hand_is_found_early);
     tcase_add_test(tcase, test_lost_and_late);
