--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -189,6 +189,7 @@
         .service = exchange->service->name,
         .adapter = exchange->adapter,
         .zone = exchange->core->desc.zone,
+        .prompt_tokens = exchange->prompt_tokens,
         .now_us = xc_now_us(exchange),
         .tried_count = exchange->tried_count,
     };
@@ -288,15 +289,23 @@
 static uint64_t
 _xc_longest_us(const xc_exchange *exchange)
 {
-    if (exchange->route->kind != RC_STREAM) {
-        return _XC_PLAIN_LONGEST_US;
-    }
+    return _XC_PLAIN_LONGEST_US +
+           (exchange->route->kind == RC_STREAM
+                ? exchange->most_tokens * (uint64_t)_XC_TOKEN_US
+                : 0);
+}
+
+static void
+_xc_read_tokens(xc_exchange *exchange)
+{
     const char *name = exchange->core->desc.dialect->headers[DL_TOKENS];
     const char *tokens = h1_query_header(exchange->head, name);
     const char *comma = tokens ? strchr(tokens, ',') : NULL;
-    uint64_t most =
-        comma ? g_ascii_strtoull(comma + 1, NULL, 10) : _XC_TOKENS_MOST;
-    return _XC_PLAIN_LONGEST_US + most * _XC_TOKEN_US;
+    exchange->prompt_tokens =
+        tokens ? (uint32_t)g_ascii_strtoull(tokens, NULL, 10) : 0;
+    exchange->most_tokens =
+        comma ? (uint32_t)g_ascii_strtoull(comma + 1, NULL, 10)
+              : _XC_TOKENS_MOST;
 }
 
 static void *
@@ -338,6 +347,7 @@
         return NULL;
     }
     exchange->adapter = _xc_adapter(core, exchange->service, head);
+    _xc_read_tokens(exchange);
     if (core->leave_us &&
         exchange->begun_us + _xc_longest_us(exchange) > core->leave_us) {
         bool others = core->desc.calls->live(core->desc.user_data) > 1;
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -39,6 +39,8 @@
     const rc_route *route;
     const rc_service *service;
     fl_adapter *adapter; /* NULL: a plain service */
+    uint32_t prompt_tokens;
+    uint32_t most_tokens; /* that a stream may have */
     uint64_t begun_us;
     uint64_t end_us;         /* the caller or the route waits no longer */
     uint64_t waits_since_us; /* without a server; 0: it does not */
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -21,6 +21,8 @@
 #define _FL_FAIL_LEARN 0.12
 /* Another zone costs a few ms and paid bytes; worth this much load. */
 #define _FL_ZONE_COST 0.06
+/* Tokens of a prompt that is long: reading it takes about an event's time. */
+#define _FL_LONG_PROMPT 800.0
 /* A request that fails costs several good ones. */
 #define _FL_FAIL_COST 6.0
 /* Failures in a row before a server is left alone for a moment. */
@@ -31,7 +33,7 @@
 /* A further copy is due when a server without one costs this much less, and
    the adapter is used so often that it pays for the load. */
 #define _FL_DEARER 1.6
-#define _FL_COPY_USE 2.5
+#define _FL_COPY_USE 1.8
 /* Time between events where none is known yet; only ratios count. */
 #define _FL_EVENT_MS 40.0
 /* Slow servers are homes less often: a server's weight falls with this power
@@ -431,6 +433,10 @@
 {
     double cost = _fl_time(server, want->adapter != NULL, want->now_us) *
                   _fl_slowness(server, want->now_us);
+    /* Reading a long prompt holds up the streams that run there. */
+    double running =
+        (double)fl_query_in_flight(server, want->now_us) / server->slots;
+    cost *= 1.0 + running * want->prompt_tokens / _FL_LONG_PROMPT;
     cost *= 1.0 + _FL_FAIL_COST * server->failing;
     if (want->zone && strcmp(want->zone, server->zone) != 0) {
         cost *= 1.0 + _FL_ZONE_COST;
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -101,8 +101,9 @@
 
 typedef struct fl_want {
     const char *service;
-    fl_adapter *adapter; /* NULL: any server of the service */
-    const char *zone;    /* preferred */
+    fl_adapter *adapter;    /* NULL: any server of the service */
+    const char *zone;       /* preferred */
+    uint32_t prompt_tokens; /* 0: not told */
     uint64_t now_us;
     const fl_server *tried[FL_TRIED]; /* not again */
     uint32_t tried_count;
