Leases: even shares, and claims that rest on whole reads

An instance now gives servers up to one that has fewer. The lease test found four ways in which two instances ordered within a lease while this was built (orders during a give-up under way, a claim on rows without their holders' rows, a renewal that shortens the lease, a leave beside a give-up), each mended.

--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -18,6 +18,9 @@
 /* A server that the instance meant for it does not claim is anybody's. */
 #define _LE_LEFT_MS 4000
 #define _LE_TX_ROWS 40
+/* Between two servers that are given up for evenness: each is without orders
+   for a lease's time. */
+#define _LE_EVEN_MS 700
 
 typedef struct _le_peer {
     le_peer public;
@@ -36,9 +39,11 @@
     char *holder;
     uint64_t incarnation;
     bool given_up;
+    bool giving; /* we are giving it up: no order, whatever comes of it */
     uint64_t fence;
     uint64_t version;  /* of its row; 0: none */
     uint64_t since_us; /* of this row, or of the entry without one */
+    uint64_t free_us;  /* when it was first seen free to be claimed; 0 */
     bool read;
 } _le_server;
 
@@ -48,7 +53,8 @@
     _LE_END,
     _LE_CLAIM,
     _LE_GIVE_UP,
-    _LE_PRUNE
+    _LE_PRUNE,
+    _LE_EVEN /* gives one server up for an instance that has fewer */
 } _le_tx_kind;
 
 struct le_lease {
@@ -71,6 +77,7 @@
     uint64_t next_renew_us;
     uint64_t store_version;
     uint64_t contact_us; /* since when the store answers; 0: it does not */
+    uint64_t even_us;    /* when a server was last given up for evenness */
     bool leaving;        /* takes no more servers */
     bool left;           /* orders no more */
     bool given_up;
@@ -206,6 +213,8 @@
     server->since_us = now_us;
     server->incarnation = 0;
     server->given_up = false;
+    server->giving = false;
+    server->free_us = 0;
     if (!row->value) {
         return;
     }
@@ -279,37 +288,57 @@
     return rank;
 }
 
-static bool
-_le_meant_for_self(const le_lease *lease, const _le_server *server,
-                   uint64_t now_us)
+/* The instance that a server falls to when it is free: of its zone if there
+   is one, else of all. Free the name with g_free(). */
+static char *
+_le_meant_for(const le_lease *lease, const _le_server *server, uint64_t now_us)
 {
     g_autoptr(GPtrArray) names = _le_live_names(lease, server->zone, now_us);
     if (names->len == 0) {
         g_ptr_array_unref(names);
         names = _le_live_names(lease, NULL, now_us);
     }
-    return names->len > 0 &&
-           _le_is_self(lease,
-                       names->pdata[_le_rank(lease, server) % names->len]);
+    return names->len
+               ? g_strdup(names->pdata[_le_rank(lease, server) % names->len])
+               : NULL;
 }
 
 static bool
-_le_holds(const le_lease *lease, const _le_server *server)
+_le_meant_for_self(const le_lease *lease, const _le_server *server,
+                   uint64_t now_us)
+{
+    g_autofree char *meant = _le_meant_for(lease, server, now_us);
+    return meant && _le_is_self(lease, meant);
+}
+
+/* The row names this incarnation, whether it orders still or not. */
+static bool
+_le_row_is_own(const le_lease *lease, const _le_server *server)
 {
     return server->holder && _le_is_self(lease, server->holder) &&
            server->incarnation == lease->incarnation && !server->given_up;
 }
 
 static bool
-_le_may_claim(const le_lease *lease, const _le_server *server, uint64_t now_us)
+_le_holds(const le_lease *lease, const _le_server *server)
+{
+    return _le_row_is_own(lease, server) && !server->giving;
+}
+
+static bool
+_le_may_claim(const le_lease *lease, _le_server *server, uint64_t now_us)
 {
     if (!server->zone || _le_holds(lease, server)) {
         return false;
     }
     uint64_t free_us = server->since_us; /* from when it may be claimed */
     if (server->holder) {
-        if (_le_is_self(lease, server->holder)) {
-            return true; /* one machine is one holder */
+        bool own = _le_is_self(lease, server->holder);
+        if (own &&
+            (server->incarnation != lease->incarnation || server->giving)) {
+            /* One machine is one holder. A new row also undoes a transaction
+               of ours that may yet be carried out. */
+            return true;
         }
         const _le_peer *holder =
             g_hash_table_lookup(lease->peers, server->holder);
@@ -326,8 +355,11 @@
         now_us < lease->registered_us + _LE_SETTLE_MS * 1000ULL) {
         return false;
     }
+    if (server->free_us == 0) {
+        server->free_us = now_us;
+    }
     return _le_meant_for_self(lease, server, now_us) ||
-           now_us >= MAX(free_us, server->since_us) + _LE_LEFT_MS * 1000ULL;
+           now_us >= server->free_us + _LE_LEFT_MS * 1000ULL;
 }
 
 /* -- private: transactions ---------------------------------------------------
@@ -383,11 +415,40 @@
     row.zone = lease->zone;
     row.address = lease->address;
     row.leaving = lease->leaving;
-    row.valid_ms = (uint32_t)(_le_valid_us(lease) / 1000);
+    /* Until this renewal is acknowledged the one before may be in force. */
+    row.valid_ms = (uint32_t)(MAX(lease->tx_valid_us, lease->valid_us) / 1000);
     _le_add(lease, _le_key(lease, "i/", lease->instance), lease->row_version,
             _le_pack(&row.base));
 }
 
+static bool
+_le_has_condition(const le_lease *lease, const char *key)
+{
+    for (guint i = 0; i < lease->conditions->len; i++) {
+        if (strcmp(g_array_index(lease->conditions, dl_condition, i).key,
+                   key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* What is taken from a holder that has ended is taken only if that one has
+   not come back. */
+static void
+_le_require_ended(le_lease *lease, const _le_server *server)
+{
+    if (!server->holder || server->given_up ||
+        g_hash_table_contains(lease->peers, server->holder)) {
+        return;
+    }
+    const char *key = _le_key(lease, "i/", server->holder);
+    if (!_le_has_condition(lease, key)) {
+        dl_condition condition = {key, 0};
+        g_array_append_val(lease->conditions, condition);
+    }
+}
+
 static void
 _le_write_holder(le_lease *lease, _le_server *server, bool given_up)
 {
@@ -396,6 +457,7 @@
     row.incarnation = lease->incarnation;
     row.fence = MAX(lease->store_version, server->version) + 1;
     row.given_up = given_up;
+    server->giving = server->giving || given_up;
     _le_add(lease, _le_key(lease, "o/", server->id), server->version,
             _le_pack(&row.base));
     g_ptr_array_add(lease->tx_servers, server);
@@ -431,9 +493,10 @@
            lease->tx_servers->len < _LE_TX_ROWS) {
         _le_server *server = value;
         if (kind == _LE_CLAIM && _le_may_claim(lease, server, now_us)) {
+            _le_require_ended(lease, server);
             _le_write_holder(lease, server, false);
         }
-        else if (kind == _LE_GIVE_UP && _le_holds(lease, server)) {
+        else if (kind == _LE_GIVE_UP && _le_row_is_own(lease, server)) {
             _le_write_holder(lease, server, true);
         }
         else if (kind == _LE_PRUNE && !server->zone &&
@@ -446,16 +509,58 @@
     return lease->tx_servers->len > 0;
 }
 
+static uint32_t
+_le_count(const le_lease *lease, const char *instance)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _le_server *server = value;
+        count += server->zone && server->holder && !server->given_up &&
+                 strcmp(server->holder, instance) == 0;
+    }
+    return count;
+}
+
+/* A server of ours that another instance was meant to hold, where that one
+   has at least two fewer: after an instance was away, the others would keep
+   all of its servers, and the loss of one of them would be that of many. */
+static bool
+_le_write_even(le_lease *lease, uint64_t now_us)
+{
+    uint32_t own = _le_count(lease, lease->instance);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->servers);
+    while (own > 1 && g_hash_table_iter_next(&iter, NULL, &value)) {
+        _le_server *server = value;
+        if (!server->zone || !_le_holds(lease, server)) {
+            continue;
+        }
+        g_autofree char *meant = _le_meant_for(lease, server, now_us);
+        if (meant && !_le_is_self(lease, meant) &&
+            _le_count(lease, meant) + 2 <= own) {
+            _le_write_holder(lease, server, true);
+            return true;
+        }
+    }
+    return false;
+}
+
 static _le_tx_kind
 _le_fill_tx(le_lease *lease, uint64_t now_us)
 {
     if (lease->left) {
-        if (_le_write_servers(lease, now_us, _LE_GIVE_UP) ||
-            lease->registered) {
-            if (lease->registered) {
-                _le_add(lease, _le_key(lease, "i/", lease->instance),
-                        lease->row_version, NULL);
-            }
+        bool any = _le_write_servers(lease, now_us, _LE_GIVE_UP);
+        /* The instance's row goes with the last of its servers. */
+        if (lease->registered && lease->tx_servers->len < _LE_TX_ROWS) {
+            _le_add(lease, _le_key(lease, "i/", lease->instance),
+                    lease->row_version, NULL);
+            any = true;
+        }
+        if (any) {
             return _LE_GIVE_UP;
         }
         lease->given_up = true;
@@ -478,7 +583,15 @@
     if (_le_write_servers(lease, now_us, _LE_CLAIM)) {
         return _LE_CLAIM;
     }
-    return _le_write_servers(lease, now_us, _LE_PRUNE) ? _LE_PRUNE : _LE_NONE;
+    if (_le_write_servers(lease, now_us, _LE_PRUNE)) {
+        return _LE_PRUNE;
+    }
+    if (now_us >= lease->even_us + _LE_EVEN_MS * 1000ULL &&
+        _le_write_even(lease, now_us)) {
+        lease->even_us = now_us;
+        return _LE_EVEN;
+    }
+    return _LE_NONE;
 }
 
 /* -- private: results --------------------------------------------------------
@@ -522,11 +635,13 @@
         g_hash_table_remove(lease->peers, lease->tx_peer);
         break;
     case _LE_CLAIM:
+    case _LE_EVEN:
     case _LE_PRUNE:
         _le_take_servers(lease, now_us, version);
         break;
     case _LE_GIVE_UP:
-        lease->registered = false;
+        lease->registered =
+            lease->registered && lease->tx_servers->len == _LE_TX_ROWS;
         _le_take_servers(lease, now_us, version);
         break;
     default:
@@ -534,25 +649,16 @@
     }
 }
 
-/* The rows as they stand, where a condition failed. A row that is absent is
-   not among them. */
+/* Rows of instances as they stand, as far as the store told them. Those of
+   servers come with the next read, which the user begins after a conflict:
+   without the rows of instances they would name holders that seem gone. */
 static void
 _le_take_conflict(le_lease *lease, uint64_t now_us, const GArray *rows)
 {
-    for (guint i = 0; i < lease->conditions->len; i++) {
-        const dl_condition *condition =
-            &g_array_index(lease->conditions, dl_condition, i);
-        const dl_row *found = NULL;
-        for (guint j = 0; rows && j < rows->len; j++) {
-            const dl_row *row = &g_array_index(rows, dl_row, j);
-            if (strcmp(row->key, condition->key) == 0 && row->value) {
-                found = row;
-            }
-        }
-        dl_row gone = {.key = (char *)condition->key,
-                       .version = condition->version + 1};
-        if (found || condition->version) {
-            le_feed_row(lease, now_us, found ? found : &gone);
+    for (guint i = 0; rows && i < rows->len; i++) {
+        const dl_row *row = &g_array_index(rows, dl_row, i);
+        if (row->value && g_str_has_prefix(row->key, "i/")) {
+            le_feed_row(lease, now_us, row);
         }
     }
 }
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -445,6 +445,12 @@
         code = read == ER_OK ? code : ER_PLATFORM_DOWN;
     }
     le_feed_result(node->lease, now_us, code, rows.version, rows.rows);
+    if (code != ER_OK) {
+        lg_write(LG_CLAIM_FAILED, "why", er_query_name(code), NULL);
+    }
+    if (code == ER_CONFLICT) {
+        wt_read_again(node->own_watch);
+    }
     node->own_written_us = code == ER_OK ? now_us : node->own_written_us;
     dl_clear_rows(&rows);
 }
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -274,6 +274,15 @@
     }
 }
 
+void
+wt_read_again(wt_watch *watch)
+{
+    if (watch->timer.id && !watch->lost) {
+        watch->following = false;
+        _wt_ask_in(watch, 1);
+    }
+}
+
 void
 wt_ask_now(wt_watch *watch)
 {
--- a/packages/exchange/src/watch.h
+++ b/packages/exchange/src/watch.h
@@ -49,6 +49,8 @@
 
 /* The table was at this time what is known of it here. */
 void wt_note_fresh(wt_watch *watch, uint64_t at_us);
+/* What is known may be wrong: the whole table is read again. */
+void wt_read_again(wt_watch *watch);
 /* It has changed since. */
 void wt_ask_now(wt_watch *watch);
 void wt_set_pause(wt_watch *watch, uint32_t pause_ms);
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -98,7 +98,8 @@
     GArray *rows = dl_make_rows();
     for (size_t i = 0; i < tx->condition_count; i++) {
         row *found = g_hash_table_lookup(w->rows, tx->conditions[i].key);
-        if (found) {
+        /* Only rows that failed their condition are told. */
+        if (found && found->version != tx->conditions[i].version) {
             dl_row copy = {g_strdup(tx->conditions[i].key),
                            g_bytes_ref(found->value), found->version};
             g_array_append_val(rows, copy);
@@ -380,6 +381,33 @@
 }
 END_TEST
 
+/* Who was away gets its part again, so that no instance ends with most. */
+START_TEST(test_evens_out)
+{
+    world *w = make_world(7);
+    run_for(w, 3000);
+    end_node(&w->nodes[0]);
+    end_node(&w->nodes[2]);
+    end_node(&w->nodes[4]);
+    run_for(w, 12000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    start_node(w, 0);
+    start_node(w, 2);
+    start_node(w, 4);
+    run_for(w, 25000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    uint32_t of[INSTANCES] = {0};
+    for (int s = 0; s < SERVERS; s++) {
+        of[w->last_holder[s] - 1]++;
+    }
+    for (int i = 0; i < INSTANCES; i++) {
+        ck_assert_msg(of[i] >= 1 && of[i] <= 5, "%s holds %u", names[i],
+                      of[i]);
+    }
+    free_world(w);
+}
+END_TEST
+
 START_TEST(test_left_servers_are_followed)
 {
     world *w = make_world(4);
@@ -488,6 +516,7 @@
     tcase_add_test(tcase, test_all_held_soon_and_evenly);
     tcase_add_test(tcase, test_dead_holder_is_followed);
     tcase_add_test(tcase, test_same_machine_takes_back_at_once);
+    tcase_add_test(tcase, test_evens_out);
     tcase_add_test(tcase, test_left_servers_are_followed);
     tcase_add_test(tcase, test_frozen_holder_finds_its_lease_lapsed);
     tcase_add_test(tcase, test_any_trouble);
