Leases: the own table is read often enough to see renewals; servers known before the configuration are ordered too

Cause: the pause between reads did not follow the lease, so with short leases an instance took itself and others for gone (test_adapter_is_loaded, found by the test); a server read before the first configuration was offered to the lease only when its row changed. Ruled out: lost claims (none was written).

--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -249,6 +249,9 @@
 static bool
 _le_peer_alive(const le_lease *lease, const _le_peer *peer, uint64_t now_us)
 {
+    if (_le_is_self(lease, peer->instance)) {
+        return lease->registered && !lease->leaving;
+    }
     return !peer->public.leaving &&
            now_us < peer->seen_us + _le_takeover_us(lease, peer);
 }
@@ -874,6 +877,12 @@
     lease->tx = _LE_NONE;
 }
 
+uint32_t
+le_query_pause_ms(const le_lease *lease)
+{
+    return (uint32_t)(_le_valid_us(lease) / 1000 / 2);
+}
+
 uint64_t
 le_query_fence(const le_lease *lease, uint64_t clock_us, const char *id)
 {
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -83,6 +83,8 @@
                         const char *server);
 /* Instance that orders a server, as far as known; NULL: none alive. */
 const char *le_query_holder(const le_lease *lease, const char *server);
+/* Pause between two reads of the own table, so that renewals are seen. */
+uint32_t le_query_pause_ms(const le_lease *lease);
 uint32_t le_query_live(const le_lease *lease);
 /* Of all rows but for their renewals. */
 uint64_t le_query_digest(const le_lease *lease);
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -30,10 +30,8 @@
    configuration has; the store holds each for a short while. */
 #define _ND_OPERATOR_READS 4
 #define _ND_OPERATOR_WAIT_MS 100
-/* The own table changes with renewals only, but for what others tell of. */
-#define _ND_OWN_TABLE_PAUSE_MS 2500
-#define _ND_OWN_TABLE_PAUSE_FIRST_MS 400
-#define _ND_OWN_TABLE_PAUSE_PER_INSTANCE_MS 60
+/* Until the first answer. */
+#define _ND_OWN_TABLE_PAUSE_MS 400
 /* A configuration is the newest when the store said so this lately. */
 #define _ND_CONFIG_FRESH_US 4000000
 /* Servers that are missing after the store was away have this long to come
@@ -135,6 +133,18 @@
 /* -- private: configuration
  * --------------------------------------------------------- */
 
+/* Servers that run models take orders, from whoever holds their lease. */
+static void
+_nd_offer(fl_server *server, void *user_data)
+{
+    nd_node *node = user_data;
+    const rc_service *service =
+        node->table ? rc_query_service(node->table, server->service) : NULL;
+    if (server->state == FL_READY && service && service->engine) {
+        le_put_server(node->lease, server->id, server->zone);
+    }
+}
+
 static void
 _nd_take_config(nd_node *node, rc_table *table)
 {
@@ -147,6 +157,7 @@
     xc_set_table(node->core, table);
     or_set_table(node->orderer, table);
     cr_set_limits(node->callers, rc_query_limits(table));
+    fl_each_server(node->fleet, _nd_offer, node);
     ct_set(CT_CONFIG_VERSION, (int64_t)rc_query_version(table));
     g_autofree char *version =
         g_strdup_printf("%" G_GUINT64_FORMAT, rc_query_version(table));
@@ -276,11 +287,7 @@
         xc_drop_server(node->core, server);
         le_remove_server(node->lease, server->id);
     }
-    const rc_service *service =
-        node->table ? rc_query_service(node->table, server->service) : NULL;
-    if (server->state == FL_READY && service && service->engine) {
-        le_put_server(node->lease, server->id, server->zone);
-    }
+    _nd_offer(server, node);
     _nd_take_models(node, server, entry);
 }
 
@@ -392,9 +399,7 @@
         le_note_interruption(node->lease);
     }
     le_feed_fresh(node->lease, lp_query_now_us(node->desc.loop), version);
-    wt_set_pause(node->own_watch, _ND_OWN_TABLE_PAUSE_MS +
-                                      le_query_live(node->lease) *
-                                          _ND_OWN_TABLE_PAUSE_PER_INSTANCE_MS);
+    wt_set_pause(node->own_watch, le_query_pause_ms(node->lease));
 }
 
 static void
@@ -738,9 +743,8 @@
     node->server_watch = _nd_watch(node, dialect->server_table,
                                    settings->drain_ms / _ND_SERVER_READS, 100,
                                    &_nd_server_calls);
-    node->own_watch =
-        _nd_watch(node, dialect->own_table, _ND_OWN_TABLE_PAUSE_FIRST_MS, 100,
-                  &_nd_own_calls);
+    node->own_watch = _nd_watch(node, dialect->own_table,
+                                _ND_OWN_TABLE_PAUSE_MS, 100, &_nd_own_calls);
 }
 
 static char *
