--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -8,7 +8,8 @@
  *     lg_setup(&(lg_desc){.level = LG_LEVEL_INFO, .json = true});
  *     lg_write(LG_LINK_LOST, "peer", "2", "why", "timeout", NULL);
  *
- * Limits: lines go to standard error; not for use from several threads
+ * Limits: lines go to standard error, which may block, unless lg_desc.bounded
+ * is set; not for use from several threads
  * before lg_setup() has returned.
  */
 #ifndef LACEWING_LOG_H
@@ -98,8 +99,13 @@
     lg_level level;       /* least level written; default info */
     bool json;            /* JSON lines in place of key=value */
     const char *instance; /* name added to each line; default none */
+    bool bounded;         /* to standard output, never blocking: what it does
+                             not take is kept up to LG_PENDING_BYTES, then
+                             dropped, counted and told */
 } lg_desc;
 
+#define LG_PENDING_BYTES (256 * 1024)
+
 void lg_setup(const lg_desc *desc);
 void lg_shutdown(void);
 bool lg_is_valid(void);
@@ -107,6 +113,8 @@
 /* Writes one entry; pairs of key and value follow, closed with NULL. */
 void lg_write(lg_item item, ...) __attribute__((sentinel));
 
+/* Lines that were dropped because the output took none. */
+uint64_t lg_query_dropped(void);
 /* An entry of this item would be written: for fields that cost time. */
 bool lg_query_writes(lg_item item);
 
--- a/packages/common/src/log.c
+++ b/packages/common/src/log.c
@@ -2,9 +2,11 @@
 
 #include <glib.h>
 #include <json-glib/json-glib.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 typedef struct _lg_entry {
     lg_level level;
@@ -30,14 +32,23 @@
     lg_level level;
     bool json;
     char instance[64];
+    bool bounded;
+    GString *pending; /* lines that the output has not taken yet */
+    uint64_t dropped;
+    uint64_t dropped_told;
 } _lg;
 
+/* One write that a pipe takes whole or not at all. */
+#define _LG_PIECE_BYTES 4096
+
 void
 lg_setup(const lg_desc *desc)
 {
     _lg.valid = true;
     _lg.level = desc->level ? desc->level : LG_LEVEL_INFO;
     _lg.json = desc->json;
+    _lg.bounded = desc->bounded;
+    _lg.pending = _lg.pending ? _lg.pending : g_string_new(NULL);
     g_strlcpy(_lg.instance, desc->instance ? desc->instance : "",
               sizeof(_lg.instance));
 }
@@ -45,6 +56,9 @@
 void
 lg_shutdown(void)
 {
+    if (_lg.pending) {
+        g_string_free(_lg.pending, TRUE);
+    }
     memset(&_lg, 0, sizeof(_lg));
 }
 
@@ -124,6 +138,56 @@
     }
 }
 
+uint64_t
+lg_query_dropped(void)
+{
+    return _lg.dropped;
+}
+
+static void
+_lg_flush(void)
+{
+    gsize at = 0;
+    while (at < _lg.pending->len) {
+        struct pollfd ready = {.fd = STDOUT_FILENO, .events = POLLOUT};
+        if (poll(&ready, 1, 0) <= 0 || !(ready.revents & POLLOUT)) {
+            break;
+        }
+        gsize count = MIN(_lg.pending->len - at, _LG_PIECE_BYTES);
+        ssize_t written = write(STDOUT_FILENO, _lg.pending->str + at, count);
+        if (written <= 0) {
+            break;
+        }
+        at += (gsize)written;
+    }
+    g_string_erase(_lg.pending, 0, (gssize)at);
+}
+
+static void
+_lg_put(const GString *line)
+{
+    if (!_lg.bounded) {
+        fwrite(line->str, 1, line->len, stderr);
+        return;
+    }
+    if (_lg.pending->len + line->len > LG_PENDING_BYTES) {
+        _lg_flush();
+    }
+    if (_lg.pending->len + line->len > LG_PENDING_BYTES) {
+        _lg.dropped++;
+        return;
+    }
+    if (_lg.dropped > _lg.dropped_told) {
+        g_string_append_printf(
+            _lg.pending,
+            "warning log: lines dropped count=%" G_GUINT64_FORMAT "\n",
+            _lg.dropped - _lg.dropped_told);
+        _lg.dropped_told = _lg.dropped;
+    }
+    g_string_append_len(_lg.pending, line->str, (gssize)line->len);
+    _lg_flush();
+}
+
 bool
 lg_query_writes(lg_item item)
 {
@@ -150,5 +214,5 @@
     _lg_fields(line, args);
     va_end(args);
     g_string_append(line, _lg.json ? "}\n" : "\n");
-    fwrite(line->str, 1, line->len, stderr);
+    _lg_put(line);
 }
--- a/packages/common/tests/test_common.c
+++ b/packages/common/tests/test_common.c
@@ -1,11 +1,13 @@
 /* Tests of settings, errors, timers and counters. */
 #include "lacewing/counter.h"
 #include "lacewing/error.h"
+#include "lacewing/log.h"
 #include "lacewing/settings.h"
 #include "lacewing/timer.h"
 #include <check.h>
 #include <stdbool.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 typedef struct sample {
     uint32_t period_ms;
@@ -136,12 +138,39 @@
 }
 END_TEST
 
+/* A full pipe that nobody reads stops no one; what is lost is told. */
+START_TEST(test_log_never_blocks)
+{
+    int ends[2];
+    ck_assert_int_eq(pipe(ends), 0);
+    int before = dup(STDOUT_FILENO);
+    dup2(ends[1], STDOUT_FILENO);
+    lg_setup(&(lg_desc){.bounded = true});
+    for (int i = 0; i < 20000; i++) {
+        lg_write(LG_STANDIN, "filler", "0123456789012345678901234567890",
+                 NULL);
+    }
+    uint64_t dropped = lg_query_dropped();
+    ck_assert_uint_gt(dropped, 0);
+    char taken[65536];
+    for (int i = 0; i < 12; i++) {
+        ck_assert_int_gt(read(ends[0], taken, sizeof(taken)), 0);
+        lg_write(LG_STANDIN, "after", "1", NULL);
+    }
+    ck_assert_uint_eq(lg_query_dropped(), dropped);
+    dup2(before, STDOUT_FILENO);
+    close(before);
+    lg_shutdown();
+}
+END_TEST
+
 int
 main(void)
 {
     Suite *suite = suite_create("common");
     TCase *tests = tcase_create("all");
     tcase_add_test(tests, test_settings_accepted);
+    tcase_add_test(tests, test_log_never_blocks);
     tcase_add_test(tests, test_settings_refused);
     tcase_add_test(tests, test_error_names_round_trip);
     tcase_add_test(tests, test_timer_once_and_destroyed);
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -166,7 +166,8 @@
     else {
         lg_setup(&(lg_desc){
             .level = (lg_level)(LG_LEVEL_DEBUG + settings.log_level),
-            .instance = settings.instance});
+            .instance = settings.instance,
+            .bounded = true});
         code = _mn_serve_node(&settings, options->settings);
     }
     nd_clear_settings(&settings);
--- a/packages/tool/src/cmd_settings_reference.c
+++ b/packages/tool/src/cmd_settings_reference.c
@@ -1,6 +1,7 @@
 /* lacewing settings-reference: docs/SETTINGS.md. */
 #include "command.h"
 
+#include "lacewing/exchange.h"
 #include "lacewing/questionnaire.h"
 #include "settings.h"
 
@@ -20,12 +21,14 @@
         return TL_EXIT_USAGE;
     }
     g_autofree char *process = ds_query_reference();
+    g_autofree char *instance = nd_query_reference();
     g_autofree char *config = dc_query_reference();
     g_autofree char *questions = qn_query_reference();
     g_autofree char *page = g_strconcat(
         "# Settings\n\nWritten by `lacewing settings-reference`; a test "
         "compares it.\n\n# The daemon's own settings\n\n",
-        process, "\n# The deployment's configuration\n\n", config,
+        process, "\n# An instance on a platform with its own protocol\n\n",
+        instance, "\n# The deployment's configuration\n\n", config,
         "# The questionnaire's answers\n\n", questions, NULL);
     return tl_write_output(output_file, page);
 }
--- a/tests/demo.c
+++ b/tests/demo.c
@@ -187,6 +187,10 @@
 int
 main(int argc, char **argv)
 {
+    if (argc > 1 && argv[1][0] == '-') {
+        printf("usage: lacewing-demo [FOLDER OF THE PROGRAMS]\n");
+        return strcmp(argv[1], "--help") == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    }
     demo state = {0};
     state.fleet = hn_create(&(hn_desc){.bin = argc > 1 ? argv[1] : NULL});
     bool stopped = run(&state);
