--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -115,7 +115,7 @@
     case FL_NO_SERVER:
         return _XC_NO_SERVER_US;
     case FL_ALL_FULL:
-        return exchange->adapter ? target_us : target_us;
+        return target_us;
     default:
         return MAX(target_us * _XC_WAIT_TIMES, _XC_WAIT_LEAST_US);
     }
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "fleet_private.h"
 
 #include "lacewing/hash.h"
 #include <math.h>
@@ -19,47 +19,13 @@
 /* Weight of one request in what is learned of a server. */
 #define _FL_LEARN 0.1
 #define _FL_FAIL_LEARN 0.12
-/* Another zone costs a few ms and paid bytes; worth this much load. */
-#define _FL_ZONE_COST 0.06
-/* Tokens of a prompt that is long: reading it takes about an event's time. */
-#define _FL_LONG_PROMPT 800.0
-/* A request that fails costs several good ones. */
-#define _FL_FAIL_COST 6.0
 /* Failures in a row before a server is left alone for a moment. */
 #define _FL_SHUN_AFTER 2
 #define _FL_SHUN_US 400000
 #define _FL_SHUN_LONGEST_US 3000000
 #define _FL_SHUN_DOUBLINGS 3
-/* A further copy is due when a server without one costs this much less, and
-   the adapter is used so often that it pays for the load. */
-#define _FL_DEARER 1.6
-#define _FL_COPY_USE 1.8
-/* Time between events where none is known yet; only ratios count. */
-#define _FL_EVENT_MS 40.0
-/* Slow servers are homes less often: a server's weight falls with this power
-   of its time between events. */
-#define _FL_HOME_POWER 1.5
-/* Requests beyond the slots wait at the server; up to this many per slot. */
-#define _FL_FULL 1.5
-/* Adapters on their way to a server at once; a home that is full of them or
-   of requests is passed over, unless others are far behind. */
-#define _FL_LOADING_FULL 4
-#define _FL_BUSY_RANK 0.2
-/* A copy that was used so lately may be in use by another instance. */
-#define _FL_IN_USE_US 300000
-
-struct fl_fleet {
-    GHashTable *servers;  /* id -> fl_server */
-    GHashTable *services; /* name -> GPtrArray of fl_server */
-    GHashTable *adapters; /* key -> fl_adapter */
-    GPtrArray *retired;   /* fl_server: gone, kept for what refers to them */
-    GPtrArray *used;      /* fl_adapter with uses to tell */
-    uint64_t old_version_us;
-    GRand *random;
-};
-
-/* -- private: making and freeing -------------------------------------------
- */
+
+/* -- private: making and freeing ------------------------------------------ */
 
 static void
 _fl_free_server(void *data)
@@ -124,8 +90,7 @@
     g_ptr_array_add(fleet->retired, server);
 }
 
-/* -- public: servers and adapters ------------------------------------------
- */
+/* -- public: servers and adapters ----------------------------------------- */
 
 fl_fleet *
 fl_create(const fl_desc *desc)
@@ -248,8 +213,7 @@
     }
 }
 
-/* -- public: copies --------------------------------------------------------
- */
+/* -- public: copies ------------------------------------------------------- */
 
 fl_copy *
 fl_query_copy(const fl_server *server, const fl_adapter *adapter)
@@ -291,6 +255,17 @@
     return copy;
 }
 
+fl_adapter *
+fl_put_named(fl_fleet *fleet, fl_server *server, const char *model,
+             const char *name, uint64_t version, bool loading, uint64_t now_us)
+{
+    g_autofree char *key =
+        name ? g_strdup_printf("%s/%s", model, name) : g_strdup(model);
+    fl_adapter *adapter = fl_intern(fleet, key);
+    fl_put_copy(server, adapter, version, loading, now_us);
+    return adapter;
+}
+
 static void
 _fl_free_copy(fl_copy *copy)
 {
@@ -317,8 +292,7 @@
     g_ptr_array_set_size(server->copies, 0);
 }
 
-/* -- public: load -----------------------------------------------------------
- */
+/* -- public: load --------------------------------------------------------- */
 
 void
 fl_set_peer_load(fl_server *server, uint32_t peer, uint32_t in_flight,
@@ -382,9 +356,8 @@
     }
 }
 
-/* Time of work now against the usual, as the server told it, fading. */
-static double
-_fl_slowness(const fl_server *server, uint64_t now_us)
+double
+fl_query_slowness(const fl_server *server, uint64_t now_us)
 {
     if (server->load.slowness_percent == 0 || now_us < server->load_us) {
         return 1.0;
@@ -394,260 +367,7 @@
                      exp(-age_us / _FL_SLOWNESS_US);
 }
 
-/* -- private: choosing ------------------------------------------------------
- */
-
-static bool
-_fl_tried(const fl_want *want, const fl_server *server)
-{
-    for (uint32_t i = 0; i < want->tried_count; i++) {
-        if (want->tried[i] == server) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static bool
-_fl_usable(const fl_want *want, const fl_server *server)
-{
-    return server->state == FL_READY && !_fl_tried(want, server);
-}
-
-/* Time of work at a server with what it has to do, in ms of an event or an
-   answer; only ratios count. */
-static double
-_fl_time(const fl_server *server, bool engine, uint64_t now_us)
-{
-    double fill = (double)fl_query_in_flight(server, now_us) / server->slots;
-    double time_ms = engine ? server->event_ms : server->latency_ms;
-    if (time_ms <= 0) {
-        time_ms = _FL_EVENT_MS;
-    }
-    return time_ms * (1.0 + fill + 4.0 * MAX(fill - 0.8, 0));
-}
-
-/* Cost of one more request at a server; lower is better. */
-static double
-_fl_cost(fl_fleet *fleet, const fl_want *want, const fl_server *server)
-{
-    double cost = _fl_time(server, want->adapter != NULL, want->now_us) *
-                  _fl_slowness(server, want->now_us);
-    /* Reading a long prompt holds up the streams that run there. */
-    double running =
-        (double)fl_query_in_flight(server, want->now_us) / server->slots;
-    cost *= 1.0 + running * want->prompt_tokens / _FL_LONG_PROMPT;
-    cost *= 1.0 + _FL_FAIL_COST * server->failing;
-    if (want->zone && strcmp(want->zone, server->zone) != 0) {
-        cost *= 1.0 + _FL_ZONE_COST;
-    }
-    if (want->now_us < server->shunned_until_us) {
-        cost *= 100.0;
-    }
-    return cost * (1.0 + 0.04 * g_rand_double(fleet->random));
-}
-
-static bool
-_fl_full(const fl_server *server, uint64_t now_us)
-{
-    return fl_query_in_flight(server, now_us) >=
-           (uint32_t)(server->slots * _FL_FULL) + 1;
-}
-
-static void
-_fl_consider(fl_fleet *fleet, const fl_want *want, fl_server *server,
-             double *best, fl_choice *out)
-{
-    if (_fl_full(server, want->now_us)) {
-        out->why = out->why == FL_CHOSEN ? FL_CHOSEN : FL_ALL_FULL;
-        return;
-    }
-    double cost = _fl_cost(fleet, want, server);
-    if (out->why != FL_CHOSEN || cost < *best) {
-        *best = cost;
-        out->server = server;
-        out->why = FL_CHOSEN;
-    }
-}
-
-/* Copies that may serve now: current ones; old ones for a while if none. */
-static void
-_fl_choose_copy(fl_fleet *fleet, const fl_want *want, bool old, fl_choice *out)
-{
-    double best = 0;
-    const fl_adapter *adapter = want->adapter;
-    for (guint i = 0; i < adapter->copies->len; i++) {
-        const fl_copy *copy = adapter->copies->pdata[i];
-        if (copy->loading || fl_query_current(copy) == old ||
-            !_fl_usable(want, copy->server)) {
-            continue;
-        }
-        _fl_consider(fleet, want, copy->server, &best, out);
-    }
-}
-
-static bool
-_fl_takes_copy(const fl_fleet *fleet, const fl_server *server,
-               const fl_adapter *adapter, uint64_t now_us)
-{
-    fl_adapter *model = g_hash_table_lookup(fleet->adapters, adapter->model);
-    const fl_copy *base = model ? fl_query_copy(server, model) : NULL;
-    return server->state == FL_READY && server->orders_possible && base &&
-           !base->loading && now_us >= server->shunned_until_us &&
-           !fl_query_copy(server, adapter);
-}
-
-/* The server without a copy that would serve best. */
-static fl_server *
-_fl_best_without(const fl_fleet *fleet, const char *service,
-                 const fl_adapter *adapter, uint64_t now_us)
-{
-    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
-    fl_server *best = NULL;
-    for (guint i = 0; list && i < list->len; i++) {
-        fl_server *server = list->pdata[i];
-        if (_fl_takes_copy(fleet, server, adapter, now_us) &&
-            (!best ||
-             _fl_time(server, true, now_us) < _fl_time(best, true, now_us))) {
-            best = server;
-        }
-    }
-    return best;
-}
-
-static bool
-_fl_pays(const fl_fleet *fleet, const fl_want *want, const fl_server *server)
-{
-    if (fl_query_use(want->adapter, want->now_us) < _FL_COPY_USE) {
-        return false;
-    }
-    const fl_server *other =
-        _fl_best_without(fleet, want->service, want->adapter, want->now_us);
-    return other && _fl_time(server, true, want->now_us) >
-                        _fl_time(other, true, want->now_us) * _FL_DEARER;
-}
-
-static void
-_fl_choose_any(fl_fleet *fleet, const fl_want *want, fl_choice *out)
-{
-    double best = 0;
-    const GPtrArray *list =
-        g_hash_table_lookup(fleet->services, want->service);
-    for (guint i = 0; list && i < list->len; i++) {
-        if (_fl_usable(want, list->pdata[i])) {
-            _fl_consider(fleet, want, list->pdata[i], &best, out);
-        }
-    }
-}
-
-bool
-fl_choose(fl_fleet *fleet, const fl_want *want, fl_choice *out)
-{
-    *out = (fl_choice){.why = FL_NO_SERVER};
-    fl_adapter *adapter = want->adapter;
-    if (!adapter) {
-        _fl_choose_any(fleet, want, out);
-        return out->why == FL_CHOSEN;
-    }
-    if (fl_query_usable(fleet, want->service) > 0) {
-        out->why = FL_NO_COPY;
-    }
-    _fl_choose_copy(fleet, want, false, out);
-    bool old_allowed =
-        adapter->version > 0 &&
-        want->now_us < adapter->version_us + fleet->old_version_us;
-    if (out->why == FL_NO_COPY && old_allowed) {
-        _fl_choose_copy(fleet, want, true, out);
-        out->more_copies = out->why == FL_CHOSEN;
-        return out->why == FL_CHOSEN;
-    }
-    if (out->why != FL_CHOSEN) {
-        out->more_copies = out->why == FL_ALL_FULL;
-        return false;
-    }
-    out->version = adapter->name ? adapter->version : 0;
-    out->more_copies = adapter->name && _fl_pays(fleet, want, out->server);
-    return true;
-}
-
-/* -- public: placing --------------------------------------------------------
- */
-
-/* Weighted rendezvous: each adapter has its own order of the servers, where
-   fast ones come first more often. */
-static double
-_fl_rank(const fl_adapter *adapter, const fl_server *server)
-{
-    uint64_t mixed = adapter->hash ^ (server->hash * 0x9e3779b97f4a7c15ULL);
-    mixed ^= mixed >> 29;
-    mixed *= 0xbf58476d1ce4e5b9ULL;
-    mixed ^= mixed >> 32;
-    double draw = ((double)(mixed >> 11) + 0.5) / 9007199254740992.0;
-    double event_ms = server->event_ms > 0 ? server->event_ms : _FL_EVENT_MS;
-    return -pow(_FL_EVENT_MS / event_ms, _FL_HOME_POWER) / log(draw);
-}
-
-static bool
-_fl_loading_full(const fl_server *server)
-{
-    uint32_t loading = 0;
-    for (guint i = 0; i < server->copies->len; i++) {
-        loading += ((fl_copy *)server->copies->pdata[i])->loading;
-    }
-    return loading >= _FL_LOADING_FULL;
-}
-
-fl_server *
-fl_place(fl_fleet *fleet, const char *service, fl_adapter *adapter,
-         uint64_t now_us)
-{
-    if (adapter->copies->len) {
-        return _fl_best_without(fleet, service, adapter, now_us);
-    }
-    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
-    fl_server *home = NULL;
-    double best = 0;
-    for (guint i = 0; list && i < list->len; i++) {
-        fl_server *server = list->pdata[i];
-        if (!_fl_takes_copy(fleet, server, adapter, now_us)) {
-            continue;
-        }
-        double rank = _fl_rank(adapter, server);
-        if (_fl_loading_full(server) || _fl_full(server, now_us)) {
-            rank *= _FL_BUSY_RANK;
-        }
-        if (!home || rank > best) {
-            home = server;
-            best = rank;
-        }
-    }
-    return home;
-}
-
-fl_copy *
-fl_query_victim(const fl_server *server, uint64_t now_us)
-{
-    fl_copy *victim = NULL;
-    double least = 0;
-    for (guint i = 0; i < server->copies->len; i++) {
-        fl_copy *copy = server->copies->pdata[i];
-        bool old = !fl_query_current(copy);
-        if (copy->loading || !copy->adapter->name || copy->own_in_flight ||
-            (!old && now_us < copy->adapter->use_us + _FL_IN_USE_US) ||
-            now_us < copy->since_us + _FL_IN_USE_US) {
-            continue;
-        }
-        double use = old ? -1.0 : fl_query_use(copy->adapter, now_us);
-        if (!victim || use < least) {
-            victim = copy;
-            least = use;
-        }
-    }
-    return victim;
-}
-
-/* -- public: requests -------------------------------------------------------
- */
+/* -- public: requests ----------------------------------------------------- */
 
 void
 fl_begin(fl_server *server, fl_adapter *adapter, uint64_t now_us)
@@ -726,8 +446,7 @@
     }
 }
 
-/* -- public: queries --------------------------------------------------------
- */
+/* -- public: queries ------------------------------------------------------ */
 
 fl_server *
 fl_query_server(const fl_fleet *fleet, const char *id)
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -157,6 +157,10 @@
 
 fl_copy *fl_put_copy(fl_server *server, fl_adapter *adapter, uint64_t version,
                      bool loading, uint64_t now_us);
+/* The same by names; name NULL: the model itself. Returns the adapter. */
+fl_adapter *fl_put_named(fl_fleet *fleet, fl_server *server, const char *model,
+                         const char *name, uint64_t version, bool loading,
+                         uint64_t now_us);
 void fl_drop_copy(fl_server *server, fl_adapter *adapter);
 void fl_drop_copies(fl_server *server);
 
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -1,9 +1,9 @@
 #include "gossip.h"
 
 #include "exchange.pb-c.h"
+#include "lacewing/conn.h"
 #include "lacewing/counter.h"
 #include "lacewing/hash.h"
-#include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -35,19 +35,6 @@
 /* -- private: sending
  * ------------------------------------------------------------- */
 
-static bool
-_gp_parse(const char *address, struct sockaddr_in *out)
-{
-    const char *colon = strrchr(address, ':');
-    g_autofree char *host =
-        colon ? g_strndup(address, (gsize)(colon - address)) : NULL;
-    memset(out, 0, sizeof(*out));
-    out->sin_family = AF_INET;
-    out->sin_port =
-        colon ? htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10)) : 0;
-    return host && inet_pton(AF_INET, host, &out->sin_addr) == 1;
-}
-
 typedef struct _gp_parcel {
     gp_peers *peers;
     const uint8_t *bytes;
@@ -62,7 +49,7 @@
     _gp_parcel *parcel = user_data;
     struct sockaddr_in name;
     if ((parcel->only && strcmp(parcel->only, peer->instance) != 0) ||
-        !_gp_parse(peer->address, &name)) {
+        !nc_parse_address(peer->address, &name)) {
         return;
     }
     ssize_t count =
@@ -300,16 +287,15 @@
                const Lacewing__Exchange__ModelState *model, GHashTable *seen)
 {
     uint64_t now_us = lp_query_now_us(peers->desc.loop);
-    fl_adapter *base = fl_intern(peers->desc.fleet, model->name);
-    fl_put_copy(server, base, model->version, model->loading, now_us);
-    g_hash_table_add(seen, base);
+    fl_fleet *fleet = peers->desc.fleet;
+    g_hash_table_add(seen,
+                     fl_put_named(fleet, server, model->name, NULL,
+                                  model->version, model->loading, now_us));
     for (size_t i = 0; i < model->n_copies; i++) {
         const Lacewing__Exchange__CopyState *copy = model->copies[i];
-        g_autofree char *key =
-            g_strdup_printf("%s/%s", model->name, copy->name);
-        fl_adapter *adapter = fl_intern(peers->desc.fleet, key);
-        fl_put_copy(server, adapter, copy->version, copy->loading, now_us);
-        g_hash_table_add(seen, adapter);
+        g_hash_table_add(seen,
+                         fl_put_named(fleet, server, model->name, copy->name,
+                                      copy->version, copy->loading, now_us));
     }
 }
 
@@ -414,7 +400,7 @@
 {
     struct sockaddr_in name;
     int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0 || !_gp_parse(desc->address, &name) ||
+    if (fd < 0 || !nc_parse_address(desc->address, &name) ||
         bind(fd, (struct sockaddr *)&name, sizeof(name))) {
         er_set(status, ER_CONNECTION, "%s: %s", desc->address,
                g_strerror(errno));
--- /dev/null
+++ b/packages/exchange/src/lease_claim.c
@@ -0,0 +1,143 @@
+#include "lease_private.h"
+
+#include <string.h>
+
+/* A server that the instance meant for it does not claim is anybody's. */
+#define _LE_LEFT_MS 4000
+/* From the first registration to the first claim, so that instances that
+   start together share the servers. */
+#define _LE_SETTLE_MS 1000
+
+/* -- private: who should have what ---------------------------------------- */
+
+static gint
+_le_by_name(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+uint64_t
+le_takeover_us(const le_lease *lease, const le_peer_row *peer)
+{
+    return peer->valid_us + lease->quiet_us;
+}
+
+static bool
+_le_peer_alive(const le_lease *lease, const le_peer_row *peer, uint64_t now_us)
+{
+    if (le_is_self(lease, peer->instance)) {
+        return lease->registered && !lease->leaving;
+    }
+    return !peer->public.leaving &&
+           now_us < peer->seen_us + le_takeover_us(lease, peer);
+}
+
+/* Names of the live instances of a zone, or of all; sorted. */
+static GPtrArray *
+_le_live_names(const le_lease *lease, const char *zone, uint64_t now_us)
+{
+    GPtrArray *names = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const le_peer_row *peer = value;
+        if (_le_peer_alive(lease, peer, now_us) &&
+            (!zone || strcmp(zone, peer->zone) == 0)) {
+            g_ptr_array_add(names, peer->instance);
+        }
+    }
+    g_ptr_array_sort(names, _le_by_name);
+    return names;
+}
+
+/* Place of a server among those of its zone, by id. */
+static uint32_t
+_le_rank(const le_lease *lease, const le_server_row *server)
+{
+    uint32_t rank = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const le_server_row *other = value;
+        rank += other->zone && strcmp(other->zone, server->zone) == 0 &&
+                strcmp(other->id, server->id) < 0;
+    }
+    return rank;
+}
+
+/* The instance that a server falls to when it is free: of its zone if there
+   is one, else of all. Free the name with g_free(). */
+char *
+le_meant_for(const le_lease *lease, const le_server_row *server,
+             uint64_t now_us)
+{
+    g_autoptr(GPtrArray) names = _le_live_names(lease, server->zone, now_us);
+    if (names->len == 0) {
+        g_ptr_array_unref(names);
+        names = _le_live_names(lease, NULL, now_us);
+    }
+    return names->len
+               ? g_strdup(names->pdata[_le_rank(lease, server) % names->len])
+               : NULL;
+}
+
+static bool
+_le_meant_for_self(const le_lease *lease, const le_server_row *server,
+                   uint64_t now_us)
+{
+    g_autofree char *meant = le_meant_for(lease, server, now_us);
+    return meant && le_is_self(lease, meant);
+}
+
+/* The row names this incarnation, whether it orders still or not. */
+bool
+le_row_is_own(const le_lease *lease, const le_server_row *server)
+{
+    return server->holder && le_is_self(lease, server->holder) &&
+           server->incarnation == lease->incarnation && !server->given_up;
+}
+
+bool
+le_holds(const le_lease *lease, const le_server_row *server)
+{
+    return le_row_is_own(lease, server) && !server->giving;
+}
+
+bool
+le_may_claim(const le_lease *lease, le_server_row *server, uint64_t now_us)
+{
+    if (!server->zone || le_holds(lease, server)) {
+        return false;
+    }
+    uint64_t free_us = server->since_us; /* from when it may be claimed */
+    if (server->holder) {
+        bool own = le_is_self(lease, server->holder);
+        if (own &&
+            (server->incarnation != lease->incarnation || server->giving)) {
+            /* One machine is one holder. A new row also undoes a transaction
+               of ours that may yet be carried out. */
+            return true;
+        }
+        const le_peer_row *holder =
+            g_hash_table_lookup(lease->peers, server->holder);
+        bool same =
+            holder && holder->public.incarnation == server->incarnation;
+        if (same && !server->given_up) {
+            return false;
+        }
+        free_us = server->given_up ? server->since_us + lease->quiet_us
+                  : holder         ? holder->seen_us + lease->quiet_us
+                                   : 0;
+    }
+    if (now_us < free_us ||
+        now_us < lease->registered_us + _LE_SETTLE_MS * 1000ULL) {
+        return false;
+    }
+    if (server->free_us == 0) {
+        server->free_us = now_us;
+    }
+    return _le_meant_for_self(lease, server, now_us) ||
+           now_us >= server->free_us + _LE_LEFT_MS * 1000ULL;
+}
--- /dev/null
+++ b/packages/exchange/src/lease_rows.c
@@ -0,0 +1,144 @@
+#include "lease_private.h"
+
+#include "exchange.pb-c.h"
+#include <string.h>
+
+/* -- private: rows -------------------------------------------------------- */
+
+void
+le_free_peer(void *data)
+{
+    le_peer_row *peer = data;
+    g_free(peer->instance);
+    g_free(peer->zone);
+    g_free(peer->address);
+    g_free(peer);
+}
+
+void
+le_free_server(void *data)
+{
+    le_server_row *server = data;
+    g_free(server->id);
+    g_free(server->zone);
+    g_free(server->holder);
+    g_free(server);
+}
+
+void
+le_clear_write(void *data)
+{
+    GBytes *value = ((dl_write *)data)->value;
+    if (value) {
+        g_bytes_unref(value);
+    }
+}
+
+le_server_row *
+le_server_of(le_lease *lease, const char *id)
+{
+    le_server_row *server = g_hash_table_lookup(lease->servers, id);
+    if (!server) {
+        server = g_new0(le_server_row, 1);
+        server->id = g_strdup(id);
+        g_hash_table_insert(lease->servers, server->id, server);
+    }
+    return server;
+}
+
+bool
+le_is_self(const le_lease *lease, const char *instance)
+{
+    return strcmp(lease->instance, instance) == 0;
+}
+
+void
+le_lose(le_lease *lease)
+{
+    lease->registered = false;
+    lease->row_version = 0;
+    lease->renewed_us = 0;
+    lease->next_renew_us = 0;
+    lease->incarnation++;
+}
+
+void
+le_feed_instance(le_lease *lease, uint64_t now_us, const char *name,
+                 const dl_row *row)
+{
+    le_peer_row *peer = g_hash_table_lookup(lease->peers, name);
+    if (peer && row->version < peer->version) {
+        return;
+    }
+    if (!row->value) {
+        g_hash_table_remove(lease->peers, name);
+        if (le_is_self(lease, name) && lease->registered &&
+            row->version > lease->row_version) {
+            le_lose(lease);
+        }
+        return;
+    }
+    gsize size = 0;
+    const uint8_t *bytes = g_bytes_get_data(row->value, &size);
+    Lacewing__Exchange__InstanceRow *read =
+        lacewing__exchange__instance_row__unpack(NULL, size, bytes);
+    if (!read) {
+        return;
+    }
+    if (!peer) {
+        peer = g_new0(le_peer_row, 1);
+        peer->instance = g_strdup(name);
+        g_hash_table_insert(lease->peers, peer->instance, peer);
+    }
+    if (row->version != peer->version) {
+        peer->seen_us = now_us;
+    }
+    peer->version = row->version;
+    peer->valid_us = read->valid_ms * 1000ULL;
+    peer->read = true;
+    g_free(peer->zone);
+    g_free(peer->address);
+    peer->zone = g_strdup(read->zone);
+    peer->address = g_strdup(read->address);
+    peer->public = (le_peer){.instance = peer->instance,
+                             .zone = peer->zone,
+                             .address = peer->address,
+                             .incarnation = read->incarnation,
+                             .leaving = read->leaving};
+    if (le_is_self(lease, name)) {
+        lease->row_version = MAX(lease->row_version, row->version);
+    }
+    lacewing__exchange__instance_row__free_unpacked(read, NULL);
+}
+
+void
+le_feed_holder(le_lease *lease, uint64_t now_us, const char *id,
+               const dl_row *row)
+{
+    le_server_row *server = le_server_of(lease, id);
+    server->read = true;
+    if (row->version <= server->version) {
+        return;
+    }
+    g_clear_pointer(&server->holder, g_free);
+    server->version = row->value ? row->version : 0;
+    server->since_us = now_us;
+    server->incarnation = 0;
+    server->given_up = false;
+    server->giving = false;
+    server->free_us = 0;
+    if (!row->value) {
+        return;
+    }
+    gsize size = 0;
+    const uint8_t *bytes = g_bytes_get_data(row->value, &size);
+    Lacewing__Exchange__HolderRow *read =
+        lacewing__exchange__holder_row__unpack(NULL, size, bytes);
+    if (read) {
+        server->holder = g_strdup(read->instance);
+        server->incarnation = read->incarnation;
+        server->given_up = read->given_up;
+        server->fence = read->fence;
+        lacewing__exchange__holder_row__free_unpacked(read, NULL);
+    }
+}
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -1,17 +1,11 @@
-#include "lacewing/exchange.h"
+#include "node_private.h"
 
-#include "caller.h"
-#include "exchange.h"
-#include "gossip.h"
-#include "lacewing/call.h"
 #include "lacewing/counter.h"
-#include "lacewing/hash.h"
 #include "lacewing/log.h"
-#include "lease.h"
-#include "orderer.h"
-#include "watch.h"
 #include <string.h>
 
+/* Left of the grace period when the last answers are broken off. */
+#define _ND_LAST_US 500000
 /* Requests that wait or time out are looked at this often. */
 #define _ND_TICK_MS 20
 /* Callers' time-outs, idle connections, lapsed servers. */
@@ -34,454 +28,9 @@
 #define _ND_OWN_TABLE_PAUSE_MS 400
 /* A configuration is the newest when the store said so this lately. */
 #define _ND_CONFIG_FRESH_US 4000000
-/* Servers that are missing after the store was away have this long to come
-   back; the platform's word is about 2 s. */
-#define _ND_LAPSED_US 1700000
-/* The word of a holder counts more than the list for this long. */
-#define _ND_HOLDER_WORD_US 4000000
 /* The platform asks once a second and takes an instance out after two
    misses. */
 #define _ND_NOTICE_US 2600000
-/* Left of the grace period when the last answers are broken off. */
-#define _ND_LAST_US 500000
-#define _ND_TX_TIMEOUT_MS 1200
-
-struct nd_node {
-    nd_desc desc;
-    tm_service *timers;
-    nc_hub *hub;
-    hc_client *client;
-    fl_fleet *fleet;
-    le_lease *lease;
-    or_orderer *orderer;
-    gp_peers *peers;
-    xc_core *core;
-    cr_port *callers;
-    cr_port *pages;
-    wt_watch *operator_watch;
-    wt_watch *server_watch;
-    wt_watch *own_watch;
-    rc_table *table;
-    GHashTable *lapsed;       /* server id -> when it goes, in us */
-    GHashTable *read_servers; /* ids of the read under way; or NULL */
-    bool servers_known;
-    GHashTable *row_digests; /* key of a row -> its digest, both tables */
-    uint64_t digests[GP_TABLE_NUM];
-    uint64_t own_regained_us;
-    uint64_t own_written_us; /* when a transaction of the own table held */
-    bool lease_held;
-    bool ready_said;
-    tm_timer ticks[4];
-    uint64_t told_servers_us;
-    uint64_t incarnation;
-    uint64_t stop_us; /* when the stop began; 0: none */
-    bool idle_closed;
-    bool stopped;
-};
-
-/* -- private: digests of tables ------------------------------------------ */
-
-/* Replaces a row's part in the digest of its table; 0: the row is gone. */
-static void
-_nd_digest(nd_node *node, gp_table table, const char *key, uint64_t digest)
-{
-    g_autofree char *name = g_strdup_printf("%d/%s", (int)table, key);
-    uint64_t *old = g_hash_table_lookup(node->row_digests, name);
-    node->digests[table] ^= old ? *old : 0;
-    node->digests[table] ^= digest;
-    if (digest == 0) {
-        g_hash_table_remove(node->row_digests, name);
-        return;
-    }
-    uint64_t *kept = g_new(uint64_t, 1);
-    *kept = digest;
-    g_hash_table_replace(node->row_digests, g_steal_pointer(&name), kept);
-}
-
-static uint64_t
-_nd_digest_of(const char *key, uint64_t number, uint64_t other)
-{
-    g_autofree char *text = g_strdup_printf(
-        "%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, key, number, other);
-    return hs_u64(text);
-}
-
-static wt_watch *
-_nd_watch_of(const nd_node *node, gp_table table)
-{
-    return table == GP_OPERATOR  ? node->operator_watch
-           : table == GP_SERVERS ? node->server_watch
-                                 : node->own_watch;
-}
-
-/* Another instance knows as much: no need to ask. It knows something else,
-   and later: the store has news. */
-static void
-_nd_on_known(gp_table table, const gp_known *known, void *user_data)
-{
-    nd_node *node = user_data;
-    wt_watch *watch = _nd_watch_of(node, table);
-    bool same = known->digest == node->digests[table];
-    if (same && table != GP_OWN) {
-        wt_note_fresh(watch, known->at_us);
-    }
-    else if (!same && known->at_us > wt_query_fresh_us(watch)) {
-        wt_ask_now(watch);
-    }
-}
-
-/* -- private: configuration
- * --------------------------------------------------------- */
-
-/* Servers that run models take orders, from whoever holds their lease. */
-static void
-_nd_offer(fl_server *server, void *user_data)
-{
-    nd_node *node = user_data;
-    const rc_service *service =
-        node->table ? rc_query_service(node->table, server->service) : NULL;
-    if (server->state == FL_READY && service && service->engine) {
-        le_put_server(node->lease, server->id, server->zone);
-    }
-}
-
-static void
-_nd_take_config(nd_node *node, rc_table *table)
-{
-    if (node->table &&
-        rc_query_version(table) <= rc_query_version(node->table)) {
-        return; /* never back to an older one */
-    }
-    rc_unref(node->table);
-    node->table = rc_ref(table);
-    xc_set_table(node->core, table);
-    or_set_table(node->orderer, table);
-    cr_set_limits(node->callers, rc_query_limits(table));
-    fl_each_server(node->fleet, _nd_offer, node);
-    ct_set(CT_CONFIG_VERSION, (int64_t)rc_query_version(table));
-    g_autofree char *version =
-        g_strdup_printf("%" G_GUINT64_FORMAT, rc_query_version(table));
-    g_autofree char *routes =
-        g_strdup_printf("%u", rc_query_route_count(table));
-    lg_write(LG_CONFIG_IN_FORCE, "version", version, "routes", routes, NULL);
-}
-
-static void
-_nd_on_operator_row(const dl_row *row, void *user_data)
-{
-    nd_node *node = user_data;
-    dl_operator read = {0};
-    er_status status = {0};
-    if (node->desc.dialect->read_operator(row, &read, &status) != ER_OK) {
-        lg_write(LG_ROW_REFUSED, "key", row->key, "why", status.message, NULL);
-        return;
-    }
-    if (read.kind == DL_OPERATOR_CONFIG) {
-        _nd_take_config(node, read.config);
-    }
-    _nd_digest(node, GP_OPERATOR, row->key,
-               row->value ? _nd_digest_of(row->key, row->version, 0) : 0);
-    if (read.kind == DL_OPERATOR_VERSION) {
-        fl_declare_version(node->fleet, read.model, read.adapter, read.version,
-                           lp_query_now_us(node->desc.loop));
-        lg_write(LG_VERSION_NEW, "key", row->key, NULL);
-    }
-    dl_clear_operator(&read);
-}
-
-/* -- private: servers
- * ----------------------------------------------------------------- */
-
-static void
-_nd_wake_server(fl_server *server, void *user_data)
-{
-    nd_node *node = user_data;
-    g_autoptr(GPtrArray) held = g_ptr_array_new();
-    for (guint i = 0; i < server->copies->len; i++) {
-        const fl_copy *copy = server->copies->pdata[i];
-        if (!copy->loading && copy->adapter->waiting.length) {
-            g_ptr_array_add(held, copy->adapter);
-        }
-    }
-    for (guint i = 0; i < held->len; i++) {
-        xc_wake(node->core, held->pdata[i]);
-    }
-}
-
-/* What the list says that a server holds, where no holder tells better. */
-static void
-_nd_take_models(nd_node *node, fl_server *server, const dl_server *entry)
-{
-    uint64_t now_us = lp_query_now_us(node->desc.loop);
-    uint64_t told_us = gp_query_told_us(node->peers, server);
-    bool told = told_us && now_us < told_us + _ND_HOLDER_WORD_US;
-    if (!entry->models || server->orders || told) {
-        return;
-    }
-    for (guint i = 0; i < entry->models->len; i++) {
-        const dl_model *model = &g_array_index(entry->models, dl_model, i);
-        fl_put_copy(server, fl_intern(node->fleet, model->name),
-                    model->version, false, now_us);
-        for (guint j = 0; j < model->adapters->len; j++) {
-            const dl_adapter *adapter =
-                &g_array_index(model->adapters, dl_adapter, j);
-            g_autofree char *key =
-                g_strdup_printf("%s/%s", model->name, adapter->name);
-            fl_put_copy(server, fl_intern(node->fleet, key), adapter->version,
-                        false, now_us);
-        }
-    }
-    _nd_wake_server(server, node);
-}
-
-static void
-_nd_remove_server(nd_node *node, const char *id)
-{
-    fl_server *server = fl_query_server(node->fleet, id);
-    if (server) {
-        lg_write(LG_SERVER_GONE, "server", id, NULL);
-        or_forget_server(node->orderer, server);
-        xc_drop_server(node->core, server);
-        le_remove_server(node->lease, id);
-        fl_remove_server(node->fleet, id);
-    }
-    g_hash_table_remove(node->lapsed, id);
-}
-
-static void
-_nd_lapse_server(nd_node *node, const char *id)
-{
-    uint64_t now_us = lp_query_now_us(node->desc.loop);
-    uint64_t until_us =
-        wt_query_regained_us(node->server_watch) + _ND_LAPSED_US;
-    if (wt_query_gap_us(node->server_watch) && now_us < until_us) {
-        uint64_t *when = g_new(uint64_t, 1);
-        *when = until_us;
-        g_hash_table_insert(node->lapsed, g_strdup(id), when);
-        return;
-    }
-    _nd_remove_server(node, id);
-}
-
-static void
-_nd_put_server(nd_node *node, const dl_server *entry)
-{
-    fl_server *server = NULL;
-    fl_server *before = fl_query_server(node->fleet, entry->id);
-    fl_state state_before = before ? before->state : FL_GONE;
-    if (before && (strcmp(before->address, entry->address) != 0 ||
-                   strcmp(before->service, entry->service) != 0)) {
-        _nd_remove_server(node, entry->id);
-        state_before = FL_GONE;
-    }
-    bool anew = fl_put_server(node->fleet, entry, &server);
-    g_hash_table_remove(node->lapsed, entry->id);
-    if (anew) {
-        lg_write(LG_SERVER_SEEN, "server", server->id, "service",
-                 server->service, "address", server->address, "zone",
-                 server->zone, NULL);
-        xc_drop_server(node->core, server);
-    }
-    if (server->state == FL_LEAVING && state_before != FL_LEAVING) {
-        lg_write(LG_SERVER_LEAVES, "server", server->id, NULL);
-        xc_drop_server(node->core, server);
-        le_remove_server(node->lease, server->id);
-    }
-    _nd_offer(server, node);
-    _nd_take_models(node, server, entry);
-}
-
-static void
-_nd_on_server_row(const dl_row *row, void *user_data)
-{
-    nd_node *node = user_data;
-    if (!row->value) {
-        _nd_digest(node, GP_SERVERS, row->key, 0);
-        _nd_lapse_server(node, row->key);
-        return;
-    }
-    dl_server entry = {0};
-    er_status status = {0};
-    if (node->desc.dialect->read_server(row, &entry, &status) != ER_OK) {
-        lg_write(LG_ROW_REFUSED, "key", row->key, "why", status.message, NULL);
-        return;
-    }
-    if (node->read_servers) {
-        g_hash_table_add(node->read_servers, g_strdup(row->key));
-    }
-    _nd_digest(node, GP_SERVERS, row->key,
-               _nd_digest_of(row->key, entry.born_ms, entry.state));
-    _nd_put_server(node, &entry);
-    dl_clear_server(&entry);
-}
-
-static void
-_nd_on_servers_began(void *user_data)
-{
-    nd_node *node = user_data;
-    g_clear_pointer(&node->read_servers, g_hash_table_unref);
-    node->read_servers =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-}
-
-static void
-_nd_note_missing(fl_server *server, void *user_data)
-{
-    g_ptr_array_add(user_data, server->id);
-}
-
-static void
-_nd_on_servers_ended(void *user_data)
-{
-    nd_node *node = user_data;
-    g_autoptr(GHashTable) read = g_steal_pointer(&node->read_servers);
-    g_autoptr(GPtrArray) ids = g_ptr_array_new();
-    fl_each_server(node->fleet, _nd_note_missing, ids);
-    for (guint i = 0; i < ids->len; i++) {
-        if (!g_hash_table_contains(read, ids->pdata[i])) {
-            g_autofree char *id = g_strdup(ids->pdata[i]);
-            _nd_digest(node, GP_SERVERS, id, 0);
-            _nd_lapse_server(node, id);
-        }
-    }
-    node->servers_known = true;
-}
-
-static void
-_nd_end_lapsed(nd_node *node)
-{
-    uint64_t now_us = lp_query_now_us(node->desc.loop);
-    g_autoptr(GPtrArray) ids = g_ptr_array_new_with_free_func(g_free);
-    GHashTableIter iter;
-    gpointer id;
-    gpointer when;
-    g_hash_table_iter_init(&iter, node->lapsed);
-    while (g_hash_table_iter_next(&iter, &id, &when)) {
-        if (now_us >= *(uint64_t *)when) {
-            g_ptr_array_add(ids, g_strdup(id));
-        }
-    }
-    for (guint i = 0; i < ids->len; i++) {
-        _nd_remove_server(node, ids->pdata[i]);
-    }
-}
-
-/* -- private: own table
- * ------------------------------------------------------------------ */
-
-static void
-_nd_on_own_row(const dl_row *row, void *user_data)
-{
-    nd_node *node = user_data;
-    le_feed_row(node->lease, lp_query_now_us(node->desc.loop), row);
-}
-
-static void
-_nd_on_own_began(void *user_data)
-{
-    le_begin_read(((nd_node *)user_data)->lease);
-}
-
-static void
-_nd_on_own_ended(void *user_data)
-{
-    nd_node *node = user_data;
-    le_end_read(node->lease, lp_query_now_us(node->desc.loop));
-}
-
-static void
-_nd_on_own_fresh(uint64_t version, void *user_data)
-{
-    nd_node *node = user_data;
-    uint64_t regained_us = wt_query_regained_us(node->own_watch);
-    if (regained_us != node->own_regained_us) {
-        node->own_regained_us = regained_us;
-        le_note_interruption(node->lease);
-    }
-    le_feed_fresh(node->lease, lp_query_now_us(node->desc.loop), version);
-    wt_set_pause(node->own_watch, le_query_pause_ms(node->lease));
-}
-
-static void
-_nd_ignore(void *user_data)
-{
-    (void)user_data;
-}
-
-static void _nd_tell(nd_node *node);
-
-/* What was asked of the store spares the others their calls. */
-static void
-_nd_on_fresh(uint64_t version, void *user_data)
-{
-    (void)version;
-    _nd_tell(user_data);
-}
-
-static const wt_calls _nd_operator_calls = {.row = _nd_on_operator_row,
-                                            .read_began = _nd_ignore,
-                                            .read_ended = _nd_ignore,
-                                            .fresh = _nd_on_fresh};
-static const wt_calls _nd_server_calls = {.row = _nd_on_server_row,
-                                          .read_began = _nd_on_servers_began,
-                                          .read_ended = _nd_on_servers_ended,
-                                          .fresh = _nd_on_fresh};
-static const wt_calls _nd_own_calls = {.row = _nd_on_own_row,
-                                       .read_began = _nd_on_own_began,
-                                       .read_ended = _nd_on_own_ended,
-                                       .fresh = _nd_on_own_fresh};
-
-static void
-_nd_on_tx(const hc_answer *answer, void *user_data)
-{
-    nd_node *node = user_data;
-    uint64_t now_us = lp_query_now_us(node->desc.loop);
-    dl_rows rows = {0};
-    er_status status = {0};
-    er_code code = answer->code;
-    if (code == ER_OK) {
-        code = answer->status == 200   ? ER_OK
-               : answer->status == 412 ? ER_CONFLICT
-                                       : ER_PLATFORM_DOWN;
-    }
-    if (code == ER_OK || code == ER_CONFLICT) {
-        er_code read = node->desc.dialect->read_rows(
-            answer->bytes, answer->count, &rows, &status);
-        code = read == ER_OK ? code : ER_PLATFORM_DOWN;
-    }
-    le_feed_result(node->lease, now_us, code, rows.version, rows.rows);
-    if (code != ER_OK) {
-        lg_write(LG_CLAIM_FAILED, "why", er_query_name(code), NULL);
-    }
-    if (code == ER_CONFLICT) {
-        wt_read_again(node->own_watch);
-    }
-    node->own_written_us = code == ER_OK ? now_us : node->own_written_us;
-    dl_clear_rows(&rows);
-}
-
-static void
-_nd_write_tx(nd_node *node)
-{
-    dl_tx tx;
-    if (!le_next_tx(node->lease, lp_query_now_us(node->desc.loop), &tx)) {
-        return;
-    }
-    const dl_dialect *dialect = node->desc.dialect;
-    tx.table = dialect->own_table;
-    GString *body = dialect->write_tx(&tx);
-    ct_add(CT_STORE_CALLS, 1);
-    hc_call(node->client, &(hc_request){.address = node->desc.settings->store,
-                                        .method = "POST",
-                                        .path = dialect->tx_path,
-                                        .type = dialect->body_type,
-                                        .body = body->str,
-                                        .body_count = body->len,
-                                        .timeout_ms = _ND_TX_TIMEOUT_MS,
-                                        .done = _nd_on_tx,
-                                        .user_data = node});
-    g_string_free(body, TRUE);
-}
 
 /* -- private: adapters
  * ---------------------------------------------------------------------- */
@@ -507,7 +56,7 @@
 {
     nd_node *node = user_data;
     gp_tell_server(node->peers, server, or_query_number(server));
-    _nd_wake_server(server, node);
+    nd_wake_server(server, node);
 }
 
 static void
@@ -541,7 +90,7 @@
                                         .live = _nd_live,
                                         .config_fresh = _nd_config_fresh};
 static const gp_calls _nd_peer_calls = {
-    .known = _nd_on_known, .asked = _nd_on_asked, .changed = _nd_wake_server};
+    .known = nd_on_known, .asked = _nd_on_asked, .changed = nd_wake_server};
 
 /* -- private: pages
  * ---------------------------------------------------------------------------
@@ -612,7 +161,7 @@
 {
     (void)now_us;
     nd_node *node = user_data;
-    _nd_write_tx(node);
+    nd_write_tx(node);
     fl_each_server(node->fleet, _nd_mark_orders, node);
     bool held = le_query_held(node->lease, lp_query_now_us(node->desc.loop));
     if (held != node->lease_held) {
@@ -630,15 +179,15 @@
     }
 }
 
-static void
-_nd_tell(nd_node *node)
+void
+nd_tell(nd_node *node)
 {
     node->digests[GP_OWN] = le_query_digest(node->lease);
     gp_known known[GP_TABLE_NUM];
     for (int i = 0; i < GP_TABLE_NUM; i++) {
         known[i] =
             (gp_known){node->digests[i],
-                       wt_query_fresh_us(_nd_watch_of(node, (gp_table)i))};
+                       wt_query_fresh_us(nd_watch_of(node, (gp_table)i))};
     }
     known[GP_OWN].at_us = MAX(known[GP_OWN].at_us, node->own_written_us);
     gp_tell_load(node->peers, known);
@@ -650,7 +199,7 @@
     (void)now_us;
     nd_node *node = user_data;
     uint64_t clock_us = lp_query_now_us(node->desc.loop);
-    _nd_tell(node);
+    nd_tell(node);
     if (clock_us >= node->told_servers_us + _ND_TELL_SERVERS_US) {
         node->told_servers_us = clock_us;
         fl_each_server(node->fleet, _nd_tell_held, node);
@@ -701,7 +250,7 @@
     uint64_t clock_us = lp_query_now_us(node->desc.loop);
     cr_tick(node->callers, clock_us);
     cr_tick(node->pages, clock_us);
-    _nd_end_lapsed(node);
+    nd_end_lapsed(node);
     if (!node->ready_said && _nd_ready(node)) {
         node->ready_said = true;
         lg_write(LG_PEER_READY, NULL);
@@ -739,12 +288,12 @@
     node->operator_watch =
         _nd_watch(node, dialect->operator_table,
                   settings->config_apply_ms / _ND_OPERATOR_READS,
-                  _ND_OPERATOR_WAIT_MS, &_nd_operator_calls);
+                  _ND_OPERATOR_WAIT_MS, &nd_operator_calls);
     node->server_watch = _nd_watch(node, dialect->server_table,
                                    settings->drain_ms / _ND_SERVER_READS, 100,
-                                   &_nd_server_calls);
+                                   &nd_server_calls);
     node->own_watch = _nd_watch(node, dialect->own_table,
-                                _ND_OWN_TABLE_PAUSE_MS, 100, &_nd_own_calls);
+                                _ND_OWN_TABLE_PAUSE_MS, 100, &nd_own_calls);
 }
 
 static char *
--- /dev/null
+++ b/packages/exchange/src/node_private.h
@@ -0,0 +1,59 @@
+/* node_private.h: what the parts of a node share (prefix nd_). */
+#ifndef LACEWING_ND_PRIVATE_H
+#define LACEWING_ND_PRIVATE_H
+
+#include "caller.h"
+#include "exchange.h"
+#include "gossip.h"
+#include "lacewing/call.h"
+#include "lacewing/exchange.h"
+#include "lease.h"
+#include "orderer.h"
+#include "watch.h"
+
+struct nd_node {
+    nd_desc desc;
+    tm_service *timers;
+    nc_hub *hub;
+    hc_client *client;
+    fl_fleet *fleet;
+    le_lease *lease;
+    or_orderer *orderer;
+    gp_peers *peers;
+    xc_core *core;
+    cr_port *callers;
+    cr_port *pages;
+    wt_watch *operator_watch;
+    wt_watch *server_watch;
+    wt_watch *own_watch;
+    rc_table *table;
+    GHashTable *lapsed;       /* server id -> when it goes, in us */
+    GHashTable *read_servers; /* ids of the read under way; or NULL */
+    bool servers_known;
+    GHashTable *row_digests; /* key of a row -> its digest, both tables */
+    uint64_t digests[GP_TABLE_NUM];
+    uint64_t own_regained_us;
+    uint64_t own_written_us; /* when a transaction of the own table held */
+    bool lease_held;
+    bool ready_said;
+    tm_timer ticks[4];
+    uint64_t told_servers_us;
+    uint64_t incarnation;
+    uint64_t stop_us; /* when the stop began; 0: none */
+    bool stopped;
+};
+
+/* -- node_tables.c: what the tables of the store say ---------------------- */
+extern const wt_calls nd_operator_calls;
+extern const wt_calls nd_server_calls;
+extern const wt_calls nd_own_calls;
+wt_watch *nd_watch_of(const nd_node *node, gp_table table);
+void nd_on_known(gp_table table, const gp_known *known, void *user_data);
+void nd_wake_server(fl_server *server, void *user_data);
+void nd_end_lapsed(nd_node *node);
+void nd_write_tx(nd_node *node);
+
+/* -- node.c: tells other instances what is known of the store -- */
+void nd_tell(nd_node *node);
+
+#endif
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -87,8 +87,7 @@
     plan->report_us = retry_us;
 }
 
-/* -- private: steps ----------------------------------------------------------
- */
+/* -- private: steps ------------------------------------------------------- */
 
 static od_step
 _od_order(od_plan *plan, dl_order_kind kind, fl_adapter *adapter,
@@ -245,8 +244,7 @@
     return base->loading ? (od_step){0} : _od_next_adapter(plan, now_us, room);
 }
 
-/* -- private: results --------------------------------------------------------
- */
+/* -- private: results ----------------------------------------------------- */
 
 static void
 _od_taken(od_plan *plan, uint64_t now_us)
@@ -316,18 +314,15 @@
 _od_take_model(od_plan *plan, uint64_t now_us, const dl_model *model,
                GHashTable *seen)
 {
-    fl_adapter *base = fl_intern(plan->fleet, model->name);
-    fl_put_copy(plan->server, base, model->version, false, now_us);
-    g_hash_table_add(seen, base);
+    g_hash_table_add(seen, fl_put_named(plan->fleet, plan->server, model->name,
+                                        NULL, model->version, false, now_us));
     for (guint i = 0; i < model->adapters->len; i++) {
         const dl_adapter *adapter =
             &g_array_index(model->adapters, dl_adapter, i);
-        g_autofree char *key =
-            g_strdup_printf("%s/%s", model->name, adapter->name);
-        fl_adapter *held = fl_intern(plan->fleet, key);
-        fl_put_copy(plan->server, held, adapter->version, adapter->loading,
-                    now_us);
-        g_hash_table_add(seen, held);
+        g_hash_table_add(seen,
+                         fl_put_named(plan->fleet, plan->server, model->name,
+                                      adapter->name, adapter->version,
+                                      adapter->loading, now_us));
     }
 }
 
--- a/packages/exchange/src/routes.c
+++ b/packages/exchange/src/routes.c
@@ -13,8 +13,7 @@
     GHashTable *by_name; /* name -> rc_service */
 };
 
-/* -- private ---------------------------------------------------------------
- */
+/* -- private -------------------------------------------------------------- */
 
 static void
 _rc_clear_target(void *data)
@@ -85,8 +84,7 @@
     return length <= path_length && memcmp(path, prefix, length) == 0;
 }
 
-/* -- public ----------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 rc_table *
 rc_create(uint64_t version)
--- a/packages/net/include/lacewing/conn.h
+++ b/packages/net/include/lacewing/conn.h
@@ -22,6 +22,7 @@
 
 #include "lacewing/error.h"
 #include "lacewing/loop.h"
+#include <netinet/in.h>
 #include <stddef.h>
 
 typedef struct nc_hub nc_hub;
@@ -64,6 +65,9 @@
                        void *user_data, er_status *status);
 void nc_unlisten(nc_listener *listener);
 
+/* IP:PORT as a socket's name; false: it is not one. */
+bool nc_parse_address(const char *address, struct sockaddr_in *out);
+
 /* NULL when the address is not one or no descriptor is left. */
 nc_conn *nc_connect(nc_hub *hub, const char *address, const nc_calls *calls,
                     void *user_data);
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -54,11 +54,10 @@
     void *user_data;
 };
 
-/* -- private: sockets ------------------------------------------------------
- */
+/* -- private: sockets ----------------------------------------------------- */
 
-static bool
-_nc_parse(const char *address, struct sockaddr_in *out)
+bool
+nc_parse_address(const char *address, struct sockaddr_in *out)
 {
     const char *colon = strrchr(address, ':');
     char host[INET_ADDRSTRLEN];
@@ -95,8 +94,7 @@
                    (int)hub->user_timeout_ms);
 }
 
-/* -- private: one connection -----------------------------------------------
- */
+/* -- private: one connection ---------------------------------------------- */
 
 static void
 _nc_want(nc_conn *conn)
@@ -298,8 +296,7 @@
     g_ptr_array_set_size(hub->dead, 0);
 }
 
-/* -- public: hub and listener ----------------------------------------------
- */
+/* -- public: hub and listener --------------------------------------------- */
 
 nc_hub *
 nc_create(const nc_hub_desc *desc)
@@ -349,7 +346,7 @@
           void *user_data, er_status *status)
 {
     struct sockaddr_in name;
-    if (!_nc_parse(address, &name)) {
+    if (!nc_parse_address(address, &name)) {
         er_set(status, ER_SETTING_RANGE, "%s: not IP:PORT", address);
         return NULL;
     }
@@ -383,15 +380,14 @@
     }
 }
 
-/* -- public: connections ---------------------------------------------------
- */
+/* -- public: connections -------------------------------------------------- */
 
 nc_conn *
 nc_connect(nc_hub *hub, const char *address, const nc_calls *calls,
            void *user_data)
 {
     struct sockaddr_in name;
-    if (!_nc_parse(address, &name)) {
+    if (!nc_parse_address(address, &name)) {
         return NULL;
     }
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/packages/net/src/http1.c
+++ b/packages/net/src/http1.c
@@ -162,8 +162,7 @@
     .on_message_complete = _h1_on_end,
 };
 
-/* -- public ----------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 h1_reader *
 h1_create(const h1_desc *desc)
--- a/packages/net/src/upstream.c
+++ b/packages/net/src/upstream.c
@@ -38,8 +38,7 @@
     guint free_source;    /* of a cancelled line */
 };
 
-/* -- private: lines ----------------------------------------------------------
- */
+/* -- private: lines ------------------------------------------------------- */
 
 /* Frees a line that is in no queue. */
 static void
