--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -15,7 +15,8 @@
  * for lease_ms before any server of it has a new holder. A holder that leaves
  * gives its servers up in the store; they wait for quiet_ms. A machine that
  * starts again takes its own servers back at once, with a higher fence. Fences
- * are versions of the store, so they rise also where rows were removed.
+ * are versions of the store, so they rise also where rows were removed. One
+ * that holds more than others gives servers up for them, one at a time.
  *
  *     le_feed_row(lease, now_us, "i/b", value, 17);
  *     if (le_next_tx(lease, now_us, &tx)) { write it; le_feed_result(...); }
--- a/packages/exchange/tests/test_orders.c
+++ b/packages/exchange/tests/test_orders.c
@@ -81,6 +81,7 @@
     e->orders++;
     if (kind == DL_UNLOAD) {
         if (at >= 0) {
+            g_free(g_array_index(e->adapters, held, at).name);
             g_array_remove_index_fast(e->adapters, (guint)at);
         }
         return DL_ORDER_HOLDS;
@@ -98,6 +99,7 @@
         late one = g_array_index(s->engine.late, late, i - 1);
         if (s->now_us >= one.at_us) {
             engine_take(s, one.kind, one.name, one.orders);
+            g_free(one.name);
             g_array_remove_index_fast(s->engine.late, i - 1);
         }
     }
@@ -195,6 +197,23 @@
     return s;
 }
 
+static void
+free_scene(scene *s)
+{
+    od_destroy(s->plan);
+    fl_destroy(s->fleet);
+    for (guint i = 0; i < s->engine.adapters->len; i++) {
+        g_free(g_array_index(s->engine.adapters, held, i).name);
+    }
+    for (guint i = 0; i < s->engine.late->len; i++) {
+        g_free(g_array_index(s->engine.late, late, i).name);
+    }
+    g_array_unref(s->engine.adapters);
+    g_array_unref(s->engine.late);
+    g_rand_free(s->random);
+    g_free(s);
+}
+
 static void
 want(scene *s, int number)
 {
@@ -221,6 +240,7 @@
     ck_assert(!loaded(s, 1));
     run_for(s, 60);
     ck_assert(loaded(s, 1));
+    free_scene(s);
 }
 END_TEST
 
@@ -234,6 +254,7 @@
     want(s, 1);
     run_for(s, 300);
     ck_assert(loaded(s, 1));
+    free_scene(s);
 }
 END_TEST
 
@@ -260,6 +281,7 @@
     ck_assert_uint_eq(loads, 1);
     ck_assert_uint_ge(asks, 5);
     ck_assert_uint_le(asks, 30);
+    free_scene(s);
 }
 END_TEST
 
@@ -278,6 +300,7 @@
     ck_assert(loaded(s, 1));
     ck_assert(loaded(s, 9));
     ck_assert_uint_eq(s->engine.adapters->len, PLACES);
+    free_scene(s);
 }
 END_TEST
 
@@ -293,6 +316,7 @@
     run_for(s, 300);
     ck_assert_uint_eq(s->engine.orders, before + 1);
     ck_assert(od_query_known(s->plan));
+    free_scene(s);
 }
 END_TEST
 
@@ -315,6 +339,7 @@
         ck_assert_msg(loaded(s, 3) && find(&s->engine, "a3") >= 0, "seed %u",
                       seed);
         ck_assert_msg(!s->engine.crashed, "seed %u", seed);
+        free_scene(s);
     }
 }
 END_TEST
--- a/packages/exchange/tests/test_placement_load.c
+++ b/packages/exchange/tests/test_placement_load.c
@@ -104,6 +104,19 @@
     return p;
 }
 
+static void
+free_play(play *p)
+{
+    for (int i = 0; i < SERVERS; i++) {
+        od_destroy(p->plans[i]);
+    }
+    fl_destroy(p->fleet);
+    g_array_unref(p->ends);
+    g_array_unref(p->waiting);
+    g_rand_free(p->random);
+    g_free(p);
+}
+
 /* The engine: loads take their time, asking after them tells. */
 static void
 step_orders(play *p)
@@ -241,6 +254,7 @@
                   p->sent);
     ck_assert_msg(p->sent_fast >= p->sent * 0.6, "%u of %u at fast servers",
                   p->sent_fast, p->sent);
+    free_play(p);
 }
 END_TEST
 
@@ -266,6 +280,7 @@
     want.prompt_tokens = 2400;
     ck_assert(fl_choose(p->fleet, &want, &choice));
     ck_assert_ptr_eq(choice.server, p->servers[1]);
+    free_play(p);
 }
 END_TEST
 
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -3,6 +3,8 @@
 #include "event_stream.h"
 #include "lacewing/config.h"
 #include "lacewing/frame.h"
+#include "lacewing/http1.h"
+#include "lacewing/users_platform.h"
 
 /* In two pieces, so that each place to cut is met by some input. */
 void
@@ -58,3 +60,65 @@
     g_autoptr(dc_config) config = NULL;
     dc_parse(text, "fuzz", &config, NULL);
 }
+
+static bool
+_fz_on_head(const h1_head *head, void *user_data)
+{
+    (void)user_data;
+    for (uint32_t i = 0; i < head->header_count; i++) {
+        h1_query_hop_by_hop(head, head->headers[i].name);
+    }
+    return false;
+}
+
+static void
+_fz_on_body(const char *bytes, size_t count, void *user_data)
+{
+    (void)bytes;
+    *(size_t *)user_data += count;
+}
+
+void
+fz_http(const uint8_t *bytes, size_t size)
+{
+    static const h1_calls calls = {.head = _fz_on_head, .body = _fz_on_body};
+    const h1_kind kinds[] = {H1_REQUEST, H1_RESPONSE};
+    const char *text = (const char *)bytes;
+    size_t cut = size ? bytes[0] % size : 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        size_t body = 0;
+        h1_reader *reader = h1_create(
+            &(h1_desc){.kind = kinds[i], .calls = &calls, .user_data = &body});
+        size_t used = h1_feed(reader, text, cut);
+        if (used == cut) {
+            h1_feed(reader, text + cut, size - cut);
+        }
+        h1_feed_end(reader);
+        g_assert(body <= size);
+        h1_destroy(reader);
+    }
+}
+
+void
+fz_platform(const uint8_t *bytes, size_t size)
+{
+    const dl_dialect *dialect = up_query_dialect();
+    g_autoptr(GBytes) value = g_bytes_new(bytes, size);
+    dl_row row = {.key = (char *)"config", .value = value, .version = 1};
+    dl_operator operator= {0};
+    if (dialect->read_operator(&row, &operator, NULL) == ER_OK) {
+        dl_clear_operator(&operator);
+    }
+    dl_server server = {0};
+    if (dialect->read_server(&row, &server, NULL) == ER_OK) {
+        dl_clear_server(&server);
+    }
+    if (dialect->read_report((const char *)bytes, size, &server, NULL) ==
+        ER_OK) {
+        dl_clear_server(&server);
+    }
+    dl_rows rows = {0};
+    if (dialect->read_rows((const char *)bytes, size, &rows, NULL) == ER_OK) {
+        dl_clear_rows(&rows);
+    }
+}
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -23,5 +23,9 @@
 void fz_edits(const uint8_t *bytes, size_t size);
 /* A whole configuration. */
 void fz_config(const uint8_t *bytes, size_t size);
+/* Requests and answers in HTTP/1.1. */
+void fz_http(const uint8_t *bytes, size_t size);
+/* Rows, entries and reports of the users' platform. */
+void fz_platform(const uint8_t *bytes, size_t size);
 
 #endif
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -19,6 +19,18 @@
     "[server s]\nzone = z\naddress = 127.0.0.1:1\nkind = engine\n"
     "[model m]\n[team t]\n[adapter a]\nmodel = m\nteam = t\nversions = 1\n"
     "[operation o]\nkind = draft\nidempotent = true\ndeadline_ms = 10\n",
+    "POST /a/b?c HTTP/1.1\r\nHost: x\r\nConnection: a, b\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+    "{\"Version\":7,\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\",\"Prefix\":"
+    "\"/a/\",\"Kind\":\"safe\",\"Split\":[{\"Service\":\"s\",\"Weight\":9}]"
+    "}],\"Services\":[{\"Name\":\"s\",\"InferenceEngine\":{\"Slots\":3,"
+    "\"Models\":[{\"Name\":\"m\",\"WeightsSize\":1.5}]}}],\"Limits\":{}}",
+    "{\"Service\":\"s\",\"Address\":\"1.2.3.4:5\",\"Zone\":\"z\",\"Slots\":1,"
+    "\"State\":\"ready\",\"Sequence\":0,\"born\":1,\"Models\":[{\"Name\":"
+    "\"m\",\"Adapters\":[\"a@1\"]}],\"Coming\":[\"m/b@2\"]}",
+    "{\"Rows\":[{\"Table\":\"t\",\"part\":\"\",\"Key\":\"k\",\"Value\":"
+    "\"aGk=\",\"Ver\":4}],\"MorePages\":false,\"Ver\":5}",
     "",
 };
 
@@ -29,6 +41,8 @@
     fz_events(bytes, size);
     fz_edits(bytes, size);
     fz_config(bytes, size);
+    fz_http(bytes, size);
+    fz_platform(bytes, size);
 }
 
 /* One change of one of the usual kinds: a byte, a cut, a doubled part. */
