--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -46,8 +46,7 @@
     bool keep;
 };
 
-/* -- private: states
- * ---------------------------------------------------------- */
+/* -- private: states ------------------------------------------------------ */
 
 /* Frees a connection that is in no queue. */
 static void
@@ -94,8 +93,7 @@
     }
 }
 
-/* -- private: reading
- * ---------------------------------------------------------- */
+/* -- private: reading ----------------------------------------------------- */
 
 static bool
 _cr_on_head(const h1_head *head, void *user_data)
@@ -228,8 +226,7 @@
     nc_set_calls(nc, &_cr_conn_calls, conn);
 }
 
-/* -- public: the port
- * ------------------------------------------------------------ */
+/* -- public: the port ----------------------------------------------------- */
 
 cr_port *
 cr_create(const cr_desc *desc, er_status *status)
@@ -345,8 +342,7 @@
     }
 }
 
-/* -- public: answers
- * --------------------------------------------------------------- */
+/* -- public: answers ------------------------------------------------------ */
 
 static void
 _cr_write_head(cr_conn *conn, GString *text, uint32_t status,
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -22,11 +22,15 @@
 /* A resumable stream whose pause is this many times its target. */
 #define _XC_SLOW_GAP_TIMES 4
 #define _XC_SLOW_GAP_LEAST_US 800000
-/* Callers that must not wait longer than this for a place. */
+/* Where nothing can be expected soon, a request waits this long only: a
+   server's entry or a lease may just be changing. */
 #define _XC_NO_SERVER_US 300000
+/* For an adapter that is to be loaded it waits so many times its route's
+   target: a load takes 250 ms, a queue of them some times that. */
 #define _XC_WAIT_TIMES 3
 #define _XC_WAIT_LEAST_US 600000
-/* Back in this time when no server can take a request, spread. */
+/* Refused callers come back after this and up to as much more by chance;
+   after four times that where a lease has lapsed: about a lease's time. */
 #define _XC_BACK_MS 400
 #define _XC_NO_PLACE_TIMES 4
 /* Of a whole answer at a busy server: a plain one, or a stream's first event;
@@ -39,8 +43,7 @@
 /* All instances leave: one is back in about this time. */
 #define _XC_RESTART_MS 1500
 
-/* -- private: core
- * ------------------------------------------------------------ */
+/* -- private: core -------------------------------------------------------- */
 
 uint64_t
 xc_now_us(const xc_exchange *exchange)
@@ -62,8 +65,7 @@
     return budget;
 }
 
-/* -- private: one exchange
- * ------------------------------------------------------ */
+/* -- private: one exchange ------------------------------------------------ */
 
 void
 xc_stop_waiting(xc_exchange *exchange)
@@ -248,8 +250,7 @@
     _xc_wait(exchange, choice.why);
 }
 
-/* -- private: from the caller's connection
- * ---------------------------------------- */
+/* -- private: from the caller's connection -------------------------------- */
 
 static uint32_t
 _xc_number(const char *text, uint32_t fallback)
@@ -404,8 +405,7 @@
     return &_xc_caller_calls;
 }
 
-/* -- private: time
- * ------------------------------------------------------------------ */
+/* -- private: time -------------------------------------------------------- */
 
 static void
 _xc_time_out(xc_exchange *exchange)
@@ -499,9 +499,7 @@
     }
 }
 
-/* -- public
- * ---------------------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 xc_core *
 xc_create(const xc_desc *desc)
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -4,8 +4,7 @@
 #include "lacewing/log.h"
 #include <string.h>
 
-/* -- public: answers of our own
- * ----------------------------------------------------- */
+/* -- public: answers of our own ------------------------------------------- */
 
 static void
 _xc_log(lg_item item, const xc_exchange *exchange, const char *why)
@@ -53,8 +52,7 @@
     }
 }
 
-/* -- public: the server's answer
- * ------------------------------------------------------ */
+/* -- public: the server's answer ------------------------------------------ */
 
 void
 xc_begin_answer(xc_exchange *exchange)
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -16,8 +16,7 @@
 
 static void _xc_go_on(xc_exchange *exchange, us_end end);
 
-/* -- private: the answer comes
- * ---------------------------------------------------- */
+/* -- private: the answer comes -------------------------------------------- */
 
 static bool
 _xc_is_stream(const xc_exchange *exchange)
@@ -111,8 +110,7 @@
     g_byte_array_append(exchange->answer, (const guint8 *)bytes, (guint)count);
 }
 
-/* -- private: the send has ended
- * --------------------------------------------------- */
+/* -- private: the send has ended ------------------------------------------ */
 
 static void
 _xc_forget_send(xc_exchange *exchange, fl_outcome outcome)
@@ -236,8 +234,7 @@
 static const us_calls _xc_line_calls = {
     .head = _xc_on_head, .body = _xc_on_body, .end = _xc_on_end};
 
-/* -- private: the request goes out
- * -------------------------------------------------- */
+/* -- private: the request goes out ---------------------------------------- */
 
 /* Headers that only the system may set, and those that are written anew. */
 static bool
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -32,8 +32,7 @@
     uint8_t *buffer;
 };
 
-/* -- private: sending
- * ------------------------------------------------------------- */
+/* -- private: sending ----------------------------------------------------- */
 
 typedef struct _gp_parcel {
     gp_peers *peers;
@@ -261,8 +260,7 @@
     g_ptr_array_unref(all.uses);
 }
 
-/* -- private: receiving
- * ---------------------------------------------------------------- */
+/* -- private: receiving --------------------------------------------------- */
 
 static bool
 _gp_is_news(gp_peers *peers, const Lacewing__Exchange__ServerState *state)
@@ -391,9 +389,7 @@
     }
 }
 
-/* -- public
- * -------------------------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 gp_peers *
 gp_create(const gp_desc *desc, er_status *status)
--- a/packages/exchange/src/lease_tx.c
+++ b/packages/exchange/src/lease_tx.c
@@ -6,6 +6,8 @@
 /* An instance orders for so many renewals' time after one was sent: one may
    fail. */
 #define _LE_VALID_RENEWALS 2.25
+/* Renewals are further apart by this part for each instance, up to so many
+   times: at 83 instances one in 5 s, some 17 writes a second over all. */
 #define _LE_RENEW_PER_INSTANCE 0.06
 #define _LE_RENEW_MOST 5.0
 /* Between two servers that are given up for evenness: each is without orders
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -32,8 +32,7 @@
    misses. */
 #define _ND_NOTICE_US 2600000
 
-/* -- private: adapters
- * ---------------------------------------------------------------------- */
+/* -- private: adapters ---------------------------------------------------- */
 
 static void
 _nd_on_ask(fl_server *server, fl_adapter *adapter, void *user_data)
@@ -92,9 +91,7 @@
 static const gp_calls _nd_peer_calls = {
     .known = nd_on_known, .asked = _nd_on_asked, .changed = nd_wake_server};
 
-/* -- private: pages
- * ---------------------------------------------------------------------------
- */
+/* -- private: pages ------------------------------------------------------- */
 
 static bool
 _nd_ready(const nd_node *node)
@@ -135,9 +132,7 @@
 static const cr_calls _nd_page_calls = {.request = _nd_on_page,
                                         .gone = _nd_on_page_gone};
 
-/* -- private: time
- * ------------------------------------------------------------------------------
- */
+/* -- private: time -------------------------------------------------------- */
 
 static void
 _nd_on_tick(uint64_t now_us, void *user_data)
@@ -260,9 +255,7 @@
     }
 }
 
-/* -- private: making
- * -------------------------------------------------------------------------------
- */
+/* -- private: making ------------------------------------------------------ */
 
 static wt_watch *
 _nd_watch(nd_node *node, const char *table, uint32_t pause_ms,
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -64,8 +64,7 @@
     }
 }
 
-/* -- private: configuration
- * --------------------------------------------------------- */
+/* -- private: configuration ----------------------------------------------- */
 
 /* Servers that run models take orders, from whoever holds their lease. */
 static void
@@ -123,8 +122,7 @@
     dl_clear_operator(&read);
 }
 
-/* -- private: servers
- * ----------------------------------------------------------------- */
+/* -- private: servers ----------------------------------------------------- */
 
 void
 nd_wake_server(fl_server *server, void *user_data)
@@ -298,8 +296,7 @@
     }
 }
 
-/* -- private: own table
- * ------------------------------------------------------------------ */
+/* -- private: own table --------------------------------------------------- */
 
 static void
 _nd_on_own_row(const dl_row *row, void *user_data)
--- a/packages/exchange/src/orderer.c
+++ b/packages/exchange/src/orderer.c
@@ -42,8 +42,7 @@
 
 static void _or_step(or_orderer *orderer, fl_server *server);
 
-/* -- private: plans
- * ------------------------------------------------------------- */
+/* -- private: plans ------------------------------------------------------- */
 
 static void
 _or_begin(or_orderer *orderer, fl_server *server)
@@ -79,8 +78,7 @@
                           server->id) != 0;
 }
 
-/* -- private: room
- * ---------------------------------------------------------------- */
+/* -- private: room -------------------------------------------------------- */
 
 static bool
 _or_may_load_model(or_orderer *orderer, const rc_service *service)
@@ -151,8 +149,7 @@
     return true;
 }
 
-/* -- private: calls
- * ----------------------------------------------------------------- */
+/* -- private: calls ------------------------------------------------------- */
 
 static void
 _or_take_report(or_orderer *orderer, fl_server *server,
@@ -303,9 +300,7 @@
     }
 }
 
-/* -- public
- * -----------------------------------------------------------------------------
- */
+/* -- public --------------------------------------------------------------- */
 
 or_orderer *
 or_create(const or_desc *desc)
--- a/packages/net/src/upstream.c
+++ b/packages/net/src/upstream.c
@@ -86,8 +86,7 @@
     nc_pause(line->conn, false);
 }
 
-/* -- private: the reader's calls
- * ---------------------------------------------- */
+/* -- private: the reader's calls ------------------------------------------ */
 
 static void
 _us_read_keep_alive(us_line *line, const h1_head *head)
@@ -137,8 +136,7 @@
 static const h1_calls _us_reader_calls = {.head = _us_on_head,
                                           .body = _us_on_body};
 
-/* -- private: the connection's calls
- * ------------------------------------------ */
+/* -- private: the connection's calls -------------------------------------- */
 
 static size_t
 _us_on_data(nc_conn *conn, const char *bytes, size_t count, void *user_data)
@@ -202,8 +200,7 @@
 static const nc_calls _us_conn_calls = {.data = _us_on_data,
                                         .closed = _us_on_closed};
 
-/* -- public
- * -------------------------------------------------------------------- */
+/* -- public --------------------------------------------------------------- */
 
 us_pool *
 us_create(const us_pool_desc *desc)
