Comments that were wrong: pauses between words, weights at hand, servers tried again

Found on reading the change once more. _ND_TELL_MS_PER_PEER was never used, and its comment said that words become rarer with more instances, which they do not.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -244,7 +244,7 @@
         _xc_ask(exchange, _XC_ASK_AGAIN_US);
     }
     if (exchange->tried_count && choice.why != FL_NO_COPY) {
-        /* Nothing but what refused it or failed: that is final. */
+        /* All were tried: from the next time on each may be again. */
         exchange->tried_count = 0;
     }
     _xc_wait(exchange, choice.why);
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -60,7 +60,7 @@
     uint64_t version;    /* newest that was declared; 0: none */
     uint64_t version_us; /* when it became known here */
     GPtrArray *copies;   /* fl_copy */
-    double use;          /* requests, halved every FL_USE_HALF_LIFE_US */
+    double use;          /* requests, halved every 4 s */
     uint64_t use_us;
     uint32_t uses_to_tell; /* requests from here since peers were told */
     GQueue waiting;        /* of the exchange: requests without a copy */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -11,10 +11,10 @@
 /* Callers' time-outs, idle connections, lapsed servers. */
 #define _ND_SLOW_TICK_MS 100
 #define _ND_CONTROL_MS 50
-/* Requests under way are told to other instances this often; more rarely the
-   more there are. */
+/* Requests under way and what is known of the store are told to each other
+   instance this often: several times while such word is trusted. The pause
+   does not grow with their number. */
 #define _ND_TELL_MS 250
-#define _ND_TELL_MS_PER_PEER 8
 /* What servers hold is told again, for datagrams that were lost. */
 #define _ND_TELL_SERVERS_US 1000000
 /* A leaving server gets nothing new within the drain time: the list is read
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -4,7 +4,7 @@
 
 #define _OD_LOADING_CAPACITY 4
 #define _OD_ADAPTER_LOAD_MS 250
-/* Weights that a server has at hand arrive this much sooner. */
+/* A load of weights that the server has at hand takes about this long. */
 #define _OD_AT_HAND_US 26000
 /* A load that is not done when it should be is asked after again. */
 #define _OD_AGAIN_US 15000
