Callers' connections are kept, checked before libsoup, refused with an answer

Cause: libsoup keeps a connection for the next request only while the server has a listener of its own; connections handed over by soup_server_accept_iostream() ended after each answer (a program of 20 lines with and without a listener: 1 and 2 answers to two pipelined requests). It takes the last of two Content-Length headers and resets on heads over its limit.

Now a socket that nobody can reach is given to it, and head_check puts the reader of packages/net in front: 400 for ambiguous framing, 431 for a head over 32 KiB, then the rest is read and dropped so the answer is not lost. Callers that leave are noticed under TLS too: the socket is kept with the caller's address.

--- a/packages/common/include/lacewing/error.h
+++ b/packages/common/include/lacewing/error.h
@@ -26,6 +26,7 @@
     X(ER_INTERNAL, "internal", 500)                                           \
     X(ER_BAD_REQUEST, "bad_request", 400)                                     \
     X(ER_BODY_TOO_LARGE, "body_too_large", 413)                               \
+    X(ER_HEAD_TOO_LARGE, "head_too_large", 431)                               \
     X(ER_UNAUTHORIZED, "unauthorized", 401)                                   \
     X(ER_FORBIDDEN, "forbidden", 403)                                         \
     X(ER_NOT_FOUND, "not_found", 404)                                         \
--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -39,6 +39,7 @@
     X(LG_TLS_RELOADED, INFO, "daemon", "certificate reloaded")                \
     X(LG_TLS_REFUSED, ERROR, "daemon", "certificate refused")                 \
     X(LG_CALL_REFUSED, INFO, "caller", "request refused")                     \
+    X(LG_CALL_UNTOLD, WARNING, "caller", "refusal could not be written")      \
     X(LG_CALL_DONE, DEBUG, "caller", "request answered")                      \
     X(LG_CALL_FAILED, WARNING, "caller", "request failed")                    \
     X(LG_LINK_UP, INFO, "link", "connected")                                  \
--- a/packages/daemon/src/caller.c
+++ b/packages/daemon/src/caller.c
@@ -174,7 +174,7 @@
     request->on_gone = on_gone;
     request->finished_handler = g_signal_connect(
         request->message, "finished", G_CALLBACK(_ca_on_finished), request);
-    GSocket *socket = soup_server_message_get_socket(request->message);
+    GSocket *socket = _ca_query_socket(request->message);
     if (socket) {
         request->gone_source = g_unix_fd_add(g_socket_get_fd(socket),
                                              G_IO_IN | G_IO_HUP | G_IO_ERR,
@@ -462,7 +462,8 @@
         soup_server_new("server-header", "lacewing", "raw-paths", FALSE, NULL);
     server->service = g_socket_service_new();
     _ca_add_handlers(server);
-    if (_ca_listen(server, desc->address, status) != ER_OK) {
+    if (_ca_keep_connections(server, status) != ER_OK ||
+        _ca_listen(server, desc->address, status) != ER_OK) {
         g_clear_pointer(&server, ca_destroy);
     }
     return server;
--- a/packages/daemon/src/caller_listen.c
+++ b/packages/daemon/src/caller_listen.c
@@ -1,8 +1,16 @@
 /* The callers' connections: accepted, bounded, wrapped in TLS. */
 #include "caller_private.h"
 
+#include "head_check.h"
 #include "listen.h"
 
+#include <gio/gunixsocketaddress.h>
+#include <glib/gstdio.h>
+
+/* The socket of a connection, kept with the caller's address: the library
+   hands the address on, but knows the socket of plain connections only. */
+#define _CA_SOCKET "lacewing-socket"
+
 /* -- private: connections ------------------------------------------------- */
 
 static void
@@ -24,7 +32,12 @@
         g_socket_connection_get_local_address(connection, NULL);
     g_autoptr(GSocketAddress) remote =
         g_socket_connection_get_remote_address(connection, NULL);
-    soup_server_accept_iostream(server->soup, stream, local, remote, NULL);
+    GSocket *socket = g_socket_connection_get_socket(connection);
+    g_autoptr(GIOStream) checked =
+        hk_wrap(&(hk_desc){.base = stream, .socket = socket});
+    g_object_set_data_full(G_OBJECT(remote), _CA_SOCKET, g_object_ref(socket),
+                           g_object_unref);
+    soup_server_accept_iostream(server->soup, checked, local, remote, NULL);
 }
 
 static void
@@ -79,3 +92,30 @@
                      server);
     return ln_listen(server->service, address, status);
 }
+
+GSocket *
+_ca_query_socket(SoupServerMessage *message)
+{
+    GSocketAddress *remote = soup_server_message_get_remote_address(message);
+    return remote ? g_object_get_data(G_OBJECT(remote), _CA_SOCKET) : NULL;
+}
+
+er_code
+_ca_keep_connections(ca_server *server, er_status *status)
+{
+    g_autoptr(GError) error = NULL;
+    g_autofree char *folder = g_dir_make_tmp("lacewing-XXXXXX", &error);
+    if (!folder) {
+        return er_set(status, ER_FILE, "%s", error->message);
+    }
+    g_autofree char *path = g_build_filename(folder, "unused", NULL);
+    g_autoptr(GSocketAddress) address = g_unix_socket_address_new(path);
+    g_autoptr(GSocket) socket =
+        g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_STREAM, 0, &error);
+    bool done = socket && g_socket_bind(socket, address, FALSE, &error) &&
+                g_socket_listen(socket, &error) &&
+                soup_server_listen_socket(server->soup, socket, 0, &error);
+    g_unlink(path);
+    g_rmdir(folder);
+    return done ? ER_OK : er_set(status, ER_FILE, "%s", error->message);
+}
--- a/packages/daemon/src/caller_private.h
+++ b/packages/daemon/src/caller_private.h
@@ -62,6 +62,11 @@
 
 /* caller_listen.c: takes connections at IP:PORT. */
 er_code _ca_listen(ca_server *server, const char *address, er_status *status);
+/* The library keeps connections for a next request only while it listens on
+   a socket of its own: gives it one that nobody can reach. */
+er_code _ca_keep_connections(ca_server *server, er_status *status);
+/* Borrowed; NULL: not known. */
+GSocket *_ca_query_socket(SoupServerMessage *message);
 
 /* caller_draft.c */
 void _ca_on_completions(SoupServer *soup, SoupServerMessage *message,
--- a/tests/harness/http.c
+++ b/tests/harness/http.c
@@ -1,8 +1,12 @@
 #include "http.h"
 
+#include <arpa/inet.h>
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define _HT_TIMEOUT_MS 30000
 
@@ -185,3 +189,20 @@
     return g_strdup(
         json_object_get_string_member_with_default(error, member, NULL));
 }
+
+int
+ht_connect(const char *url)
+{
+    g_auto(GStrv) parts = g_strsplit(url + strlen("http://"), ":", 2);
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)atoi(parts[1])),
+    };
+    inet_pton(AF_INET, parts[0], &address.sin_addr);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
--- a/tests/harness/http.h
+++ b/tests/harness/http.h
@@ -33,6 +33,10 @@
 void ht_clear(ht_answer *answer);
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(ht_answer, ht_clear)
 
+/* A connection to the host and port of an http URL; -1: none. The caller
+   closes it. */
+int ht_connect(const char *url);
+
 /* Text of a completion's answer, streamed or whole; NULL unless it ended as
    whole. Free with g_free(). */
 char *ht_query_text(const ht_answer *answer);
--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -1,6 +1,6 @@
 /* Real processes: what callers may send, and what they are told. */
+#include "http.h"
 #include "shop.h"
-#include <arpa/inet.h>
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -102,21 +102,6 @@
 
 /* -- raw connections ------------------------------------------------------ */
 
-static int
-connect_raw(const char *url)
-{
-    g_auto(GStrv) parts = g_strsplit(url + strlen("http://"), ":", 2);
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_port = htons((uint16_t)atoi(parts[1])),
-    };
-    inet_pton(AF_INET, parts[0], &address.sin_addr);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    ck_assert_int_eq(connect(fd, (struct sockaddr *)&address, sizeof(address)),
-                     0);
-    return fd;
-}
-
 static void
 check_still_serving(void)
 {
@@ -131,11 +116,11 @@
     const char *url = hn_query_url(hn_find(fleet, "a"));
     int fds[200];
     for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
-        fds[i] = connect_raw(url);
+        fds[i] = ht_connect(url);
         const char *start_only = "POST /v1/completions HTTP/1.1\r\nHost: x";
         send(fds[i], start_only, strlen(start_only), MSG_NOSIGNAL);
     }
-    int flood = connect_raw(url);
+    int flood = ht_connect(url);
     g_autofree char *header = g_strnfill(1000, 'h');
     g_autofree char *line = g_strdup_printf("X-%s: 1\r\n", header);
     const char *request = "GET /healthz HTTP/1.1\r\nHost: x\r\n";
@@ -163,7 +148,7 @@
     static const char *const texts[] = {
         "GET / HTTP/1.1\r\n\r\n", "\xff\xff\xff\xff\xff\xff\xff\xff", "abc"};
     for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
-        int fd = connect_raw(url);
+        int fd = ht_connect(url);
         send(fd, texts[i], strlen(texts[i]), MSG_NOSIGNAL);
         shutdown(fd, SHUT_WR);
         char buffer[4096];
@@ -181,7 +166,7 @@
         hn_query_url(hn_find(fleet, "a")) + strlen("http://"), ":", 2);
     g_autofree char *url =
         g_strdup_printf("http://%s:%d", parts[0], atoi(parts[1]) + 1);
-    int fd = connect_raw(url);
+    int fd = ht_connect(url);
     struct timeval wait = {.tv_sec = 20};
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
     char buffer[4096];
