--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -71,6 +71,33 @@
       "Backend servers owned by this instance")                               \
     X(CT_PEERS_READY, "peers_ready", "gauge", "Peers seen ready")
 
+/* Why a request was not served: code, label, words in logs */
+#define CT_ENDS(X)                                                            \
+    X(CT_END_NO_COPY, "no_copy", "no copy of the adapter")                    \
+    X(CT_END_FULL, "servers_full", "all servers full")                        \
+    X(CT_END_NO_SERVER, "no_server", "no server")                             \
+    X(CT_END_LEAVES, "instance_leaves", "instance leaves")                    \
+    X(CT_END_NO_SERVICE, "no_service", "no such service")                     \
+    X(CT_END_NO_ID, "no_request_id", "no request id")                         \
+    X(CT_END_NOT_RUN, "not_run", "not run anywhere")                          \
+    X(CT_END_SERVER_FAILED, "server_failed", "server failed")                 \
+    X(CT_END_TIME, "time_over", "time is over")
+
+typedef enum ct_end {
+#define CT_ENUM(code, label, words) code,
+    CT_ENDS(CT_ENUM)
+#undef CT_ENUM
+        CT_END_NUM
+} ct_end;
+
+/* What a request that was not served got. */
+typedef enum ct_outcome {
+    CT_OUTCOME_REFUSED = 0, /* told that it did not run */
+    CT_OUTCOME_FAILED,      /* told nothing of what ran */
+    CT_OUTCOME_BROKEN,      /* an answer that visibly broke off */
+    CT_OUTCOME_NUM
+} ct_outcome;
+
 typedef enum ct_item {
 #define CT_ENUM(code, name, kind, help) code,
     CT_ITEMS(CT_ENUM)
@@ -82,11 +109,17 @@
 void ct_set(ct_item item, int64_t value);
 /* Counts one refusal under its reason. */
 void ct_refused(er_code reason);
+/* Counts one request that was not served. */
+void ct_unserved(ct_outcome outcome, ct_end end);
 
 /* queries */
 int64_t ct_query(ct_item item);
 int64_t ct_query_refused(er_code reason);
-/* The metrics page; the caller frees it with g_free(). */
+int64_t ct_query_unserved(ct_outcome outcome, ct_end end);
+const char *ct_query_end_words(ct_end end);
+/* Reference page of all metrics; free with g_free(). */
+char *ct_query_reference(void);
+/* The metrics page, histograms too; the caller frees it with g_free(). */
 char *ct_query_text(void);
 
 #endif
--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -76,17 +76,19 @@
     X(LG_SERVER_GONE, INFO, "fleet", "backend server gone")                   \
     X(LG_HOLDER_BEGAN, INFO, "orders", "orders a backend server")             \
     X(LG_HOLDER_ENDED, INFO, "orders", "orders a backend server no more")     \
+    X(LG_ORDER_ASKED, INFO, "orders", "load asked for")                       \
     X(LG_ORDER_SENT, DEBUG, "orders", "order")                                \
     X(LG_ORDER_FAILED, WARNING, "orders", "order without effect")             \
     X(LG_REPORT_READ, DEBUG, "orders", "state of a backend server")           \
     X(LG_VERSION_NEW, INFO, "config", "adapter version declared")             \
-    X(LG_SENT, DEBUG, "request", "sent")                                      \
-    X(LG_SENT_AGAIN, INFO, "request", "goes to another server")               \
+    X(LG_ASKED, INFO, "request", "load asked for")                            \
+    X(LG_SENT, INFO, "request", "sent")                                       \
+    X(LG_SEND_ENDED, INFO, "request", "send without a good answer")           \
     X(LG_REFUSED, INFO, "request", "refused, not run")                        \
     X(LG_FAILED, WARNING, "request", "failed")                                \
     X(LG_BROKEN, WARNING, "request", "answer broken off")                     \
-    X(LG_LEFT, DEBUG, "request", "caller left")                               \
-    X(LG_DONE, DEBUG, "request", "answered")                                  \
+    X(LG_LEFT, INFO, "request", "caller left")                                \
+    X(LG_DONE, INFO, "request", "answered")                                   \
     X(LG_STANDIN, INFO, "stand-in", "event")
 
 typedef enum lg_item {
@@ -97,15 +99,20 @@
 } lg_item;
 
 typedef struct lg_desc {
-    lg_level level;       /* least level written; default info */
-    bool json;            /* JSON lines in place of key=value */
-    const char *instance; /* name added to each line; default none */
-    bool bounded;         /* to standard output, never blocking: what it does
-                             not take is kept up to LG_PENDING_BYTES, then
-                             dropped, counted and told */
+    lg_level level;         /* least level written; default info */
+    bool json;              /* JSON lines in place of key=value */
+    const char *instance;   /* name added to each line; default none */
+    bool bounded;           /* to standard output, never blocking: what it does
+                               not take is kept up to pending_bytes, then
+                               dropped, counted and told */
+    uint32_t pending_bytes; /* default LG_PENDING_BYTES */
+    uint32_t requests_per_s; /* healthy requests told whole; default
+                                LG_REQUESTS_PER_S */
 } lg_desc;
 
 #define LG_PENDING_BYTES (256 * 1024)
+/* Some 15 lines a second: less than a thousandth of a processor. */
+#define LG_REQUESTS_PER_S 5
 
 void lg_setup(const lg_desc *desc);
 void lg_shutdown(void);
@@ -114,6 +121,11 @@
 /* Writes one entry; pairs of key and value follow, closed with NULL. */
 void lg_write(lg_item item, ...) __attribute__((sentinel));
 
+/* Counts a request, and says whether its routine lines are to be written: all
+   of them on every instance, or none. By a hash of the id, so that as many as
+   lg_desc.requests_per_s are told, from the rate of the second before. */
+bool lg_sample(const char *request);
+
 /* Lines that were dropped because the output took none. */
 uint64_t lg_query_dropped(void);
 /* An entry of this item would be written: for fields that cost time. */
--- a/packages/common/src/counter.c
+++ b/packages/common/src/counter.c
@@ -1,5 +1,6 @@
 #include "lacewing/counter.h"
 
+#include "lacewing/histogram.h"
 #include <glib.h>
 #include <inttypes.h>
 #include <stdatomic.h>
@@ -16,6 +17,22 @@
 #undef CT_META
 };
 
+static const struct {
+    const char *label;
+    const char *words;
+} _ct_ends[CT_END_NUM] = {
+#define CT_END(code, label, words) [code] = {label, words},
+    CT_ENDS(CT_END)
+#undef CT_END
+};
+
+static const char *const _ct_outcomes[CT_OUTCOME_NUM] = {
+    [CT_OUTCOME_REFUSED] = "refused",
+    [CT_OUTCOME_FAILED] = "failed",
+    [CT_OUTCOME_BROKEN] = "broken",
+};
+
+static _Atomic int64_t _ct_unserved[CT_OUTCOME_NUM][CT_END_NUM];
 static _Atomic int64_t _ct_values[CT_ITEM_NUM];
 static _Atomic int64_t _ct_refusals[ER_NUM];
 
@@ -37,6 +54,26 @@
     atomic_fetch_add_explicit(&_ct_refusals[reason], 1, memory_order_relaxed);
 }
 
+void
+ct_unserved(ct_outcome outcome, ct_end end)
+{
+    atomic_fetch_add_explicit(&_ct_unserved[outcome][end], 1,
+                              memory_order_relaxed);
+}
+
+int64_t
+ct_query_unserved(ct_outcome outcome, ct_end end)
+{
+    return atomic_load_explicit(&_ct_unserved[outcome][end],
+                                memory_order_relaxed);
+}
+
+const char *
+ct_query_end_words(ct_end end)
+{
+    return _ct_ends[end].words;
+}
+
 int64_t
 ct_query(ct_item item)
 {
@@ -71,5 +108,53 @@
                 er_query_name((er_code)i), count);
         }
     }
+    g_string_append(page, "# TYPE lacewing_unserved_total counter\n");
+    for (uint32_t i = 0; i < CT_OUTCOME_NUM * CT_END_NUM; i++) {
+        ct_outcome outcome = (ct_outcome)(i / CT_END_NUM);
+        ct_end end = (ct_end)(i % CT_END_NUM);
+        int64_t count = ct_query_unserved(outcome, end);
+        if (count) {
+            g_string_append_printf(page,
+                                   "lacewing_unserved_total{outcome=\"%s\","
+                                   "why=\"%s\"} %" PRId64 "\n",
+                                   _ct_outcomes[outcome], _ct_ends[end].label,
+                                   count);
+        }
+    }
+    hg_append_text(page);
+    return g_string_free(page, FALSE);
+}
+
+static void
+_ct_reference_row(GString *page, const char *name, const char *kind,
+                  const char *help)
+{
+    g_string_append_printf(page, "| `lacewing_%s` | %s | %s |\n", name, kind,
+                           help);
+}
+
+char *
+ct_query_reference(void)
+{
+    GString *page = g_string_new(
+        "| name | kind | what it counts |\n| --- | --- | --- |\n");
+    for (uint32_t i = 0; i < CT_ITEM_NUM; i++) {
+        _ct_reference_row(page, _ct_metas[i].name, _ct_metas[i].kind,
+                          _ct_metas[i].help);
+    }
+    _ct_reference_row(page, "refused_total{reason}", "counter",
+                      "Refusals by the type that callers get");
+    _ct_reference_row(page, "unserved_total{outcome,why}", "counter",
+                      "Requests on a platform with its own protocol that "
+                      "were not served");
+    for (uint32_t i = 0; i < HG_ITEM_NUM; i++) {
+        _ct_reference_row(page, hg_query_name((hg_item)i), "histogram",
+                          hg_query_help((hg_item)i));
+    }
+    g_string_append(page, "\n| why | words in the logs |\n| --- | --- |\n");
+    for (uint32_t i = 0; i < CT_END_NUM; i++) {
+        g_string_append_printf(page, "| `%s` | %s |\n", _ct_ends[i].label,
+                               _ct_ends[i].words);
+    }
     return g_string_free(page, FALSE);
 }
--- a/packages/common/src/log.c
+++ b/packages/common/src/log.c
@@ -1,5 +1,6 @@
 #include "lacewing/log.h"
 
+#include "lacewing/hash.h"
 #include <glib.h>
 #include <json-glib/json-glib.h>
 #include <poll.h>
@@ -36,6 +37,11 @@
     GString *pending; /* lines that the output has not taken yet */
     uint64_t dropped;
     uint64_t dropped_told;
+    uint32_t pending_bytes;
+    uint32_t requests_per_s;
+    int64_t second;    /* that is being counted */
+    uint32_t requests; /* in it */
+    uint32_t share;    /* of UINT32_MAX, of the ids that are told */
 } _lg;
 
 /* One write that a pipe takes whole or not at all. */
@@ -48,6 +54,11 @@
     _lg.level = desc->level ? desc->level : LG_LEVEL_INFO;
     _lg.json = desc->json;
     _lg.bounded = desc->bounded;
+    _lg.pending_bytes =
+        desc->pending_bytes ? desc->pending_bytes : LG_PENDING_BYTES;
+    _lg.requests_per_s =
+        desc->requests_per_s ? desc->requests_per_s : LG_REQUESTS_PER_S;
+    _lg.share = UINT32_MAX;
     _lg.pending = _lg.pending ? _lg.pending : g_string_new(NULL);
     g_strlcpy(_lg.instance, desc->instance ? desc->instance : "",
               sizeof(_lg.instance));
@@ -170,10 +181,10 @@
         fwrite(line->str, 1, line->len, stderr);
         return;
     }
-    if (_lg.pending->len + line->len > LG_PENDING_BYTES) {
+    if (_lg.pending->len + line->len > _lg.pending_bytes) {
         _lg_flush();
     }
-    if (_lg.pending->len + line->len > LG_PENDING_BYTES) {
+    if (_lg.pending->len + line->len > _lg.pending_bytes) {
         _lg.dropped++;
         return;
     }
@@ -188,6 +199,26 @@
     _lg_flush();
 }
 
+bool
+lg_sample(const char *request)
+{
+    if (!_lg.valid || _lg.level <= LG_LEVEL_DEBUG) {
+        return _lg.valid;
+    }
+    int64_t second = g_get_monotonic_time() / G_USEC_PER_SEC;
+    if (second != _lg.second) {
+        bool next = second == _lg.second + 1;
+        double rate = next ? _lg.requests : 0;
+        double share =
+            rate > _lg.requests_per_s ? _lg.requests_per_s / rate : 1.0;
+        _lg.share = (uint32_t)(share * UINT32_MAX);
+        _lg.second = second;
+        _lg.requests = 0;
+    }
+    _lg.requests++;
+    return (uint32_t)(hs_u64(request) >> 32) <= _lg.share;
+}
+
 bool
 lg_query_writes(lg_item item)
 {
--- a/packages/common/tests/test_common.c
+++ b/packages/common/tests/test_common.c
@@ -1,6 +1,7 @@
 /* Tests of settings, errors, timers and counters. */
 #include "lacewing/counter.h"
 #include "lacewing/error.h"
+#include "lacewing/histogram.h"
 #include "lacewing/log.h"
 #include "lacewing/settings.h"
 #include "lacewing/timer.h"
@@ -164,6 +165,55 @@
 }
 END_TEST
 
+/* As many requests are told as the setting says, by their ids alone. */
+START_TEST(test_log_samples_whole_requests)
+{
+    lg_setup(&(lg_desc){.bounded = true, .requests_per_s = 10});
+    char id[16];
+    int64_t second = g_get_monotonic_time() / G_USEC_PER_SEC;
+    for (int i = 0; i < 1000; i++) {
+        g_snprintf(id, sizeof(id), "r%d", i);
+        lg_sample(id);
+    }
+    while (g_get_monotonic_time() / G_USEC_PER_SEC < second + 1) {
+        g_usleep(1000);
+    }
+    uint32_t told = 0;
+    for (int i = 0; i < 1000; i++) {
+        g_snprintf(id, sizeof(id), "r%d", i);
+        bool once = lg_sample(id);
+        ck_assert_int_eq(once, lg_sample(id));
+        told += once;
+    }
+    ck_assert_uint_ge(told, 1);
+    ck_assert_uint_le(told, 30);
+    lg_shutdown();
+}
+END_TEST
+
+START_TEST(test_histogram_page)
+{
+    hg_observe(HG_ANSWER, HG_SAFE, 150000);
+    hg_observe(HG_ANSWER, HG_SAFE, 150001);
+    hg_observe(HG_ANSWER, HG_SAFE, 90000000);
+    g_autofree char *page = ct_query_text();
+    static const char *const lines[] = {
+        "# TYPE lacewing_answer_seconds histogram\n",
+        "lacewing_answer_seconds_bucket{kind=\"safe\",le=\"0.1\"} 0\n",
+        "lacewing_answer_seconds_bucket{kind=\"safe\",le=\"0.15\"} 1\n",
+        "lacewing_answer_seconds_bucket{kind=\"safe\",le=\"0.25\"} 2\n",
+        "lacewing_answer_seconds_bucket{kind=\"safe\",le=\"30\"} 2\n",
+        "lacewing_answer_seconds_bucket{kind=\"safe\",le=\"+Inf\"} 3\n",
+        "lacewing_answer_seconds_sum{kind=\"safe\"} 90.300001\n",
+        "lacewing_answer_seconds_count{kind=\"safe\"} 3\n"};
+    for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+        ck_assert_msg(strstr(page, lines[i]) != NULL, "%s in:\n%s", lines[i],
+                      page);
+    }
+    ck_assert_ptr_null(strstr(page, "answer_seconds_count{kind=\"stream\"}"));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -175,6 +225,8 @@
     tcase_add_test(tests, test_error_names_round_trip);
     tcase_add_test(tests, test_timer_once_and_destroyed);
     tcase_add_test(tests, test_counters_page);
+    tcase_add_test(tests, test_histogram_page);
+    tcase_add_test(tests, test_log_samples_whole_requests);
     suite_add_tcase(suite, tests);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -167,7 +167,9 @@
         lg_setup(&(lg_desc){
             .level = (lg_level)(LG_LEVEL_DEBUG + settings.log_level),
             .instance = settings.instance,
-            .bounded = true});
+            .bounded = true,
+            .pending_bytes = settings.log_pending_kb * 1024,
+            .requests_per_s = settings.log_requests_per_s});
         code = _mn_serve_node(&settings, options->settings);
     }
     nd_clear_settings(&settings);
--- a/packages/exchange/include/lacewing/exchange.h
+++ b/packages/exchange/include/lacewing/exchange.h
@@ -43,6 +43,8 @@
     uint32_t memory_mb;
     uint32_t descriptors;
     uint32_t log_level;
+    uint32_t log_requests_per_s;
+    uint32_t log_pending_kb;
 } nd_settings;
 
 typedef void (*nd_stopped)(void *user_data);
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -1,6 +1,5 @@
 #include "exchange_private.h"
 
-#include "lacewing/counter.h"
 #include "lacewing/log.h"
 #include <string.h>
 
@@ -51,6 +50,16 @@
     return lp_query_now_us(exchange->core->desc.loop);
 }
 
+hg_label
+xc_query_label(const xc_exchange *exchange)
+{
+    const rc_route *route = exchange->route;
+    if (route->kind == RC_STREAM) {
+        return route->resumable ? HG_RESUMABLE : HG_STREAM;
+    }
+    return route->kind == RC_SAFE ? HG_SAFE : HG_UNSAFE;
+}
+
 bg_budget *
 xc_budget(xc_core *core, const char *service)
 {
@@ -130,7 +139,7 @@
 }
 
 void
-xc_give_up(xc_exchange *exchange, const char *why)
+xc_give_up(xc_exchange *exchange, ct_end why)
 {
     if (exchange->may_have_run || exchange->begun) {
         xc_fail(exchange, 502, why);
@@ -153,9 +162,9 @@
             exchange->sends ? now_us : exchange->begun_us;
     }
     if (now_us >= exchange->waits_since_us + patience_us) {
-        xc_give_up(exchange, why == FL_NO_COPY    ? "no copy of the adapter"
-                             : why == FL_ALL_FULL ? "all servers full"
-                                                  : "no server");
+        xc_give_up(exchange, why == FL_NO_COPY    ? CT_END_NO_COPY
+                             : why == FL_ALL_FULL ? CT_END_FULL
+                                                  : CT_END_NO_SERVER);
         return;
     }
     exchange->wait_link.data = exchange;
@@ -189,7 +198,12 @@
     exchange->no_place = server == NULL;
     if (server) {
         adapter->asked_us = now_us;
+        if (exchange->told) {
+            lg_write(LG_ASKED, "request", exchange->id, "adapter",
+                     adapter->key, "server", server->id, NULL);
+        }
         exchange->core->desc.calls->ask(server, adapter,
+                                        exchange->told ? exchange->id : NULL,
                                         exchange->core->desc.user_data);
     }
 }
@@ -354,16 +368,17 @@
     exchange->may_repeat = route->kind == RC_SAFE;
     if (!exchange->service || !exchange->id) {
         xc_refuse(exchange, exchange->id ? 503 : 400, _xc_back_ms(core),
-                  exchange->id ? "no such service" : "no request id");
+                  exchange->id ? CT_END_NO_SERVICE : CT_END_NO_ID);
         return NULL;
     }
+    exchange->told = lg_sample(exchange->id);
     exchange->adapter = _xc_adapter(core, exchange->service, head);
     _xc_read_tokens(exchange);
     if (core->leave_us &&
         exchange->begun_us + _xc_longest_us(exchange) > core->leave_us) {
         bool others = core->desc.calls->live(core->desc.user_data) > 1;
         xc_refuse(exchange, 503, others ? _XC_ELSEWHERE_MS : _XC_RESTART_MS,
-                  "instance leaves");
+                  CT_END_LEAVES);
         return NULL;
     }
     if (exchange->adapter) {
@@ -381,7 +396,7 @@
     (void)user_data;
     xc_exchange *exchange = request;
     ct_add(CT_CANCELLED, 1);
-    lg_write(LG_LEFT, "request", exchange->id, NULL);
+    xc_log(LG_LEFT, exchange, "caller left");
     xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
     xc_free(exchange);
 }
@@ -414,10 +429,10 @@
         xc_cancel_send(exchange, FL_BAD_ANSWER);
     }
     if (exchange->may_have_run || exchange->begun) {
-        xc_fail(exchange, 504, "time is over");
+        xc_fail(exchange, 504, CT_END_TIME);
     }
     else {
-        xc_give_up(exchange, "time is over");
+        xc_give_up(exchange, CT_END_TIME);
     }
 }
 
@@ -465,7 +480,8 @@
         bg_take(xc_budget(exchange->core, exchange->service->name), now_us,
                 exchange->core->desc.calls->live(
                     exchange->core->desc.user_data))) {
-        lg_write(LG_SENT_AGAIN, "request", exchange->id, "why",
+        exchange->told = true;
+        lg_write(LG_SEND_ENDED, "request", exchange->id, "why",
                  "no answer in time", "server", exchange->server->id, NULL);
         xc_cancel_send(exchange, FL_BAD_ANSWER);
         exchange->resumed = exchange->begun;
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -23,8 +23,10 @@
 typedef struct xc_core xc_core;
 
 typedef struct xc_calls {
-    /* An adapter is wanted at a server. */
-    void (*ask)(fl_server *server, fl_adapter *adapter, void *user_data);
+    /* An adapter is wanted at a server, by this request; NULL: by one that is
+       not logged. */
+    void (*ask)(fl_server *server, fl_adapter *adapter, const char *request,
+                void *user_data);
     /* A server said that it does not hold what it was thought to hold. */
     void (*mismatch)(fl_server *server, fl_adapter *adapter, void *user_data);
     /* Instances that share the budgets. */
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -367,51 +367,6 @@
   assert(message->base.descriptor == &lacewing__exchange__load_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   lacewing__exchange__suspect__init
-                     (Lacewing__Exchange__Suspect         *message)
-{
-  static const Lacewing__Exchange__Suspect init_value = LACEWING__EXCHANGE__SUSPECT__INIT;
-  *message = init_value;
-}
-size_t lacewing__exchange__suspect__get_packed_size
-                     (const Lacewing__Exchange__Suspect *message)
-{
-  assert(message->base.descriptor == &lacewing__exchange__suspect__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t lacewing__exchange__suspect__pack
-                     (const Lacewing__Exchange__Suspect *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &lacewing__exchange__suspect__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t lacewing__exchange__suspect__pack_to_buffer
-                     (const Lacewing__Exchange__Suspect *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &lacewing__exchange__suspect__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Lacewing__Exchange__Suspect *
-       lacewing__exchange__suspect__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Lacewing__Exchange__Suspect *)
-     protobuf_c_message_unpack (&lacewing__exchange__suspect__descriptor,
-                                allocator, len, data);
-}
-void   lacewing__exchange__suspect__free_unpacked
-                     (Lacewing__Exchange__Suspect *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__suspect__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   lacewing__exchange__table_word__init
                      (Lacewing__Exchange__TableWord         *message)
 {
@@ -1028,7 +983,7 @@
   (ProtobufCMessageInit) lacewing__exchange__use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__load_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lacewing__exchange__load_ask__field_descriptors[4] =
 {
   {
     "server",
@@ -1066,16 +1021,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__LoadAsk, request),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__load_ask__field_indices_by_name[] = {
   2,   /* field[2] = adapter */
   1,   /* field[1] = model */
+  3,   /* field[3] = request */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange lacewing__exchange__load_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__load_ask__descriptor =
 {
@@ -1085,64 +1053,13 @@
   "Lacewing__Exchange__LoadAsk",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__LoadAsk),
-  3,
+  4,
   lacewing__exchange__load_ask__field_descriptors,
   lacewing__exchange__load_ask__field_indices_by_name,
   1,  lacewing__exchange__load_ask__number_ranges,
   (ProtobufCMessageInit) lacewing__exchange__load_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__suspect__field_descriptors[2] =
-{
-  {
-    "fingerprint",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__Suspect, fingerprint),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "crashes",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__Suspect, crashes),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned lacewing__exchange__suspect__field_indices_by_name[] = {
-  1,   /* field[1] = crashes */
-  0,   /* field[0] = fingerprint */
-};
-static const ProtobufCIntRange lacewing__exchange__suspect__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor lacewing__exchange__suspect__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.Suspect",
-  "Suspect",
-  "Lacewing__Exchange__Suspect",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__Suspect),
-  2,
-  lacewing__exchange__suspect__field_descriptors,
-  lacewing__exchange__suspect__field_indices_by_name,
-  1,  lacewing__exchange__suspect__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__suspect__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor lacewing__exchange__table_word__field_descriptors[3] =
 {
   {
@@ -1207,7 +1124,7 @@
   (ProtobufCMessageInit) lacewing__exchange__table_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[7] =
 {
   {
     "instance",
@@ -1281,18 +1198,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "suspects",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__Word, n_suspects),
-    offsetof(Lacewing__Exchange__Word, suspects),
-    &lacewing__exchange__suspect__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "tables",
     8,
@@ -1312,14 +1217,14 @@
   0,   /* field[0] = instance */
   3,   /* field[3] = loads */
   2,   /* field[2] = servers */
-  6,   /* field[6] = suspects */
-  7,   /* field[7] = tables */
+  6,   /* field[6] = tables */
   4,   /* field[4] = uses */
 };
-static const ProtobufCIntRange lacewing__exchange__word__number_ranges[1 + 1] =
+static const ProtobufCIntRange lacewing__exchange__word__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 8, 6 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor =
 {
@@ -1329,10 +1234,10 @@
   "Lacewing__Exchange__Word",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__Word),
-  8,
+  7,
   lacewing__exchange__word__field_descriptors,
   lacewing__exchange__word__field_indices_by_name,
-  1,  lacewing__exchange__word__number_ranges,
+  2,  lacewing__exchange__word__number_ranges,
   (ProtobufCMessageInit) lacewing__exchange__word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -23,7 +23,6 @@
 typedef struct Lacewing__Exchange__ServerLoad Lacewing__Exchange__ServerLoad;
 typedef struct Lacewing__Exchange__Use Lacewing__Exchange__Use;
 typedef struct Lacewing__Exchange__LoadAsk Lacewing__Exchange__LoadAsk;
-typedef struct Lacewing__Exchange__Suspect Lacewing__Exchange__Suspect;
 typedef struct Lacewing__Exchange__TableWord Lacewing__Exchange__TableWord;
 typedef struct Lacewing__Exchange__Word Lacewing__Exchange__Word;
 
@@ -162,21 +161,14 @@
   char *server;
   char *model;
   char *adapter;
+  /*
+   * that wants it, when it is logged
+   */
+  char *request;
 };
 #define LACEWING__EXCHANGE__LOAD_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__load_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
-
-
-struct  Lacewing__Exchange__Suspect
-{
-  ProtobufCMessage base;
-  uint64_t fingerprint;
-  uint32_t crashes;
-};
-#define LACEWING__EXCHANGE__SUSPECT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__suspect__descriptor) \
-    , 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -216,14 +208,12 @@
   Lacewing__Exchange__Use **uses;
   size_t n_asks;
   Lacewing__Exchange__LoadAsk **asks;
-  size_t n_suspects;
-  Lacewing__Exchange__Suspect **suspects;
   size_t n_tables;
   Lacewing__Exchange__TableWord **tables;
 };
 #define LACEWING__EXCHANGE__WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__word__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Lacewing__Exchange__InstanceRow methods */
@@ -378,25 +368,6 @@
 void   lacewing__exchange__load_ask__free_unpacked
                      (Lacewing__Exchange__LoadAsk *message,
                       ProtobufCAllocator *allocator);
-/* Lacewing__Exchange__Suspect methods */
-void   lacewing__exchange__suspect__init
-                     (Lacewing__Exchange__Suspect         *message);
-size_t lacewing__exchange__suspect__get_packed_size
-                     (const Lacewing__Exchange__Suspect   *message);
-size_t lacewing__exchange__suspect__pack
-                     (const Lacewing__Exchange__Suspect   *message,
-                      uint8_t             *out);
-size_t lacewing__exchange__suspect__pack_to_buffer
-                     (const Lacewing__Exchange__Suspect   *message,
-                      ProtobufCBuffer     *buffer);
-Lacewing__Exchange__Suspect *
-       lacewing__exchange__suspect__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   lacewing__exchange__suspect__free_unpacked
-                     (Lacewing__Exchange__Suspect *message,
-                      ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__TableWord methods */
 void   lacewing__exchange__table_word__init
                      (Lacewing__Exchange__TableWord         *message);
@@ -461,9 +432,6 @@
 typedef void (*Lacewing__Exchange__LoadAsk_Closure)
                  (const Lacewing__Exchange__LoadAsk *message,
                   void *closure_data);
-typedef void (*Lacewing__Exchange__Suspect_Closure)
-                 (const Lacewing__Exchange__Suspect *message,
-                  void *closure_data);
 typedef void (*Lacewing__Exchange__TableWord_Closure)
                  (const Lacewing__Exchange__TableWord *message,
                   void *closure_data);
@@ -484,7 +452,6 @@
 extern const ProtobufCMessageDescriptor lacewing__exchange__server_load__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__use__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__load_ask__descriptor;
-extern const ProtobufCMessageDescriptor lacewing__exchange__suspect__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__table_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor;
 
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -1,31 +1,83 @@
 #include "exchange_private.h"
 
-#include "lacewing/counter.h"
-#include "lacewing/log.h"
 #include <string.h>
 
 /* -- public: answers of our own ------------------------------------------- */
 
+static uint32_t
+_xc_after_ms(const xc_exchange *exchange, uint64_t at_us)
+{
+    return at_us ? (uint32_t)((at_us - exchange->begun_us) / 1000) : 0;
+}
+
+static uint32_t
+_xc_coming(const fl_adapter *adapter)
+{
+    uint32_t coming = 0;
+    for (guint i = 0; adapter && i < adapter->copies->len; i++) {
+        coming += ((const fl_copy *)adapter->copies->pdata[i])->loading;
+    }
+    return coming;
+}
+
+/* Requests under way and slots of the servers that could be used. */
+typedef struct _xc_room {
+    const rc_service *service;
+    uint64_t now_us;
+    uint32_t servers;
+    uint32_t busy;
+    uint32_t slots;
+} _xc_room;
+
 static void
-_xc_log(lg_item item, const xc_exchange *exchange, const char *why)
+_xc_add_room(fl_server *server, void *user_data)
 {
-    g_autofree char *age =
-        g_strdup_printf("%" G_GUINT64_FORMAT,
-                        (xc_now_us(exchange) - exchange->begun_us) / 1000);
-    g_autofree char *sends = g_strdup_printf("%u", exchange->sends);
+    _xc_room *room = user_data;
+    if (server->state == FL_READY &&
+        strcmp(server->service, room->service->name) == 0) {
+        room->servers++;
+        room->busy += fl_query_in_flight(server, room->now_us);
+        room->slots += server->slots;
+    }
+}
+
+void
+xc_log(lg_item item, const xc_exchange *exchange, const char *why)
+{
+    const fl_adapter *adapter = exchange->adapter;
+    uint64_t now_us = xc_now_us(exchange);
+    _xc_room room = {.service = exchange->service, .now_us = now_us};
+    if (room.service) {
+        fl_each_server(exchange->core->desc.fleet, _xc_add_room, &room);
+    }
+    char times[64];
+    g_snprintf(times, sizeof(times), "%u/%u/%u",
+               _xc_after_ms(exchange, exchange->sent_us),
+               _xc_after_ms(exchange, exchange->first_us),
+               _xc_after_ms(exchange, now_us));
+    char copies[64];
+    g_snprintf(copies, sizeof(copies), "%u/%u/%u/%u/%u",
+               adapter ? adapter->copies->len : 0, _xc_coming(adapter),
+               room.servers, room.busy, room.slots);
+    char counts[64];
+    g_snprintf(counts, sizeof(counts), "%u/%u", exchange->sends,
+               exchange->pieces);
     lg_write(item, "request", exchange->id ? exchange->id : "-", "why", why,
              "route", exchange->route->name, "adapter",
-             exchange->adapter ? exchange->adapter->key : "-", "after_ms", age,
-             "sends", sends, NULL);
+             adapter ? adapter->key : "-", "server",
+             exchange->sends ? exchange->answered_by : "-",
+             "sent/first/after_ms", times, "sends/pieces", counts,
+             "copies/coming/servers/busy/slots", copies, NULL);
 }
 
 void
 xc_refuse(xc_exchange *exchange, uint32_t status, uint32_t after_ms,
-          const char *why)
+          ct_end why)
 {
     g_assert(!exchange->may_have_run && !exchange->begun);
-    _xc_log(LG_REFUSED, exchange, why);
+    xc_log(LG_REFUSED, exchange, ct_query_end_words(why));
     ct_refused(ER_NO_SERVER);
+    ct_unserved(CT_OUTCOME_REFUSED, why);
     char headers[64];
     g_snprintf(headers, sizeof(headers), "%s: %.2f\r\n",
                exchange->core->desc.dialect->headers[DL_RETRY_AFTER],
@@ -36,11 +88,12 @@
 }
 
 void
-xc_fail(xc_exchange *exchange, uint32_t status, const char *why)
+xc_fail(xc_exchange *exchange, uint32_t status, ct_end why)
 {
     bool begun = exchange->begun;
-    _xc_log(begun ? LG_BROKEN : LG_FAILED, exchange, why);
+    xc_log(begun ? LG_BROKEN : LG_FAILED, exchange, ct_query_end_words(why));
     ct_add(begun ? CT_BROKEN : CT_FAILED, 1);
+    ct_unserved(begun ? CT_OUTCOME_BROKEN : CT_OUTCOME_FAILED, why);
     xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
     cr_conn *caller = exchange->caller;
     xc_free(exchange);
@@ -133,6 +186,8 @@
     uint64_t now_us = xc_now_us(exchange);
     if (exchange->pieces == 0) {
         exchange->first_us = now_us;
+        hg_observe(HG_FIRST_PIECE, xc_query_label(exchange),
+                   now_us - exchange->begun_us);
     }
     else {
         exchange->pause_us =
@@ -151,24 +206,27 @@
 static void
 _xc_log_done(const xc_exchange *exchange)
 {
-    uint64_t begun_us = exchange->begun_us;
-    g_autofree char *times = g_strdup_printf(
-        "%u/%u/%u/%u", (uint32_t)((exchange->sent_us - begun_us) / 1000),
-        exchange->pieces ? (uint32_t)((exchange->first_us - begun_us) / 1000)
-                         : 0,
-        (uint32_t)(exchange->pause_us / 1000),
-        (uint32_t)((xc_now_us(exchange) - begun_us) / 1000));
+    char times[80];
+    g_snprintf(times, sizeof(times), "%u/%u/%u/%u",
+               _xc_after_ms(exchange, exchange->sent_us),
+               _xc_after_ms(exchange, exchange->first_us),
+               (uint32_t)(exchange->pause_us / 1000),
+               _xc_after_ms(exchange, xc_now_us(exchange)));
+    char status[16];
+    g_snprintf(status, sizeof(status), "%u", exchange->status);
     lg_write(LG_DONE, "request", exchange->id, "route", exchange->route->name,
              "adapter", exchange->adapter ? exchange->adapter->key : "-",
-             "server", exchange->answered_by, "sent/first/pause/all_ms", times,
-             NULL);
+             "server", exchange->answered_by, "status", status,
+             "sent/first/pause/all_ms", times, NULL);
 }
 
 void
 xc_answer(xc_exchange *exchange)
 {
     ct_add(CT_ANSWERED, 1);
-    if (lg_query_writes(LG_DONE)) {
+    hg_observe(HG_ANSWER, xc_query_label(exchange),
+               xc_now_us(exchange) - exchange->begun_us);
+    if (exchange->told) {
         _xc_log_done(exchange);
     }
     cr_conn *caller = exchange->caller;
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -4,6 +4,9 @@
 
 #include "budget.h"
 #include "exchange.h"
+#include "lacewing/counter.h"
+#include "lacewing/histogram.h"
+#include "lacewing/log.h"
 
 /* A request goes to so many servers at the most, refusals included. */
 #define XC_SENDS 4
@@ -45,6 +48,7 @@
     uint64_t end_us;         /* the caller or the route waits no longer */
     uint64_t waits_since_us; /* without a server; 0: it does not */
     uint64_t asked_us;       /* last time an adapter was asked for */
+    bool told;               /* its routine lines are logged */
     bool begun;              /* the caller has the head of the answer */
     bool no_place;           /* nobody can have its adapter loaded now */
     bool may_repeat;         /* its kind may run again after a failure */
@@ -74,13 +78,14 @@
 } xc_exchange;
 
 uint64_t xc_now_us(const xc_exchange *exchange);
+hg_label xc_query_label(const xc_exchange *exchange);
 bg_budget *xc_budget(xc_core *core, const char *service);
 
 /* Looks for a server and sends, or waits, or refuses. */
 void xc_dispatch(xc_exchange *exchange);
 void xc_stop_waiting(xc_exchange *exchange);
 /* Ends it without a send: refused if that is true, else failed. */
-void xc_give_up(xc_exchange *exchange, const char *why);
+void xc_give_up(xc_exchange *exchange, ct_end why);
 /* Frees it; the caller has had its answer, or has left. */
 void xc_free(xc_exchange *exchange);
 
@@ -93,9 +98,11 @@
 /* -- exchange_answer.c */
 /* Not run, and never will be: the caller may come back. */
 void xc_refuse(xc_exchange *exchange, uint32_t status, uint32_t after_ms,
-               const char *why);
+               ct_end why);
 /* Promises nothing. */
-void xc_fail(xc_exchange *exchange, uint32_t status, const char *why);
+void xc_fail(xc_exchange *exchange, uint32_t status, ct_end why);
+/* One line with what is known of it. */
+void xc_log(lg_item item, const xc_exchange *exchange, const char *why);
 /* What the server made, whole. */
 void xc_answer(xc_exchange *exchange);
 /* The head of a stream. */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -1,7 +1,5 @@
 #include "exchange_private.h"
 
-#include "lacewing/counter.h"
-#include "lacewing/log.h"
 #include <string.h>
 #include <strings.h>
 
@@ -190,7 +188,8 @@
         xc_answer(exchange);
         return;
     }
-    lg_write(LG_SENT_AGAIN, "request", exchange->id, "server", server, "why",
+    exchange->told = true; /* what comes of it is logged whole */
+    lg_write(LG_SEND_ENDED, "request", exchange->id, "server", server, "why",
              end == US_NOT_SENT  ? "not connected"
              : exchange->refused ? "not run there"
              : exchange->spoilt  ? "spoilt answer"
@@ -226,8 +225,8 @@
         xc_answer(exchange);
     }
     else {
-        xc_give_up(exchange, exchange->may_have_run ? "server failed"
-                                                    : "not run anywhere");
+        xc_give_up(exchange, exchange->may_have_run ? CT_END_SERVER_FAILED
+                                                    : CT_END_NOT_RUN);
     }
 }
 
@@ -324,6 +323,27 @@
     return server->pool;
 }
 
+/* Which server and what spoke for it. */
+static void
+_xc_log_sent(const xc_exchange *exchange, uint64_t version)
+{
+    const fl_server *server = exchange->server;
+    char numbers[64];
+    g_snprintf(numbers, sizeof(numbers), "%u/%u/%.0f/%.0f/%.2f",
+               fl_query_in_flight(server, exchange->sent_us), server->slots,
+               server->event_ms, server->latency_ms, server->failing);
+    char times[64];
+    g_snprintf(times, sizeof(times), "%u/%u",
+               (uint32_t)((exchange->sent_us - exchange->begun_us) / 1000),
+               (uint32_t)((exchange->end_us - exchange->sent_us) / 1000));
+    char held[24];
+    g_snprintf(held, sizeof(held), "%" G_GUINT64_FORMAT, version);
+    lg_write(LG_SENT, "request", exchange->id, "server", server->id, "adapter",
+             exchange->adapter ? exchange->adapter->key : "-", "version", held,
+             "busy/slots/event_ms/latency_ms/failing", numbers,
+             "waited/left_ms", times, NULL);
+}
+
 bool
 xc_send(xc_exchange *exchange, fl_server *server, uint64_t version)
 {
@@ -356,10 +376,15 @@
     if (exchange->sends == 0) {
         bg_first(xc_budget(exchange->core, exchange->service->name),
                  exchange->sent_us);
+        hg_observe(HG_WAIT, xc_query_label(exchange),
+                   exchange->sent_us - exchange->begun_us);
     }
     exchange->sends++;
     exchange->ran_at++;
     ct_add(CT_SENT, 1);
+    if (exchange->told) {
+        _xc_log_sent(exchange, version);
+    }
     fl_begin(server, exchange->adapter, exchange->sent_us);
     _xc_write_request(exchange, version);
     return true;
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -1,6 +1,7 @@
 #include "fleet_private.h"
 
 #include "lacewing/hash.h"
+#include "lacewing/histogram.h"
 #include <math.h>
 #include <string.h>
 
@@ -247,6 +248,10 @@
         g_ptr_array_add(server->copies, copy);
         g_ptr_array_add(adapter->copies, copy);
     }
+    if (copy->loading && !loading && server->orders) {
+        hg_observe(HG_LOAD, adapter->name ? HG_ADAPTER : HG_MODEL,
+                   now_us - copy->since_us);
+    }
     if (copy->loading != loading) {
         copy->since_us = now_us;
     }
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -74,7 +74,8 @@
 }
 
 bool
-gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter)
+gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter,
+       const char *request)
 {
     const char *holder = le_query_holder(peers->desc.lease, server->id);
     if (!holder) {
@@ -84,6 +85,7 @@
     ask.server = server->id;
     ask.model = adapter->model;
     ask.adapter = adapter->name;
+    ask.request = (char *)(request ? request : "");
     Lacewing__Exchange__LoadAsk *asks[] = {&ask};
     Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
     word.n_asks = 1;
@@ -327,6 +329,7 @@
     }
     g_autofree char *key = g_strdup_printf("%s/%s", ask->model, ask->adapter);
     peers->desc.calls->asked(server, fl_intern(peers->desc.fleet, key),
+                             *ask->request ? ask->request : NULL,
                              peers->desc.user_data);
 }
 
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -35,8 +35,10 @@
 typedef struct gp_calls {
     /* Another instance knew this of a table; at_us on this one's clock. */
     void (*known)(gp_table table, const gp_known *known, void *user_data);
-    /* Another instance asks this one to load an adapter. */
-    void (*asked)(fl_server *server, fl_adapter *adapter, void *user_data);
+    /* Another instance asks this one to load an adapter, for a request; NULL:
+       for one that is not logged. */
+    void (*asked)(fl_server *server, fl_adapter *adapter, const char *request,
+                  void *user_data);
     /* What a server holds has changed, as its holder tells. */
     void (*changed)(fl_server *server, void *user_data);
 } gp_calls;
@@ -56,7 +58,8 @@
 void gp_destroy(gp_peers *peers);
 
 /* Asks the holder of a server. False: none is known. */
-bool gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter);
+bool gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter,
+            const char *request);
 /* Tells all others what a server holds that is ordered from here. */
 void gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number);
 /* Tells all others the requests under way here, uses since last time, and
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -35,19 +35,25 @@
 /* -- private: adapters ---------------------------------------------------- */
 
 static void
-_nd_on_ask(fl_server *server, fl_adapter *adapter, void *user_data)
+_nd_on_ask(fl_server *server, fl_adapter *adapter, const char *request,
+           void *user_data)
 {
     nd_node *node = user_data;
     if (!or_want(node->orderer, server, adapter)) {
-        gp_ask(node->peers, server, adapter);
+        gp_ask(node->peers, server, adapter, request);
     }
 }
 
 static void
-_nd_on_asked(fl_server *server, fl_adapter *adapter, void *user_data)
+_nd_on_asked(fl_server *server, fl_adapter *adapter, const char *request,
+             void *user_data)
 {
     nd_node *node = user_data;
-    or_want(node->orderer, server, adapter);
+    bool held = or_want(node->orderer, server, adapter);
+    if (request) {
+        lg_write(LG_ORDER_ASKED, "request", request, "server", server->id,
+                 "adapter", adapter->key, "held", held ? "yes" : "no", NULL);
+    }
 }
 
 static void
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -33,7 +33,8 @@
     GHashTable *row_digests; /* key of a row -> its digest, both tables */
     uint64_t digests[GP_TABLE_NUM];
     uint64_t own_regained_us;
-    uint64_t own_written_us; /* when a transaction of the own table held */
+    uint64_t own_written_us;
+    uint64_t tx_sent_us; /* the last transaction of it */
     bool lease_held;
     bool ready_said;
     tm_timer ticks[4];
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -2,6 +2,7 @@
 
 #include "lacewing/counter.h"
 #include "lacewing/hash.h"
+#include "lacewing/histogram.h"
 #include "lacewing/log.h"
 #include <string.h>
 
@@ -376,6 +377,7 @@
             answer->bytes, answer->count, &rows, &status);
         code = read == ER_OK ? code : ER_PLATFORM_DOWN;
     }
+    hg_observe(HG_STORE_CALL, HG_WRITE, now_us - node->tx_sent_us);
     le_feed_result(node->lease, now_us, code, rows.version, rows.rows);
     if (code != ER_OK) {
         lg_write(LG_CLAIM_FAILED, "why", er_query_name(code), NULL);
@@ -397,6 +399,7 @@
     const dl_dialect *dialect = node->desc.dialect;
     tx.table = dialect->own_table;
     GString *body = dialect->write_tx(&tx);
+    node->tx_sent_us = lp_query_now_us(node->desc.loop);
     ct_add(CT_STORE_CALLS, 1);
     hc_call(node->client, &(hc_request){.address = node->desc.settings->store,
                                         .method = "POST",
--- a/packages/exchange/src/settings.c
+++ b/packages/exchange/src/settings.c
@@ -60,6 +60,10 @@
      .choices = _nd_levels,
      .fallback = "info",
      .help = "Least level that is written."},
+    _ND_U32(log_requests_per_s, "requests", 1, 100000, "5",
+            "Requests that are served and logged all the same."),
+    _ND_U32(log_pending_kb, "kB", 16, 1e6, "256",
+            "Lines kept while nobody reads them."),
 };
 
 bool
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -1,6 +1,7 @@
 #include "watch.h"
 
 #include "lacewing/counter.h"
+#include "lacewing/histogram.h"
 #include "lacewing/log.h"
 
 #define _WT_WAIT_MS 3000
@@ -189,6 +190,12 @@
     }
     call->watch->alive = NULL;
     g_free(call->alive);
+    if (!call->watch->following) {
+        /* Feeds wait for news: their time says nothing of the store. */
+        hg_observe(HG_STORE_CALL, HG_READ,
+                   lp_query_now_us(call->watch->desc.loop) -
+                       call->watch->sent_us);
+    }
     if (answer->code == ER_OK) {
         _wt_take(call->watch, answer);
     }
--- a/packages/tool/completion/lacewing.bash
+++ b/packages/tool/completion/lacewing.bash
@@ -3,7 +3,8 @@
 _lacewing()
 {
     local commands="questionnaire check diff init apply history rollback status \
-servers adapters explain drain audit top report settings-reference"
+servers adapters explain drain audit top report settings-reference \
+metrics-reference"
     local current=${COMP_WORDS[COMP_CWORD]}
     local previous=${COMP_WORDS[COMP_CWORD - 1]}
     if [ "$COMP_CWORD" -eq 1 ]; then
@@ -11,7 +12,7 @@
         return
     fi
     case $previous in
-    --answers | -a | --output | -o | --save-answers | --edits | -e | \
+    --answers | -a | --logs | --output | -o | --save-answers | --edits | -e | \
         --key-file | --ca)
         mapfile -t COMPREPLY < <(compgen -f -- "$current")
         return
@@ -23,7 +24,7 @@
         questionnaire) options+=" --answers --output --save-answers --questions" ;;
         check | diff) options+=" --json" ;;
         init) options+=" --platform --who --force" ;;
-        report | settings-reference) options+=" --output" ;;
+        report | settings-reference | metrics-reference) options+=" --output" ;;
         *)
             options+=" --admin --key --key-file --ca --json"
             case ${COMP_WORDS[1]} in
--- a/packages/tool/src/cmd_show.c
+++ b/packages/tool/src/cmd_show.c
@@ -1,11 +1,22 @@
 /* lacewing status, servers, adapters, explain: what is. */
 #include "client.h"
+#include "story.h"
 
 #include <stdio.h>
 
 static char *after = NULL;
 static gint64 limit = 100;
 
+static char **log_files = NULL;
+
+static const GOptionEntry explain_options[] = {
+    {"logs", 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &log_files,
+     "Read this log of an instance in place of asking one; repeat it for "
+     "several",
+     "FILE"},
+    {NULL},
+};
+
 static const GOptionEntry list_options[] = {
     {"limit", 'l', 0, G_OPTION_ARG_INT64, &limit, "Most lines; default 100",
      "N"},
@@ -118,17 +129,48 @@
     return _tl_show("status", NULL);
 }
 
+static tl_exit
+_tl_explain_logs(const char *request)
+{
+    g_autoptr(sr_story) story = sr_create(request);
+    for (char **file = log_files; *file; file++) {
+        g_autofree char *text = NULL;
+        g_autoptr(GError) error = NULL;
+        if (!g_file_get_contents(*file, &text, NULL, &error)) {
+            er_status status = {0};
+            er_set(&status, ER_FILE, "%s", error->message);
+            return tl_fail(&status);
+        }
+        sr_add(story, *file, text);
+    }
+    g_autofree char *told = sr_query_text(story);
+    if (!told) {
+        er_status status = {0};
+        er_set(&status, ER_NOT_FOUND,
+               "%s: no line has this request; it may be one that was served "
+               "and not logged (log_requests_per_s)",
+               request);
+        return tl_fail(&status);
+    }
+    fputs(told, stdout);
+    return TL_EXIT_OK;
+}
+
 tl_exit
 tl_run_explain(int argc, char **argv)
 {
-    if (!tl_parse_client_options(
-            NULL, "REQUEST", "Says what became of a request.", &argc, &argv)) {
+    if (!tl_parse_client_options(explain_options, "REQUEST",
+                                 "Says what became of a request.", &argc,
+                                 &argv)) {
         return TL_EXIT_USAGE;
     }
     if (argc != 2) {
         fputs("lacewing: explain needs one REQUEST\n", stderr);
         return TL_EXIT_USAGE;
     }
+    if (log_files) {
+        return _tl_explain_logs(argv[1]);
+    }
     g_autofree char *name = g_uri_escape_string(argv[1], NULL, FALSE);
     g_autofree char *path = g_strdup_printf("explain/%s", name);
     return _tl_show(path, NULL);
--- a/packages/tool/src/command.h
+++ b/packages/tool/src/command.h
@@ -47,7 +47,9 @@
     X("top", tl_run_top, "watch backend servers")                             \
     X("report", tl_run_report, "draw the figures of runs on one page")        \
     X("settings-reference", tl_run_settings_reference,                        \
-      "print the reference of all settings")
+      "print the reference of all settings")                                  \
+    X("metrics-reference", tl_run_metrics_reference,                          \
+      "print the reference of all metrics")
 
 typedef tl_exit (*tl_run)(int argc, char **argv);
 
--- a/packages/tool/tests/test_tool.c
+++ b/packages/tool/tests/test_tool.c
@@ -230,6 +230,20 @@
 }
 END_TEST
 
+/* docs/METRICS.md is what the tables say. */
+START_TEST(test_metrics_page)
+{
+    g_autofree char *path =
+        g_build_filename(g_getenv("LACEWING_SRC"), "docs", "METRICS.md", NULL);
+    g_autofree char *page = NULL;
+    ck_assert(g_file_get_contents(path, &page, NULL, NULL));
+    result got = run(NULL, NULL, "metrics-reference");
+    ck_assert_str_eq(got.out, page);
+    g_free(got.out);
+    g_free(got.err);
+}
+END_TEST
+
 /* The completion knows each command. */
 START_TEST(test_completion)
 {
@@ -297,6 +311,7 @@
     tcase_add_test(tests, test_unreachable);
     tcase_add_test(tests, test_without_daemon);
     tcase_add_test(tests, test_settings_page);
+    tcase_add_test(tests, test_metrics_page);
     tcase_add_test(tests, test_completion);
     tcase_add_test(tests, test_report);
     suite_add_tcase(suite, tests);
