The store's feeds answer at once

While the store holds one instance's call for 100 ms the others have not heard of it and ask as well.

Ruled out: feeds held for 30 s, as rows of servers change with each load.

--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -67,6 +67,7 @@
     X(LG_ADMIN_CALL, INFO, "admin", "call")                                   \
     X(LG_STORE_LOST, WARNING, "store", "not reachable")                       \
     X(LG_STORE_REGAINED, INFO, "store", "reachable again")                    \
+    X(LG_STORE_ASKED, DEBUG, "store", "asked")                                \
     X(LG_STORE_HISTORY, WARNING, "store", "history gone, reads all")          \
     X(LG_ROW_REFUSED, WARNING, "store", "row not understood")                 \
     X(LG_LEASE_GOT, INFO, "lease", "held")                                    \
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -21,9 +21,11 @@
    this many times in it. */
 #define _ND_SERVER_READS 4
 /* Calls of the operator's table, over all instances, in the time that a
-   configuration has; the store holds each for a short while. */
+   configuration has. */
 #define _ND_OPERATOR_READS 4
-#define _ND_OPERATOR_WAIT_MS 100
+/* The store answers at once: while it holds a call of one instance, others
+   that have not heard of it ask as well. */
+#define _ND_FEED_WAIT_MS 1
 /* Until the first answer. */
 #define _ND_OWN_TABLE_PAUSE_MS 400
 /* A configuration is the newest when the store said so this lately. */
@@ -265,7 +267,7 @@
 
 static wt_watch *
 _nd_watch(nd_node *node, const char *table, uint32_t pause_ms,
-          uint32_t wait_ms, const wt_calls *calls)
+          const wt_calls *calls)
 {
     return wt_create(&(wt_desc){.client = node->client,
                                 .loop = node->desc.loop,
@@ -274,7 +276,7 @@
                                 .address = node->desc.settings->store,
                                 .table = table,
                                 .pause_ms = pause_ms,
-                                .wait_ms = wait_ms,
+                                .wait_ms = _ND_FEED_WAIT_MS,
                                 .calls = calls,
                                 .user_data = node});
 }
@@ -284,15 +286,14 @@
 {
     const dl_dialect *dialect = node->desc.dialect;
     const nd_settings *settings = node->desc.settings;
-    node->operator_watch =
-        _nd_watch(node, dialect->operator_table,
-                  settings->config_apply_ms / _ND_OPERATOR_READS,
-                  _ND_OPERATOR_WAIT_MS, &nd_operator_calls);
-    node->server_watch = _nd_watch(node, dialect->server_table,
-                                   settings->drain_ms / _ND_SERVER_READS, 100,
-                                   &nd_server_calls);
+    node->operator_watch = _nd_watch(
+        node, dialect->operator_table,
+        settings->config_apply_ms / _ND_OPERATOR_READS, &nd_operator_calls);
+    node->server_watch =
+        _nd_watch(node, dialect->server_table,
+                  settings->drain_ms / _ND_SERVER_READS, &nd_server_calls);
     node->own_watch = _nd_watch(node, dialect->own_table,
-                                _ND_OWN_TABLE_PAUSE_MS, 100, &nd_own_calls);
+                                _ND_OWN_TABLE_PAUSE_MS, &nd_own_calls);
 }
 
 static char *
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -401,6 +401,7 @@
     GString *body = dialect->write_tx(&tx);
     node->tx_sent_us = lp_query_now_us(node->desc.loop);
     ct_add(CT_STORE_CALLS, 1);
+    lg_write(LG_STORE_ASKED, "table", tx.table, "why", "transaction", NULL);
     hc_call(node->client, &(hc_request){.address = node->desc.settings->store,
                                         .method = "POST",
                                         .path = dialect->tx_path,
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -34,6 +34,7 @@
     uint64_t gap_us;
     uint64_t regained_us;
     uint32_t failures;
+    bool hurried; /* the next call is for news that others tell of */
     bool lost;
     bool *alive; /* false once destroyed, for calls under way */
     tm_timer timer;
@@ -220,6 +221,12 @@
     watch->alive = call->alive;
     watch->sent_us = lp_query_now_us(watch->desc.loop);
     ct_add(CT_STORE_CALLS, 1);
+    lg_write(LG_STORE_ASKED, "table", watch->table, "why",
+             watch->hurried    ? "news elsewhere"
+             : watch->failures ? "failed before"
+                               : "time",
+             NULL);
+    watch->hurried = false;
     hc_call(watch->desc.client,
             &(hc_request){.address = watch->address,
                           .method = "GET",
@@ -296,6 +303,7 @@
     uint64_t now_us = lp_query_now_us(watch->desc.loop);
     if (watch->timer.id && !watch->lost &&
         now_us >= watch->sent_us + _WT_HURRY_US) {
+        watch->hurried = true;
         _wt_ask_in(watch, 1);
     }
 }
