--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -17,6 +17,15 @@
 /* Adapters in one datagram of uses. */
 #define _GP_USES 64
 
+/* Requests under way are told again after this, well before the others take
+   the word for old (fleet.c). */
+#define _GP_LOAD_AGAIN_US 700000
+
+typedef struct _gp_load {
+    uint32_t in_flight;
+    uint64_t at_us;
+} _gp_load;
+
 typedef struct _gp_told {
     uint64_t fence;
     uint64_t number;
@@ -27,8 +36,9 @@
     gp_desc desc;
     lp_watch watch;
     char *instance;
-    GHashTable *told;   /* server id -> _gp_told */
-    GHashTable *loaded; /* server ids that had requests when last told */
+    GHashTable *told;  /* server id -> _gp_told */
+    GHashTable *loads; /* server id -> _gp_load, as told last; none: 0 */
+    GHashTable *held;  /* server id -> digest of what it holds, as told */
     uint8_t *buffer;
 };
 
@@ -140,9 +150,42 @@
     g_ptr_array_add(state->copies, message);
 }
 
+/* The same for the same copies in any order. */
+static uint64_t
+_gp_held_digest(const fl_server *server)
+{
+    uint64_t digest = server->born_ms + 1;
+    for (guint i = 0; i < server->copies->len; i++) {
+        const fl_copy *copy = server->copies->pdata[i];
+        uint64_t parts[] = {copy->adapter->hash, copy->version, copy->loading};
+        digest += hs_u64_bytes(parts, sizeof(parts));
+    }
+    return digest;
+}
+
+/* Notes it as told; false: the others know it. */
+static bool
+_gp_is_new(gp_peers *peers, const fl_server *server)
+{
+    uint64_t digest = _gp_held_digest(server);
+    uint64_t *told = g_hash_table_lookup(peers->held, server->id);
+    if (told && *told == digest) {
+        return false;
+    }
+    if (!told) {
+        told = g_new(uint64_t, 1);
+        g_hash_table_insert(peers->held, g_strdup(server->id), told);
+    }
+    *told = digest;
+    return true;
+}
+
 void
-gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number)
+gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number, bool again)
 {
+    if (!_gp_is_new(peers, server) && !again) {
+        return;
+    }
     _gp_state state = {.models = g_ptr_array_new_with_free_func(g_free),
                        .copies = g_ptr_array_new_with_free_func(g_free)};
     lacewing__exchange__server_state__init(&state.message);
@@ -180,8 +223,11 @@
 _gp_add_load(fl_server *server, void *user_data)
 {
     _gp_loads *all = user_data;
-    bool had = g_hash_table_contains(all->peers->loaded, server->id);
-    if (server->own_in_flight == 0 && !had && !server->streams_to_tell) {
+    _gp_load *told = g_hash_table_lookup(all->peers->loads, server->id);
+    uint64_t now_us = lp_query_now_us(all->peers->desc.loop);
+    bool changed = server->own_in_flight != (told ? told->in_flight : 0);
+    bool old = told && now_us >= told->at_us + _GP_LOAD_AGAIN_US;
+    if (!changed && !old && !server->streams_to_tell) {
         return;
     }
     Lacewing__Exchange__ServerLoad *load =
@@ -195,10 +241,12 @@
     server->event_ms_to_tell = 0;
     g_ptr_array_add(all->loads, load);
     if (server->own_in_flight) {
-        g_hash_table_add(all->peers->loaded, g_strdup(server->id));
+        _gp_load *now = g_new(_gp_load, 1);
+        *now = (_gp_load){server->own_in_flight, now_us};
+        g_hash_table_replace(all->peers->loads, g_strdup(server->id), now);
     }
     else {
-        g_hash_table_remove(all->peers->loaded, server->id);
+        g_hash_table_remove(all->peers->loads, server->id);
     }
 }
 
@@ -218,32 +266,9 @@
     g_ptr_array_add(all->uses, use);
 }
 
-static size_t
-_gp_fill_tables(gp_peers *peers, const gp_known known[GP_TABLE_NUM],
-                Lacewing__Exchange__TableWord *words,
-                Lacewing__Exchange__TableWord **list)
-{
-    uint64_t now_us = lp_query_now_us(peers->desc.loop);
-    size_t count = 0;
-    for (uint32_t i = 0; i < GP_TABLE_NUM; i++) {
-        if (known[i].at_us == 0 || known[i].at_us > now_us) {
-            continue;
-        }
-        lacewing__exchange__table_word__init(&words[count]);
-        words[count].table = i;
-        words[count].digest = known[i].digest;
-        words[count].age_ms = (uint32_t)((now_us - known[i].at_us) / 1000);
-        list[count] = &words[count];
-        count++;
-    }
-    return count;
-}
-
 void
-gp_tell_load(gp_peers *peers, const gp_known known[GP_TABLE_NUM])
+gp_tell_load(gp_peers *peers)
 {
-    Lacewing__Exchange__TableWord words[GP_TABLE_NUM];
-    Lacewing__Exchange__TableWord *tables[GP_TABLE_NUM];
     _gp_loads all = {peers, g_ptr_array_new_with_free_func(g_free),
                      g_ptr_array_new_with_free_func(g_free)};
     fl_each_server(peers->desc.fleet, _gp_add_load, &all);
@@ -253,15 +278,32 @@
     word.loads = (Lacewing__Exchange__ServerLoad **)all.loads->pdata;
     word.n_uses = all.uses->len;
     word.uses = (Lacewing__Exchange__Use **)all.uses->pdata;
-    word.n_tables = _gp_fill_tables(peers, known, words, tables);
-    word.tables = tables;
-    if (word.n_loads || word.n_uses || word.n_tables) {
+    if (word.n_loads || word.n_uses) {
         _gp_send(peers, &word, NULL);
     }
     g_ptr_array_unref(all.loads);
     g_ptr_array_unref(all.uses);
 }
 
+void
+gp_tell_table(gp_peers *peers, gp_table table, const gp_known *known)
+{
+    uint64_t now_us = lp_query_now_us(peers->desc.loop);
+    if (known->at_us == 0 || known->at_us > now_us) {
+        return;
+    }
+    Lacewing__Exchange__TableWord message =
+        LACEWING__EXCHANGE__TABLE_WORD__INIT;
+    message.table = table;
+    message.digest = known->digest;
+    message.age_ms = (uint32_t)((now_us - known->at_us) / 1000);
+    Lacewing__Exchange__TableWord *tables[] = {&message};
+    Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
+    word.n_tables = 1;
+    word.tables = tables;
+    _gp_send(peers, &word, NULL);
+}
+
 /* -- private: receiving --------------------------------------------------- */
 
 static bool
@@ -413,8 +455,10 @@
     peers->instance = g_strdup(desc->instance);
     peers->told =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    peers->loaded =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    peers->loads =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    peers->held =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     peers->buffer = g_malloc(_GP_DATAGRAM_BYTES);
     peers->watch =
         (lp_watch){.fd = fd, .call = _gp_on_ready, .user_data = peers};
@@ -431,7 +475,8 @@
     lp_clear(peers->desc.loop, &peers->watch);
     close(peers->watch.fd);
     g_hash_table_unref(peers->told);
-    g_hash_table_unref(peers->loaded);
+    g_hash_table_unref(peers->loads);
+    g_hash_table_unref(peers->held);
     g_free(peers->buffer);
     g_free(peers->instance);
     g_free(peers);
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -60,11 +60,15 @@
 /* Asks the holder of a server. False: none is known. */
 bool gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter,
             const char *request);
-/* Tells all others what a server holds that is ordered from here. */
-void gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number);
-/* Tells all others the requests under way here, uses since last time, and
-   what is known of the store's tables. */
-void gp_tell_load(gp_peers *peers, const gp_known known[GP_TABLE_NUM]);
+/* Tells all others what a server holds that is ordered from here, if that has
+   changed since it was told, or again all the same. */
+void gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number,
+                    bool again);
+/* Tells all others the requests under way here, where their number changed or
+   the last word is old, and uses since last time. */
+void gp_tell_load(gp_peers *peers);
+/* Tells all others what is known of one of the store's tables. */
+void gp_tell_table(gp_peers *peers, gp_table table, const gp_known *known);
 
 /* queries */
 /* When the holder of a server last told what it holds; 0: never. */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -11,12 +11,16 @@
 /* Callers' time-outs, idle connections, lapsed servers. */
 #define _ND_SLOW_TICK_MS 100
 #define _ND_CONTROL_MS 50
-/* Requests under way and what is known of the store are told to each other
-   instance this often: several times while such word is trusted. The pause
-   does not grow with their number. */
-#define _ND_TELL_MS 250
+/* Requests under way are told to each other instance this often: several
+   times while such word is trusted (fleet.c). */
+#define _ND_TELL_MS 50
+#define _ND_TELL_LOADS_US 240000
 /* What servers hold is told again, for datagrams that were lost. */
 #define _ND_TELL_SERVERS_US 1000000
+/* Above so many instances the pauses grow with their number, up to three
+   times: each tells all others. */
+#define _ND_TELL_INSTANCES 24
+#define _ND_TELL_MOST 72
 /* A leaving server gets nothing new within the drain time: the list is read
    this many times in it. */
 #define _ND_SERVER_READS 4
@@ -62,7 +66,7 @@
 _nd_on_held_changed(fl_server *server, void *user_data)
 {
     nd_node *node = user_data;
-    gp_tell_server(node->peers, server, or_query_number(server));
+    gp_tell_server(node->peers, server, or_query_number(server), false);
     nd_wake_server(server, node);
 }
 
@@ -178,22 +182,29 @@
 {
     nd_node *node = user_data;
     if (or_query_held(server)) {
-        gp_tell_server(node->peers, server, or_query_number(server));
+        gp_tell_server(node->peers, server, or_query_number(server), true);
     }
 }
 
 void
-nd_tell(nd_node *node)
+nd_tell_table(nd_node *node, gp_table table)
 {
     node->digests[GP_OWN] = le_query_digest(node->lease);
-    gp_known known[GP_TABLE_NUM];
-    for (int i = 0; i < GP_TABLE_NUM; i++) {
-        known[i] =
-            (gp_known){node->digests[i],
-                       wt_query_fresh_us(nd_watch_of(node, (gp_table)i))};
+    gp_known known = {node->digests[table],
+                      wt_query_fresh_us(nd_watch_of(node, table))};
+    if (table == GP_OWN) {
+        known.at_us = MAX(known.at_us, node->own_written_us);
     }
-    known[GP_OWN].at_us = MAX(known[GP_OWN].at_us, node->own_written_us);
-    gp_tell_load(node->peers, known);
+    gp_tell_table(node->peers, table, &known);
+}
+
+/* Words are rarer where many instances tell them to each other. */
+static uint64_t
+_nd_tell_pause_us(const nd_node *node, uint64_t pause_us)
+{
+    uint32_t live = le_query_live(node->lease);
+    return pause_us * CLAMP(live, _ND_TELL_INSTANCES, _ND_TELL_MOST) /
+           _ND_TELL_INSTANCES;
 }
 
 static void
@@ -202,8 +213,13 @@
     (void)now_us;
     nd_node *node = user_data;
     uint64_t clock_us = lp_query_now_us(node->desc.loop);
-    nd_tell(node);
-    if (clock_us >= node->told_servers_us + _ND_TELL_SERVERS_US) {
+    if (clock_us >=
+        node->told_loads_us + _nd_tell_pause_us(node, _ND_TELL_LOADS_US)) {
+        node->told_loads_us = clock_us;
+        gp_tell_load(node->peers);
+    }
+    if (clock_us >=
+        node->told_servers_us + _nd_tell_pause_us(node, _ND_TELL_SERVERS_US)) {
         node->told_servers_us = clock_us;
         fl_each_server(node->fleet, _nd_tell_held, node);
     }
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -38,7 +38,9 @@
     bool lease_held;
     bool ready_said;
     tm_timer ticks[4];
+    uint64_t told_loads_us;
     uint64_t told_servers_us;
+    uint64_t own_digest; /* of the own table, as told last */
     uint64_t incarnation;
     uint64_t stop_us; /* when the stop began; 0: none */
     bool stopped;
@@ -54,7 +56,7 @@
 void nd_end_lapsed(nd_node *node);
 void nd_write_tx(nd_node *node);
 
-/* -- node.c: tells other instances what is known of the store -- */
-void nd_tell(nd_node *node);
+/* -- node.c: tells other instances what is known of a table of the store -- */
+void nd_tell_table(nd_node *node, gp_table table);
 
 #endif
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -332,6 +332,17 @@
     wt_set_pause(node->own_watch, le_query_pause_ms(node->lease));
 }
 
+/* Each instance follows the own table itself, so only news are told. */
+static void
+_nd_tell_own_news(nd_node *node)
+{
+    uint64_t digest = le_query_digest(node->lease);
+    if (digest != node->own_digest) {
+        node->own_digest = digest;
+        nd_tell_table(node, GP_OWN);
+    }
+}
+
 static void
 _nd_ignore(void *user_data)
 {
@@ -340,20 +351,27 @@
 
 /* What was asked of the store spares the others their calls. */
 static void
-_nd_on_fresh(uint64_t version, void *user_data)
+_nd_on_operator_fresh(uint64_t version, void *user_data)
+{
+    (void)version;
+    nd_tell_table(user_data, GP_OPERATOR);
+}
+
+static void
+_nd_on_servers_fresh(uint64_t version, void *user_data)
 {
     (void)version;
-    nd_tell(user_data);
+    nd_tell_table(user_data, GP_SERVERS);
 }
 
 const wt_calls nd_operator_calls = {.row = _nd_on_operator_row,
                                     .read_began = _nd_ignore,
                                     .read_ended = _nd_ignore,
-                                    .fresh = _nd_on_fresh};
+                                    .fresh = _nd_on_operator_fresh};
 const wt_calls nd_server_calls = {.row = _nd_on_server_row,
                                   .read_began = _nd_on_servers_began,
                                   .read_ended = _nd_on_servers_ended,
-                                  .fresh = _nd_on_fresh};
+                                  .fresh = _nd_on_servers_fresh};
 const wt_calls nd_own_calls = {.row = _nd_on_own_row,
                                .read_began = _nd_on_own_began,
                                .read_ended = _nd_on_own_ended,
@@ -385,7 +403,10 @@
     if (code == ER_CONFLICT) {
         wt_read_again(node->own_watch);
     }
-    node->own_written_us = code == ER_OK ? now_us : node->own_written_us;
+    if (code == ER_OK) {
+        node->own_written_us = now_us;
+        _nd_tell_own_news(node);
+    }
     dl_clear_rows(&rows);
 }
 
