Rows of the store are passed on between instances

Cause: an instance that heard of news asked the store itself: 72 calls for each change of a version or configuration, and for each claim in the own table. Now who had the row from the store, or wrote it, sends it along; an older word that comes late changes nothing (test_news), what does not match is asked for as before.

--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &lacewing__exchange__table_word__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lacewing__exchange__row_word__init
+                     (Lacewing__Exchange__RowWord         *message)
+{
+  static const Lacewing__Exchange__RowWord init_value = LACEWING__EXCHANGE__ROW_WORD__INIT;
+  *message = init_value;
+}
+size_t lacewing__exchange__row_word__get_packed_size
+                     (const Lacewing__Exchange__RowWord *message)
+{
+  assert(message->base.descriptor == &lacewing__exchange__row_word__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lacewing__exchange__row_word__pack
+                     (const Lacewing__Exchange__RowWord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lacewing__exchange__row_word__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lacewing__exchange__row_word__pack_to_buffer
+                     (const Lacewing__Exchange__RowWord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lacewing__exchange__row_word__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lacewing__Exchange__RowWord *
+       lacewing__exchange__row_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lacewing__Exchange__RowWord *)
+     protobuf_c_message_unpack (&lacewing__exchange__row_word__descriptor,
+                                allocator, len, data);
+}
+void   lacewing__exchange__row_word__free_unpacked
+                     (Lacewing__Exchange__RowWord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lacewing__exchange__row_word__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lacewing__exchange__word__init
                      (Lacewing__Exchange__Word         *message)
 {
@@ -1124,7 +1169,97 @@
   (ProtobufCMessageInit) lacewing__exchange__table_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lacewing__exchange__row_word__field_descriptors[5] =
+{
+  {
+    "table",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__RowWord, table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__RowWord, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__RowWord, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__RowWord, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__RowWord, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lacewing__exchange__row_word__field_indices_by_name[] = {
+  1,   /* field[1] = key */
+  3,   /* field[3] = removed */
+  0,   /* field[0] = table */
+  2,   /* field[2] = value */
+  4,   /* field[4] = version */
+};
+static const ProtobufCIntRange lacewing__exchange__row_word__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor lacewing__exchange__row_word__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lacewing.exchange.RowWord",
+  "RowWord",
+  "Lacewing__Exchange__RowWord",
+  "lacewing.exchange",
+  sizeof(Lacewing__Exchange__RowWord),
+  5,
+  lacewing__exchange__row_word__field_descriptors,
+  lacewing__exchange__row_word__field_indices_by_name,
+  1,  lacewing__exchange__row_word__number_ranges,
+  (ProtobufCMessageInit) lacewing__exchange__row_word__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[8] =
 {
   {
     "instance",
@@ -1210,12 +1345,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rows",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lacewing__Exchange__Word, n_rows),
+    offsetof(Lacewing__Exchange__Word, rows),
+    &lacewing__exchange__row_word__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
   5,   /* field[5] = asks */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
   3,   /* field[3] = loads */
+  7,   /* field[7] = rows */
   2,   /* field[2] = servers */
   6,   /* field[6] = tables */
   4,   /* field[4] = uses */
@@ -1224,7 +1372,7 @@
 {
   { 1, 0 },
   { 8, 6 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor =
 {
@@ -1234,7 +1382,7 @@
   "Lacewing__Exchange__Word",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__Word),
-  7,
+  8,
   lacewing__exchange__word__field_descriptors,
   lacewing__exchange__word__field_indices_by_name,
   2,  lacewing__exchange__word__number_ranges,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Lacewing__Exchange__Use Lacewing__Exchange__Use;
 typedef struct Lacewing__Exchange__LoadAsk Lacewing__Exchange__LoadAsk;
 typedef struct Lacewing__Exchange__TableWord Lacewing__Exchange__TableWord;
+typedef struct Lacewing__Exchange__RowWord Lacewing__Exchange__RowWord;
 typedef struct Lacewing__Exchange__Word Lacewing__Exchange__Word;
 
 
@@ -192,6 +193,23 @@
     , 0, 0, 0 }
 
 
+/*
+ * A row of a table of the store, as the sender had it from there.
+ */
+struct  Lacewing__Exchange__RowWord
+{
+  ProtobufCMessage base;
+  uint32_t table;
+  char *key;
+  ProtobufCBinaryData value;
+  protobuf_c_boolean removed;
+  uint64_t version;
+};
+#define LACEWING__EXCHANGE__ROW_WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__row_word__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+
+
 /*
  * One datagram.
  */
@@ -210,10 +228,12 @@
   Lacewing__Exchange__LoadAsk **asks;
   size_t n_tables;
   Lacewing__Exchange__TableWord **tables;
+  size_t n_rows;
+  Lacewing__Exchange__RowWord **rows;
 };
 #define LACEWING__EXCHANGE__WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__word__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Lacewing__Exchange__InstanceRow methods */
@@ -387,6 +407,25 @@
 void   lacewing__exchange__table_word__free_unpacked
                      (Lacewing__Exchange__TableWord *message,
                       ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__RowWord methods */
+void   lacewing__exchange__row_word__init
+                     (Lacewing__Exchange__RowWord         *message);
+size_t lacewing__exchange__row_word__get_packed_size
+                     (const Lacewing__Exchange__RowWord   *message);
+size_t lacewing__exchange__row_word__pack
+                     (const Lacewing__Exchange__RowWord   *message,
+                      uint8_t             *out);
+size_t lacewing__exchange__row_word__pack_to_buffer
+                     (const Lacewing__Exchange__RowWord   *message,
+                      ProtobufCBuffer     *buffer);
+Lacewing__Exchange__RowWord *
+       lacewing__exchange__row_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lacewing__exchange__row_word__free_unpacked
+                     (Lacewing__Exchange__RowWord *message,
+                      ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__Word methods */
 void   lacewing__exchange__word__init
                      (Lacewing__Exchange__Word         *message);
@@ -435,6 +474,9 @@
 typedef void (*Lacewing__Exchange__TableWord_Closure)
                  (const Lacewing__Exchange__TableWord *message,
                   void *closure_data);
+typedef void (*Lacewing__Exchange__RowWord_Closure)
+                 (const Lacewing__Exchange__RowWord *message,
+                  void *closure_data);
 typedef void (*Lacewing__Exchange__Word_Closure)
                  (const Lacewing__Exchange__Word *message,
                   void *closure_data);
@@ -453,6 +495,7 @@
 extern const ProtobufCMessageDescriptor lacewing__exchange__use__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__load_ask__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__table_word__descriptor;
+extern const ProtobufCMessageDescriptor lacewing__exchange__row_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -21,6 +21,10 @@
    the word for old (fleet.c). */
 #define _GP_LOAD_AGAIN_US 700000
 
+/* Rows in one datagram; more, or larger ones, are left to the store. */
+#define _GP_ROWS 16
+#define _GP_ROWS_BYTES 8192
+
 typedef struct _gp_load {
     uint32_t in_flight;
     uint64_t at_us;
@@ -285,8 +289,36 @@
     g_ptr_array_unref(all.uses);
 }
 
+static bool
+_gp_rows_fit(const GArray *rows)
+{
+    gsize bytes = 0;
+    for (guint i = 0; i < rows->len; i++) {
+        const dl_row *row = &g_array_index(rows, dl_row, i);
+        bytes += row->value ? g_bytes_get_size(row->value) : 0;
+    }
+    return rows->len <= _GP_ROWS && bytes <= _GP_ROWS_BYTES;
+}
+
+static void
+_gp_fill_row(Lacewing__Exchange__RowWord *message, nw_table table,
+             const dl_row *row)
+{
+    lacewing__exchange__row_word__init(message);
+    message->table = table;
+    message->key = row->key;
+    message->version = row->version;
+    message->removed = row->value == NULL;
+    if (row->value) {
+        gsize size = 0;
+        message->value.data = (uint8_t *)g_bytes_get_data(row->value, &size);
+        message->value.len = size;
+    }
+}
+
 void
-gp_tell_table(gp_peers *peers, gp_table table, const gp_known *known)
+gp_tell_table(gp_peers *peers, nw_table table, const gp_known *known,
+              const GArray *rows)
 {
     uint64_t now_us = lp_query_now_us(peers->desc.loop);
     if (known->at_us == 0 || known->at_us > now_us) {
@@ -301,6 +333,14 @@
     Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
     word.n_tables = 1;
     word.tables = tables;
+    Lacewing__Exchange__RowWord messages[_GP_ROWS];
+    Lacewing__Exchange__RowWord *list[_GP_ROWS];
+    for (guint i = 0; _gp_rows_fit(rows) && i < rows->len; i++) {
+        _gp_fill_row(&messages[i], table, &g_array_index(rows, dl_row, i));
+        list[i] = &messages[i];
+        word.n_rows = i + 1;
+    }
+    word.rows = list;
     _gp_send(peers, &word, NULL);
 }
 
@@ -375,6 +415,21 @@
                              peers->desc.user_data);
 }
 
+static void
+_gp_take_row(gp_peers *peers, const Lacewing__Exchange__RowWord *message)
+{
+    if (message->table >= NW_TABLE_NUM || message->version == 0) {
+        return;
+    }
+    g_autoptr(GBytes) value =
+        message->removed
+            ? NULL
+            : g_bytes_new(message->value.data, message->value.len);
+    dl_row row = {message->key, value, message->version};
+    peers->desc.calls->row((nw_table)message->table, &row,
+                           peers->desc.user_data);
+}
+
 static void
 _gp_take(gp_peers *peers, const Lacewing__Exchange__Word *word)
 {
@@ -396,12 +451,15 @@
     for (size_t i = 0; i < word->n_servers; i++) {
         _gp_take_server(peers, word->servers[i]);
     }
+    for (size_t i = 0; i < word->n_rows; i++) {
+        _gp_take_row(peers, word->rows[i]);
+    }
     for (size_t i = 0; i < word->n_tables; i++) {
         const Lacewing__Exchange__TableWord *table = word->tables[i];
         uint64_t age_us = table->age_ms * 1000ULL + _GP_WAY_US;
-        if (table->table < GP_TABLE_NUM && age_us < now_us) {
+        if (table->table < NW_TABLE_NUM && age_us < now_us) {
             gp_known known = {table->digest, now_us - age_us};
-            peers->desc.calls->known((gp_table)table->table, &known,
+            peers->desc.calls->known((nw_table)table->table, &known,
                                      peers->desc.user_data);
         }
     }
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -14,17 +14,10 @@
 #include "fleet.h"
 #include "lacewing/loop.h"
 #include "lease.h"
+#include "news.h"
 
 typedef struct gp_peers gp_peers;
 
-/* Tables of the platform's store. */
-typedef enum gp_table {
-    GP_OPERATOR = 0,
-    GP_SERVERS,
-    GP_OWN,
-    GP_TABLE_NUM
-} gp_table;
-
 /* What is known of a table: a digest of what matters, and when it was so;
    0: it is not known. */
 typedef struct gp_known {
@@ -33,8 +26,10 @@
 } gp_known;
 
 typedef struct gp_calls {
+    /* Another instance had this row from the store, or wrote it. */
+    void (*row)(nw_table table, const dl_row *row, void *user_data);
     /* Another instance knew this of a table; at_us on this one's clock. */
-    void (*known)(gp_table table, const gp_known *known, void *user_data);
+    void (*known)(nw_table table, const gp_known *known, void *user_data);
     /* Another instance asks this one to load an adapter, for a request; NULL:
        for one that is not logged. */
     void (*asked)(fl_server *server, fl_adapter *adapter, const char *request,
@@ -67,8 +62,10 @@
 /* Tells all others the requests under way here, where their number changed or
    the last word is old, and uses since last time. */
 void gp_tell_load(gp_peers *peers);
-/* Tells all others what is known of one of the store's tables. */
-void gp_tell_table(gp_peers *peers, gp_table table, const gp_known *known);
+/* Tells all others what is known of one of the store's tables, and dl_rows of
+   it that are new; a few small ones at the most, else they ask the store. */
+void gp_tell_table(gp_peers *peers, nw_table table, const gp_known *known,
+                   const GArray *rows);
 
 /* queries */
 /* When the holder of a server last told what it holds; 0: never. */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -100,8 +100,10 @@
                                         .mismatch = _nd_on_mismatch,
                                         .live = _nd_live,
                                         .config_fresh = _nd_config_fresh};
-static const gp_calls _nd_peer_calls = {
-    .known = nd_on_known, .asked = _nd_on_asked, .changed = nd_wake_server};
+static const gp_calls _nd_peer_calls = {.row = nd_on_told_row,
+                                        .known = nd_on_known,
+                                        .asked = _nd_on_asked,
+                                        .changed = nd_wake_server};
 
 /* -- private: pages ------------------------------------------------------- */
 
@@ -187,15 +189,16 @@
 }
 
 void
-nd_tell_table(nd_node *node, gp_table table)
+nd_tell_table(nd_node *node, nw_table table)
 {
-    node->digests[GP_OWN] = le_query_digest(node->lease);
-    gp_known known = {node->digests[table],
+    gp_known known = {nd_query_digest(node, table),
                       wt_query_fresh_us(nd_watch_of(node, table))};
-    if (table == GP_OWN) {
+    if (table == NW_OWN) {
         known.at_us = MAX(known.at_us, node->own_written_us);
     }
-    gp_tell_table(node->peers, table, &known);
+    gp_tell_table(node->peers, table, &known,
+                  nw_query_rows(node->news, table));
+    nw_clear_rows(node->news, table);
 }
 
 /* Words are rarer where many instances tell them to each other. */
@@ -400,8 +403,8 @@
     nd_node *node = g_new0(nd_node, 1);
     node->desc = *desc;
     node->incarnation = ((uint64_t)g_random_int() << 20) | 1;
-    node->row_digests =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    node->news = nw_create();
+    node->tx_rows = dl_make_rows();
     node->lapsed =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_autofree char *peer_address = _nd_peer_address(desc->settings);
@@ -439,7 +442,8 @@
     nc_destroy(node->hub);
     rc_unref(node->table);
     g_hash_table_unref(node->lapsed);
-    g_hash_table_unref(node->row_digests);
+    nw_destroy(node->news);
+    g_array_unref(node->tx_rows);
     g_clear_pointer(&node->read_servers, g_hash_table_unref);
     g_free(node);
 }
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -30,17 +30,17 @@
     GHashTable *lapsed;       /* server id -> when it goes, in us */
     GHashTable *read_servers; /* ids of the read under way; or NULL */
     bool servers_known;
-    GHashTable *row_digests; /* key of a row -> its digest, both tables */
-    uint64_t digests[GP_TABLE_NUM];
+    nw_news *news;
     uint64_t own_regained_us;
     uint64_t own_written_us;
     uint64_t tx_sent_us; /* the last transaction of it */
+    GArray *tx_rows;     /* dl_row that it writes */
+    uint64_t own_digest; /* of the own table, as told last */
     bool lease_held;
     bool ready_said;
     tm_timer ticks[4];
     uint64_t told_loads_us;
     uint64_t told_servers_us;
-    uint64_t own_digest; /* of the own table, as told last */
     uint64_t incarnation;
     uint64_t stop_us; /* when the stop began; 0: none */
     bool stopped;
@@ -50,13 +50,15 @@
 extern const wt_calls nd_operator_calls;
 extern const wt_calls nd_server_calls;
 extern const wt_calls nd_own_calls;
-wt_watch *nd_watch_of(const nd_node *node, gp_table table);
-void nd_on_known(gp_table table, const gp_known *known, void *user_data);
+uint64_t nd_query_digest(const nd_node *node, nw_table table);
+wt_watch *nd_watch_of(const nd_node *node, nw_table table);
+void nd_on_told_row(nw_table table, const dl_row *row, void *user_data);
+void nd_on_known(nw_table table, const gp_known *known, void *user_data);
 void nd_wake_server(fl_server *server, void *user_data);
 void nd_end_lapsed(nd_node *node);
 void nd_write_tx(nd_node *node);
 
 /* -- node.c: tells other instances what is known of a table of the store -- */
-void nd_tell_table(nd_node *node, gp_table table);
+void nd_tell_table(nd_node *node, nw_table table);
 
 #endif
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -14,24 +14,7 @@
 /* A transaction takes some ms; a store that is slow answers within this. */
 #define _ND_TX_TIMEOUT_MS 1200
 
-/* -- private: digests of tables ------------------------------------------- */
-
-/* Replaces a row's part in the digest of its table; 0: the row is gone. */
-static void
-_nd_digest(nd_node *node, gp_table table, const char *key, uint64_t digest)
-{
-    g_autofree char *name = g_strdup_printf("%d/%s", (int)table, key);
-    uint64_t *old = g_hash_table_lookup(node->row_digests, name);
-    node->digests[table] ^= old ? *old : 0;
-    node->digests[table] ^= digest;
-    if (digest == 0) {
-        g_hash_table_remove(node->row_digests, name);
-        return;
-    }
-    uint64_t *kept = g_new(uint64_t, 1);
-    *kept = digest;
-    g_hash_table_replace(node->row_digests, g_steal_pointer(&name), kept);
-}
+/* -- private: rows and what others know of them --------------------------- */
 
 static uint64_t
 _nd_digest_of(const char *key, uint64_t number, uint64_t other)
@@ -41,23 +24,30 @@
     return hs_u64(text);
 }
 
+uint64_t
+nd_query_digest(const nd_node *node, nw_table table)
+{
+    return table == NW_OWN ? le_query_digest(node->lease)
+                           : nw_query_digest(node->news, table);
+}
+
 wt_watch *
-nd_watch_of(const nd_node *node, gp_table table)
+nd_watch_of(const nd_node *node, nw_table table)
 {
-    return table == GP_OPERATOR  ? node->operator_watch
-           : table == GP_SERVERS ? node->server_watch
+    return table == NW_OPERATOR  ? node->operator_watch
+           : table == NW_SERVERS ? node->server_watch
                                  : node->own_watch;
 }
 
 /* Another instance knows as much: no need to ask. It knows something else,
    and later: the store has news. */
 void
-nd_on_known(gp_table table, const gp_known *known, void *user_data)
+nd_on_known(nw_table table, const gp_known *known, void *user_data)
 {
     nd_node *node = user_data;
     wt_watch *watch = nd_watch_of(node, table);
-    bool same = known->digest == node->digests[table];
-    if (same && table != GP_OWN) {
+    bool same = known->digest == nd_query_digest(node, table);
+    if (same && table != NW_OWN) {
         wt_note_fresh(watch, known->at_us);
     }
     else if (!same && known->at_us > wt_query_fresh_us(watch)) {
@@ -101,11 +91,13 @@
 }
 
 static void
-_nd_on_operator_row(const dl_row *row, void *user_data)
+_nd_take_operator_row(nd_node *node, const dl_row *row, bool of_store)
 {
-    nd_node *node = user_data;
     dl_operator read = {0};
     er_status status = {0};
+    if (nw_query_old(node->news, NW_OPERATOR, row)) {
+        return;
+    }
     if (node->desc.dialect->read_operator(row, &read, &status) != ER_OK) {
         lg_write(LG_ROW_REFUSED, "key", row->key, "why", status.message, NULL);
         return;
@@ -113,8 +105,9 @@
     if (read.kind == DL_OPERATOR_CONFIG) {
         _nd_take_config(node, read.config);
     }
-    _nd_digest(node, GP_OPERATOR, row->key,
-               row->value ? _nd_digest_of(row->key, row->version, 0) : 0);
+    nw_put(node->news, NW_OPERATOR, row,
+           row->value ? _nd_digest_of(row->key, row->version, 0) : 0,
+           of_store);
     if (read.kind == DL_OPERATOR_VERSION) {
         fl_declare_version(node->fleet, read.model, read.adapter, read.version,
                            lp_query_now_us(node->desc.loop));
@@ -123,6 +116,12 @@
     dl_clear_operator(&read);
 }
 
+static void
+_nd_on_operator_row(const dl_row *row, void *user_data)
+{
+    _nd_take_operator_row(user_data, row, true);
+}
+
 /* -- private: servers ----------------------------------------------------- */
 
 void
@@ -223,11 +222,13 @@
 }
 
 static void
-_nd_on_server_row(const dl_row *row, void *user_data)
+_nd_take_server_row(nd_node *node, const dl_row *row, bool of_store)
 {
-    nd_node *node = user_data;
+    if (nw_query_old(node->news, NW_SERVERS, row)) {
+        return;
+    }
     if (!row->value) {
-        _nd_digest(node, GP_SERVERS, row->key, 0);
+        nw_put(node->news, NW_SERVERS, row, 0, of_store);
         _nd_lapse_server(node, row->key);
         return;
     }
@@ -240,12 +241,18 @@
     if (node->read_servers) {
         g_hash_table_add(node->read_servers, g_strdup(row->key));
     }
-    _nd_digest(node, GP_SERVERS, row->key,
-               _nd_digest_of(row->key, entry.born_ms, entry.state));
+    nw_put(node->news, NW_SERVERS, row,
+           _nd_digest_of(row->key, entry.born_ms, entry.state), of_store);
     _nd_put_server(node, &entry);
     dl_clear_server(&entry);
 }
 
+static void
+_nd_on_server_row(const dl_row *row, void *user_data)
+{
+    _nd_take_server_row(user_data, row, true);
+}
+
 static void
 _nd_on_servers_began(void *user_data)
 {
@@ -271,7 +278,7 @@
     for (guint i = 0; i < ids->len; i++) {
         if (!g_hash_table_contains(read, ids->pdata[i])) {
             g_autofree char *id = g_strdup(ids->pdata[i]);
-            _nd_digest(node, GP_SERVERS, id, 0);
+            nw_drop(node->news, NW_SERVERS, id);
             _nd_lapse_server(node, id);
         }
     }
@@ -337,9 +344,34 @@
 _nd_tell_own_news(nd_node *node)
 {
     uint64_t digest = le_query_digest(node->lease);
-    if (digest != node->own_digest) {
-        node->own_digest = digest;
-        nd_tell_table(node, GP_OWN);
+    if (digest == node->own_digest) {
+        return;
+    }
+    node->own_digest = digest;
+    for (guint i = 0; i < node->tx_rows->len; i++) {
+        const dl_row *row = &g_array_index(node->tx_rows, dl_row, i);
+        nw_put(node->news, NW_OWN, row, row->value ? row->version : 0, true);
+    }
+    nd_tell_table(node, NW_OWN);
+}
+
+/* What another instance had from the store. Reads of the whole table are on
+   the way where nothing is known yet. */
+void
+nd_on_told_row(nw_table table, const dl_row *row, void *user_data)
+{
+    nd_node *node = user_data;
+    if (row->version <= wt_query_version(nd_watch_of(node, table))) {
+        return;
+    }
+    if (table == NW_OPERATOR && node->table) {
+        _nd_take_operator_row(node, row, false);
+    }
+    else if (table == NW_SERVERS && node->servers_known) {
+        _nd_take_server_row(node, row, false);
+    }
+    else if (table == NW_OWN && wt_query_version(node->own_watch)) {
+        le_feed_row(node->lease, lp_query_now_us(node->desc.loop), row);
     }
 }
 
@@ -354,14 +386,14 @@
 _nd_on_operator_fresh(uint64_t version, void *user_data)
 {
     (void)version;
-    nd_tell_table(user_data, GP_OPERATOR);
+    nd_tell_table(user_data, NW_OPERATOR);
 }
 
 static void
 _nd_on_servers_fresh(uint64_t version, void *user_data)
 {
     (void)version;
-    nd_tell_table(user_data, GP_SERVERS);
+    nd_tell_table(user_data, NW_SERVERS);
 }
 
 const wt_calls nd_operator_calls = {.row = _nd_on_operator_row,
@@ -405,6 +437,9 @@
     }
     if (code == ER_OK) {
         node->own_written_us = now_us;
+        for (guint i = 0; i < node->tx_rows->len; i++) {
+            g_array_index(node->tx_rows, dl_row, i).version = rows.version;
+        }
         _nd_tell_own_news(node);
     }
     dl_clear_rows(&rows);
@@ -420,6 +455,14 @@
     const dl_dialect *dialect = node->desc.dialect;
     tx.table = dialect->own_table;
     GString *body = dialect->write_tx(&tx);
+    g_array_set_size(node->tx_rows, 0);
+    for (size_t i = 0; i < tx.write_count; i++) {
+        const dl_write *write = &tx.writes[i];
+        dl_row row = {.key = g_strdup(write->key),
+                      .value =
+                          write->value ? g_bytes_ref(write->value) : NULL};
+        g_array_append_val(node->tx_rows, row);
+    }
     node->tx_sent_us = lp_query_now_us(node->desc.loop);
     ct_add(CT_STORE_CALLS, 1);
     lg_write(LG_STORE_ASKED, "table", tx.table, "why", "transaction", NULL);
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -320,6 +320,12 @@
     return watch->fresh_us;
 }
 
+uint64_t
+wt_query_version(const wt_watch *watch)
+{
+    return watch->following ? watch->version : 0;
+}
+
 uint64_t
 wt_query_gap_us(const wt_watch *watch)
 {
--- a/packages/exchange/src/watch.h
+++ b/packages/exchange/src/watch.h
@@ -58,6 +58,8 @@
 /* queries */
 /* When the call was sent whose answer told the table last; 0: never. */
 uint64_t wt_query_fresh_us(const wt_watch *watch);
+/* Of the store, up to which the table is known from it; 0: not yet. */
+uint64_t wt_query_version(const wt_watch *watch);
 /* Length of the last interruption and when it ended; 0: none. */
 uint64_t wt_query_gap_us(const wt_watch *watch);
 uint64_t wt_query_regained_us(const wt_watch *watch);
