Few instances hold servers among many; one watch tries a store that is away

Cause: at 72 instances renewals (14 a second) and reads of the own table (9 a second) were half of all calls; most instances hold no server or one. Now of more than 24 instances so many hold servers that each has about three; the others renew at a quarter of the rate. The own table's digest goes with the words of load, as news of it may be lost. While the store is away one of an instance's three watches tries it.

--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -270,8 +270,23 @@
     g_ptr_array_add(all->uses, use);
 }
 
+static bool
+_gp_fill_table(gp_peers *peers, Lacewing__Exchange__TableWord *message,
+               nw_table table, const gp_known *known)
+{
+    uint64_t now_us = lp_query_now_us(peers->desc.loop);
+    if (known->at_us == 0 || known->at_us > now_us) {
+        return false;
+    }
+    lacewing__exchange__table_word__init(message);
+    message->table = table;
+    message->digest = known->digest;
+    message->age_ms = (uint32_t)((now_us - known->at_us) / 1000);
+    return true;
+}
+
 void
-gp_tell_load(gp_peers *peers)
+gp_tell_load(gp_peers *peers, const gp_known *own)
 {
     _gp_loads all = {peers, g_ptr_array_new_with_free_func(g_free),
                      g_ptr_array_new_with_free_func(g_free)};
@@ -282,6 +297,10 @@
     word.loads = (Lacewing__Exchange__ServerLoad **)all.loads->pdata;
     word.n_uses = all.uses->len;
     word.uses = (Lacewing__Exchange__Use **)all.uses->pdata;
+    Lacewing__Exchange__TableWord table;
+    Lacewing__Exchange__TableWord *tables[] = {&table};
+    word.n_tables = _gp_fill_table(peers, &table, NW_OWN, own);
+    word.tables = tables;
     if (word.n_loads || word.n_uses) {
         _gp_send(peers, &word, NULL);
     }
@@ -320,15 +339,10 @@
 gp_tell_table(gp_peers *peers, nw_table table, const gp_known *known,
               const GArray *rows)
 {
-    uint64_t now_us = lp_query_now_us(peers->desc.loop);
-    if (known->at_us == 0 || known->at_us > now_us) {
+    Lacewing__Exchange__TableWord message;
+    if (!_gp_fill_table(peers, &message, table, known)) {
         return;
     }
-    Lacewing__Exchange__TableWord message =
-        LACEWING__EXCHANGE__TABLE_WORD__INIT;
-    message.table = table;
-    message.digest = known->digest;
-    message.age_ms = (uint32_t)((now_us - known->at_us) / 1000);
     Lacewing__Exchange__TableWord *tables[] = {&message};
     Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
     word.n_tables = 1;
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -60,8 +60,9 @@
 void gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number,
                     bool again);
 /* Tells all others the requests under way here, where their number changed or
-   the last word is old, and uses since last time. */
-void gp_tell_load(gp_peers *peers);
+   the last word is old, and uses since last time; with what is known of the
+   own table, whose news may have been lost. */
+void gp_tell_load(gp_peers *peers, const gp_known *own);
 /* Tells all others what is known of one of the store's tables, and dl_rows of
    it that are new; a few small ones at the most, else they ask the store. */
 void gp_tell_table(gp_peers *peers, nw_table table, const gp_known *known,
--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -6,6 +6,8 @@
 /* Added to the lease before another instance orders: clocks drift and timers
    fire late. */
 #define _LE_MARGIN_MS 300
+/* Four times the instances of the deployments that are served now. */
+#define _LE_MANY 24
 
 /* -- private: results ----------------------------------------------------- */
 
@@ -47,6 +49,11 @@
         g_hash_table_remove(lease->peers, lease->tx_peer);
         break;
     case LE_TX_CLAIM:
+        if (lease->idle) {
+            lease->next_renew_us = now_us; /* as a holder from now on */
+        }
+        _le_take_servers(lease, now_us, version);
+        break;
     case LE_TX_EVEN:
     case LE_TX_PRUNE:
         _le_take_servers(lease, now_us, version);
@@ -109,6 +116,7 @@
     lease->quiet_us = lease->lease_us + _LE_MARGIN_MS * 1000ULL;
     lease->renew_us =
         desc->renew_ms ? desc->renew_ms * 1000ULL : lease->lease_us / 3;
+    lease->many = desc->many ? desc->many : _LE_MANY;
     lease->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, le_free_peer);
     lease->servers =
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -18,6 +18,9 @@
  * are versions of the store, so they rise also where rows were removed. One
  * that holds more than others gives servers up for them, one at a time.
  *
+ * Where there are many instances, those that are meant to hold no server renew
+ * more rarely, and take so much longer to be ended.
+ *
  *     le_feed_row(lease, now_us, "i/b", value, 17);
  *     if (le_next_tx(lease, now_us, &tx)) { write it; le_feed_result(...); }
  *     if (le_query_fence(lease, clock_us, server_id)) { order }
@@ -41,6 +44,8 @@
     uint64_t incarnation; /* required, another at each start */
     uint32_t lease_ms;    /* holders are this far apart; default 3000 */
     uint32_t renew_ms;    /* default lease_ms / 3 */
+    uint32_t many;        /* above so many instances only some hold servers;
+                             default 24 */
 } le_desc;
 
 typedef struct le_peer {
--- a/packages/exchange/src/lease_claim.c
+++ b/packages/exchange/src/lease_claim.c
@@ -8,6 +8,10 @@
    start together share the servers. */
 #define _LE_SETTLE_MS 1000
 
+/* Of many instances so many hold the servers of a zone that each has about
+   three: as in the deployments that are served now. */
+#define _LE_SERVERS_EACH 3
+
 /* -- private: who should have what ---------------------------------------- */
 
 static gint
@@ -51,18 +55,21 @@
     return names;
 }
 
-/* Place of a server among those of its zone, by id. */
+/* Place of a server among those of its zone, by id, and their number. */
 static uint32_t
-_le_rank(const le_lease *lease, const le_server_row *server)
+_le_rank(const le_lease *lease, const le_server_row *server, uint32_t *count)
 {
     uint32_t rank = 0;
+    *count = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, lease->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const le_server_row *other = value;
-        rank += other->zone && strcmp(other->zone, server->zone) == 0 &&
-                strcmp(other->id, server->id) < 0;
+        if (other->zone && strcmp(other->zone, server->zone) == 0) {
+            rank += strcmp(other->id, server->id) < 0;
+            (*count)++;
+        }
     }
     return rank;
 }
@@ -78,9 +85,14 @@
         g_ptr_array_unref(names);
         names = _le_live_names(lease, NULL, now_us);
     }
-    return names->len
-               ? g_strdup(names->pdata[_le_rank(lease, server) % names->len])
-               : NULL;
+    uint32_t servers = 0;
+    uint32_t rank = _le_rank(lease, server, &servers);
+    uint32_t holders = names->len;
+    if (le_query_live(lease) > lease->many) {
+        holders =
+            MIN(holders, (servers + _LE_SERVERS_EACH - 1) / _LE_SERVERS_EACH);
+    }
+    return holders ? g_strdup(names->pdata[rank % holders]) : NULL;
 }
 
 static bool
@@ -91,6 +103,22 @@
     return meant && le_is_self(lease, meant);
 }
 
+bool
+le_is_holder(const le_lease *lease, uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, lease->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const le_server_row *server = value;
+        if (le_row_is_own(lease, server) ||
+            (server->zone && _le_meant_for_self(lease, server, now_us))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* The row names this incarnation, whether it orders still or not. */
 bool
 le_row_is_own(const le_lease *lease, const le_server_row *server)
--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -50,6 +50,8 @@
     uint64_t lease_us;
     uint64_t quiet_us;
     uint64_t renew_us;
+    uint32_t many;
+    bool idle; /* holds nothing and is not meant to, when it last renewed */
     GHashTable *peers;   /* name -> le_peer_row, ourselves too */
     GHashTable *servers; /* id -> le_server_row */
     bool known;          /* the own table has been read */
@@ -88,6 +90,8 @@
 uint64_t le_takeover_us(const le_lease *lease, const le_peer_row *peer);
 char *le_meant_for(const le_lease *lease, const le_server_row *server,
                    uint64_t now_us);
+/* Has a server, or is meant to have one. */
+bool le_is_holder(const le_lease *lease, uint64_t now_us);
 bool le_row_is_own(const le_lease *lease, const le_server_row *server);
 bool le_holds(const le_lease *lease, const le_server_row *server);
 bool le_may_claim(const le_lease *lease, le_server_row *server,
--- a/packages/exchange/src/lease_tx.c
+++ b/packages/exchange/src/lease_tx.c
@@ -10,6 +10,8 @@
    times: at 83 instances one in 5 s, some 17 writes a second over all. */
 #define _LE_RENEW_PER_INSTANCE 0.06
 #define _LE_RENEW_MOST 5.0
+/* An instance that holds nothing is only a name for others to write to. */
+#define _LE_RENEW_IDLE 4.0
 /* Between two servers that are given up for evenness: each is without orders
    for a lease's time. */
 #define _LE_EVEN_MS 700
@@ -48,7 +50,9 @@
 le_renew_us(const le_lease *lease)
 {
     double times = 1.0 + le_query_live(lease) * _LE_RENEW_PER_INSTANCE;
-    return (uint64_t)((double)lease->renew_us * MIN(times, _LE_RENEW_MOST));
+    times = MIN(times, _LE_RENEW_MOST);
+    return (uint64_t)((double)lease->renew_us * times *
+                      (lease->idle ? _LE_RENEW_IDLE : 1.0));
 }
 
 uint64_t
@@ -218,6 +222,9 @@
         return LE_TX_NONE;
     }
     if (now_us >= lease->next_renew_us) {
+        lease->idle = lease->registered &&
+                      le_query_live(lease) > lease->many &&
+                      !le_is_holder(lease, now_us);
         lease->tx_valid_us = le_valid_us(lease);
         _le_write_renewal(lease);
         return LE_TX_RENEW;
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -188,14 +188,21 @@
     }
 }
 
-void
-nd_tell_table(nd_node *node, nw_table table)
+static gp_known
+_nd_known(const nd_node *node, nw_table table)
 {
     gp_known known = {nd_query_digest(node, table),
                       wt_query_fresh_us(nd_watch_of(node, table))};
     if (table == NW_OWN) {
         known.at_us = MAX(known.at_us, node->own_written_us);
     }
+    return known;
+}
+
+void
+nd_tell_table(nd_node *node, nw_table table)
+{
+    gp_known known = _nd_known(node, table);
     gp_tell_table(node->peers, table, &known,
                   nw_query_rows(node->news, table));
     nw_clear_rows(node->news, table);
@@ -219,7 +226,8 @@
     if (clock_us >=
         node->told_loads_us + _nd_tell_pause_us(node, _ND_TELL_LOADS_US)) {
         node->told_loads_us = clock_us;
-        gp_tell_load(node->peers);
+        gp_known own = _nd_known(node, NW_OWN);
+        gp_tell_load(node->peers, &own);
     }
     if (clock_us >=
         node->told_servers_us + _nd_tell_pause_us(node, _ND_TELL_SERVERS_US)) {
@@ -296,6 +304,7 @@
                                 .table = table,
                                 .pause_ms = pause_ms,
                                 .wait_ms = _ND_FEED_WAIT_MS,
+                                .group = &node->store,
                                 .calls = calls,
                                 .user_data = node});
 }
@@ -403,6 +412,7 @@
     nd_node *node = g_new0(nd_node, 1);
     node->desc = *desc;
     node->incarnation = ((uint64_t)g_random_int() << 20) | 1;
+    node->store.watches = g_ptr_array_new();
     node->news = nw_create();
     node->tx_rows = dl_make_rows();
     node->lapsed =
@@ -443,6 +453,7 @@
     rc_unref(node->table);
     g_hash_table_unref(node->lapsed);
     nw_destroy(node->news);
+    g_ptr_array_unref(node->store.watches);
     g_array_unref(node->tx_rows);
     g_clear_pointer(&node->read_servers, g_hash_table_unref);
     g_free(node);
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -23,6 +23,7 @@
     xc_core *core;
     cr_port *callers;
     cr_port *pages;
+    wt_group store;
     wt_watch *operator_watch;
     wt_watch *server_watch;
     wt_watch *own_watch;
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -13,6 +13,9 @@
    chance. */
 #define _WT_RETRY_MS 150
 #define _WT_RETRY_LONGEST_MS 600
+/* Of the watches that wait for another one's answer, in case that one has
+   lost more than the store. */
+#define _WT_RETRY_OTHERS_MS 3000
 /* Calls for changes that others tell of are this far apart at least. */
 #define _WT_HURRY_US 150000
 /* An answer tells the table as it was so long ago at the most, unless the
@@ -86,15 +89,36 @@
         lg_write(LG_STORE_LOST, "table", watch->table, "why", why, NULL);
     }
     watch->failures++;
-    uint32_t delay_ms =
-        MIN(_WT_RETRY_MS << MIN(watch->failures, 2), _WT_RETRY_LONGEST_MS);
+    wt_group *group = watch->desc.group;
+    group->tries = group->tries ? group->tries : watch;
+    uint32_t delay_ms = group->tries == watch
+                            ? MIN(_WT_RETRY_MS << MIN(watch->failures, 2),
+                                  _WT_RETRY_LONGEST_MS)
+                            : _WT_RETRY_OTHERS_MS;
     _wt_ask_in(watch,
                delay_ms / 2 + (uint32_t)g_random_int_range(0, (int)delay_ms));
 }
 
+/* The store answers again: the others need not wait. */
+static void
+_wt_wake_others(const wt_watch *watch)
+{
+    wt_group *group = watch->desc.group;
+    group->tries = NULL;
+    for (guint i = 0; i < group->watches->len; i++) {
+        wt_watch *other = group->watches->pdata[i];
+        if (other != watch && other->lost && other->timer.id) {
+            _wt_ask_in(other, 1);
+        }
+    }
+}
+
 static void
 _wt_good(wt_watch *watch, uint64_t version)
 {
+    if (watch->desc.group->tries) {
+        _wt_wake_others(watch);
+    }
     uint64_t now_us = lp_query_now_us(watch->desc.loop);
     if (watch->fresh_us && now_us - watch->fresh_us >
                                _WT_GAP_US + watch->desc.wait_ms * 1000ULL) {
@@ -242,11 +266,12 @@
 wt_watch *
 wt_create(const wt_desc *desc)
 {
-    g_assert(desc->client && desc->dialect && desc->calls);
+    g_assert(desc->client && desc->dialect && desc->calls && desc->group);
     wt_watch *watch = g_new0(wt_watch, 1);
     watch->desc = *desc;
     watch->address = g_strdup(desc->address);
     watch->table = g_strdup(desc->table);
+    g_ptr_array_add(watch->desc.group->watches, watch);
     if (!watch->desc.wait_ms) {
         watch->desc.wait_ms = _WT_WAIT_MS;
     }
@@ -260,6 +285,10 @@
     if (!watch) {
         return;
     }
+    g_ptr_array_remove(watch->desc.group->watches, watch);
+    if (watch->desc.group->tries == watch) {
+        watch->desc.group->tries = NULL;
+    }
     if (watch->alive) {
         *watch->alive = false;
     }
--- a/packages/exchange/src/watch.h
+++ b/packages/exchange/src/watch.h
@@ -30,6 +30,13 @@
     void (*fresh)(uint64_t version, void *user_data);
 } wt_calls;
 
+/* Watches of one store: while it is away one of them tries it, the others
+   when that one has its answer. */
+typedef struct wt_group {
+    wt_watch *tries; /* NULL: the store is not known to be away */
+    GPtrArray *watches;
+} wt_group;
+
 typedef struct wt_desc {
     hc_client *client;         /* required */
     lp_loop *loop;             /* required */
@@ -40,6 +47,7 @@
     uint32_t pause_ms;         /* between two answers; up to as much
                                   more by chance */
     uint32_t wait_ms;          /* the store holds a call; default 3000 */
+    wt_group *group;           /* required */
     const wt_calls *calls;     /* required */
     void *user_data;
 } wt_desc;
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -41,6 +41,7 @@
     uint64_t version;
     bool down;
     uint32_t lose_pct;
+    uint32_t many; /* le_desc.many: some instances hold nothing above it */
     node nodes[INSTANCES];
     GPtrArray *late;           /* late_tx */
     char last_holder[SERVERS]; /* index + 1 of who ordered last */
@@ -155,7 +156,8 @@
                    .zone = zones[i],
                    .address = "127.0.0.1:1",
                    .incarnation = ((uint64_t)g_rand_int(w->random) << 20) | 1,
-                   .lease_ms = LEASE_MS});
+                   .lease_ms = LEASE_MS,
+                   .many = w->many});
     for (int s = 0; s < SERVERS; s++) {
         char id[16];
         char zone[4];
@@ -308,6 +310,7 @@
     world *w = g_new0(world, 1);
     w->now_us = 1000 * MS;
     w->random = g_rand_new_with_seed(seed);
+    w->many = seed % 2 ? 3 : 0;
     w->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_row);
     w->late = g_ptr_array_new();
     for (int i = 0; i < INSTANCES; i++) {
