Loads are told every 100 ms among few instances, 300 ms among many

Cause: what is known of other instances' requests is up to 250 ms old, about the time of a stream's first pauses. Among 72 instances the pause is about what it was.

--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -11,10 +11,11 @@
 /* Callers' time-outs, idle connections, lapsed servers. */
 #define _ND_SLOW_TICK_MS 100
 #define _ND_CONTROL_MS 50
-/* Requests under way that changed are told to each other instance this often:
-   several times while such word is trusted (fleet.c). */
+/* Requests under way that changed are told to each other instance this often,
+   at 72 instances three times as rarely; still more rarely, more streams were
+   late (docs/MEASURES.md). */
 #define _ND_TELL_MS 50
-#define _ND_TELL_LOADS_US 240000
+#define _ND_TELL_LOADS_US 90000
 /* What servers hold is told again, for datagrams that were lost. */
 #define _ND_TELL_SERVERS_US 1000000
 /* Above so many instances the pauses grow with their number, up to three
@@ -208,14 +209,13 @@
     nw_clear_rows(node->news, table);
 }
 
-/* What servers hold is told again the more rarely, the more instances tell
-   it to each other. */
+/* Words are rarer where many instances tell them to each other. */
 static uint64_t
-_nd_tell_servers_us(const nd_node *node)
+_nd_tell_pause_us(const nd_node *node, uint64_t pause_us)
 {
     uint32_t live = le_query_live(node->lease);
-    return (uint64_t)_ND_TELL_SERVERS_US *
-           CLAMP(live, _ND_TELL_INSTANCES, _ND_TELL_MOST) / _ND_TELL_INSTANCES;
+    return pause_us * CLAMP(live, _ND_TELL_INSTANCES, _ND_TELL_MOST) /
+           _ND_TELL_INSTANCES;
 }
 
 static void
@@ -224,12 +224,14 @@
     (void)now_us;
     nd_node *node = user_data;
     uint64_t clock_us = lp_query_now_us(node->desc.loop);
-    if (clock_us >= node->told_loads_us + _ND_TELL_LOADS_US) {
+    if (clock_us >=
+        node->told_loads_us + _nd_tell_pause_us(node, _ND_TELL_LOADS_US)) {
         node->told_loads_us = clock_us;
         gp_known own = _nd_known(node, NW_OWN);
         gp_tell_load(node->peers, &own);
     }
-    if (clock_us >= node->told_servers_us + _nd_tell_servers_us(node)) {
+    if (clock_us >=
+        node->told_servers_us + _nd_tell_pause_us(node, _ND_TELL_SERVERS_US)) {
         node->told_servers_us = clock_us;
         fl_each_server(node->fleet, _nd_tell_held, node);
     }
