Holders that do not answer an ask are passed over

A holder now answers each ask with its server's state; one that does not within 150 ms is passed over for 3 s.

--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -77,6 +77,8 @@
     X(LG_SERVER_GONE, INFO, "fleet", "backend server gone")                   \
     X(LG_HOLDER_BEGAN, INFO, "orders", "orders a backend server")             \
     X(LG_HOLDER_ENDED, INFO, "orders", "orders a backend server no more")     \
+    X(LG_HOLDER_SILENT, WARNING, "orders",                                    \
+      "holder of a backend server does not answer")                           \
     X(LG_ORDER_ASKED, INFO, "orders", "load asked for")                       \
     X(LG_ORDER_SENT, DEBUG, "orders", "order")                                \
     X(LG_ORDER_FAILED, WARNING, "orders", "order without effect")             \
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -95,8 +95,11 @@
     uint32_t failed_in_row;
     uint64_t shunned_until_us;
     bool orders_possible; /* an instance may give it orders now */
-    void *pool;           /* of the exchange: its connections */
-    void *orders;         /* of the exchange: its orders, if owned here */
+    /* Its holder was asked for a load and has not answered since; 0: none. */
+    uint64_t asked_us;
+    uint64_t holder_silent_until_us; /* taken to give no orders */
+    void *pool;                      /* of the exchange: its connections */
+    void *orders; /* of the exchange: its orders, if owned here */
 };
 
 typedef struct fl_want {
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -184,12 +184,10 @@
     return true;
 }
 
-void
-gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number, bool again)
+static void
+_gp_send_state(gp_peers *peers, fl_server *server, uint64_t number,
+               const char *only)
 {
-    if (!_gp_is_new(peers, server) && !again) {
-        return;
-    }
     _gp_state state = {.models = g_ptr_array_new_with_free_func(g_free),
                        .copies = g_ptr_array_new_with_free_func(g_free)};
     lacewing__exchange__server_state__init(&state.message);
@@ -208,7 +206,7 @@
     Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
     word.n_servers = 1;
     word.servers = servers;
-    _gp_send(peers, &word, NULL);
+    _gp_send(peers, &word, only);
     for (guint i = 0; i < state.models->len; i++) {
         g_free(((Lacewing__Exchange__ModelState *)state.models->pdata[i])
                    ->copies);
@@ -217,6 +215,14 @@
     g_ptr_array_unref(state.copies);
 }
 
+void
+gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number, bool again)
+{
+    if (_gp_is_new(peers, server) || again) {
+        _gp_send_state(peers, server, number, NULL);
+    }
+}
+
 typedef struct _gp_loads {
     gp_peers *peers;
     GPtrArray *loads; /* ServerLoad */
@@ -413,20 +419,25 @@
             fl_drop_copy(server, copy->adapter);
         }
     }
+    server->asked_us = 0;
+    server->holder_silent_until_us = 0;
     peers->desc.calls->changed(server, peers->desc.user_data);
 }
 
 static void
-_gp_take_ask(gp_peers *peers, const Lacewing__Exchange__LoadAsk *ask)
+_gp_take_ask(gp_peers *peers, const Lacewing__Exchange__LoadAsk *ask,
+             const char *from)
 {
     fl_server *server = fl_query_server(peers->desc.fleet, ask->server);
     if (!server) {
         return;
     }
     g_autofree char *key = g_strdup_printf("%s/%s", ask->model, ask->adapter);
-    peers->desc.calls->asked(server, fl_intern(peers->desc.fleet, key),
-                             *ask->request ? ask->request : NULL,
-                             peers->desc.user_data);
+    if (peers->desc.calls->asked(server, fl_intern(peers->desc.fleet, key),
+                                 *ask->request ? ask->request : NULL,
+                                 peers->desc.user_data)) {
+        _gp_send_state(peers, server, peers->desc.calls->number(server), from);
+    }
 }
 
 static void
@@ -478,7 +489,7 @@
         }
     }
     for (size_t i = 0; i < word->n_asks; i++) {
-        _gp_take_ask(peers, word->asks[i]);
+        _gp_take_ask(peers, word->asks[i], word->instance);
     }
 }
 
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -31,9 +31,12 @@
     /* Another instance knew this of a table; at_us on this one's clock. */
     void (*known)(nw_table table, const gp_known *known, void *user_data);
     /* Another instance asks this one to load an adapter, for a request; NULL:
-       for one that is not logged. */
-    void (*asked)(fl_server *server, fl_adapter *adapter, const char *request,
+       for one that is not logged. True: it orders that server, and tells so.
+     */
+    bool (*asked)(fl_server *server, fl_adapter *adapter, const char *request,
                   void *user_data);
+    /* Of the last change that is known of a server held here. */
+    uint64_t (*number)(const fl_server *server);
     /* What a server holds has changed, as its holder tells. */
     void (*changed)(fl_server *server, void *user_data);
 } gp_calls;
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -4,6 +4,10 @@
 #include "lacewing/log.h"
 #include <string.h>
 
+/* Between zones a datagram and its answer take some ms. */
+#define _ND_ASK_ANSWER_US 150000
+/* About the time of a lease, after which another instance may hold it. */
+#define _ND_HOLDER_SILENT_US 3000000
 /* Left of the grace period when the last answers are broken off. */
 #define _ND_LAST_US 500000
 /* Requests that wait or time out are looked at this often. */
@@ -46,12 +50,14 @@
            void *user_data)
 {
     nd_node *node = user_data;
-    if (!or_want(node->orderer, server, adapter)) {
-        gp_ask(node->peers, server, adapter, request);
+    if (!or_want(node->orderer, server, adapter) &&
+        gp_ask(node->peers, server, adapter, request) &&
+        server->asked_us == 0) {
+        server->asked_us = lp_query_now_us(node->desc.loop);
     }
 }
 
-static void
+static bool
 _nd_on_asked(fl_server *server, fl_adapter *adapter, const char *request,
              void *user_data)
 {
@@ -61,6 +67,7 @@
         lg_write(LG_ORDER_ASKED, "request", request, "server", server->id,
                  "adapter", adapter->key, "held", held ? "yes" : "no", NULL);
     }
+    return held;
 }
 
 static void
@@ -101,7 +108,8 @@
                                         .mismatch = _nd_on_mismatch,
                                         .live = _nd_live,
                                         .config_fresh = _nd_config_fresh};
-static const gp_calls _nd_peer_calls = {.row = nd_on_told_row,
+static const gp_calls _nd_peer_calls = {.number = or_query_number,
+                                        .row = nd_on_told_row,
                                         .known = nd_on_known,
                                         .asked = _nd_on_asked,
                                         .changed = nd_wake_server};
@@ -158,12 +166,28 @@
     or_tick(node->orderer);
 }
 
+/* A holder answers each ask at once. One that does not is gone, cut off, or
+   has no lease any more: others are asked for some time. */
+static void
+_nd_note_silence(fl_server *server, uint64_t now_us)
+{
+    if (server->asked_us && now_us >= server->asked_us + _ND_ASK_ANSWER_US) {
+        server->asked_us = 0;
+        server->holder_silent_until_us = now_us + _ND_HOLDER_SILENT_US;
+        lg_write(LG_HOLDER_SILENT, "server", server->id, NULL);
+    }
+}
+
 static void
 _nd_mark_orders(fl_server *server, void *user_data)
 {
     nd_node *node = user_data;
-    server->orders_possible = or_query_held(server) ||
-                              le_query_holder(node->lease, server->id) != NULL;
+    uint64_t now_us = lp_query_now_us(node->desc.loop);
+    _nd_note_silence(server, now_us);
+    server->orders_possible =
+        or_query_held(server) ||
+        (now_us >= server->holder_silent_until_us &&
+         le_query_holder(node->lease, server->id) != NULL);
 }
 
 static void
