--- a/packages/common/include/lacewing/histogram.h
+++ b/packages/common/include/lacewing/histogram.h
@@ -22,9 +22,7 @@
     X(HG_FIRST_PIECE, "first_piece_seconds",                                  \
       "From a request to the first piece of its stream")                      \
     X(HG_ANSWER, "answer_seconds", "From a request to its whole answer")      \
-    X(HG_LOAD, "load_seconds",                                                \
-      "From an order to what it loads, as the "                               \
-      "instance that orders sees it")                                         \
+    X(HG_LOAD, "load_seconds", "From an order of a load to its end")          \
     X(HG_STORE_CALL, "store_call_seconds", "Calls of the platform's store")
 
 /* code, value of the label kind */
