packages/platform is packages/store

Two folders were called platform: the users' platform at the root, and the table, object store and list of instances of a deployment of our own. No code changed.

--- a/packages/admin/include/lacewing/admin.h
+++ b/packages/admin/include/lacewing/admin.h
@@ -29,7 +29,7 @@
 #define LACEWING_ADMIN_H
 
 #include "lacewing/config.h"
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 #include <libsoup/soup.h>
 
 #define AD_BODY_BYTES_MAX (512 * 1024)
--- a/packages/control/include/lacewing/control.h
+++ b/packages/control/include/lacewing/control.h
@@ -30,7 +30,7 @@
 #define LACEWING_CONTROL_H
 
 #include "lacewing/error.h"
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
--- a/packages/standins/src/platform_api.c
+++ b/packages/standins/src/platform_api.c
@@ -1,7 +1,7 @@
 #include "platform_api.h"
 
 #include "instance_list.h"
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 #include "table_api.h"
 
 struct pa_platform {
--- a/packages/standins/src/table_api.c
+++ b/packages/standins/src/table_api.c
@@ -1,6 +1,6 @@
 #include "table_api.h"
 
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 
 #define _TA_LIMIT 1000
 
--- a/packages/standins/src/table_api.h
+++ b/packages/standins/src/table_api.h
@@ -1,7 +1,7 @@
 /*
  * table_api.h: the stand-in's table calls (prefix ta_).
  *
- * HTTP and JSON in front of the table in memory of lacewing/platform.h.
+ * HTTP and JSON in front of the table in memory of lacewing/store.h.
  *
  *     ta_api *table = ta_create(shell);
  *     ta_handle(table, message, "/table/row", query);
--- a/packages/platform/include/lacewing/platform.h
+++ b/packages/store/include/lacewing/store.h
@@ -1,5 +1,5 @@
 /*
- * platform.h: the platform's services (prefix pf_).
+ * store.h: the store of a deployment of our own (prefix pf_).
  *
  * What the system needs of the platform, each behind a small vtable: a
  * transactional table, an object store, and the list of instances. (Backend
@@ -18,8 +18,8 @@
  *
  * Limits: one main context; values up to PF_VALUE_BYTES.
  */
-#ifndef LACEWING_PLATFORM_H
-#define LACEWING_PLATFORM_H
+#ifndef LACEWING_STORE_H
+#define LACEWING_STORE_H
 
 #include "lacewing/error.h"
 #include <glib.h>
--- a/packages/platform/src/http.h
+++ b/packages/store/src/http.h
@@ -12,10 +12,10 @@
  *
  * Limits: one main context; answers up to 64 MiB by libsoup's own bounds.
  */
-#ifndef LACEWING_PLATFORM_HTTP_H
-#define LACEWING_PLATFORM_HTTP_H
+#ifndef LACEWING_STORE_HTTP_H
+#define LACEWING_STORE_HTTP_H
 
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 
 /* ER_OK: a 2xx answer with its body. ER_CONFLICT: 409 with its body.
    ER_NOT_FOUND: 404. ER_BAD_REQUEST: other 4xx. ER_PLATFORM_DOWN: 5xx or no
--- a/packages/platform/src/rows.h
+++ b/packages/store/src/rows.h
@@ -11,7 +11,7 @@
 #ifndef LACEWING_PLATFORM_ROWS_H
 #define LACEWING_PLATFORM_ROWS_H
 
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 
 /* Unref with g_array_unref(). */
 GArray *rw_create(void);
--- a/packages/platform/src/platform.c
+++ b/packages/store/src/store.c
@@ -1,4 +1,4 @@
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 
 void
 pf_table_destroy(pf_table *table)
--- a/packages/platform/tests/test_http.c
+++ b/packages/store/tests/test_http.c
@@ -1,5 +1,5 @@
 /* Tests of the HTTP adapters against a server inside the test. */
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 #include <check.h>
 #include <libsoup/soup.h>
 #include <stdlib.h>
--- a/packages/platform/tests/test_memory_table.c
+++ b/packages/store/tests/test_memory_table.c
@@ -1,5 +1,5 @@
 /* Tests of the table in memory and its faults. */
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
--- a/packages/tool/src/init.h
+++ b/packages/tool/src/init.h
@@ -10,7 +10,7 @@
 #define LACEWING_TOOL_INIT_H
 
 #include "lacewing/config.h"
-#include "lacewing/platform.h"
+#include "lacewing/store.h"
 
 /* Bytes of edits in one change, beside its last group. */
 #define TL_INIT_PART_BYTES (128 * 1024)
