Instances that are gone are followed where reads of the own table are rare

Cause: an answer of the store more than 1.5 s after the one before counted as an interruption, after which others get a lease's time to renew. Reads of the own table are 1.5 to 3 s apart at 6 instances and 5.6 to 11 s at 72, so most or all of them were interruptions and a gone instance's row was removed late or never; its servers had no orders until the machine came back. Found by reading. Now pauses that are usual do not count.

--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -183,6 +183,9 @@
 {
     nd_node *node = user_data;
     uint64_t now_us = lp_query_now_us(node->desc.loop);
+    if (or_query_held(server)) {
+        server->asked_us = 0; /* it came to us meanwhile */
+    }
     _nd_note_silence(server, now_us);
     server->orders_possible =
         or_query_held(server) ||
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -21,7 +21,8 @@
 /* An answer tells the table as it was so long ago at the most, unless the
    call itself was sent later. */
 #define _WT_WAY_US 100000
-/* Answers further apart are an interruption. */
+/* Answers that are so much further apart than they may be are an
+   interruption. */
 #define _WT_GAP_US 1500000
 
 struct wt_watch {
@@ -120,8 +121,9 @@
         _wt_wake_others(watch);
     }
     uint64_t now_us = lp_query_now_us(watch->desc.loop);
-    if (watch->fresh_us && now_us - watch->fresh_us >
-                               _WT_GAP_US + watch->desc.wait_ms * 1000ULL) {
+    uint64_t usual_us =
+        (watch->desc.pause_ms * 2ULL + watch->desc.wait_ms) * 1000;
+    if (watch->fresh_us && now_us - watch->fresh_us > usual_us + _WT_GAP_US) {
         watch->gap_us = now_us - watch->fresh_us;
         watch->regained_us = now_us;
     }
