A removed instance's name is compared before it is freed

Cause: le_end_read() hands le_feed_instance() the name of the row that it removes (address sanitizer, test_lease: heap-use-after-free, read of a name).

--- a/packages/exchange/src/lease_rows.c
+++ b/packages/exchange/src/lease_rows.c
@@ -71,9 +71,10 @@
         return;
     }
     if (!row->value) {
+        /* The name may be that of the row which is freed here. */
+        bool self = le_is_self(lease, name);
         g_hash_table_remove(lease->peers, name);
-        if (le_is_self(lease, name) && lease->registered &&
-            row->version > lease->row_version) {
+        if (self && lease->registered && row->version > lease->row_version) {
             le_lose(lease);
         }
         return;
