Read once more: one record a server in gossip, one way to replace what is held, less that is unused

Ruled out: the twins of generated protobuf-c code, of X-macros, and of set-ups that differ in what they check.

--- a/packages/common/include/lacewing/histogram.h
+++ b/packages/common/include/lacewing/histogram.h
@@ -53,7 +53,6 @@
 void hg_observe(hg_item item, hg_label label, uint64_t time_us);
 
 /* queries */
-uint64_t hg_query_count(hg_item item, hg_label label);
 /* Adds all that were observed to a metrics page. */
 void hg_append_text(GString *page);
 const char *hg_query_name(hg_item item);
--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -27,6 +27,9 @@
     LG_LEVEL_NUM
 } lg_level;
 
+/* Names of the levels from debug on, for settings; NULL-terminated. */
+extern const char *const lg_level_choices[];
+
 /* code, level, part, text */
 #define LG_ITEMS(X)                                                           \
     X(LG_STARTED, INFO, "daemon", "started")                                  \
@@ -131,8 +134,6 @@
 
 /* Lines that were dropped because the output took none. */
 uint64_t lg_query_dropped(void);
-/* An entry of this item would be written: for fields that cost time. */
-bool lg_query_writes(lg_item item);
 
 /* Level of a name ("debug"...); LG_LEVEL_NUM when it is not one. */
 lg_level lg_query_level(const char *name);
--- a/packages/common/include/lacewing/settings.h
+++ b/packages/common/include/lacewing/settings.h
@@ -51,6 +51,14 @@
     const char *help;
 } st_key;
 
+/* A string of a struct, under the name of its field. */
+#define ST_KEY_STRING(struct_, group_, field, fallback_, help_)               \
+    {                                                                         \
+        .group = (group_), .name = #field, .type = ST_STRING,                 \
+        .offset = offsetof(struct_, field), .fallback = (fallback_),          \
+        .help = (help_)                                                       \
+    }
+
 typedef struct st_load_desc {
     const char *file;       /* named in messages */
     const GKeyFile *parsed; /* read from here; NULL: parse the file */
--- a/packages/common/src/histogram.c
+++ b/packages/common/src/histogram.c
@@ -49,12 +49,6 @@
     histogram->sum_us += time_us;
 }
 
-uint64_t
-hg_query_count(hg_item item, hg_label label)
-{
-    return _hg_all[item][label].count;
-}
-
 const char *
 hg_query_name(hg_item item)
 {
--- a/packages/common/src/log.c
+++ b/packages/common/src/log.c
@@ -28,6 +28,9 @@
     [LG_LEVEL_ERROR] = "error",
 };
 
+const char *const lg_level_choices[] = {"debug", "info", "warning", "error",
+                                        NULL};
+
 static struct {
     bool valid;
     lg_level level;
@@ -219,12 +222,6 @@
     return (uint32_t)(hs_u64(request) >> 32) <= _lg.share;
 }
 
-bool
-lg_query_writes(lg_item item)
-{
-    return _lg.valid && _lg_entries[item].level >= _lg.level;
-}
-
 void
 lg_write(lg_item item, ...)
 {
--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -1,16 +1,10 @@
 #include "settings.h"
 
+#include "lacewing/log.h"
 #include "lacewing/settings.h"
 
-static const char *const _ds_levels[] = {"debug", "info", "warning", "error",
-                                         NULL};
-
 #define _DS_STRING(group_, field, fallback_, help_)                           \
-    {                                                                         \
-        .group = (group_), .name = #field, .type = ST_STRING,                 \
-        .offset = offsetof(ds_settings, field), .fallback = (fallback_),      \
-        .help = (help_)                                                       \
-    }
+    ST_KEY_STRING(ds_settings, group_, field, fallback_, help_)
 
 static const st_key _ds_keys[] = {
     _DS_STRING("daemon", instance, NULL, "Name of this instance, unique."),
@@ -49,7 +43,7 @@
      .name = "level",
      .type = ST_ENUM,
      .offset = offsetof(ds_settings, log_level),
-     .choices = _ds_levels,
+     .choices = lg_level_choices,
      .fallback = "info",
      .help = "Least level that is written."},
     {.group = "log",
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -64,7 +64,4 @@
 /* The calls that a cr_port needs. */
 const cr_calls *xc_query_caller_calls(void);
 
-/* queries */
-uint32_t xc_query_active(const xc_core *core);
-
 #endif
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -28,11 +28,27 @@
 
 /* -- private: making and freeing ------------------------------------------ */
 
+static void
+_fl_free_copy(fl_copy *copy)
+{
+    g_ptr_array_remove_fast(copy->adapter->copies, copy);
+    g_free(copy);
+}
+
+static void
+_fl_drop_copies(fl_server *server)
+{
+    for (guint i = 0; i < server->copies->len; i++) {
+        _fl_free_copy(server->copies->pdata[i]);
+    }
+    g_ptr_array_set_size(server->copies, 0);
+}
+
 static void
 _fl_free_server(void *data)
 {
     fl_server *server = data;
-    fl_drop_copies(server);
+    _fl_drop_copies(server);
     g_ptr_array_unref(server->copies);
     g_array_unref(server->peer_loads);
     g_free(server->id);
@@ -85,7 +101,7 @@
 {
     server->state = FL_GONE;
     server->orders_possible = false;
-    fl_drop_copies(server);
+    _fl_drop_copies(server);
     g_ptr_array_remove(_fl_service(fleet, server->service), server);
     g_hash_table_remove(fleet->servers, server->id);
     g_ptr_array_add(fleet->retired, server);
@@ -159,7 +175,7 @@
         server = _fl_add_server(fleet, entry);
     }
     if (anew) {
-        fl_drop_copies(server);
+        _fl_drop_copies(server);
         server->failed_in_row = 0;
         server->failing = 0;
         server->shunned_until_us = 0;
@@ -271,13 +287,6 @@
     return adapter;
 }
 
-static void
-_fl_free_copy(fl_copy *copy)
-{
-    g_ptr_array_remove_fast(copy->adapter->copies, copy);
-    g_free(copy);
-}
-
 void
 fl_drop_copy(fl_server *server, fl_adapter *adapter)
 {
@@ -289,12 +298,14 @@
 }
 
 void
-fl_drop_copies(fl_server *server)
+fl_keep_copies(fl_server *server, GHashTable *adapters)
 {
-    for (guint i = 0; i < server->copies->len; i++) {
-        _fl_free_copy(server->copies->pdata[i]);
+    for (guint i = server->copies->len; i > 0; i--) {
+        const fl_copy *copy = server->copies->pdata[i - 1];
+        if (!g_hash_table_contains(adapters, copy->adapter)) {
+            fl_drop_copy(server, copy->adapter);
+        }
     }
-    g_ptr_array_set_size(server->copies, 0);
 }
 
 /* -- public: load --------------------------------------------------------- */
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -165,7 +165,8 @@
                          const char *name, uint64_t version, bool loading,
                          uint64_t now_us);
 void fl_drop_copy(fl_server *server, fl_adapter *adapter);
-void fl_drop_copies(fl_server *server);
+/* Drops the copies of all adapters (fl_adapter *) that are not in the set. */
+void fl_keep_copies(fl_server *server, GHashTable *adapters);
 
 /* Streams that other instances had there. */
 void fl_learn_streams(fl_server *server, uint32_t streams,
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -44,12 +44,18 @@
     return server->state == FL_READY && !_fl_tried(want, server);
 }
 
+/* Requests under way for each slot. */
+static double
+_fl_fill(const fl_server *server, uint64_t now_us)
+{
+    return (double)fl_query_in_flight(server, now_us) / server->slots;
+}
+
 /* Time of work at a server with what it has to do, in ms of an event or an
    answer; only ratios count. */
 static double
-_fl_time(const fl_server *server, bool engine, uint64_t now_us)
+_fl_time(const fl_server *server, bool engine, double fill)
 {
-    double fill = (double)fl_query_in_flight(server, now_us) / server->slots;
     double time_ms = engine ? server->event_ms : server->latency_ms;
     if (time_ms <= 0) {
         time_ms = FL_EVENT_MS;
@@ -57,16 +63,22 @@
     return time_ms * (1.0 + fill + 4.0 * MAX(fill - 0.8, 0));
 }
 
+/* The same of streams, as things stand. */
+static double
+_fl_stream_time(const fl_server *server, uint64_t now_us)
+{
+    return _fl_time(server, true, _fl_fill(server, now_us));
+}
+
 /* Cost of one more request at a server; lower is better. */
 static double
 _fl_cost(fl_fleet *fleet, const fl_want *want, const fl_server *server)
 {
-    double cost = _fl_time(server, want->adapter != NULL, want->now_us) *
+    double fill = _fl_fill(server, want->now_us);
+    double cost = _fl_time(server, want->adapter != NULL, fill) *
                   fl_query_slowness(server, want->now_us);
     /* Reading a long prompt holds up the streams that run there. */
-    double running =
-        (double)fl_query_in_flight(server, want->now_us) / server->slots;
-    cost *= 1.0 + running * want->prompt_tokens / _FL_LONG_PROMPT;
+    cost *= 1.0 + fill * want->prompt_tokens / _FL_LONG_PROMPT;
     cost *= 1.0 + _FL_FAIL_COST * server->failing;
     if (want->zone && strcmp(want->zone, server->zone) != 0) {
         cost *= 1.0 + _FL_ZONE_COST;
@@ -137,8 +149,8 @@
     for (guint i = 0; list && i < list->len; i++) {
         fl_server *server = list->pdata[i];
         if (_fl_takes_copy(fleet, server, adapter, now_us) &&
-            (!best ||
-             _fl_time(server, true, now_us) < _fl_time(best, true, now_us))) {
+            (!best || _fl_stream_time(server, now_us) <
+                          _fl_stream_time(best, now_us))) {
             best = server;
         }
     }
@@ -153,8 +165,8 @@
     }
     const fl_server *other =
         _fl_best_without(fleet, want->service, want->adapter, want->now_us);
-    return other && _fl_time(server, true, want->now_us) >
-                        _fl_time(other, true, want->now_us) * _FL_DEARER;
+    return other && _fl_stream_time(server, want->now_us) >
+                        _fl_stream_time(other, want->now_us) * _FL_DEARER;
 }
 
 static void
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -25,27 +25,35 @@
 #define _GP_ROWS 16
 #define _GP_ROWS_BYTES 8192
 
-typedef struct _gp_load {
-    uint32_t in_flight;
-    uint64_t at_us;
-} _gp_load;
-
-typedef struct _gp_told {
-    uint64_t fence;
+/* What was told of a server, and by whom. */
+typedef struct _gp_server {
+    uint64_t fence; /* of the holder's last word, its number and time */
     uint64_t number;
-    uint64_t at_us;
-} _gp_told;
+    uint64_t told_us;
+    uint64_t held;      /* digest of what it holds, as told from here */
+    uint32_t in_flight; /* from here, as told last */
+    uint64_t in_flight_us;
+} _gp_server;
 
 struct gp_peers {
     gp_desc desc;
     lp_watch watch;
     char *instance;
-    GHashTable *told;  /* server id -> _gp_told */
-    GHashTable *loads; /* server id -> _gp_load, as told last; none: 0 */
-    GHashTable *held;  /* server id -> digest of what it holds, as told */
+    GHashTable *servers; /* id -> _gp_server */
     uint8_t *buffer;
 };
 
+static _gp_server *
+_gp_server_of(gp_peers *peers, const char *id)
+{
+    _gp_server *server = g_hash_table_lookup(peers->servers, id);
+    if (!server) {
+        server = g_new0(_gp_server, 1);
+        g_hash_table_insert(peers->servers, g_strdup(id), server);
+    }
+    return server;
+}
+
 /* -- private: sending ----------------------------------------------------- */
 
 typedef struct _gp_parcel {
@@ -169,19 +177,13 @@
 
 /* Notes it as told; false: the others know it. */
 static bool
-_gp_is_new(gp_peers *peers, const fl_server *server)
+_gp_note_held(gp_peers *peers, const fl_server *server)
 {
+    _gp_server *told = _gp_server_of(peers, server->id);
     uint64_t digest = _gp_held_digest(server);
-    uint64_t *told = g_hash_table_lookup(peers->held, server->id);
-    if (told && *told == digest) {
-        return false;
-    }
-    if (!told) {
-        told = g_new(uint64_t, 1);
-        g_hash_table_insert(peers->held, g_strdup(server->id), told);
-    }
-    *told = digest;
-    return true;
+    bool changed = told->held != digest;
+    told->held = digest;
+    return changed;
 }
 
 static void
@@ -218,7 +220,7 @@
 void
 gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number, bool again)
 {
-    if (_gp_is_new(peers, server) || again) {
+    if (_gp_note_held(peers, server) || again) {
         _gp_send_state(peers, server, number, NULL);
     }
 }
@@ -233,10 +235,11 @@
 _gp_add_load(fl_server *server, void *user_data)
 {
     _gp_loads *all = user_data;
-    _gp_load *told = g_hash_table_lookup(all->peers->loads, server->id);
+    _gp_server *told = _gp_server_of(all->peers, server->id);
     uint64_t now_us = lp_query_now_us(all->peers->desc.loop);
-    bool changed = server->own_in_flight != (told ? told->in_flight : 0);
-    bool old = told && now_us >= told->at_us + _GP_LOAD_AGAIN_US;
+    bool changed = server->own_in_flight != told->in_flight;
+    bool old =
+        told->in_flight && now_us >= told->in_flight_us + _GP_LOAD_AGAIN_US;
     if (!changed && !old && !server->streams_to_tell) {
         return;
     }
@@ -250,14 +253,8 @@
     server->streams_to_tell = 0;
     server->event_ms_to_tell = 0;
     g_ptr_array_add(all->loads, load);
-    if (server->own_in_flight) {
-        _gp_load *now = g_new(_gp_load, 1);
-        *now = (_gp_load){server->own_in_flight, now_us};
-        g_hash_table_replace(all->peers->loads, g_strdup(server->id), now);
-    }
-    else {
-        g_hash_table_remove(all->peers->loads, server->id);
-    }
+    told->in_flight = server->own_in_flight;
+    told->in_flight_us = now_us;
 }
 
 static void
@@ -369,18 +366,14 @@
 static bool
 _gp_is_news(gp_peers *peers, const Lacewing__Exchange__ServerState *state)
 {
-    _gp_told *told = g_hash_table_lookup(peers->told, state->id);
-    if (!told) {
-        told = g_new0(_gp_told, 1);
-        g_hash_table_insert(peers->told, g_strdup(state->id), told);
-    }
+    _gp_server *told = _gp_server_of(peers, state->id);
     if (state->fence < told->fence ||
         (state->fence == told->fence && state->number < told->number)) {
         return false;
     }
     told->fence = state->fence;
     told->number = state->number;
-    told->at_us = lp_query_now_us(peers->desc.loop);
+    told->told_us = lp_query_now_us(peers->desc.loop);
     return true;
 }
 
@@ -413,12 +406,7 @@
     for (size_t i = 0; i < state->n_models; i++) {
         _gp_take_model(peers, server, state->models[i], seen);
     }
-    for (guint i = server->copies->len; i > 0; i--) {
-        fl_copy *copy = server->copies->pdata[i - 1];
-        if (!g_hash_table_contains(seen, copy->adapter)) {
-            fl_drop_copy(server, copy->adapter);
-        }
-    }
+    fl_keep_copies(server, seen);
     server->asked_us = 0;
     server->holder_silent_until_us = 0;
     peers->desc.calls->changed(server, peers->desc.user_data);
@@ -536,11 +524,7 @@
     gp_peers *peers = g_new0(gp_peers, 1);
     peers->desc = *desc;
     peers->instance = g_strdup(desc->instance);
-    peers->told =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    peers->loads =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    peers->held =
+    peers->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     peers->buffer = g_malloc(_GP_DATAGRAM_BYTES);
     peers->watch =
@@ -557,9 +541,7 @@
     }
     lp_clear(peers->desc.loop, &peers->watch);
     close(peers->watch.fd);
-    g_hash_table_unref(peers->told);
-    g_hash_table_unref(peers->loads);
-    g_hash_table_unref(peers->held);
+    g_hash_table_unref(peers->servers);
     g_free(peers->buffer);
     g_free(peers->instance);
     g_free(peers);
@@ -568,6 +550,6 @@
 uint64_t
 gp_query_told_us(const gp_peers *peers, const fl_server *server)
 {
-    const _gp_told *told = g_hash_table_lookup(peers->told, server->id);
-    return told ? told->at_us : 0;
+    const _gp_server *told = g_hash_table_lookup(peers->servers, server->id);
+    return told ? told->told_us : 0;
 }
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -343,12 +343,7 @@
         _od_take_model(plan, now_us,
                        &g_array_index(report->models, dl_model, i), seen);
     }
-    for (guint i = plan->server->copies->len; i > 0; i--) {
-        fl_copy *copy = plan->server->copies->pdata[i - 1];
-        if (!g_hash_table_contains(seen, copy->adapter)) {
-            fl_drop_copy(plan->server, copy->adapter);
-        }
-    }
+    fl_keep_copies(plan->server, seen);
     plan->orders = report->orders;
     plan->known = true;
 }
--- a/packages/exchange/src/settings.c
+++ b/packages/exchange/src/settings.c
@@ -1,14 +1,12 @@
 #include "lacewing/exchange.h"
 
+#include "lacewing/log.h"
 #include "lacewing/settings.h"
 
 #define _ND_GROUP "exchange"
 
 #define _ND_STRING(field, help_)                                              \
-    {                                                                         \
-        .group = _ND_GROUP, .name = #field, .type = ST_STRING,                \
-        .offset = offsetof(nd_settings, field), .help = (help_)               \
-    }
+    ST_KEY_STRING(nd_settings, _ND_GROUP, field, NULL, help_)
 #define _ND_U32(field, unit_, min_, max_, fallback_, help_)                   \
     {                                                                         \
         .group = _ND_GROUP, .name = #field, .type = ST_U32,                   \
@@ -24,9 +22,6 @@
         .help = (help_)                                                       \
     }
 
-static const char *const _nd_levels[] = {"debug", "info", "warning", "error",
-                                         NULL};
-
 static const st_key _nd_keys[] = {
     _ND_STRING(instance, "Name of this instance, unique."),
     _ND_STRING(zone, "Availability zone it runs in."),
@@ -57,7 +52,7 @@
      .name = "log_level",
      .type = ST_ENUM,
      .offset = offsetof(nd_settings, log_level),
-     .choices = _nd_levels,
+     .choices = lg_level_choices,
      .fallback = "info",
      .help = "Least level that is written."},
     _ND_U32(log_requests_per_s, "requests", 1, 100000, "5",
