--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -198,6 +198,7 @@
     exchange->no_place = server == NULL;
     if (server) {
         adapter->asked_us = now_us;
+        adapter->asked_at = server;
         if (exchange->told) {
             lg_write(LG_ASKED, "request", exchange->id, "adapter",
                      adapter->key, "server", server->id, NULL);
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &lacewing__exchange__server_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lacewing__exchange__copy_use__init
+                     (Lacewing__Exchange__CopyUse         *message)
+{
+  static const Lacewing__Exchange__CopyUse init_value = LACEWING__EXCHANGE__COPY_USE__INIT;
+  *message = init_value;
+}
+size_t lacewing__exchange__copy_use__get_packed_size
+                     (const Lacewing__Exchange__CopyUse *message)
+{
+  assert(message->base.descriptor == &lacewing__exchange__copy_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lacewing__exchange__copy_use__pack
+                     (const Lacewing__Exchange__CopyUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lacewing__exchange__copy_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lacewing__exchange__copy_use__pack_to_buffer
+                     (const Lacewing__Exchange__CopyUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lacewing__exchange__copy_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lacewing__Exchange__CopyUse *
+       lacewing__exchange__copy_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lacewing__Exchange__CopyUse *)
+     protobuf_c_message_unpack (&lacewing__exchange__copy_use__descriptor,
+                                allocator, len, data);
+}
+void   lacewing__exchange__copy_use__free_unpacked
+                     (Lacewing__Exchange__CopyUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lacewing__exchange__copy_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lacewing__exchange__use__init
                      (Lacewing__Exchange__Use         *message)
 {
@@ -900,7 +945,7 @@
   (ProtobufCMessageInit) lacewing__exchange__server_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__server_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lacewing__exchange__server_load__field_descriptors[10] =
 {
   {
     "id",
@@ -950,17 +995,95 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unread",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__ServerLoad, unread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reads",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__ServerLoad, reads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_ms_sum",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__ServerLoad, read_ms_sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uses",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lacewing__Exchange__ServerLoad, n_uses),
+    offsetof(Lacewing__Exchange__ServerLoad, uses),
+    &lacewing__exchange__copy_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__ServerLoad, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "room",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__ServerLoad, room),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__server_load__field_indices_by_name[] = {
   3,   /* field[3] = event_ms_sum */
+  8,   /* field[8] = held */
   0,   /* field[0] = id */
   1,   /* field[1] = in_flight */
+  6,   /* field[6] = read_ms_sum */
+  5,   /* field[5] = reads */
+  9,   /* field[9] = room */
   2,   /* field[2] = streams */
+  4,   /* field[4] = unread */
+  7,   /* field[7] = uses */
 };
 static const ProtobufCIntRange lacewing__exchange__server_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__server_load__descriptor =
 {
@@ -970,13 +1093,64 @@
   "Lacewing__Exchange__ServerLoad",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__ServerLoad),
-  4,
+  10,
   lacewing__exchange__server_load__field_descriptors,
   lacewing__exchange__server_load__field_indices_by_name,
   1,  lacewing__exchange__server_load__number_ranges,
   (ProtobufCMessageInit) lacewing__exchange__server_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lacewing__exchange__copy_use__field_descriptors[2] =
+{
+  {
+    "adapter",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__CopyUse, adapter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__CopyUse, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lacewing__exchange__copy_use__field_indices_by_name[] = {
+  0,   /* field[0] = adapter */
+  1,   /* field[1] = in_flight */
+};
+static const ProtobufCIntRange lacewing__exchange__copy_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lacewing__exchange__copy_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lacewing.exchange.CopyUse",
+  "CopyUse",
+  "Lacewing__Exchange__CopyUse",
+  "lacewing.exchange",
+  sizeof(Lacewing__Exchange__CopyUse),
+  2,
+  lacewing__exchange__copy_use__field_descriptors,
+  lacewing__exchange__copy_use__field_indices_by_name,
+  1,  lacewing__exchange__copy_use__number_ranges,
+  (ProtobufCMessageInit) lacewing__exchange__copy_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lacewing__exchange__use__field_descriptors[2] =
 {
   {
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Lacewing__Exchange__ModelState Lacewing__Exchange__ModelState;
 typedef struct Lacewing__Exchange__ServerState Lacewing__Exchange__ServerState;
 typedef struct Lacewing__Exchange__ServerLoad Lacewing__Exchange__ServerLoad;
+typedef struct Lacewing__Exchange__CopyUse Lacewing__Exchange__CopyUse;
 typedef struct Lacewing__Exchange__Use Lacewing__Exchange__Use;
 typedef struct Lacewing__Exchange__LoadAsk Lacewing__Exchange__LoadAsk;
 typedef struct Lacewing__Exchange__TableWord Lacewing__Exchange__TableWord;
@@ -136,10 +137,50 @@
    */
   uint32_t streams;
   float event_ms_sum;
+  /*
+   * prompt tokens of requests without a first event
+   */
+  uint32_t unread;
+  /*
+   * Prompts read since the last word, and the sum of their times of 1000
+   * tokens.
+   */
+  uint32_t reads;
+  float read_ms_sum;
+  /*
+   * those that changed, and all when told again
+   */
+  size_t n_uses;
+  Lacewing__Exchange__CopyUse **uses;
+  /*
+   * the sender orders this server
+   */
+  protobuf_c_boolean held;
+  /*
+   * held: places that can be had now, less waiting loads
+   */
+  int32_t room;
 };
 #define LACEWING__EXCHANGE__SERVER_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__server_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+
+
+/*
+ * Requests of the sender under way with one copy.
+ */
+struct  Lacewing__Exchange__CopyUse
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its key
+   */
+  uint32_t adapter;
+  uint32_t in_flight;
+};
+#define LACEWING__EXCHANGE__COPY_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__copy_use__descriptor) \
+    , 0, 0 }
 
 
 struct  Lacewing__Exchange__Use
@@ -350,6 +391,25 @@
 void   lacewing__exchange__server_load__free_unpacked
                      (Lacewing__Exchange__ServerLoad *message,
                       ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__CopyUse methods */
+void   lacewing__exchange__copy_use__init
+                     (Lacewing__Exchange__CopyUse         *message);
+size_t lacewing__exchange__copy_use__get_packed_size
+                     (const Lacewing__Exchange__CopyUse   *message);
+size_t lacewing__exchange__copy_use__pack
+                     (const Lacewing__Exchange__CopyUse   *message,
+                      uint8_t             *out);
+size_t lacewing__exchange__copy_use__pack_to_buffer
+                     (const Lacewing__Exchange__CopyUse   *message,
+                      ProtobufCBuffer     *buffer);
+Lacewing__Exchange__CopyUse *
+       lacewing__exchange__copy_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lacewing__exchange__copy_use__free_unpacked
+                     (Lacewing__Exchange__CopyUse *message,
+                      ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__Use methods */
 void   lacewing__exchange__use__init
                      (Lacewing__Exchange__Use         *message);
@@ -465,6 +525,9 @@
 typedef void (*Lacewing__Exchange__ServerLoad_Closure)
                  (const Lacewing__Exchange__ServerLoad *message,
                   void *closure_data);
+typedef void (*Lacewing__Exchange__CopyUse_Closure)
+                 (const Lacewing__Exchange__CopyUse *message,
+                  void *closure_data);
 typedef void (*Lacewing__Exchange__Use_Closure)
                  (const Lacewing__Exchange__Use *message,
                   void *closure_data);
@@ -492,6 +555,7 @@
 extern const ProtobufCMessageDescriptor lacewing__exchange__model_state__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__server_state__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__server_load__descriptor;
+extern const ProtobufCMessageDescriptor lacewing__exchange__copy_use__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__use__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__load_ask__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__table_word__descriptor;
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -184,6 +184,7 @@
 xc_pass_events(xc_exchange *exchange, const char *bytes, size_t count)
 {
     uint64_t now_us = xc_now_us(exchange);
+    xc_end_read(exchange, (double)(now_us - exchange->sent_us) / 1000.0);
     if (exchange->pieces == 0) {
         exchange->first_us = now_us;
         hg_observe(HG_FIRST_PIECE, xc_query_label(exchange),
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -61,6 +61,8 @@
     uint32_t sends;
     uint32_t ran_at; /* servers that may have run it */
     uint64_t sent_us;
+    uint32_t unread; /* prompt tokens that the server is to read */
+    uint32_t ahead;  /* the same with those before them, when it was sent */
     bool refused;
     bool spoilt;
     uint32_t status; /* of the answer */
@@ -92,6 +94,8 @@
 /* -- exchange_send.c */
 /* False: no connection could be had. */
 bool xc_send(xc_exchange *exchange, fl_server *server, uint64_t version);
+/* The server has read the prompt, or ends without: first_ms 0. */
+void xc_end_read(xc_exchange *exchange, double first_ms);
 /* Ends the send under way; the server stops work on it. */
 void xc_cancel_send(xc_exchange *exchange, fl_outcome outcome);
 
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -110,6 +110,16 @@
 
 /* -- private: the send has ended ------------------------------------------ */
 
+void
+xc_end_read(xc_exchange *exchange, double first_ms)
+{
+    if (exchange->unread) {
+        fl_end_read(exchange->server, exchange->unread, exchange->ahead,
+                    first_ms);
+        exchange->unread = 0;
+    }
+}
+
 static void
 _xc_forget_send(xc_exchange *exchange, fl_outcome outcome)
 {
@@ -122,6 +132,7 @@
     else if (outcome == FL_GOOD && !exchange->adapter) {
         result.latency_ms = (double)(now_us - exchange->sent_us) / 1000.0;
     }
+    xc_end_read(exchange, 0);
     fl_end(exchange->server, exchange->adapter, &result);
     if (exchange->tried_count < FL_TRIED) {
         exchange->tried[exchange->tried_count++] = exchange->server;
@@ -386,6 +397,11 @@
         _xc_log_sent(exchange, version);
     }
     fl_begin(server, exchange->adapter, exchange->sent_us);
+    if (exchange->adapter) {
+        exchange->unread = exchange->prompt_tokens;
+        exchange->ahead =
+            fl_begin_read(server, exchange->unread, exchange->sent_us);
+    }
     _xc_write_request(exchange, version);
     return true;
 }
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -2,29 +2,19 @@
 
 #include "lacewing/hash.h"
 #include "lacewing/histogram.h"
-#include <math.h>
 #include <string.h>
 
 #define _FL_VERSION_MS 5000
 /* Copies of an older version serve this share of the time that a new version
    has: the rest is for requests that wait at the server, and for the news. */
 #define _FL_OLD_VERSION_SHARE 0.5
-/* Demand moves within about 5 s. */
-#define _FL_USE_HALF_LIFE_US 4000000.0
-/* Word of another instance's requests is trusted this long: three of its
-   periods. */
-#define _FL_PEER_LOAD_US 1500000
-/* Slowness that a server tells holds about as long as its neighbours' noise,
-   some 600 ms. */
-#define _FL_SLOWNESS_US 600000.0
-/* Weight of one request in what is learned of a server. */
-#define _FL_LEARN 0.1
-#define _FL_FAIL_LEARN 0.12
-/* Failures in a row before a server is left alone for a moment. */
-#define _FL_SHUN_AFTER 2
-#define _FL_SHUN_US 400000
-#define _FL_SHUN_LONGEST_US 3000000
-#define _FL_SHUN_DOUBLINGS 3
+
+/* A server that starts anew has nothing at hand: no number of drops that is
+   remembered is this close. */
+#define _FL_FORGOTTEN 1000000
+/* A server keeps about six times its places at hand, those in use included
+   (the sheets of all deployments so far). */
+#define _FL_AT_HAND_TIMES 5
 
 /* -- private: making and freeing ------------------------------------------ */
 
@@ -32,6 +22,7 @@
 _fl_free_copy(fl_copy *copy)
 {
     g_ptr_array_remove_fast(copy->adapter->copies, copy);
+    g_clear_pointer(&copy->peer_loads, g_array_unref);
     g_free(copy);
 }
 
@@ -122,6 +113,7 @@
     uint32_t version_ms = desc->version_ms ? desc->version_ms : _FL_VERSION_MS;
     fleet->old_version_us =
         (uint64_t)(version_ms * 1000.0 * _FL_OLD_VERSION_SHARE);
+    fleet->fetch_ms = FL_FETCH_MS;
     fleet->random = g_rand_new_with_seed(desc->seed ? desc->seed : 1);
     return fleet;
 }
@@ -180,6 +172,8 @@
         server->failing = 0;
         server->shunned_until_us = 0;
         server->load = (dl_load){0};
+        server->drops += _FL_FORGOTTEN;
+        server->room_us = 0;
     }
     server->born_ms = entry->born_ms;
     server->slots = MAX(entry->slots, 1);
@@ -263,6 +257,7 @@
         copy->since_us = now_us;
         g_ptr_array_add(server->copies, copy);
         g_ptr_array_add(adapter->copies, copy);
+        server->most_copies = MAX(server->most_copies, server->copies->len);
     }
     if (copy->loading && !loading && server->orders) {
         hg_observe(HG_LOAD, adapter->name ? HG_ADAPTER : HG_MODEL,
@@ -283,182 +278,65 @@
     g_autofree char *key =
         name ? g_strdup_printf("%s/%s", model, name) : g_strdup(model);
     fl_adapter *adapter = fl_intern(fleet, key);
+    const fl_copy *copy = fl_query_copy(server, adapter);
+    if (name && copy && copy->loading && !loading &&
+        !fl_query_at_hand(server, adapter)) {
+        fl_learn_fetch(fleet, (double)(now_us - copy->since_us) / 1000.0);
+    }
     fl_put_copy(server, adapter, version, loading, now_us);
     return adapter;
 }
 
-void
-fl_drop_copy(fl_server *server, fl_adapter *adapter)
-{
-    fl_copy *copy = fl_query_copy(server, adapter);
-    if (copy) {
-        g_ptr_array_remove_fast(server->copies, copy);
-        _fl_free_copy(copy);
-    }
-}
-
-void
-fl_keep_copies(fl_server *server, GHashTable *adapters)
-{
-    for (guint i = server->copies->len; i > 0; i--) {
-        const fl_copy *copy = server->copies->pdata[i - 1];
-        if (!g_hash_table_contains(adapters, copy->adapter)) {
-            fl_drop_copy(server, copy->adapter);
-        }
-    }
-}
-
-/* -- public: load --------------------------------------------------------- */
-
-void
-fl_set_peer_load(fl_server *server, uint32_t peer, uint32_t in_flight,
-                 uint64_t now_us)
+/* Of the servers that dropped it, the oldest makes way. */
+static void
+_fl_note_drop(fl_server *server, fl_adapter *adapter)
 {
-    for (guint i = 0; i < server->peer_loads->len; i++) {
-        fl_peer_load *load =
-            &g_array_index(server->peer_loads, fl_peer_load, i);
-        if (load->peer == peer) {
-            load->in_flight = in_flight;
-            load->at_us = now_us;
+    server->drops++;
+    fl_dropped dropped = {server, server->drops};
+    for (uint32_t i = 0; i < FL_DROPPED; i++) {
+        if (adapter->dropped[i].server == server) {
+            adapter->dropped[i] = dropped;
             return;
         }
     }
-    fl_peer_load load = {peer, in_flight, now_us};
-    g_array_append_val(server->peer_loads, load);
+    adapter->dropped[adapter->dropped_next] = dropped;
+    adapter->dropped_next = (adapter->dropped_next + 1) % FL_DROPPED;
 }
 
-uint32_t
-fl_query_in_flight(const fl_server *server, uint64_t now_us)
+bool
+fl_query_at_hand(const fl_server *server, const fl_adapter *adapter)
 {
-    uint32_t sum = server->own_in_flight;
-    for (guint i = 0; i < server->peer_loads->len; i++) {
-        const fl_peer_load *load =
-            &g_array_index(server->peer_loads, fl_peer_load, i);
-        if (now_us < load->at_us + _FL_PEER_LOAD_US) {
-            sum += load->in_flight;
+    uint64_t kept = (uint64_t)server->most_copies * _FL_AT_HAND_TIMES;
+    for (uint32_t i = 0; i < FL_DROPPED; i++) {
+        const fl_dropped *dropped = &adapter->dropped[i];
+        if (dropped->server == server) {
+            return server->drops < dropped->number + kept;
         }
     }
-    return sum;
-}
-
-double
-fl_query_use(const fl_adapter *adapter, uint64_t now_us)
-{
-    double age_us =
-        now_us > adapter->use_us ? (double)(now_us - adapter->use_us) : 0;
-    return adapter->use * exp2(-age_us / _FL_USE_HALF_LIFE_US);
-}
-
-void
-fl_add_use(fl_adapter *adapter, double uses, uint64_t now_us)
-{
-    adapter->use = fl_query_use(adapter, now_us) + uses;
-    adapter->use_us = now_us;
-}
-
-void
-fl_told_load(fl_server *server, const dl_load *load, uint64_t now_us)
-{
-    server->load = *load;
-    server->load_us = now_us;
-}
-
-void
-fl_use(fl_fleet *fleet, fl_adapter *adapter, uint64_t now_us)
-{
-    fl_add_use(adapter, 1, now_us);
-    if (adapter->uses_to_tell++ == 0) {
-        g_ptr_array_add(fleet->used, adapter);
-    }
+    return false;
 }
 
-double
-fl_query_slowness(const fl_server *server, uint64_t now_us)
-{
-    if (server->load.slowness_percent == 0 || now_us < server->load_us) {
-        return 1.0;
-    }
-    double age_us = (double)(now_us - server->load_us);
-    return 1.0 + (server->load.slowness_percent / 100.0 - 1.0) *
-                     exp(-age_us / _FL_SLOWNESS_US);
-}
-
-/* -- public: requests ----------------------------------------------------- */
-
 void
-fl_begin(fl_server *server, fl_adapter *adapter, uint64_t now_us)
+fl_drop_copy(fl_server *server, fl_adapter *adapter)
 {
-    (void)now_us;
-    server->own_in_flight++;
-    fl_copy *copy = adapter ? fl_query_copy(server, adapter) : NULL;
+    fl_copy *copy = fl_query_copy(server, adapter);
     if (copy) {
-        copy->own_in_flight++;
-    }
-}
-
-static void
-_fl_learn_failure(fl_server *server, const fl_result *result)
-{
-    server->failing += _FL_FAIL_LEARN * (1.0 - server->failing);
-    server->failed_in_row++;
-    uint32_t needed = result->outcome == FL_UNREACHABLE ? 1 : _FL_SHUN_AFTER;
-    if (server->failed_in_row >= needed) {
-        uint32_t doublings =
-            MIN(server->failed_in_row - needed, _FL_SHUN_DOUBLINGS);
-        uint64_t span_us = (uint64_t)_FL_SHUN_US << doublings;
-        server->shunned_until_us =
-            result->now_us + MIN(span_us, _FL_SHUN_LONGEST_US);
-    }
-}
-
-void
-fl_learn_streams(fl_server *server, uint32_t streams, double event_ms_sum)
-{
-    if (streams == 0 || !(event_ms_sum > 0)) {
-        return;
-    }
-    double mean_ms = event_ms_sum / streams;
-    double part =
-        server->event_ms > 0 ? 1.0 - pow(1.0 - _FL_LEARN, streams) : 1.0;
-    server->event_ms += part * (mean_ms - server->event_ms);
-}
-
-static void
-_fl_learn_good(fl_server *server, const fl_result *result)
-{
-    server->failing *= 1.0 - _FL_FAIL_LEARN;
-    server->failed_in_row = 0;
-    server->shunned_until_us = 0;
-    if (result->latency_ms > 0) {
-        server->latency_ms += (server->latency_ms > 0 ? _FL_LEARN : 1.0) *
-                              (result->latency_ms - server->latency_ms);
-    }
-    if (result->event_ms > 0) {
-        fl_learn_streams(server, 1, result->event_ms);
-        server->streams_to_tell++;
-        server->event_ms_to_tell += result->event_ms;
+        if (!copy->loading && adapter->name) {
+            _fl_note_drop(server, adapter);
+        }
+        g_ptr_array_remove_fast(server->copies, copy);
+        _fl_free_copy(copy);
     }
 }
 
 void
-fl_end(fl_server *server, fl_adapter *adapter, const fl_result *result)
+fl_keep_copies(fl_server *server, GHashTable *adapters)
 {
-    g_assert(server->own_in_flight > 0);
-    server->own_in_flight--;
-    fl_copy *copy = adapter ? fl_query_copy(server, adapter) : NULL;
-    if (copy && copy->own_in_flight > 0) {
-        copy->own_in_flight--;
-    }
-    switch (result->outcome) {
-    case FL_GOOD:
-        _fl_learn_good(server, result);
-        break;
-    case FL_BAD_ANSWER:
-    case FL_UNREACHABLE:
-        _fl_learn_failure(server, result);
-        break;
-    default:
-        break;
+    for (guint i = server->copies->len; i > 0; i--) {
+        const fl_copy *copy = server->copies->pdata[i - 1];
+        if (!g_hash_table_contains(adapters, copy->adapter)) {
+            fl_drop_copy(server, copy->adapter);
+        }
     }
 }
 
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -29,6 +29,8 @@
 #include "lacewing/dialect.h"
 
 #define FL_TRIED 4
+/* Servers that an adapter remembers to have been dropped by. */
+#define FL_DROPPED 8
 
 typedef struct fl_fleet fl_fleet;
 typedef struct fl_server fl_server;
@@ -50,8 +52,16 @@
     uint64_t since_us; /* of this state */
     uint64_t asked_us; /* of the holder: not asked after before */
     uint32_t own_in_flight;
+    uint64_t used_us;   /* last word of requests under way with it */
+    GArray *peer_loads; /* fl_peer_load; NULL: none was told */
 } fl_copy;
 
+/* A server that dropped the adapter, and how many it had dropped by then. */
+typedef struct fl_dropped {
+    const fl_server *server;
+    uint64_t number;
+} fl_dropped;
+
 struct fl_adapter {
     char *key; /* MODEL/ADAPTER, or MODEL */
     uint64_t hash;
@@ -65,11 +75,15 @@
     uint32_t uses_to_tell; /* requests from here since peers were told */
     GQueue waiting;        /* of the exchange: requests without a copy */
     uint64_t asked_us;     /* of the exchange: last order asked for */
+    fl_server *asked_at;   /* the server that was asked for then */
+    fl_dropped dropped[FL_DROPPED]; /* the latest */
+    uint32_t dropped_next;
 };
 
 typedef struct fl_peer_load {
     uint32_t peer; /* hash of its name */
     uint32_t in_flight;
+    uint32_t unread; /* prompt tokens of those without a first event */
     uint64_t at_us;
 } fl_peer_load;
 
@@ -91,7 +105,16 @@
     uint32_t streams_to_tell; /* that ended since peers were told */
     double event_ms_to_tell;  /* sum over these */
     double latency_ms;        /* plain services: of an answer */
-    double failing;           /* share of late requests that failed, 0 to 1 */
+    uint32_t own_unread;    /* as fl_peer_load.unread, of requests from here */
+    double read_ms;         /* of 1000 prompt tokens; 0: not known */
+    uint32_t reads_to_tell; /* that ended since peers were told */
+    double read_ms_to_tell; /* sum over these */
+    int32_t room;     /* places that can be had now, less loads that wait */
+    uint64_t room_us; /* when its holder said so; 0: never */
+    uint32_t asks;    /* for loads, from here since then */
+    uint64_t drops;   /* copies that it dropped */
+    uint32_t most_copies; /* that it had at once */
+    double failing;       /* share of late requests that failed, 0 to 1 */
     uint32_t failed_in_row;
     uint64_t shunned_until_us;
     bool orders_possible; /* an instance may give it orders now */
@@ -171,9 +194,21 @@
 /* Streams that other instances had there. */
 void fl_learn_streams(fl_server *server, uint32_t streams,
                       double event_ms_sum);
+/* Prompts that other instances had read there: time of 1000 tokens. */
+void fl_learn_reads(fl_server *server, uint32_t reads, double read_ms_sum);
+/* A load from the weight store took so long. */
+void fl_learn_fetch(fl_fleet *fleet, double load_ms);
 /* Requests of other instances. */
 void fl_set_peer_load(fl_server *server, uint32_t peer, uint32_t in_flight,
                       uint64_t now_us);
+void fl_set_peer_unread(fl_server *server, uint32_t peer, uint32_t tokens);
+/* Those with one copy, by the hash of its adapter. */
+void fl_set_peer_use(fl_server *server, uint32_t peer, uint32_t adapter,
+                     uint32_t in_flight, uint64_t now_us);
+/* Before the whole of what a peer has under way with a server's copies. */
+void fl_clear_peer_uses(fl_server *server, uint32_t peer);
+/* Word of its holder. */
+void fl_set_room(fl_server *server, int32_t room, uint64_t now_us);
 void fl_add_use(fl_adapter *adapter, double uses, uint64_t now_us);
 /* A request of this instance. */
 void fl_use(fl_fleet *fleet, fl_adapter *adapter, uint64_t now_us);
@@ -187,6 +222,12 @@
 
 void fl_begin(fl_server *server, fl_adapter *adapter, uint64_t now_us);
 void fl_end(fl_server *server, fl_adapter *adapter, const fl_result *result);
+/* A prompt that is to be read there. Returns the tokens that are to be read
+   before its first event, its own included. */
+uint32_t fl_begin_read(fl_server *server, uint32_t tokens, uint64_t now_us);
+/* Its first event came after first_ms, or never (0). */
+void fl_end_read(fl_server *server, uint32_t tokens, uint32_t ahead,
+                 double first_ms);
 void fl_told_load(fl_server *server, const dl_load *load, uint64_t now_us);
 
 /* queries */
@@ -194,6 +235,13 @@
 fl_copy *fl_query_copy(const fl_server *server, const fl_adapter *adapter);
 uint32_t fl_query_in_flight(const fl_server *server, uint64_t now_us);
 double fl_query_use(const fl_adapter *adapter, uint64_t now_us);
+/* Time until a prompt of so many tokens is read. */
+double fl_query_read_ms(const fl_server *server, uint32_t tokens,
+                        uint64_t now_us);
+/* A request from anywhere may be using it. */
+bool fl_query_in_use(const fl_copy *copy, uint64_t now_us);
+/* The server had it lately: a load is short and free. */
+bool fl_query_at_hand(const fl_server *server, const fl_adapter *adapter);
 bool fl_query_current(const fl_copy *copy);
 uint32_t fl_query_usable(const fl_fleet *fleet, const char *service);
 typedef void (*fl_server_call)(fl_server *server, void *user_data);
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -1,6 +1,5 @@
 #include "fleet_private.h"
 
-#include <math.h>
 #include <string.h>
 
 /* Another zone costs a few ms and paid bytes; worth this much load. */
@@ -13,17 +12,25 @@
    the adapter is used so often that it pays for the load. */
 #define _FL_DEARER 1.6
 #define _FL_COPY_USE 1.8
-/* Slow servers are homes less often: a server's weight falls with this power
-   of its time between events. */
-#define _FL_HOME_POWER 1.5
 /* Requests beyond the slots wait at the server; up to this many per slot. */
 #define _FL_FULL 1.5
-/* Adapters on their way to a server at once; a home that is full of them or
-   of requests is passed over, unless others are far behind. */
+/* Adapters on their way to a server at once; one that is full of them or of
+   requests comes behind the others, unless these are far behind. */
 #define _FL_LOADING_FULL 4
-#define _FL_BUSY_RANK 0.2
-/* A copy that was used so lately may be in use by another instance. */
-#define _FL_IN_USE_US 300000
+#define _FL_LOAD_MS_BUSY 250.0
+/* Reading a prompt is worth so much as this many pauses between events. */
+#define _FL_EVENTS 4.0
+/* A further copy pays when it saves this much of the time until the first
+   event, after its own load. */
+#define _FL_COPY_SAVES_MS 100.0
+/* Where no place can be had, the next gets free about this much later. */
+#define _FL_PLACE_MS 150.0
+/* A load that was asked for so lately is in its server's queue. */
+#define _FL_ASKED_US 600000
+/* What a load from the weight store takes from others that wait for one. */
+#define _FL_FETCH_MORE_MS 250.0
+/* Each adapter prefers the servers in its own order, by up to this much. */
+#define _FL_HOME_MS 120.0
 
 /* -- private: choosing ---------------------------------------------------- */
 
@@ -79,6 +86,10 @@
                   fl_query_slowness(server, want->now_us);
     /* Reading a long prompt holds up the streams that run there. */
     cost *= 1.0 + fill * want->prompt_tokens / _FL_LONG_PROMPT;
+    if (want->prompt_tokens) {
+        cost = cost * _FL_EVENTS +
+               fl_query_read_ms(server, want->prompt_tokens, want->now_us);
+    }
     cost *= 1.0 + _FL_FAIL_COST * server->failing;
     if (want->zone && strcmp(want->zone, server->zone) != 0) {
         cost *= 1.0 + _FL_ZONE_COST;
@@ -112,6 +123,17 @@
     }
 }
 
+/* A request that is sent now begins while the old version may still. */
+static bool
+_fl_begins_old(const fl_fleet *fleet, const fl_want *want,
+               const fl_server *server)
+{
+    double first_ms =
+        fl_query_read_ms(server, want->prompt_tokens, want->now_us);
+    return want->now_us + (uint64_t)(first_ms * 1000.0) <
+           want->adapter->version_us + fleet->old_version_us;
+}
+
 /* Copies that may serve now: current ones; old ones for a while if none. */
 static void
 _fl_choose_copy(fl_fleet *fleet, const fl_want *want, bool old, fl_choice *out)
@@ -121,7 +143,8 @@
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
         if (copy->loading || fl_query_current(copy) == old ||
-            !_fl_usable(want, copy->server)) {
+            !_fl_usable(want, copy->server) ||
+            (old && !_fl_begins_old(fleet, want, copy->server))) {
             continue;
         }
         _fl_consider(fleet, want, copy->server, &best, out);
@@ -139,6 +162,45 @@
            !fl_query_copy(server, adapter);
 }
 
+static double
+_fl_load_ms(const fl_fleet *fleet, const fl_server *server,
+            const fl_adapter *adapter)
+{
+    return fl_query_at_hand(server, adapter)
+               ? FL_AT_HAND_MS
+               : fleet->fetch_ms + _FL_FETCH_MORE_MS;
+}
+
+/* Time until a server's place can be had, as its holder told last and with
+   what was asked of it since. */
+static double
+_fl_place_ms(const fl_server *server)
+{
+    if (server->room_us == 0) {
+        return 0;
+    }
+    int32_t room = server->room - (int32_t)server->asks;
+    return room > 0 ? 0 : (1 - room) * _FL_PLACE_MS;
+}
+
+/* Time until a copy could serve there, in ms of a first event. */
+static double
+_fl_copy_ms(const fl_fleet *fleet, const fl_server *server,
+            const fl_adapter *adapter, uint64_t now_us)
+{
+    return fl_query_read_ms(server, 0, now_us) + _fl_place_ms(server) +
+           _fl_load_ms(fleet, server, adapter);
+}
+
+/* The same with the pauses of its streams. */
+static double
+_fl_copy_time(const fl_fleet *fleet, const fl_server *server,
+              const fl_adapter *adapter, uint64_t now_us)
+{
+    return _fl_copy_ms(fleet, server, adapter, now_us) +
+           _FL_EVENTS * _fl_stream_time(server, now_us);
+}
+
 /* The server without a copy that would serve best. */
 static fl_server *
 _fl_best_without(const fl_fleet *fleet, const char *service,
@@ -149,8 +211,8 @@
     for (guint i = 0; list && i < list->len; i++) {
         fl_server *server = list->pdata[i];
         if (_fl_takes_copy(fleet, server, adapter, now_us) &&
-            (!best || _fl_stream_time(server, now_us) <
-                          _fl_stream_time(best, now_us))) {
+            (!best || _fl_copy_time(fleet, server, adapter, now_us) <
+                          _fl_copy_time(fleet, best, adapter, now_us))) {
             best = server;
         }
     }
@@ -165,8 +227,14 @@
     }
     const fl_server *other =
         _fl_best_without(fleet, want->service, want->adapter, want->now_us);
-    return other && _fl_stream_time(server, want->now_us) >
-                        _fl_stream_time(other, want->now_us) * _FL_DEARER;
+    if (!other) {
+        return false;
+    }
+    return fl_query_read_ms(server, 0, want->now_us) >
+               _fl_copy_ms(fleet, other, want->adapter, want->now_us) +
+                   _FL_COPY_SAVES_MS ||
+           _fl_stream_time(server, want->now_us) >
+               _fl_stream_time(other, want->now_us) * _FL_DEARER;
 }
 
 static void
@@ -214,8 +282,8 @@
 
 /* -- public: placing ------------------------------------------------------ */
 
-/* Weighted rendezvous: each adapter has its own order of the servers, where
-   fast ones come first more often. */
+/* Each adapter has its own order of the servers, the same at all instances:
+   0 to 1. */
 static double
 _fl_rank(const fl_adapter *adapter, const fl_server *server)
 {
@@ -223,9 +291,7 @@
     mixed ^= mixed >> 29;
     mixed *= 0xbf58476d1ce4e5b9ULL;
     mixed ^= mixed >> 32;
-    double draw = ((double)(mixed >> 11) + 0.5) / 9007199254740992.0;
-    double event_ms = server->event_ms > 0 ? server->event_ms : FL_EVENT_MS;
-    return -pow(FL_EVENT_MS / event_ms, _FL_HOME_POWER) / log(draw);
+    return ((double)(mixed >> 11) + 0.5) / 9007199254740992.0;
 }
 
 static bool
@@ -242,6 +308,11 @@
 fl_place(fl_fleet *fleet, const char *service, fl_adapter *adapter,
          uint64_t now_us)
 {
+    /* It is in the queue there; at another server it would be loaded twice. */
+    if (adapter->asked_at && now_us < adapter->asked_us + _FL_ASKED_US &&
+        _fl_takes_copy(fleet, adapter->asked_at, adapter, now_us)) {
+        return adapter->asked_at;
+    }
     if (adapter->copies->len) {
         return _fl_best_without(fleet, service, adapter, now_us);
     }
@@ -253,13 +324,14 @@
         if (!_fl_takes_copy(fleet, server, adapter, now_us)) {
             continue;
         }
-        double rank = _fl_rank(adapter, server);
+        double time_ms = _fl_copy_time(fleet, server, adapter, now_us) +
+                         _FL_HOME_MS * _fl_rank(adapter, server);
         if (_fl_loading_full(server) || _fl_full(server, now_us)) {
-            rank *= _FL_BUSY_RANK;
+            time_ms += _FL_LOAD_MS_BUSY;
         }
-        if (!home || rank > best) {
+        if (!home || time_ms < best) {
             home = server;
-            best = rank;
+            best = time_ms;
         }
     }
     return home;
@@ -272,13 +344,15 @@
     double least = 0;
     for (guint i = 0; i < server->copies->len; i++) {
         fl_copy *copy = server->copies->pdata[i];
-        bool old = !fl_query_current(copy);
-        if (copy->loading || !copy->adapter->name || copy->own_in_flight ||
-            (!old && now_us < copy->adapter->use_us + _FL_IN_USE_US) ||
-            now_us < copy->since_us + _FL_IN_USE_US) {
+        if (copy->loading || !copy->adapter->name ||
+            fl_query_in_use(copy, now_us)) {
             continue;
         }
-        double use = old ? -1.0 : fl_query_use(copy->adapter, now_us);
+        /* What other copies do not serve. */
+        double use = fl_query_current(copy)
+                         ? fl_query_use(copy->adapter, now_us) /
+                               copy->adapter->copies->len
+                         : -1.0;
         if (!victim || use < least) {
             victim = copy;
             least = use;
--- a/packages/exchange/src/fleet_private.h
+++ b/packages/exchange/src/fleet_private.h
@@ -7,6 +7,11 @@
 /* Time between events where none is known yet; only ratios count. */
 #define FL_EVENT_MS 40.0
 
+/* Of a load from the weight store where none was seen, and of one that is at
+   hand. */
+#define FL_FETCH_MS 250.0
+#define FL_AT_HAND_MS 25.0
+
 struct fl_fleet {
     GHashTable *servers;  /* id -> fl_server */
     GHashTable *services; /* name -> GPtrArray of fl_server */
@@ -14,6 +19,7 @@
     GPtrArray *retired;   /* fl_server: gone, kept for what refers to them */
     GPtrArray *used;      /* fl_adapter with uses to tell */
     uint64_t old_version_us;
+    double fetch_ms; /* of loads from the weight store lately */
     GRand *random;
 };
 
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -32,7 +32,10 @@
     uint64_t told_us;
     uint64_t held;      /* digest of what it holds, as told from here */
     uint32_t in_flight; /* from here, as told last */
+    uint32_t unread;
     uint64_t in_flight_us;
+    int32_t room;
+    uint64_t uses; /* digest of the requests under way with each copy */
 } _gp_server;
 
 struct gp_peers {
@@ -227,20 +230,75 @@
 
 typedef struct _gp_loads {
     gp_peers *peers;
-    GPtrArray *loads; /* ServerLoad */
-    GPtrArray *uses;  /* Use */
+    GPtrArray *loads;  /* ServerLoad */
+    GPtrArray *copies; /* CopyUse, of all servers */
+    GPtrArray *lists;  /* CopyUse *, one list a server */
+    GPtrArray *uses;   /* Use */
 } _gp_loads;
 
+/* Requests under way from here with each copy. */
 static void
-_gp_add_load(fl_server *server, void *user_data)
+_gp_fill_copies(_gp_loads *all, Lacewing__Exchange__ServerLoad *load,
+                const fl_server *server)
+{
+    if (server->own_in_flight == 0) {
+        return;
+    }
+    load->uses = g_new(Lacewing__Exchange__CopyUse *, server->copies->len);
+    g_ptr_array_add(all->lists, load->uses);
+    for (guint i = 0; i < server->copies->len; i++) {
+        const fl_copy *copy = server->copies->pdata[i];
+        if (copy->own_in_flight == 0) {
+            continue;
+        }
+        Lacewing__Exchange__CopyUse *use =
+            g_new(Lacewing__Exchange__CopyUse, 1);
+        lacewing__exchange__copy_use__init(use);
+        use->adapter = (uint32_t)copy->adapter->hash;
+        use->in_flight = copy->own_in_flight;
+        g_ptr_array_add(all->copies, use);
+        load->uses[load->n_uses++] = use;
+    }
+}
+
+static uint64_t
+_gp_uses_digest(const fl_server *server)
+{
+    uint64_t digest = 0;
+    for (guint i = 0; server->own_in_flight && i < server->copies->len; i++) {
+        const fl_copy *copy = server->copies->pdata[i];
+        uint64_t parts[] = {copy->adapter->hash, copy->own_in_flight};
+        digest += copy->own_in_flight ? hs_u64_bytes(parts, sizeof(parts)) : 0;
+    }
+    return digest;
+}
+
+/* Whether the others know what is to be told of a server. */
+static bool
+_gp_load_is_told(const _gp_server *told, const fl_server *server, bool held,
+                 int32_t room, uint64_t now_us)
 {
-    _gp_loads *all = user_data;
-    _gp_server *told = _gp_server_of(all->peers, server->id);
-    uint64_t now_us = lp_query_now_us(all->peers->desc.loop);
-    bool changed = server->own_in_flight != told->in_flight;
     bool old =
         told->in_flight && now_us >= told->in_flight_us + _GP_LOAD_AGAIN_US;
-    if (!changed && !old && !server->streams_to_tell) {
+    return !old && server->own_in_flight == told->in_flight &&
+           server->own_unread == told->unread && !server->streams_to_tell &&
+           !server->reads_to_tell && (!held || room == told->room) &&
+           _gp_uses_digest(server) == told->uses;
+}
+
+static void
+_gp_add_load(fl_server *server, void *user_data)
+{
+    _gp_loads *all = user_data;
+    gp_peers *peers = all->peers;
+    _gp_server *told = _gp_server_of(peers, server->id);
+    uint64_t now_us = lp_query_now_us(peers->desc.loop);
+    int32_t room = 0;
+    bool held = peers->desc.calls->room(server, &room, peers->desc.user_data);
+    if (held) {
+        fl_set_room(server, room, now_us);
+    }
+    if (_gp_load_is_told(told, server, held, room, now_us)) {
         return;
     }
     Lacewing__Exchange__ServerLoad *load =
@@ -250,10 +308,21 @@
     load->in_flight = server->own_in_flight;
     load->streams = server->streams_to_tell;
     load->event_ms_sum = (float)server->event_ms_to_tell;
+    load->unread = server->own_unread;
+    load->reads = server->reads_to_tell;
+    load->read_ms_sum = (float)server->read_ms_to_tell;
+    load->held = held;
+    load->room = room;
+    _gp_fill_copies(all, load, server);
     server->streams_to_tell = 0;
     server->event_ms_to_tell = 0;
+    server->reads_to_tell = 0;
+    server->read_ms_to_tell = 0;
     g_ptr_array_add(all->loads, load);
     told->in_flight = server->own_in_flight;
+    told->unread = server->own_unread;
+    told->room = room;
+    told->uses = _gp_uses_digest(server);
     told->in_flight_us = now_us;
 }
 
@@ -291,8 +360,11 @@
 void
 gp_tell_load(gp_peers *peers, const gp_known *own)
 {
-    _gp_loads all = {peers, g_ptr_array_new_with_free_func(g_free),
-                     g_ptr_array_new_with_free_func(g_free)};
+    _gp_loads all = {.peers = peers,
+                     .loads = g_ptr_array_new_with_free_func(g_free),
+                     .copies = g_ptr_array_new_with_free_func(g_free),
+                     .lists = g_ptr_array_new_with_free_func(g_free),
+                     .uses = g_ptr_array_new_with_free_func(g_free)};
     fl_each_server(peers->desc.fleet, _gp_add_load, &all);
     fl_each_used(peers->desc.fleet, _gp_add_use, &all);
     Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
@@ -308,6 +380,8 @@
         _gp_send(peers, &word, NULL);
     }
     g_ptr_array_unref(all.loads);
+    g_ptr_array_unref(all.copies);
+    g_ptr_array_unref(all.lists);
     g_ptr_array_unref(all.uses);
 }
 
@@ -443,19 +517,37 @@
                            peers->desc.user_data);
 }
 
+/* What a peer has under way at a server. */
+static void
+_gp_take_load(gp_peers *peers, const Lacewing__Exchange__ServerLoad *load,
+              uint32_t peer)
+{
+    uint64_t now_us = lp_query_now_us(peers->desc.loop);
+    fl_server *server = fl_query_server(peers->desc.fleet, load->id);
+    if (!server) {
+        return;
+    }
+    fl_set_peer_load(server, peer, load->in_flight, now_us);
+    fl_set_peer_unread(server, peer, load->unread);
+    fl_learn_streams(server, load->streams, load->event_ms_sum);
+    fl_learn_reads(server, load->reads, load->read_ms_sum);
+    fl_clear_peer_uses(server, peer);
+    for (size_t i = 0; i < load->n_uses; i++) {
+        fl_set_peer_use(server, peer, load->uses[i]->adapter,
+                        load->uses[i]->in_flight, now_us);
+    }
+    if (load->held) {
+        fl_set_room(server, load->room, now_us);
+    }
+}
+
 static void
 _gp_take(gp_peers *peers, const Lacewing__Exchange__Word *word)
 {
     uint64_t now_us = lp_query_now_us(peers->desc.loop);
     uint32_t peer = (uint32_t)g_str_hash(word->instance);
     for (size_t i = 0; i < word->n_loads; i++) {
-        fl_server *server =
-            fl_query_server(peers->desc.fleet, word->loads[i]->id);
-        if (server) {
-            fl_set_peer_load(server, peer, word->loads[i]->in_flight, now_us);
-            fl_learn_streams(server, word->loads[i]->streams,
-                             word->loads[i]->event_ms_sum);
-        }
+        _gp_take_load(peers, word->loads[i], peer);
     }
     for (size_t i = 0; i < word->n_uses; i++) {
         fl_add_use(fl_intern(peers->desc.fleet, word->uses[i]->key),
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -37,6 +37,8 @@
                   void *user_data);
     /* Of the last change that is known of a server held here. */
     uint64_t (*number)(const fl_server *server);
+    /* Room of a server for loads; false: it is not held here. */
+    bool (*room)(fl_server *server, int32_t *out, void *user_data);
     /* What a server holds has changed, as its holder tells. */
     void (*changed)(fl_server *server, void *user_data);
 } gp_calls;
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -50,6 +50,7 @@
            void *user_data)
 {
     nd_node *node = user_data;
+    server->asks++;
     if (!or_want(node->orderer, server, adapter) &&
         gp_ask(node->peers, server, adapter, request) &&
         server->asked_us == 0) {
@@ -70,6 +71,12 @@
     return held;
 }
 
+static bool
+_nd_on_room(fl_server *server, int32_t *out, void *user_data)
+{
+    return or_query_room(((nd_node *)user_data)->orderer, server, out);
+}
+
 static void
 _nd_on_held_changed(fl_server *server, void *user_data)
 {
@@ -112,6 +119,7 @@
                                         .row = nd_on_told_row,
                                         .known = nd_on_known,
                                         .asked = _nd_on_asked,
+                                        .room = _nd_on_room,
                                         .changed = nd_wake_server};
 
 /* -- private: pages ------------------------------------------------------- */
--- a/packages/exchange/src/orderer.c
+++ b/packages/exchange/src/orderer.c
@@ -2,16 +2,12 @@
 
 #include "lacewing/counter.h"
 #include "lacewing/log.h"
+#include "transit.h"
 #include <string.h>
 
 /* Orders and reports are answered within some ms; a server that is emptied
    or frozen is not. */
 #define _OR_TIMEOUT_MS 700
-/* Adapters on their way at full speed, over all servers; beyond it each takes
-   longer in proportion, so an uneven demand may take half as much more. */
-#define _OR_LOADING_ALL 16
-#define _OR_LOADING_UNEVEN 1.5
-#define _OR_LOADING_LEAST 4
 /* Model loads of one instance in a row, beside its part of the rate. */
 #define _OR_MODEL_BURST 1.0
 /* Steps of one server in a turn. */
@@ -24,6 +20,7 @@
     double model_tokens;
     uint64_t model_tokens_us;
     uint64_t generation;
+    ts_share transit;
 };
 
 typedef struct _or_plan {
@@ -100,7 +97,7 @@
     uint32_t loading = 0;
     for (guint i = 0; i < orderer->held->len; i++) {
         const fl_server *server = orderer->held->pdata[i];
-        loading += od_query_loading(((_or_plan *)server->orders)->plan);
+        loading += od_query_fetching(((_or_plan *)server->orders)->plan);
     }
     return loading;
 }
@@ -132,9 +129,6 @@
     if (!model) {
         return false;
     }
-    uint32_t servers = fl_query_usable(orderer->desc.fleet, server->service);
-    uint32_t share = (uint32_t)(_OR_LOADING_ALL * _OR_LOADING_UNEVEN *
-                                orderer->held->len / MAX(servers, 1));
     *room = (od_room){
         .model = model->name,
         .model_load_ms = model->load_ms,
@@ -144,7 +138,7 @@
         .max_adapters = service->max_adapters,
         .may_load_model = _or_may_load_model(orderer, service),
         .may_load_adapter =
-            _or_loading(orderer) < MAX(share, _OR_LOADING_LEAST),
+            ts_query_may_load(&orderer->transit, _or_loading(orderer)),
     };
     return true;
 }
@@ -181,6 +175,10 @@
             : DL_ORDER_DEFAULT;
     if (answer->code == ER_OK) {
         od_feed_order(plan->plan, now_us, result);
+        double load_ms = od_take_load_ms(plan->plan);
+        if (load_ms > 0) {
+            ts_feed_load(&orderer->transit, load_ms);
+        }
     }
     else {
         od_feed_silence(plan->plan, now_us);
@@ -309,6 +307,7 @@
     or_orderer *orderer = g_new0(or_orderer, 1);
     orderer->desc = *desc;
     orderer->held = g_ptr_array_new();
+    ts_setup(&orderer->transit);
     orderer->model_tokens = _OR_MODEL_BURST;
     orderer->model_tokens_us = lp_query_now_us(desc->loop);
     return orderer;
@@ -385,6 +384,20 @@
     _or_end(orderer, server);
 }
 
+bool
+or_query_room(or_orderer *orderer, const fl_server *server, int32_t *out)
+{
+    const _or_plan *plan = server->orders;
+    od_room room;
+    if (!plan || !od_query_known(plan->plan) ||
+        !_or_room(orderer, server, &room)) {
+        return false;
+    }
+    *out =
+        od_query_room(plan->plan, lp_query_now_us(orderer->desc.loop), &room);
+    return true;
+}
+
 uint64_t
 or_query_number(const fl_server *server)
 {
--- a/packages/exchange/src/orderer.h
+++ b/packages/exchange/src/orderer.h
@@ -44,6 +44,8 @@
 
 /* queries */
 uint64_t or_query_number(const fl_server *server);
+/* Of a server held here: od_query_room(); false: it is not known. */
+bool or_query_room(or_orderer *orderer, const fl_server *server, int32_t *out);
 bool or_query_held(const fl_server *server);
 
 #endif
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -12,8 +12,9 @@
 /* State of a server is some hundred ms old when it tells it. */
 #define _OD_REPORT_LAG_US 350000
 #define _OD_REPORT_RETRY_US 500000
-/* Nobody waits for an adapter that was asked for longer ago. */
-#define _OD_WANT_US 1500000
+/* Nobody waits for an adapter that was asked for longer ago: while one does,
+   it is asked for every 200 ms. */
+#define _OD_WANT_US 700000
 
 typedef struct _od_want {
     fl_adapter *adapter;
@@ -34,9 +35,9 @@
     fl_adapter *ordered; /* of the order under way */
     dl_order_kind ordered_kind;
     uint64_t ordered_version;
-    bool asking;            /* the order under way asks after a load */
-    GHashTable *known_here; /* adapters whose weights the server has at hand */
-    GArray *wants;          /* _od_want */
+    bool asking;    /* the order under way asks after a load */
+    GArray *wants;  /* _od_want */
+    double load_ms; /* see od_take_load_ms() */
 };
 
 od_plan *
@@ -51,7 +52,6 @@
     plan->adapter_load_us =
         1000ULL *
         (desc->adapter_load_ms ? desc->adapter_load_ms : _OD_ADAPTER_LOAD_MS);
-    plan->known_here = g_hash_table_new(NULL, NULL);
     plan->wants = g_array_new(FALSE, TRUE, sizeof(_od_want));
     return plan;
 }
@@ -60,7 +60,6 @@
 od_destroy(od_plan *plan)
 {
     if (plan) {
-        g_hash_table_unref(plan->known_here);
         g_array_unref(plan->wants);
         g_free(plan);
     }
@@ -122,9 +121,8 @@
     if (!adapter->name) {
         return model_load_ms * 1000ULL;
     }
-    return g_hash_table_contains(plan->known_here, adapter)
-               ? _OD_AT_HAND_US
-               : plan->adapter_load_us;
+    return fl_query_at_hand(plan->server, adapter) ? _OD_AT_HAND_US
+                                                   : plan->adapter_load_us;
 }
 
 /* A load that should have arrived: the same order tells. */
@@ -174,7 +172,7 @@
 
 /* The adapter that most is waiting for; others are dropped when done. */
 static fl_adapter *
-_od_most_wanted(od_plan *plan, uint64_t now_us)
+_od_most_wanted(od_plan *plan, uint64_t now_us, bool at_hand_only)
 {
     fl_adapter *best = NULL;
     double most = -1;
@@ -186,6 +184,9 @@
             g_array_remove_index_fast(plan->wants, i - 1);
             continue;
         }
+        if (at_hand_only && !fl_query_at_hand(plan->server, want->adapter)) {
+            continue;
+        }
         double use = fl_query_use(want->adapter, now_us);
         if (use > most) {
             most = use;
@@ -198,9 +199,9 @@
 static od_step
 _od_next_adapter(od_plan *plan, uint64_t now_us, const od_room *room)
 {
-    fl_adapter *adapter = _od_most_wanted(plan, now_us);
-    if (!adapter || !room->may_load_adapter ||
-        od_query_loading(plan) >= plan->loading_capacity) {
+    fl_adapter *adapter =
+        _od_most_wanted(plan, now_us, !room->may_load_adapter);
+    if (!adapter || od_query_loading(plan) >= plan->loading_capacity) {
         return (od_step){0};
     }
     bool replaces = fl_query_copy(plan->server, adapter) != NULL;
@@ -274,9 +275,14 @@
         fl_drop_copy(plan->server, plan->ordered);
         return;
     }
+    const fl_copy *copy = fl_query_copy(plan->server, plan->ordered);
+    if (plan->asking && copy && copy->loading && plan->ordered->name &&
+        !fl_query_at_hand(plan->server, plan->ordered)) {
+        plan->load_ms = (double)(now_us - copy->since_us) / 1000.0;
+        fl_learn_fetch(plan->fleet, plan->load_ms);
+    }
     fl_put_copy(plan->server, plan->ordered, plan->ordered_version, false,
                 now_us);
-    g_hash_table_add(plan->known_here, plan->ordered);
     _od_drop_want(plan, plan->ordered);
 }
 
@@ -383,6 +389,39 @@
     return count;
 }
 
+uint32_t
+od_query_fetching(const od_plan *plan)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < plan->server->copies->len; i++) {
+        const fl_copy *copy = plan->server->copies->pdata[i];
+        count += copy->loading && copy->adapter->name &&
+                 !fl_query_at_hand(plan->server, copy->adapter);
+    }
+    return count;
+}
+
+double
+od_take_load_ms(od_plan *plan)
+{
+    double load_ms = plan->load_ms;
+    plan->load_ms = 0;
+    return load_ms;
+}
+
+int32_t
+od_query_room(const od_plan *plan, uint64_t now_us, const od_room *room)
+{
+    int32_t places = (int32_t)_od_places(room);
+    places -= (int32_t)_od_adapter_count(plan);
+    for (guint i = 0; i < plan->server->copies->len; i++) {
+        const fl_copy *copy = plan->server->copies->pdata[i];
+        places += copy->adapter->name && !copy->loading &&
+                  !fl_query_in_use(copy, now_us);
+    }
+    return places - (int32_t)plan->wants->len;
+}
+
 uint64_t
 od_query_number(const od_plan *plan)
 {
--- a/packages/exchange/src/orders.h
+++ b/packages/exchange/src/orders.h
@@ -74,6 +74,14 @@
 /* queries */
 bool od_query_known(const od_plan *plan);
 uint32_t od_query_loading(const od_plan *plan);
+/* Of these, from the weight store. */
+uint32_t od_query_fetching(const od_plan *plan);
+/* Places that can be had now, less the loads that wait; may be negative. */
+int32_t od_query_room(const od_plan *plan, uint64_t now_us,
+                      const od_room *room);
+/* Duration of the load from the weight store that was found to be done last;
+   0: none since the last call. */
+double od_take_load_ms(od_plan *plan);
 /* Rises with each change of what the server holds. */
 uint64_t od_query_number(const od_plan *plan);
 
--- a/packages/exchange/tests/test_fleet.c
+++ b/packages/exchange/tests/test_fleet.c
@@ -266,10 +266,158 @@
 }
 END_TEST
 
+/* Two copies; prompts that others have sent to one of them are still to be
+   read there. */
+START_TEST(test_unread_prompts_count)
+{
+    scene s = make();
+    fl_server *one = put(&s, "i-1", "z1");
+    fl_server *two = put(&s, "i-2", "z1");
+    fl_set_peer_load(one, 7, 1, s.now_us);
+    fl_set_peer_unread(one, 7, 9000);
+    fl_set_peer_load(two, 7, 2, s.now_us);
+    fl_want want = {.service = "llm",
+                    .adapter = s.base,
+                    .zone = "z1",
+                    .prompt_tokens = 500,
+                    .now_us = s.now_us};
+    fl_choice choice;
+    ck_assert(fl_choose(s.fleet, &want, &choice));
+    ck_assert_ptr_eq(choice.server, two);
+    uint32_t ahead = fl_begin_read(two, 20000, s.now_us);
+    ck_assert_uint_eq(ahead, 20000);
+    ck_assert(fl_choose(s.fleet, &want, &choice));
+    ck_assert_ptr_eq(choice.server, one);
+    fl_end_read(two, 20000, ahead, 800);
+    ck_assert(fl_choose(s.fleet, &want, &choice));
+    ck_assert_ptr_eq(choice.server, two);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
+/* An older version serves for a while, but nothing that would begin after. */
+START_TEST(test_old_version_not_behind_a_queue)
+{
+    scene s = make();
+    fl_server *one = put(&s, "i-1", "z1");
+    fl_adapter *a = fl_intern(s.fleet, "base/a1");
+    fl_put_copy(one, a, 1, false, s.now_us);
+    fl_declare_version(s.fleet, "base", "a1", 2, s.now_us);
+    fl_choice choice;
+    ck_assert(choose(&s, a, &choice));
+    ck_assert_ptr_eq(choice.server, one);
+    fl_learn_reads(one, 1, 100); /* ms of 1000 tokens */
+    fl_set_peer_load(one, 7, 9, s.now_us);
+    fl_set_peer_unread(one, 7, 60000);
+    ck_assert(!choose(&s, a, &choice));
+    ck_assert_int_eq(choice.why, FL_NO_COPY);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
+/* What an instance has under way with a copy keeps it, wherever it runs. */
+START_TEST(test_copies_used_by_others_stay)
+{
+    scene s = make();
+    fl_server *one = put(&s, "i-1", "z1");
+    fl_adapter *a = fl_intern(s.fleet, "base/a1");
+    fl_put_copy(one, a, 0, false, s.now_us);
+    s.now_us += 1000 * MS;
+    fl_set_peer_load(one, 7, 1, s.now_us);
+    fl_set_peer_use(one, 7, (uint32_t)a->hash, 1, s.now_us);
+    s.now_us += 1000 * MS;
+    ck_assert_ptr_null(fl_query_victim(one, s.now_us));
+    fl_clear_peer_uses(one, 7);
+    ck_assert_ptr_nonnull(fl_query_victim(one, s.now_us));
+    fl_destroy(s.fleet);
+}
+END_TEST
+
+/* A copy that others back up makes way before one that stands alone. */
+START_TEST(test_victim_of_many_copies)
+{
+    scene s = make();
+    fl_server *one = put(&s, "i-1", "z1");
+    fl_adapter *many = fl_intern(s.fleet, "base/many");
+    fl_adapter *alone = fl_intern(s.fleet, "base/alone");
+    fl_put_copy(one, many, 0, false, s.now_us);
+    fl_put_copy(one, alone, 0, false, s.now_us);
+    for (int i = 2; i < 8; i++) {
+        g_autofree char *id = g_strdup_printf("i-%d", i);
+        fl_put_copy(put(&s, id, "z1"), many, 0, false, s.now_us);
+    }
+    fl_add_use(many, 9, s.now_us);
+    fl_add_use(alone, 4, s.now_us);
+    s.now_us += 1000 * MS;
+    ck_assert_ptr_eq(fl_query_victim(one, s.now_us)->adapter, many);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
+/* The server that had it lately loads it again, until it began anew. */
+START_TEST(test_place_where_it_is_at_hand)
+{
+    scene s = make();
+    fl_adapter *a = fl_intern(s.fleet, "base/a1");
+    for (int i = 0; i < 6; i++) {
+        g_autofree char *id = g_strdup_printf("i-%d", i);
+        put(&s, id, "z1");
+    }
+    fl_server *home = fl_place(s.fleet, "llm", a, s.now_us);
+    for (int i = 0; i < 6; i++) {
+        g_autofree char *id = g_strdup_printf("i-%d", i);
+        fl_server *server = fl_query_server(s.fleet, id);
+        if (server == home) {
+            continue;
+        }
+        fl_put_copy(server, a, 0, false, s.now_us);
+        fl_drop_copy(server, a);
+        ck_assert(fl_query_at_hand(server, a));
+        ck_assert_ptr_eq(fl_place(s.fleet, "llm", a, s.now_us), server);
+        dl_server entry = {.id = id,
+                           .service = "llm",
+                           .address = "127.0.0.1:1",
+                           .zone = "z1",
+                           .slots = 32,
+                           .state = DL_SERVER_READY,
+                           .born_ms = 2};
+        ck_assert(fl_put_server(s.fleet, &entry, &server));
+        fl_put_copy(server, s.base, 1, false, s.now_us);
+        ck_assert(!fl_query_at_hand(server, a));
+        ck_assert_ptr_eq(fl_place(s.fleet, "llm", a, s.now_us), home);
+    }
+    fl_destroy(s.fleet);
+}
+END_TEST
+
+/* A holder's server where loads already wait for a place comes last. */
+START_TEST(test_place_where_there_is_room)
+{
+    scene s = make();
+    fl_adapter *a = fl_intern(s.fleet, "base/a1");
+    put(&s, "i-1", "z1");
+    put(&s, "i-2", "z1");
+    fl_server *home = fl_place(s.fleet, "llm", a, s.now_us);
+    fl_set_room(home, -6, s.now_us);
+    ck_assert_ptr_ne(fl_place(s.fleet, "llm", a, s.now_us), home);
+    fl_set_room(home, 2, s.now_us);
+    ck_assert_ptr_eq(fl_place(s.fleet, "llm", a, s.now_us), home);
+    home->asks = 8;
+    ck_assert_ptr_ne(fl_place(s.fleet, "llm", a, s.now_us), home);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
 int
 main(void)
 {
     TCase *tcase = tcase_create("fleet");
+    tcase_add_test(tcase, test_unread_prompts_count);
+    tcase_add_test(tcase, test_old_version_not_behind_a_queue);
+    tcase_add_test(tcase, test_copies_used_by_others_stay);
+    tcase_add_test(tcase, test_victim_of_many_copies);
+    tcase_add_test(tcase, test_place_where_it_is_at_hand);
+    tcase_add_test(tcase, test_place_where_there_is_room);
     tcase_add_test(tcase, test_only_loaded_copies);
     tcase_add_test(tcase, test_leaving_gets_nothing);
     tcase_add_test(tcase, test_new_incarnation_holds_nothing);
