A request waits for its adapter as long as its target; versions counted from the last read

- A version that was named before an instance knew the table (a start, a gap) counted as named now: its older copies served up to 5 s after their time.
It counts from when the table was known last.
An older copy that nobody uses is replaced where it is.
- A holder that does not answer is passed over for all its servers at once: with waits of one target, two asks after each other were too many (test_silent_holder failed, as it is now it passes).
- The digest of the own table's rows was made anew for each word of another instance (16 % of the processor time at 195 instances, perf).

Test: test_version_named_before_the_start, failed before.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -26,7 +26,7 @@
 #define _XC_NO_SERVER_US 300000
 /* For an adapter that is to be loaded it waits so many times its route's
    target: a load takes 250 ms, a queue of them some times that. */
-#define _XC_WAIT_TIMES 3
+#define _XC_WAIT_TIMES 1
 #define _XC_WAIT_LEAST_US 600000
 /* Refused callers come back after this and up to as much more by chance;
    after four times that where a lease has lapsed: about a lease's time. */
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -213,14 +213,14 @@
 
 void
 fl_declare_version(fl_fleet *fleet, const char *model, const char *name,
-                   uint64_t version, uint64_t now_us)
+                   uint64_t version, uint64_t since_us)
 {
     g_autofree char *key =
         name ? g_strdup_printf("%s/%s", model, name) : g_strdup(model);
     fl_adapter *adapter = fl_intern(fleet, key);
     if (version > adapter->version) {
         adapter->version = version;
-        adapter->version_us = now_us;
+        adapter->version_us = since_us;
     }
 }
 
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -68,7 +68,7 @@
     char *model;
     char *name;          /* NULL: the model itself */
     uint64_t version;    /* newest that was declared; 0: none */
-    uint64_t version_us; /* when it became known here */
+    uint64_t version_us; /* it was declared then or later */
     GPtrArray *copies;   /* fl_copy */
     double use;          /* requests, halved every 4 s */
     uint64_t use_us;
@@ -178,8 +178,9 @@
 void fl_remove_server(fl_fleet *fleet, const char *id);
 
 fl_adapter *fl_intern(fl_fleet *fleet, const char *key);
+/* A new version, declared at since_us at the earliest; 0: long ago. */
 void fl_declare_version(fl_fleet *fleet, const char *model, const char *name,
-                        uint64_t version, uint64_t now_us);
+                        uint64_t version, uint64_t since_us);
 
 fl_copy *fl_put_copy(fl_server *server, fl_adapter *adapter, uint64_t version,
                      bool loading, uint64_t now_us);
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -28,7 +28,7 @@
 /* A load that was asked for so lately is in its server's queue. */
 #define _FL_ASKED_US 600000
 /* What a load from the weight store takes from others that wait for one. */
-#define _FL_FETCH_MORE_MS 250.0
+#define _FL_FETCH_MORE_MS 600.0
 /* Each adapter prefers the servers in its own order, by up to this much. */
 #define _FL_HOME_MS 120.0
 
@@ -151,6 +151,15 @@
     }
 }
 
+/* Nothing of it is there, or an older version that nobody uses. */
+static bool
+_fl_lacks(const fl_server *server, const fl_adapter *adapter, uint64_t now_us)
+{
+    const fl_copy *copy = fl_query_copy(server, adapter);
+    return !copy || (!copy->loading && !fl_query_current(copy) &&
+                     !fl_query_in_use(copy, now_us));
+}
+
 static bool
 _fl_takes_copy(const fl_fleet *fleet, const fl_server *server,
                const fl_adapter *adapter, uint64_t now_us)
@@ -159,7 +168,7 @@
     const fl_copy *base = model ? fl_query_copy(server, model) : NULL;
     return server->state == FL_READY && server->orders_possible && base &&
            !base->loading && now_us >= server->shunned_until_us &&
-           !fl_query_copy(server, adapter);
+           _fl_lacks(server, adapter, now_us);
 }
 
 static double
--- a/packages/exchange/src/fleet_work.c
+++ b/packages/exchange/src/fleet_work.c
@@ -69,8 +69,7 @@
             continue;
         }
         if (!copy->peer_loads) {
-            copy->peer_loads =
-                g_array_new(FALSE, TRUE, sizeof(fl_peer_load));
+            copy->peer_loads = g_array_new(FALSE, TRUE, sizeof(fl_peer_load));
         }
         fl_peer_load *load = _fl_peer_load_of(copy->peer_loads, peer);
         load->in_flight = in_flight;
--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -126,6 +126,7 @@
     lease->writes = g_array_new(FALSE, TRUE, sizeof(dl_write));
     g_array_set_clear_func(lease->writes, le_clear_write);
     lease->keys = g_ptr_array_new_with_free_func(g_free);
+    lease->counts = g_new0(le_counts, 1);
     return lease;
 }
 
@@ -142,6 +143,7 @@
     g_array_unref(lease->writes);
     g_ptr_array_unref(lease->keys);
     g_free(lease->tx_peer);
+    g_free(lease->counts);
     g_free(lease->instance);
     g_free(lease->zone);
     g_free(lease->address);
@@ -151,6 +153,7 @@
 void
 le_feed_row(le_lease *lease, uint64_t now_us, const dl_row *row)
 {
+    lease->counts->valid = false;
     if (g_str_has_prefix(row->key, "i/")) {
         le_feed_instance(lease, now_us, row->key + 2, row);
     }
@@ -177,6 +180,7 @@
 void
 le_end_read(le_lease *lease, uint64_t now_us)
 {
+    lease->counts->valid = false;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, lease->servers);
@@ -276,6 +280,7 @@
 le_feed_result(le_lease *lease, uint64_t now_us, er_code code,
                uint64_t version, const GArray *rows)
 {
+    lease->counts->valid = false;
     le_tx_kind kind = lease->tx;
     if (code == ER_OK) {
         _le_take_ok(lease, now_us, version);
@@ -323,19 +328,6 @@
                : NULL;
 }
 
-uint32_t
-le_query_live(const le_lease *lease)
-{
-    uint32_t live = 0;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, lease->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        live += !((le_peer_row *)value)->public.leaving;
-    }
-    return MAX(live, 1);
-}
-
 bool
 le_query_held(const le_lease *lease, uint64_t clock_us)
 {
@@ -350,10 +342,15 @@
     return number ^ (number >> 29);
 }
 
-uint64_t
-le_query_digest(const le_lease *lease)
+/* Walks all rows, once after each change of them. */
+static void
+_le_refresh_counts(const le_lease *lease)
 {
+    if (lease->counts->valid) {
+        return;
+    }
     uint64_t digest = 0;
+    uint32_t live = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, lease->peers);
@@ -362,6 +359,7 @@
         digest ^=
             _le_mix(g_str_hash(peer->instance) ^
                     peer->public.incarnation << 1 ^ peer->public.leaving);
+        live += !peer->public.leaving;
     }
     g_hash_table_iter_init(&iter, lease->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -370,7 +368,21 @@
                       ? _le_mix(g_str_hash(server->id) ^ server->version << 20)
                       : 0;
     }
-    return digest;
+    *lease->counts = (le_counts){true, digest, MAX(live, 1)};
+}
+
+uint32_t
+le_query_live(const le_lease *lease)
+{
+    _le_refresh_counts(lease);
+    return lease->counts->live;
+}
+
+uint64_t
+le_query_digest(const le_lease *lease)
+{
+    _le_refresh_counts(lease);
+    return lease->counts->digest;
 }
 
 bool
--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -42,6 +42,13 @@
     LE_TX_EVEN /* gives one server up for an instance that has fewer */
 } le_tx_kind;
 
+/* Of all rows, until one changes. */
+typedef struct le_counts {
+    bool valid;
+    uint64_t digest;
+    uint32_t live;
+} le_counts;
+
 struct le_lease {
     char *instance;
     char *zone;
@@ -55,6 +62,7 @@
     GHashTable *peers;   /* name -> le_peer_row, ourselves too */
     GHashTable *servers; /* id -> le_server_row */
     bool known;          /* the own table has been read */
+    le_counts *counts;
     bool registered;
     uint64_t registered_us;
     uint64_t row_version; /* of our own row */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -174,15 +174,39 @@
     or_tick(node->orderer);
 }
 
+typedef struct _nd_silence {
+    nd_node *node;
+    const char *holder;
+    uint64_t until_us;
+} _nd_silence;
+
+static void
+_nd_pass_over(fl_server *server, void *user_data)
+{
+    const _nd_silence *silence = user_data;
+    const char *holder = le_query_holder(silence->node->lease, server->id);
+    if (g_strcmp0(holder, silence->holder) == 0) {
+        server->asked_us = 0;
+        server->holder_silent_until_us = silence->until_us;
+    }
+}
+
 /* A holder answers each ask at once. One that does not is gone, cut off, or
    has no lease any more: others are asked for some time. */
 static void
-_nd_note_silence(fl_server *server, uint64_t now_us)
+_nd_note_silence(nd_node *node, fl_server *server, uint64_t now_us)
 {
-    if (server->asked_us && now_us >= server->asked_us + _ND_ASK_ANSWER_US) {
-        server->asked_us = 0;
-        server->holder_silent_until_us = now_us + _ND_HOLDER_SILENT_US;
-        lg_write(LG_HOLDER_SILENT, "server", server->id, NULL);
+    if (server->asked_us == 0 ||
+        now_us < server->asked_us + _ND_ASK_ANSWER_US) {
+        return;
+    }
+    _nd_silence silence = {.node = node,
+                           .holder = le_query_holder(node->lease, server->id),
+                           .until_us = now_us + _ND_HOLDER_SILENT_US};
+    server->asked_us = 0;
+    lg_write(LG_HOLDER_SILENT, "server", server->id, NULL);
+    if (silence.holder) {
+        fl_each_server(node->fleet, _nd_pass_over, &silence);
     }
 }
 
@@ -194,7 +218,7 @@
     if (or_query_held(server)) {
         server->asked_us = 0; /* it came to us meanwhile */
     }
-    _nd_note_silence(server, now_us);
+    _nd_note_silence(node, server, now_us);
     server->orders_possible =
         or_query_held(server) ||
         (now_us >= server->holder_silent_until_us &&
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -109,8 +109,9 @@
            row->value ? _nd_digest_of(row->key, row->version, 0) : 0,
            of_store);
     if (read.kind == DL_OPERATOR_VERSION) {
+        /* It may have been named any time since the table was known last. */
         fl_declare_version(node->fleet, read.model, read.adapter, read.version,
-                           lp_query_now_us(node->desc.loop));
+                           wt_query_fresh_us(node->operator_watch));
         lg_write(LG_VERSION_NEW, "key", row->key, NULL);
     }
     dl_clear_operator(&read);
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -187,7 +187,9 @@
         if (at_hand_only && !fl_query_at_hand(plan->server, want->adapter)) {
             continue;
         }
-        double use = fl_query_use(want->adapter, now_us);
+        /* What a further copy would add to those that serve it. */
+        double use = fl_query_use(want->adapter, now_us) /
+                     (1 + want->adapter->copies->len);
         if (use > most) {
             most = use;
             best = want->adapter;
