A request that has not begun when a new version falls due is ended

The choice of a server cannot know that. Ruled out: news that come late (the version was in force), older copies chosen too long (sent before it was named).

Such a send is ended 0.4 s before the version is due: a resumable stream goes elsewhere, any other is answered 502, counted as `version`.

--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -80,6 +80,7 @@
     X(CT_END_NO_SERVICE, "no_service", "no such service")                     \
     X(CT_END_NO_ID, "no_request_id", "no request id")                         \
     X(CT_END_NOT_RUN, "not_run", "not run anywhere")                          \
+    X(CT_END_VERSION, "version", "a new version fell due in the queue")       \
     X(CT_END_SERVER_FAILED, "server_failed", "server failed")                 \
     X(CT_END_TIME, "time_over", "time is over")
 
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -463,6 +463,38 @@
     return age_us > route->target_ms * 1000ULL * _XC_SLOW_STREAM_TIMES;
 }
 
+/* A newer version of its adapter was declared so long ago that it must not
+   begin any more where it waits now. */
+static bool
+_xc_outdated(const xc_exchange *exchange, uint64_t now_us)
+{
+    const fl_adapter *adapter = exchange->adapter;
+    return exchange->state == XC_SENT && adapter && adapter->name &&
+           exchange->first_us < exchange->sent_us &&
+           exchange->version < adapter->version &&
+           now_us >=
+               fl_query_old_until_us(exchange->core->desc.fleet, adapter);
+}
+
+/* Goes on elsewhere if it may, else fails. */
+static void
+_xc_end_outdated(xc_exchange *exchange)
+{
+    exchange->told = true;
+    lg_write(LG_SEND_ENDED, "request", exchange->id, "why",
+             "not begun when a new version was due", "server",
+             exchange->server->id, NULL);
+    xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
+    if (exchange->route->resumable &&
+        exchange->ran_at < exchange->route->max_servers) {
+        exchange->resumed = exchange->begun;
+        xc_dispatch(exchange);
+    }
+    else {
+        xc_give_up(exchange, CT_END_VERSION);
+    }
+}
+
 static void
 _xc_look(xc_exchange *exchange, uint64_t now_us)
 {
@@ -477,6 +509,10 @@
         xc_dispatch(exchange);
         return;
     }
+    if (_xc_outdated(exchange, now_us)) {
+        _xc_end_outdated(exchange);
+        return;
+    }
     if (_xc_slow(exchange, now_us) && _xc_has_other(exchange) &&
         bg_take(xc_budget(exchange->core, exchange->service->name), now_us,
                 exchange->core->desc.calls->live(
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -61,8 +61,9 @@
     uint32_t sends;
     uint32_t ran_at; /* servers that may have run it */
     uint64_t sent_us;
-    uint32_t unread; /* prompt tokens that the server is to read */
-    uint32_t ahead;  /* the same with those before them, when it was sent */
+    uint64_t version; /* of the adapter that is sure to serve; 0: any */
+    uint32_t unread;  /* prompt tokens that the server is to read */
+    uint32_t ahead;   /* the same with those before them, when it was sent */
     bool refused;
     bool spoilt;
     uint32_t status; /* of the answer */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -374,6 +374,7 @@
     g_strlcpy(exchange->answered_by, server->id,
               sizeof(exchange->answered_by));
     exchange->sent_us = xc_now_us(exchange);
+    exchange->version = version;
     exchange->waits_since_us = 0;
     exchange->refused = false;
     exchange->spoilt = false;
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -9,6 +9,9 @@
    has: the rest is for requests that wait at the server, and for the news. */
 #define _FL_OLD_VERSION_SHARE 0.5
 
+/* A send that is ended has not begun this much later: ways, a tick, a busy
+   process. */
+#define _FL_VERSION_MARGIN_US 400000
 /* A server that starts anew has nothing at hand: no number of drops that is
    remembered is this close. */
 #define _FL_FORGOTTEN 1000000
@@ -111,6 +114,7 @@
     fleet->retired = g_ptr_array_new_with_free_func(_fl_free_server);
     fleet->used = g_ptr_array_new();
     uint32_t version_ms = desc->version_ms ? desc->version_ms : _FL_VERSION_MS;
+    fleet->version_us = version_ms * 1000ULL;
     fleet->old_version_us =
         (uint64_t)(version_ms * 1000.0 * _FL_OLD_VERSION_SHARE);
     fleet->fetch_ms = FL_FETCH_MS;
@@ -348,6 +352,14 @@
     return g_hash_table_lookup(fleet->servers, id);
 }
 
+uint64_t
+fl_query_old_until_us(const fl_fleet *fleet, const fl_adapter *adapter)
+{
+    uint64_t left_us =
+        fleet->version_us - MIN(_FL_VERSION_MARGIN_US, fleet->version_us / 2);
+    return adapter->version_us + left_us;
+}
+
 uint32_t
 fl_query_usable(const fl_fleet *fleet, const char *service)
 {
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -244,6 +244,9 @@
 /* The server had it lately: a load is short and free. */
 bool fl_query_at_hand(const fl_server *server, const fl_adapter *adapter);
 bool fl_query_current(const fl_copy *copy);
+/* From then on nothing may begin on a version older than the newest. */
+uint64_t fl_query_old_until_us(const fl_fleet *fleet,
+                               const fl_adapter *adapter);
 uint32_t fl_query_usable(const fl_fleet *fleet, const char *service);
 typedef void (*fl_server_call)(fl_server *server, void *user_data);
 void fl_each_server(const fl_fleet *fleet, fl_server_call call,
