Among many instances words go through relays of each zone

Above 96 instances a word goes to relays of each zone, which pass it on, many in one datagram: two for each sender among the fast links of a zone, loads by one of them in turn, the rest by both; the receiver drops what it has had. Digests that differ lead to a read of the store only when the news have not come within 0.3 s (own table 1.5 s) and up to as much more. Of many instances one after the other has its turn to follow the operator's table and the list of servers.

--- a/packages/exchange/include/lacewing/exchange.h
+++ b/packages/exchange/include/lacewing/exchange.h
@@ -42,6 +42,7 @@
     double retry_slack;
     uint32_t memory_mb;
     uint32_t descriptors;
+    double link_mbps;
     uint32_t log_level;
     uint32_t log_requests_per_s;
     uint32_t log_pending_kb;
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -547,7 +547,7 @@
   assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lacewing__exchange__instance_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lacewing__exchange__instance_row__field_descriptors[6] =
 {
   {
     "incarnation",
@@ -609,18 +609,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_mbps",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__InstanceRow, link_mbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__instance_row__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = incarnation */
   3,   /* field[3] = leaving */
+  5,   /* field[5] = link_mbps */
   4,   /* field[4] = valid_ms */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange lacewing__exchange__instance_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__instance_row__descriptor =
 {
@@ -630,7 +643,7 @@
   "Lacewing__Exchange__InstanceRow",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__InstanceRow),
-  5,
+  6,
   lacewing__exchange__instance_row__field_descriptors,
   lacewing__exchange__instance_row__field_indices_by_name,
   1,  lacewing__exchange__instance_row__number_ranges,
@@ -1433,7 +1446,7 @@
   (ProtobufCMessageInit) lacewing__exchange__row_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[11] =
 {
   {
     "instance",
@@ -1531,22 +1544,61 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__Word, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spread",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__Word, spread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "words",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Lacewing__Exchange__Word, n_words),
+    offsetof(Lacewing__Exchange__Word, words),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
   5,   /* field[5] = asks */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
   3,   /* field[3] = loads */
+  8,   /* field[8] = number */
   7,   /* field[7] = rows */
   2,   /* field[2] = servers */
+  9,   /* field[9] = spread */
   6,   /* field[6] = tables */
   4,   /* field[4] = uses */
+  10,   /* field[10] = words */
 };
 static const ProtobufCIntRange lacewing__exchange__word__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 8, 6 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor =
 {
@@ -1556,7 +1608,7 @@
   "Lacewing__Exchange__Word",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__Word),
-  8,
+  11,
   lacewing__exchange__word__field_descriptors,
   lacewing__exchange__word__field_indices_by_name,
   2,  lacewing__exchange__word__number_ranges,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -51,10 +51,14 @@
    * it orders so long after a renewal at the most
    */
   uint32_t valid_ms;
+  /*
+   * of its network link; 0: not told
+   */
+  uint32_t link_mbps;
 };
 #define LACEWING__EXCHANGE__INSTANCE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__instance_row__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -252,13 +256,26 @@
 
 
 /*
- * One datagram.
+ * One datagram, or what relays pass on in one.
  */
 struct  Lacewing__Exchange__Word
 {
   ProtobufCMessage base;
   char *instance;
   uint64_t incarnation;
+  /*
+   * Rises with each word to all; 0: to the receiver only.
+   */
+  uint64_t number;
+  /*
+   * to be passed on to the receiver's zone
+   */
+  protobuf_c_boolean spread;
+  /*
+   * of others, passed on
+   */
+  size_t n_words;
+  ProtobufCBinaryData *words;
   size_t n_servers;
   Lacewing__Exchange__ServerState **servers;
   size_t n_loads;
@@ -274,7 +291,7 @@
 };
 #define LACEWING__EXCHANGE__WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__word__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Lacewing__Exchange__InstanceRow methods */
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -4,6 +4,7 @@
 #include "lacewing/conn.h"
 #include "lacewing/counter.h"
 #include "lacewing/hash.h"
+#include "relay.h"
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -21,6 +22,9 @@
    the word for old (fleet.c). */
 #define _GP_LOAD_AGAIN_US 700000
 
+/* Words that a relay keeps for one datagram. */
+#define _GP_PASSING_BYTES 8192
+
 /* Rows in one datagram; more, or larger ones, are left to the store. */
 #define _GP_ROWS 16
 #define _GP_ROWS_BYTES 8192
@@ -44,6 +48,13 @@
     char *instance;
     GHashTable *servers; /* id -> _gp_server */
     uint8_t *buffer;
+    rl_plan *plan;
+    uint64_t plan_digest; /* of the instances that it was made of */
+    uint32_t turns[NW_TABLE_NUM];
+    uint64_t number;    /* of the last word to all */
+    GHashTable *seen;   /* instance -> rl_seen */
+    GPtrArray *passing; /* GBytes: words for the others of our zone */
+    gsize passing_bytes;
 };
 
 static _gp_server *
@@ -63,17 +74,17 @@
     gp_peers *peers;
     const uint8_t *bytes;
     size_t count;
-    const char *only; /* instance; NULL: all */
+    const char *only; /* instance that it is for */
     bool sent;
 } _gp_parcel;
 
 static void
-_gp_send_to(const le_peer *peer, void *user_data)
+_gp_send_to(const char *instance, const char *address, void *user_data)
 {
+    (void)instance;
     _gp_parcel *parcel = user_data;
     struct sockaddr_in name;
-    if ((parcel->only && strcmp(parcel->only, peer->instance) != 0) ||
-        !nc_parse_address(peer->address, &name)) {
+    if (!nc_parse_address(address, &name)) {
         return;
     }
     ssize_t count =
@@ -85,19 +96,123 @@
     }
 }
 
-static bool
-_gp_send(gp_peers *peers, Lacewing__Exchange__Word *word, const char *only)
+static void
+_gp_send_if_meant(const le_peer *peer, void *user_data)
+{
+    const _gp_parcel *parcel = user_data;
+    if (strcmp(parcel->only, peer->instance) == 0) {
+        _gp_send_to(peer->instance, peer->address, user_data);
+    }
+}
+
+static void
+_gp_plan_peer(const le_peer *peer, void *user_data)
+{
+    rl_put(user_data, &(rl_peer){.instance = peer->instance,
+                                 .zone = peer->zone,
+                                 .address = peer->address,
+                                 .link_mbps = peer->link_mbps,
+                                 .leaving = peer->leaving});
+}
+
+static rl_plan *
+_gp_plan(gp_peers *peers)
+{
+    uint64_t digest = le_query_peer_digest(peers->desc.lease);
+    if (digest != peers->plan_digest) {
+        peers->plan_digest = digest;
+        rl_clear(peers->plan);
+        le_each_peer(peers->desc.lease, _gp_plan_peer, peers->plan);
+        rl_put(peers->plan, &(rl_peer){.instance = peers->instance,
+                                       .zone = peers->desc.zone,
+                                       .address = peers->desc.address,
+                                       .link_mbps = peers->desc.link_mbps});
+        for (int table = 0; table < NW_TABLE_NUM; table++) {
+            char task[16];
+            g_snprintf(task, sizeof(task), "table %d", table);
+            peers->turns[table] = rl_query_spread(peers->plan)
+                                      ? rl_query_turn(peers->plan, task)
+                                      : 0;
+        }
+    }
+    return peers->plan;
+}
+
+static uint8_t *
+_gp_pack(gp_peers *peers, Lacewing__Exchange__Word *word, size_t *count)
 {
     word->instance = peers->instance;
     word->incarnation = peers->desc.incarnation;
-    size_t count = lacewing__exchange__word__get_packed_size(word);
-    g_autofree uint8_t *bytes = g_malloc(count);
+    *count = lacewing__exchange__word__get_packed_size(word);
+    uint8_t *bytes = g_malloc(*count);
     lacewing__exchange__word__pack(word, bytes);
-    _gp_parcel parcel = {peers, bytes, count, only, false};
-    le_each_peer(peers->desc.lease, _gp_send_to, &parcel);
+    return bytes;
+}
+
+/* Keeps a word for the others of our zone. */
+static void
+_gp_keep(gp_peers *peers, const uint8_t *bytes, size_t count)
+{
+    if (peers->passing_bytes + count > _GP_PASSING_BYTES) {
+        gp_pass_on(peers);
+    }
+    g_ptr_array_add(peers->passing, g_bytes_new(bytes, count));
+    peers->passing_bytes += count;
+}
+
+/* often: it is told again soon, so one way to each zone is enough. */
+static void
+_gp_send_all(gp_peers *peers, Lacewing__Exchange__Word *word, bool often)
+{
+    rl_plan *plan = _gp_plan(peers);
+    word->number = ++peers->number;
+    word->spread = rl_query_spread(plan);
+    size_t count;
+    g_autofree uint8_t *bytes = _gp_pack(peers, word, &count);
+    _gp_parcel parcel = {.peers = peers, .bytes = bytes, .count = count};
+    rl_each_target(plan, word->number, !often, _gp_send_to, &parcel);
+    if (rl_query_relays(plan)) {
+        _gp_keep(peers, bytes, count);
+    }
+}
+
+static bool
+_gp_send_one(gp_peers *peers, Lacewing__Exchange__Word *word,
+             const char *instance)
+{
+    size_t count;
+    g_autofree uint8_t *bytes = _gp_pack(peers, word, &count);
+    _gp_parcel parcel = {
+        .peers = peers, .bytes = bytes, .count = count, .only = instance};
+    le_each_peer(peers->desc.lease, _gp_send_if_meant, &parcel);
     return parcel.sent;
 }
 
+void
+gp_pass_on(gp_peers *peers)
+{
+    if (peers->passing->len == 0) {
+        return;
+    }
+    Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
+    g_autofree ProtobufCBinaryData *words =
+        g_new(ProtobufCBinaryData, peers->passing->len);
+    for (guint i = 0; i < peers->passing->len; i++) {
+        gsize size = 0;
+        words[i].data =
+            (uint8_t *)g_bytes_get_data(peers->passing->pdata[i], &size);
+        words[i].len = size;
+    }
+    word.n_words = peers->passing->len;
+    word.words = words;
+    size_t count;
+    g_autofree uint8_t *bytes = _gp_pack(peers, &word, &count);
+    _gp_parcel parcel = {.peers = peers, .bytes = bytes, .count = count};
+    rl_each_member(_gp_plan(peers), _gp_send_to, &parcel);
+    g_ptr_array_set_size(peers->passing, 0);
+    peers->passing_bytes = 0;
+}
+
 bool
 gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter,
        const char *request)
@@ -115,7 +230,7 @@
     Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
     word.n_asks = 1;
     word.asks = asks;
-    return _gp_send(peers, &word, holder);
+    return _gp_send_one(peers, &word, holder);
 }
 
 typedef struct _gp_state {
@@ -211,7 +326,12 @@
     Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
     word.n_servers = 1;
     word.servers = servers;
-    _gp_send(peers, &word, only);
+    if (only) {
+        _gp_send_one(peers, &word, only);
+    }
+    else {
+        _gp_send_all(peers, &word, false);
+    }
     for (guint i = 0; i < state.models->len; i++) {
         g_free(((Lacewing__Exchange__ModelState *)state.models->pdata[i])
                    ->copies);
@@ -377,7 +497,7 @@
     word.n_tables = _gp_fill_table(peers, &table, NW_OWN, own);
     word.tables = tables;
     if (word.n_loads || word.n_uses) {
-        _gp_send(peers, &word, NULL);
+        _gp_send_all(peers, &word, true);
     }
     g_ptr_array_unref(all.loads);
     g_ptr_array_unref(all.copies);
@@ -432,7 +552,7 @@
         word.n_rows = i + 1;
     }
     word.rows = list;
-    _gp_send(peers, &word, NULL);
+    _gp_send_all(peers, &word, false);
 }
 
 /* -- private: receiving --------------------------------------------------- */
@@ -573,6 +693,46 @@
     }
 }
 
+/* False: the word was taken in before, by way of another relay. */
+static bool
+_gp_is_new(gp_peers *peers, const Lacewing__Exchange__Word *word)
+{
+    if (word->number == 0) {
+        return true;
+    }
+    rl_seen *seen = g_hash_table_lookup(peers->seen, word->instance);
+    if (!seen) {
+        seen = g_new0(rl_seen, 1);
+        g_hash_table_insert(peers->seen, g_strdup(word->instance), seen);
+    }
+    return rl_note(seen, word->incarnation, word->number);
+}
+
+/* direct: as it came; else one that a relay passed on. */
+static void
+_gp_take_bytes(gp_peers *peers, const uint8_t *bytes, size_t count,
+               bool direct)
+{
+    Lacewing__Exchange__Word *word =
+        lacewing__exchange__word__unpack(NULL, count, bytes);
+    if (!word) {
+        ct_add(CT_FRAMES_REFUSED, 1);
+        return;
+    }
+    if (strcmp(word->instance, peers->instance) != 0 &&
+        _gp_is_new(peers, word)) {
+        if (direct && word->spread && rl_query_relays(_gp_plan(peers))) {
+            _gp_keep(peers, bytes, count);
+        }
+        _gp_take(peers, word);
+        for (size_t i = 0; direct && i < word->n_words; i++) {
+            _gp_take_bytes(peers, word->words[i].data, word->words[i].len,
+                           false);
+        }
+    }
+    lacewing__exchange__word__free_unpacked(word, NULL);
+}
+
 static void
 _gp_on_ready(lp_watch *watch, uint32_t ready, void *user_data)
 {
@@ -584,16 +744,7 @@
             return;
         }
         ct_add(CT_LINK_BYTES_IN, count);
-        Lacewing__Exchange__Word *word = lacewing__exchange__word__unpack(
-            NULL, (size_t)count, peers->buffer);
-        if (!word) {
-            ct_add(CT_FRAMES_REFUSED, 1);
-            continue;
-        }
-        if (strcmp(word->instance, peers->instance) != 0) {
-            _gp_take(peers, word);
-        }
-        lacewing__exchange__word__free_unpacked(word, NULL);
+        _gp_take_bytes(peers, peers->buffer, (size_t)count, true);
     }
 }
 
@@ -619,6 +770,12 @@
     peers->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     peers->buffer = g_malloc(_GP_DATAGRAM_BYTES);
+    peers->plan =
+        rl_create(&(rl_desc){.instance = desc->instance, .zone = desc->zone});
+    peers->seen =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    peers->passing =
+        g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
     peers->watch =
         (lp_watch){.fd = fd, .call = _gp_on_ready, .user_data = peers};
     lp_set(desc->loop, &peers->watch, LP_READ);
@@ -634,11 +791,27 @@
     lp_clear(peers->desc.loop, &peers->watch);
     close(peers->watch.fd);
     g_hash_table_unref(peers->servers);
+    g_hash_table_unref(peers->seen);
+    g_ptr_array_unref(peers->passing);
+    rl_destroy(peers->plan);
     g_free(peers->buffer);
     g_free(peers->instance);
     g_free(peers);
 }
 
+uint32_t
+gp_query_turn(gp_peers *peers, nw_table table)
+{
+    _gp_plan(peers);
+    return peers->turns[table];
+}
+
+bool
+gp_query_spread(gp_peers *peers)
+{
+    return rl_query_spread(_gp_plan(peers));
+}
+
 uint64_t
 gp_query_told_us(const gp_peers *peers, const fl_server *server)
 {
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -6,7 +6,10 @@
  * callers asked for; it asks the holder of a server to load an adapter. All
  * of it is state or can be asked again, so a lost datagram only costs time.
  *
- * Limits: a datagram holds at most one server's state, some 600 bytes.
+ * Among many instances words go through relays of each zone (relay.h).
+ *
+ * Limits: a word holds at most one server's state, some 600 bytes; a datagram
+ * of a relay some 8 kB of words.
  */
 #ifndef LACEWING_GOSSIP_H
 #define LACEWING_GOSSIP_H
@@ -48,7 +51,9 @@
     fl_fleet *fleet;      /* required */
     le_lease *lease;      /* required */
     const char *instance; /* required */
+    const char *zone;     /* required */
     const char *address;  /* required, IP:PORT of datagrams */
+    uint32_t link_mbps;   /* of our network link; 0: not told */
     uint64_t incarnation;
     const gp_calls *calls;
     void *user_data;
@@ -60,6 +65,8 @@
 /* Asks the holder of a server. False: none is known. */
 bool gp_ask(gp_peers *peers, fl_server *server, fl_adapter *adapter,
             const char *request);
+/* Passes on what came from others since the last call, if we are a relay. */
+void gp_pass_on(gp_peers *peers);
 /* Tells all others what a server holds that is ordered from here, if that has
    changed since it was told, or again all the same. */
 void gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number,
@@ -74,6 +81,10 @@
                    const GArray *rows);
 
 /* queries */
+/* Our place among those that follow a table, see wt_set_turn(). */
+uint32_t gp_query_turn(gp_peers *peers, nw_table table);
+/* Words go by way of relays. */
+bool gp_query_spread(gp_peers *peers);
 /* When the holder of a server last told what it holds; 0: never. */
 uint64_t gp_query_told_us(const gp_peers *peers, const fl_server *server);
 
--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -110,6 +110,7 @@
     lease->instance = g_strdup(desc->instance);
     lease->zone = g_strdup(desc->zone);
     lease->address = g_strdup(desc->address ? desc->address : "");
+    lease->link_mbps = desc->link_mbps;
     lease->incarnation = desc->incarnation;
     uint32_t lease_ms = desc->lease_ms ? desc->lease_ms : _LE_LEASE_MS;
     lease->lease_us = lease_ms * 1000ULL;
@@ -361,6 +362,7 @@
                     peer->public.incarnation << 1 ^ peer->public.leaving);
         live += !peer->public.leaving;
     }
+    uint64_t peer_digest = digest;
     g_hash_table_iter_init(&iter, lease->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const le_server_row *server = value;
@@ -368,7 +370,7 @@
                       ? _le_mix(g_str_hash(server->id) ^ server->version << 20)
                       : 0;
     }
-    *lease->counts = (le_counts){true, digest, MAX(live, 1)};
+    *lease->counts = (le_counts){true, digest, peer_digest, MAX(live, 1)};
 }
 
 uint32_t
@@ -378,6 +380,13 @@
     return lease->counts->live;
 }
 
+uint64_t
+le_query_peer_digest(const le_lease *lease)
+{
+    _le_refresh_counts(lease);
+    return lease->counts->peer_digest;
+}
+
 uint64_t
 le_query_digest(const le_lease *lease)
 {
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -41,6 +41,7 @@
     const char *instance; /* required */
     const char *zone;     /* required */
     const char *address;  /* for other instances, IP:PORT */
+    uint32_t link_mbps;   /* for other instances; 0: not told */
     uint64_t incarnation; /* required, another at each start */
     uint32_t lease_ms;    /* holders are this far apart; default 3000 */
     uint32_t renew_ms;    /* default lease_ms / 3 */
@@ -53,6 +54,7 @@
     const char *zone;
     const char *address;
     uint64_t incarnation;
+    uint32_t link_mbps; /* of its network link; 0: not told */
     bool leaving;
 } le_peer;
 
@@ -94,6 +96,8 @@
 uint32_t le_query_live(const le_lease *lease);
 /* Of all rows but for their renewals. */
 uint64_t le_query_digest(const le_lease *lease);
+/* Of the other instances. */
+uint64_t le_query_peer_digest(const le_lease *lease);
 bool le_query_held(const le_lease *lease, uint64_t clock_us);
 bool le_query_given_up(const le_lease *lease);
 typedef void (*le_peer_call)(const le_peer *peer, void *user_data);
--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -46,6 +46,7 @@
 typedef struct le_counts {
     bool valid;
     uint64_t digest;
+    uint64_t peer_digest;
     uint32_t live;
 } le_counts;
 
@@ -53,6 +54,7 @@
     char *instance;
     char *zone;
     char *address;
+    uint32_t link_mbps;
     uint64_t incarnation;
     uint64_t lease_us;
     uint64_t quiet_us;
--- a/packages/exchange/src/lease_rows.c
+++ b/packages/exchange/src/lease_rows.c
@@ -105,6 +105,7 @@
                              .zone = peer->zone,
                              .address = peer->address,
                              .incarnation = read->incarnation,
+                             .link_mbps = read->link_mbps,
                              .leaving = read->leaving};
     if (le_is_self(lease, name)) {
         lease->row_version = MAX(lease->row_version, row->version);
--- a/packages/exchange/src/lease_tx.c
+++ b/packages/exchange/src/lease_tx.c
@@ -69,6 +69,7 @@
     row.incarnation = lease->incarnation;
     row.zone = lease->zone;
     row.address = lease->address;
+    row.link_mbps = lease->link_mbps;
     row.leaving = lease->leaving;
     /* Until this renewal is acknowledged the one before may be in force. */
     row.valid_ms = (uint32_t)(MAX(lease->tx_valid_us, lease->valid_us) / 1000);
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -172,6 +172,7 @@
     nd_node *node = user_data;
     xc_tick(node->core);
     or_tick(node->orderer);
+    gp_pass_on(node->peers);
 }
 
 typedef struct _nd_silence {
@@ -341,6 +342,8 @@
     cr_tick(node->callers, clock_us);
     cr_tick(node->pages, clock_us);
     nd_end_lapsed(node);
+    wt_set_turn(node->operator_watch, gp_query_turn(node->peers, NW_OPERATOR));
+    wt_set_turn(node->server_watch, gp_query_turn(node->peers, NW_SERVERS));
     if (!node->ready_said && _nd_ready(node)) {
         node->ready_said = true;
         lg_write(LG_PEER_READY, NULL);
@@ -403,11 +406,13 @@
         &(hc_desc){.hub = node->hub, .loop = loop, .timers = node->timers});
     node->fleet = fl_create(&(fl_desc){.version_ms = settings->version_ms,
                                        .seed = g_random_int() | 1U});
-    node->lease = le_create(&(le_desc){.instance = settings->instance,
-                                       .zone = settings->zone,
-                                       .address = peer_address,
-                                       .incarnation = node->incarnation,
-                                       .lease_ms = settings->lease_ms});
+    node->lease =
+        le_create(&(le_desc){.instance = settings->instance,
+                             .zone = settings->zone,
+                             .address = peer_address,
+                             .link_mbps = (uint32_t)settings->link_mbps,
+                             .incarnation = node->incarnation,
+                             .lease_ms = settings->lease_ms});
     node->orderer = or_create(&(or_desc){.client = node->client,
                                          .loop = loop,
                                          .fleet = node->fleet,
@@ -433,15 +438,18 @@
 _nd_make_ports(nd_node *node, const char *peer_address, er_status *status)
 {
     const nd_settings *settings = node->desc.settings;
-    node->peers = gp_create(&(gp_desc){.loop = node->desc.loop,
-                                       .fleet = node->fleet,
-                                       .lease = node->lease,
-                                       .instance = settings->instance,
-                                       .address = peer_address,
-                                       .incarnation = node->incarnation,
-                                       .calls = &_nd_peer_calls,
-                                       .user_data = node},
-                            status);
+    node->peers =
+        gp_create(&(gp_desc){.loop = node->desc.loop,
+                             .fleet = node->fleet,
+                             .lease = node->lease,
+                             .instance = settings->instance,
+                             .zone = settings->zone,
+                             .address = peer_address,
+                             .link_mbps = (uint32_t)settings->link_mbps,
+                             .incarnation = node->incarnation,
+                             .calls = &_nd_peer_calls,
+                             .user_data = node},
+                  status);
     node->pages = cr_create(&(cr_desc){.hub = node->hub,
                                        .loop = node->desc.loop,
                                        .address = settings->ready,
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -20,6 +20,9 @@
     le_lease *lease;
     or_orderer *orderer;
     gp_peers *peers;
+    /* When a table is asked for that others know something else of; 0: they
+       do not. */
+    uint64_t missing_us[NW_TABLE_NUM];
     xc_core *core;
     cr_port *callers;
     cr_port *pages;
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -9,6 +9,10 @@
 /* Servers that are missing after the store was away have this long to come
    back; the platform's word is about 2 s. */
 #define _ND_LAPSED_US 1700000
+/* News by way of relays take some ten ms; the own table's are awaited a few
+   times longer, as nothing there is due within less than a lease. */
+#define _ND_NEWS_GRACE_US 300000
+#define _ND_OWN_GRACE_US 1500000
 /* The word of a holder counts more than the list for this long. */
 #define _ND_HOLDER_WORD_US 4000000
 /* A transaction takes some ms; a store that is slow answers within this. */
@@ -39,6 +43,27 @@
                                  : node->own_watch;
 }
 
+/* Among many instances news travel by relays, and may come behind word of
+   them: what is missing still after some time is asked for, not by all at
+   once. */
+static bool
+_nd_is_missing(nd_node *node, nw_table table, bool same, uint64_t now_us)
+{
+    if (same) {
+        node->missing_us[table] = 0;
+        return false;
+    }
+    if (!gp_query_spread(node->peers)) {
+        return true;
+    }
+    uint64_t grace_us = table == NW_OWN ? _ND_OWN_GRACE_US : _ND_NEWS_GRACE_US;
+    if (node->missing_us[table] == 0) {
+        node->missing_us[table] =
+            now_us + grace_us + (uint64_t)g_random_int_range(0, (int)grace_us);
+    }
+    return now_us >= node->missing_us[table];
+}
+
 /* Another instance knows as much: no need to ask. It knows something else,
    and later: the store has news. */
 void
@@ -50,7 +75,10 @@
     if (same && table != NW_OWN) {
         wt_note_fresh(watch, known->at_us);
     }
-    else if (!same && known->at_us > wt_query_fresh_us(watch)) {
+    uint64_t now_us = lp_query_now_us(node->desc.loop);
+    if (_nd_is_missing(node, table, same, now_us) &&
+        known->at_us > wt_query_fresh_us(watch)) {
+        node->missing_us[table] = 0;
         wt_ask_now(watch);
     }
 }
--- /dev/null
+++ b/packages/exchange/src/relay.c
@@ -0,0 +1,246 @@
+#include "relay.h"
+
+#include "lacewing/hash.h"
+#include <glib.h>
+#include <string.h>
+
+/* Up to here direct words cost less than the way by relays takes longer: 83
+   instances spend 2 % of a core each on them (sabar-glue-grown). */
+#define _RL_DIRECT 96
+/* Part of the fastest link of a zone that a relay has at least. */
+#define _RL_LINK_SHARE 2
+
+typedef struct _rl_instance {
+    char *instance;
+    char *zone;
+    char *address;
+    uint32_t link_mbps;
+    bool leaving;
+    uint64_t rank; /* for us; the lowest two of a zone's relays are ours */
+} _rl_instance;
+
+struct rl_plan {
+    char *instance;
+    char *zone;
+    uint32_t direct;
+    GPtrArray *all;    /* _rl_instance, by zone and rank once sorted */
+    GPtrArray *relays; /* _rl_instance, two of each zone; not owned */
+    bool relays_here;  /* we are one that others may choose */
+    bool sorted;
+};
+
+static void
+_rl_free(void *data)
+{
+    _rl_instance *instance = data;
+    g_free(instance->instance);
+    g_free(instance->zone);
+    g_free(instance->address);
+    g_free(instance);
+}
+
+static int
+_rl_by_zone_and_rank(const void *a, const void *b)
+{
+    const _rl_instance *one = *(const _rl_instance *const *)a;
+    const _rl_instance *two = *(const _rl_instance *const *)b;
+    int zones = strcmp(one->zone, two->zone);
+    return zones != 0 ? zones : (one->rank > two->rank) - (one->rank < two->rank);
+}
+
+/* Of the instances from..to, all of one zone. */
+static void
+_rl_choose_relays(rl_plan *plan, guint from, guint to)
+{
+    uint32_t fastest = 0;
+    for (guint i = from; i < to; i++) {
+        const _rl_instance *instance = plan->all->pdata[i];
+        fastest = instance->leaving ? fastest
+                                    : MAX(fastest, instance->link_mbps);
+    }
+    uint32_t count = 0;
+    for (guint i = from; i < to; i++) {
+        const _rl_instance *instance = plan->all->pdata[i];
+        if (instance->leaving ||
+            instance->link_mbps * _RL_LINK_SHARE < fastest) {
+            continue;
+        }
+        if (count < RL_RELAYS) {
+            g_ptr_array_add(plan->relays, plan->all->pdata[i]);
+            count++;
+        }
+        plan->relays_here |= strcmp(instance->instance, plan->instance) == 0;
+    }
+}
+
+static void
+_rl_sort(rl_plan *plan)
+{
+    if (plan->sorted) {
+        return;
+    }
+    plan->sorted = true;
+    plan->relays_here = false;
+    g_ptr_array_set_size(plan->relays, 0);
+    g_ptr_array_sort(plan->all, _rl_by_zone_and_rank);
+    guint from = 0;
+    for (guint i = 1; i <= plan->all->len; i++) {
+        const _rl_instance *first = plan->all->pdata[from];
+        const _rl_instance *next =
+            i < plan->all->len ? plan->all->pdata[i] : NULL;
+        if (!next || strcmp(first->zone, next->zone) != 0) {
+            _rl_choose_relays(plan, from, i);
+            from = i;
+        }
+    }
+}
+
+/* -- public --------------------------------------------------------------- */
+
+rl_plan *
+rl_create(const rl_desc *desc)
+{
+    g_assert(desc->instance && desc->zone);
+    rl_plan *plan = g_new0(rl_plan, 1);
+    plan->instance = g_strdup(desc->instance);
+    plan->zone = g_strdup(desc->zone);
+    plan->direct = desc->direct ? desc->direct : _RL_DIRECT;
+    plan->all = g_ptr_array_new_with_free_func(_rl_free);
+    plan->relays = g_ptr_array_new();
+    return plan;
+}
+
+void
+rl_destroy(rl_plan *plan)
+{
+    if (plan) {
+        g_ptr_array_unref(plan->all);
+        g_ptr_array_unref(plan->relays);
+        g_free(plan->instance);
+        g_free(plan->zone);
+        g_free(plan);
+    }
+}
+
+void
+rl_clear(rl_plan *plan)
+{
+    g_ptr_array_set_size(plan->all, 0);
+    g_ptr_array_set_size(plan->relays, 0);
+    plan->sorted = false;
+}
+
+void
+rl_put(rl_plan *plan, const rl_peer *peer)
+{
+    _rl_instance *instance = g_new0(_rl_instance, 1);
+    instance->instance = g_strdup(peer->instance);
+    instance->zone = g_strdup(peer->zone);
+    instance->address = g_strdup(peer->address);
+    instance->link_mbps = peer->link_mbps;
+    instance->leaving = peer->leaving;
+    g_autofree char *pair =
+        g_strconcat(plan->instance, " ", peer->instance, NULL);
+    instance->rank = hs_u64(pair);
+    g_ptr_array_add(plan->all, instance);
+    plan->sorted = false;
+}
+
+bool
+rl_note(rl_seen *seen, uint64_t incarnation, uint64_t number)
+{
+    if (incarnation != seen->incarnation) {
+        *seen = (rl_seen){.incarnation = incarnation, .newest = number};
+        return true;
+    }
+    if (number > seen->newest) {
+        uint64_t ahead = number - seen->newest;
+        seen->before =
+            ahead > 64 ? 0
+                       : (ahead == 64 ? 0 : seen->before << ahead) |
+                             (UINT64_C(1) << (ahead - 1));
+        seen->newest = number;
+        return true;
+    }
+    uint64_t behind = seen->newest - number;
+    if (behind == 0 || behind > 64) {
+        return false;
+    }
+    uint64_t bit = UINT64_C(1) << (behind - 1);
+    bool had = (seen->before & bit) != 0;
+    seen->before |= bit;
+    return !had;
+}
+
+static void
+_rl_call_if_other(const rl_plan *plan, const _rl_instance *instance,
+                  rl_call call, void *user_data)
+{
+    if (strcmp(instance->instance, plan->instance) != 0) {
+        call(instance->instance, instance->address, user_data);
+    }
+}
+
+void
+rl_each_target(rl_plan *plan, uint64_t number, bool twice, rl_call call,
+               void *user_data)
+{
+    _rl_sort(plan);
+    bool spread = rl_query_spread(plan);
+    const GPtrArray *list = spread ? plan->relays : plan->all;
+    const char *zone = NULL;
+    uint32_t place = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const _rl_instance *instance = list->pdata[i];
+        bool same = zone && strcmp(zone, instance->zone) == 0;
+        place = same ? place + 1 : 0;
+        zone = instance->zone;
+        const _rl_instance *next =
+            i + 1 < list->len ? list->pdata[i + 1] : NULL;
+        bool alone =
+            place == 0 && (!next || strcmp(next->zone, zone) != 0);
+        if (!spread || twice || alone || place == number % RL_RELAYS) {
+            _rl_call_if_other(plan, instance, call, user_data);
+        }
+    }
+}
+
+void
+rl_each_member(rl_plan *plan, rl_call call, void *user_data)
+{
+    _rl_sort(plan);
+    for (guint i = 0; i < plan->all->len; i++) {
+        const _rl_instance *instance = plan->all->pdata[i];
+        if (strcmp(instance->zone, plan->zone) == 0) {
+            _rl_call_if_other(plan, instance, call, user_data);
+        }
+    }
+}
+
+bool
+rl_query_spread(const rl_plan *plan)
+{
+    return plan->all->len > plan->direct;
+}
+
+uint32_t
+rl_query_turn(const rl_plan *plan, const char *task)
+{
+    g_autofree char *own = g_strconcat(task, " ", plan->instance, NULL);
+    uint64_t rank = hs_u64(own);
+    uint32_t turn = 1;
+    for (guint i = 0; i < plan->all->len; i++) {
+        const _rl_instance *instance = plan->all->pdata[i];
+        g_autofree char *other =
+            g_strconcat(task, " ", instance->instance, NULL);
+        turn += !instance->leaving && hs_u64(other) < rank;
+    }
+    return turn;
+}
+
+bool
+rl_query_relays(rl_plan *plan)
+{
+    _rl_sort(plan);
+    return rl_query_spread(plan) && plan->relays_here;
+}
--- a/packages/exchange/src/settings.c
+++ b/packages/exchange/src/settings.c
@@ -48,6 +48,9 @@
     _ND_U32(memory_mb, "MB", 16, 1e6, "256", "Memory of this instance."),
     _ND_U32(descriptors, "files", 64, 1e6, "4096",
             "Open files and sockets of this instance."),
+    _ND_DOUBLE(link_mbps, "Mbit/s", 0, 1e6, "0",
+               "Its network link; words among many instances go by way of "
+               "fast ones. 0: as fast as the others."),
     {.group = _ND_GROUP,
      .name = "log_level",
      .type = ST_ENUM,
--- a/packages/exchange/src/transit.c
+++ b/packages/exchange/src/transit.c
@@ -31,7 +31,8 @@
         share->loads = MAX(share->loads - _TS_SHRINK, _TS_LEAST_LOADS);
     }
     else {
-        share->loads = MIN(share->loads + _TS_GROW / share->loads, _TS_MOST_LOADS);
+        share->loads =
+            MIN(share->loads + _TS_GROW / share->loads, _TS_MOST_LOADS);
     }
 }
 
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -25,6 +25,11 @@
    interruption. */
 #define _WT_GAP_US 1500000
 
+/* Instances that have a turn of their own, and how much later each asks: word
+   of the one before has come by then. */
+#define _WT_TURNS 4
+#define _WT_TURN_MS 150
+
 struct wt_watch {
     wt_desc desc;
     char *address;
@@ -38,7 +43,8 @@
     uint64_t gap_us;
     uint64_t regained_us;
     uint32_t failures;
-    bool hurried; /* the next call is for news that others tell of */
+    uint32_t turn; /* see wt_set_turn() */
+    bool hurried;  /* the next call is for news that others tell of */
     bool lost;
     bool *alive; /* false once destroyed, for calls under way */
     tm_timer timer;
@@ -73,6 +79,12 @@
 _wt_pause_ms(const wt_watch *watch)
 {
     uint32_t pause_ms = watch->desc.pause_ms;
+    if (watch->turn && watch->turn <= _WT_TURNS) {
+        return pause_ms + (watch->turn - 1) * _WT_TURN_MS;
+    }
+    if (watch->turn) {
+        pause_ms += _WT_TURNS * _WT_TURN_MS;
+    }
     return pause_ms + (uint32_t)g_random_int_range(0, (gint32)pause_ms + 1);
 }
 
@@ -339,6 +351,12 @@
     }
 }
 
+void
+wt_set_turn(wt_watch *watch, uint32_t turn)
+{
+    watch->turn = turn;
+}
+
 void
 wt_set_pause(wt_watch *watch, uint32_t pause_ms)
 {
--- a/packages/exchange/src/watch.h
+++ b/packages/exchange/src/watch.h
@@ -61,6 +61,10 @@
 void wt_read_again(wt_watch *watch);
 /* It has changed since. */
 void wt_ask_now(wt_watch *watch);
+/* Place of this instance, from 1, among those that follow the table and tell
+   each other: the first asks, the next ones when no word of it came, all
+   others later still. 0: by chance. */
+void wt_set_turn(wt_watch *watch, uint32_t turn);
 void wt_set_pause(wt_watch *watch, uint32_t pause_ms);
 
 /* queries */
