Own address and zone outlive the start

Found by the address sanitizer in test_path (25 of 48): gp_desc's address is freed after nd_create(), and the plan of relays read it again for our own entry, whose address nobody uses. Kept as copies now.

--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -46,6 +46,8 @@
     gp_desc desc;
     lp_watch watch;
     char *instance;
+    char *zone;
+    char *address;
     GHashTable *servers; /* id -> _gp_server */
     uint8_t *buffer;
     rl_plan *plan;
@@ -124,8 +126,8 @@
         rl_clear(peers->plan);
         le_each_peer(peers->desc.lease, _gp_plan_peer, peers->plan);
         rl_put(peers->plan, &(rl_peer){.instance = peers->instance,
-                                       .zone = peers->desc.zone,
-                                       .address = peers->desc.address,
+                                       .zone = peers->zone,
+                                       .address = peers->address,
                                        .link_mbps = peers->desc.link_mbps});
         for (int table = 0; table < NW_TABLE_NUM; table++) {
             char task[16];
@@ -767,6 +769,8 @@
     gp_peers *peers = g_new0(gp_peers, 1);
     peers->desc = *desc;
     peers->instance = g_strdup(desc->instance);
+    peers->zone = g_strdup(desc->zone);
+    peers->address = g_strdup(desc->address);
     peers->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     peers->buffer = g_malloc(_GP_DATAGRAM_BYTES);
@@ -796,6 +800,8 @@
     rl_destroy(peers->plan);
     g_free(peers->buffer);
     g_free(peers->instance);
+    g_free(peers->zone);
+    g_free(peers->address);
     g_free(peers);
 }
 
