Answers without end are ended: events of 256 KB, gathered bodies of 8 MB

A server may send bytes without end. An event of a resumable stream was kept until whole, whatever its size; a gathered body over 8 MB was read on until the route's time was over (504). Now such a send is ended at the next look (20 to 50 ms), counted as a bad answer of the server, and goes elsewhere where that is allowed, else fails as 502 or breaks off. Heads were bounded before (64 KB), answers of the store and of orders by their size and time-out.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -509,6 +509,10 @@
         xc_dispatch(exchange);
         return;
     }
+    if (exchange->state == XC_SENT && exchange->overrun) {
+        xc_end_overrun(exchange);
+        return;
+    }
     if (_xc_outdated(exchange, now_us)) {
         _xc_end_outdated(exchange);
         return;
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -178,6 +178,10 @@
         g_free(id);
         g_byte_array_remove_range(exchange->event, 0, (guint)length);
     }
+    if (exchange->event->len > XC_EVENT_BYTES) {
+        exchange->spoilt = true;
+        exchange->overrun = true;
+    }
 }
 
 void
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -10,6 +10,9 @@
 
 /* A request goes to so many servers at the most, refusals included. */
 #define XC_SENDS 4
+/* Longest event of a stream that can go on elsewhere: it is kept until it is
+   whole. Those of the platform have some 50 bytes. */
+#define XC_EVENT_BYTES (256 * 1024)
 
 struct xc_core {
     xc_desc desc;
@@ -66,6 +69,7 @@
     uint32_t ahead;   /* the same with those before them, when it was sent */
     bool refused;
     bool spoilt;
+    bool overrun;    /* the answer is longer than any may be */
     uint32_t status; /* of the answer */
     GString *answer_headers;
     GByteArray *answer; /* gathered, when it is not passed on as it comes */
@@ -97,6 +101,8 @@
 bool xc_send(xc_exchange *exchange, fl_server *server, uint64_t version);
 /* The server has read the prompt, or ends without: first_ms 0. */
 void xc_end_read(xc_exchange *exchange, double first_ms);
+/* Ends a send whose answer goes on without end: elsewhere, or failed. */
+void xc_end_overrun(xc_exchange *exchange);
 /* Ends the send under way; the server stops work on it. */
 void xc_cancel_send(xc_exchange *exchange, fl_outcome outcome);
 
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -103,6 +103,7 @@
     }
     if (exchange->answer->len + count > _XC_GATHER_BYTES) {
         exchange->spoilt = true;
+        exchange->overrun = true;
         return;
     }
     g_byte_array_append(exchange->answer, (const guint8 *)bytes, (guint)count);
@@ -241,6 +242,16 @@
     }
 }
 
+void
+xc_end_overrun(xc_exchange *exchange)
+{
+    exchange->told = true;
+    lg_write(LG_SEND_ENDED, "request", exchange->id, "server",
+             exchange->server->id, "why", "answer without end", NULL);
+    xc_cancel_send(exchange, FL_BAD_ANSWER);
+    _xc_go_on(exchange, US_BROKEN);
+}
+
 static const us_calls _xc_line_calls = {
     .head = _xc_on_head, .body = _xc_on_body, .end = _xc_on_end};
 
@@ -378,6 +389,7 @@
     exchange->waits_since_us = 0;
     exchange->refused = false;
     exchange->spoilt = false;
+    exchange->overrun = false;
     if (exchange->answer) {
         g_byte_array_set_size(exchange->answer, 0);
     }
--- a/packages/exchange/tests/test_few_places.c
+++ b/packages/exchange/tests/test_few_places.c
@@ -278,8 +278,8 @@
     }
     int server = index_of(p, choice.server);
     double read_ms = r->tokens / TOKENS_PER_MS * slowness(server);
-    p->free_us[server] = MAX(p->free_us[server], p->now_us) +
-                         (uint64_t)(read_ms * 1000.0);
+    p->free_us[server] =
+        MAX(p->free_us[server], p->now_us) + (uint64_t)(read_ms * 1000.0);
     r->server = choice.server;
     r->sent_us = p->now_us;
     r->first_us = p->free_us[server];
@@ -298,11 +298,9 @@
             r->read = true;
             fl_end_read(r->server, r->tokens, r->ahead,
                         (double)(p->now_us - r->sent_us) / 1000.0);
-            p->in_time +=
-                counts && p->now_us <= r->begun_us + TARGET_MS * MS;
+            p->in_time += counts && p->now_us <= r->begun_us + TARGET_MS * MS;
         }
-        double stream_ms =
-            STREAM_MS * slowness(index_of(p, r->server));
+        double stream_ms = STREAM_MS * slowness(index_of(p, r->server));
         if (p->now_us >= r->first_us + (uint64_t)(stream_ms * 1000.0)) {
             fl_end(r->server, r->adapter,
                    &(fl_result){.outcome = FL_GOOD,
