--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -623,9 +623,3 @@
         us_drop_idle(server->pool);
     }
 }
-
-bool
-xc_query_active(const xc_core *core)
-{
-    return core->active.length > 0;
-}
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -54,7 +54,7 @@
 void xc_set_table(xc_core *core, rc_table *table);
 /* An adapter has a further copy, or lost one. */
 void xc_wake(xc_core *core, fl_adapter *adapter);
-/* Time-outs and requests that wait; call about every 20 ms. */
+/* Time-outs and requests that wait; call about every 50 ms. */
 void xc_tick(xc_core *core);
 /* The instance ends then: what might take longer is refused. 0: it stays. */
 void xc_set_leave(xc_core *core, uint64_t leave_us);
@@ -64,8 +64,4 @@
 /* The calls that a cr_port needs. */
 const cr_calls *xc_query_caller_calls(void);
 
-/* queries */
-/* Requests are under way or wait. */
-bool xc_query_active(const xc_core *core);
-
 #endif
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -805,12 +805,6 @@
     g_free(peers);
 }
 
-bool
-gp_query_relays(gp_peers *peers)
-{
-    return rl_query_relays(_gp_plan(peers));
-}
-
 uint32_t
 gp_query_turn(gp_peers *peers, nw_table table)
 {
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -81,8 +81,6 @@
                    const GArray *rows);
 
 /* queries */
-/* Others may choose us to pass their words on. */
-bool gp_query_relays(gp_peers *peers);
 /* Our place among those that follow a table, see wt_set_turn(). */
 uint32_t gp_query_turn(gp_peers *peers, nw_table table);
 /* So many instances that the store is asked by few of them, in turn. */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -10,12 +10,14 @@
 #define _ND_HOLDER_SILENT_US 3000000
 /* Left of the grace period when the last answers are broken off. */
 #define _ND_LAST_US 500000
-/* Requests and loads under way are looked at this often, while there are any.
-   An instance that has nothing to do wakes up with its beat only. */
+/* Loads under way of servers held here are looked at this often: one that is
+   at hand takes 25 ms. */
 #define _ND_FAST_MS 20
-/* Leases, words to other instances. */
+/* Requests that wait or time out, leases, words to other instances. */
 #define _ND_BEAT_MS 50
-/* Callers' time-outs, idle connections, lapsed servers: each second beat. */
+/* Callers' time-outs, idle connections, lapsed servers, words that are passed
+   on: each second beat. Passed on each 20 ms, they woke each of 195 instances
+   up 150 times a second. */
 #define _ND_SLOW_BEATS 2
 /* Requests under way that changed are told to each other instance this often,
    at 72 instances three times as rarely; still more rarely, more streams were
@@ -175,7 +177,6 @@
 {
     xc_tick(node->core);
     or_tick(node->orderer);
-    gp_pass_on(node->peers);
 }
 
 static void
@@ -192,9 +193,7 @@
 static void
 _nd_hurry(nd_node *node)
 {
-    if (node->fast.id == 0 &&
-        (xc_query_active(node->core) || or_query_loading(node->orderer) ||
-         gp_query_relays(node->peers))) {
+    if (node->fast.id == 0 && or_query_loading(node->orderer)) {
         node->fast = tm_make_timer(node->timers,
                                    &(tm_timer_desc){.period_ms = _ND_FAST_MS,
                                                     .once = true,
@@ -385,6 +384,7 @@
     _nd_tell(node);
     if (++node->beats % _ND_SLOW_BEATS == 0) {
         _nd_look_slowly(node);
+        gp_pass_on(node->peers);
     }
     _nd_hurry(node);
 }
