--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -18,18 +18,23 @@
    requests comes behind the others, unless these are far behind. */
 #define _FL_LOADING_FULL 4
 #define _FL_LOAD_MS_BUSY 250.0
-/* Reading a prompt is worth so much as this many pauses between events. */
+/* A first event sooner by this many pauses outweighs slower events: callers'
+   streams have some 8 to 50 events, and pauses count only when long. */
 #define _FL_EVENTS 4.0
 /* A further copy pays when it saves this much of the time until the first
-   event, after its own load. */
+   event, after its own load: a tenth of the shortest target of a stream. */
 #define _FL_COPY_SAVES_MS 100.0
-/* Where no place can be had, the next gets free about this much later. */
+/* Where no place can be had, the next gets free about this much later: a run
+   of a second or so at each of 6 to 11 places. */
 #define _FL_PLACE_MS 150.0
-/* A load that was asked for so lately is in its server's queue. */
+/* A load that was asked for so lately is in its server's queue: it drops what
+   was not asked for again in 700 ms (orders.c). */
 #define _FL_ASKED_US 600000
-/* What a load from the weight store takes from others that wait for one. */
+/* What a load from the weight store takes from others that wait for one: two
+   to three loads' time, as the queue of a store in full use has it. */
 #define _FL_FETCH_MORE_MS 600.0
-/* Each adapter prefers the servers in its own order, by up to this much. */
+/* Each adapter prefers the servers in its own order, by up to this much: less
+   than a load, more than the differences of idle servers. */
 #define _FL_HOME_MS 120.0
 
 /* -- private: choosing ---------------------------------------------------- */
--- a/packages/exchange/src/fleet_private.h
+++ b/packages/exchange/src/fleet_private.h
@@ -18,9 +18,8 @@
     GHashTable *adapters; /* key -> fl_adapter */
     GPtrArray *retired;   /* fl_server: gone, kept for what refers to them */
     GPtrArray *used;      /* fl_adapter with uses to tell */
-    uint64_t
-        version_us; /* that a new version has until nothing older begins */
-    uint64_t old_version_us; /* that older copies are still chosen */
+    uint64_t version_us;  /* a new version is used within */
+    uint64_t old_version_us; /* older copies are still chosen within */
     double fetch_ms;         /* of loads from the weight store lately */
     GRand *random;
 };
--- /dev/null
+++ b/packages/exchange/tests/load.h
@@ -0,0 +1,77 @@
+/* load.h: what the plays of a load share: skewed demand, servers that hold
+   the model and nothing else, each with its plan. */
+#ifndef LACEWING_TESTS_LOAD_H
+#define LACEWING_TESTS_LOAD_H
+
+#include "fleet.h"
+#include "orders.h"
+#include <math.h>
+
+#define ADAPTERS 3000
+#define ZIPF 1.2 /* of the demand for adapters */
+
+typedef struct demand {
+    GRand *random;
+    double weights[ADAPTERS]; /* sums */
+} demand;
+
+static void
+setup_demand(demand *d, uint32_t seed)
+{
+    d->random = g_rand_new_with_seed(seed);
+    double sum = 0;
+    for (int i = 0; i < ADAPTERS; i++) {
+        sum += pow(i + 1, -ZIPF);
+        d->weights[i] = sum;
+    }
+}
+
+/* Place of an adapter in the order of demand, 0 the one asked for most. */
+static int
+draw_adapter(const demand *d)
+{
+    double at = g_rand_double(d->random) * d->weights[ADAPTERS - 1];
+    int low = 0;
+    int high = ADAPTERS - 1;
+    while (low < high) {
+        int middle = (low + high) / 2;
+        if (d->weights[middle] < at) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+/* Server number i of a play, and the plan of its orders. */
+static fl_server *
+add_engine(fl_fleet *fleet, uint32_t seed, int i, const od_room *room,
+           uint64_t now_us, od_plan **plan)
+{
+    g_autofree char *id = g_strdup_printf("i-%u-%d", seed, i);
+    dl_server entry = {.id = id,
+                       .service = "llm",
+                       .address = "127.0.0.1:1",
+                       .zone = "z1",
+                       .slots = 64,
+                       .state = DL_SERVER_READY,
+                       .born_ms = 1};
+    fl_server *server;
+    fl_put_server(fleet, &entry, &server);
+    server->orders_possible = true;
+    *plan = od_create(&(od_desc){.fleet = fleet, .server = server});
+    od_next(*plan, now_us, room);
+    dl_server report = {.models = dl_make_models()};
+    dl_model model = {.name = g_strdup("base"),
+                      .version = 1,
+                      .adapters =
+                          g_array_new(FALSE, TRUE, sizeof(dl_adapter))};
+    g_array_append_val(report.models, model);
+    od_feed_report(*plan, now_us, &report);
+    dl_clear_server(&report);
+    return server;
+}
+
+#endif
--- a/packages/exchange/tests/test_few_places.c
+++ b/packages/exchange/tests/test_few_places.c
@@ -1,18 +1,15 @@
 /* Plays the load of many adapters at servers with few places, long prompts
    and a weight store that brings few adapters at once, and checks what
    callers get: choice, placing, orders and shares of the store together. */
-#include "fleet.h"
-#include "orders.h"
+#include "load.h"
 #include "run.h"
 #include "transit.h"
-#include <math.h>
 
 #define MS UINT64_C(1000)
 #define SERVERS 18
 #define HOLDERS 8 /* each orders every eighth server */
 #define PLACES 6
 #define AT_HAND 36
-#define ADAPTERS 3000
 #define FULL_SPEED 8 /* loads from the store at once */
 #define LOAD_MS 250
 #define AT_HAND_MS 25
@@ -53,11 +50,10 @@
     GQueue had[SERVERS];       /* fl_adapter, the latest first */
     ts_share shares[HOLDERS];
     uint64_t now_us;
-    GRand *random;
     GArray *travels;
     GArray *waiting; /* request */
     GArray *sent;    /* request */
-    double weights[ADAPTERS];
+    demand demand;
     bool with_crest;
     uint32_t all;
     uint32_t in_time;
@@ -95,40 +91,16 @@
     play *p = g_new0(play, 1);
     p->fleet = fl_create(&(fl_desc){.seed = seed});
     p->now_us = 1000000 * MS;
-    p->random = g_rand_new_with_seed(seed);
     p->travels = g_array_new(FALSE, TRUE, sizeof(travel));
     p->waiting = g_array_new(FALSE, TRUE, sizeof(request));
     p->sent = g_array_new(FALSE, TRUE, sizeof(request));
-    double sum = 0;
-    for (int i = 0; i < ADAPTERS; i++) {
-        sum += pow(i + 1, -1.2);
-        p->weights[i] = sum;
-    }
+    setup_demand(&p->demand, seed);
     for (int i = 0; i < HOLDERS; i++) {
         ts_setup(&p->shares[i]);
     }
     for (int i = 0; i < SERVERS; i++) {
-        g_autofree char *id = g_strdup_printf("i-%u-%d", seed, i);
-        dl_server entry = {.id = id,
-                           .service = "llm",
-                           .address = "127.0.0.1:1",
-                           .zone = "z1",
-                           .slots = 64,
-                           .state = DL_SERVER_READY,
-                           .born_ms = 1};
-        fl_put_server(p->fleet, &entry, &p->servers[i]);
-        p->servers[i]->orders_possible = true;
-        p->plans[i] =
-            od_create(&(od_desc){.fleet = p->fleet, .server = p->servers[i]});
-        od_next(p->plans[i], p->now_us, &room);
-        dl_server report = {.models = dl_make_models()};
-        dl_model model = {.name = g_strdup("base"),
-                          .version = 1,
-                          .adapters =
-                              g_array_new(FALSE, TRUE, sizeof(dl_adapter))};
-        g_array_append_val(report.models, model);
-        od_feed_report(p->plans[i], p->now_us, &report);
-        dl_clear_server(&report);
+        p->servers[i] =
+            add_engine(p->fleet, seed, i, &room, p->now_us, &p->plans[i]);
     }
     return p;
 }
@@ -144,7 +116,7 @@
     g_array_unref(p->travels);
     g_array_unref(p->waiting);
     g_array_unref(p->sent);
-    g_rand_free(p->random);
+    g_rand_free(p->demand.random);
     g_free(p);
 }
 
@@ -314,25 +286,14 @@
 static request
 draw(play *p)
 {
-    double at = g_rand_double(p->random) * p->weights[ADAPTERS - 1];
-    int low = 0;
-    int high = ADAPTERS - 1;
-    while (low < high) {
-        int middle = (low + high) / 2;
-        if (p->weights[middle] < at) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
+    int low = draw_adapter(&p->demand);
     /* The demand moves on by half of the list in the middle of the play. */
     bool later = p->now_us > (1000000 + SECONDS * 500) * MS;
     int number = later ? (low + ADAPTERS / 2) % ADAPTERS : low;
     g_autofree char *key = g_strdup_printf("base/a%d", number);
     /* Lengths of factor e around 1,400 tokens, 2,300 in the mean. */
-    double normal = sqrt(-2.0 * log(1.0 - g_rand_double(p->random))) *
-                    cos(2 * G_PI * g_rand_double(p->random));
+    double normal = sqrt(-2.0 * log(1.0 - g_rand_double(p->demand.random))) *
+                    cos(2 * G_PI * g_rand_double(p->demand.random));
     return (request){.begun_us = p->now_us,
                      .adapter = fl_intern(p->fleet, key),
                      .tokens = (uint32_t)MIN(1400 * exp(normal), 7000)};
@@ -352,7 +313,7 @@
         bool crest = p->with_crest && step >= CREST_S * 1000 / STEP_MS &&
                      step < (CREST_S + CREST_LASTS_S) * 1000 / STEP_MS;
         double per_s = PER_S * (crest ? CREST_TIMES : 1.0);
-        if (g_rand_double(p->random) < per_s * STEP_MS / 1000.0) {
+        if (g_rand_double(p->demand.random) < per_s * STEP_MS / 1000.0) {
             request r = draw(p);
             p->all += counts;
             fl_use(p->fleet, r.adapter, p->now_us);
--- a/packages/exchange/tests/test_placement_load.c
+++ b/packages/exchange/tests/test_placement_load.c
@@ -1,15 +1,12 @@
 /* Plays the load that placing and choosing answer: many adapters, few of them
    hot, on servers with few places and of two speeds; what callers get. */
-#include "fleet.h"
-#include "orders.h"
+#include "load.h"
 #include "run.h"
-#include <math.h>
 
 #define MS UINT64_C(1000)
 #define SERVERS 12
 #define FAST 3 /* the first ones */
 #define PLACES 33
-#define ADAPTERS 3000
 #define LOAD_MS 250
 #define STEP_MS 10
 #define PER_S 90
@@ -32,10 +29,9 @@
     fl_server *servers[SERVERS];
     od_plan *plans[SERVERS];
     uint64_t now_us;
-    GRand *random;
     GArray *ends;    /* run_end */
     GArray *waiting; /* request */
-    double weights[ADAPTERS];
+    demand demand;
     uint64_t asked_us[ADAPTERS];
     uint32_t sent;
     uint32_t sent_fast;
@@ -70,36 +66,12 @@
     play *p = g_new0(play, 1);
     p->fleet = fl_create(&(fl_desc){.seed = seed});
     p->now_us = 1000000 * MS;
-    p->random = g_rand_new_with_seed(seed);
     p->ends = g_array_new(FALSE, TRUE, sizeof(run_end));
     p->waiting = g_array_new(FALSE, TRUE, sizeof(request));
-    double sum = 0;
-    for (int i = 0; i < ADAPTERS; i++) {
-        sum += pow(i + 1, -1.2);
-        p->weights[i] = sum;
-    }
+    setup_demand(&p->demand, seed);
     for (int i = 0; i < SERVERS; i++) {
-        g_autofree char *id = g_strdup_printf("i-%u-%d", seed, i);
-        dl_server entry = {.id = id,
-                           .service = "llm",
-                           .address = "127.0.0.1:1",
-                           .zone = "z1",
-                           .slots = 64,
-                           .state = DL_SERVER_READY,
-                           .born_ms = 1};
-        fl_put_server(p->fleet, &entry, &p->servers[i]);
-        p->servers[i]->orders_possible = true;
-        p->plans[i] =
-            od_create(&(od_desc){.fleet = p->fleet, .server = p->servers[i]});
-        od_next(p->plans[i], p->now_us, &room);
-        dl_server report = {.models = dl_make_models()};
-        dl_model model = {.name = g_strdup("base"),
-                          .version = 1,
-                          .adapters =
-                              g_array_new(FALSE, TRUE, sizeof(dl_adapter))};
-        g_array_append_val(report.models, model);
-        od_feed_report(p->plans[i], p->now_us, &report);
-        dl_clear_server(&report);
+        p->servers[i] =
+            add_engine(p->fleet, seed, i, &room, p->now_us, &p->plans[i]);
     }
     return p;
 }
@@ -113,7 +85,7 @@
     fl_destroy(p->fleet);
     g_array_unref(p->ends);
     g_array_unref(p->waiting);
-    g_rand_free(p->random);
+    g_rand_free(p->demand.random);
     g_free(p);
 }
 
@@ -203,18 +175,7 @@
 static fl_adapter *
 draw(play *p)
 {
-    double at = g_rand_double(p->random) * p->weights[ADAPTERS - 1];
-    int low = 0;
-    int high = ADAPTERS - 1;
-    while (low < high) {
-        int middle = (low + high) / 2;
-        if (p->weights[middle] < at) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
+    int low = draw_adapter(&p->demand);
     g_autofree char *key = g_strdup_printf("base/a%d", low);
     return fl_intern(p->fleet, key);
 }
@@ -227,7 +188,7 @@
         bool counts = step >= WARM_S * 1000 / STEP_MS;
         end_runs(p);
         step_orders(p);
-        if (g_rand_double(p->random) < PER_S * STEP_MS / 1000.0) {
+        if (g_rand_double(p->demand.random) < PER_S * STEP_MS / 1000.0) {
             request r = {p->now_us, draw(p)};
             fl_use(p->fleet, r.adapter, p->now_us);
             g_array_append_val(p->waiting, r);
