--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -22,7 +22,8 @@
    streams have some 8 to 50 events, and pauses count only when long. */
 #define _FL_EVENTS 4.0
 /* A further copy pays when it saves this much of the time until the first
-   event, after its own load: a tenth of the shortest target of a stream. */
+   event, after its own load: well below the targets of streams, 600 ms and
+   more. */
 #define _FL_COPY_SAVES_MS 100.0
 /* Where no place can be had, the next gets free about this much later: a run
    of a second or so at each of 6 to 11 places. */
