--- a/packages/exchange/src/relay.c
+++ b/packages/exchange/src/relay.c
@@ -19,6 +19,9 @@
     uint32_t link_mbps;
     bool leaving;
     uint64_t rank; /* for us; the lowest two of a zone's relays are ours */
+    /* of those two */
+    uint32_t place;
+    bool alone; /* its zone has no second one */
 } _rl_instance;
 
 struct rl_plan {
@@ -61,19 +64,24 @@
         fastest =
             instance->leaving ? fastest : MAX(fastest, instance->link_mbps);
     }
+    _rl_instance *relays[RL_RELAYS] = {NULL};
     uint32_t count = 0;
     for (guint i = from; i < to; i++) {
-        const _rl_instance *instance = plan->all->pdata[i];
+        _rl_instance *instance = plan->all->pdata[i];
         if (instance->leaving ||
             instance->link_mbps * _RL_LINK_SHARE < fastest) {
             continue;
         }
         if (count < RL_RELAYS) {
-            g_ptr_array_add(plan->relays, plan->all->pdata[i]);
-            count++;
+            relays[count++] = instance;
         }
         plan->relays_here |= strcmp(instance->instance, plan->instance) == 0;
     }
+    for (uint32_t i = 0; i < count; i++) {
+        relays[i]->place = i;
+        relays[i]->alone = count == 1;
+        g_ptr_array_add(plan->relays, relays[i]);
+    }
 }
 
 static void
@@ -86,15 +94,16 @@
     plan->relays_here = false;
     g_ptr_array_set_size(plan->relays, 0);
     g_ptr_array_sort(plan->all, _rl_by_zone_and_rank);
-    guint from = 0;
-    for (guint i = 1; i <= plan->all->len; i++) {
+    guint to = 0;
+    for (guint from = 0; from < plan->all->len; from = to) {
         const _rl_instance *first = plan->all->pdata[from];
-        const _rl_instance *next =
-            i < plan->all->len ? plan->all->pdata[i] : NULL;
-        if (!next || strcmp(first->zone, next->zone) != 0) {
-            _rl_choose_relays(plan, from, i);
-            from = i;
+        for (to = from + 1; to < plan->all->len; to++) {
+            const _rl_instance *next = plan->all->pdata[to];
+            if (strcmp(first->zone, next->zone) != 0) {
+                break;
+            }
         }
+        _rl_choose_relays(plan, from, to);
     }
 }
 
@@ -190,17 +199,10 @@
     _rl_sort(plan);
     bool spread = rl_query_spread(plan);
     const GPtrArray *list = spread ? plan->relays : plan->all;
-    const char *zone = NULL;
-    uint32_t place = 0;
     for (guint i = 0; i < list->len; i++) {
         const _rl_instance *instance = list->pdata[i];
-        bool same = zone && strcmp(zone, instance->zone) == 0;
-        place = same ? place + 1 : 0;
-        zone = instance->zone;
-        const _rl_instance *next =
-            i + 1 < list->len ? list->pdata[i + 1] : NULL;
-        bool alone = place == 0 && (!next || strcmp(next->zone, zone) != 0);
-        if (!spread || twice || alone || place == number % RL_RELAYS) {
+        if (!spread || twice || instance->alone ||
+            instance->place == number % RL_RELAYS) {
             _rl_call_if_other(plan, instance, call, user_data);
         }
     }
