An instance that hears no news waits no longer for having no turn

With the turns from 25 instances on an instance without a turn asked up to 2.1 s after the last word (0.75 + 0.6 + 0.75), and word of other digests counted only after 0.3 to 0.6 s; before it was 1.5 s and at once. What lost the row was not traced to the end.

Now the four that have turns ask sooner (half of the pause and 100 ms apart) and all others as if there were none; digests of the operator's table and of the servers are awaited only among relays.

Test: test_watch (no turn waits over twice the pause: 2,100 ms at 750 before).

--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -812,6 +812,12 @@
     return peers->turns[table];
 }
 
+bool
+gp_query_spread(gp_peers *peers)
+{
+    return rl_query_spread(_gp_plan(peers));
+}
+
 bool
 gp_query_many(gp_peers *peers)
 {
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -85,6 +85,8 @@
 uint32_t gp_query_turn(gp_peers *peers, nw_table table);
 /* So many instances that the store is asked by few of them, in turn. */
 bool gp_query_many(gp_peers *peers);
+/* Words go by way of relays. */
+bool gp_query_spread(gp_peers *peers);
 /* When the holder of a server last told what it holds; 0: never. */
 uint64_t gp_query_told_us(const gp_peers *peers, const fl_server *server);
 
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -43,8 +43,9 @@
                                  : node->own_watch;
 }
 
-/* Among many instances news may come behind word of them: what is missing
-   still after some time is asked for, not by all at once. */
+/* News may come behind word of them: those of the own table, which all write,
+   among many instances, and all by way of relays. What is missing still after
+   some time is asked for, not by all at once. */
 static bool
 _nd_is_missing(nd_node *node, nw_table table, bool same, uint64_t now_us)
 {
@@ -52,7 +53,8 @@
         node->missing_us[table] = 0;
         return false;
     }
-    if (!gp_query_many(node->peers)) {
+    if (table == NW_OWN ? !gp_query_many(node->peers)
+                        : !gp_query_spread(node->peers)) {
         return true;
     }
     uint64_t grace_us = table == NW_OWN ? _ND_OWN_GRACE_US : _ND_NEWS_GRACE_US;
--- a/packages/exchange/src/watch.c
+++ b/packages/exchange/src/watch.c
@@ -26,9 +26,11 @@
 #define _WT_GAP_US 1500000
 
 /* Instances that have a turn of their own, and how much later each asks: word
-   of the one before has come by then. */
+   of the one before has come by then. They ask sooner than all others, who
+   wait no longer than without turns when no word comes. */
 #define _WT_TURNS 4
-#define _WT_TURN_MS 150
+#define _WT_TURN_MS 100
+#define _WT_TURN_SOONER 2
 
 struct wt_watch {
     wt_desc desc;
@@ -74,18 +76,28 @@
                                              .user_data = watch});
 }
 
+void
+wt_query_pause_range(uint32_t pause_ms, uint32_t turn, uint32_t *least_ms,
+                     uint32_t *most_ms)
+{
+    if (turn && turn <= _WT_TURNS) {
+        *least_ms = pause_ms / _WT_TURN_SOONER + (turn - 1) * _WT_TURN_MS;
+        *most_ms = *least_ms;
+        return;
+    }
+    *least_ms = pause_ms;
+    *most_ms = pause_ms * 2;
+}
+
 /* Spread, so that one of many instances is first and spares the others. */
 static uint32_t
 _wt_pause_ms(const wt_watch *watch)
 {
-    uint32_t pause_ms = watch->desc.pause_ms;
-    if (watch->turn && watch->turn <= _WT_TURNS) {
-        return pause_ms + (watch->turn - 1) * _WT_TURN_MS;
-    }
-    if (watch->turn) {
-        pause_ms += _WT_TURNS * _WT_TURN_MS;
-    }
-    return pause_ms + (uint32_t)g_random_int_range(0, (gint32)pause_ms + 1);
+    uint32_t least_ms;
+    uint32_t most_ms;
+    wt_query_pause_range(watch->desc.pause_ms, watch->turn, &least_ms,
+                         &most_ms);
+    return (uint32_t)g_random_int_range((gint32)least_ms, (gint32)most_ms + 1);
 }
 
 static void
--- a/packages/exchange/src/watch.h
+++ b/packages/exchange/src/watch.h
@@ -63,11 +63,14 @@
 void wt_ask_now(wt_watch *watch);
 /* Place of this instance, from 1, among those that follow the table and tell
    each other: the first asks, the next ones when no word of it came, all
-   others later still. 0: by chance. */
+   others as if there were no turns. 0: by chance. */
 void wt_set_turn(wt_watch *watch, uint32_t turn);
 void wt_set_pause(wt_watch *watch, uint32_t pause_ms);
 
 /* queries */
+/* Time from one word of a table to the next call for it. */
+void wt_query_pause_range(uint32_t pause_ms, uint32_t turn, uint32_t *least_ms,
+                          uint32_t *most_ms);
 /* When the call was sent whose answer told the table last; 0: never. */
 uint64_t wt_query_fresh_us(const wt_watch *watch);
 /* Of the store, up to which the table is known from it; 0: not yet. */
