The last answer on a connection is not cut a second after its end

What callers saw: an answer that ends without its last part on a connection that closes behind it, as all connections of a stopping instance do.

Cause: a closing connection was freed one second after the answer was handed to it, whatever was still to be written: a time-out that was meant to begin when the last byte has left. A caller or a link that takes the answer more slowly lost the rest of it.

Now the second begins with the last byte that leaves; a caller that takes nothing at all is given up after the limit of idle connections.

--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -8,8 +8,8 @@
 #define _CR_BODY_BYTES (8 * 1024 * 1024)
 #define _CR_HEAD_MS 10000
 #define _CR_IDLE_MS 60000
-/* A connection that was answered with an error is read on for this long, so
-   that the answer is not lost in a reset. */
+/* A connection is read on for this long after its last byte has left, so that
+   the answer is not lost in a reset. */
 #define _CR_LINGER_US 1000000
 /* Idle connections end somewhat later than callers are told. */
 #define _CR_IDLE_GRACE 1.05
@@ -36,7 +36,8 @@
     h1_reader *reader;
     GList link;
     _cr_state state;
-    uint64_t since_us; /* of the state */
+    uint64_t since_us; /* of the state; closing: of the last byte that left */
+    size_t unsent;     /* closing: when it was looked at last */
     GByteArray *body;
     void *request;
     uint32_t refused; /* status that the request gets without being run */
@@ -277,6 +278,24 @@
     }
 }
 
+/* Ends a closing connection some time after its last byte has left, or when
+   the caller takes none for as long as it may be idle. */
+static void
+_cr_look_at_closing(cr_conn *conn, uint64_t now_us)
+{
+    size_t unsent = nc_query_unsent(conn->conn);
+    if (unsent != conn->unsent) {
+        conn->unsent = unsent;
+        conn->since_us = now_us;
+        return;
+    }
+    uint64_t longest_us =
+        unsent ? conn->port->limits.idle_ms * 1000ULL : _CR_LINGER_US;
+    if (now_us > conn->since_us + longest_us) {
+        _cr_free(conn);
+    }
+}
+
 static void
 _cr_look(cr_conn *conn, uint64_t now_us)
 {
@@ -298,9 +317,7 @@
         }
         break;
     case _CR_CLOSING:
-        if (age_us > _CR_LINGER_US) {
-            _cr_free(conn);
-        }
+        _cr_look_at_closing(conn, now_us);
         break;
     default:
         break;
--- /dev/null
+++ b/packages/exchange/tests/test_caller.c
@@ -0,0 +1,148 @@
+/* Tests of the callers' connections over sockets: whole answers, closing. */
+#include "caller.h"
+#include "run.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ADDRESS "127.0.0.1:18473"
+#define PORT 18473
+/* More than the sockets of both ends take. */
+#define LARGE_BYTES (16 * 1024 * 1024)
+/* What a slow caller takes in each 10 ms. */
+#define SIP_BYTES (64 * 1024)
+
+typedef struct desk {
+    lp_loop *loop;
+    nc_hub *hub;
+    cr_port *port;
+    size_t body_count;
+    uint32_t requests;
+} desk;
+
+static void *
+answer_at_once(cr_conn *conn, const h1_head *head, const char *body,
+               size_t body_count, void *user_data)
+{
+    (void)head;
+    (void)body;
+    (void)body_count;
+    desk *d = user_data;
+    d->requests++;
+    g_autofree char *bytes = g_malloc0(d->body_count + 1);
+    cr_respond(conn, &(cr_answer){.status = 200,
+                                  .body = bytes,
+                                  .body_count = d->body_count});
+    return NULL;
+}
+
+static void
+ignore_gone(void *request, void *user_data)
+{
+    (void)request;
+    (void)user_data;
+}
+
+static const cr_calls calls = {.request = answer_at_once, .gone = ignore_gone};
+
+static desk *
+make_desk(size_t body_count)
+{
+    desk *d = g_new0(desk, 1);
+    er_status status = {0};
+    d->loop = lp_create();
+    d->hub = nc_create(&(nc_hub_desc){.loop = d->loop});
+    d->body_count = body_count;
+    d->port = cr_create(&(cr_desc){.hub = d->hub,
+                                   .loop = d->loop,
+                                   .address = ADDRESS,
+                                   .calls = &calls,
+                                   .user_data = d},
+                        &status);
+    ck_assert_msg(d->port != NULL, "%s", status.message);
+    return d;
+}
+
+static void
+turn(desk *d)
+{
+    while (g_main_context_iteration(NULL, FALSE)) {
+    }
+    cr_tick(d->port, lp_query_clock_us());
+}
+
+static void
+turn_ms(desk *d, uint32_t ms)
+{
+    for (uint32_t spent_ms = 0; spent_ms < ms; spent_ms += 10) {
+        turn(d);
+        g_usleep(10000);
+    }
+}
+
+static int
+dial(void)
+{
+    struct sockaddr_in name = {.sin_family = AF_INET, .sin_port = htons(PORT)};
+    inet_pton(AF_INET, "127.0.0.1", &name.sin_addr);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    ck_assert_int_eq(connect(fd, (struct sockaddr *)&name, sizeof(name)), 0);
+    fcntl(fd, F_SETFL, O_NONBLOCK);
+    return fd;
+}
+
+static void
+say(int fd, const char *text)
+{
+    ck_assert_int_eq(send(fd, text, strlen(text), MSG_NOSIGNAL),
+                     (ssize_t)strlen(text));
+}
+
+/* Bytes read until the end of the connection; *whole: it ended in order. */
+static size_t
+read_slowly(desk *d, int fd, bool *whole)
+{
+    g_autofree char *bytes = g_malloc(SIP_BYTES);
+    size_t sum = 0;
+    for (uint32_t i = 0; i < 2000; i++) {
+        turn(d);
+        ssize_t count = recv(fd, bytes, SIP_BYTES, 0);
+        if (count > 0) {
+            sum += (size_t)count;
+        }
+        else if (count == 0 || errno != EAGAIN) {
+            *whole = count == 0;
+            return sum;
+        }
+        g_usleep(10000);
+    }
+    *whole = false;
+    return sum;
+}
+
+/* A caller that takes an answer slowly gets all of it, also where the
+   connection closes behind it. */
+START_TEST(test_slow_caller_gets_whole_last_answer)
+{
+    desk *d = make_desk(LARGE_BYTES);
+    int fd = dial();
+    say(fd, "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    turn_ms(d, 100);
+    bool whole = false;
+    ck_assert_uint_gt(read_slowly(d, fd, &whole), LARGE_BYTES);
+    ck_assert(whole);
+    close(fd);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tcase = tcase_create("caller");
+    tcase_set_timeout(tcase, 30);
+    tcase_add_test(tcase, test_slow_caller_gets_whole_last_answer);
+    return run_case("caller", tcase);
+}
