--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -64,6 +64,8 @@
     X(CT_FAILED, "failed_total", "counter",                                   \
       "Requests whose outcome is not known")                                  \
     X(CT_BROKEN, "broken_total", "counter", "Answers broken off")             \
+    X(CT_LONG_TURNS, "long_turns_total", "counter",                           \
+      "Turns of the loop in which callers and servers waited long")           \
     X(CT_CONFIG_VERSION, "config_version", "gauge",                           \
       "Configuration version in force")                                       \
     X(CT_OPEN_REQUESTS, "open_requests", "gauge", "Requests in flight")       \
--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -36,6 +36,7 @@
     X(LG_STOPPING, INFO, "daemon", "stopping")                                \
     X(LG_STOP_WAITS, INFO, "daemon", "stop waits")                            \
     X(LG_STOPPED, INFO, "daemon", "stopped")                                  \
+    X(LG_TURN_LONG, WARNING, "daemon", "turn of the loop took long")          \
     X(LG_SETTINGS_REFUSED, ERROR, "daemon", "settings refused")               \
     X(LG_SETTINGS_READ, INFO, "daemon", "settings read again")                \
     X(LG_LISTEN_FAILED, ERROR, "daemon", "cannot listen")                     \
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -8,6 +8,9 @@
 #define _ND_ASK_ANSWER_US 150000
 /* About the time of a lease, after which another instance may hold it. */
 #define _ND_HOLDER_SILENT_US 3000000
+/* A turn of the loop that took as long is logged: what came meanwhile was
+   not read. */
+#define _ND_LONG_TURN_US 100000
 /* Left of the grace period when the last answers are broken off. */
 #define _ND_LAST_US 500000
 /* Loads under way of servers held here are looked at this often: one that is
@@ -374,11 +377,25 @@
     }
 }
 
+static void
+_nd_note_long_turn(nd_node *node)
+{
+    uint64_t longest_us = lp_take_longest_turn_us(node->desc.loop);
+    if (longest_us < _ND_LONG_TURN_US) {
+        return;
+    }
+    char ms[24];
+    g_snprintf(ms, sizeof(ms), "%" G_GUINT64_FORMAT, longest_us / 1000);
+    ct_add(CT_LONG_TURNS, 1);
+    lg_write(LG_TURN_LONG, "ms", ms, NULL);
+}
+
 static void
 _nd_on_beat(uint64_t now_us, void *user_data)
 {
     (void)now_us;
     nd_node *node = user_data;
+    _nd_note_long_turn(node);
     _nd_look(node);
     _nd_control(node);
     _nd_tell(node);
--- a/packages/net/include/lacewing/loop.h
+++ b/packages/net/include/lacewing/loop.h
@@ -59,6 +59,9 @@
 void lp_run(lp_loop *loop);
 void lp_quit(lp_loop *loop);
 
+/* Longest turn since this was asked last; what comes meanwhile waits. */
+uint64_t lp_take_longest_turn_us(lp_loop *loop);
+
 /* queries */
 uint64_t lp_query_now_us(const lp_loop *loop);
 /* The clock itself, for checks that may follow a pause of the process. */
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -21,6 +21,7 @@
     GSource *source;
     int epoll_fd;
     uint64_t now_us;
+    uint64_t longest_turn_us;
     struct epoll_event ready[_LP_READY_CAPACITY];
     int ready_count;
     struct {
@@ -115,6 +116,8 @@
     for (uint32_t i = 0; i < loop->before_count; i++) {
         loop->before[i].call(loop->before[i].user_data);
     }
+    loop->longest_turn_us =
+        MAX(loop->longest_turn_us, lp_query_clock_us() - loop->now_us);
     *timeout_ms = -1;
     return FALSE;
 }
@@ -238,3 +241,11 @@
 {
     g_main_loop_quit(loop->main);
 }
+
+uint64_t
+lp_take_longest_turn_us(lp_loop *loop)
+{
+    uint64_t longest_us = loop->longest_turn_us;
+    loop->longest_turn_us = 0;
+    return longest_us;
+}
