A request that waits in the socket is read before its connection is closed

What callers saw: a whole request that reached a stopping instance got neither an answer nor a refusal; its connection ended 0.2 s later (LOST).

Cause: idle connections of a stopping instance are closed by what was read of them, not by what has come. While the loop is held up, requests stand in the sockets; the close then sent a FIN, read the request behind it and dropped it. The same class: the limit of idle connections and the limits of heads and bodies, which judged by the time since the last read.

No line of the request in the instance's log.

Now the socket is asked first (one peek for each connection that would be closed), and what still crosses the FIN stays unread, so that its caller can tell that it was not taken and may repeat it.

Tests: test_request_in_socket_is_answered_before_idle_close, test_request_in_socket_is_answered_at_the_idle_limit and test_rest_of_head_in_socket_is_read_at_its_limit failed before.

Ruled out by the same logs: the process ending by itself (none did), a stream cut at the end of the stop (17 were, all sent within 3 s of SIGTERM), a slow write of the answer (none had begun).

--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -296,6 +296,14 @@
     }
 }
 
+/* No request, and no part of one, has come. */
+static bool
+_cr_is_unused(const cr_conn *conn)
+{
+    return conn->state == _CR_IDLE && nc_query_kept(conn->conn) == 0 &&
+           !nc_query_input(conn->conn);
+}
+
 static void
 _cr_look(cr_conn *conn, uint64_t now_us)
 {
@@ -303,19 +311,20 @@
     uint64_t age_us = now_us - conn->since_us;
     switch (conn->state) {
     case _CR_IDLE:
-        if ((double)age_us > limits->idle_ms * 1000.0 * _CR_IDLE_GRACE) {
+        if ((double)age_us > limits->idle_ms * 1000.0 * _CR_IDLE_GRACE &&
+            _cr_is_unused(conn)) {
             _cr_free(conn);
         }
         break;
-    case _CR_READING:
-        if (h1_query_state(conn->reader) == H1_HEAD &&
-            age_us > limits->head_ms * 1000ULL) {
-            _cr_refuse(conn, 408);
-        }
-        else if (age_us > limits->idle_ms * 1000ULL) {
+    case _CR_READING: {
+        bool in_head = h1_query_state(conn->reader) == H1_HEAD;
+        bool late = (in_head && age_us > limits->head_ms * 1000ULL) ||
+                    age_us > limits->idle_ms * 1000ULL;
+        if (late && !nc_query_input(conn->conn)) {
             _cr_refuse(conn, 408);
         }
         break;
+    }
     case _CR_CLOSING:
         _cr_look_at_closing(conn, now_us);
         break;
@@ -351,10 +360,11 @@
     for (GList *at = port->conns.head; at; at = next) {
         next = at->next;
         cr_conn *conn = at->data;
-        if (conn->state == _CR_IDLE && nc_query_kept(conn->conn) == 0) {
-            /* What was answered last may still be on its way. */
+        if (_cr_is_unused(conn)) {
+            /* What was answered last may still be on its way. A request that
+               crosses the end stays unread: its caller may repeat it. */
             _cr_enter(conn, _CR_CLOSING);
-            nc_finish(conn->conn);
+            nc_finish_unread(conn->conn);
         }
     }
 }
--- a/packages/exchange/tests/test_caller.c
+++ b/packages/exchange/tests/test_caller.c
@@ -14,6 +14,7 @@
 #define LARGE_BYTES (16 * 1024 * 1024)
 /* What a slow caller takes in each 10 ms. */
 #define SIP_BYTES (64 * 1024)
+#define REQUEST "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
 typedef struct desk {
     lp_loop *loop;
@@ -138,11 +139,80 @@
 }
 END_TEST
 
+/* A request that stands in the socket when a stopping instance closes its
+   idle connections is answered, not read behind the end of the connection. */
+START_TEST(test_request_in_socket_is_answered_before_idle_close)
+{
+    desk *d = make_desk(2);
+    int fd = dial();
+    say(fd, REQUEST);
+    turn_ms(d, 100);
+    char bytes[512];
+    ck_assert_int_gt(recv(fd, bytes, sizeof(bytes), 0), 0);
+    cr_leave(d->port);
+    say(fd, REQUEST);
+    g_usleep(20000);
+    cr_close_idle(d->port);
+    bool whole = false;
+    ck_assert_uint_gt(read_slowly(d, fd, &whole), 0);
+    ck_assert(whole);
+    ck_assert_uint_eq(d->requests, 2);
+    close(fd);
+}
+END_TEST
+
+/* The same where the configuration's limit of idle connections is reached. */
+START_TEST(test_request_in_socket_is_answered_at_the_idle_limit)
+{
+    desk *d = make_desk(2);
+    cr_set_limits(d->port, &(rc_limits){.idle_ms = 200});
+    int fd = dial();
+    say(fd, REQUEST);
+    turn_ms(d, 100);
+    char bytes[512];
+    ck_assert_int_gt(recv(fd, bytes, sizeof(bytes), 0), 0);
+    /* The loop is busy with something else over the limit. */
+    g_usleep(150000);
+    say(fd, REQUEST);
+    g_usleep(20000);
+    cr_tick(d->port, lp_query_clock_us());
+    bool whole = false;
+    ck_assert_uint_gt(read_slowly(d, fd, &whole), 0);
+    ck_assert_uint_eq(d->requests, 2);
+    close(fd);
+}
+END_TEST
+
+/* The rest of a head that came in time, while the loop was busy, counts. */
+START_TEST(test_rest_of_head_in_socket_is_read_at_its_limit)
+{
+    desk *d = make_desk(2);
+    cr_set_limits(d->port, &(rc_limits){.head_ms = 200});
+    int fd = dial();
+    say(fd, "GET /x HTTP/1.1\r\n");
+    turn_ms(d, 100);
+    say(fd, "Host: h\r\n\r\n");
+    g_usleep(150000);
+    cr_tick(d->port, lp_query_clock_us());
+    turn_ms(d, 100);
+    char bytes[512] = "";
+    ck_assert_int_gt(recv(fd, bytes, sizeof(bytes) - 1, 0), 0);
+    ck_assert_ptr_nonnull(strstr(bytes, "200"));
+    ck_assert_uint_eq(d->requests, 1);
+    close(fd);
+}
+END_TEST
+
 int
 main(void)
 {
     TCase *tcase = tcase_create("caller");
     tcase_set_timeout(tcase, 30);
     tcase_add_test(tcase, test_slow_caller_gets_whole_last_answer);
+    tcase_add_test(tcase,
+                   test_request_in_socket_is_answered_before_idle_close);
+    tcase_add_test(tcase,
+                   test_request_in_socket_is_answered_at_the_idle_limit);
+    tcase_add_test(tcase, test_rest_of_head_in_socket_is_read_at_its_limit);
     return run_case("caller", tcase);
 }
--- a/packages/net/include/lacewing/conn.h
+++ b/packages/net/include/lacewing/conn.h
@@ -81,10 +81,15 @@
 void nc_pause(nc_conn *conn, bool paused);
 /* Sends what is written, then a FIN; input is dropped from then on. */
 void nc_finish(nc_conn *conn);
+/* The same, but input is left unread: the peer can tell from the end of the
+   connection that what it sent was not taken. */
+void nc_finish_unread(nc_conn *conn);
 void nc_close(nc_conn *conn);
 
 /* queries */
 bool nc_query_open(const nc_conn *conn);
+/* Bytes that were not handed over yet stand in the socket. */
+bool nc_query_input(const nc_conn *conn);
 /* Bytes that have left this process. */
 uint64_t nc_query_sent(const nc_conn *conn);
 size_t nc_query_unsent(const nc_conn *conn);
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -45,6 +45,7 @@
     uint64_t sent_bytes;
     bool paused;
     bool finishing;
+    bool unread; /* finishing: input stays in the socket */
 };
 
 struct nc_listener {
@@ -103,7 +104,7 @@
     if (conn->connecting || conn->out->len > conn->out_start) {
         wanted |= LP_WRITE;
     }
-    if (!conn->connecting && !conn->paused) {
+    if (!conn->connecting && !conn->paused && !conn->unread) {
         wanted |= LP_READ;
     }
     lp_set(conn->hub->loop, &conn->watch, wanted);
@@ -250,7 +251,11 @@
         }
         return;
     }
-    if (ready & (LP_READ | LP_ERROR)) {
+    if (conn->unread && (ready & LP_ERROR)) {
+        _nc_end(conn, NC_FINISHED);
+        return;
+    }
+    if (!conn->unread && (ready & (LP_READ | LP_ERROR))) {
         _nc_read(conn);
     }
     if (!conn->closed && (ready & LP_WRITE)) {
@@ -453,6 +458,15 @@
     }
 }
 
+void
+nc_finish_unread(nc_conn *conn)
+{
+    if (!conn->closed) {
+        conn->unread = true;
+        nc_finish(conn);
+    }
+}
+
 void
 nc_close(nc_conn *conn)
 {
@@ -472,6 +486,14 @@
     return !conn->connecting && !conn->closed;
 }
 
+bool
+nc_query_input(const nc_conn *conn)
+{
+    char byte;
+    return !conn->closed && recv(conn->watch.fd, &byte, sizeof(byte),
+                                 MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 uint64_t
 nc_query_sent(const nc_conn *conn)
 {
