A stopping instance begins no stream that is unlikely to end in time

Cause: up to the platform's notice (2.6 s) every request was taken; after it, those whose 1.2 s and 11 ms a token fitted, which slowed servers exceed.

Now en_ (ending.h) decides, without a network: from SIGTERM a stream is taken if twice its caller's guess of tokens fits what is left; after the notice only what is sure to end (2.5 s and 25 ms a token, or the caller's own patience). The others are refused at once as not run; another instance serves them whole.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -1,3 +1,4 @@
+#include "ending.h"
 #include "exchange_private.h"
 
 #include "lacewing/log.h"
@@ -32,10 +33,7 @@
    after four times that where a lease has lapsed: about a lease's time. */
 #define _XC_BACK_MS 400
 #define _XC_NO_PLACE_TIMES 4
-/* Of a whole answer at a busy server: a plain one, or a stream's first event;
-   and for each token that a stream may have. */
-#define _XC_PLAIN_LONGEST_US 1200000
-#define _XC_TOKEN_US 11000
+/* Tokens of a stream whose caller tells no limit. */
 #define _XC_TOKENS_MOST 1000
 /* Another instance can take it at once. */
 #define _XC_ELSEWHERE_MS 20
@@ -311,14 +309,20 @@
                                              : NULL;
 }
 
-/* Time that the whole answer takes if it is as long as it may be. */
-static uint64_t
-_xc_longest_us(const xc_exchange *exchange)
-{
-    return _XC_PLAIN_LONGEST_US +
-           (exchange->route->kind == RC_STREAM
-                ? exchange->most_tokens * (uint64_t)_XC_TOKEN_US
-                : 0);
+static bool
+_xc_ends_in_time(const xc_exchange *exchange)
+{
+    const xc_core *core = exchange->core;
+    en_answer answer = {
+        .stream = exchange->route->kind == RC_STREAM,
+        .most_tokens = exchange->most_tokens,
+        .hint_tokens = exchange->hint_tokens,
+        .patience_us = exchange->end_us - exchange->begun_us,
+    };
+    return core->leave_us == 0 ||
+           (exchange->begun_us < core->leave_us &&
+            en_query_fits(&answer, core->leave_us - exchange->begun_us,
+                          core->others_only));
 }
 
 static void
@@ -332,6 +336,9 @@
     exchange->most_tokens =
         comma ? (uint32_t)g_ascii_strtoull(comma + 1, NULL, 10)
               : _XC_TOKENS_MOST;
+    const char *hint = h1_query_header(
+        exchange->head, exchange->core->desc.dialect->headers[DL_LENGTH_HINT]);
+    exchange->hint_tokens = MIN(_xc_number(hint, 0), exchange->most_tokens);
 }
 
 static void *
@@ -375,8 +382,7 @@
     exchange->told = lg_sample(exchange->id);
     exchange->adapter = _xc_adapter(core, exchange->service, head);
     _xc_read_tokens(exchange);
-    if (core->leave_us &&
-        exchange->begun_us + _xc_longest_us(exchange) > core->leave_us) {
+    if (!_xc_ends_in_time(exchange)) {
         bool others = core->desc.calls->live(core->desc.user_data) > 1;
         xc_refuse(exchange, 503, others ? _XC_ELSEWHERE_MS : _XC_RESTART_MS,
                   CT_END_LEAVES);
@@ -610,9 +616,10 @@
 }
 
 void
-xc_set_leave(xc_core *core, uint64_t leave_us)
+xc_set_leave(xc_core *core, uint64_t leave_us, bool others_only)
 {
     core->leave_us = leave_us;
+    core->others_only = others_only;
 }
 
 void
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -56,8 +56,9 @@
 void xc_wake(xc_core *core, fl_adapter *adapter);
 /* Time-outs and requests that wait; call about every 50 ms. */
 void xc_tick(xc_core *core);
-/* The instance ends then: what might take longer is refused. 0: it stays. */
-void xc_set_leave(xc_core *core, uint64_t leave_us);
+/* The instance ends then: what is likely to take longer is refused, and, once
+   callers are sent to others only, what might. 0: it stays. */
+void xc_set_leave(xc_core *core, uint64_t leave_us, bool others_only);
 /* Idle connections to a server that is gone or leaves. */
 void xc_drop_server(xc_core *core, fl_server *server);
 
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -22,6 +22,7 @@
     GHashTable *budgets; /* service -> bg_budget */
     GRand *random;
     uint64_t leave_us; /* the instance ends then; 0: it stays */
+    bool others_only;  /* the platform sends new callers elsewhere */
 };
 
 typedef enum xc_state {
@@ -47,6 +48,7 @@
     fl_adapter *adapter; /* NULL: a plain service */
     uint32_t prompt_tokens;
     uint32_t most_tokens; /* that a stream may have */
+    uint32_t hint_tokens; /* the caller's guess of them; 0: none */
     uint64_t begun_us;
     uint64_t end_us;         /* the caller or the route waits no longer */
     uint64_t waits_since_us; /* without a server; 0: it does not */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -342,14 +342,15 @@
     uint64_t now_us = lp_query_now_us(node->desc.loop);
     uint64_t grace_us =
         (uint64_t)(node->desc.settings->grace_s * G_USEC_PER_SEC);
-    if (now_us < node->stop_us + _ND_NOTICE_US) {
+    uint64_t last_us = node->stop_us + grace_us - _ND_LAST_US;
+    bool noticed = now_us >= node->stop_us + _ND_NOTICE_US;
+    xc_set_leave(node->core, last_us, noticed);
+    if (!noticed) {
         return;
     }
-    xc_set_leave(node->core, node->stop_us + grace_us - _ND_LAST_US);
     cr_close_idle(node->callers);
     bool idle =
         cr_query_busy(node->callers) == 0 && cr_query_open(node->callers) == 0;
-    uint64_t last_us = node->stop_us + grace_us - _ND_LAST_US;
     if (idle || now_us >= last_us) {
         le_leave(node->lease);
     }
