A claim's log line tells on which belief it rests

One line for each row of a holder that is written, and for each silent instance that is ended: kind, server, holder as believed, why, version of the row, ages of the belief of the row and of the holder's own row.

The states of a server's row get names (le_state_of()), which le_may_claim() and the line share; no decision changes. test_lease passes as before.

--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -75,6 +75,7 @@
     X(LG_ROW_REFUSED, WARNING, "store", "row not understood")                 \
     X(LG_LEASE_GOT, INFO, "lease", "held")                                    \
     X(LG_LEASE_GONE, WARNING, "lease", "lapsed")                              \
+    X(LG_LEASE_CHANGE, INFO, "lease", "row of a holder is written")           \
     X(LG_SERVER_SEEN, INFO, "fleet", "backend server began")                  \
     X(LG_SERVER_LEAVES, INFO, "fleet", "backend server leaves")               \
     X(LG_SERVER_GONE, INFO, "fleet", "backend server gone")                   \
--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -319,6 +319,70 @@
     lease->tx = LE_TX_NONE;
 }
 
+static const char *const _le_kinds[] = {
+    [LE_TX_END] = "end",      [LE_TX_CLAIM] = "claim",
+    [LE_TX_GIVE_UP] = "give", [LE_TX_PRUNE] = "remove",
+    [LE_TX_EVEN] = "give",
+};
+
+static const char *const _le_states[LE_STATE_NUM] = {
+    [LE_STATE_DEFAULT] = "held",
+    [LE_STATE_NO_HOLDER] = "no holder",
+    [LE_STATE_OURS] = "ours",
+    [LE_STATE_OURS_BEFORE] = "ours, another incarnation",
+    [LE_STATE_OURS_GIVING] = "ours, being given up",
+    [LE_STATE_GIVEN_UP] = "given up",
+    [LE_STATE_HOLDER_ANEW] = "holder has another incarnation",
+    [LE_STATE_HOLDER_GONE] = "holder has no row",
+};
+
+static const char *
+_le_why(const le_lease *lease, const le_server_row *server)
+{
+    switch (lease->tx) {
+    case LE_TX_CLAIM:
+        return _le_states[le_state_of(lease, server)];
+    case LE_TX_GIVE_UP:
+        return "leaves";
+    case LE_TX_EVEN:
+        return "another has fewer";
+    default:
+        return "not listed";
+    }
+}
+
+void
+le_each_change(const le_lease *lease, uint64_t now_us, le_change_call call,
+               void *user_data)
+{
+    if (lease->tx == LE_TX_END) {
+        const le_peer_row *peer =
+            g_hash_table_lookup(lease->peers, lease->tx_peer);
+        call(&(le_change){.kind = _le_kinds[lease->tx],
+                          .holder = peer->instance,
+                          .why = "silent",
+                          .version = peer->version,
+                          .age_us = now_us - peer->seen_us},
+             user_data);
+        return;
+    }
+    for (guint i = 0; i < lease->tx_servers->len; i++) {
+        const le_server_row *server = lease->tx_servers->pdata[i];
+        const le_peer_row *holder =
+            server->holder ? g_hash_table_lookup(lease->peers, server->holder)
+                           : NULL;
+        call(&(le_change){.kind = _le_kinds[lease->tx],
+                          .server = server->id,
+                          .holder = server->holder,
+                          .why = _le_why(lease, server),
+                          .version = server->version,
+                          .age_us = now_us - server->since_us,
+                          .holder_age_us =
+                              holder ? now_us - holder->seen_us : 0},
+             user_data);
+    }
+}
+
 uint32_t
 le_query_pause_ms(const le_lease *lease)
 {
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -58,6 +58,18 @@
     bool leaving;
 } le_peer;
 
+/* A row of a server, or of a silent instance, in the transaction that was
+   taken last: what it is written for and on which belief. */
+typedef struct le_change {
+    const char *kind;
+    const char *server; /* NULL: the row of an instance */
+    const char *holder; /* as believed, or that instance; NULL: none */
+    const char *why;
+    uint64_t version;       /* of the row as believed; 0: none */
+    uint64_t age_us;        /* since this version was first seen */
+    uint64_t holder_age_us; /* since the holder's own row was; 0: none known */
+} le_change;
+
 le_lease *le_create(const le_desc *desc);
 void le_destroy(le_lease *lease);
 
@@ -101,6 +113,10 @@
 bool le_query_held(const le_lease *lease, uint64_t clock_us);
 bool le_query_given_up(const le_lease *lease);
 typedef void (*le_peer_call)(const le_peer *peer, void *user_data);
+typedef void (*le_change_call)(const le_change *change, void *user_data);
+/* Right after le_next_tx(); nothing for renewals. */
+void le_each_change(const le_lease *lease, uint64_t now_us,
+                    le_change_call call, void *user_data);
 void le_each_peer(const le_lease *lease, le_peer_call call, void *user_data);
 
 #endif
--- a/packages/exchange/src/lease_claim.c
+++ b/packages/exchange/src/lease_claim.c
@@ -133,33 +133,63 @@
     return le_row_is_own(lease, server) && !server->giving;
 }
 
+le_state
+le_state_of(const le_lease *lease, const le_server_row *server)
+{
+    if (!server->holder) {
+        return LE_STATE_NO_HOLDER;
+    }
+    if (le_is_self(lease, server->holder) &&
+        (server->incarnation != lease->incarnation || server->giving)) {
+        return server->giving ? LE_STATE_OURS_GIVING : LE_STATE_OURS_BEFORE;
+    }
+    if (server->given_up) {
+        return LE_STATE_GIVEN_UP;
+    }
+    if (le_is_self(lease, server->holder)) {
+        return LE_STATE_OURS;
+    }
+    const le_peer_row *holder =
+        g_hash_table_lookup(lease->peers, server->holder);
+    if (!holder) {
+        return LE_STATE_HOLDER_GONE;
+    }
+    return holder->public.incarnation == server->incarnation
+               ? LE_STATE_DEFAULT
+               : LE_STATE_HOLDER_ANEW;
+}
+
+/* When a server in this state may be claimed; 0: at any time. */
+static uint64_t
+_le_free_us(const le_lease *lease, const le_server_row *server, le_state state)
+{
+    const le_peer_row *holder;
+    switch (state) {
+    case LE_STATE_NO_HOLDER:
+        return server->since_us;
+    case LE_STATE_GIVEN_UP:
+        return server->since_us + lease->quiet_us;
+    case LE_STATE_HOLDER_ANEW:
+        holder = g_hash_table_lookup(lease->peers, server->holder);
+        return holder->seen_us + lease->quiet_us;
+    default:
+        return 0;
+    }
+}
+
 bool
 le_may_claim(const le_lease *lease, le_server_row *server, uint64_t now_us)
 {
-    if (!server->zone || le_holds(lease, server)) {
+    le_state state = le_state_of(lease, server);
+    if (!server->zone || state == LE_STATE_DEFAULT || state == LE_STATE_OURS) {
         return false;
     }
-    uint64_t free_us = server->since_us; /* from when it may be claimed */
-    if (server->holder) {
-        bool own = le_is_self(lease, server->holder);
-        if (own &&
-            (server->incarnation != lease->incarnation || server->giving)) {
-            /* One machine is one holder. A new row also undoes a transaction
-               of ours that may yet be carried out. */
-            return true;
-        }
-        const le_peer_row *holder =
-            g_hash_table_lookup(lease->peers, server->holder);
-        bool same =
-            holder && holder->public.incarnation == server->incarnation;
-        if (same && !server->given_up) {
-            return false;
-        }
-        free_us = server->given_up ? server->since_us + lease->quiet_us
-                  : holder         ? holder->seen_us + lease->quiet_us
-                                   : 0;
+    if (state == LE_STATE_OURS_BEFORE || state == LE_STATE_OURS_GIVING) {
+        /* One machine is one holder. A new row also undoes a transaction of
+           ours that may yet be carried out. */
+        return true;
     }
-    if (now_us < free_us ||
+    if (now_us < _le_free_us(lease, server, state) ||
         now_us < lease->registered_us + _LE_SETTLE_MS * 1000ULL) {
         return false;
     }
--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -42,6 +42,19 @@
     LE_TX_EVEN /* gives one server up for an instance that has fewer */
 } le_tx_kind;
 
+/* What the row of a server says of its holder. */
+typedef enum le_state {
+    LE_STATE_DEFAULT = 0, /* held by another */
+    LE_STATE_NO_HOLDER,
+    LE_STATE_OURS,        /* held by this incarnation */
+    LE_STATE_OURS_BEFORE, /* of our machine, by another incarnation */
+    LE_STATE_OURS_GIVING, /* ours; a transaction gives it up, unanswered */
+    LE_STATE_GIVEN_UP,
+    LE_STATE_HOLDER_ANEW, /* its holder has another incarnation now */
+    LE_STATE_HOLDER_GONE, /* its holder has no row */
+    LE_STATE_NUM
+} le_state;
+
 /* Of all rows, until one changes. */
 typedef struct le_counts {
     bool valid;
@@ -106,6 +119,7 @@
 bool le_is_holder(const le_lease *lease, uint64_t now_us);
 bool le_row_is_own(const le_lease *lease, const le_server_row *server);
 bool le_holds(const le_lease *lease, const le_server_row *server);
+le_state le_state_of(const le_lease *lease, const le_server_row *server);
 bool le_may_claim(const le_lease *lease, le_server_row *server,
                   uint64_t now_us);
 uint64_t le_renew_us(const le_lease *lease);
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -475,6 +475,25 @@
     dl_clear_rows(&rows);
 }
 
+static void
+_nd_log_change(const le_change *change, void *user_data)
+{
+    (void)user_data;
+    char version[24];
+    char age[24];
+    char holder_age[24];
+    g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT,
+               change->version);
+    g_snprintf(age, sizeof(age), "%" G_GUINT64_FORMAT, change->age_us / 1000);
+    g_snprintf(holder_age, sizeof(holder_age), "%" G_GUINT64_FORMAT,
+               change->holder_age_us / 1000);
+    lg_write(LG_LEASE_CHANGE, "kind", change->kind, "server",
+             change->server ? change->server : "-", "holder",
+             change->holder ? change->holder : "-", "why", change->why,
+             "version", version, "age_ms", age, "holder_age_ms", holder_age,
+             NULL);
+}
+
 void
 nd_write_tx(nd_node *node)
 {
@@ -496,6 +515,7 @@
     node->tx_sent_us = lp_query_now_us(node->desc.loop);
     ct_add(CT_STORE_CALLS, 1);
     lg_write(LG_STORE_ASKED, "table", tx.table, "why", "transaction", NULL);
+    le_each_change(node->lease, node->tx_sent_us, _nd_log_change, node);
     hc_call(node->client, &(hc_request){.address = node->desc.settings->store,
                                         .method = "POST",
                                         .path = dialect->tx_path,
