A holder's row stays a lease's time after its server drops from the list

Cause: an instance that no longer lists a server removed the server's row at once (LE_TX_PRUNE). A row that is missing has no holder to wait for, so any instance that still, or again, listed the server took it at once, though the one before had ordered it some ms ago.

Now an instance gives no order to a server that it does not list, keeps its row for quiet_ms (lease and margin), and removes it then; a server that is listed again meanwhile is its own still, without any write. A removal under way counts as done, as a give-up does, as it may be carried out without an answer.

Test: test_lease never changed the lists. test_servers_that_leave_the_list_ and_return (lists that change at different times, every second loop with lost answers), test_removal_without_answer, and lists in test_any_trouble.

--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -242,6 +242,7 @@
 le_put_server(le_lease *lease, const char *id, const char *zone)
 {
     le_server_row *server = le_server_of(lease, id);
+    server->unlisted_us = 0;
     if (g_strcmp0(server->zone, zone) != 0) {
         g_free(server->zone);
         server->zone = g_strdup(zone);
@@ -395,7 +396,9 @@
     const le_server_row *server = g_hash_table_lookup(lease->servers, id);
     bool held = lease->registered && !lease->left &&
                 clock_us < lease->renewed_us + lease->valid_us;
-    return held && server && le_holds(lease, server) ? server->fence : 0;
+    return held && server && server->zone && le_holds(lease, server)
+               ? server->fence
+               : 0;
 }
 
 const char *
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -82,7 +82,8 @@
 void le_feed_fresh(le_lease *lease, uint64_t now_us, uint64_t version);
 /* The store did not answer for a while: others may not have renewed. */
 void le_note_interruption(le_lease *lease);
-/* Servers that take orders; others are given up. */
+/* Servers that take orders. One that is removed gets none from here any more;
+   its row stays for quiet_ms, so that it is ours still if it comes back. */
 void le_put_server(le_lease *lease, const char *id, const char *zone);
 void le_remove_server(le_lease *lease, const char *id);
 /* The instance will leave: it takes no more servers, others see that. */
--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -26,9 +26,10 @@
     bool given_up;
     bool giving; /* we are giving it up: no order, whatever comes of it */
     uint64_t fence;
-    uint64_t version;  /* of its row; 0: none */
-    uint64_t since_us; /* of this row, or of the entry without one */
-    uint64_t free_us;  /* when it was first seen free to be claimed; 0 */
+    uint64_t version;     /* of its row; 0: none */
+    uint64_t since_us;    /* of this row, or of the entry without one */
+    uint64_t free_us;     /* when it was first seen free to be claimed; 0 */
+    uint64_t unlisted_us; /* no order from here since then at the latest; 0 */
     bool read;
 } le_server_row;
 
--- a/packages/exchange/src/lease_tx.c
+++ b/packages/exchange/src/lease_tx.c
@@ -139,6 +139,28 @@
     return false;
 }
 
+/* A row without a holder is anybody's at once, and lists of servers differ for
+   a while: our row of a server that is not listed goes after a silence. */
+static bool
+_le_may_prune(const le_lease *lease, le_server_row *server, uint64_t now_us)
+{
+    if (server->zone || !le_row_is_own(lease, server)) {
+        return false;
+    }
+    if (server->unlisted_us == 0) {
+        server->unlisted_us = now_us;
+    }
+    return now_us >= server->unlisted_us + lease->quiet_us;
+}
+
+static void
+_le_write_removal(le_lease *lease, le_server_row *server)
+{
+    server->giving = true;
+    _le_add(lease, _le_key(lease, "o/", server->id), server->version, NULL);
+    g_ptr_array_add(lease->tx_servers, server);
+}
+
 static bool
 _le_write_servers(le_lease *lease, uint64_t now_us, le_tx_kind kind)
 {
@@ -155,11 +177,8 @@
         else if (kind == LE_TX_GIVE_UP && le_row_is_own(lease, server)) {
             _le_write_holder(lease, server, true);
         }
-        else if (kind == LE_TX_PRUNE && !server->zone &&
-                 le_holds(lease, server)) {
-            _le_add(lease, _le_key(lease, "o/", server->id), server->version,
-                    NULL);
-            g_ptr_array_add(lease->tx_servers, server);
+        else if (kind == LE_TX_PRUNE && _le_may_prune(lease, server, now_us)) {
+            _le_write_removal(lease, server);
         }
     }
     return lease->tx_servers->len > 0;
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -147,6 +147,21 @@
     }
 }
 
+static void
+list_server(node *n, int s, bool listed)
+{
+    char id[16];
+    char zone[4];
+    g_snprintf(id, sizeof(id), "s%02d", s);
+    g_snprintf(zone, sizeof(zone), "z%d", s % 4 + 1);
+    if (listed) {
+        le_put_server(n->lease, id, zone);
+    }
+    else {
+        le_remove_server(n->lease, id);
+    }
+}
+
 static void
 start_node(world *w, int i)
 {
@@ -161,11 +176,7 @@
                    .lease_ms = LEASE_MS,
                    .many = w->many});
     for (int s = 0; s < SERVERS; s++) {
-        char id[16];
-        char zone[4];
-        g_snprintf(id, sizeof(id), "s%02d", s);
-        g_snprintf(zone, sizeof(zone), "z%d", s % 4 + 1);
-        le_put_server(n->lease, id, zone);
+        list_server(n, s, true);
     }
 }
 
@@ -467,12 +478,70 @@
 }
 END_TEST
 
+/* Servers drop from all lists and come back, which instances learn at
+   different times: nobody takes what another ordered within a lease. */
+START_TEST(test_servers_that_leave_the_list_and_return)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    w->lose_pct = _i % 2 ? 40 : 0;
+    for (int k = 0; k < 8; k++) {
+        int when[INSTANCES][SERVERS];
+        for (int i = 0; i < INSTANCES; i++) {
+            for (int s = 0; s < SERVERS; s++) {
+                when[i][s] = g_rand_int_range(w->random, 0, 100);
+            }
+        }
+        for (int at = 0; at < 100; at++) {
+            for (int i = 0; i < INSTANCES; i++) {
+                for (int s = 0; s < SERVERS; s++) {
+                    if (when[i][s] == at) {
+                        list_server(&w->nodes[i], s, k % 2 == 1);
+                    }
+                }
+            }
+            step(w);
+        }
+    }
+    w->lose_pct = 0;
+    run_for(w, 16000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
+/* A removal of our row may be carried out though no answer says so: no order
+   under that row, also when the server is listed again. */
+START_TEST(test_removal_without_answer)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    /* Of the zone's servers a holds the first, third and fifth. */
+    ck_assert_int_eq(w->last_holder[8], 1);
+    w->nodes[0].next_read_us += 700 * MS;
+    list_server(&w->nodes[0], 8, false);
+    list_server(&w->nodes[0], 16, false);
+    list_server(&w->nodes[1], 0, false); /* b takes these for its own */
+    run_for(w, 3200);
+    w->lose_pct = 100;
+    run_for(w, 400);
+    w->lose_pct = 0;
+    list_server(&w->nodes[0], 8, true);
+    list_server(&w->nodes[0], 16, true);
+    run_for(w, 9000);
+    list_server(&w->nodes[1], 0, true);
+    run_for(w, 9000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
 static void
 trouble(world *w)
 {
     int i = g_rand_int_range(w->random, 0, INSTANCES);
     node *n = &w->nodes[i];
-    switch (g_rand_int_range(w->random, 0, 8)) {
+    switch (g_rand_int_range(w->random, 0, 10)) {
     case 0:
         if (n->running) {
             end_node(n);
@@ -496,6 +565,12 @@
     case 6:
         w->lose_pct = (uint32_t)g_rand_int_range(w->random, 0, 50);
         break;
+    case 7:
+    case 8:
+        for (int s = 0; s < SERVERS && n->running; s++) {
+            list_server(n, s, g_rand_boolean(w->random));
+        }
+        break;
     default:
         if (n->running && g_rand_int_range(w->random, 0, 3) == 0) {
             le_leave(n->lease);
@@ -549,6 +624,9 @@
     tcase_add_test(tcase, test_left_servers_are_followed);
     tcase_add_loop_test(tcase, test_busy_store_is_spared, 0, 6);
     tcase_add_test(tcase, test_frozen_holder_finds_its_lease_lapsed);
+    tcase_add_loop_test(tcase, test_servers_that_leave_the_list_and_return, 0,
+                        8);
+    tcase_add_loop_test(tcase, test_removal_without_answer, 0, 8);
     tcase_add_test(tcase, test_any_trouble);
     return run_case("lease", tcase);
 }
