A fence is the version of the holder's row

Cause: a claim wrote the fence into the row, from the newest version of the store that its sender knew. A store may carry out an unanswered call seconds later if its conditions hold, and the first claim of a server has the condition that there is no row. Where the row had been written and removed meanwhile, the late claim brought an old fence back: lower than those of orders that were given. Now the fence is the version of the row itself, which the store counts up; the field in the row is not written any more.

le_feed_fresh() needs no version any more.

Test: test_claim_carried_out_after_a_removal.

--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -44,7 +44,6 @@
 static void
 _le_take_ok(le_lease *lease, uint64_t now_us, uint64_t version)
 {
-    lease->store_version = MAX(lease->store_version, version);
     switch (lease->tx) {
     case LE_TX_RENEW:
         _le_take_renewal(lease, now_us, version);
@@ -226,10 +225,9 @@
 }
 
 void
-le_feed_fresh(le_lease *lease, uint64_t now_us, uint64_t version)
+le_feed_fresh(le_lease *lease, uint64_t now_us)
 {
     lease->contact_us = lease->contact_us ? lease->contact_us : now_us;
-    lease->store_version = MAX(lease->store_version, version);
 }
 
 void
@@ -397,7 +395,7 @@
     bool held = lease->registered && !lease->left &&
                 clock_us < lease->renewed_us + lease->valid_us;
     return held && server && server->zone && le_holds(lease, server)
-               ? server->fence
+               ? server->version
                : 0;
 }
 
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -5,8 +5,8 @@
  *
  *   i/INSTANCE  one for each running instance, written anew every renew_ms
  *               under the condition of its last version
- *   o/SERVER    the instance that orders, its incarnation, and the fence;
- *               written when that changes only
+ *   o/SERVER    the instance that orders and its incarnation; written when
+ *               that changes only; its version is the fence
  *
  * An instance orders while its last acknowledged renewal was sent less than
  * valid_ms ago. Another ends it by removing its row, under the condition
@@ -15,8 +15,9 @@
  * for lease_ms before any server of it has a new holder. A holder that leaves
  * gives its servers up in the store; they wait for quiet_ms. A machine that
  * starts again takes its own servers back at once, with a higher fence. Fences
- * are versions of the store, so they rise also where rows were removed. One
- * that holds more than others gives servers up for them, one at a time.
+ * are versions of the store, so they rise also where rows were removed or are
+ * written late. One that holds more than others gives servers up for them, one
+ * at a time.
  *
  * Where there are many instances, those that are meant to hold no server renew
  * more rarely, and take so much longer to be ended.
@@ -79,7 +80,7 @@
 void le_begin_read(le_lease *lease);
 void le_end_read(le_lease *lease, uint64_t now_us);
 /* The store answered a read of the own table that was up to date then. */
-void le_feed_fresh(le_lease *lease, uint64_t now_us, uint64_t version);
+void le_feed_fresh(le_lease *lease, uint64_t now_us);
 /* The store did not answer for a while: others may not have renewed. */
 void le_note_interruption(le_lease *lease);
 /* Servers that take orders. One that is removed gets none from here any more;
--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -24,9 +24,8 @@
     char *holder;
     uint64_t incarnation;
     bool given_up;
-    bool giving; /* we are giving it up: no order, whatever comes of it */
-    uint64_t fence;
-    uint64_t version;     /* of its row; 0: none */
+    bool giving;      /* we are giving it up: no order, whatever comes of it */
+    uint64_t version; /* of its row; 0: none */
     uint64_t since_us;    /* of this row, or of the entry without one */
     uint64_t free_us;     /* when it was first seen free to be claimed; 0 */
     uint64_t unlisted_us; /* no order from here since then at the latest; 0 */
@@ -86,9 +85,8 @@
     uint64_t valid_us;    /* as that renewal says */
     uint64_t tx_valid_us; /* as the renewal under way says */
     uint64_t next_renew_us;
-    uint64_t retry_us; /* no other transaction before: the store is away */
-    uint32_t failures; /* transactions in a row that it did not take */
-    uint64_t store_version;
+    uint64_t retry_us;   /* no other transaction before: the store is away */
+    uint32_t failures;   /* transactions in a row that it did not take */
     uint64_t contact_us; /* since when the store answers; 0: it does not */
     uint64_t even_us;    /* when a server was last given up for evenness */
     bool leaving;        /* takes no more servers */
--- a/packages/exchange/src/lease_rows.c
+++ b/packages/exchange/src/lease_rows.c
@@ -140,7 +140,6 @@
         server->holder = g_strdup(read->instance);
         server->incarnation = read->incarnation;
         server->given_up = read->given_up;
-        server->fence = read->fence;
         lacewing__exchange__holder_row__free_unpacked(read, NULL);
     }
 }
--- a/packages/exchange/src/lease_tx.c
+++ b/packages/exchange/src/lease_tx.c
@@ -111,7 +111,6 @@
     Lacewing__Exchange__HolderRow row = LACEWING__EXCHANGE__HOLDER_ROW__INIT;
     row.instance = lease->instance;
     row.incarnation = lease->incarnation;
-    row.fence = MAX(lease->store_version, server->version) + 1;
     row.given_up = given_up;
     server->giving = server->giving || given_up;
     _le_add(lease, _le_key(lease, "o/", server->id), server->version,
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -359,13 +359,14 @@
 static void
 _nd_on_own_fresh(uint64_t version, void *user_data)
 {
+    (void)version;
     nd_node *node = user_data;
     uint64_t regained_us = wt_query_regained_us(node->own_watch);
     if (regained_us != node->own_regained_us) {
         node->own_regained_us = regained_us;
         le_note_interruption(node->lease);
     }
-    le_feed_fresh(node->lease, lp_query_now_us(node->desc.loop), version);
+    le_feed_fresh(node->lease, lp_query_now_us(node->desc.loop));
     wt_set_pause(node->own_watch, le_query_pause_ms(node->lease));
 }
 
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -204,7 +204,7 @@
         le_feed_row(n->lease, w->now_us, &copy);
     }
     le_end_read(n->lease, w->now_us);
-    le_feed_fresh(n->lease, w->now_us, w->version);
+    le_feed_fresh(n->lease, w->now_us);
 }
 
 static void
@@ -536,6 +536,35 @@
 }
 END_TEST
 
+/* First claims that are carried out after the rows were written and removed
+   again: an order under such a row has no lower fence than those before. */
+START_TEST(test_claim_carried_out_after_a_removal)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 1000);
+    w->lose_pct = 100;
+    run_for(w, 400);
+    w->lose_pct = 0;
+    ck_assert_uint_gt(w->late->len, 0);
+    for (guint i = 0; i < w->late->len; i++) {
+        ((late_tx *)w->late->pdata[i])->at_us = w->now_us + 10900 * MS;
+    }
+    run_for(w, 4000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    for (int k = 0; k < 2; k++) {
+        for (int i = 0; i < INSTANCES; i++) {
+            for (int s = 0; s < SERVERS; s++) {
+                list_server(&w->nodes[i], s, k == 1);
+            }
+        }
+        run_for(w, 7000);
+    }
+    ck_assert_uint_eq(w->late->len, 0);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
 static void
 trouble(world *w)
 {
@@ -627,6 +656,7 @@
     tcase_add_loop_test(tcase, test_servers_that_leave_the_list_and_return, 0,
                         8);
     tcase_add_loop_test(tcase, test_removal_without_answer, 0, 8);
+    tcase_add_loop_test(tcase, test_claim_carried_out_after_a_removal, 0, 8);
     tcase_add_test(tcase, test_any_trouble);
     return run_case("lease", tcase);
 }
