Who leaves gives up the servers of its process before as well

Cause: an instance that leaves gave up the rows of its own incarnation and removed its own row with the last of them. One that had been killed, started again and told to leave before it claimed its servers back (its list of servers was not read yet) left rows of its incarnation before, without a row of the holder: such a server is anybody's at once, though the process before may have ordered it less than a lease ago. It gives up all rows of its machine now.

Test: test_leaves_soon_after_a_restart.

--- a/packages/exchange/src/lease_tx.c
+++ b/packages/exchange/src/lease_tx.c
@@ -160,6 +160,14 @@
     g_ptr_array_add(lease->tx_servers, server);
 }
 
+/* The rows of the process before as well: it may have ordered until now. */
+static bool
+_le_may_give_up(const le_lease *lease, const le_server_row *server)
+{
+    return server->holder && le_is_self(lease, server->holder) &&
+           !server->given_up;
+}
+
 static bool
 _le_write_servers(le_lease *lease, uint64_t now_us, le_tx_kind kind)
 {
@@ -173,7 +181,7 @@
             _le_require_ended(lease, server);
             _le_write_holder(lease, server, false);
         }
-        else if (kind == LE_TX_GIVE_UP && le_row_is_own(lease, server)) {
+        else if (kind == LE_TX_GIVE_UP && _le_may_give_up(lease, server)) {
             _le_write_holder(lease, server, true);
         }
         else if (kind == LE_TX_PRUNE && _le_may_prune(lease, server, now_us)) {
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -465,6 +465,29 @@
 }
 END_TEST
 
+/* Killed and started again, and told to leave before it lists a server: what
+   the process before ordered is not another's at once. */
+START_TEST(test_leaves_soon_after_a_restart)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    end_node(&w->nodes[0]);
+    run_for(w, 100);
+    start_node(w, 0);
+    for (int s = 0; s < SERVERS; s++) {
+        list_server(&w->nodes[0], s, false);
+    }
+    run_for(w, 300);
+    le_leave(w->nodes[0].lease);
+    run_for(w, 200);
+    ck_assert(le_query_given_up(w->nodes[0].lease));
+    end_node(&w->nodes[0]);
+    run_for(w, 9000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
 START_TEST(test_frozen_holder_finds_its_lease_lapsed)
 {
     world *w = make_world(5);
@@ -652,6 +675,7 @@
     tcase_add_test(tcase, test_evens_out);
     tcase_add_test(tcase, test_left_servers_are_followed);
     tcase_add_loop_test(tcase, test_busy_store_is_spared, 0, 6);
+    tcase_add_loop_test(tcase, test_leaves_soon_after_a_restart, 0, 4);
     tcase_add_test(tcase, test_frozen_holder_finds_its_lease_lapsed);
     tcase_add_loop_test(tcase, test_servers_that_leave_the_list_and_return, 0,
                         8);
