A server of a holder that started anew is taken only if its row says so

Cause: where a server's row names another incarnation than the row of its holder, the holder was taken for one that had started anew and not come back for that server, and the server was free a lease's time after the holder's row was first seen. It may be the other way round: rows are also told by datagrams, and word that the holder took the server back may come without word of its new incarnation. Then the server was taken from a holder that orders it.

The claim now has the condition that the holder's row is as believed, as it had before for a holder without a row. A conflict brings the row.

Test: test_holder_anew_told_in_part.

--- a/packages/exchange/src/lease_tx.c
+++ b/packages/exchange/src/lease_tx.c
@@ -89,18 +89,20 @@
     return false;
 }
 
-/* What is taken from a holder that has ended is taken only if that one has
-   not come back. */
+/* What is taken from a holder that has ended, or started anew, is taken only
+   if its row is as believed: word of the server's row may come before. */
 static void
 _le_require_ended(le_lease *lease, const le_server_row *server)
 {
-    if (!server->holder || server->given_up ||
-        g_hash_table_contains(lease->peers, server->holder)) {
+    le_state state = le_state_of(lease, server);
+    if (state != LE_STATE_HOLDER_GONE && state != LE_STATE_HOLDER_ANEW) {
         return;
     }
+    const le_peer_row *holder =
+        g_hash_table_lookup(lease->peers, server->holder);
     const char *key = _le_key(lease, "i/", server->holder);
     if (!_le_has_condition(lease, key)) {
-        dl_condition condition = {key, 0};
+        dl_condition condition = {key, holder ? holder->version : 0};
         g_array_append_val(lease->conditions, condition);
     }
 }
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -488,6 +488,45 @@
 }
 END_TEST
 
+static void
+tell_holders(world *w, node *n)
+{
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, w->rows);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const row *found = value;
+        dl_row copy = {key, found->value, found->version};
+        if (g_str_has_prefix(key, "o/")) {
+            le_feed_row(n->lease, w->now_us, &copy);
+        }
+    }
+}
+
+/* Word that a holder took its servers back comes before word of its new
+   incarnation, which is missing where a datagram was lost. */
+START_TEST(test_holder_anew_told_in_part)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    list_server(&w->nodes[0], 0, false); /* a takes b's for its own */
+    run_for(w, 100);
+    end_node(&w->nodes[1]);
+    run_for(w, 3500);
+    start_node(w, 1);
+    w->nodes[0].next_read_us = w->now_us + 2000 * MS;
+    for (int at = 0; at < 2000; at += STEP_MS) {
+        step(w);
+        tell_holders(w, &w->nodes[0]);
+    }
+    list_server(&w->nodes[0], 0, true);
+    run_for(w, 9000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
 START_TEST(test_frozen_holder_finds_its_lease_lapsed)
 {
     world *w = make_world(5);
@@ -676,6 +715,7 @@
     tcase_add_test(tcase, test_left_servers_are_followed);
     tcase_add_loop_test(tcase, test_busy_store_is_spared, 0, 6);
     tcase_add_loop_test(tcase, test_leaves_soon_after_a_restart, 0, 4);
+    tcase_add_loop_test(tcase, test_holder_anew_told_in_part, 0, 4);
     tcase_add_test(tcase, test_frozen_holder_finds_its_lease_lapsed);
     tcase_add_loop_test(tcase, test_servers_that_leave_the_list_and_return, 0,
                         8);
