A claim has no more entries than the store takes

Cause: a transaction of claims is bounded by 40 rows, each with its condition; where each server's holder is gone, the condition on that holder's row is added for each, 120 entries where the store takes 100. Such a call would be refused again and again.

Test: test_many_gone_holders, and the test's store counts the entries of every call.

--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -4,8 +4,12 @@
 
 #include "lease.h"
 
-/* Rows of one transaction. */
+/* Rows that one transaction writes. */
 #define LE_TX_ROWS 40
+/* Conditions and writes of one transaction, as the store takes them. */
+#define LE_TX_ENTRIES 100
+/* Those of one server: its row, written under its version and its holder's. */
+#define LE_TX_SERVER_ENTRIES 3
 
 typedef struct le_peer_row {
     le_peer public;
--- a/packages/exchange/src/lease_tx.c
+++ b/packages/exchange/src/lease_tx.c
@@ -170,6 +170,15 @@
            !server->given_up;
 }
 
+static bool
+_le_has_room(const le_lease *lease)
+{
+    return lease->tx_servers->len < LE_TX_ROWS &&
+           lease->conditions->len + lease->writes->len +
+                   LE_TX_SERVER_ENTRIES <=
+               LE_TX_ENTRIES;
+}
+
 static bool
 _le_write_servers(le_lease *lease, uint64_t now_us, le_tx_kind kind)
 {
@@ -177,7 +186,7 @@
     gpointer value;
     g_hash_table_iter_init(&iter, lease->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value) &&
-           lease->tx_servers->len < LE_TX_ROWS) {
+           _le_has_room(lease)) {
         le_server_row *server = value;
         if (kind == LE_TX_CLAIM && le_may_claim(lease, server, now_us)) {
             _le_require_ended(lease, server);
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -1,5 +1,6 @@
 /* Tests of the leases, in virtual time over a table that is down, slow, loses
    answers and carries writes out late. */
+#include "exchange.pb-c.h"
 #include "lease.h"
 #include "run.h"
 
@@ -8,6 +9,7 @@
 #define INSTANCES 6
 #define SERVERS 18
 #define STEP_MS 20
+#define TX_ENTRIES 100 /* that the store takes */
 
 typedef struct row {
     GBytes *value;
@@ -214,6 +216,7 @@
     if (n->waits || !le_next_tx(n->lease, w->now_us, &tx)) {
         return;
     }
+    ck_assert_uint_le(tx.condition_count + tx.write_count, TX_ENTRIES);
     w->calls++;
     n->waits = true;
     n->answer_us = w->now_us + 10 * MS;
@@ -527,6 +530,39 @@
 }
 END_TEST
 
+/* Many servers, each of another holder that is gone: no call is larger than
+   the store takes. */
+START_TEST(test_many_gone_holders)
+{
+    world *w = make_world(1);
+    run_for(w, 4000);
+    for (int s = 0; s < 90; s++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "t%02d", s);
+        Lacewing__Exchange__HolderRow of =
+            LACEWING__EXCHANGE__HOLDER_ROW__INIT;
+        of.instance = id;
+        of.incarnation = 1;
+        uint8_t bytes[64];
+        size_t count = protobuf_c_message_pack(&of.base, bytes);
+        row *held_row = g_new0(row, 1);
+        held_row->value = g_bytes_new(bytes, count);
+        held_row->version = ++w->version;
+        g_hash_table_replace(w->rows, g_strconcat("o/", id, NULL), held_row);
+        for (int i = 0; i < INSTANCES; i++) {
+            le_put_server(w->nodes[i].lease, id, "z3");
+        }
+    }
+    run_for(w, 4000);
+    for (int s = 0; s < 90; s++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "t%02d", s);
+        ck_assert_uint_gt(le_query_fence(w->nodes[4].lease, w->now_us, id), 0);
+    }
+    free_world(w);
+}
+END_TEST
+
 START_TEST(test_frozen_holder_finds_its_lease_lapsed)
 {
     world *w = make_world(5);
@@ -716,6 +752,7 @@
     tcase_add_loop_test(tcase, test_busy_store_is_spared, 0, 6);
     tcase_add_loop_test(tcase, test_leaves_soon_after_a_restart, 0, 4);
     tcase_add_loop_test(tcase, test_holder_anew_told_in_part, 0, 4);
+    tcase_add_test(tcase, test_many_gone_holders);
     tcase_add_test(tcase, test_frozen_holder_finds_its_lease_lapsed);
     tcase_add_loop_test(tcase, test_servers_that_leave_the_list_and_return, 0,
                         8);
