--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -375,7 +375,8 @@
                           .holder = server->holder,
                           .why = _le_why(lease, server),
                           .version = server->version,
-                          .age_us = now_us - server->since_us,
+                          .age_us =
+                              server->since_us ? now_us - server->since_us : 0,
                           .holder_age_us =
                               holder ? now_us - holder->seen_us : 0},
              user_data);
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -67,7 +67,7 @@
     const char *holder; /* as believed, or that instance; NULL: none */
     const char *why;
     uint64_t version;       /* of the row as believed; 0: none */
-    uint64_t age_us;        /* since this version was first seen */
+    uint64_t age_us;        /* since this version was first seen; 0: none */
     uint64_t holder_age_us; /* since the holder's own row was; 0: none known */
 } le_change;
 
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -209,6 +209,37 @@
     le_feed_fresh(n->lease, w->now_us);
 }
 
+typedef struct lines {
+    uint32_t count;
+    uint64_t oldest_us;
+} lines;
+
+static void
+check_change(const le_change *change, void *user_data)
+{
+    lines *told = user_data;
+    ck_assert_ptr_nonnull(change->kind);
+    ck_assert_ptr_nonnull(change->why);
+    ck_assert_uint_le(change->age_us, told->oldest_us);
+    ck_assert_uint_le(change->holder_age_us, told->oldest_us);
+    told->count++;
+}
+
+/* Each row of a server that is written has its line; a belief is not older
+   than who has it. */
+static void
+check_lines(world *w, node *n, const dl_tx *tx)
+{
+    lines told = {.oldest_us = w->now_us - n->started_us};
+    le_each_change(n->lease, w->now_us, check_change, &told);
+    for (size_t i = 0; i < tx->write_count; i++) {
+        if (g_str_has_prefix(tx->writes[i].key, "o/")) {
+            ck_assert_uint_gt(told.count, 0);
+            told.count--;
+        }
+    }
+}
+
 static void
 write_tx(world *w, node *n)
 {
@@ -217,6 +248,7 @@
         return;
     }
     ck_assert_uint_le(tx.condition_count + tx.write_count, TX_ENTRIES);
+    check_lines(w, n, &tx);
     w->calls++;
     n->waits = true;
     n->answer_us = w->now_us + 10 * MS;
