An instance registers though its old row is removed meanwhile

Cause: an instance that starts writes its row under the version that its read told. Where another removes that row, of the process before, between the read and the write, the write conflicts, and the version stood: nothing reset it for an instance that is not registered, so it never got a lease until it was started again.

Test: test_starts_while_it_is_ended.

--- a/packages/exchange/src/lease_rows.c
+++ b/packages/exchange/src/lease_rows.c
@@ -62,6 +62,15 @@
     lease->incarnation++;
 }
 
+static void
+_le_lose_row(le_lease *lease)
+{
+    if (lease->registered) {
+        le_lose(lease);
+    }
+    lease->row_version = 0; /* of the process before, where not registered */
+}
+
 void
 le_feed_instance(le_lease *lease, uint64_t now_us, const char *name,
                  const dl_row *row)
@@ -74,8 +83,8 @@
         /* The name may be that of the row which is freed here. */
         bool self = le_is_self(lease, name);
         g_hash_table_remove(lease->peers, name);
-        if (self && lease->registered && row->version > lease->row_version) {
-            le_lose(lease);
+        if (self && row->version > lease->row_version) {
+            _le_lose_row(lease);
         }
         return;
     }
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -595,6 +595,24 @@
 }
 END_TEST
 
+/* Its row of before is removed between its first read and its registration. */
+START_TEST(test_starts_while_it_is_ended)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    end_node(&w->nodes[4]);
+    run_for(w, 4000);
+    start_node(w, 4);
+    read_table(w, &w->nodes[4]);
+    dl_write removal = {"i/e", NULL};
+    ck_assert(apply(w, NULL, 0, &removal, 1));
+    run_for(w, 12000);
+    ck_assert(le_query_held(w->nodes[4].lease, w->now_us));
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
 START_TEST(test_frozen_holder_finds_its_lease_lapsed)
 {
     world *w = make_world(5);
@@ -785,6 +803,7 @@
     tcase_add_loop_test(tcase, test_leaves_soon_after_a_restart, 0, 4);
     tcase_add_loop_test(tcase, test_holder_anew_told_in_part, 0, 4);
     tcase_add_test(tcase, test_many_gone_holders);
+    tcase_add_loop_test(tcase, test_starts_while_it_is_ended, 0, 4);
     tcase_add_test(tcase, test_frozen_holder_finds_its_lease_lapsed);
     tcase_add_loop_test(tcase, test_servers_that_leave_the_list_and_return, 0,
                         8);
