A removal is not undone by an older word of the row

Cause: once an instance knew a server's row for removed, any version of the row counted as news, also the one that had been removed: a read that was asked before the removal and came after it made the instance believe that it held the server, and order it, until the next read, while another could claim it. The version of the removal is kept now, and older words of the row change nothing. A read that merely lacks the row keeps no version, as a newer row may have been written after it.

Test: test_removed_row_comes_late.

--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -205,8 +205,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         le_server_row *server = value;
         if (!server->read && server->version) {
-            dl_row gone = {.version = server->version + 1};
-            le_feed_holder(lease, now_us, server->id, &gone);
+            le_clear_holder(server, now_us);
         }
     }
     g_autoptr(GPtrArray) gone = g_ptr_array_new();
--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -30,7 +30,8 @@
     bool given_up;
     bool giving;      /* we are giving it up: no order, whatever comes of it */
     uint64_t version; /* of its row; 0: none */
-    uint64_t since_us;    /* of this row, or of the entry without one */
+    uint64_t removed_version; /* of the last removal that the store told */
+    uint64_t since_us;        /* of this row, or of the entry without one */
     uint64_t free_us;     /* when it was first seen free to be claimed; 0 */
     uint64_t unlisted_us; /* no order from here since then at the latest; 0 */
     bool read;
@@ -115,6 +116,8 @@
                       const dl_row *row);
 void le_feed_holder(le_lease *lease, uint64_t now_us, const char *id,
                     const dl_row *row);
+/* A read did not have the row; a newer one may be told still. */
+void le_clear_holder(le_server_row *server, uint64_t now_us);
 uint64_t le_takeover_us(const le_lease *lease, const le_peer_row *peer);
 char *le_meant_for(const le_lease *lease, const le_server_row *server,
                    uint64_t now_us);
--- a/packages/exchange/src/lease_rows.c
+++ b/packages/exchange/src/lease_rows.c
@@ -123,24 +123,32 @@
 }
 
 void
-le_feed_holder(le_lease *lease, uint64_t now_us, const char *id,
-               const dl_row *row)
+le_clear_holder(le_server_row *server, uint64_t now_us)
 {
-    le_server_row *server = le_server_of(lease, id);
-    server->read = true;
-    if (row->version <= server->version) {
-        return;
-    }
     g_clear_pointer(&server->holder, g_free);
-    server->version = row->value ? row->version : 0;
+    server->version = 0;
     server->since_us = now_us;
     server->incarnation = 0;
     server->given_up = false;
     server->giving = false;
     server->free_us = 0;
+}
+
+void
+le_feed_holder(le_lease *lease, uint64_t now_us, const char *id,
+               const dl_row *row)
+{
+    le_server_row *server = le_server_of(lease, id);
+    server->read = true;
+    if (row->version <= MAX(server->version, server->removed_version)) {
+        return;
+    }
+    le_clear_holder(server, now_us);
     if (!row->value) {
+        server->removed_version = row->version;
         return;
     }
+    server->version = row->version;
     gsize size = 0;
     const uint8_t *bytes = g_bytes_get_data(row->value, &size);
     Lacewing__Exchange__HolderRow *read =
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -9,6 +9,7 @@
 #define INSTANCES 6
 #define SERVERS 18
 #define STEP_MS 20
+#define LATE_READ_MS 500
 #define TX_ENTRIES 100 /* that the store takes */
 
 typedef struct row {
@@ -29,7 +30,11 @@
     bool cut; /* from the store */
     uint64_t started_us;
     uint64_t next_read_us;
-    bool waits; /* for an answer of its transaction */
+    uint64_t take_read_us;  /* when the read under way is taken; 0: none */
+    GArray *read;           /* dl_row, as they were when it was asked */
+    uint64_t asked_version; /* of the table then */
+    uint64_t read_version;  /* of the table as last taken */
+    bool waits;             /* for an answer of its transaction */
     uint64_t answer_us;
     er_code answer;
     uint64_t answer_version;
@@ -40,6 +45,8 @@
     uint64_t now_us;
     GRand *random;
     GHashTable *rows; /* key -> row */
+    bool stale;       /* reads come late, some rows are told by others */
+    GArray *history;  /* dl_row, as written */
     uint64_t version;
     bool down;
     bool busy;      /* turns every call away at once */
@@ -85,6 +92,10 @@
     }
     w->version++;
     for (size_t i = 0; i < write_count; i++) {
+        dl_row written = {
+            g_strdup(writes[i].key),
+            writes[i].value ? g_bytes_ref(writes[i].value) : NULL, w->version};
+        g_array_append_val(w->history, written);
         if (!writes[i].value) {
             g_hash_table_remove(w->rows, writes[i].key);
             continue;
@@ -189,24 +200,64 @@
     if (n->answer_rows) {
         g_array_unref(n->answer_rows);
     }
+    if (n->read) {
+        g_array_unref(n->read);
+    }
     *n = (node){0};
 }
 
 static void
-read_table(world *w, node *n)
+ask_table(world *w, node *n)
 {
-    le_begin_read(n->lease);
+    n->read = dl_make_rows();
+    n->asked_version = w->version;
     GHashTableIter iter;
     gpointer key;
     gpointer value;
     g_hash_table_iter_init(&iter, w->rows);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        row *found = value;
-        dl_row copy = {key, found->value, found->version};
-        le_feed_row(n->lease, w->now_us, &copy);
+        const row *found = value;
+        dl_row copy = {g_strdup(key), g_bytes_ref(found->value),
+                       found->version};
+        g_array_append_val(n->read, copy);
+    }
+}
+
+static void
+take_table(world *w, node *n)
+{
+    le_begin_read(n->lease);
+    for (guint i = 0; i < n->read->len; i++) {
+        le_feed_row(n->lease, w->now_us, &g_array_index(n->read, dl_row, i));
     }
     le_end_read(n->lease, w->now_us);
     le_feed_fresh(n->lease, w->now_us);
+    g_clear_pointer(&n->read, g_array_unref);
+    n->read_version = n->asked_version;
+    n->take_read_us = 0;
+}
+
+static void
+read_table(world *w, node *n)
+{
+    ask_table(w, n);
+    take_table(w, n);
+}
+
+/* A row that was written lately, told by another, or later than others. */
+static void
+tell_row(world *w, node *n)
+{
+    if (!w->stale || w->history->len == 0 || n->read_version == 0 ||
+        g_rand_int_range(w->random, 0, 10) != 0) {
+        return;
+    }
+    guint back = (guint)g_rand_int_range(w->random, 1, 10);
+    const dl_row *told = &g_array_index(
+        w->history, dl_row, w->history->len - MIN(back, w->history->len));
+    if (told->version > n->read_version) {
+        le_feed_row(n->lease, w->now_us, told);
+    }
 }
 
 typedef struct lines {
@@ -328,12 +379,22 @@
     if (w->now_us >= n->next_read_us) {
         n->next_read_us = w->now_us + 800 * MS;
         if (!w->down && !w->busy && !n->cut) {
-            read_table(w, n);
+            ask_table(w, n);
+            n->take_read_us = w->now_us;
+            if (w->stale) {
+                n->take_read_us +=
+                    (uint64_t)g_rand_int_range(w->random, 0, LATE_READ_MS) *
+                    MS;
+            }
         }
         else {
             le_note_interruption(n->lease);
         }
     }
+    if (n->take_read_us && w->now_us >= n->take_read_us) {
+        take_table(w, n);
+    }
+    tell_row(w, n);
     write_tx(w, n);
     order_all(w, i);
 }
@@ -365,6 +426,7 @@
     w->many = seed % 2 ? 3 : 0;
     w->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_row);
     w->late = g_ptr_array_new();
+    w->history = dl_make_rows();
     for (int i = 0; i < INSTANCES; i++) {
         start_node(w, i);
     }
@@ -379,6 +441,7 @@
             end_node(&w->nodes[i]);
         }
     }
+    g_array_unref(w->history);
     g_hash_table_unref(w->rows);
     g_rand_free(w->random);
     g_free(w);
@@ -613,6 +676,31 @@
 }
 END_TEST
 
+/* A read that was asked before the own row was removed comes after it. */
+START_TEST(test_removed_row_comes_late)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    const row *found = g_hash_table_lookup(w->rows, "o/s08");
+    ck_assert_int_eq(w->last_holder[8], 1);
+    dl_row late = {"o/s08", g_bytes_ref(found->value), found->version};
+    list_server(&w->nodes[0], 8, false);
+    list_server(&w->nodes[1], 0, false); /* b takes it for its own */
+    while (g_hash_table_contains(w->rows, "o/s08") || w->nodes[0].waits) {
+        step(w);
+    }
+    w->nodes[0].next_read_us = w->now_us + 2000 * MS;
+    le_feed_row(w->nodes[0].lease, w->now_us, &late);
+    list_server(&w->nodes[0], 8, true);
+    run_for(w, 9000);
+    list_server(&w->nodes[1], 0, true);
+    run_for(w, 9000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    g_bytes_unref(late.value);
+    free_world(w);
+}
+END_TEST
+
 START_TEST(test_frozen_holder_finds_its_lease_lapsed)
 {
     world *w = make_world(5);
@@ -767,12 +855,14 @@
     }
     for (uint32_t seed = 1; seed <= seeds; seed++) {
         world *w = make_world(seed);
+        w->stale = seed % 4 >= 2;
         for (int k = 0; k < 40; k++) {
             run_for(w, (uint64_t)g_rand_int_range(w->random, 100, 4000));
             trouble(w);
         }
         w->down = false;
         w->lose_pct = 0;
+        w->stale = false;
         for (int i = 0; i < INSTANCES; i++) {
             if (w->nodes[i].running) {
                 end_node(&w->nodes[i]);
@@ -804,6 +894,7 @@
     tcase_add_loop_test(tcase, test_holder_anew_told_in_part, 0, 4);
     tcase_add_test(tcase, test_many_gone_holders);
     tcase_add_loop_test(tcase, test_starts_while_it_is_ended, 0, 4);
+    tcase_add_loop_test(tcase, test_removed_row_comes_late, 0, 4);
     tcase_add_test(tcase, test_frozen_holder_finds_its_lease_lapsed);
     tcase_add_loop_test(tcase, test_servers_that_leave_the_list_and_return, 0,
                         8);
