--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -44,7 +44,6 @@
 static void
 _le_take_ok(le_lease *lease, uint64_t now_us, uint64_t version)
 {
-    lease->store_version = MAX(lease->store_version, version);
     switch (lease->tx) {
     case LE_TX_RENEW:
         _le_take_renewal(lease, now_us, version);
@@ -206,8 +205,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         le_server_row *server = value;
         if (!server->read && server->version) {
-            dl_row gone = {.version = server->version + 1};
-            le_feed_holder(lease, now_us, server->id, &gone);
+            le_clear_holder(server, now_us);
         }
     }
     g_autoptr(GPtrArray) gone = g_ptr_array_new();
@@ -226,10 +224,9 @@
 }
 
 void
-le_feed_fresh(le_lease *lease, uint64_t now_us, uint64_t version)
+le_feed_fresh(le_lease *lease, uint64_t now_us)
 {
     lease->contact_us = lease->contact_us ? lease->contact_us : now_us;
-    lease->store_version = MAX(lease->store_version, version);
 }
 
 void
@@ -242,6 +239,7 @@
 le_put_server(le_lease *lease, const char *id, const char *zone)
 {
     le_server_row *server = le_server_of(lease, id);
+    server->unlisted_us = 0;
     if (g_strcmp0(server->zone, zone) != 0) {
         g_free(server->zone);
         server->zone = g_strdup(zone);
@@ -319,6 +317,71 @@
     lease->tx = LE_TX_NONE;
 }
 
+static const char *const _le_kinds[] = {
+    [LE_TX_END] = "end",      [LE_TX_CLAIM] = "claim",
+    [LE_TX_GIVE_UP] = "give", [LE_TX_PRUNE] = "remove",
+    [LE_TX_EVEN] = "give",
+};
+
+static const char *const _le_states[LE_STATE_NUM] = {
+    [LE_STATE_DEFAULT] = "held",
+    [LE_STATE_NO_HOLDER] = "no holder",
+    [LE_STATE_OURS] = "ours",
+    [LE_STATE_OURS_BEFORE] = "ours, another incarnation",
+    [LE_STATE_OURS_GIVING] = "ours, being given up",
+    [LE_STATE_GIVEN_UP] = "given up",
+    [LE_STATE_HOLDER_ANEW] = "holder has another incarnation",
+    [LE_STATE_HOLDER_GONE] = "holder has no row",
+};
+
+static const char *
+_le_why(const le_lease *lease, const le_server_row *server)
+{
+    switch (lease->tx) {
+    case LE_TX_CLAIM:
+        return _le_states[le_state_of(lease, server)];
+    case LE_TX_GIVE_UP:
+        return "leaves";
+    case LE_TX_EVEN:
+        return "another has fewer";
+    default:
+        return "not listed";
+    }
+}
+
+void
+le_each_change(const le_lease *lease, uint64_t now_us, le_change_call call,
+               void *user_data)
+{
+    if (lease->tx == LE_TX_END) {
+        const le_peer_row *peer =
+            g_hash_table_lookup(lease->peers, lease->tx_peer);
+        call(&(le_change){.kind = _le_kinds[lease->tx],
+                          .holder = peer->instance,
+                          .why = "silent",
+                          .version = peer->version,
+                          .age_us = now_us - peer->seen_us},
+             user_data);
+        return;
+    }
+    for (guint i = 0; i < lease->tx_servers->len; i++) {
+        const le_server_row *server = lease->tx_servers->pdata[i];
+        const le_peer_row *holder =
+            server->holder ? g_hash_table_lookup(lease->peers, server->holder)
+                           : NULL;
+        call(&(le_change){.kind = _le_kinds[lease->tx],
+                          .server = server->id,
+                          .holder = server->holder,
+                          .why = _le_why(lease, server),
+                          .version = server->version,
+                          .age_us =
+                              server->since_us ? now_us - server->since_us : 0,
+                          .holder_age_us =
+                              holder ? now_us - holder->seen_us : 0},
+             user_data);
+    }
+}
+
 uint32_t
 le_query_pause_ms(const le_lease *lease)
 {
@@ -331,7 +394,9 @@
     const le_server_row *server = g_hash_table_lookup(lease->servers, id);
     bool held = lease->registered && !lease->left &&
                 clock_us < lease->renewed_us + lease->valid_us;
-    return held && server && le_holds(lease, server) ? server->fence : 0;
+    return held && server && server->zone && le_holds(lease, server)
+               ? server->version
+               : 0;
 }
 
 const char *
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -5,8 +5,8 @@
  *
  *   i/INSTANCE  one for each running instance, written anew every renew_ms
  *               under the condition of its last version
- *   o/SERVER    the instance that orders, its incarnation, and the fence;
- *               written when that changes only
+ *   o/SERVER    the instance that orders and its incarnation; written when
+ *               that changes only; its version is the fence
  *
  * An instance orders while its last acknowledged renewal was sent less than
  * valid_ms ago. Another ends it by removing its row, under the condition
@@ -15,8 +15,9 @@
  * for lease_ms before any server of it has a new holder. A holder that leaves
  * gives its servers up in the store; they wait for quiet_ms. A machine that
  * starts again takes its own servers back at once, with a higher fence. Fences
- * are versions of the store, so they rise also where rows were removed. One
- * that holds more than others gives servers up for them, one at a time.
+ * are versions of the store, so they rise also where rows were removed or are
+ * written late. One that holds more than others gives servers up for them, one
+ * at a time.
  *
  * Where there are many instances, those that are meant to hold no server renew
  * more rarely, and take so much longer to be ended.
@@ -58,6 +59,18 @@
     bool leaving;
 } le_peer;
 
+/* A row of a server, or of a silent instance, in the transaction that was
+   taken last: what it is written for and on which belief. */
+typedef struct le_change {
+    const char *kind;
+    const char *server; /* NULL: the row of an instance */
+    const char *holder; /* as believed, or that instance; NULL: none */
+    const char *why;
+    uint64_t version;       /* of the row as believed; 0: none */
+    uint64_t age_us;        /* since this version was first seen; 0: none */
+    uint64_t holder_age_us; /* since the holder's own row was; 0: none known */
+} le_change;
+
 le_lease *le_create(const le_desc *desc);
 void le_destroy(le_lease *lease);
 
@@ -67,10 +80,11 @@
 void le_begin_read(le_lease *lease);
 void le_end_read(le_lease *lease, uint64_t now_us);
 /* The store answered a read of the own table that was up to date then. */
-void le_feed_fresh(le_lease *lease, uint64_t now_us, uint64_t version);
+void le_feed_fresh(le_lease *lease, uint64_t now_us);
 /* The store did not answer for a while: others may not have renewed. */
 void le_note_interruption(le_lease *lease);
-/* Servers that take orders; others are given up. */
+/* Servers that take orders. One that is removed gets none from here any more;
+   its row stays for quiet_ms, so that it is ours still if it comes back. */
 void le_put_server(le_lease *lease, const char *id, const char *zone);
 void le_remove_server(le_lease *lease, const char *id);
 /* The instance will leave: it takes no more servers, others see that. */
@@ -101,6 +115,10 @@
 bool le_query_held(const le_lease *lease, uint64_t clock_us);
 bool le_query_given_up(const le_lease *lease);
 typedef void (*le_peer_call)(const le_peer *peer, void *user_data);
+typedef void (*le_change_call)(const le_change *change, void *user_data);
+/* Right after le_next_tx(); nothing for renewals. */
+void le_each_change(const le_lease *lease, uint64_t now_us,
+                    le_change_call call, void *user_data);
 void le_each_peer(const le_lease *lease, le_peer_call call, void *user_data);
 
 #endif
--- a/packages/exchange/src/lease_rows.c
+++ b/packages/exchange/src/lease_rows.c
@@ -62,6 +62,15 @@
     lease->incarnation++;
 }
 
+static void
+_le_lose_row(le_lease *lease)
+{
+    if (lease->registered) {
+        le_lose(lease);
+    }
+    lease->row_version = 0; /* of the process before, where not registered */
+}
+
 void
 le_feed_instance(le_lease *lease, uint64_t now_us, const char *name,
                  const dl_row *row)
@@ -74,8 +83,8 @@
         /* The name may be that of the row which is freed here. */
         bool self = le_is_self(lease, name);
         g_hash_table_remove(lease->peers, name);
-        if (self && lease->registered && row->version > lease->row_version) {
-            le_lose(lease);
+        if (self && row->version > lease->row_version) {
+            _le_lose_row(lease);
         }
         return;
     }
@@ -114,24 +123,32 @@
 }
 
 void
-le_feed_holder(le_lease *lease, uint64_t now_us, const char *id,
-               const dl_row *row)
+le_clear_holder(le_server_row *server, uint64_t now_us)
 {
-    le_server_row *server = le_server_of(lease, id);
-    server->read = true;
-    if (row->version <= server->version) {
-        return;
-    }
     g_clear_pointer(&server->holder, g_free);
-    server->version = row->value ? row->version : 0;
+    server->version = 0;
     server->since_us = now_us;
     server->incarnation = 0;
     server->given_up = false;
     server->giving = false;
     server->free_us = 0;
+}
+
+void
+le_feed_holder(le_lease *lease, uint64_t now_us, const char *id,
+               const dl_row *row)
+{
+    le_server_row *server = le_server_of(lease, id);
+    server->read = true;
+    if (row->version <= MAX(server->version, server->removed_version)) {
+        return;
+    }
+    le_clear_holder(server, now_us);
     if (!row->value) {
+        server->removed_version = row->version;
         return;
     }
+    server->version = row->version;
     gsize size = 0;
     const uint8_t *bytes = g_bytes_get_data(row->value, &size);
     Lacewing__Exchange__HolderRow *read =
@@ -140,7 +157,6 @@
         server->holder = g_strdup(read->instance);
         server->incarnation = read->incarnation;
         server->given_up = read->given_up;
-        server->fence = read->fence;
         lacewing__exchange__holder_row__free_unpacked(read, NULL);
     }
 }
--- a/packages/exchange/src/lease_tx.c
+++ b/packages/exchange/src/lease_tx.c
@@ -89,18 +89,20 @@
     return false;
 }
 
-/* What is taken from a holder that has ended is taken only if that one has
-   not come back. */
+/* What is taken from a holder that has ended, or started anew, is taken only
+   if its row is as believed: word of the server's row may come before. */
 static void
 _le_require_ended(le_lease *lease, const le_server_row *server)
 {
-    if (!server->holder || server->given_up ||
-        g_hash_table_contains(lease->peers, server->holder)) {
+    le_state state = le_state_of(lease, server);
+    if (state != LE_STATE_HOLDER_GONE && state != LE_STATE_HOLDER_ANEW) {
         return;
     }
+    const le_peer_row *holder =
+        g_hash_table_lookup(lease->peers, server->holder);
     const char *key = _le_key(lease, "i/", server->holder);
     if (!_le_has_condition(lease, key)) {
-        dl_condition condition = {key, 0};
+        dl_condition condition = {key, holder ? holder->version : 0};
         g_array_append_val(lease->conditions, condition);
     }
 }
@@ -111,7 +113,6 @@
     Lacewing__Exchange__HolderRow row = LACEWING__EXCHANGE__HOLDER_ROW__INIT;
     row.instance = lease->instance;
     row.incarnation = lease->incarnation;
-    row.fence = MAX(lease->store_version, server->version) + 1;
     row.given_up = given_up;
     server->giving = server->giving || given_up;
     _le_add(lease, _le_key(lease, "o/", server->id), server->version,
@@ -139,6 +140,45 @@
     return false;
 }
 
+/* A row without a holder is anybody's at once, and lists of servers differ for
+   a while: our row of a server that is not listed goes after a silence. */
+static bool
+_le_may_prune(const le_lease *lease, le_server_row *server, uint64_t now_us)
+{
+    if (server->zone || !le_row_is_own(lease, server)) {
+        return false;
+    }
+    if (server->unlisted_us == 0) {
+        server->unlisted_us = now_us;
+    }
+    return now_us >= server->unlisted_us + lease->quiet_us;
+}
+
+static void
+_le_write_removal(le_lease *lease, le_server_row *server)
+{
+    server->giving = true;
+    _le_add(lease, _le_key(lease, "o/", server->id), server->version, NULL);
+    g_ptr_array_add(lease->tx_servers, server);
+}
+
+/* The rows of the process before as well: it may have ordered until now. */
+static bool
+_le_may_give_up(const le_lease *lease, const le_server_row *server)
+{
+    return server->holder && le_is_self(lease, server->holder) &&
+           !server->given_up;
+}
+
+static bool
+_le_has_room(const le_lease *lease)
+{
+    return lease->tx_servers->len < LE_TX_ROWS &&
+           lease->conditions->len + lease->writes->len +
+                   LE_TX_SERVER_ENTRIES <=
+               LE_TX_ENTRIES;
+}
+
 static bool
 _le_write_servers(le_lease *lease, uint64_t now_us, le_tx_kind kind)
 {
@@ -146,20 +186,17 @@
     gpointer value;
     g_hash_table_iter_init(&iter, lease->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value) &&
-           lease->tx_servers->len < LE_TX_ROWS) {
+           _le_has_room(lease)) {
         le_server_row *server = value;
         if (kind == LE_TX_CLAIM && le_may_claim(lease, server, now_us)) {
             _le_require_ended(lease, server);
             _le_write_holder(lease, server, false);
         }
-        else if (kind == LE_TX_GIVE_UP && le_row_is_own(lease, server)) {
+        else if (kind == LE_TX_GIVE_UP && _le_may_give_up(lease, server)) {
             _le_write_holder(lease, server, true);
         }
-        else if (kind == LE_TX_PRUNE && !server->zone &&
-                 le_holds(lease, server)) {
-            _le_add(lease, _le_key(lease, "o/", server->id), server->version,
-                    NULL);
-            g_ptr_array_add(lease->tx_servers, server);
+        else if (kind == LE_TX_PRUNE && _le_may_prune(lease, server, now_us)) {
+            _le_write_removal(lease, server);
         }
     }
     return lease->tx_servers->len > 0;
--- a/packages/exchange/tests/test_lease.c
+++ b/packages/exchange/tests/test_lease.c
@@ -1,5 +1,6 @@
 /* Tests of the leases, in virtual time over a table that is down, slow, loses
    answers and carries writes out late. */
+#include "exchange.pb-c.h"
 #include "lease.h"
 #include "run.h"
 
@@ -8,6 +9,8 @@
 #define INSTANCES 6
 #define SERVERS 18
 #define STEP_MS 20
+#define LATE_READ_MS 500
+#define TX_ENTRIES 100 /* that the store takes */
 
 typedef struct row {
     GBytes *value;
@@ -27,7 +30,11 @@
     bool cut; /* from the store */
     uint64_t started_us;
     uint64_t next_read_us;
-    bool waits; /* for an answer of its transaction */
+    uint64_t take_read_us;  /* when the read under way is taken; 0: none */
+    GArray *read;           /* dl_row, as they were when it was asked */
+    uint64_t asked_version; /* of the table then */
+    uint64_t read_version;  /* of the table as last taken */
+    bool waits;             /* for an answer of its transaction */
     uint64_t answer_us;
     er_code answer;
     uint64_t answer_version;
@@ -38,6 +45,8 @@
     uint64_t now_us;
     GRand *random;
     GHashTable *rows; /* key -> row */
+    bool stale;       /* reads come late, some rows are told by others */
+    GArray *history;  /* dl_row, as written */
     uint64_t version;
     bool down;
     bool busy;      /* turns every call away at once */
@@ -83,6 +92,10 @@
     }
     w->version++;
     for (size_t i = 0; i < write_count; i++) {
+        dl_row written = {
+            g_strdup(writes[i].key),
+            writes[i].value ? g_bytes_ref(writes[i].value) : NULL, w->version};
+        g_array_append_val(w->history, written);
         if (!writes[i].value) {
             g_hash_table_remove(w->rows, writes[i].key);
             continue;
@@ -147,6 +160,21 @@
     }
 }
 
+static void
+list_server(node *n, int s, bool listed)
+{
+    char id[16];
+    char zone[4];
+    g_snprintf(id, sizeof(id), "s%02d", s);
+    g_snprintf(zone, sizeof(zone), "z%d", s % 4 + 1);
+    if (listed) {
+        le_put_server(n->lease, id, zone);
+    }
+    else {
+        le_remove_server(n->lease, id);
+    }
+}
+
 static void
 start_node(world *w, int i)
 {
@@ -161,11 +189,7 @@
                    .lease_ms = LEASE_MS,
                    .many = w->many});
     for (int s = 0; s < SERVERS; s++) {
-        char id[16];
-        char zone[4];
-        g_snprintf(id, sizeof(id), "s%02d", s);
-        g_snprintf(zone, sizeof(zone), "z%d", s % 4 + 1);
-        le_put_server(n->lease, id, zone);
+        list_server(n, s, true);
     }
 }
 
@@ -176,24 +200,95 @@
     if (n->answer_rows) {
         g_array_unref(n->answer_rows);
     }
+    if (n->read) {
+        g_array_unref(n->read);
+    }
     *n = (node){0};
 }
 
 static void
-read_table(world *w, node *n)
+ask_table(world *w, node *n)
 {
-    le_begin_read(n->lease);
+    n->read = dl_make_rows();
+    n->asked_version = w->version;
     GHashTableIter iter;
     gpointer key;
     gpointer value;
     g_hash_table_iter_init(&iter, w->rows);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        row *found = value;
-        dl_row copy = {key, found->value, found->version};
-        le_feed_row(n->lease, w->now_us, &copy);
+        const row *found = value;
+        dl_row copy = {g_strdup(key), g_bytes_ref(found->value),
+                       found->version};
+        g_array_append_val(n->read, copy);
+    }
+}
+
+static void
+take_table(world *w, node *n)
+{
+    le_begin_read(n->lease);
+    for (guint i = 0; i < n->read->len; i++) {
+        le_feed_row(n->lease, w->now_us, &g_array_index(n->read, dl_row, i));
     }
     le_end_read(n->lease, w->now_us);
-    le_feed_fresh(n->lease, w->now_us, w->version);
+    le_feed_fresh(n->lease, w->now_us);
+    g_clear_pointer(&n->read, g_array_unref);
+    n->read_version = n->asked_version;
+    n->take_read_us = 0;
+}
+
+static void
+read_table(world *w, node *n)
+{
+    ask_table(w, n);
+    take_table(w, n);
+}
+
+/* A row that was written lately, told by another, or later than others. */
+static void
+tell_row(world *w, node *n)
+{
+    if (!w->stale || w->history->len == 0 || n->read_version == 0 ||
+        g_rand_int_range(w->random, 0, 10) != 0) {
+        return;
+    }
+    guint back = (guint)g_rand_int_range(w->random, 1, 10);
+    const dl_row *told = &g_array_index(
+        w->history, dl_row, w->history->len - MIN(back, w->history->len));
+    if (told->version > n->read_version) {
+        le_feed_row(n->lease, w->now_us, told);
+    }
+}
+
+typedef struct lines {
+    uint32_t count;
+    uint64_t oldest_us;
+} lines;
+
+static void
+check_change(const le_change *change, void *user_data)
+{
+    lines *told = user_data;
+    ck_assert_ptr_nonnull(change->kind);
+    ck_assert_ptr_nonnull(change->why);
+    ck_assert_uint_le(change->age_us, told->oldest_us);
+    ck_assert_uint_le(change->holder_age_us, told->oldest_us);
+    told->count++;
+}
+
+/* Each row of a server that is written has its line; a belief is not older
+   than who has it. */
+static void
+check_lines(world *w, node *n, const dl_tx *tx)
+{
+    lines told = {.oldest_us = w->now_us - n->started_us};
+    le_each_change(n->lease, w->now_us, check_change, &told);
+    for (size_t i = 0; i < tx->write_count; i++) {
+        if (g_str_has_prefix(tx->writes[i].key, "o/")) {
+            ck_assert_uint_gt(told.count, 0);
+            told.count--;
+        }
+    }
 }
 
 static void
@@ -203,6 +298,8 @@
     if (n->waits || !le_next_tx(n->lease, w->now_us, &tx)) {
         return;
     }
+    ck_assert_uint_le(tx.condition_count + tx.write_count, TX_ENTRIES);
+    check_lines(w, n, &tx);
     w->calls++;
     n->waits = true;
     n->answer_us = w->now_us + 10 * MS;
@@ -282,12 +379,22 @@
     if (w->now_us >= n->next_read_us) {
         n->next_read_us = w->now_us + 800 * MS;
         if (!w->down && !w->busy && !n->cut) {
-            read_table(w, n);
+            ask_table(w, n);
+            n->take_read_us = w->now_us;
+            if (w->stale) {
+                n->take_read_us +=
+                    (uint64_t)g_rand_int_range(w->random, 0, LATE_READ_MS) *
+                    MS;
+            }
         }
         else {
             le_note_interruption(n->lease);
         }
     }
+    if (n->take_read_us && w->now_us >= n->take_read_us) {
+        take_table(w, n);
+    }
+    tell_row(w, n);
     write_tx(w, n);
     order_all(w, i);
 }
@@ -319,6 +426,7 @@
     w->many = seed % 2 ? 3 : 0;
     w->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_row);
     w->late = g_ptr_array_new();
+    w->history = dl_make_rows();
     for (int i = 0; i < INSTANCES; i++) {
         start_node(w, i);
     }
@@ -333,6 +441,7 @@
             end_node(&w->nodes[i]);
         }
     }
+    g_array_unref(w->history);
     g_hash_table_unref(w->rows);
     g_rand_free(w->random);
     g_free(w);
@@ -454,6 +563,144 @@
 }
 END_TEST
 
+/* Killed and started again, and told to leave before it lists a server: what
+   the process before ordered is not another's at once. */
+START_TEST(test_leaves_soon_after_a_restart)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    end_node(&w->nodes[0]);
+    run_for(w, 100);
+    start_node(w, 0);
+    for (int s = 0; s < SERVERS; s++) {
+        list_server(&w->nodes[0], s, false);
+    }
+    run_for(w, 300);
+    le_leave(w->nodes[0].lease);
+    run_for(w, 200);
+    ck_assert(le_query_given_up(w->nodes[0].lease));
+    end_node(&w->nodes[0]);
+    run_for(w, 9000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
+static void
+tell_holders(world *w, node *n)
+{
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, w->rows);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const row *found = value;
+        dl_row copy = {key, found->value, found->version};
+        if (g_str_has_prefix(key, "o/")) {
+            le_feed_row(n->lease, w->now_us, &copy);
+        }
+    }
+}
+
+/* Word that a holder took its servers back comes before word of its new
+   incarnation, which is missing where a datagram was lost. */
+START_TEST(test_holder_anew_told_in_part)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    list_server(&w->nodes[0], 0, false); /* a takes b's for its own */
+    run_for(w, 100);
+    end_node(&w->nodes[1]);
+    run_for(w, 3500);
+    start_node(w, 1);
+    w->nodes[0].next_read_us = w->now_us + 2000 * MS;
+    for (int at = 0; at < 2000; at += STEP_MS) {
+        step(w);
+        tell_holders(w, &w->nodes[0]);
+    }
+    list_server(&w->nodes[0], 0, true);
+    run_for(w, 9000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
+/* Many servers, each of another holder that is gone: no call is larger than
+   the store takes. */
+START_TEST(test_many_gone_holders)
+{
+    world *w = make_world(1);
+    run_for(w, 4000);
+    for (int s = 0; s < 90; s++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "t%02d", s);
+        Lacewing__Exchange__HolderRow of =
+            LACEWING__EXCHANGE__HOLDER_ROW__INIT;
+        of.instance = id;
+        of.incarnation = 1;
+        uint8_t bytes[64];
+        size_t count = protobuf_c_message_pack(&of.base, bytes);
+        row *held_row = g_new0(row, 1);
+        held_row->value = g_bytes_new(bytes, count);
+        held_row->version = ++w->version;
+        g_hash_table_replace(w->rows, g_strconcat("o/", id, NULL), held_row);
+        for (int i = 0; i < INSTANCES; i++) {
+            le_put_server(w->nodes[i].lease, id, "z3");
+        }
+    }
+    run_for(w, 4000);
+    for (int s = 0; s < 90; s++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "t%02d", s);
+        ck_assert_uint_gt(le_query_fence(w->nodes[4].lease, w->now_us, id), 0);
+    }
+    free_world(w);
+}
+END_TEST
+
+/* Its row of before is removed between its first read and its registration. */
+START_TEST(test_starts_while_it_is_ended)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    end_node(&w->nodes[4]);
+    run_for(w, 4000);
+    start_node(w, 4);
+    read_table(w, &w->nodes[4]);
+    dl_write removal = {"i/e", NULL};
+    ck_assert(apply(w, NULL, 0, &removal, 1));
+    run_for(w, 12000);
+    ck_assert(le_query_held(w->nodes[4].lease, w->now_us));
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
+/* A read that was asked before the own row was removed comes after it. */
+START_TEST(test_removed_row_comes_late)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    const row *found = g_hash_table_lookup(w->rows, "o/s08");
+    ck_assert_int_eq(w->last_holder[8], 1);
+    dl_row late = {"o/s08", g_bytes_ref(found->value), found->version};
+    list_server(&w->nodes[0], 8, false);
+    list_server(&w->nodes[1], 0, false); /* b takes it for its own */
+    while (g_hash_table_contains(w->rows, "o/s08") || w->nodes[0].waits) {
+        step(w);
+    }
+    w->nodes[0].next_read_us = w->now_us + 2000 * MS;
+    le_feed_row(w->nodes[0].lease, w->now_us, &late);
+    list_server(&w->nodes[0], 8, true);
+    run_for(w, 9000);
+    list_server(&w->nodes[1], 0, true);
+    run_for(w, 9000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    g_bytes_unref(late.value);
+    free_world(w);
+}
+END_TEST
+
 START_TEST(test_frozen_holder_finds_its_lease_lapsed)
 {
     world *w = make_world(5);
@@ -467,12 +714,99 @@
 }
 END_TEST
 
+/* Servers drop from all lists and come back, which instances learn at
+   different times: nobody takes what another ordered within a lease. */
+START_TEST(test_servers_that_leave_the_list_and_return)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    w->lose_pct = _i % 2 ? 40 : 0;
+    for (int k = 0; k < 8; k++) {
+        int when[INSTANCES][SERVERS];
+        for (int i = 0; i < INSTANCES; i++) {
+            for (int s = 0; s < SERVERS; s++) {
+                when[i][s] = g_rand_int_range(w->random, 0, 100);
+            }
+        }
+        for (int at = 0; at < 100; at++) {
+            for (int i = 0; i < INSTANCES; i++) {
+                for (int s = 0; s < SERVERS; s++) {
+                    if (when[i][s] == at) {
+                        list_server(&w->nodes[i], s, k % 2 == 1);
+                    }
+                }
+            }
+            step(w);
+        }
+    }
+    w->lose_pct = 0;
+    run_for(w, 16000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
+/* A removal of our row may be carried out though no answer says so: no order
+   under that row, also when the server is listed again. */
+START_TEST(test_removal_without_answer)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 4000);
+    /* Of the zone's servers a holds the first, third and fifth. */
+    ck_assert_int_eq(w->last_holder[8], 1);
+    w->nodes[0].next_read_us += 700 * MS;
+    list_server(&w->nodes[0], 8, false);
+    list_server(&w->nodes[0], 16, false);
+    list_server(&w->nodes[1], 0, false); /* b takes these for its own */
+    run_for(w, 3200);
+    w->lose_pct = 100;
+    run_for(w, 400);
+    w->lose_pct = 0;
+    list_server(&w->nodes[0], 8, true);
+    list_server(&w->nodes[0], 16, true);
+    run_for(w, 9000);
+    list_server(&w->nodes[1], 0, true);
+    run_for(w, 9000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
+/* First claims that are carried out after the rows were written and removed
+   again: an order under such a row has no lower fence than those before. */
+START_TEST(test_claim_carried_out_after_a_removal)
+{
+    world *w = make_world((uint32_t)_i + 1);
+    run_for(w, 1000);
+    w->lose_pct = 100;
+    run_for(w, 400);
+    w->lose_pct = 0;
+    ck_assert_uint_gt(w->late->len, 0);
+    for (guint i = 0; i < w->late->len; i++) {
+        ((late_tx *)w->late->pdata[i])->at_us = w->now_us + 10900 * MS;
+    }
+    run_for(w, 4000);
+    ck_assert_uint_eq(held(w), SERVERS);
+    for (int k = 0; k < 2; k++) {
+        for (int i = 0; i < INSTANCES; i++) {
+            for (int s = 0; s < SERVERS; s++) {
+                list_server(&w->nodes[i], s, k == 1);
+            }
+        }
+        run_for(w, 7000);
+    }
+    ck_assert_uint_eq(w->late->len, 0);
+    ck_assert_uint_eq(held(w), SERVERS);
+    free_world(w);
+}
+END_TEST
+
 static void
 trouble(world *w)
 {
     int i = g_rand_int_range(w->random, 0, INSTANCES);
     node *n = &w->nodes[i];
-    switch (g_rand_int_range(w->random, 0, 8)) {
+    switch (g_rand_int_range(w->random, 0, 10)) {
     case 0:
         if (n->running) {
             end_node(n);
@@ -496,6 +830,12 @@
     case 6:
         w->lose_pct = (uint32_t)g_rand_int_range(w->random, 0, 50);
         break;
+    case 7:
+    case 8:
+        for (int s = 0; s < SERVERS && n->running; s++) {
+            list_server(n, s, g_rand_boolean(w->random));
+        }
+        break;
     default:
         if (n->running && g_rand_int_range(w->random, 0, 3) == 0) {
             le_leave(n->lease);
@@ -515,12 +855,14 @@
     }
     for (uint32_t seed = 1; seed <= seeds; seed++) {
         world *w = make_world(seed);
+        w->stale = seed % 4 >= 2;
         for (int k = 0; k < 40; k++) {
             run_for(w, (uint64_t)g_rand_int_range(w->random, 100, 4000));
             trouble(w);
         }
         w->down = false;
         w->lose_pct = 0;
+        w->stale = false;
         for (int i = 0; i < INSTANCES; i++) {
             if (w->nodes[i].running) {
                 end_node(&w->nodes[i]);
@@ -548,7 +890,16 @@
     tcase_add_test(tcase, test_evens_out);
     tcase_add_test(tcase, test_left_servers_are_followed);
     tcase_add_loop_test(tcase, test_busy_store_is_spared, 0, 6);
+    tcase_add_loop_test(tcase, test_leaves_soon_after_a_restart, 0, 4);
+    tcase_add_loop_test(tcase, test_holder_anew_told_in_part, 0, 4);
+    tcase_add_test(tcase, test_many_gone_holders);
+    tcase_add_loop_test(tcase, test_starts_while_it_is_ended, 0, 4);
+    tcase_add_loop_test(tcase, test_removed_row_comes_late, 0, 4);
     tcase_add_test(tcase, test_frozen_holder_finds_its_lease_lapsed);
+    tcase_add_loop_test(tcase, test_servers_that_leave_the_list_and_return, 0,
+                        8);
+    tcase_add_loop_test(tcase, test_removal_without_answer, 0, 8);
+    tcase_add_loop_test(tcase, test_claim_carried_out_after_a_removal, 0, 8);
     tcase_add_test(tcase, test_any_trouble);
     return run_case("lease", tcase);
 }
