Requests of the last turn have their answers when the process ends

What callers would see: a request that was read ends without an answer, where a stop ends at its last moment (0.25 s before SIGKILL) in the turn in which the request was refused.

Cause: answers are written before the loop sleeps. lp_quit() from the beat ends the loop in the same turn, behind no further write, and cr_destroy() closed the connections with the answers unsent.

Ruled out: the end of a stop without connections (nothing is open then).

Test: test_answer_of_the_last_turn_leaves, failed before (0 bytes).

--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -258,6 +258,8 @@
         if (conn->request) {
             port->desc.calls->gone(conn->request, port->desc.user_data);
         }
+        /* Requests of the last turn were answered behind its last write. */
+        nc_close_sent(conn->conn);
         _cr_release(conn);
     }
     g_free(port);
--- a/packages/exchange/tests/test_caller.c
+++ b/packages/exchange/tests/test_caller.c
@@ -203,6 +203,26 @@
 }
 END_TEST
 
+/* A request that is read in the last turn of the loop has its answer. */
+START_TEST(test_answer_of_the_last_turn_leaves)
+{
+    desk *d = make_desk(2);
+    int fd = dial();
+    say(fd, REQUEST);
+    for (uint32_t i = 0; i < 100 && d->requests == 0; i++) {
+        g_usleep(1000);
+        g_main_context_iteration(NULL, FALSE);
+    }
+    ck_assert_uint_eq(d->requests, 1);
+    cr_destroy(d->port);
+    g_usleep(20000);
+    char bytes[512] = "";
+    ck_assert_int_gt(recv(fd, bytes, sizeof(bytes) - 1, 0), 0);
+    ck_assert_ptr_nonnull(strstr(bytes, "200"));
+    close(fd);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -214,5 +234,6 @@
     tcase_add_test(tcase,
                    test_request_in_socket_is_answered_at_the_idle_limit);
     tcase_add_test(tcase, test_rest_of_head_in_socket_is_read_at_its_limit);
+    tcase_add_test(tcase, test_answer_of_the_last_turn_leaves);
     return run_case("caller", tcase);
 }
--- a/packages/net/include/lacewing/conn.h
+++ b/packages/net/include/lacewing/conn.h
@@ -85,6 +85,9 @@
    connection that what it sent was not taken. */
 void nc_finish_unread(nc_conn *conn);
 void nc_close(nc_conn *conn);
+/* Closes it after what is written has left, as far as the socket takes it now:
+   for an end of the loop itself, which sends nothing after its last turn. */
+void nc_close_sent(nc_conn *conn);
 
 /* queries */
 bool nc_query_open(const nc_conn *conn);
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -122,8 +122,9 @@
     }
 }
 
-static void
-_nc_flush(nc_conn *conn)
+/* Sends as much as the socket takes. False: the connection is lost. */
+static bool
+_nc_send(nc_conn *conn)
 {
     while (!conn->closed && !conn->connecting &&
            conn->out->len > conn->out_start) {
@@ -132,16 +133,22 @@
         if (count < 0 && errno == EINTR) {
             continue;
         }
-        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-            break;
-        }
         if (count < 0) {
-            _nc_end(conn, NC_LOST);
-            return;
+            return errno == EAGAIN || errno == EWOULDBLOCK;
         }
         conn->sent_bytes += (uint64_t)count;
         conn->out_start += (size_t)count;
     }
+    return true;
+}
+
+static void
+_nc_flush(nc_conn *conn)
+{
+    if (!_nc_send(conn)) {
+        _nc_end(conn, NC_LOST);
+        return;
+    }
     if (conn->closed || conn->connecting) {
         return;
     }
@@ -467,6 +474,13 @@
     }
 }
 
+void
+nc_close_sent(nc_conn *conn)
+{
+    _nc_send(conn);
+    nc_close(conn);
+}
+
 void
 nc_close(nc_conn *conn)
 {
