A server's connection that has ended is not used again

What callers would see: 502 for a request that may not be repeated, though no server has run it; for others, a repeat that draws on the budget.

Cause: idle connections were taken by what had been read of them. A server's end (of a leaving server, or of one that closes idle connections) that came in the same turn of the loop stood unread, behind the caller's request in the same batch of sockets or while a configuration was read (150 ms at 0.09 cores). The request was written to a closed connection; the reset told nothing.

Now the socket is asked first: one peek for each use of an idle connection.

Tests: test_upstream, new; test_ended_connection_is_not_used_again and test_connection_with_more_bytes_is_not_used_again failed before.

--- a/packages/net/include/lacewing/conn.h
+++ b/packages/net/include/lacewing/conn.h
@@ -93,6 +93,8 @@
 bool nc_query_open(const nc_conn *conn);
 /* Bytes that were not handed over yet stand in the socket. */
 bool nc_query_input(const nc_conn *conn);
+/* Neither bytes nor the peer's end stand in the socket. */
+bool nc_query_quiet(const nc_conn *conn);
 /* Bytes that have left this process. */
 uint64_t nc_query_sent(const nc_conn *conn);
 size_t nc_query_unsent(const nc_conn *conn);
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -500,12 +500,24 @@
     return !conn->connecting && !conn->closed;
 }
 
+static ssize_t
+_nc_peek(const nc_conn *conn)
+{
+    char byte;
+    return recv(conn->watch.fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+}
+
 bool
 nc_query_input(const nc_conn *conn)
 {
-    char byte;
-    return !conn->closed && recv(conn->watch.fd, &byte, sizeof(byte),
-                                 MSG_PEEK | MSG_DONTWAIT) > 0;
+    return !conn->closed && _nc_peek(conn) > 0;
+}
+
+bool
+nc_query_quiet(const nc_conn *conn)
+{
+    return !conn->closed && _nc_peek(conn) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 uint64_t
--- a/packages/net/src/upstream.c
+++ b/packages/net/src/upstream.c
@@ -293,8 +293,17 @@
 _us_take_idle(us_pool *pool)
 {
     us_tick(pool, lp_query_now_us(pool->loop));
-    GList *link = g_queue_pop_head_link(&pool->idle);
-    return link ? link->data : NULL;
+    GList *link;
+    while ((link = g_queue_pop_head_link(&pool->idle))) {
+        us_line *line = link->data;
+        /* The server's end, or bytes that belong to no request, may have come
+           in this turn of the loop. */
+        if (nc_query_quiet(line->conn)) {
+            return line;
+        }
+        _us_release(line);
+    }
+    return NULL;
 }
 
 us_line *
--- /dev/null
+++ b/packages/net/tests/test_upstream.c
@@ -0,0 +1,156 @@
+/* Tests of pooled connections: what is used again. */
+#include "lacewing/upstream.h"
+#include <arpa/inet.h>
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+typedef struct desk {
+    lp_loop *loop;
+    nc_hub *hub;
+    us_pool *pool;
+    int listener;
+    uint32_t ended;
+    us_end end;
+} desk;
+
+static void
+on_head(us_line *line, const h1_head *head, void *user_data)
+{
+    (void)line;
+    (void)head;
+    (void)user_data;
+}
+
+static void
+on_body(us_line *line, const char *bytes, size_t count, void *user_data)
+{
+    (void)line;
+    (void)bytes;
+    (void)count;
+    (void)user_data;
+}
+
+static void
+on_end(us_line *line, us_end end, void *user_data)
+{
+    (void)line;
+    desk *d = user_data;
+    d->ended++;
+    d->end = end;
+}
+
+static const us_calls calls = {
+    .head = on_head, .body = on_body, .end = on_end};
+
+static desk *
+make_desk(void)
+{
+    desk *d = g_new0(desk, 1);
+    struct sockaddr_in name = {.sin_family = AF_INET};
+    socklen_t size = sizeof(name);
+    inet_pton(AF_INET, "127.0.0.1", &name.sin_addr);
+    d->listener = socket(AF_INET, SOCK_STREAM, 0);
+    ck_assert_int_eq(bind(d->listener, (struct sockaddr *)&name, size), 0);
+    ck_assert_int_eq(listen(d->listener, 8), 0);
+    getsockname(d->listener, (struct sockaddr *)&name, &size);
+    g_autofree char *address =
+        g_strdup_printf("127.0.0.1:%u", ntohs(name.sin_port));
+    d->loop = lp_create();
+    d->hub = nc_create(&(nc_hub_desc){.loop = d->loop});
+    d->pool = us_create(
+        &(us_pool_desc){.hub = d->hub, .loop = d->loop, .address = address});
+    return d;
+}
+
+static void
+turn_ms(uint32_t ms)
+{
+    for (uint32_t i = 0; i < ms; i++) {
+        while (g_main_context_iteration(NULL, FALSE)) {
+        }
+        g_usleep(1000);
+    }
+}
+
+static void
+ask(desk *d)
+{
+    static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    us_line *line =
+        us_start(d->pool, &(us_desc){.calls = &calls, .user_data = d});
+    ck_assert_ptr_nonnull(line);
+    us_write(line, request, strlen(request));
+}
+
+/* The connection of a first request, answered and kept. */
+static int
+make_idle(desk *d)
+{
+    ask(d);
+    int fd = accept(d->listener, NULL, NULL);
+    send(fd, ANSWER, strlen(ANSWER), MSG_NOSIGNAL);
+    turn_ms(50);
+    ck_assert_uint_eq(d->ended, 1);
+    ck_assert_int_eq(d->end, US_COMPLETE);
+    return fd;
+}
+
+START_TEST(test_idle_connection_is_used_again)
+{
+    desk *d = make_desk();
+    make_idle(d);
+    ask(d);
+    ck_assert_uint_eq(us_query_made(d->pool), 1);
+}
+END_TEST
+
+/* The server's end came while the loop was busy with something else: what is
+   sent there is lost, and nobody knows whether it has run. */
+START_TEST(test_ended_connection_is_not_used_again)
+{
+    desk *d = make_desk();
+    close(make_idle(d));
+    g_usleep(20000);
+    ask(d);
+    ck_assert_uint_eq(us_query_made(d->pool), 2);
+    int fd = accept(d->listener, NULL, NULL);
+    send(fd, ANSWER, strlen(ANSWER), MSG_NOSIGNAL);
+    turn_ms(50);
+    ck_assert_uint_eq(d->ended, 2);
+    ck_assert_int_eq(d->end, US_COMPLETE);
+}
+END_TEST
+
+/* Bytes behind the answer belong to no request. */
+START_TEST(test_connection_with_more_bytes_is_not_used_again)
+{
+    desk *d = make_desk();
+    int fd = make_idle(d);
+    send(fd, ANSWER, strlen(ANSWER), MSG_NOSIGNAL);
+    g_usleep(20000);
+    ask(d);
+    ck_assert_uint_eq(us_query_made(d->pool), 2);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tcase = tcase_create("upstream");
+    tcase_add_test(tcase, test_idle_connection_is_used_again);
+    tcase_add_test(tcase, test_ended_connection_is_not_used_again);
+    tcase_add_test(tcase, test_connection_with_more_bytes_is_not_used_again);
+    Suite *suite = suite_create("upstream");
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
