A call's time begins when it is made, not when its turn began

What would be seen: calls to the store, orders and reports given up long before their time, after a turn of the loop that took long.

Cause: the end of a call was counted from the beginning of the turn.

--- a/packages/net/src/call.c
+++ b/packages/net/src/call.c
@@ -197,8 +197,8 @@
     call->done = request->done;
     call->user_data = request->user_data;
     call->body = g_byte_array_new();
-    call->end_us =
-        lp_query_now_us(client->desc.loop) + request->timeout_ms * 1000ULL;
+    /* The turn may have begun long before. */
+    call->end_us = lp_query_clock_us() + request->timeout_ms * 1000ULL;
     g_queue_push_tail_link(&client->calls, &call->link);
     call->pool = _hc_pool(client, request->address);
     call->line = us_start(call->pool,
