A stopping instance lets a new connection ask before it closes it

Cause: the platform sends new callers to stopping instances where fewer than half of a zone are ready. Their connections are idle until the first request comes, some ms later, and every beat (100 ms) closed all idle ones.

Tests: test_new_connection_may_ask_in_a_stop failed before (0 bytes); test_silent_new_connection_is_closed_in_a_stop bounds it.

--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -11,6 +11,9 @@
 /* A connection is read on for this long after its last byte has left, so that
    the answer is not lost in a reset. */
 #define _CR_LINGER_US 1000000
+/* A caller that has just connected sends its first request within this; a
+   stopping instance closes its connection no sooner. */
+#define _CR_FIRST_US 300000
 /* Idle connections end somewhat later than callers are told. */
 #define _CR_IDLE_GRACE 1.05
 
@@ -45,6 +48,7 @@
     bool begun;
     bool in_request; /* the user's request() is being called */
     bool keep;
+    bool used; /* a request, or a part of one, has come on it */
 };
 
 /* -- private: states ------------------------------------------------------ */
@@ -160,6 +164,7 @@
            (conn->state == _CR_IDLE || conn->state == _CR_READING)) {
         if (conn->state == _CR_IDLE) {
             conn->refused = 0;
+            conn->used = true;
             _cr_enter(conn, _CR_READING);
         }
         used += h1_feed(conn->reader, bytes + used, count - used);
@@ -358,11 +363,13 @@
 void
 cr_close_idle(cr_port *port)
 {
+    uint64_t now_us = lp_query_now_us(port->desc.loop);
     GList *next;
     for (GList *at = port->conns.head; at; at = next) {
         next = at->next;
         cr_conn *conn = at->data;
-        if (_cr_is_unused(conn)) {
+        bool first_due = !conn->used && now_us < conn->since_us + _CR_FIRST_US;
+        if (_cr_is_unused(conn) && !first_due) {
             /* What was answered last may still be on its way. A request that
                crosses the end stays unread: its caller may repeat it. */
             _cr_enter(conn, _CR_CLOSING);
--- a/packages/exchange/tests/test_caller.c
+++ b/packages/exchange/tests/test_caller.c
@@ -203,6 +203,43 @@
 }
 END_TEST
 
+/* A caller that the platform sent to a stopping instance, as it does while
+   most of a zone stop, has connected; its first request is on its way. */
+START_TEST(test_new_connection_may_ask_in_a_stop)
+{
+    desk *d = make_desk(2);
+    cr_leave(d->port);
+    int fd = dial();
+    turn_ms(d, 20);
+    ck_assert_uint_eq(cr_query_open(d->port), 1);
+    cr_close_idle(d->port);
+    turn_ms(d, 20);
+    say(fd, REQUEST);
+    bool whole = false;
+    ck_assert_uint_gt(read_slowly(d, fd, &whole), 0);
+    ck_assert(whole);
+    ck_assert_uint_eq(d->requests, 1);
+    close(fd);
+}
+END_TEST
+
+/* One that asks nothing does not hold up the stop. */
+START_TEST(test_silent_new_connection_is_closed_in_a_stop)
+{
+    desk *d = make_desk(2);
+    cr_leave(d->port);
+    int fd = dial();
+    for (uint32_t i = 0; i < 5; i++) {
+        turn_ms(d, 100);
+        cr_close_idle(d->port);
+    }
+    bool whole = false;
+    ck_assert_uint_eq(read_slowly(d, fd, &whole), 0);
+    ck_assert(whole);
+    close(fd);
+}
+END_TEST
+
 /* A request that is read in the last turn of the loop has its answer. */
 START_TEST(test_answer_of_the_last_turn_leaves)
 {
@@ -235,5 +272,7 @@
                    test_request_in_socket_is_answered_at_the_idle_limit);
     tcase_add_test(tcase, test_rest_of_head_in_socket_is_read_at_its_limit);
     tcase_add_test(tcase, test_answer_of_the_last_turn_leaves);
+    tcase_add_test(tcase, test_new_connection_may_ask_in_a_stop);
+    tcase_add_test(tcase, test_silent_new_connection_is_closed_in_a_stop);
     return run_case("caller", tcase);
 }
