A server has its whole time to accept a connection

What would be seen: a sound server taken for unreachable and its request sent elsewhere, or again, after a turn of the loop that took long.

Cause: the 300 ms were counted from the beginning of the turn in which the request was sent.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -11,8 +11,6 @@
 #define _XC_ASK_AGAIN_US 200000
 /* The same adapter at a further server, at most this often. */
 #define _XC_MORE_COPIES_US 400000
-/* Connecting within a zone or across takes some ms. */
-#define _XC_CONNECT_US 300000
 /* A plain answer that takes this many times its usual time, and at least
    some time, is looked for elsewhere if it may run twice. */
 #define _XC_SLOW_TIMES 8.0
@@ -510,7 +508,7 @@
         return;
     }
     if (exchange->state == XC_SENT && !us_query_connected(exchange->line) &&
-        now_us >= exchange->sent_us + _XC_CONNECT_US) {
+        now_us >= exchange->connect_until_us) {
         xc_cancel_send(exchange, FL_UNREACHABLE);
         xc_dispatch(exchange);
         return;
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -66,6 +66,7 @@
     uint32_t sends;
     uint32_t ran_at; /* servers that may have run it */
     uint64_t sent_us;
+    uint64_t connect_until_us; /* a new connection is given up then */
     uint64_t version; /* of the adapter that is sure to serve; 0: any */
     uint32_t unread;  /* prompt tokens that the server is to read */
     uint32_t ahead;   /* the same with those before them, when it was sent */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <strings.h>
 
+/* Connecting within a zone or across takes some ms. */
+#define _XC_CONNECT_US 300000
 /* Part of a server's connections that one instance leaves to those it cannot
    see. */
 #define _XC_POOL_SHARE 0.85
@@ -385,6 +387,8 @@
     g_strlcpy(exchange->answered_by, server->id,
               sizeof(exchange->answered_by));
     exchange->sent_us = xc_now_us(exchange);
+    /* The turn may have begun long before. */
+    exchange->connect_until_us = lp_query_clock_us() + _XC_CONNECT_US;
     exchange->version = version;
     exchange->waits_since_us = 0;
     exchange->refused = false;
