A holder is not taken for silent in a turn that took long

What would be seen: "holder of a backend server does not answer" with a holder that does; its other servers get no orders from here for up to 3 s.

Cause: the 150 ms in which a holder answers were counted from the beginning of the turn in which it was asked. After a configuration in that turn the next beat, which may come before the answer, passed the holder over.

Test: test_holder_is_not_silent_in_a_held_turn in test_path failed before.

--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -62,7 +62,8 @@
     if (!or_want(node->orderer, server, adapter) &&
         gp_ask(node->peers, server, adapter, request) &&
         server->asked_us == 0) {
-        server->asked_us = lp_query_now_us(node->desc.loop);
+        /* The turn may have begun long before. */
+        server->asked_us = lp_query_clock_us();
     }
     _nd_hurry(node);
 }
