A lease is counted from when its row was read, not from its turn's beginning

What would be seen (ONE): two instances order a server within a lease.

Cause: rows of the own table were taken in at the time at which the turn of the loop began. Words of others that come while the turn goes on are read in the same turn, behind a configuration for instance: a server that was given up then counted as given up before it was.

The own lease was counted with the clock already (orderer.c).

--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -334,13 +334,17 @@
     }
 }
 
-/* -- private: own table --------------------------------------------------- */
+/* -- private: own table ---------------------------------------------------
+
+   A lease of another instance ends so long after its row was seen. The row
+   may have been written after the turn in which it is read began, so that
+   the clock itself is told. */
 
 static void
 _nd_on_own_row(const dl_row *row, void *user_data)
 {
     nd_node *node = user_data;
-    le_feed_row(node->lease, lp_query_now_us(node->desc.loop), row);
+    le_feed_row(node->lease, lp_query_clock_us(), row);
 }
 
 static void
@@ -353,7 +357,7 @@
 _nd_on_own_ended(void *user_data)
 {
     nd_node *node = user_data;
-    le_end_read(node->lease, lp_query_now_us(node->desc.loop));
+    le_end_read(node->lease, lp_query_clock_us());
 }
 
 static void
@@ -401,7 +405,7 @@
         _nd_take_server_row(node, row, false);
     }
     else if (table == NW_OWN && wt_query_version(node->own_watch)) {
-        le_feed_row(node->lease, lp_query_now_us(node->desc.loop), row);
+        le_feed_row(node->lease, lp_query_clock_us(), row);
     }
 }
 
@@ -458,7 +462,8 @@
         code = read == ER_OK ? code : ER_PLATFORM_DOWN;
     }
     hg_observe(HG_STORE_CALL, HG_WRITE, now_us - node->tx_sent_us);
-    le_feed_result(node->lease, now_us, code, rows.version, rows.rows);
+    le_feed_result(node->lease, lp_query_clock_us(), code, rows.version,
+                   rows.rows);
     if (code != ER_OK) {
         lg_write(LG_CLAIM_FAILED, "why", er_query_name(code), NULL);
     }
