--- a/packages/exchange/tests/test_ending.c
+++ b/packages/exchange/tests/test_ending.c
@@ -7,7 +7,7 @@
 
 #define SECOND_US 1000000ULL
 /* Of a grace period of 8 s. */
-#define GRACE_US (8 * SECOND_US - SECOND_US / 2)
+#define GRACE_US 7500000ULL
 #define NOTICE_US (2600000ULL)
 
 /* Long by the caller's own guess: another instance serves it whole. */
