--- a/packages/net/include/lacewing/conn.h
+++ b/packages/net/include/lacewing/conn.h
@@ -85,11 +85,16 @@
    connection that what it sent was not taken. */
 void nc_finish_unread(nc_conn *conn);
 void nc_close(nc_conn *conn);
+/* Closes it after what is written has left, as far as the socket takes it now:
+   for an end of the loop itself, which sends nothing after its last turn. */
+void nc_close_sent(nc_conn *conn);
 
 /* queries */
 bool nc_query_open(const nc_conn *conn);
 /* Bytes that were not handed over yet stand in the socket. */
 bool nc_query_input(const nc_conn *conn);
+/* Neither bytes nor the peer's end stand in the socket. */
+bool nc_query_quiet(const nc_conn *conn);
 /* Bytes that have left this process. */
 uint64_t nc_query_sent(const nc_conn *conn);
 size_t nc_query_unsent(const nc_conn *conn);
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -122,8 +122,9 @@
     }
 }
 
-static void
-_nc_flush(nc_conn *conn)
+/* Sends as much as the socket takes. False: the connection is lost. */
+static bool
+_nc_send(nc_conn *conn)
 {
     while (!conn->closed && !conn->connecting &&
            conn->out->len > conn->out_start) {
@@ -132,16 +133,22 @@
         if (count < 0 && errno == EINTR) {
             continue;
         }
-        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-            break;
-        }
         if (count < 0) {
-            _nc_end(conn, NC_LOST);
-            return;
+            return errno == EAGAIN || errno == EWOULDBLOCK;
         }
         conn->sent_bytes += (uint64_t)count;
         conn->out_start += (size_t)count;
     }
+    return true;
+}
+
+static void
+_nc_flush(nc_conn *conn)
+{
+    if (!_nc_send(conn)) {
+        _nc_end(conn, NC_LOST);
+        return;
+    }
     if (conn->closed || conn->connecting) {
         return;
     }
@@ -467,6 +474,13 @@
     }
 }
 
+void
+nc_close_sent(nc_conn *conn)
+{
+    _nc_send(conn);
+    nc_close(conn);
+}
+
 void
 nc_close(nc_conn *conn)
 {
@@ -486,12 +500,24 @@
     return !conn->connecting && !conn->closed;
 }
 
+static ssize_t
+_nc_peek(const nc_conn *conn)
+{
+    char byte;
+    return recv(conn->watch.fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+}
+
 bool
 nc_query_input(const nc_conn *conn)
 {
-    char byte;
-    return !conn->closed && recv(conn->watch.fd, &byte, sizeof(byte),
-                                 MSG_PEEK | MSG_DONTWAIT) > 0;
+    return !conn->closed && _nc_peek(conn) > 0;
+}
+
+bool
+nc_query_quiet(const nc_conn *conn)
+{
+    return !conn->closed && _nc_peek(conn) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 uint64_t
