Wire: what a backend server says of itself with an answer

The header item is DL_LEAVING: DL_SERVER_LEAVING is a state already. A server's entry keeps its row's version.

--- a/packages/exchange/include/lacewing/dialect.h
+++ b/packages/exchange/include/lacewing/dialect.h
@@ -26,6 +26,7 @@
     DL_SERVER_LOAD,    /* running, waiting, slots, slowness */
     DL_NOT_RUN,        /* the backend server did not run the request */
     DL_RETRY_AFTER,    /* seconds, with fractions */
+    DL_LEAVING,        /* the backend server takes nothing new any more */
     DL_SERVER_ID,      /* the backend server that answers */
     DL_MODEL,          /* MODEL or MODEL/ADAPTER */
     DL_TOKENS,         /* tokens of the prompt, largest number to produce */
@@ -101,6 +102,7 @@
     dl_server_state state; /* from the store only */
     uint64_t born_ms;      /* start of its process; another: it knows nothing
                               of before */
+    uint64_t version;      /* of its row, from the store only */
     uint64_t orders;       /* number of orders that it has accepted */
     bool busy;             /* loads or unloads a model now */
     GArray *models;        /* dl_model; NULL: not told */
@@ -150,6 +152,14 @@
     uint32_t slowness_percent; /* 100: as usual; 0: not told */
 } dl_load;
 
+/* What a backend server says of itself with an answer. */
+typedef struct dl_notice {
+    bool leaving;      /* it takes nothing new any more */
+    uint64_t pause_ms; /* it wants nothing for so long; 0: not told */
+    bool unreadable;   /* one of the two was told in a way that is not known;
+                          it counts as not told */
+} dl_notice;
+
 typedef struct dl_dialect {
     const char *headers[DL_HEADER_NUM];
     const char *operator_table;
@@ -166,6 +176,9 @@
     er_code (*read_report)(const char *bytes, size_t count, dl_server *out,
                            er_status *status);
     bool (*read_load)(const char *value, dl_load *out);
+    /* Of an answer's status and its two headers; NULL: not there. */
+    void (*read_notice)(uint32_t status, const char *leaving,
+                        const char *retry_after, dl_notice *out);
     dl_order_result (*read_order_status)(uint32_t status);
     /* A status that promises that the request did not run. */
     bool (*read_refusal)(uint32_t status, const char *not_run);
