Decisions on servers that leave or ask for a pause

notice.c keeps what a server said of itself, beside the other outcomes in fl_server: leaving (since, source: answer, peer, list) and paused (since, until, the request that tries it). Leaving shows in the server's state, so nothing is chosen, placed or ordered there; it outlives a lapse of the entry and ends with another process. A list that says ready ends only what a list began. Where all servers of a service said that they leave, an entry that was written five drain times after the last word (by versions of the store) ends it, and the process's words count no more. A pause takes the server out of the choice, placing and orders of this instance; at its end, spread by up to a quarter (0.5 s at most), one request tries it. Copies there are waited for while the rest of the pause is shorter than what a load from the weight store costs.

--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -5,6 +5,10 @@
 #include <string.h>
 
 #define _FL_VERSION_MS 5000
+#define _FL_DRAIN_MS 2000
+#define _FL_PAUSE_MOST_S 30.0
+/* Words of servers that are not in the list yet. */
+#define _FL_WORDS 256
 /* Copies of an older version serve this share of the time that a new version
    has: the rest is for requests that wait at the server, and for the news. */
 #define _FL_OLD_VERSION_SHARE 0.5
@@ -19,6 +23,12 @@
    (the sheets of all deployments so far). */
 #define _FL_AT_HAND_TIMES 5
 
+/* A process that is not in the list yet said that it leaves. */
+typedef struct _fl_word {
+    uint64_t born_ms;
+    uint64_t at_us;
+} _fl_word;
+
 /* -- private: making and freeing ------------------------------------------ */
 
 static void
@@ -74,6 +84,34 @@
     return list;
 }
 
+/* An entry that lapsed and is back is of the same process. */
+static void
+_fl_inherit(const fl_fleet *fleet, fl_server *server)
+{
+    for (guint i = fleet->retired->len; i > 0; i--) {
+        const fl_server *old = fleet->retired->pdata[i - 1];
+        if (strcmp(old->id, server->id) == 0) {
+            if (old->born_ms == server->born_ms) {
+                server->notice = old->notice;
+            }
+            return;
+        }
+    }
+}
+
+/* A word that came before the entry. */
+static void
+_fl_take_word(fl_fleet *fleet, fl_server *server)
+{
+    const _fl_word *word = g_hash_table_lookup(fleet->words, server->id);
+    if (word && word->born_ms == server->born_ms) {
+        nt_hear_peer(&server->notice, word->at_us);
+    }
+    if (word && word->born_ms <= server->born_ms) {
+        g_hash_table_remove(fleet->words, server->id);
+    }
+}
+
 static fl_server *
 _fl_add_server(fl_fleet *fleet, const dl_server *entry)
 {
@@ -85,6 +123,8 @@
     server->copies = g_ptr_array_new();
     server->peer_loads = g_array_new(FALSE, TRUE, sizeof(fl_peer_load));
     server->hash = hs_u64(server->id);
+    server->born_ms = entry->born_ms;
+    _fl_inherit(fleet, server);
     g_hash_table_insert(fleet->servers, server->id, server);
     g_ptr_array_add(_fl_service(fleet, server->service), server);
     return server;
@@ -117,8 +157,17 @@
     fleet->version_us = version_ms * 1000ULL;
     fleet->old_version_us =
         (uint64_t)(version_ms * 1000.0 * _FL_OLD_VERSION_SHARE);
+    fleet->words =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->fetch_ms = FL_FETCH_MS;
     fleet->random = g_rand_new_with_seed(desc->seed ? desc->seed : 1);
+    double pause_most_s =
+        desc->pause_most_s > 0 ? desc->pause_most_s : _FL_PAUSE_MOST_S;
+    fleet->rules = (nt_rules){
+        .drain_us = (desc->drain_ms ? desc->drain_ms : _FL_DRAIN_MS) * 1000ULL,
+        .pause_most_us = (uint64_t)(pause_most_s * G_USEC_PER_SEC),
+        .random = fleet->random,
+    };
     return fleet;
 }
 
@@ -136,6 +185,7 @@
     }
     g_ptr_array_unref(fleet->retired);
     g_ptr_array_unref(fleet->used);
+    g_hash_table_unref(fleet->words);
     g_hash_table_iter_init(&iter, fleet->adapters);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         _fl_free_adapter(value);
@@ -154,6 +204,44 @@
            strcmp(server->service, entry->service) == 0;
 }
 
+/* Another process answers under the server's id. */
+static void
+_fl_begin_anew(fl_server *server)
+{
+    _fl_drop_copies(server);
+    server->failed_in_row = 0;
+    server->failing = 0;
+    server->shunned_until_us = 0;
+    server->load = (dl_load){0};
+    server->drops += _FL_FORGOTTEN;
+    server->room_us = 0;
+}
+
+static bool
+_fl_all_leave(fl_fleet *fleet, const char *service)
+{
+    const GPtrArray *list = _fl_service(fleet, service);
+    for (guint i = 0; i < list->len; i++) {
+        if (((const fl_server *)list->pdata[i])->state != FL_LEAVING) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* What the list says, and what the server said of itself. */
+static void
+_fl_settle_state(fl_fleet *fleet, fl_server *server, const dl_server *entry)
+{
+    bool ready = entry->state == DL_SERVER_READY;
+    nt_take_entry(&server->notice, ready);
+    if (ready && nt_query_contradicted(&server->notice, entry->version) &&
+        _fl_all_leave(fleet, server->service)) {
+        nt_disbelieve(&server->notice);
+    }
+    server->state = nt_query_leaving(&server->notice) ? FL_LEAVING : FL_READY;
+}
+
 bool
 fl_put_server(fl_fleet *fleet, const dl_server *entry, fl_server **out)
 {
@@ -170,22 +258,71 @@
     if (!server) {
         server = _fl_add_server(fleet, entry);
     }
+    else if (anew) {
+        nt_reset(&server->notice);
+    }
     if (anew) {
-        _fl_drop_copies(server);
-        server->failed_in_row = 0;
-        server->failing = 0;
-        server->shunned_until_us = 0;
-        server->load = (dl_load){0};
-        server->drops += _FL_FORGOTTEN;
-        server->room_us = 0;
+        _fl_begin_anew(server);
     }
     server->born_ms = entry->born_ms;
     server->slots = MAX(entry->slots, 1);
-    server->state = entry->state == DL_SERVER_READY ? FL_READY : FL_LEAVING;
+    _fl_take_word(fleet, server);
+    _fl_settle_state(fleet, server, entry);
     *out = server;
     return anew;
 }
 
+/* -- public: what servers say of themselves ------------------------------- */
+
+static void
+_fl_keep_word(fl_fleet *fleet, const fl_heard *heard)
+{
+    if (g_hash_table_size(fleet->words) >= _FL_WORDS) {
+        g_hash_table_remove_all(fleet->words);
+    }
+    _fl_word *word = g_new(_fl_word, 1);
+    *word = (_fl_word){heard->born_ms, heard->now_us};
+    g_hash_table_insert(fleet->words, g_strdup(heard->id), word);
+}
+
+uint32_t
+fl_hear(fl_fleet *fleet, const fl_heard *heard, fl_server **out)
+{
+    fl_server *server = g_hash_table_lookup(fleet->servers, heard->id);
+    bool leaving = heard->source == NT_PEER || heard->said.leaving;
+    *out = NULL;
+    if (!server || heard->born_ms > server->born_ms) {
+        if (leaving) {
+            _fl_keep_word(fleet, heard);
+        }
+        return 0;
+    }
+    if (heard->born_ms < server->born_ms) {
+        return 0; /* of a process that has ended since */
+    }
+    *out = server;
+    uint32_t changes = heard->source == NT_PEER
+                           ? nt_hear_peer(&server->notice, heard->now_us)
+                           : nt_hear(&server->notice, &fleet->rules,
+                                     &heard->said, heard->now_us);
+    if (nt_query_leaving(&server->notice)) {
+        server->state = FL_LEAVING;
+    }
+    return changes;
+}
+
+void
+fl_note_store(fl_fleet *fleet, uint64_t version, uint64_t asked_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        nt_note_store(&((fl_server *)value)->notice, &fleet->rules, version,
+                      asked_us);
+    }
+}
+
 void
 fl_remove_server(fl_fleet *fleet, const char *id)
 {
@@ -360,6 +497,14 @@
     return adapter->version_us + left_us;
 }
 
+bool
+fl_query_awaited(const fl_fleet *fleet, const fl_copy *copy, uint64_t now_us)
+{
+    return copy->loading && copy->server->state == FL_READY &&
+           nt_query_back_us(&copy->server->notice, now_us) <=
+               now_us + fl_query_load_us(fleet);
+}
+
 uint32_t
 fl_query_usable(const fl_fleet *fleet, const char *service)
 {
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -27,6 +27,7 @@
 #define LACEWING_FLEET_H
 
 #include "lacewing/dialect.h"
+#include "notice.h"
 
 #define FL_TRIED 4
 /* Servers that an adapter remembers to have been dropped by. */
@@ -117,6 +118,8 @@
     double failing;       /* share of late requests that failed, 0 to 1 */
     uint32_t failed_in_row;
     uint64_t shunned_until_us;
+    nt_notice notice;     /* what it said of itself; a word that it leaves
+                             shows in the state, too */
     bool orders_possible; /* an instance may give it orders now */
     /* Its holder was asked for a load and has not answered since; 0: none. */
     uint64_t asked_us;
@@ -140,14 +143,19 @@
     FL_CHOSEN,
     FL_NO_SERVER, /* none of that service can be used */
     FL_NO_COPY,   /* none of them holds the adapter in its version */
-    FL_ALL_FULL   /* all that could are full */
+    FL_ALL_FULL,  /* all that could are full */
+    FL_ALL_LEAVE, /* all that could said that they leave */
+    FL_ALL_PAUSED /* all that could asked for a pause */
 } fl_why;
 
 typedef struct fl_choice {
     fl_why why;
-    fl_server *server;
-    uint64_t version; /* that the request must find; 0: any */
-    bool more_copies; /* demand asks for a further copy */
+    fl_server *server; /* FL_ALL_PAUSED: that is back first */
+    uint64_t version;  /* that the request must find; 0: any */
+    bool more_copies;  /* demand asks for a further copy */
+    uint64_t back_us;  /* FL_ALL_PAUSED: when */
+    bool held_leaving; /* a server was left out that said it leaves */
+    bool held_paused;  /* one that is paused was */
 } fl_choice;
 
 typedef enum fl_outcome {
@@ -165,8 +173,20 @@
     uint64_t now_us;
 } fl_result;
 
+/* What the process of a server said that began then. */
+typedef struct fl_heard {
+    const char *id; /* required */
+    uint64_t born_ms;
+    nt_source source; /* required, NT_ANSWER or NT_PEER */
+    dl_notice said;   /* NT_ANSWER */
+    uint64_t now_us;
+} fl_heard;
+
 typedef struct fl_desc {
     uint32_t version_ms; /* a new version is used within; default 5000 */
+    uint32_t drain_ms;   /* a leaving server gets nothing new after; default
+                            2000 */
+    double pause_most_s; /* a server's pause is no longer; default 30 */
     uint32_t seed;       /* default 1 */
 } fl_desc;
 
@@ -176,6 +196,11 @@
 /* Entries of the platform. True: it is new or began anew. */
 bool fl_put_server(fl_fleet *fleet, const dl_server *entry, fl_server **out);
 void fl_remove_server(fl_fleet *fleet, const char *id);
+/* Returns nt_change, of *out; a word of a server that is not known yet is kept
+   for its entry (*out is NULL then). */
+uint32_t fl_hear(fl_fleet *fleet, const fl_heard *heard, fl_server **out);
+/* See nt_note_store(). */
+void fl_note_store(fl_fleet *fleet, uint64_t version, uint64_t asked_us);
 
 fl_adapter *fl_intern(fl_fleet *fleet, const char *key);
 /* A new version, declared at since_us at the earliest; 0: long ago. */
@@ -248,6 +273,9 @@
 uint64_t fl_query_old_until_us(const fl_fleet *fleet,
                                const fl_adapter *adapter);
 uint32_t fl_query_usable(const fl_fleet *fleet, const char *service);
+/* A load that is on its way there is worth waiting for. */
+bool fl_query_awaited(const fl_fleet *fleet, const fl_copy *copy,
+                      uint64_t now_us);
 typedef void (*fl_server_call)(fl_server *server, void *user_data);
 void fl_each_server(const fl_fleet *fleet, fl_server_call call,
                     void *user_data);
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -54,7 +54,18 @@
 static bool
 _fl_usable(const fl_want *want, const fl_server *server)
 {
-    return server->state == FL_READY && !_fl_tried(want, server);
+    return server->state == FL_READY && !_fl_tried(want, server) &&
+           nt_query_open(&server->notice, want->now_us);
+}
+
+/* Notes what a server that could serve is left out for. */
+static void
+_fl_note_held(const fl_want *want, const fl_server *server, fl_choice *out)
+{
+    out->held_leaving =
+        out->held_leaving || nt_query_said_leaving(&server->notice);
+    out->held_paused =
+        out->held_paused || nt_query_paused(&server->notice, want->now_us);
 }
 
 /* Requests under way for each slot. */
@@ -149,11 +160,15 @@
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
         if (copy->loading || fl_query_current(copy) == old ||
-            !_fl_usable(want, copy->server) ||
             (old && !_fl_begins_old(fleet, want, copy->server))) {
             continue;
         }
-        _fl_consider(fleet, want, copy->server, &best, out);
+        if (_fl_usable(want, copy->server)) {
+            _fl_consider(fleet, want, copy->server, &best, out);
+        }
+        else {
+            _fl_note_held(want, copy->server, out);
+        }
     }
 }
 
@@ -174,6 +189,7 @@
     const fl_copy *base = model ? fl_query_copy(server, model) : NULL;
     return server->state == FL_READY && server->orders_possible && base &&
            !base->loading && now_us >= server->shunned_until_us &&
+           nt_query_open(&server->notice, now_us) &&
            _fl_lacks(server, adapter, now_us);
 }
 
@@ -262,18 +278,119 @@
         if (_fl_usable(want, list->pdata[i])) {
             _fl_consider(fleet, want, list->pdata[i], &best, out);
         }
+        else {
+            _fl_note_held(want, list->pdata[i], out);
+        }
     }
 }
 
-bool
-fl_choose(fl_fleet *fleet, const fl_want *want, fl_choice *out)
+/* -- private: nobody can serve now ---------------------------------------- */
+
+static void
+_fl_note_back(const fl_want *want, fl_server *server, fl_choice *out)
 {
-    *out = (fl_choice){.why = FL_NO_SERVER};
-    fl_adapter *adapter = want->adapter;
-    if (!adapter) {
-        _fl_choose_any(fleet, want, out);
-        return out->why == FL_CHOSEN;
+    uint64_t back_us = nt_query_back_us(&server->notice, want->now_us);
+    if (server->state == FL_READY &&
+        nt_query_paused(&server->notice, want->now_us) &&
+        (!out->server || back_us < out->back_us)) {
+        out->server = server;
+        out->back_us = back_us;
+    }
+}
+
+/* The paused server with a copy that is back first. */
+static void
+_fl_first_copy_back(const fl_want *want, fl_choice *out)
+{
+    const fl_adapter *adapter = want->adapter;
+    for (guint i = 0; i < adapter->copies->len; i++) {
+        const fl_copy *copy = adapter->copies->pdata[i];
+        if (!copy->loading && fl_query_current(copy)) {
+            _fl_note_back(want, copy->server, out);
+        }
+    }
+}
+
+static void
+_fl_first_back(const fl_fleet *fleet, const fl_want *want, fl_choice *out)
+{
+    const GPtrArray *list =
+        g_hash_table_lookup(fleet->services, want->service);
+    for (guint i = 0; list && i < list->len; i++) {
+        _fl_note_back(want, list->pdata[i], out);
+    }
+}
+
+/* All servers of the service leave, by their own word. */
+static bool
+_fl_said_all_leave(const fl_fleet *fleet, const char *service)
+{
+    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
+    bool said = false;
+    for (guint i = 0; list && i < list->len; i++) {
+        const fl_server *server = list->pdata[i];
+        if (server->state != FL_LEAVING) {
+            return false;
+        }
+        said = said || nt_query_said_leaving(&server->notice);
+    }
+    return said;
+}
+
+static bool
+_fl_any_open(const fl_fleet *fleet, const fl_want *want)
+{
+    const GPtrArray *list =
+        g_hash_table_lookup(fleet->services, want->service);
+    for (guint i = 0; list && i < list->len; i++) {
+        const fl_server *server = list->pdata[i];
+        if (server->state == FL_READY &&
+            nt_query_open(&server->notice, want->now_us)) {
+            return true;
+        }
     }
+    return false;
+}
+
+/* Nobody was chosen, and not because all are full: what servers said of
+   themselves may be why. */
+static void
+_fl_explain(const fl_fleet *fleet, const fl_want *want, fl_choice *out)
+{
+    if (_fl_said_all_leave(fleet, want->service)) {
+        out->why = FL_ALL_LEAVE;
+        return;
+    }
+    bool any_open = _fl_any_open(fleet, want);
+    if (want->adapter) {
+        _fl_first_copy_back(want, out);
+    }
+    /* A load elsewhere costs more than the rest of a short pause. */
+    if (out->server && any_open &&
+        out->back_us > want->now_us + fl_query_load_us(fleet)) {
+        out->server = NULL;
+        return;
+    }
+    if (!out->server && !any_open) {
+        _fl_first_back(fleet, want, out);
+    }
+    if (out->server) {
+        out->why = FL_ALL_PAUSED;
+    }
+}
+
+uint64_t
+fl_query_load_us(const fl_fleet *fleet)
+{
+    return (uint64_t)((fleet->fetch_ms + _FL_FETCH_MORE_MS) * 1000.0);
+}
+
+/* -- public: choosing ----------------------------------------------------- */
+
+static void
+_fl_choose_loaded(fl_fleet *fleet, const fl_want *want, fl_choice *out)
+{
+    fl_adapter *adapter = want->adapter;
     if (fl_query_usable(fleet, want->service) > 0) {
         out->why = FL_NO_COPY;
     }
@@ -284,15 +401,30 @@
     if (out->why == FL_NO_COPY && old_allowed) {
         _fl_choose_copy(fleet, want, true, out);
         out->more_copies = out->why == FL_CHOSEN;
-        return out->why == FL_CHOSEN;
+        return;
     }
     if (out->why != FL_CHOSEN) {
         out->more_copies = out->why == FL_ALL_FULL;
-        return false;
+        return;
     }
     out->version = adapter->name ? adapter->version : 0;
     out->more_copies = adapter->name && _fl_pays(fleet, want, out->server);
-    return true;
+}
+
+bool
+fl_choose(fl_fleet *fleet, const fl_want *want, fl_choice *out)
+{
+    *out = (fl_choice){.why = FL_NO_SERVER};
+    if (want->adapter) {
+        _fl_choose_loaded(fleet, want, out);
+    }
+    else {
+        _fl_choose_any(fleet, want, out);
+    }
+    if (out->why == FL_NO_SERVER || out->why == FL_NO_COPY) {
+        _fl_explain(fleet, want, out);
+    }
+    return out->why == FL_CHOSEN;
 }
 
 /* -- public: placing ------------------------------------------------------ */
--- a/packages/exchange/src/fleet_private.h
+++ b/packages/exchange/src/fleet_private.h
@@ -18,12 +18,17 @@
     GHashTable *adapters; /* key -> fl_adapter */
     GPtrArray *retired;   /* fl_server: gone, kept for what refers to them */
     GPtrArray *used;      /* fl_adapter with uses to tell */
-    uint64_t version_us;  /* a new version is used within */
+    GHashTable *words;    /* id -> _fl_word */
+    nt_rules rules;
+    uint64_t version_us;     /* a new version is used within */
     uint64_t old_version_us; /* older copies are still chosen within */
     double fetch_ms;         /* of loads from the weight store lately */
     GRand *random;
 };
 
+/* What a load from the weight store costs: its own time, and what it takes
+   from others. */
+uint64_t fl_query_load_us(const fl_fleet *fleet);
 /* Time of work now against the usual, as the server told it, fading. */
 double fl_query_slowness(const fl_server *server, uint64_t now_us);
 
--- a/packages/exchange/src/fleet_work.c
+++ b/packages/exchange/src/fleet_work.c
@@ -249,6 +249,7 @@
 fl_begin(fl_server *server, fl_adapter *adapter, uint64_t now_us)
 {
     server->own_in_flight++;
+    nt_begin(&server->notice, now_us);
     fl_copy *copy = adapter ? fl_query_copy(server, adapter) : NULL;
     if (copy) {
         copy->own_in_flight++;
@@ -313,8 +314,11 @@
     case FL_GOOD:
         _fl_learn_good(server, result);
         break;
-    case FL_BAD_ANSWER:
     case FL_UNREACHABLE:
+        nt_end_unheard(&server->notice);
+        _fl_learn_failure(server, result);
+        break;
+    case FL_BAD_ANSWER:
         _fl_learn_failure(server, result);
         break;
     default:
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -215,12 +215,9 @@
     return _od_order(plan, DL_LOAD, adapter, _od_version(adapter));
 }
 
-od_step
-od_next(od_plan *plan, uint64_t now_us, const od_room *room)
+static od_step
+_od_next(od_plan *plan, uint64_t now_us, const od_room *room)
 {
-    if (plan->under_way || plan->server->state != FL_READY) {
-        return (od_step){0};
-    }
     if (!plan->known) {
         if (now_us < plan->report_us) {
             return (od_step){0};
@@ -247,6 +244,20 @@
     return base->loading ? (od_step){0} : _od_next_adapter(plan, now_us, room);
 }
 
+od_step
+od_next(od_plan *plan, uint64_t now_us, const od_room *room)
+{
+    if (plan->under_way || plan->server->state != FL_READY ||
+        !nt_query_open(&plan->server->notice, now_us)) {
+        return (od_step){0};
+    }
+    od_step step = _od_next(plan, now_us, room);
+    if (step.kind != OD_NOTHING) {
+        nt_begin(&plan->server->notice, now_us);
+    }
+    return step;
+}
+
 /* -- private: results ----------------------------------------------------- */
 
 static void
