Answers' heads are heard on every path; refusals say when to come back

The head of each answer to a request, a report or an order is read as it comes (hear.c; hc_request.head), whatever its status and whatever becomes of the rest. The node keeps the belief in the fleet, drops idle connections, gives up the server's orders, and logs when leaving and pauses begin and end. A send that still connects when its server leaves or pauses goes elsewhere. A 503 with a pause counts as a refusal, not as a failure of the server.

A request that only paused servers could serve waits if the first is back within its patience and its usual answer fits the deadline, else it is refused at once with the rest of the pause and up to half as much more; one whose servers all said that they leave is refused at once. Counters for both and for requests kept from such servers; setting pause_most_s.

--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -61,12 +61,28 @@
     X(CT_SENT, "sent_total", "counter", "Requests sent to servers")           \
     X(CT_SENT_AGAIN, "sent_again_total", "counter",                           \
       "Requests sent to a further server")                                    \
+    X(CT_HELD_LEAVING, "held_back_leaving_total", "counter",                  \
+      "Requests kept from a server that said that it leaves")                 \
+    X(CT_HELD_PAUSED, "held_back_paused_total", "counter",                    \
+      "Requests kept from a server that asked for a pause")                   \
+    X(CT_SAID_LEAVING, "servers_said_leaving_total", "counter",               \
+      "Servers that were found to leave by an answer of theirs")              \
+    X(CT_SAID_PAUSE, "servers_said_pause_total", "counter",                   \
+      "Answers of servers that asked for a pause")                            \
+    X(CT_PAUSES_CAPPED, "pauses_capped_total", "counter",                     \
+      "Pauses that were longer than any may be")                              \
+    X(CT_NOTICES_REFUSED, "notices_refused_total", "counter",                 \
+      "Notices of servers that were not understood")                          \
     X(CT_FAILED, "failed_total", "counter",                                   \
       "Requests whose outcome is not known")                                  \
     X(CT_BROKEN, "broken_total", "counter", "Answers broken off")             \
     X(CT_CONFIG_VERSION, "config_version", "gauge",                           \
       "Configuration version in force")                                       \
     X(CT_OPEN_REQUESTS, "open_requests", "gauge", "Requests in flight")       \
+    X(CT_SERVERS_LEAVING, "servers_leaving", "gauge",                         \
+      "Servers that leave, by their own word or the list's")                  \
+    X(CT_SERVERS_PAUSED, "servers_paused", "gauge",                           \
+      "Servers that get nothing for a pause they asked for")                  \
     X(CT_OWNED_SERVERS, "owned_servers", "gauge",                             \
       "Backend servers owned by this instance")                               \
     X(CT_PEERS_READY, "peers_ready", "gauge", "Peers seen ready")
@@ -76,6 +92,8 @@
     X(CT_END_NO_COPY, "no_copy", "no copy of the adapter")                    \
     X(CT_END_FULL, "servers_full", "all servers full")                        \
     X(CT_END_NO_SERVER, "no_server", "no server")                             \
+    X(CT_END_ALL_LEAVE, "servers_leave", "all servers said that they leave")  \
+    X(CT_END_ALL_PAUSED, "servers_paused", "all servers asked for a pause")   \
     X(CT_END_LEAVES, "instance_leaves", "instance leaves")                    \
     X(CT_END_NO_SERVICE, "no_service", "no such service")                     \
     X(CT_END_NO_ID, "no_request_id", "no request id")                         \
--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -77,6 +77,11 @@
     X(LG_LEASE_GONE, WARNING, "lease", "lapsed")                              \
     X(LG_SERVER_SEEN, INFO, "fleet", "backend server began")                  \
     X(LG_SERVER_LEAVES, INFO, "fleet", "backend server leaves")               \
+    X(LG_SERVER_STAYS, INFO, "fleet", "backend server leaves no more")        \
+    X(LG_SERVER_PAUSES, INFO, "fleet", "backend server asked for a pause")    \
+    X(LG_SERVER_RESUMES, INFO, "fleet", "backend server's pause is over")     \
+    X(LG_NOTICE_REFUSED, WARNING, "fleet",                                    \
+      "backend server's notice not understood")                               \
     X(LG_SERVER_GONE, INFO, "fleet", "backend server gone")                   \
     X(LG_HOLDER_BEGAN, INFO, "orders", "orders a backend server")             \
     X(LG_HOLDER_ENDED, INFO, "orders", "orders a backend server no more")     \
--- a/packages/exchange/include/lacewing/exchange.h
+++ b/packages/exchange/include/lacewing/exchange.h
@@ -35,6 +35,7 @@
     double grace_s;
     uint32_t config_apply_ms;
     uint32_t drain_ms;
+    double pause_most_s;
     uint32_t lease_ms;
     uint32_t version_ms;
     double retry_ratio;
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -39,8 +39,12 @@
 #define _XC_TOKENS_MOST 1000
 /* Another instance can take it at once. */
 #define _XC_ELSEWHERE_MS 20
-/* All instances leave: one is back in about this time. */
+/* All instances leave, or all servers of a service do: one is back in about
+   this time. */
 #define _XC_RESTART_MS 1500
+/* Those that a paused server turned away come back within this share of the
+   pause, by chance. */
+#define _XC_BACK_SPREAD 0.5
 
 /* -- private: core -------------------------------------------------------- */
 
@@ -138,20 +142,77 @@
     }
 }
 
-void
-xc_give_up(xc_exchange *exchange, ct_end why)
+/* The caller may come back after that. */
+static void
+_xc_send_back(xc_exchange *exchange, uint32_t back_ms, ct_end why)
 {
     if (exchange->may_have_run || exchange->begun) {
         xc_fail(exchange, 502, why);
     }
     else {
-        /* A lease that lapsed is another's some seconds later. */
-        uint32_t back_ms = _xc_back_ms(exchange->core) *
-                           (exchange->no_place ? _XC_NO_PLACE_TIMES : 1);
         xc_refuse(exchange, 503, back_ms, why);
     }
 }
 
+void
+xc_give_up(xc_exchange *exchange, ct_end why)
+{
+    /* A lease that lapsed is another's some seconds later. */
+    uint32_t back_ms = _xc_back_ms(exchange->core) *
+                       (exchange->no_place ? _XC_NO_PLACE_TIMES : 1);
+    _xc_send_back(exchange, back_ms, why);
+}
+
+/* Time of a whole answer at a server, as far as it is known. */
+static uint64_t
+_xc_usual_us(const xc_exchange *exchange, const fl_server *server)
+{
+    double usual_ms = server->latency_ms;
+    if (exchange->adapter) {
+        usual_ms = fl_query_read_ms(server, exchange->prompt_tokens,
+                                    xc_now_us(exchange)) +
+                   (exchange->route->kind == RC_STREAM
+                        ? server->event_ms * exchange->most_tokens
+                        : 0);
+    }
+    return (uint64_t)(usual_ms * 1000.0);
+}
+
+/* All that could serve it asked for a pause. The first of them is back before
+   it is late, and then its answer comes in time. */
+static bool
+_xc_may_wait(const xc_exchange *exchange, const fl_choice *choice)
+{
+    uint64_t since_us = exchange->waits_since_us ? exchange->waits_since_us
+                        : exchange->sends        ? xc_now_us(exchange)
+                                                 : exchange->begun_us;
+    uint64_t patience_us = _xc_patience_us(exchange, choice->why);
+    return choice->back_us < since_us + patience_us &&
+           choice->back_us + _xc_usual_us(exchange, choice->server) <
+               exchange->end_us;
+}
+
+/* Ends what is known not to be served by what servers said of themselves. */
+static bool
+_xc_end_known(xc_exchange *exchange, const fl_choice *choice)
+{
+    xc_core *core = exchange->core;
+    if (choice->why == FL_ALL_LEAVE) {
+        _xc_send_back(exchange, _XC_RESTART_MS + _xc_back_ms(core),
+                      CT_END_ALL_LEAVE);
+        return true;
+    }
+    if (choice->why == FL_ALL_PAUSED && !_xc_may_wait(exchange, choice)) {
+        uint64_t left_us = choice->back_us - xc_now_us(exchange);
+        double left_ms = MAX((double)left_us / 1000.0, _XC_BACK_MS);
+        double by_chance = _XC_BACK_SPREAD * g_rand_double(core->random);
+        _xc_send_back(exchange, (uint32_t)(left_ms * (1.0 + by_chance)),
+                      CT_END_ALL_PAUSED);
+        return true;
+    }
+    return false;
+}
+
 static void
 _xc_wait(xc_exchange *exchange, fl_why why)
 {
@@ -162,9 +223,10 @@
             exchange->sends ? now_us : exchange->begun_us;
     }
     if (now_us >= exchange->waits_since_us + patience_us) {
-        xc_give_up(exchange, why == FL_NO_COPY    ? CT_END_NO_COPY
-                             : why == FL_ALL_FULL ? CT_END_FULL
-                                                  : CT_END_NO_SERVER);
+        xc_give_up(exchange, why == FL_NO_COPY      ? CT_END_NO_COPY
+                             : why == FL_ALL_FULL   ? CT_END_FULL
+                             : why == FL_ALL_PAUSED ? CT_END_ALL_PAUSED
+                                                    : CT_END_NO_SERVER);
         return;
     }
     exchange->wait_link.data = exchange;
@@ -189,7 +251,7 @@
     }
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
-        if (copy->loading && copy->server->state == FL_READY) {
+        if (fl_query_awaited(exchange->core->desc.fleet, copy, now_us)) {
             return; /* on its way already */
         }
     }
@@ -237,12 +299,30 @@
     return fl_choose(exchange->core->desc.fleet, &want, &choice);
 }
 
+/* Counts each request once. */
+static void
+_xc_count_held(xc_exchange *exchange, const fl_choice *choice)
+{
+    ct_add(CT_HELD_LEAVING, choice->held_leaving && !exchange->held_leaving);
+    ct_add(CT_HELD_PAUSED, choice->held_paused && !exchange->held_paused);
+    exchange->held_leaving = exchange->held_leaving || choice->held_leaving;
+    exchange->held_paused = exchange->held_paused || choice->held_paused;
+}
+
+static bool
+_xc_choose(xc_exchange *exchange, const fl_want *want, fl_choice *choice)
+{
+    bool chosen = fl_choose(exchange->core->desc.fleet, want, choice);
+    _xc_count_held(exchange, choice);
+    return chosen;
+}
+
 void
 xc_dispatch(xc_exchange *exchange)
 {
     fl_want want = _xc_want(exchange);
     fl_choice choice;
-    while (fl_choose(exchange->core->desc.fleet, &want, &choice)) {
+    while (_xc_choose(exchange, &want, &choice)) {
         if (choice.more_copies) {
             _xc_ask(exchange, _XC_MORE_COPIES_US);
         }
@@ -255,6 +335,9 @@
         }
         want.tried[want.tried_count++] = choice.server;
     }
+    if (_xc_end_known(exchange, &choice)) {
+        return;
+    }
     if (choice.why == FL_NO_COPY || choice.more_copies) {
         _xc_ask(exchange, _XC_ASK_AGAIN_US);
     }
@@ -495,6 +578,15 @@
     }
 }
 
+/* The server said since it was sent that it leaves, or asked for a pause. */
+static bool
+_xc_unwanted(const xc_exchange *exchange)
+{
+    const nt_notice *notice = &exchange->server->notice;
+    return nt_query_said_leaving(notice) ||
+           notice->paused_us > exchange->sent_us;
+}
+
 static void
 _xc_look(xc_exchange *exchange, uint64_t now_us)
 {
@@ -503,11 +595,14 @@
         _xc_time_out(exchange);
         return;
     }
-    if (exchange->state == XC_SENT && !us_query_connected(exchange->line) &&
-        now_us >= exchange->sent_us + _XC_CONNECT_US) {
-        xc_cancel_send(exchange, FL_UNREACHABLE);
-        xc_dispatch(exchange);
-        return;
+    if (exchange->state == XC_SENT && !us_query_connected(exchange->line)) {
+        bool late = now_us >= exchange->sent_us + _XC_CONNECT_US;
+        if (late || _xc_unwanted(exchange)) {
+            xc_cancel_send(exchange,
+                           late ? FL_UNREACHABLE : FL_OUTCOME_DEFAULT);
+            xc_dispatch(exchange);
+            return;
+        }
     }
     if (exchange->state == XC_SENT && exchange->overrun) {
         xc_end_overrun(exchange);
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -29,6 +29,8 @@
                 void *user_data);
     /* A server said that it does not hold what it was thought to hold. */
     void (*mismatch)(fl_server *server, fl_adapter *adapter, void *user_data);
+    /* What a server said of itself with the head of an answer. */
+    void (*heard)(const fl_heard *heard, void *user_data);
     /* Instances that share the budgets. */
     uint32_t (*live)(void *user_data);
     /* The configuration is known to be the newest. */
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -54,11 +54,15 @@
     bool told;               /* its routine lines are logged */
     bool begun;              /* the caller has the head of the answer */
     bool no_place;           /* nobody can have its adapter loaded now */
+    bool held_leaving;       /* it was kept from a server that leaves */
+    bool held_paused;        /* and from one that is paused */
     bool may_repeat;         /* its kind may run again after a failure */
     bool may_have_run;
     /* the send under way */
     us_line *line;
     fl_server *server;
+    uint64_t born_ms; /* of its process, when it was sent */
+    bool asked_pause; /* the server turned it away for some time */
     const fl_server *tried[FL_TRIED];
     uint32_t tried_count;
     uint32_t sends;
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -1,5 +1,6 @@
 #include "exchange_private.h"
 
+#include "hear.h"
 #include <string.h>
 #include <strings.h>
 
@@ -50,12 +51,29 @@
     }
 }
 
+static void
+_xc_hear(xc_exchange *exchange, const h1_head *head)
+{
+    const xc_desc *desc = &exchange->core->desc;
+    fl_heard heard;
+    if (hr_read(&(hr_desc){.dialect = desc->dialect,
+                           .fleet = desc->fleet,
+                           .server = exchange->server->id,
+                           .born_ms = exchange->born_ms,
+                           .now_us = xc_now_us(exchange)},
+                head, &heard)) {
+        exchange->asked_pause = heard.said.pause_ms != 0;
+        desc->calls->heard(&heard, desc->user_data);
+    }
+}
+
 static void
 _xc_on_head(us_line *line, const h1_head *head, void *user_data)
 {
     (void)line;
     xc_exchange *exchange = user_data;
     const dl_dialect *dialect = exchange->core->desc.dialect;
+    _xc_hear(exchange, head);
     dl_load load;
     if (dialect->read_load(
             h1_query_header(head, dialect->headers[DL_SERVER_LOAD]), &load)) {
@@ -167,7 +185,7 @@
     if (end == US_BROKEN || exchange->spoilt) {
         return FL_BAD_ANSWER;
     }
-    if (exchange->refused) {
+    if (exchange->refused || exchange->asked_pause) {
         return FL_REFUSED;
     }
     return exchange->status >= 500 ? FL_BAD_ANSWER : FL_GOOD;
@@ -382,6 +400,8 @@
     }
     exchange->line = line;
     exchange->server = server;
+    exchange->born_ms = server->born_ms;
+    exchange->asked_pause = false;
     g_strlcpy(exchange->answered_by, server->id,
               sizeof(exchange->answered_by));
     exchange->sent_us = xc_now_us(exchange);
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -120,6 +120,7 @@
 
 static const xc_calls _nd_core_calls = {.ask = _nd_on_ask,
                                         .mismatch = _nd_on_mismatch,
+                                        .heard = nd_on_heard,
                                         .live = _nd_live,
                                         .config_fresh = _nd_config_fresh};
 static const gp_calls _nd_peer_calls = {.number = or_query_number,
@@ -363,6 +364,7 @@
     cr_tick(node->callers, clock_us);
     cr_tick(node->pages, clock_us);
     nd_end_lapsed(node);
+    nd_count_notices(node);
     wt_set_turn(node->operator_watch, gp_query_turn(node->peers, NW_OPERATOR));
     wt_set_turn(node->server_watch, gp_query_turn(node->peers, NW_SERVERS));
     if (!node->ready_said && _nd_ready(node)) {
@@ -441,6 +443,8 @@
     node->client = hc_create(
         &(hc_desc){.hub = node->hub, .loop = loop, .timers = node->timers});
     node->fleet = fl_create(&(fl_desc){.version_ms = settings->version_ms,
+                                       .drain_ms = settings->drain_ms,
+                                       .pause_most_s = settings->pause_most_s,
                                        .seed = g_random_int() | 1U});
     node->lease =
         le_create(&(le_desc){.instance = settings->instance,
@@ -456,6 +460,7 @@
                                          .dialect = node->desc.dialect,
                                          .instance = settings->instance,
                                          .changed = _nd_on_held_changed,
+                                         .heard = nd_on_heard,
                                          .user_data = node});
     node->core = xc_create(&(xc_desc){
         .loop = loop,
--- /dev/null
+++ b/packages/exchange/src/node_notices.c
@@ -0,0 +1,118 @@
+#include "node_private.h"
+
+#include "lacewing/counter.h"
+#include "lacewing/log.h"
+
+/* -- private -------------------------------------------------------------- */
+
+static void
+_nd_log(lg_item item, const nd_node *node, const fl_server *server,
+        const char *source, uint64_t since_us)
+{
+    uint64_t now_us = lp_query_now_us(node->desc.loop);
+    char seconds[24];
+    g_snprintf(seconds, sizeof(seconds), "%.1f",
+               since_us ? (double)(now_us - since_us) / G_USEC_PER_SEC : 0.0);
+    lg_write(item, "server", server->id, "source", source, "seconds", seconds,
+             NULL);
+}
+
+static void
+_nd_log_pause(const fl_server *server, const fl_heard *heard)
+{
+    char asked[24];
+    g_snprintf(asked, sizeof(asked), "%.2f",
+               (double)heard->said.pause_ms / 1000.0);
+    char seconds[24];
+    g_snprintf(seconds, sizeof(seconds), "%.2f",
+               (double)(server->notice.reopens_us - heard->now_us) /
+                   G_USEC_PER_SEC);
+    lg_write(LG_SERVER_PAUSES, "server", server->id, "source",
+             nt_query_source_name(heard->source), "asked_s", asked, "seconds",
+             seconds, NULL);
+}
+
+typedef struct _nd_counts {
+    uint64_t now_us;
+    int64_t leaving;
+    int64_t paused;
+} _nd_counts;
+
+static void
+_nd_count(fl_server *server, void *user_data)
+{
+    _nd_counts *counts = user_data;
+    counts->leaving += nt_query_leaving(&server->notice);
+    counts->paused += nt_query_paused(&server->notice, counts->now_us);
+}
+
+/* -- public --------------------------------------------------------------- */
+
+void
+nd_begin_leaving(nd_node *node, fl_server *server)
+{
+    nt_notice *notice = &server->notice;
+    if (notice->leaving_us == 0) {
+        notice->leaving_us = lp_query_now_us(node->desc.loop);
+    }
+    _nd_log(LG_SERVER_LEAVES, node, server,
+            nt_query_source_name(notice->leaving), 0);
+    xc_drop_server(node->core, server);
+    le_remove_server(node->lease, server->id);
+}
+
+void
+nd_end_leaving(nd_node *node, const fl_server *server, const nt_notice *before)
+{
+    _nd_log(LG_SERVER_STAYS, node, server,
+            nt_query_source_name(before->leaving), before->leaving_us);
+}
+
+void
+nd_on_heard(const fl_heard *heard, void *user_data)
+{
+    nd_node *node = user_data;
+    fl_server *server = fl_query_server(node->fleet, heard->id);
+    uint64_t paused_us = server ? server->notice.paused_us : 0;
+    uint32_t changes = fl_hear(node->fleet, heard, &server);
+    ct_add(CT_SAID_PAUSE, heard->said.pause_ms != 0);
+    ct_add(CT_NOTICES_REFUSED, heard->said.unreadable);
+    ct_add(CT_PAUSES_CAPPED, (changes & NT_CAPPED) != 0);
+    if (changes & NT_LEAVES) {
+        ct_add(CT_SAID_LEAVING, 1);
+        nd_begin_leaving(node, server);
+    }
+    if (changes & NT_PAUSES) {
+        _nd_log_pause(server, heard);
+    }
+    if (changes & NT_RESUMES) {
+        _nd_log(LG_SERVER_RESUMES, node, server,
+                nt_query_source_name(heard->source), paused_us);
+    }
+    if (changes & NT_UNREAD) {
+        lg_write(LG_NOTICE_REFUSED, "server", server->id, NULL);
+    }
+}
+
+void
+nd_on_told_leaving(const char *id, uint64_t born_ms, void *user_data)
+{
+    nd_node *node = user_data;
+    fl_server *server;
+    fl_heard heard = {.id = id,
+                      .born_ms = born_ms,
+                      .source = NT_PEER,
+                      .now_us = lp_query_now_us(node->desc.loop)};
+    if (fl_hear(node->fleet, &heard, &server) & NT_LEAVES) {
+        nd_begin_leaving(node, server);
+    }
+}
+
+void
+nd_count_notices(nd_node *node)
+{
+    _nd_counts counts = {.now_us = lp_query_now_us(node->desc.loop)};
+    fl_each_server(node->fleet, _nd_count, &counts);
+    ct_set(CT_SERVERS_LEAVING, counts.leaving);
+    ct_set(CT_SERVERS_PAUSED, counts.paused);
+}
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -64,6 +64,17 @@
 void nd_end_lapsed(nd_node *node);
 void nd_write_tx(nd_node *node);
 
+/* -- node_notices.c: what servers say of themselves ----------------------- */
+void nd_on_heard(const fl_heard *heard, void *user_data);
+/* Another instance heard that a server leaves. */
+void nd_on_told_leaving(const char *id, uint64_t born_ms, void *user_data);
+/* It is known to leave from now on. */
+void nd_begin_leaving(nd_node *node, fl_server *server);
+/* It takes requests again; before: what was known of it. */
+void nd_end_leaving(nd_node *node, const fl_server *server,
+                    const nt_notice *before);
+void nd_count_notices(nd_node *node);
+
 /* -- node.c: tells other instances what is known of a table of the store -- */
 void nd_tell_table(nd_node *node, nw_table table);
 
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -229,6 +229,7 @@
     fl_server *server = NULL;
     fl_server *before = fl_query_server(node->fleet, entry->id);
     fl_state state_before = before ? before->state : FL_GONE;
+    nt_notice notice_before = before ? before->notice : (nt_notice){0};
     if (before && (strcmp(before->address, entry->address) != 0 ||
                    strcmp(before->service, entry->service) != 0)) {
         _nd_remove_server(node, entry->id);
@@ -243,9 +244,10 @@
         xc_drop_server(node->core, server);
     }
     if (server->state == FL_LEAVING && state_before != FL_LEAVING) {
-        lg_write(LG_SERVER_LEAVES, "server", server->id, NULL);
-        xc_drop_server(node->core, server);
-        le_remove_server(node->lease, server->id);
+        nd_begin_leaving(node, server);
+    }
+    if (server->state == FL_READY && state_before == FL_LEAVING) {
+        nd_end_leaving(node, server, &notice_before);
     }
     _nd_offer(server, node);
     _nd_take_models(node, server, entry);
@@ -360,6 +362,7 @@
 _nd_on_own_fresh(uint64_t version, void *user_data)
 {
     nd_node *node = user_data;
+    fl_note_store(node->fleet, version, wt_query_fresh_us(node->own_watch));
     uint64_t regained_us = wt_query_regained_us(node->own_watch);
     if (regained_us != node->own_regained_us) {
         node->own_regained_us = regained_us;
--- a/packages/exchange/src/notice.c
+++ b/packages/exchange/src/notice.c
@@ -67,8 +67,11 @@
 nt_hear(nt_notice *notice, const nt_rules *rules, const dl_notice *said,
         uint64_t now_us)
 {
-    uint32_t changes =
-        said->leaving ? _nt_leave(notice, NT_ANSWER, now_us) : 0;
+    uint32_t changes = said->unreadable && !notice->unread ? NT_UNREAD : 0;
+    notice->unread = notice->unread || said->unreadable;
+    if (said->leaving) {
+        changes |= _nt_leave(notice, NT_ANSWER, now_us);
+    }
     if (said->pause_ms) {
         return changes | _nt_pause(notice, rules, said->pause_ms, now_us);
     }
--- a/packages/exchange/src/notice.h
+++ b/packages/exchange/src/notice.h
@@ -39,7 +39,8 @@
     NT_LEAVES = 1,  /* it did not leave before */
     NT_PAUSES = 2,  /* it was not paused before */
     NT_RESUMES = 4, /* it takes requests again */
-    NT_CAPPED = 8   /* the pause is shorter here than it asked for */
+    NT_CAPPED = 8,  /* the pause is shorter here than it asked for */
+    NT_UNREAD = 16  /* the first notice that could not be read */
 } nt_change;
 
 typedef struct nt_rules {
@@ -53,6 +54,7 @@
     uint64_t leaving_us; /* since */
     uint64_t word_us;    /* last word of its own, told by whomever */
     uint64_t floor;     /* version of the store long after that; 0: none yet */
+    bool unread;        /* a notice of its could not be read */
     bool disbelieved;   /* its own newer entry contradicted its word */
     uint64_t paused_us; /* since; 0: it is not paused */
     uint64_t reopens_us; /* then one request tries it */
--- a/packages/exchange/src/orderer.c
+++ b/packages/exchange/src/orderer.c
@@ -1,5 +1,6 @@
 #include "orderer.h"
 
+#include "hear.h"
 #include "lacewing/counter.h"
 #include "lacewing/log.h"
 #include "transit.h"
@@ -33,6 +34,7 @@
 typedef struct _or_call {
     or_orderer *orderer;
     char *server;
+    uint64_t born_ms; /* of its process, when it was asked */
     uint64_t generation;
     bool report;
 } _or_call;
@@ -192,6 +194,22 @@
              er_query_name(answer->code), NULL);
 }
 
+static void
+_or_on_head(const h1_head *head, void *user_data)
+{
+    const _or_call *call = user_data;
+    const or_desc *desc = &call->orderer->desc;
+    fl_heard heard;
+    if (hr_read(&(hr_desc){.dialect = desc->dialect,
+                           .fleet = desc->fleet,
+                           .server = call->server,
+                           .born_ms = call->born_ms,
+                           .now_us = lp_query_now_us(desc->loop)},
+                head, &heard)) {
+        desc->heard(&heard, desc->user_data);
+    }
+}
+
 static void
 _or_on_done(const hc_answer *answer, void *user_data)
 {
@@ -225,6 +243,7 @@
     _or_call *call = g_new0(_or_call, 1);
     call->orderer = orderer;
     call->server = g_strdup(server->id);
+    call->born_ms = server->born_ms;
     call->generation = plan->generation;
     call->report = body == NULL;
     plan->calling = true;
@@ -239,6 +258,7 @@
                           .body = body ? body->str : NULL,
                           .body_count = body ? body->len : 0,
                           .timeout_ms = _OR_TIMEOUT_MS,
+                          .head = _or_on_head,
                           .done = _or_on_done,
                           .user_data = call});
 }
@@ -303,7 +323,8 @@
 or_orderer *
 or_create(const or_desc *desc)
 {
-    g_assert(desc->client && desc->fleet && desc->lease && desc->changed);
+    g_assert(desc->client && desc->fleet && desc->lease && desc->changed &&
+             desc->heard);
     or_orderer *orderer = g_new0(or_orderer, 1);
     orderer->desc = *desc;
     orderer->held = g_ptr_array_new();
--- a/packages/exchange/src/settings.c
+++ b/packages/exchange/src/settings.c
@@ -36,6 +36,8 @@
             "A configuration is in force within."),
     _ND_U32(drain_ms, "ms", 100, 600000, "2000",
             "A leaving server gets nothing new after."),
+    _ND_DOUBLE(pause_most_s, "s", 0.1, 86400, "30",
+               "A server that asks for a longer pause gets this one."),
     _ND_U32(lease_ms, "ms", 500, 600000, "3000",
             "Two holders of a server order it this far apart."),
     _ND_U32(version_ms, "ms", 500, 600000, "5000",
--- a/packages/net/include/lacewing/call.h
+++ b/packages/net/include/lacewing/call.h
@@ -29,6 +29,7 @@
 } hc_answer;
 
 typedef void (*hc_done)(const hc_answer *answer, void *user_data);
+typedef void (*hc_head)(const h1_head *head, void *user_data);
 
 typedef struct hc_request {
     const char *address;
@@ -39,6 +40,7 @@
     const char *body;    /* or NULL */
     size_t body_count;
     uint32_t timeout_ms;
+    hc_head head; /* or NULL: the head is there, what follows may break off */
     hc_done done;
     void *user_data;
 } hc_request;
--- a/packages/net/src/call.c
+++ b/packages/net/src/call.c
@@ -21,6 +21,7 @@
     us_line *line;
     GList link;
     uint64_t end_us;
+    hc_head head;
     hc_done done;
     void *user_data;
     GByteArray *body;
@@ -41,8 +42,10 @@
 _hc_on_head(us_line *line, const h1_head *head, void *user_data)
 {
     (void)line;
-    (void)head;
-    (void)user_data;
+    const _hc_call *call = user_data;
+    if (call->head) {
+        call->head(head, call->user_data);
+    }
 }
 
 static void
@@ -194,6 +197,7 @@
     _hc_call *call = g_new0(_hc_call, 1);
     call->client = client;
     call->link.data = call;
+    call->head = request->head;
     call->done = request->done;
     call->user_data = request->user_data;
     call->body = g_byte_array_new();
