Instances tell each other once of a server that said that it leaves

LeavingWord (server, start of its process): sent by the instance whose answer made the server a leaving one for it, by way of both relays of each zone where there are many; receivers do not send it on.

--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &lacewing__exchange__row_word__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lacewing__exchange__leaving_word__init
+                     (Lacewing__Exchange__LeavingWord         *message)
+{
+  static const Lacewing__Exchange__LeavingWord init_value = LACEWING__EXCHANGE__LEAVING_WORD__INIT;
+  *message = init_value;
+}
+size_t lacewing__exchange__leaving_word__get_packed_size
+                     (const Lacewing__Exchange__LeavingWord *message)
+{
+  assert(message->base.descriptor == &lacewing__exchange__leaving_word__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lacewing__exchange__leaving_word__pack
+                     (const Lacewing__Exchange__LeavingWord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lacewing__exchange__leaving_word__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lacewing__exchange__leaving_word__pack_to_buffer
+                     (const Lacewing__Exchange__LeavingWord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lacewing__exchange__leaving_word__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lacewing__Exchange__LeavingWord *
+       lacewing__exchange__leaving_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lacewing__Exchange__LeavingWord *)
+     protobuf_c_message_unpack (&lacewing__exchange__leaving_word__descriptor,
+                                allocator, len, data);
+}
+void   lacewing__exchange__leaving_word__free_unpacked
+                     (Lacewing__Exchange__LeavingWord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lacewing__exchange__leaving_word__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lacewing__exchange__word__init
                      (Lacewing__Exchange__Word         *message)
 {
@@ -1446,7 +1491,58 @@
   (ProtobufCMessageInit) lacewing__exchange__row_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[11] =
+static const ProtobufCFieldDescriptor lacewing__exchange__leaving_word__field_descriptors[2] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__LeavingWord, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lacewing__Exchange__LeavingWord, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lacewing__exchange__leaving_word__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange lacewing__exchange__leaving_word__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lacewing__exchange__leaving_word__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lacewing.exchange.LeavingWord",
+  "LeavingWord",
+  "Lacewing__Exchange__LeavingWord",
+  "lacewing.exchange",
+  sizeof(Lacewing__Exchange__LeavingWord),
+  2,
+  lacewing__exchange__leaving_word__field_descriptors,
+  lacewing__exchange__leaving_word__field_indices_by_name,
+  1,  lacewing__exchange__leaving_word__number_ranges,
+  (ProtobufCMessageInit) lacewing__exchange__leaving_word__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[12] =
 {
   {
     "instance",
@@ -1580,11 +1676,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lacewing__Exchange__Word, n_leaving),
+    offsetof(Lacewing__Exchange__Word, leaving),
+    &lacewing__exchange__leaving_word__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
   5,   /* field[5] = asks */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
+  11,   /* field[11] = leaving */
   3,   /* field[3] = loads */
   8,   /* field[8] = number */
   7,   /* field[7] = rows */
@@ -1598,7 +1707,7 @@
 {
   { 1, 0 },
   { 8, 6 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor =
 {
@@ -1608,7 +1717,7 @@
   "Lacewing__Exchange__Word",
   "lacewing.exchange",
   sizeof(Lacewing__Exchange__Word),
-  11,
+  12,
   lacewing__exchange__word__field_descriptors,
   lacewing__exchange__word__field_indices_by_name,
   2,  lacewing__exchange__word__number_ranges,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Lacewing__Exchange__LoadAsk Lacewing__Exchange__LoadAsk;
 typedef struct Lacewing__Exchange__TableWord Lacewing__Exchange__TableWord;
 typedef struct Lacewing__Exchange__RowWord Lacewing__Exchange__RowWord;
+typedef struct Lacewing__Exchange__LeavingWord Lacewing__Exchange__LeavingWord;
 typedef struct Lacewing__Exchange__Word Lacewing__Exchange__Word;
 
 
@@ -255,6 +256,23 @@
     , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
+/*
+ * The sender had an answer of a server that said that it leaves.
+ */
+struct  Lacewing__Exchange__LeavingWord
+{
+  ProtobufCMessage base;
+  char *server;
+  /*
+   * of its process
+   */
+  uint64_t born_ms;
+};
+#define LACEWING__EXCHANGE__LEAVING_WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__leaving_word__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * One datagram, or what relays pass on in one.
  */
@@ -288,10 +306,12 @@
   Lacewing__Exchange__TableWord **tables;
   size_t n_rows;
   Lacewing__Exchange__RowWord **rows;
+  size_t n_leaving;
+  Lacewing__Exchange__LeavingWord **leaving;
 };
 #define LACEWING__EXCHANGE__WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__word__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Lacewing__Exchange__InstanceRow methods */
@@ -503,6 +523,25 @@
 void   lacewing__exchange__row_word__free_unpacked
                      (Lacewing__Exchange__RowWord *message,
                       ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__LeavingWord methods */
+void   lacewing__exchange__leaving_word__init
+                     (Lacewing__Exchange__LeavingWord         *message);
+size_t lacewing__exchange__leaving_word__get_packed_size
+                     (const Lacewing__Exchange__LeavingWord   *message);
+size_t lacewing__exchange__leaving_word__pack
+                     (const Lacewing__Exchange__LeavingWord   *message,
+                      uint8_t             *out);
+size_t lacewing__exchange__leaving_word__pack_to_buffer
+                     (const Lacewing__Exchange__LeavingWord   *message,
+                      ProtobufCBuffer     *buffer);
+Lacewing__Exchange__LeavingWord *
+       lacewing__exchange__leaving_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lacewing__exchange__leaving_word__free_unpacked
+                     (Lacewing__Exchange__LeavingWord *message,
+                      ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__Word methods */
 void   lacewing__exchange__word__init
                      (Lacewing__Exchange__Word         *message);
@@ -557,6 +596,9 @@
 typedef void (*Lacewing__Exchange__RowWord_Closure)
                  (const Lacewing__Exchange__RowWord *message,
                   void *closure_data);
+typedef void (*Lacewing__Exchange__LeavingWord_Closure)
+                 (const Lacewing__Exchange__LeavingWord *message,
+                  void *closure_data);
 typedef void (*Lacewing__Exchange__Word_Closure)
                  (const Lacewing__Exchange__Word *message,
                   void *closure_data);
@@ -577,6 +619,7 @@
 extern const ProtobufCMessageDescriptor lacewing__exchange__load_ask__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__table_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__row_word__descriptor;
+extern const ProtobufCMessageDescriptor lacewing__exchange__leaving_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -350,6 +350,20 @@
     }
 }
 
+void
+gp_tell_leaving(gp_peers *peers, const fl_server *server)
+{
+    Lacewing__Exchange__LeavingWord leaving =
+        LACEWING__EXCHANGE__LEAVING_WORD__INIT;
+    leaving.server = server->id;
+    leaving.born_ms = server->born_ms;
+    Lacewing__Exchange__LeavingWord *list[] = {&leaving};
+    Lacewing__Exchange__Word word = LACEWING__EXCHANGE__WORD__INIT;
+    word.n_leaving = 1;
+    word.leaving = list;
+    _gp_send_all(peers, &word, false);
+}
+
 typedef struct _gp_loads {
     gp_peers *peers;
     GPtrArray *loads;  /* ServerLoad */
@@ -675,6 +689,11 @@
         fl_add_use(fl_intern(peers->desc.fleet, word->uses[i]->key),
                    word->uses[i]->count, now_us);
     }
+    for (size_t i = 0; i < word->n_leaving; i++) {
+        peers->desc.calls->leaving(word->leaving[i]->server,
+                                   word->leaving[i]->born_ms,
+                                   peers->desc.user_data);
+    }
     for (size_t i = 0; i < word->n_servers; i++) {
         _gp_take_server(peers, word->servers[i]);
     }
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -3,8 +3,9 @@
  *
  * Each instance tells the others what the servers that it orders hold, how
  * many requests it has under way at each server, and which adapters its
- * callers asked for; it asks the holder of a server to load an adapter. All
- * of it is state or can be asked again, so a lost datagram only costs time.
+ * callers asked for; it asks the holder of a server to load an adapter; and it
+ * tells once of a server that said in an answer that it leaves. All of it is
+ * state or can be heard again, so a lost datagram only costs time.
  *
  * Among many instances words go through relays of each zone (relay.h).
  *
@@ -42,6 +43,9 @@
     uint64_t (*number)(const fl_server *server);
     /* Room of a server for loads; false: it is not held here. */
     bool (*room)(fl_server *server, int32_t *out, void *user_data);
+    /* Another instance had an answer of a server's process that began then:
+       it leaves. */
+    void (*leaving)(const char *id, uint64_t born_ms, void *user_data);
     /* What a server holds has changed, as its holder tells. */
     void (*changed)(fl_server *server, void *user_data);
 } gp_calls;
@@ -71,6 +75,8 @@
    changed since it was told, or again all the same. */
 void gp_tell_server(gp_peers *peers, fl_server *server, uint64_t number,
                     bool again);
+/* Tells all others that a server said that it leaves. Call once for each. */
+void gp_tell_leaving(gp_peers *peers, const fl_server *server);
 /* Tells all others the requests under way here, where their number changed or
    the last word is old, and uses since last time; with what is known of the
    own table, whose news may have been lost. */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -127,6 +127,7 @@
                                         .row = nd_on_told_row,
                                         .known = nd_on_known,
                                         .asked = _nd_on_asked,
+                                        .leaving = nd_on_told_leaving,
                                         .room = _nd_on_room,
                                         .changed = nd_wake_server};
 
