A false word of all ends by a list of a drain time later; callers spread by 1 s

The word of a server whose entry was written after its first word (by versions of the store, which is asked at once where no server of a service is left) and still says ready in a list known as of a drain time after its last word counts no more, where all servers of the service said that they leave. Five drain times after the word, as before, an entry that is written once was not seen. Callers that come back after a pause are spread by up to a second, not by up to half of any pause. The time of the request that tries a server after a pause is not learned from: it kept the server unused.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -42,9 +42,10 @@
 /* All instances leave, or all servers of a service do: one is back in about
    this time. */
 #define _XC_RESTART_MS 1500
-/* Those that a paused server turned away come back within this share of the
-   pause, by chance. */
+/* Callers come back by chance within this share of what a pause lasts, and at
+   most within this time. */
 #define _XC_BACK_SPREAD 0.5
+#define _XC_BACK_SPREAD_MS 1000.0
 
 /* -- private: core -------------------------------------------------------- */
 
@@ -205,9 +206,9 @@
     if (choice->why == FL_ALL_PAUSED && !_xc_may_wait(exchange, choice)) {
         uint64_t left_us = choice->back_us - xc_now_us(exchange);
         double left_ms = MAX((double)left_us / 1000.0, _XC_BACK_MS);
-        double by_chance = _XC_BACK_SPREAD * g_rand_double(core->random);
-        _xc_send_back(exchange, (uint32_t)(left_ms * (1.0 + by_chance)),
-                      CT_END_ALL_PAUSED);
+        double spread_ms = MIN(left_ms * _XC_BACK_SPREAD, _XC_BACK_SPREAD_MS);
+        double back_ms = left_ms + spread_ms * g_rand_double(core->random);
+        _xc_send_back(exchange, (uint32_t)back_ms, CT_END_ALL_PAUSED);
         return true;
     }
     return false;
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -63,6 +63,7 @@
     fl_server *server;
     uint64_t born_ms; /* of its process, when it was sent */
     bool asked_pause; /* the server turned it away for some time */
+    bool tries;       /* it is the first at the server after a pause */
     const fl_server *tried[FL_TRIED];
     uint32_t tried_count;
     uint32_t sends;
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -144,11 +144,13 @@
 {
     uint64_t now_us = xc_now_us(exchange);
     fl_result result = {.outcome = outcome, .now_us = now_us};
-    if (outcome == FL_GOOD && exchange->pieces > 4) {
+    /* The time of one that tries a server says little of those that follow. */
+    bool measured = outcome == FL_GOOD && !exchange->tries;
+    if (measured && exchange->pieces > 4) {
         result.event_ms = (double)(exchange->last_us - exchange->first_us) /
                           1000.0 / (exchange->pieces - 1);
     }
-    else if (outcome == FL_GOOD && !exchange->adapter) {
+    else if (measured && !exchange->adapter) {
         result.latency_ms = (double)(now_us - exchange->sent_us) / 1000.0;
     }
     xc_end_read(exchange, 0);
@@ -430,6 +432,7 @@
         _xc_log_sent(exchange, version);
     }
     fl_begin(server, exchange->adapter, exchange->sent_us);
+    exchange->tries = server->notice.trial_us == exchange->sent_us;
     if (exchange->adapter) {
         exchange->unread = exchange->prompt_tokens;
         exchange->ahead =
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -217,31 +217,6 @@
     server->room_us = 0;
 }
 
-static bool
-_fl_all_leave(fl_fleet *fleet, const char *service)
-{
-    const GPtrArray *list = _fl_service(fleet, service);
-    for (guint i = 0; i < list->len; i++) {
-        if (((const fl_server *)list->pdata[i])->state != FL_LEAVING) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/* What the list says, and what the server said of itself. */
-static void
-_fl_settle_state(fl_fleet *fleet, fl_server *server, const dl_server *entry)
-{
-    bool ready = entry->state == DL_SERVER_READY;
-    nt_take_entry(&server->notice, ready);
-    if (ready && nt_query_contradicted(&server->notice, entry->version) &&
-        _fl_all_leave(fleet, server->service)) {
-        nt_disbelieve(&server->notice);
-    }
-    server->state = nt_query_leaving(&server->notice) ? FL_LEAVING : FL_READY;
-}
-
 bool
 fl_put_server(fl_fleet *fleet, const dl_server *entry, fl_server **out)
 {
@@ -267,7 +242,9 @@
     server->born_ms = entry->born_ms;
     server->slots = MAX(entry->slots, 1);
     _fl_take_word(fleet, server);
-    _fl_settle_state(fleet, server, entry);
+    nt_take_entry(&server->notice, entry->state == DL_SERVER_READY,
+                  entry->version);
+    server->state = nt_query_leaving(&server->notice) ? FL_LEAVING : FL_READY;
     *out = server;
     return anew;
 }
@@ -318,8 +295,43 @@
     gpointer value;
     g_hash_table_iter_init(&iter, fleet->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        nt_note_store(&((fl_server *)value)->notice, &fleet->rules, version,
-                      asked_us);
+        nt_note_store(&((fl_server *)value)->notice, version, asked_us);
+    }
+}
+
+/* Those whose word counts no more are among them: the entries of the others
+   may come later. */
+static bool
+_fl_all_said_leaving(const GPtrArray *list)
+{
+    for (guint i = 0; i < list->len; i++) {
+        const fl_server *server = list->pdata[i];
+        if (server->state != FL_LEAVING && !server->notice.disbelieved) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+fl_settle_words(fl_fleet *fleet, uint64_t list_us, fl_stays_call call,
+                void *user_data)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GPtrArray *list = value;
+        bool all = _fl_all_said_leaving(list);
+        for (guint i = 0; all && i < list->len; i++) {
+            fl_server *server = list->pdata[i];
+            nt_notice before = server->notice;
+            if (nt_query_contradicted(&before, &fleet->rules, list_us)) {
+                nt_disbelieve(&server->notice);
+                server->state = FL_READY;
+                call(server, &before, user_data);
+            }
+        }
     }
 }
 
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -201,6 +201,13 @@
 uint32_t fl_hear(fl_fleet *fleet, const fl_heard *heard, fl_server **out);
 /* See nt_note_store(). */
 void fl_note_store(fl_fleet *fleet, uint64_t version, uint64_t asked_us);
+/* Where all servers of a service said that they leave, the list counts for
+   those whose entry contradicts that, see nt_query_contradicted(). Calls back
+   for each, with what was known of it before. */
+typedef void (*fl_stays_call)(fl_server *server, const nt_notice *before,
+                              void *user_data);
+void fl_settle_words(fl_fleet *fleet, uint64_t list_us, fl_stays_call call,
+                     void *user_data);
 
 fl_adapter *fl_intern(fl_fleet *fleet, const char *key);
 /* A new version, declared at since_us at the earliest; 0: long ago. */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -365,7 +365,7 @@
     cr_tick(node->callers, clock_us);
     cr_tick(node->pages, clock_us);
     nd_end_lapsed(node);
-    nd_count_notices(node);
+    nd_look_at_notices(node);
     wt_set_turn(node->operator_watch, gp_query_turn(node->peers, NW_OPERATOR));
     wt_set_turn(node->server_watch, gp_query_turn(node->peers, NW_SERVERS));
     if (!node->ready_said && _nd_ready(node)) {
--- a/packages/exchange/src/node_notices.c
+++ b/packages/exchange/src/node_notices.c
@@ -59,6 +59,10 @@
             nt_query_source_name(notice->leaving), 0);
     xc_drop_server(node->core, server);
     le_remove_server(node->lease, server->id);
+    if (fl_query_usable(node->fleet, server->service) == 0) {
+        /* Another server may be there, or the word is false. */
+        wt_ask_now(node->server_watch);
+    }
 }
 
 void
@@ -68,6 +72,13 @@
             nt_query_source_name(before->leaving), before->leaving_us);
 }
 
+static void
+_nd_on_stays(fl_server *server, const nt_notice *before, void *user_data)
+{
+    nd_end_leaving(user_data, server, before);
+    nd_offer(server, user_data);
+}
+
 void
 nd_on_heard(const fl_heard *heard, void *user_data)
 {
@@ -110,8 +121,10 @@
 }
 
 void
-nd_count_notices(nd_node *node)
+nd_look_at_notices(nd_node *node)
 {
+    fl_settle_words(node->fleet, wt_query_fresh_us(node->server_watch),
+                    _nd_on_stays, node);
     _nd_counts counts = {.now_us = lp_query_now_us(node->desc.loop)};
     fl_each_server(node->fleet, _nd_count, &counts);
     ct_set(CT_SERVERS_LEAVING, counts.leaving);
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -61,6 +61,8 @@
 void nd_on_told_row(nw_table table, const dl_row *row, void *user_data);
 void nd_on_known(nw_table table, const gp_known *known, void *user_data);
 void nd_wake_server(fl_server *server, void *user_data);
+/* It may take orders, if it is ready and runs models. */
+void nd_offer(fl_server *server, void *user_data);
 void nd_end_lapsed(nd_node *node);
 void nd_write_tx(nd_node *node);
 
@@ -73,7 +75,7 @@
 /* It takes requests again; before: what was known of it. */
 void nd_end_leaving(nd_node *node, const fl_server *server,
                     const nt_notice *before);
-void nd_count_notices(nd_node *node);
+void nd_look_at_notices(nd_node *node);
 
 /* -- node.c: tells other instances what is known of a table of the store -- */
 void nd_tell_table(nd_node *node, nw_table table);
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -87,8 +87,8 @@
 /* -- private: configuration ----------------------------------------------- */
 
 /* Servers that run models take orders, from whoever holds their lease. */
-static void
-_nd_offer(fl_server *server, void *user_data)
+void
+nd_offer(fl_server *server, void *user_data)
 {
     nd_node *node = user_data;
     const rc_service *service =
@@ -110,7 +110,7 @@
     xc_set_table(node->core, table);
     or_set_table(node->orderer, table);
     cr_set_limits(node->callers, rc_query_limits(table));
-    fl_each_server(node->fleet, _nd_offer, node);
+    fl_each_server(node->fleet, nd_offer, node);
     ct_set(CT_CONFIG_VERSION, (int64_t)rc_query_version(table));
     g_autofree char *version =
         g_strdup_printf("%" G_GUINT64_FORMAT, rc_query_version(table));
@@ -249,7 +249,7 @@
     if (server->state == FL_READY && state_before == FL_LEAVING) {
         nd_end_leaving(node, server, &notice_before);
     }
-    _nd_offer(server, node);
+    nd_offer(server, node);
     _nd_take_models(node, server, entry);
 }
 
@@ -425,8 +425,9 @@
 static void
 _nd_on_servers_fresh(uint64_t version, void *user_data)
 {
-    (void)version;
-    nd_tell_table(user_data, NW_SERVERS);
+    nd_node *node = user_data;
+    fl_note_store(node->fleet, version, wt_query_fresh_us(node->server_watch));
+    nd_tell_table(node, NW_SERVERS);
 }
 
 const wt_calls nd_operator_calls = {.row = _nd_on_operator_row,
--- a/packages/exchange/src/notice.c
+++ b/packages/exchange/src/notice.c
@@ -1,8 +1,5 @@
 #include "notice.h"
 
-/* A server that leaves is gone some times the drain time after it began to
-   say so, even if the store was away in between. */
-#define _NT_LONG_AFTER 5
 /* Instances come back by chance within this share of the pause, and at most
    within this time. */
 #define _NT_SPREAD 0.25
@@ -30,8 +27,10 @@
         notice->leaving_us = now_us;
     }
     notice->leaving = MAX(notice->leaving, source);
+    if (notice->said_us == 0) {
+        notice->said_us = now_us;
+    }
     notice->word_us = now_us;
-    notice->floor = 0;
     return left_before ? 0 : NT_LEAVES;
 }
 
@@ -91,8 +90,9 @@
 }
 
 void
-nt_take_entry(nt_notice *notice, bool ready)
+nt_take_entry(nt_notice *notice, bool ready, uint64_t version)
 {
+    notice->ready = ready ? version : 0;
     if (!ready && !nt_query_leaving(notice)) {
         notice->leaving = NT_LIST;
     }
@@ -103,11 +103,10 @@
 }
 
 void
-nt_note_store(nt_notice *notice, const nt_rules *rules, uint64_t version,
-              uint64_t asked_us)
+nt_note_store(nt_notice *notice, uint64_t version, uint64_t asked_us)
 {
     if (nt_query_said_leaving(notice) && notice->floor == 0 &&
-        asked_us >= notice->word_us + rules->drain_us * _NT_LONG_AFTER) {
+        asked_us > notice->said_us) {
         notice->floor = version;
     }
 }
@@ -166,10 +165,12 @@
 }
 
 bool
-nt_query_contradicted(const nt_notice *notice, uint64_t version)
+nt_query_contradicted(const nt_notice *notice, const nt_rules *rules,
+                      uint64_t list_us)
 {
     return nt_query_said_leaving(notice) && notice->floor &&
-           version > notice->floor;
+           notice->ready > notice->floor &&
+           list_us >= notice->word_us + rules->drain_us;
 }
 
 const char *
--- a/packages/exchange/src/notice.h
+++ b/packages/exchange/src/notice.h
@@ -17,7 +17,8 @@
  * stays. The record is set up anew for another process (another id, or a newer
  * start of the same id). A list that says ready ends only what a list began,
  * as its entries may be older than the server's word. The one exception is
- * decided by the fleet, see nt_query_contradicted().
+ * decided by the fleet where all servers of a service said that they leave,
+ * see nt_query_contradicted().
  *
  * No sockets and no clock. Limits: pauses of this instance only; they are not
  * told to others.
@@ -52,8 +53,10 @@
 typedef struct nt_notice {
     nt_source leaving;   /* NT_SOURCE_DEFAULT: it does not leave */
     uint64_t leaving_us; /* since */
-    uint64_t word_us;    /* last word of its own, told by whomever */
-    uint64_t floor;     /* version of the store long after that; 0: none yet */
+    uint64_t said_us;    /* first word of its own, told by whomever; 0: none */
+    uint64_t word_us;    /* the last one */
+    uint64_t floor;     /* version of the store after the first; 0: none yet */
+    uint64_t ready;     /* version of its entry if that says ready, else 0 */
     bool unread;        /* a notice of its could not be read */
     bool disbelieved;   /* its own newer entry contradicted its word */
     uint64_t paused_us; /* since; 0: it is not paused */
@@ -68,11 +71,10 @@
                  const dl_notice *said, uint64_t now_us);
 /* Another instance had an answer that said leaving. Returns nt_change. */
 uint32_t nt_hear_peer(nt_notice *notice, uint64_t now_us);
-/* An entry of the list. */
-void nt_take_entry(nt_notice *notice, bool ready);
+/* Its entry in the list. */
+void nt_take_entry(nt_notice *notice, bool ready, uint64_t version);
 /* The store was at this version when it answered a call that was sent then. */
-void nt_note_store(nt_notice *notice, const nt_rules *rules, uint64_t version,
-                   uint64_t asked_us);
+void nt_note_store(nt_notice *notice, uint64_t version, uint64_t asked_us);
 /* Its word counts no more, the list's does. */
 void nt_disbelieve(nt_notice *notice);
 /* A request or an order goes to the server. */
@@ -90,9 +92,10 @@
 bool nt_query_open(const nt_notice *notice, uint64_t now_us);
 /* Paused: when a request may go there. */
 uint64_t nt_query_back_us(const nt_notice *notice, uint64_t now_us);
-/* An entry that says ready was written long after its last word: whoever
-   leaves has left by then. */
-bool nt_query_contradicted(const nt_notice *notice, uint64_t version);
+/* Its entry was written after its first word and says ready, in a list that is
+   known as of list_us, a drain time after its last word or later. */
+bool nt_query_contradicted(const nt_notice *notice, const nt_rules *rules,
+                           uint64_t list_us);
 const char *nt_query_source_name(nt_source source);
 
 #endif
