--- a/packages/exchange/tests/test_notice.c
+++ b/packages/exchange/tests/test_notice.c
@@ -4,6 +4,7 @@
 #include "fleet.h"
 #include "orders.h"
 #include "run.h"
+#include <math.h>
 #include <stdio.h>
 
 #define MS UINT64_C(1000)
@@ -666,8 +667,9 @@
         }
     }
     double due = per_s * (double)STEP / (double)S;
-    for (; due > 0; due -= 1) {
-        if (g_rand_double(p->random) < due) {
+    int draws = (int)ceil(due);
+    for (int i = 0; i < draws; i++) {
+        if (g_rand_double(p->random) < due - i) {
             call c = {.instance = g_rand_int_range(p->random, 0, p->instances),
                       .begun_us = p->now_us};
             g_array_append_val(p->waiting, c);
