--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -1,5 +1,6 @@
 #include "exchange_private.h"
 
+#include "hear.h"
 #include <string.h>
 #include <strings.h>
 
@@ -52,12 +53,29 @@
     }
 }
 
+static void
+_xc_hear(xc_exchange *exchange, const h1_head *head)
+{
+    const xc_desc *desc = &exchange->core->desc;
+    fl_heard heard;
+    if (hr_read(&(hr_desc){.dialect = desc->dialect,
+                           .fleet = desc->fleet,
+                           .server = exchange->server->id,
+                           .born_ms = exchange->born_ms,
+                           .now_us = xc_now_us(exchange)},
+                head, &heard)) {
+        exchange->asked_pause = heard.said.pause_ms != 0;
+        desc->calls->heard(&heard, desc->user_data);
+    }
+}
+
 static void
 _xc_on_head(us_line *line, const h1_head *head, void *user_data)
 {
     (void)line;
     xc_exchange *exchange = user_data;
     const dl_dialect *dialect = exchange->core->desc.dialect;
+    _xc_hear(exchange, head);
     dl_load load;
     if (dialect->read_load(
             h1_query_header(head, dialect->headers[DL_SERVER_LOAD]), &load)) {
@@ -128,11 +146,13 @@
 {
     uint64_t now_us = xc_now_us(exchange);
     fl_result result = {.outcome = outcome, .now_us = now_us};
-    if (outcome == FL_GOOD && exchange->pieces > 4) {
+    /* The time of one that tries a server says little of those that follow. */
+    bool measured = outcome == FL_GOOD && !exchange->tries;
+    if (measured && exchange->pieces > 4) {
         result.event_ms = (double)(exchange->last_us - exchange->first_us) /
                           1000.0 / (exchange->pieces - 1);
     }
-    else if (outcome == FL_GOOD && !exchange->adapter) {
+    else if (measured && !exchange->adapter) {
         result.latency_ms = (double)(now_us - exchange->sent_us) / 1000.0;
     }
     xc_end_read(exchange, 0);
@@ -169,7 +189,7 @@
     if (end == US_BROKEN || exchange->spoilt) {
         return FL_BAD_ANSWER;
     }
-    if (exchange->refused) {
+    if (exchange->refused || exchange->asked_pause) {
         return FL_REFUSED;
     }
     return exchange->status >= 500 ? FL_BAD_ANSWER : FL_GOOD;
@@ -384,6 +404,8 @@
     }
     exchange->line = line;
     exchange->server = server;
+    exchange->born_ms = server->born_ms;
+    exchange->asked_pause = false;
     g_strlcpy(exchange->answered_by, server->id,
               sizeof(exchange->answered_by));
     exchange->sent_us = xc_now_us(exchange);
@@ -414,6 +436,7 @@
         _xc_log_sent(exchange, version);
     }
     fl_begin(server, exchange->adapter, exchange->sent_us);
+    exchange->tries = server->notice.trial_us == exchange->sent_us;
     if (exchange->adapter) {
         exchange->unread = exchange->prompt_tokens;
         exchange->ahead =
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -87,8 +87,8 @@
 /* -- private: configuration ----------------------------------------------- */
 
 /* Servers that run models take orders, from whoever holds their lease. */
-static void
-_nd_offer(fl_server *server, void *user_data)
+void
+nd_offer(fl_server *server, void *user_data)
 {
     nd_node *node = user_data;
     const rc_service *service =
@@ -110,7 +110,7 @@
     xc_set_table(node->core, table);
     or_set_table(node->orderer, table);
     cr_set_limits(node->callers, rc_query_limits(table));
-    fl_each_server(node->fleet, _nd_offer, node);
+    fl_each_server(node->fleet, nd_offer, node);
     ct_set(CT_CONFIG_VERSION, (int64_t)rc_query_version(table));
     g_autofree char *version =
         g_strdup_printf("%" G_GUINT64_FORMAT, rc_query_version(table));
@@ -229,6 +229,7 @@
     fl_server *server = NULL;
     fl_server *before = fl_query_server(node->fleet, entry->id);
     fl_state state_before = before ? before->state : FL_GONE;
+    nt_notice notice_before = before ? before->notice : (nt_notice){0};
     if (before && (strcmp(before->address, entry->address) != 0 ||
                    strcmp(before->service, entry->service) != 0)) {
         _nd_remove_server(node, entry->id);
@@ -243,11 +244,12 @@
         xc_drop_server(node->core, server);
     }
     if (server->state == FL_LEAVING && state_before != FL_LEAVING) {
-        lg_write(LG_SERVER_LEAVES, "server", server->id, NULL);
-        xc_drop_server(node->core, server);
-        le_remove_server(node->lease, server->id);
+        nd_begin_leaving(node, server);
     }
-    _nd_offer(server, node);
+    if (server->state == FL_READY && state_before == FL_LEAVING) {
+        nd_end_leaving(node, server, &notice_before);
+    }
+    nd_offer(server, node);
     _nd_take_models(node, server, entry);
 }
 
@@ -365,6 +367,7 @@
 {
     (void)version;
     nd_node *node = user_data;
+    fl_note_store(node->fleet, version, wt_query_fresh_us(node->own_watch));
     uint64_t regained_us = wt_query_regained_us(node->own_watch);
     if (regained_us != node->own_regained_us) {
         node->own_regained_us = regained_us;
@@ -427,8 +430,9 @@
 static void
 _nd_on_servers_fresh(uint64_t version, void *user_data)
 {
-    (void)version;
-    nd_tell_table(user_data, NW_SERVERS);
+    nd_node *node = user_data;
+    fl_note_store(node->fleet, version, wt_query_fresh_us(node->server_watch));
+    nd_tell_table(node, NW_SERVERS);
 }
 
 const wt_calls nd_operator_calls = {.row = _nd_on_operator_row,
