A refusal of a stop knows the only other instance

What callers saw: Retry-After 1.50 from a stopping instance though another one lives that could take the request at once (0.02).

Cause: "others" was more than one live instance; once an instance's leaving is in the store it does not count itself, so that one other was taken for none.

Test: test_stop_names_the_only_other_instance in test_path failed before (1.50).

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -381,7 +381,7 @@
     exchange->adapter = _xc_adapter(core, exchange->service, head);
     _xc_read_tokens(exchange);
     if (!_xc_ends_in_time(exchange)) {
-        bool others = core->desc.calls->live(core->desc.user_data) > 1;
+        bool others = core->desc.calls->others(core->desc.user_data) > 0;
         xc_refuse(exchange, 503, others ? _XC_ELSEWHERE_MS : _XC_RESTART_MS,
                   CT_END_LEAVES);
         return NULL;
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -31,6 +31,8 @@
     void (*mismatch)(fl_server *server, fl_adapter *adapter, void *user_data);
     /* Instances that share the budgets. */
     uint32_t (*live)(void *user_data);
+    /* Others that do not leave. */
+    uint32_t (*others)(void *user_data);
     /* The configuration is known to be the newest. */
     bool (*config_fresh)(void *user_data);
 } xc_calls;
--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -372,6 +372,7 @@
     }
     uint64_t digest = 0;
     uint32_t live = 0;
+    uint32_t others = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, lease->peers);
@@ -381,6 +382,7 @@
             _le_mix(g_str_hash(peer->instance) ^
                     peer->public.incarnation << 1 ^ peer->public.leaving);
         live += !peer->public.leaving;
+        others += !peer->public.leaving && !le_is_self(lease, peer->instance);
     }
     uint64_t peer_digest = digest;
     g_hash_table_iter_init(&iter, lease->servers);
@@ -390,7 +392,8 @@
                       ? _le_mix(g_str_hash(server->id) ^ server->version << 20)
                       : 0;
     }
-    *lease->counts = (le_counts){true, digest, peer_digest, MAX(live, 1)};
+    *lease->counts =
+        (le_counts){true, digest, peer_digest, MAX(live, 1), others};
 }
 
 uint32_t
@@ -400,6 +403,13 @@
     return lease->counts->live;
 }
 
+uint32_t
+le_query_others(const le_lease *lease)
+{
+    _le_refresh_counts(lease);
+    return lease->counts->others;
+}
+
 uint64_t
 le_query_peer_digest(const le_lease *lease)
 {
--- a/packages/exchange/src/lease.h
+++ b/packages/exchange/src/lease.h
@@ -94,6 +94,8 @@
 /* Pause between two reads of the own table, so that renewals are seen. */
 uint32_t le_query_pause_ms(const le_lease *lease);
 uint32_t le_query_live(const le_lease *lease);
+/* Other instances that do not leave. */
+uint32_t le_query_others(const le_lease *lease);
 /* Of all rows but for their renewals. */
 uint64_t le_query_digest(const le_lease *lease);
 /* Of the other instances. */
--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -48,6 +48,7 @@
     uint64_t digest;
     uint64_t peer_digest;
     uint32_t live;
+    uint32_t others; /* of them, but for the own row */
 } le_counts;
 
 struct le_lease {
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -113,6 +113,12 @@
     return le_query_live(((nd_node *)user_data)->lease);
 }
 
+static uint32_t
+_nd_others(void *user_data)
+{
+    return le_query_others(((nd_node *)user_data)->lease);
+}
+
 static bool
 _nd_config_fresh(void *user_data)
 {
@@ -125,6 +131,7 @@
 static const xc_calls _nd_core_calls = {.ask = _nd_on_ask,
                                         .mismatch = _nd_on_mismatch,
                                         .live = _nd_live,
+                                        .others = _nd_others,
                                         .config_fresh = _nd_config_fresh};
 static const gp_calls _nd_peer_calls = {.number = or_query_number,
                                         .row = nd_on_told_row,
