The age of a belief in the log is 0 for rows of the turn under way

Rows are seen by the clock, transactions are made at the time of the turn: the difference, unsigned, could be below zero. Log only; found in the read of the merge.

--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -349,6 +349,13 @@
     }
 }
 
+/* Rows of the turn under way are seen after its beginning. */
+static uint64_t
+_le_age_us(uint64_t now_us, uint64_t since_us)
+{
+    return since_us && now_us > since_us ? now_us - since_us : 0;
+}
+
 void
 le_each_change(const le_lease *lease, uint64_t now_us, le_change_call call,
                void *user_data)
@@ -360,7 +367,7 @@
                           .holder = peer->instance,
                           .why = "silent",
                           .version = peer->version,
-                          .age_us = now_us - peer->seen_us},
+                          .age_us = _le_age_us(now_us, peer->seen_us)},
              user_data);
         return;
     }
@@ -369,16 +376,16 @@
         const le_peer_row *holder =
             server->holder ? g_hash_table_lookup(lease->peers, server->holder)
                            : NULL;
-        call(&(le_change){.kind = _le_kinds[lease->tx],
-                          .server = server->id,
-                          .holder = server->holder,
-                          .why = _le_why(lease, server),
-                          .version = server->version,
-                          .age_us =
-                              server->since_us ? now_us - server->since_us : 0,
-                          .holder_age_us =
-                              holder ? now_us - holder->seen_us : 0},
-             user_data);
+        call(
+            &(le_change){.kind = _le_kinds[lease->tx],
+                         .server = server->id,
+                         .holder = server->holder,
+                         .why = _le_why(lease, server),
+                         .version = server->version,
+                         .age_us = _le_age_us(now_us, server->since_us),
+                         .holder_age_us =
+                             holder ? _le_age_us(now_us, holder->seen_us) : 0},
+            user_data);
     }
 }
 
