Long work goes to the server that ends it sooner

A copy was chosen by the pace over 32 tokens, which a held prefix outweighs, and the place of a load by the waiting alone.

Now the pace counts over the tokens that long work has left, for the copy and for the place of a load. Short work is judged as before.

Both tests failed before.

--- a/packages/decisions/src/placement.c
+++ b/packages/decisions/src/placement.c
@@ -1,6 +1,8 @@
 #include "placement.h"
 
 #include "copies.h"
+#include "lengths.h"
+#include "pace.h"
 #include "routing.h"
 #include "servers.h"
 #include <math.h>
@@ -146,13 +148,29 @@
     }
 }
 
+/* Time that long work waiting for the adapter would run on the server. */
+static double
+_pl_long_work_us(const dp_policy *policy, const dp_adapter *adapter,
+                 const dp_server *server)
+{
+    const dp_request *request =
+        HP_ITEM(hp_query_least(&adapter->pending[DP_CLASS_LONG]),
+                const dp_request, pending);
+    if (!request) {
+        return 0;
+    }
+    return pc_query_interval_us(policy, server, server->running + 1) *
+           le_query_remaining(request, request->resume_from);
+}
+
 /* Cost of a new copy on a server, in microseconds of waiting; INFINITY when
    there is no room. */
 static double
 _pl_cost_us(dp_policy *policy, const dp_adapter *adapter, dp_server *server,
             double margin)
 {
-    double cost_us = (double)rt_query_wait_us(policy, server);
+    double cost_us = (double)rt_query_wait_us(policy, server) +
+                     _pl_long_work_us(policy, adapter, server);
     if (server == adapter->failed_on) {
         cost_us += (double)policy->desc.load_ms * DP_US_PER_MS;
     }
--- a/packages/decisions/src/routing.c
+++ b/packages/decisions/src/routing.c
@@ -1,6 +1,7 @@
 #include "routing.h"
 
 #include "copies.h"
+#include "lengths.h"
 #include "loads.h"
 #include "order.h"
 #include "pace.h"
@@ -45,6 +46,17 @@
 
 /* -- private: scores of own copies ---------------------------------------- */
 
+/* Tokens that the pace of a server counts for. */
+static uint32_t
+_rt_pace_tokens(const dp_request *request)
+{
+    if (request->class_ != DP_CLASS_LONG) {
+        return _RT_PACE_TOKENS;
+    }
+    return MAX(_RT_PACE_TOKENS,
+               le_query_remaining(request, request->resume_from));
+}
+
 /* Expected time that this server costs more than an ideal one. */
 static double
 _rt_cost_us(const dp_policy *policy, const dp_request *request,
@@ -55,7 +67,7 @@
     }
     double cost_us =
         pc_query_interval_us(policy, server, server->running + 1) *
-        _RT_PACE_TOKENS;
+        _rt_pace_tokens(request);
     if (server->desc.zone != policy->desc.zone) {
         cost_us += 2.0 * policy->desc.hop_us;
     }
--- a/packages/decisions/tests/test_parts.c
+++ b/packages/decisions/tests/test_parts.c
@@ -88,6 +88,73 @@
     return 1 + reports * 4;
 }
 
+#define FAST_TOKENS_PER_S 40
+#define SLOW_TOKENS_PER_S 34
+#define LONG_TOKENS 2000
+
+/* A slow server and then a fast one, neither holds anything. */
+static void
+make_unequal(void)
+{
+    lwd_destroy(policy);
+    policy = lwd_create(
+        &(lwd_desc){.loads_per_s_milli = 10000, .loads_in_transit = 2});
+    for (uint32_t at = 0; at < 2; at++) {
+        uint32_t pace = at == 0 ? SLOW_TOKENS_PER_S : FAST_TOKENS_PER_S;
+        servers[at] = lwd_make_server(
+            policy, now_us,
+            &(lwd_server_desc){
+                .tag = at, .slots = 2, .tokens_per_s = pace, .owned = true});
+    }
+}
+
+START_TEST(test_long_work_goes_to_the_faster_copy)
+{
+    make_unequal();
+    held = lwd_make_adapter(policy, now_us, &(lwd_adapter_desc){.tag = 7});
+    for (uint32_t at = 0; at < 2; at++) {
+        feed((lwd_event){.type = LWD_EVENT_RESIDENT,
+                         .server = servers[at],
+                         .adapter = held,
+                         .resident = true});
+    }
+    feed((lwd_event){.type = LWD_EVENT_CACHE,
+                     .server = servers[0],
+                     .prefix = 5,
+                     .resident = true});
+    lwd_request_desc desc = {.adapter = held,
+                             .operation = 1,
+                             .prompt_tokens = 2000,
+                             .max_tokens = 100,
+                             .prefix = 5};
+    /* The held prefix draws short work to the slow server. */
+    lwd_make_request(policy, now_us, &desc);
+    lwd_action sent[4];
+    ck_assert_uint_eq(sends(sent), 1);
+    ck_assert_uint_eq(sent[0].server.id, servers[0].id);
+    desc.operation = 2;
+    desc.max_tokens = LONG_TOKENS;
+    lwd_make_request(policy, now_us, &desc);
+    ck_assert_uint_eq(sends(sent), 1);
+    ck_assert_uint_eq(sent[0].server.id, servers[1].id);
+}
+END_TEST
+
+START_TEST(test_long_work_has_its_load_on_the_faster_server)
+{
+    for (uint32_t tag = 1; tag <= 8; tag++) {
+        make_unequal();
+        held =
+            lwd_make_adapter(policy, now_us, &(lwd_adapter_desc){.tag = tag});
+        ask(tag, LONG_TOKENS, 145000, 0);
+        const lwd_action *load =
+            drain_find(drain_all(policy), LWD_ACTION_LOAD, 0);
+        ck_assert_ptr_nonnull(load);
+        ck_assert_uint_eq(load->server.id, servers[1].id);
+    }
+}
+END_TEST
+
 START_TEST(test_silent_server_is_ejected_and_its_work_moved)
 {
     lwd_action sent[4];
@@ -291,6 +358,8 @@
     tcase_add_test(tests, test_hedge_and_its_loser);
     tcase_add_test(tests, test_suspects_run_one_to_a_server);
     tcase_add_test(tests, test_short_before_long);
+    tcase_add_test(tests, test_long_work_goes_to_the_faster_copy);
+    tcase_add_test(tests, test_long_work_has_its_load_on_the_faster_server);
     tcase_add_test(tests, test_hopeless_work_is_refused_at_once);
     tcase_add_test(tests, test_shares_between_teams);
     tcase_add_test(tests, test_busy_adapter_gets_another_copy);
