An answer that has begun is loaded before new ones

A wanted load is ordered by the latest time to start, at most 20 s after entry, so new short requests went ahead for 20 s. What has begun is now due at its entry.

The test failed before.

--- a/packages/decisions/src/loads.c
+++ b/packages/decisions/src/loads.c
@@ -43,7 +43,9 @@
         if (!request) {
             continue;
         }
-        uint64_t patience_us = _LD_PATIENCE_MS * DP_US_PER_MS;
+        /* The caller of an answer that has begun waits in the middle. */
+        uint64_t patience_us =
+            request->resume_from > 0 ? 0 : _LD_PATIENCE_MS * DP_US_PER_MS;
         uint64_t give_up_us = am_query_give_up_us(policy, request);
         latest_us = MIN(latest_us, give_up_us);
         latest_us = MIN(latest_us, request->entered_us + patience_us);
--- a/packages/decisions/tests/test_parts.c
+++ b/packages/decisions/tests/test_parts.c
@@ -155,6 +155,56 @@
 }
 END_TEST
 
+/* A request for an adapter that is held nowhere. */
+static lwd_adapter
+ask_absent(uint32_t tag, uint32_t max_tokens, uint32_t resume_from,
+           uint64_t deadline_ms)
+{
+    lwd_adapter adapter =
+        lwd_make_adapter(policy, now_us, &(lwd_adapter_desc){.tag = tag});
+    lwd_request_desc desc = {.tag = tag,
+                             .adapter = adapter,
+                             .operation = max_tokens > 100,
+                             .max_tokens = max_tokens,
+                             .resume_from = resume_from,
+                             .deadline_us = now_us + deadline_ms * MS,
+                             .forwarded = resume_from > 0};
+    lwd_make_request(policy, now_us, &desc);
+    return adapter;
+}
+
+/* Two loads go at once, one stands ordered, what comes then waits. */
+static void
+use_up_loads(void)
+{
+    lwd_destroy(policy);
+    now_us = 100000 * MS;
+    policy = lwd_create(
+        &(lwd_desc){.loads_per_s_milli = 1000, .loads_in_transit = 16});
+    lwd_make_server(policy, now_us,
+                    &(lwd_server_desc){.adapter_slots = 16, .owned = true});
+    for (uint32_t tag = 1; tag <= 3; tag++) {
+        ask_absent(tag, 100, 0, 145000);
+    }
+    drain_all(policy);
+}
+
+START_TEST(test_begun_answer_is_loaded_before_new_ones)
+{
+    use_up_loads();
+    ask_absent(4, 100, 0, 15000);
+    lwd_adapter begun = ask_absent(5, LONG_TOKENS, 300, 145000);
+    now_us += 1000 * MS;
+    feed((lwd_event){.type = LWD_EVENT_TICK});
+    drain_all(policy);
+    now_us += 1000 * MS;
+    feed((lwd_event){.type = LWD_EVENT_TICK});
+    const lwd_action *load = drain_find(drain_all(policy), LWD_ACTION_LOAD, 0);
+    ck_assert_ptr_nonnull(load);
+    ck_assert_uint_eq(load->adapter.id, begun.id);
+}
+END_TEST
+
 START_TEST(test_silent_server_is_ejected_and_its_work_moved)
 {
     lwd_action sent[4];
@@ -358,6 +408,7 @@
     tcase_add_test(tests, test_hedge_and_its_loser);
     tcase_add_test(tests, test_suspects_run_one_to_a_server);
     tcase_add_test(tests, test_short_before_long);
+    tcase_add_test(tests, test_begun_answer_is_loaded_before_new_ones);
     tcase_add_test(tests, test_long_work_goes_to_the_faster_copy);
     tcase_add_test(tests, test_long_work_has_its_load_on_the_faster_server);
     tcase_add_test(tests, test_hopeless_work_is_refused_at_once);
