--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -70,6 +70,9 @@
   ProtobufCMessage base;
   char *instance;
   uint64_t incarnation;
+  /*
+   * not written any more: the row's version is the fence
+   */
   uint64_t fence;
   /*
    * the holder orders no more
