--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -365,7 +365,6 @@
 static void
 _nd_on_own_fresh(uint64_t version, void *user_data)
 {
-    (void)version;
     nd_node *node = user_data;
     fl_note_store(node->fleet, version, wt_query_fresh_us(node->own_watch));
     uint64_t regained_us = wt_query_regained_us(node->own_watch);
