Log the event ids of resumed streams, so that the hypotheses can be told apart

What was missing: no line said after which event a server was asked to go on, how many whole events a send had forwarded, up to which id, and where the next run began. The four hypotheses of the ORDER incident left the same lines.

- resume_after in "sent to a backend server"; status, events, resume_after and last_event in "no valid answer from a backend server" (one function writes it now, in all four places); a new line with the first event of a resumed stream.
Ids are cut at 40 bytes.
No decision changes; the status of a send without a head is 0 in the log now, not that of the send before.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -615,10 +615,8 @@
 static void
 _xc_end_outdated(xc_exchange *exchange)
 {
-    exchange->logged = true;
-    lg_write(LG_REQUEST_SEND_ENDED, "request", exchange->id, "why",
-             "no answer before a new adapter version was due", "server",
-             exchange->server->id, NULL);
+    xc_log_send_ended(exchange,
+                      "no answer before a new adapter version was due");
     xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
     if (exchange->route->resumable &&
         exchange->possible_runs < exchange->route->max_servers) {
@@ -673,9 +671,7 @@
             now_us,
             exchange->core->desc.callbacks->count_live(
                 exchange->core->desc.user_data))) {
-        exchange->logged = true;
-        lg_write(LG_REQUEST_SEND_ENDED, "request", exchange->id, "why",
-                 "no answer in time", "server", exchange->server->id, NULL);
+        xc_log_send_ended(exchange, "no answer in time");
         xc_cancel_send(exchange, FL_FAILED);
         exchange->resumed = exchange->answer_begun;
         xc_dispatch(exchange);
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -177,7 +177,11 @@
     while ((length = _xc_event_length(exchange->partial_event)) > 0) {
         char *id = _xc_parse_event_id(
             (const char *)exchange->partial_event->data, length);
-        if (!_xc_already_forwarded(exchange, id)) {
+        bool repeated = _xc_already_forwarded(exchange, id);
+        if (exchange->send_event_count++ == 0) {
+            xc_log_first_event(exchange, id, !repeated);
+        }
+        if (!repeated) {
             cr_write_piece(exchange->caller,
                            (const char *)exchange->partial_event->data,
                            length);
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -83,7 +83,7 @@
                              encoded, too long, or, for a resumed stream, with
                              another status than 200 */
     bool answer_too_long; /* an event or a plain answer is over its limit */
-    uint32_t status;      /* of the answer */
+    uint32_t status;      /* of the answer; 0: no head yet */
     GString *answer_headers;
     GByteArray *answer_body; /* buffered; of an answer that is no stream */
     /* streams; a piece is the bytes of one us_callbacks.body */
@@ -92,6 +92,8 @@
     uint64_t max_gap_us;     /* longest time between two pieces */
     char last_server_id[40]; /* server of the last send */
     uint32_t piece_count;
+    uint32_t send_event_count; /* resumable: whole events of the current send,
+                                  forwarded or dropped */
     GByteArray *partial_event; /* resumable: the event that is not whole yet */
     char *last_event_id;       /* of the last whole event that was forwarded */
     bool resumed; /* the stream goes on at another server, after the events
@@ -126,6 +128,13 @@
 void xc_end_long_answer(xc_exchange *exchange);
 /* Cancels the current send; the server stops work on it. */
 void xc_cancel_send(xc_exchange *exchange, fl_outcome outcome);
+/* Logs the end of a send without a good answer, and has all later lines of the
+   request logged. */
+void xc_log_send_ended(xc_exchange *exchange, const char *why);
+/* Logs the first whole event of a send that was asked to go on after an
+   earlier event. */
+void xc_log_first_event(const xc_exchange *exchange, const char *event_id,
+                        bool forwarded);
 
 /* -- exchange_answer.c */
 /* Answers that the request did not run and never will, and that the caller may
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -138,6 +138,63 @@
 
 /* -- private: end of a send ----------------------------------------------- */
 
+/* Returns the id of the event after which the server is asked to go on, or
+   NULL if it is asked for the whole answer. */
+static const char *
+_xc_query_resume_after(const xc_exchange *exchange)
+{
+    return exchange->resumed
+               ? exchange->last_event_id
+               : h1_query_header(
+                     exchange->head,
+                     exchange->core->desc.dialect->headers[DL_LAST_EVENT]);
+}
+
+/* Event id for a log line, cut to a bounded length. */
+typedef struct _xc_event_text {
+    char text[41];
+} _xc_event_text;
+
+static _xc_event_text
+_xc_format_event_id(const char *id)
+{
+    _xc_event_text text;
+    g_strlcpy(text.text, id ? id : "-", sizeof(text.text));
+    return text;
+}
+
+void
+xc_log_send_ended(xc_exchange *exchange, const char *why)
+{
+    exchange->logged = true; /* the rest of the request is logged */
+    _xc_event_text after =
+        _xc_format_event_id(_xc_query_resume_after(exchange));
+    _xc_event_text last = _xc_format_event_id(exchange->last_event_id);
+    char counts[64];
+    g_snprintf(counts, sizeof(counts), "%u/%u/%u", exchange->status,
+               exchange->piece_count, exchange->send_event_count);
+    lg_write(LG_REQUEST_SEND_ENDED, "request", exchange->id, "server",
+             exchange->last_server_id, "why", why, "status/pieces/events",
+             counts, "resume_after", after.text, "last_event", last.text,
+             NULL);
+}
+
+void
+xc_log_first_event(const xc_exchange *exchange, const char *event_id,
+                   bool forwarded)
+{
+    if (exchange->logged &&
+        (exchange->resumed || _xc_query_resume_after(exchange))) {
+        _xc_event_text after =
+            _xc_format_event_id(_xc_query_resume_after(exchange));
+        _xc_event_text first = _xc_format_event_id(event_id);
+        lg_write(LG_REQUEST_RESUMED, "request", exchange->id, "server",
+                 exchange->last_server_id, "resume_after", after.text,
+                 "first_event", first.text, "forwarded",
+                 forwarded ? "yes" : "no", NULL);
+    }
+}
+
 void
 xc_end_prompt_read(xc_exchange *exchange, double first_ms)
 {
@@ -223,7 +280,6 @@
     else {
         exchange->may_have_run = true;
     }
-    g_autofree char *server = g_strdup(exchange->server->id);
     _xc_end_send(exchange, _xc_classify_outcome(exchange, end));
     bool good =
         end == US_COMPLETE && !exchange->refused && !exchange->answer_invalid;
@@ -234,15 +290,12 @@
         xc_finish_answer(exchange);
         return;
     }
-    exchange->logged = true; /* the rest of the request is logged */
-    lg_write(LG_REQUEST_SEND_ENDED, "request", exchange->id, "server", server,
-             "why",
-             end == US_NOT_SENT         ? "no connection to the server"
-             : exchange->refused        ? "not run by the server"
-             : exchange->answer_invalid ? "invalid answer"
-             : end == US_BROKEN         ? "answer broken off"
-                                        : "server error",
-             NULL);
+    xc_log_send_ended(exchange, end == US_NOT_SENT
+                                    ? "no connection to the server"
+                                : exchange->refused ? "not run by the server"
+                                : exchange->answer_invalid ? "invalid answer"
+                                : end == US_BROKEN ? "answer broken off"
+                                                   : "server error");
     _xc_retry_or_end(exchange, end);
 }
 
@@ -285,9 +338,7 @@
 void
 xc_end_long_answer(xc_exchange *exchange)
 {
-    exchange->logged = true;
-    lg_write(LG_REQUEST_SEND_ENDED, "request", exchange->id, "server",
-             exchange->server->id, "why", "answer too long", NULL);
+    xc_log_send_ended(exchange, "answer too long");
     xc_cancel_send(exchange, FL_FAILED);
     _xc_retry_or_end(exchange, US_BROKEN);
 }
@@ -406,10 +457,13 @@
     char version_text[24];
     g_snprintf(version_text, sizeof(version_text), "%" G_GUINT64_FORMAT,
                version);
+    _xc_event_text after =
+        _xc_format_event_id(_xc_query_resume_after(exchange));
     lg_write(LG_REQUEST_SENT, "request", exchange->id, "server", server->id,
              "adapter", exchange->adapter ? exchange->adapter->key : "-",
              "version", version_text, "busy/slots/event_ms/latency_ms/failing",
-             numbers, "waited/left_ms", times, NULL);
+             numbers, "waited/left_ms", times, "resume_after", after.text,
+             NULL);
 }
 
 bool
@@ -442,6 +496,8 @@
     exchange->refused = false;
     exchange->answer_invalid = false;
     exchange->answer_too_long = false;
+    exchange->status = 0;
+    exchange->send_event_count = 0;
     if (exchange->answer_body) {
         g_byte_array_set_size(exchange->answer_body, 0);
     }
