Resumed streams go on after what the caller has, whichever connection it came by

What callers saw: a caller whose connection was reset came back with the id of its last event and got the stream from its first event again (ORDER).

Cause: what the caller has was known in two places. The first send passed the caller's header on; a later send of an answer that had begun left that header out and wrote the last event that this answer had forwarded. A server that fails after its head and before its first whole event leaves the second place empty, so the next server was asked for the whole stream, and the filter for repeated events, which looked at the same place, let everything through. Class: a decision by what this send forwarded, where what the caller has counts.

Fix: one sp_position for each resumable request says what the caller has. It begins with the event that the caller names and moves with each event that is passed on; every send, the first one included, asks to go on after it, and no event at or below it is passed on. The flag is gone, and there is no choice left to make wrong. Events are cut and filtered there too, without a network. Only streams have a position: an unsafe route that is marked resumable by mistake is no longer sent again after a failure.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -105,8 +105,7 @@
         g_string_free(exchange->answer_headers, TRUE);
     }
     g_clear_pointer(&exchange->answer_body, g_byte_array_unref);
-    g_clear_pointer(&exchange->partial_event, g_byte_array_unref);
-    g_free(exchange->last_event_id);
+    sp_destroy(exchange->position);
     g_free(exchange);
 }
 
@@ -494,6 +493,9 @@
     }
     exchange->deadline_us = exchange->received_us + timeout_ms * 1000ULL;
     exchange->may_repeat = route->kind == RC_SAFE;
+    if (route->kind == RC_STREAM && route->resumable) {
+        xc_create_position(exchange);
+    }
     if (!exchange->service || !exchange->id) {
         xc_refuse(exchange, exchange->id ? 503 : 400, _xc_retry_after_ms(core),
                   exchange->id ? CT_UNSERVED_NO_SERVICE
@@ -584,7 +586,7 @@
         return age_us > _XC_SLOW_ANSWER_MIN_US &&
                (double)age_us > expected_us * _XC_SLOW_ANSWER_FACTOR;
     }
-    if (!route->resumable) {
+    if (!exchange->position) {
         return false;
     }
     if (exchange->answer_begun &&
@@ -618,9 +620,8 @@
     xc_log_send_ended(exchange,
                       "no answer before a new adapter version was due");
     xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
-    if (exchange->route->resumable &&
+    if (exchange->position &&
         exchange->possible_runs < exchange->route->max_servers) {
-        exchange->resumed = exchange->answer_begun;
         xc_dispatch(exchange);
     }
     else {
@@ -673,7 +674,6 @@
                 exchange->core->desc.user_data))) {
         xc_log_send_ended(exchange, "no answer in time");
         xc_cancel_send(exchange, FL_FAILED);
-        exchange->resumed = exchange->answer_begun;
         xc_dispatch(exchange);
         return;
     }
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -118,85 +118,44 @@
                     exchange->answer_headers->str);
 }
 
-/* Returns the id of an event from its last id line, or NULL if it has none;
-   free with g_free(). */
-static char *
-_xc_parse_event_id(const char *event, size_t count)
+/* Logs the first event of a send that was asked to go on after an event. */
+static void
+_xc_log_first_event(const xc_exchange *exchange, const sp_event *event)
 {
-    char *id = NULL;
-    const char *end = event + count;
-    for (const char *line = event; line < end;) {
-        const char *stop = memchr(line, '\n', (size_t)(end - line));
-        size_t length = (size_t)((stop ? stop : end) - line);
-        if (length > 3 && memcmp(line, "id:", 3) == 0) {
-            g_free(id);
-            id = g_strstrip(g_strndup(line + 3, length - 3));
-        }
-        line += length + 1;
-    }
-    return id;
+    char first[XC_EVENT_ID_LOG_BYTES];
+    g_strlcpy(first, event->id ? event->id : "-", sizeof(first));
+    lg_write(LG_REQUEST_RESUMED, "request", exchange->id, "server",
+             exchange->last_server_id, "resume_after", exchange->resume_after,
+             "first_event", first, "forwarded", event->repeated ? "no" : "yes",
+             NULL);
 }
 
-/* Returns the length of the first whole event; 0: none is whole yet. */
-static size_t
-_xc_event_length(const GByteArray *bytes)
+static void
+_xc_on_event(const sp_event *event, void *user_data)
 {
-    const char *text = (const char *)bytes->data;
-    for (guint i = 1; i < bytes->len; i++) {
-        if (text[i] == '\n' &&
-            (text[i - 1] == '\n' ||
-             (i > 2 && text[i - 1] == '\r' && text[i - 2] == '\n'))) {
-            return i + 1;
-        }
+    xc_exchange *exchange = user_data;
+    if (event->number == 1 && exchange->logged &&
+        strcmp(exchange->resume_after, "-") != 0) {
+        _xc_log_first_event(exchange, event);
+    }
+    if (event->repeated) {
+        ct_add(CT_PIECES_DROPPED, 1);
+    }
+    else {
+        cr_write_piece(exchange->caller, event->bytes, event->count);
     }
-    return 0;
 }
 
-/* Returns true if a resumed stream repeats an event that the caller has; event
-   ids are numbers that grow. */
-static bool
-_xc_already_forwarded(const xc_exchange *exchange, const char *id)
-{
-    return exchange->resumed && id && exchange->last_event_id &&
-           g_ascii_strtoull(id, NULL, 10) <=
-               g_ascii_strtoull(exchange->last_event_id, NULL, 10);
-}
+static const sp_callbacks _xc_position_callbacks = {.event = _xc_on_event};
 
-/* Forwards whole events only, so that another server can resume the stream
-   after any of them. Events that the caller already has are dropped. */
-static void
-_xc_forward_whole_events(xc_exchange *exchange, const char *bytes,
-                         size_t count)
+void
+xc_create_position(xc_exchange *exchange)
 {
-    if (!exchange->partial_event) {
-        exchange->partial_event = g_byte_array_new();
-    }
-    g_byte_array_append(exchange->partial_event, (const guint8 *)bytes,
-                        (guint)count);
-    size_t length;
-    while ((length = _xc_event_length(exchange->partial_event)) > 0) {
-        char *id = _xc_parse_event_id(
-            (const char *)exchange->partial_event->data, length);
-        bool repeated = _xc_already_forwarded(exchange, id);
-        if (exchange->send_event_count++ == 0) {
-            xc_log_first_event(exchange, id, !repeated);
-        }
-        if (!repeated) {
-            cr_write_piece(exchange->caller,
-                           (const char *)exchange->partial_event->data,
-                           length);
-            if (id) {
-                g_free(exchange->last_event_id);
-                exchange->last_event_id = g_steal_pointer(&id);
-            }
-        }
-        g_free(id);
-        g_byte_array_remove_range(exchange->partial_event, 0, (guint)length);
-    }
-    if (exchange->partial_event->len > XC_MAX_EVENT_BYTES) {
-        exchange->answer_invalid = true;
-        exchange->answer_too_long = true;
-    }
+    const char *name = exchange->core->desc.dialect->headers[DL_LAST_EVENT];
+    exchange->position = sp_create(
+        &(sp_desc){.caller_event_id = h1_query_header(exchange->head, name),
+                   .calls = &_xc_position_callbacks,
+                   .user_data = exchange});
 }
 
 void
@@ -216,12 +175,13 @@
     }
     exchange->last_piece_us = now_us;
     exchange->piece_count++;
-    if (exchange->route->resumable) {
-        _xc_forward_whole_events(exchange, bytes, count);
-    }
-    else {
+    if (!exchange->position) {
         cr_write_piece(exchange->caller, bytes, count);
     }
+    else if (!sp_feed(exchange->position, bytes, count)) {
+        exchange->answer_invalid = true;
+        exchange->answer_too_long = true;
+    }
 }
 
 static void
@@ -253,9 +213,8 @@
     }
     cr_conn *caller = exchange->caller;
     if (exchange->answer_begun) {
-        if (exchange->partial_event && exchange->partial_event->len) {
-            cr_write_piece(caller, (const char *)exchange->partial_event->data,
-                           exchange->partial_event->len);
+        if (exchange->position) {
+            sp_end(exchange->position);
         }
         xc_free(exchange);
         cr_end_stream(caller);
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -8,12 +8,12 @@
 #include "lacewing/counter.h"
 #include "lacewing/histogram.h"
 #include "lacewing/log.h"
+#include "stream_position.h"
 
 /* Most sends of one request, including those that a server refused. */
 #define XC_MAX_SENDS 4
-/* Longest event of a resumable stream, which is buffered until it is whole.
-   Events of the platform have about 50 bytes. */
-#define XC_MAX_EVENT_BYTES (256 * 1024)
+/* Longest event id in a log line, with its end; longer ones are cut. */
+#define XC_EVENT_ID_LOG_BYTES 41
 
 struct xc_core {
     xc_desc desc;
@@ -55,7 +55,8 @@
     uint64_t waiting_since_us; /* without a server; 0: it does not wait */
     uint64_t asked_us;         /* last request for a load of its adapter */
     bool logged;               /* routine events are logged, not just errors */
-    bool answer_begun;         /* the caller has the head of the answer */
+    bool answer_begun;         /* the caller has the head of the answer; a
+                                  further send goes on with its body */
     bool no_load_target;       /* no server can load its adapter now */
     bool skipped_leaving;      /* a server was skipped as it leaves */
     bool skipped_paused;       /* a server was skipped as it is paused */
@@ -92,12 +93,11 @@
     uint64_t max_gap_us;     /* longest time between two pieces */
     char last_server_id[40]; /* server of the last send */
     uint32_t piece_count;
-    uint32_t send_event_count; /* resumable: whole events of the current send,
-                                  forwarded or dropped */
-    GByteArray *partial_event; /* resumable: the event that is not whole yet */
-    char *last_event_id;       /* of the last whole event that was forwarded */
-    bool resumed; /* the stream goes on at another server, after the events
-                     that the caller has */
+    sp_position *position; /* resumable streams: the events that the caller
+                              has; NULL: the request cannot be resumed */
+    /* Event after which the current send asks its server to go on, for the
+       log; "-": none. */
+    char resume_after[XC_EVENT_ID_LOG_BYTES];
 } xc_exchange;
 
 uint64_t xc_now_us(const xc_exchange *exchange);
@@ -131,10 +131,6 @@
 /* Logs the end of a send without a good answer, and has all later lines of the
    request logged. */
 void xc_log_send_ended(xc_exchange *exchange, const char *why);
-/* Logs the first whole event of a send that was asked to go on after an
-   earlier event. */
-void xc_log_first_event(const xc_exchange *exchange, const char *event_id,
-                        bool forwarded);
 
 /* -- exchange_answer.c */
 /* Answers that the request did not run and never will, and that the caller may
@@ -153,5 +149,8 @@
 void xc_begin_answer(xc_exchange *exchange);
 /* Forwards a piece of a stream; of a resumable one, whole events only. */
 void xc_forward_events(xc_exchange *exchange, const char *bytes, size_t count);
+/* Creates the position of a resumable stream, after the event that the request
+   names as the caller's last one. */
+void xc_create_position(xc_exchange *exchange);
 
 #endif
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -138,61 +138,31 @@
 
 /* -- private: end of a send ----------------------------------------------- */
 
-/* Returns the id of the event after which the server is asked to go on, or
-   NULL if it is asked for the whole answer. */
-static const char *
-_xc_query_resume_after(const xc_exchange *exchange)
-{
-    return exchange->resumed
-               ? exchange->last_event_id
-               : h1_query_header(
-                     exchange->head,
-                     exchange->core->desc.dialect->headers[DL_LAST_EVENT]);
-}
-
-/* Event id for a log line, cut to a bounded length. */
-typedef struct _xc_event_text {
-    char text[41];
-} _xc_event_text;
-
-static _xc_event_text
-_xc_format_event_id(const char *id)
+/* Writes an event's id for a log line; "-": there is none. */
+static void
+_xc_format_last_id(const xc_exchange *exchange,
+                   char text[XC_EVENT_ID_LOG_BYTES])
 {
-    _xc_event_text text;
-    g_strlcpy(text.text, id ? id : "-", sizeof(text.text));
-    return text;
+    const char *id =
+        exchange->position ? sp_query_last_id(exchange->position) : NULL;
+    g_strlcpy(text, id ? id : "-", XC_EVENT_ID_LOG_BYTES);
 }
 
 void
 xc_log_send_ended(xc_exchange *exchange, const char *why)
 {
     exchange->logged = true; /* the rest of the request is logged */
-    _xc_event_text after =
-        _xc_format_event_id(_xc_query_resume_after(exchange));
-    _xc_event_text last = _xc_format_event_id(exchange->last_event_id);
+    char last_event[XC_EVENT_ID_LOG_BYTES];
+    _xc_format_last_id(exchange, last_event);
     char counts[64];
     g_snprintf(counts, sizeof(counts), "%u/%u/%u", exchange->status,
-               exchange->piece_count, exchange->send_event_count);
+               exchange->piece_count,
+               exchange->position ? sp_query_event_count(exchange->position)
+                                  : 0);
     lg_write(LG_REQUEST_SEND_ENDED, "request", exchange->id, "server",
              exchange->last_server_id, "why", why, "status/pieces/events",
-             counts, "resume_after", after.text, "last_event", last.text,
-             NULL);
-}
-
-void
-xc_log_first_event(const xc_exchange *exchange, const char *event_id,
-                   bool forwarded)
-{
-    if (exchange->logged &&
-        (exchange->resumed || _xc_query_resume_after(exchange))) {
-        _xc_event_text after =
-            _xc_format_event_id(_xc_query_resume_after(exchange));
-        _xc_event_text first = _xc_format_event_id(event_id);
-        lg_write(LG_REQUEST_RESUMED, "request", exchange->id, "server",
-                 exchange->last_server_id, "resume_after", after.text,
-                 "first_event", first.text, "forwarded",
-                 forwarded ? "yes" : "no", NULL);
-    }
+             counts, "resume_after", exchange->resume_after, "last_event",
+             last_event, NULL);
 }
 
 void
@@ -309,8 +279,7 @@
     uint64_t now_us = xc_now_us(exchange);
     bool arrived = end != US_NOT_SENT;
     bool not_run = !arrived || exchange->refused;
-    bool resumes = exchange->route->resumable;
-    bool allowed = not_run || exchange->may_repeat || resumes;
+    bool allowed = not_run || exchange->may_repeat || exchange->position;
     bool may_send_elsewhere =
         exchange->possible_runs < exchange->route->max_servers;
     if (allowed && may_send_elsewhere && exchange->send_count < XC_MAX_SENDS &&
@@ -319,7 +288,6 @@
          bg_take_resend(
              xc_get_retry_budget(core, exchange->service->name), now_us,
              core->desc.callbacks->count_live(core->desc.user_data)))) {
-        exchange->resumed = exchange->answer_begun;
         ct_add(CT_SENT_AGAIN, 1);
         xc_dispatch(exchange);
         return;
@@ -363,7 +331,7 @@
             return true;
         }
     }
-    if (exchange->resumed && strcasecmp(name, names[DL_LAST_EVENT]) == 0) {
+    if (exchange->position && strcasecmp(name, names[DL_LAST_EVENT]) == 0) {
         return true;
     }
     return strcasecmp(name, "content-length") == 0 ||
@@ -410,9 +378,11 @@
     if (version) {
         _xc_append_header_u64(text, names[DL_EXPECT_VERSION], version);
     }
-    if (exchange->resumed && exchange->last_event_id) {
+    const char *last_id =
+        exchange->position ? sp_query_last_id(exchange->position) : NULL;
+    if (last_id) {
         g_string_append_printf(text, "%s: %s\r\n", names[DL_LAST_EVENT],
-                               exchange->last_event_id);
+                               last_id);
     }
     if (exchange->body_count || head->chunked ||
         head->length != H1_LENGTH_NONE) {
@@ -457,13 +427,11 @@
     char version_text[24];
     g_snprintf(version_text, sizeof(version_text), "%" G_GUINT64_FORMAT,
                version);
-    _xc_event_text after =
-        _xc_format_event_id(_xc_query_resume_after(exchange));
     lg_write(LG_REQUEST_SENT, "request", exchange->id, "server", server->id,
              "adapter", exchange->adapter ? exchange->adapter->key : "-",
              "version", version_text, "busy/slots/event_ms/latency_ms/failing",
-             numbers, "waited/left_ms", times, "resume_after", after.text,
-             NULL);
+             numbers, "waited/left_ms", times, "resume_after",
+             exchange->resume_after, NULL);
 }
 
 bool
@@ -497,13 +465,13 @@
     exchange->answer_invalid = false;
     exchange->answer_too_long = false;
     exchange->status = 0;
-    exchange->send_event_count = 0;
     if (exchange->answer_body) {
         g_byte_array_set_size(exchange->answer_body, 0);
     }
-    if (exchange->partial_event) {
-        g_byte_array_set_size(exchange->partial_event, 0);
+    if (exchange->position) {
+        sp_begin_send(exchange->position);
     }
+    _xc_format_last_id(exchange, exchange->resume_after);
     exchange->state = XC_SENT;
     if (exchange->send_count == 0) {
         bg_count_first_send(
--- /dev/null
+++ b/packages/exchange/tests/test_stream_position.c
@@ -0,0 +1,194 @@
+/* Tests of which events of a resumable stream are passed on to its caller. */
+#include "run.h"
+#include "stream_position.h"
+#include <glib.h>
+#include <string.h>
+
+#define EVENTS 12
+
+/* What a caller has received, over all its connections. */
+typedef struct caller {
+    GString *text;
+    char *last_id;
+} caller;
+
+static void
+on_event(const sp_event *event, void *user_data)
+{
+    caller *c = user_data;
+    if (event->repeated) {
+        return;
+    }
+    g_string_append_len(c->text, event->bytes, (gssize)event->count);
+    if (event->id) {
+        g_free(c->last_id);
+        c->last_id = g_strdup(event->id);
+    }
+}
+
+static const sp_callbacks callbacks = {.event = on_event};
+
+static caller
+make_caller(void)
+{
+    return (caller){.text = g_string_new(NULL)};
+}
+
+static void
+clear_caller(caller *c)
+{
+    g_string_free(c->text, TRUE);
+    g_free(c->last_id);
+}
+
+static sp_position *
+make_position(caller *c, const char *caller_event_id)
+{
+    return sp_create(&(sp_desc){.caller_event_id = caller_event_id,
+                                .calls = &callbacks,
+                                .user_data = c});
+}
+
+static bool
+feed(sp_position *position, const char *text)
+{
+    return sp_feed(position, text, strlen(text));
+}
+
+START_TEST(test_send_without_event_keeps_the_callers_position)
+{
+    caller c = make_caller();
+    sp_position *position = make_position(&c, "2");
+    sp_begin_send(position);
+    ck_assert(feed(position, "id: 3\nda"));
+    ck_assert_uint_eq(sp_query_event_count(position), 0);
+    sp_begin_send(position);
+    ck_assert_str_eq(sp_query_last_id(position), "2");
+    ck_assert(feed(position, "id: 3\ndata: e3\n\n"));
+    ck_assert_str_eq(c.text->str, "id: 3\ndata: e3\n\n");
+    ck_assert_str_eq(sp_query_last_id(position), "3");
+    sp_destroy(position);
+    clear_caller(&c);
+}
+END_TEST
+
+START_TEST(test_server_beginning_too_early_repeats_no_event)
+{
+    caller c = make_caller();
+    sp_position *position = make_position(&c, "2");
+    sp_begin_send(position);
+    ck_assert(feed(position, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+                             "id: 3\ndata: e3\n\n"));
+    ck_assert_str_eq(c.text->str, "id: 3\ndata: e3\n\n");
+    sp_destroy(position);
+    clear_caller(&c);
+}
+END_TEST
+
+START_TEST(test_new_stream_starts_at_its_beginning)
+{
+    caller c = make_caller();
+    sp_position *position = make_position(&c, _i ? "" : NULL);
+    sp_begin_send(position);
+    ck_assert_ptr_null(sp_query_last_id(position));
+    ck_assert(feed(position, "id: 0\ndata: e0\n\n"));
+    ck_assert_str_eq(c.text->str, "id: 0\ndata: e0\n\n");
+    sp_destroy(position);
+    clear_caller(&c);
+}
+END_TEST
+
+START_TEST(test_endless_event_is_too_long)
+{
+    caller c = make_caller();
+    sp_position *position = make_position(&c, NULL);
+    g_autofree char *filler = g_strnfill(SP_MAX_EVENT_BYTES, 'x');
+    sp_begin_send(position);
+    ck_assert(feed(position, filler));
+    ck_assert(!feed(position, "x"));
+    sp_begin_send(position);
+    ck_assert(feed(position, "x"));
+    ck_assert_uint_eq(c.text->len, 0);
+    sp_destroy(position);
+    clear_caller(&c);
+}
+END_TEST
+
+/* The bytes that a server writes after this event. */
+static GString *
+make_stream(uint64_t after, const char *newline)
+{
+    GString *text = g_string_new(NULL);
+    for (uint64_t id = after + 1; id <= EVENTS; id++) {
+        g_string_append_printf(text,
+                               "id: %" G_GUINT64_FORMAT
+                               "%sdata: e%" G_GUINT64_FORMAT "%s%s",
+                               id, newline, id, newline, newline);
+    }
+    return text;
+}
+
+/* Feeds the first `count` bytes in pieces of random sizes. */
+static void
+feed_pieces(sp_position *position, const GString *text, size_t count,
+            GRand *random)
+{
+    for (size_t at = 0; at < count;) {
+        size_t piece =
+            MIN(count - at, (size_t)g_rand_int_range(random, 1, 40));
+        ck_assert(sp_feed(position, text->str + at, piece));
+        at += piece;
+    }
+}
+
+/* Servers fail at any byte, also before their first event, some begin earlier
+   than they are asked to, and the caller comes back with the id of its last
+   event: it gets each event once, in order. */
+START_TEST(test_each_event_comes_once_over_failing_servers)
+{
+    g_autoptr(GRand) random = g_rand_new_with_seed((guint32)_i);
+    const char *newline = _i % 2 ? "\r\n" : "\n";
+    caller c = make_caller();
+    bool whole = false;
+    while (!whole) {
+        sp_position *position = make_position(&c, c.last_id);
+        int sends = g_rand_int_range(random, 1, 5);
+        for (int i = 0; i < sends && !whole; i++) {
+            sp_begin_send(position);
+            const char *id = sp_query_last_id(position);
+            uint64_t after = id ? g_ascii_strtoull(id, NULL, 10) : 0;
+            if (after && g_rand_int_range(random, 0, 4) == 0) {
+                after = (uint64_t)g_rand_int_range(random, 0, (int)after);
+            }
+            GString *text = make_stream(after, newline);
+            whole = g_rand_int_range(random, 0, 8) == 0;
+            size_t count = whole ? text->len
+                                 : (size_t)g_rand_int_range(
+                                       random, 0, MIN((int)text->len, 50) + 1);
+            feed_pieces(position, text, count, random);
+            if (whole) {
+                sp_end(position);
+            }
+            g_string_free(text, TRUE);
+        }
+        sp_destroy(position);
+    }
+    GString *expected = make_stream(0, newline);
+    ck_assert_str_eq(c.text->str, expected->str);
+    g_string_free(expected, TRUE);
+    clear_caller(&c);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tcase = tcase_create("stream_position");
+    tcase_add_test(tcase, test_send_without_event_keeps_the_callers_position);
+    tcase_add_test(tcase, test_server_beginning_too_early_repeats_no_event);
+    tcase_add_loop_test(tcase, test_new_stream_starts_at_its_beginning, 0, 2);
+    tcase_add_test(tcase, test_endless_event_is_too_long);
+    tcase_add_loop_test(tcase, test_each_event_comes_once_over_failing_servers,
+                        0, 300);
+    return run_case("stream_position", tcase);
+}
