Streams whose event ids cannot be compared end broken instead of with a gap

What callers would see: on a resumable route whose events have ids that are no numbers, a stream that goes on at another server ends as complete with its rest missing; without ids, or where they do not grow, parts come twice or are missing.

Cause: ids were read with g_ascii_strtoull(), so that "a2" counts as 0 and each later event as a repeated one; an event without an id was passed on and then forgotten, so that the next server was asked for it again.

Fix: the position tells whether it is exact. Ids must be whole numbers and grow; an event with data but without such an id makes the position inexact until the next one that has it, ids that do not grow make it so for good. From an inexact position no further send is made, and the answer is broken off. A caller's id that is no number is passed on as it came. Events without data (comments, retry) change nothing. The log says can_resume.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -586,7 +586,7 @@
         return age_us > _XC_SLOW_ANSWER_MIN_US &&
                (double)age_us > expected_us * _XC_SLOW_ANSWER_FACTOR;
     }
-    if (!exchange->position) {
+    if (!xc_query_can_resume(exchange)) {
         return false;
     }
     if (exchange->answer_begun &&
@@ -620,7 +620,7 @@
     xc_log_send_ended(exchange,
                       "no answer before a new adapter version was due");
     xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
-    if (exchange->position &&
+    if (xc_query_can_resume(exchange) &&
         exchange->possible_runs < exchange->route->max_servers) {
         xc_dispatch(exchange);
     }
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -158,6 +158,12 @@
                    .user_data = exchange});
 }
 
+bool
+xc_query_can_resume(const xc_exchange *exchange)
+{
+    return exchange->position && sp_query_can_continue(exchange->position);
+}
+
 void
 xc_forward_events(xc_exchange *exchange, const char *bytes, size_t count)
 {
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -152,5 +152,7 @@
 /* Creates the position of a resumable stream, after the event that the request
    names as the caller's last one. */
 void xc_create_position(xc_exchange *exchange);
+/* Returns whether another server can go on after what the caller has. */
+bool xc_query_can_resume(const xc_exchange *exchange);
 
 #endif
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -162,7 +162,8 @@
     lg_write(LG_REQUEST_SEND_ENDED, "request", exchange->id, "server",
              exchange->last_server_id, "why", why, "status/pieces/events",
              counts, "resume_after", exchange->resume_after, "last_event",
-             last_event, NULL);
+             last_event, "can_resume",
+             xc_query_can_resume(exchange) ? "yes" : "no", NULL);
 }
 
 void
@@ -279,7 +280,8 @@
     uint64_t now_us = xc_now_us(exchange);
     bool arrived = end != US_NOT_SENT;
     bool not_run = !arrived || exchange->refused;
-    bool allowed = not_run || exchange->may_repeat || exchange->position;
+    bool allowed =
+        not_run || exchange->may_repeat || xc_query_can_resume(exchange);
     bool may_send_elsewhere =
         exchange->possible_runs < exchange->route->max_servers;
     if (allowed && may_send_elsewhere && exchange->send_count < XC_MAX_SENDS &&
--- a/packages/exchange/src/stream_position.c
+++ b/packages/exchange/src/stream_position.c
@@ -7,27 +7,62 @@
     sp_desc desc;
     char *last_id;       /* of the last event that the caller has */
     char *send_after_id; /* last_id when the current send began */
+    bool inexact;        /* the caller has an event after last_id */
+    bool unordered;      /* the ids of its events do not grow */
     GByteArray *partial; /* the event that is not whole yet */
     uint32_t event_count;
 };
 
-/* Returns the id of an event from its last id line, or NULL if it has none;
-   free with g_free(). */
-static char *
-_sp_parse_id(const char *event, size_t count)
+/* The fields of an event that count for the position. */
+typedef struct _sp_fields {
+    char *id; /* NULL: no id line */
+    bool has_data;
+} _sp_fields;
+
+/* Returns the value of a line if its field has this name, else NULL. */
+static const char *
+_sp_field_value(const char *line, size_t length, const char *name)
+{
+    size_t name_length = strlen(name);
+    if (length < name_length || memcmp(line, name, name_length) != 0) {
+        return NULL;
+    }
+    const char *end = line + name_length;
+    return length == name_length || *end == '\r' ? end
+           : *end == ':'                         ? end + 1
+                                                 : NULL;
+}
+
+/* Of several id lines, the last one counts. */
+static _sp_fields
+_sp_parse_event(const char *event, size_t count)
 {
-    char *id = NULL;
+    _sp_fields fields = {0};
     const char *end = event + count;
     for (const char *line = event; line < end;) {
         const char *stop = memchr(line, '\n', (size_t)(end - line));
         size_t length = (size_t)((stop ? stop : end) - line);
-        if (length > 3 && memcmp(line, "id:", 3) == 0) {
-            g_free(id);
-            id = g_strstrip(g_strndup(line + 3, length - 3));
+        const char *id = _sp_field_value(line, length, "id");
+        if (id) {
+            g_free(fields.id);
+            fields.id =
+                g_strstrip(g_strndup(id, (size_t)(line + length - id)));
         }
+        fields.has_data =
+            fields.has_data || _sp_field_value(line, length, "data") != NULL;
         line += length + 1;
     }
-    return id;
+    return fields;
+}
+
+static bool
+_sp_parse_number(const char *id, uint64_t *number)
+{
+    guint64 parsed = 0;
+    bool valid = id && g_ascii_string_to_unsigned(id, 10, 0, G_MAXUINT64,
+                                                  &parsed, NULL);
+    *number = parsed;
+    return valid;
 }
 
 /* Returns the length of the first whole event; 0: none is whole yet. */
@@ -45,14 +80,34 @@
     return 0;
 }
 
-/* Returns true if the caller had the event before the current send; event ids
-   are numbers that grow. */
+/* Returns true if the caller had the event before the current send. */
 static bool
 _sp_is_repeated(const sp_position *position, const char *id)
 {
-    return id && position->send_after_id &&
-           g_ascii_strtoull(id, NULL, 10) <=
-               g_ascii_strtoull(position->send_after_id, NULL, 10);
+    uint64_t number;
+    uint64_t after;
+    return _sp_parse_number(id, &number) &&
+           _sp_parse_number(position->send_after_id, &after) &&
+           number <= after;
+}
+
+/* Moves the position behind an event that is passed on. */
+static void
+_sp_move(sp_position *position, const _sp_fields *event)
+{
+    uint64_t number;
+    uint64_t last;
+    if (_sp_parse_number(event->id, &number)) {
+        position->unordered =
+            position->unordered ||
+            (_sp_parse_number(position->last_id, &last) && number <= last);
+        position->inexact = false;
+        g_free(position->last_id);
+        position->last_id = g_strdup(event->id);
+    }
+    else if (event->id || event->has_data) {
+        position->inexact = true;
+    }
 }
 
 /* Passes on the first `count` bytes of the partial event. */
@@ -60,17 +115,17 @@
 _sp_pass_on(sp_position *position, size_t count)
 {
     const char *bytes = (const char *)position->partial->data;
-    g_autofree char *id = _sp_parse_id(bytes, count);
+    _sp_fields fields = _sp_parse_event(bytes, count);
     sp_event event = {.bytes = bytes,
                       .count = count,
-                      .id = id,
+                      .id = fields.id,
                       .number = ++position->event_count,
-                      .repeated = _sp_is_repeated(position, id)};
-    if (id && !event.repeated) {
-        g_free(position->last_id);
-        position->last_id = g_strdup(id);
+                      .repeated = _sp_is_repeated(position, fields.id)};
+    if (!event.repeated) {
+        _sp_move(position, &fields);
     }
     position->desc.calls->event(&event, position->desc.user_data);
+    g_free(fields.id);
     g_byte_array_remove_range(position->partial, 0, (guint)count);
 }
 
@@ -133,6 +188,12 @@
     return position->last_id;
 }
 
+bool
+sp_query_can_continue(const sp_position *position)
+{
+    return !position->inexact && !position->unordered;
+}
+
 uint32_t
 sp_query_event_count(const sp_position *position)
 {
--- a/packages/exchange/src/stream_position.h
+++ b/packages/exchange/src/stream_position.h
@@ -18,6 +18,9 @@
  * This serves servers that fail under streams, and callers that come back
  * after a lost connection.
  *
+ * Event ids are numbers that grow. Other events are passed on as they are, but
+ * the stream cannot go on at another server behind them.
+ *
  * Limits: an event has at most SP_MAX_EVENT_BYTES; no sockets and no clock.
  */
 #ifndef LACEWING_STREAM_POSITION_H
@@ -70,6 +73,10 @@
 /* Returns the id of the last event that the caller has, or NULL if the stream
    is to be sent from its beginning. */
 const char *sp_query_last_id(const sp_position *position);
+/* Returns whether a further send can go on after sp_query_last_id() without a
+   gap or a repetition: not if the caller has events after it that have data
+   but no number as id, nor if ids did not grow. */
+bool sp_query_can_continue(const sp_position *position);
 /* Returns the number of whole events of the current send. */
 uint32_t sp_query_event_count(const sp_position *position);
 
--- a/packages/exchange/tests/test_stream_position.c
+++ b/packages/exchange/tests/test_stream_position.c
@@ -114,6 +114,62 @@
 }
 END_TEST
 
+/* Whole events, whether a stream can go on behind them, and the last id. */
+static const struct {
+    const char *events;
+    bool can_continue;
+    const char *last_id;
+} id_cases[] = {
+    {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true, "2"},
+    {"id:3\r\ndata: a\r\n\r\n", true, "3"},
+    {"id: 1\ndata: a\n\n: comment\n\n", true, "1"},
+    {"retry: 100\n\n", true, NULL},
+    {"id: 9\nid: 10\ndata: a\n\n", true, "10"},
+    {"idea: 1\n\n", true, NULL},
+    {"weight-versions: 2\nid: 4\ndata: a\n\n", true, "4"},
+    {"data: a\n\n", false, NULL},
+    {"id: 1\ndata: a\n\ndata: b\n\n", false, "1"},
+    {"id: 1\ndata: a\n\ndata\n\n", false, "1"},
+    {"data: a\n\nid: 2\ndata: b\n\n", true, "2"},
+    {"id: x1\ndata: a\n\n", false, NULL},
+    {"id: 1x\ndata: a\n\n", false, NULL},
+    {"id: -1\ndata: a\n\n", false, NULL},
+    {"id: 99999999999999999999\ndata: a\n\n", false, NULL},
+    {"id: 1\ndata: a\n\nid\ndata: b\n\n", false, "1"},
+    {"id: 1\ndata: a\n\nid:\ndata: b\n\n", false, "1"},
+    {"id: 7\ndata: a\n\nid: 7\ndata: b\n\n", false, "7"},
+    {"id: 2\ndata: a\n\nid: 1\ndata: b\n\nid: 3\ndata: c\n\n", false, "3"},
+};
+
+START_TEST(test_ids_that_cannot_be_compared_stop_the_resumption)
+{
+    caller c = make_caller();
+    sp_position *position = make_position(&c, NULL);
+    sp_begin_send(position);
+    ck_assert(feed(position, id_cases[_i].events));
+    ck_assert_str_eq(c.text->str, id_cases[_i].events);
+    ck_assert(sp_query_can_continue(position) == id_cases[_i].can_continue);
+    ck_assert_pstr_eq(sp_query_last_id(position), id_cases[_i].last_id);
+    sp_destroy(position);
+    clear_caller(&c);
+}
+END_TEST
+
+START_TEST(test_callers_id_that_is_no_number_is_passed_on)
+{
+    caller c = make_caller();
+    sp_position *position = make_position(&c, "a2");
+    sp_begin_send(position);
+    ck_assert_str_eq(sp_query_last_id(position), "a2");
+    ck_assert(sp_query_can_continue(position));
+    ck_assert(feed(position, "id: a3\ndata: e3\n\n"));
+    ck_assert_str_eq(c.text->str, "id: a3\ndata: e3\n\n");
+    ck_assert(!sp_query_can_continue(position));
+    sp_destroy(position);
+    clear_caller(&c);
+}
+END_TEST
+
 /* The bytes that a server writes after this event. */
 static GString *
 make_stream(uint64_t after, const char *newline)
@@ -190,5 +246,9 @@
     tcase_add_test(tcase, test_endless_event_is_too_long);
     tcase_add_loop_test(tcase, test_each_event_comes_once_over_failing_servers,
                         0, 300);
+    tcase_add_loop_test(tcase,
+                        test_ids_that_cannot_be_compared_stop_the_resumption,
+                        0, (int)G_N_ELEMENTS(id_cases));
+    tcase_add_test(tcase, test_callers_id_that_is_no_number_is_passed_on);
     return run_case("stream_position", tcase);
 }
