A stream that its connection ends within an event is broken, not complete

What callers would see: a stream whose answer has no length and whose server's process ends in the middle of an event (the kernel closes its connection in order) comes as a complete answer without its last parts.

Cause: an answer without a length is complete when its connection ends, and what was left of an event was passed on as its last one.

Fix: if only the connection tells the end and the body's last bytes are no blank line, the send counts as broken: a resumable stream goes on elsewhere after its last whole event, any other one is broken off. Servers end each event with a blank line; readers of event streams drop one that has none.

Evidence: test_resume/test_connection_ending_within_an_event_ends_no_stream failed before (200 with "id: 3\ndata:" at its end); the same without the cut stays complete.

--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -164,6 +164,25 @@
     return exchange->position && sp_query_can_continue(exchange->position);
 }
 
+bool
+xc_query_within_event(const xc_exchange *exchange)
+{
+    const char *last = exchange->last_bytes;
+    bool blank_line =
+        last[2] == '\n' &&
+        (last[1] == '\n' || (last[1] == '\r' && last[0] == '\n'));
+    return last[2] && !blank_line;
+}
+
+static void
+_xc_keep_last_bytes(xc_exchange *exchange, const char *bytes, size_t count)
+{
+    const size_t kept = sizeof(exchange->last_bytes);
+    size_t added = MIN(count, kept);
+    memmove(exchange->last_bytes, exchange->last_bytes + added, kept - added);
+    memcpy(exchange->last_bytes + kept - added, bytes + count - added, added);
+}
+
 void
 xc_forward_events(xc_exchange *exchange, const char *bytes, size_t count)
 {
@@ -181,6 +200,7 @@
     }
     exchange->last_piece_us = now_us;
     exchange->piece_count++;
+    _xc_keep_last_bytes(exchange, bytes, count);
     if (!exchange->position) {
         cr_write_piece(exchange->caller, bytes, count);
     }
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -93,6 +93,7 @@
     uint64_t max_gap_us;     /* longest time between two pieces */
     char last_server_id[40]; /* server of the last send */
     uint32_t piece_count;
+    char last_bytes[3];    /* of the body of the current send; 0: none */
     sp_position *position; /* resumable streams: the events that the caller
                               has; NULL: the request cannot be resumed */
     /* Event after which the current send asks its server to go on, for the
@@ -154,5 +155,7 @@
 void xc_create_position(xc_exchange *exchange);
 /* Returns whether another server can go on after what the caller has. */
 bool xc_query_can_resume(const xc_exchange *exchange);
+/* Returns whether the current send's body ends within an event so far. */
+bool xc_query_within_event(const xc_exchange *exchange);
 
 #endif
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -233,11 +233,23 @@
     return exchange->status >= 500 ? FL_FAILED : FL_SUCCEEDED;
 }
 
+/* Returns true if the server closed the connection within an event of a stream
+   whose end only the connection tells: it failed. */
+static bool
+_xc_is_cut_short(const xc_exchange *exchange, const h1_head *head)
+{
+    return exchange->answer_begun && !head->chunked &&
+           head->length == H1_LENGTH_NONE && xc_query_within_event(exchange);
+}
+
 static void
 _xc_on_end(us_conn *conn, us_end end, void *user_data)
 {
-    (void)conn;
     xc_exchange *exchange = user_data;
+    if (end == US_COMPLETE &&
+        _xc_is_cut_short(exchange, us_query_head(conn))) {
+        end = US_BROKEN;
+    }
     if (exchange->refused && exchange->status == 421 && exchange->adapter) {
         /* The server does not hold the adapter, or another server has the
            address. */
@@ -467,6 +479,7 @@
     exchange->answer_invalid = false;
     exchange->answer_too_long = false;
     exchange->status = 0;
+    memset(exchange->last_bytes, 0, sizeof(exchange->last_bytes));
     if (exchange->answer_body) {
         g_byte_array_set_size(exchange->answer_body, 0);
     }
