--- a/packages/exchange/tests/test_stream_position.c
+++ b/packages/exchange/tests/test_stream_position.c
@@ -85,6 +85,19 @@
 }
 END_TEST
 
+START_TEST(test_last_event_without_blank_line_comes_once)
+{
+    caller c = make_caller();
+    sp_position *position = make_position(&c, _i ? "3" : "2");
+    sp_begin_send(position);
+    ck_assert(feed(position, "id: 3\ndata: e3"));
+    sp_end(position);
+    ck_assert_str_eq(c.text->str, _i ? "" : "id: 3\ndata: e3");
+    sp_destroy(position);
+    clear_caller(&c);
+}
+END_TEST
+
 START_TEST(test_new_stream_starts_at_its_beginning)
 {
     caller c = make_caller();
@@ -242,6 +255,8 @@
     TCase *tcase = tcase_create("stream_position");
     tcase_add_test(tcase, test_send_without_event_keeps_the_callers_position);
     tcase_add_test(tcase, test_server_beginning_too_early_repeats_no_event);
+    tcase_add_loop_test(tcase, test_last_event_without_blank_line_comes_once,
+                        0, 2);
     tcase_add_loop_test(tcase, test_new_stream_starts_at_its_beginning, 0, 2);
     tcase_add_test(tcase, test_endless_event_is_too_long);
     tcase_add_loop_test(tcase, test_each_event_comes_once_over_failing_servers,
