Drafts: an engine's event counts only if its members have their types

What callers would see: an engine that sends an index as text, a boolean or a fraction got a token into a place that it is not for, so the draft had a wrong token there and its own was missing. A token without text, or with one that is no string, became an empty token (a NULL text in the process). A done event whose count is no number ended a draft as whole, empty if no token had come; "done":false and "paused":false ended a run as well. An event whose model is a number crashed the daemon, and with it all its drafts.

Cause: _be_json_int() and _be_json_string() promise the fallback for a member of another type, but json-glib's ..._with_default() give it only for a missing member, null, an array or an object: another type of value reads as 0 or NULL, a fraction is cut off and true is 1. An index below the next one, so also one that could not be read, was taken for a token that the caller already has.

Why the fix works: both readers look at the type of the value, as they promise. Indexes and counts are read by _be_json_count(), which takes whole numbers from 0 to UINT32_MAX only (3.0 as well as 3). A token without a valid index or text breaks the run, and the draft goes on elsewhere from the index that the caller needs next. done and paused count only when true.

Ruled out, by tests that passed before the fix too: a resumed run that starts at 0, repeats an index, goes back, skips one, or ends before its first whole event (test_resumed_run_repeats_or_skips_no_token); an answer cut in the middle of an event or of the final one (test_run_cut_..., cases 0 to 3).

--- a/packages/backend/src/backend_private.h
+++ b/packages/backend/src/backend_private.h
@@ -28,10 +28,12 @@
 void _be_set_json(SoupMessage *message, JsonBuilder *builder);
 
 /* Returns a member of an object, or fallback if the member is absent or of
-   another type. */
+   another type. A fraction of a number is cut off. */
 const char *_be_json_string(JsonObject *object, const char *name,
                             const char *fallback);
 int64_t _be_json_int(JsonObject *object, const char *name, int64_t fallback);
+/* Returns a member that is a whole number from 0 to UINT32_MAX, else -1. */
+int64_t _be_json_count(JsonObject *object, const char *name);
 
 /* Returns true if the error shows that no connection was made, so that
    nothing was sent. */
--- a/packages/backend/src/server.c
+++ b/packages/backend/src/server.c
@@ -1,6 +1,8 @@
 /* The client object, its requests and JSON helpers. */
 #include "backend_private.h"
 
+#include <math.h>
+
 #define _BE_DEFAULT_CONNECTIONS 512
 #define _BE_DEFAULT_STALL_TIMEOUT_MS 1500
 #define _BE_DEFAULT_START_TIMEOUT_MS 15000
@@ -90,16 +92,42 @@
                                              body);
 }
 
+/* Returns the type of a member's value; G_TYPE_INVALID if it has none. */
+static GType
+_be_json_type(JsonObject *object, const char *name)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    return node && JSON_NODE_HOLDS_VALUE(node) ? json_node_get_value_type(node)
+                                               : G_TYPE_INVALID;
+}
+
 const char *
 _be_json_string(JsonObject *object, const char *name, const char *fallback)
 {
-    return json_object_get_string_member_with_default(object, name, fallback);
+    return _be_json_type(object, name) == G_TYPE_STRING
+               ? json_object_get_string_member(object, name)
+               : fallback;
 }
 
 int64_t
 _be_json_int(JsonObject *object, const char *name, int64_t fallback)
 {
-    return json_object_get_int_member_with_default(object, name, fallback);
+    GType type = _be_json_type(object, name);
+    return type == G_TYPE_INT64 || type == G_TYPE_DOUBLE
+               ? json_object_get_int_member(object, name)
+               : fallback;
+}
+
+int64_t
+_be_json_count(JsonObject *object, const char *name)
+{
+    GType type = _be_json_type(object, name);
+    if (type != G_TYPE_INT64 && type != G_TYPE_DOUBLE) {
+        return -1;
+    }
+    double value = json_object_get_double_member(object, name);
+    bool whole = value >= 0 && value <= UINT32_MAX && value == floor(value);
+    return whole ? (int64_t)value : -1;
 }
 
 char *
--- a/packages/backend/src/stream.c
+++ b/packages/backend/src/stream.c
@@ -175,9 +175,14 @@
 static void
 _be_stream_handle_token(be_stream *stream, JsonObject *event)
 {
-    int64_t index = _be_json_int(event, "index", -1);
-    const char *model = _be_json_string(event, "model", "");
-    if (strcmp(model, stream->model) != 0) {
+    int64_t index = _be_json_count(event, "index");
+    const char *text = _be_json_string(event, "text", NULL);
+    if (index < 0 || !text) {
+        _be_stream_end(stream, BE_END_BROKEN, NULL,
+                       "token without a valid index or text");
+        return;
+    }
+    if (strcmp(_be_json_string(event, "model", ""), stream->model) != 0) {
         _be_stream_end(stream, BE_END_BROKEN, NULL,
                        "token of another adapter");
         return;
@@ -192,14 +197,13 @@
     }
     stream->next_index++;
     stream->any_token = true;
-    stream->on_token(stream, (uint32_t)index,
-                     _be_json_string(event, "text", ""), stream->user_data);
+    stream->on_token(stream, (uint32_t)index, text, stream->user_data);
 }
 
 static void
 _be_stream_handle_done(be_stream *stream, JsonObject *event)
 {
-    int64_t tokens = _be_json_int(event, "tokens", -1);
+    int64_t tokens = _be_json_count(event, "tokens");
     if (tokens != (int64_t)stream->next_index) {
         _be_stream_end(stream, BE_END_BROKEN, NULL,
                        "wrong token count in the done event");
@@ -224,10 +228,11 @@
         return;
     }
     JsonObject *event = json_node_get_object(root);
-    if (json_object_has_member(event, "done")) {
+    if (json_object_get_boolean_member_with_default(event, "done", FALSE)) {
         _be_stream_handle_done(stream, event);
     }
-    else if (json_object_has_member(event, "paused")) {
+    else if (json_object_get_boolean_member_with_default(event, "paused",
+                                                         FALSE)) {
         _be_stream_end(stream, BE_END_PAUSED, NULL, "paused");
     }
     else if (json_object_has_member(event, "index")) {
--- a/packages/backend/tests/test_backend.c
+++ b/packages/backend/tests/test_backend.c
@@ -16,6 +16,7 @@
     uint32_t cancels;
     uint32_t calls;
     bool unhealthy;
+    const char *body; /* of the answer to the prompt "body" */
 } fixture;
 
 static fixture fx;
@@ -74,6 +75,12 @@
     soup_message_headers_set_encoding(
         soup_server_message_get_response_headers(message),
         SOUP_ENCODING_CHUNKED);
+    if (fx.body) {
+        append(message, fx.body);
+        soup_message_body_complete(
+            soup_server_message_get_response_body(message));
+        return;
+    }
     append_token(message, 0, "a@1");
     append_token(message, 0, "a@1");
     append_token(message, 1, strstr(body, "other") ? "b@1" : "a@1");
@@ -267,6 +274,141 @@
 }
 END_TEST
 
+/* -- answers of resumed and faulty runs ----------------------------------- */
+
+#define TOKEN(index, text)                                                    \
+    "data: {\"index\":" index ",\"text\":" text ",\"model\":\"a@1\"}\n\n"
+#define DONE(tokens) "data: {\"done\":true,\"tokens\":" tokens "}\n\n"
+
+typedef struct run_outcome {
+    GString *text;
+    bool ended;
+    be_end end;
+    uint32_t tokens;
+} run_outcome;
+
+static void
+on_run_token(be_stream *stream, uint32_t index, const char *text, void *data)
+{
+    (void)stream;
+    run_outcome *seen = data;
+    g_string_append_printf(seen->text, "%u%s;", index, text ? text : "NULL");
+}
+
+static void
+on_run_end(be_stream *stream, const be_result *result, void *data)
+{
+    (void)stream;
+    run_outcome *seen = data;
+    seen->ended = true;
+    seen->end = result->end;
+    seen->tokens = result->tokens;
+}
+
+typedef struct run_case {
+    const char *body;
+    uint32_t resume_from;
+    be_end end;
+    const char *text;
+    uint32_t tokens;
+} run_case;
+
+static void
+check_run(const run_case *wanted)
+{
+    fx.body = wanted->body;
+    run_outcome seen = {.text = g_string_new(NULL)};
+    be_stream *stream = be_complete(
+        fx.server, &(be_complete_desc){.model = "a@1",
+                                       .prompt = "body",
+                                       .attempt = "r/1",
+                                       .max_tokens = 8,
+                                       .resume_from = wanted->resume_from,
+                                       .on_token = on_run_token,
+                                       .on_end = on_run_end,
+                                       .user_data = &seen});
+    while (!seen.ended) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    ck_assert_str_eq(seen.text->str, wanted->text);
+    ck_assert_int_eq(seen.end, wanted->end);
+    ck_assert_uint_eq(seen.tokens, wanted->tokens);
+    be_stream_destroy(stream);
+    g_string_free(seen.text, TRUE);
+}
+
+static const run_case resumed_runs[] = {
+    {"", 3, BE_END_BROKEN, "", 3},
+    {"data: {\"index\":3,\"te", 3, BE_END_BROKEN, "", 3},
+    {DONE("3"), 3, BE_END_COMPLETED, "", 3},
+    {DONE("0"), 3, BE_END_BROKEN, "", 3},
+    {TOKEN("0", "\"a\"") TOKEN("1", "\"b\"") TOKEN("2", "\"c\"") DONE("3"), 2,
+     BE_END_COMPLETED, "2c;", 3},
+    {TOKEN("3", "\"d\"") TOKEN("2", "\"c\"") TOKEN("3", "\"D\"") DONE("4"), 3,
+     BE_END_COMPLETED, "3d;", 4},
+    {TOKEN("4", "\"e\"") DONE("5"), 3, BE_END_BROKEN, "", 3},
+    {TOKEN("3.0", "\"d\"") DONE("4.0"), 3, BE_END_COMPLETED, "3d;", 4},
+};
+
+START_TEST(test_resumed_run_repeats_or_skips_no_token)
+{
+    check_run(&resumed_runs[_i]);
+}
+END_TEST
+
+static const run_case cut_runs[] = {
+    {TOKEN("0", "\"a\"") "data: {\"done\":true,\"tokens\":1,\"fin", 0,
+     BE_END_BROKEN, "0a;", 1},
+    {TOKEN("0", "\"a\"") "data: {\"done\":true,\"tokens\":1}", 0,
+     BE_END_BROKEN, "0a;", 1},
+    {TOKEN("0", "\"a\"") "data: {\"index\":1,\"text\":\"b\"", 0, BE_END_BROKEN,
+     "0a;", 1},
+    {TOKEN("0", "\"a\""), 0, BE_END_BROKEN, "0a;", 1},
+    {TOKEN("0", "\"a\"") "data: {\"done\":false,\"tokens\":1}\n\n", 0,
+     BE_END_BROKEN, "0a;", 1},
+    {TOKEN("0", "\"a\"") "data: {\"paused\":false}\n\n", 0, BE_END_BROKEN,
+     "0a;", 1},
+};
+
+START_TEST(test_run_cut_before_its_final_event_is_not_whole)
+{
+    check_run(&cut_runs[_i]);
+}
+END_TEST
+
+static const run_case malformed_runs[] = {
+    {TOKEN("\"7\"", "\"h\"") DONE("1"), 0, BE_END_BROKEN, "", 0},
+    {TOKEN("\"x\"", "\"h\"") DONE("1"), 0, BE_END_BROKEN, "", 0},
+    {TOKEN("false", "\"h\"") DONE("1"), 0, BE_END_BROKEN, "", 0},
+    {TOKEN("0.9", "\"h\"") DONE("1"), 0, BE_END_BROKEN, "", 0},
+    {TOKEN("null", "\"h\"") TOKEN("0", "\"a\"") DONE("1"), 0, BE_END_BROKEN,
+     "", 0},
+    {TOKEN("-1", "\"h\"") TOKEN("0", "\"a\"") DONE("1"), 0, BE_END_BROKEN, "",
+     0},
+    {TOKEN("4294967296", "\"h\"") DONE("1"), 0, BE_END_BROKEN, "", 0},
+    {TOKEN("1e300", "\"h\"") DONE("1"), 0, BE_END_BROKEN, "", 0},
+    {"data: {\"text\":\"a\",\"model\":\"a@1\"}\n\n" DONE("1"), 0,
+     BE_END_BROKEN, "", 0},
+    {TOKEN("0", "\"a\"") TOKEN("1", "5") DONE("2"), 0, BE_END_BROKEN, "0a;",
+     1},
+    {TOKEN("0", "\"a\"") TOKEN("1", "null") DONE("2"), 0, BE_END_BROKEN, "0a;",
+     1},
+    {"data: {\"index\":0,\"model\":\"a@1\"}\n\n" DONE("1"), 0, BE_END_BROKEN,
+     "", 0},
+    {"data: {\"index\":0,\"text\":\"a\",\"model\":5}\n\n" DONE("1"), 0,
+     BE_END_BROKEN, "", 0},
+    {DONE("\"8\""), 0, BE_END_BROKEN, "", 0},
+    {DONE("false"), 0, BE_END_BROKEN, "", 0},
+    {TOKEN("0", "\"a\"") DONE("1.5"), 0, BE_END_BROKEN, "0a;", 1},
+    {TOKEN("0", "\"a\"") DONE("true"), 0, BE_END_BROKEN, "0a;", 1},
+};
+
+START_TEST(test_malformed_event_adds_no_wrong_token_and_ends_no_answer)
+{
+    check_run(&malformed_runs[_i]);
+}
+END_TEST
+
 /* -- calls ---------------------------------------------------------------- */
 
 typedef struct call_outcome {
@@ -363,6 +505,14 @@
                         G_N_ELEMENTS(cases));
     tcase_add_test(tests, test_failed_health_check_means_server_down);
     tcase_add_test(tests, test_destroy_cancels_without_callback);
+    tcase_add_loop_test(tests, test_resumed_run_repeats_or_skips_no_token, 0,
+                        G_N_ELEMENTS(resumed_runs));
+    tcase_add_loop_test(tests,
+                        test_run_cut_before_its_final_event_is_not_whole, 0,
+                        G_N_ELEMENTS(cut_runs));
+    tcase_add_loop_test(
+        tests, test_malformed_event_adds_no_wrong_token_and_ends_no_answer, 0,
+        G_N_ELEMENTS(malformed_runs));
     tcase_add_test(tests, test_call_reports_whether_it_ran);
     tcase_add_test(tests, test_events_split_anywhere);
     tcase_add_test(tests, test_too_long_line_fails);
