Drafts: a link lost by sending a piece or an end frees nothing in use

What callers would see: the daemon that owns a server dies, or writes into freed memory, as a link to another instance that no longer reads overflows (16 MiB queued, lk_send()) with a piece or an end of a forwarded draft. All drafts and callers of that daemon lose their connections.

Cause: lk_send() reports the lost link from inside the send. That cancels the drafts which the other instance had forwarded (fw_handle_link_lost()) and so frees the _fw_incoming whose piece or end is being sent. _fw_on_token() then wrote next_index and read the window there, and _fw_on_end() looked up its table and its key there.

Evidence, before the fix (test_draft_resume, freed memory overwritten):

77%: Checks: 9, Failures: 0, Errors: 2 test_link_lost_while_a_piece_is_sent: Received signal 11 test_link_lost_while_the_end_is_sent: Received signal 11

and under valgrind "Invalid write of size 4" at forwards.c:76, "Invalid read" at forwards.c:77, 78 and 89.

Why the fix works: a piece is counted before it is sent, and the send is the last step; an incoming draft that ends leaves the table before its Final is sent, so the lost link doesn't find it. Under valgrind no invalid access is left in this test.

Ruled out: _sc_on_token(), _sc_end_draft() and the backend's stream touch nothing that the lost link frees: ids are copied, the draft is out of its table before its sink ends, the read holds a reference to its stream.

--- a/packages/daemon/src/forwards.c
+++ b/packages/daemon/src/forwards.c
@@ -72,21 +72,25 @@
     Lacewing__Envelope envelope = LACEWING__ENVELOPE__INIT;
     envelope.body_case = LACEWING__ENVELOPE__BODY_PIECE;
     envelope.piece = &piece;
-    mm_send(incoming->forwards->members, incoming->instance, &envelope);
     incoming->next_index = index + 1;
     if (incoming->next_index >= incoming->credited_tokens + FW_WINDOW_TOKENS) {
         sc_set_backpressure(incoming->forwards->scheduler, incoming->draft,
                             true);
     }
+    /* Last: if the send loses the link, it frees incoming. */
+    mm_send(incoming->forwards->members, incoming->instance, &envelope);
 }
 
 static void
 _fw_on_end(dr_sink *sink, const dr_end *end)
 {
     _fw_incoming *incoming = (_fw_incoming *)sink;
+    /* Out of the table first: a send that loses the link frees what is in it.
+     */
+    g_hash_table_steal(incoming->forwards->incoming, incoming->key);
     _fw_send_final(incoming->forwards, incoming->instance, incoming->request,
                    incoming->attempt, end);
-    g_hash_table_remove(incoming->forwards->incoming, incoming->key);
+    _fw_incoming_free(incoming);
 }
 
 static const dr_sink_vt _fw_sink_vt = {
--- a/packages/daemon/tests/test_draft_resume.c
+++ b/packages/daemon/tests/test_draft_resume.c
@@ -6,6 +6,7 @@
 #include <check.h>
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
+#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -545,9 +546,28 @@
 }
 END_TEST
 
+START_TEST(test_link_lost_while_a_piece_is_sent)
+{
+    fx.total = FW_WINDOW_TOKENS + 1;
+    fx.owner.lose_at = FW_WINDOW_TOKENS - 1;
+    fx.entry.drop_credits = true; /* the piece is the last one allowed */
+    submit(&fx.entry, 0);
+    check_whole();
+}
+END_TEST
+
+START_TEST(test_link_lost_while_the_end_is_sent)
+{
+    fx.owner.lose_at = WHOLE;
+    submit(&fx.entry, 0);
+    check_whole();
+}
+END_TEST
+
 int
 main(void)
 {
+    mallopt(M_PERTURB, 0xff); /* overwrites freed memory */
     Suite *suite = suite_create("draft resume");
     TCase *tests = tcase_create("all");
     tcase_add_checked_fixture(tests, setup, teardown);
@@ -562,6 +582,8 @@
     tcase_add_test(tests,
                    test_removed_server_resumes_after_what_the_caller_has);
     tcase_add_test(tests, test_pieces_of_an_old_forward_are_dropped);
+    tcase_add_test(tests, test_link_lost_while_a_piece_is_sent);
+    tcase_add_test(tests, test_link_lost_while_the_end_is_sent);
     suite_add_tcase(suite, tests);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
