Drafts: a forward that lost a piece is resumed at once

Cause: the entry dropped every later piece as out of order and compared the counts only at the Final. Its next_index stood still, so it sent no credit, and the owner stopped at its window: both waited for the other.

Evidence, before the fix (test_draft_resume):

test_lost_piece_resumes_the_draft_at_once: no end; the caller has 10 of 2000 tokens (after 3 s)

Why the fix works: a piece beyond the next index can't be passed on and shows that one is missing, so the forward is cancelled and the draft goes on from the next index, as be_stream does with a gap in a server's answer. Pieces still on the way belong to an attempt that is no longer open and are dropped.

Ruled out: a wrong order at the caller; only the next index is ever passed on.

--- a/packages/daemon/src/scheduler_forward.c
+++ b/packages/daemon/src/scheduler_forward.c
@@ -110,22 +110,6 @@
 
 /* -- public: from other instances ----------------------------------------- */
 
-void
-sc_receive_piece(sc_scheduler *scheduler, uint64_t id, uint32_t attempt,
-                 uint32_t index, const char *text)
-{
-    _sc_draft *draft = _sc_find_draft(scheduler, id);
-    if (!draft || draft->forward_attempt != attempt) {
-        ct_add(CT_PIECES_DROPPED, 1);
-        return;
-    }
-    draft->may_have_run = true;
-    _sc_deliver_token(draft, index, text);
-    if (!draft->backpressure && draft->next_index % _SC_CREDIT_TOKENS == 0) {
-        _sc_send_credit(draft);
-    }
-}
-
 /* Lets the policy retry the draft or refuse it. */
 static void
 _sc_forward_failed(_sc_draft *draft, const dr_end *end)
@@ -142,6 +126,28 @@
                           .failure = failure});
 }
 
+void
+sc_receive_piece(sc_scheduler *scheduler, uint64_t id, uint32_t attempt,
+                 uint32_t index, const char *text)
+{
+    _sc_draft *draft = _sc_find_draft(scheduler, id);
+    if (!draft || draft->forward_attempt != attempt) {
+        ct_add(CT_PIECES_DROPPED, 1);
+        return;
+    }
+    if (index > draft->next_index) { /* a piece was lost on the way */
+        _sc_cancel_forward(draft);
+        _sc_forward_failed(
+            draft, &(dr_end){.code = ER_CONNECTION, .ran = DR_RAN_UNKNOWN});
+        return;
+    }
+    draft->may_have_run = true;
+    _sc_deliver_token(draft, index, text);
+    if (!draft->backpressure && draft->next_index % _SC_CREDIT_TOKENS == 0) {
+        _sc_send_credit(draft);
+    }
+}
+
 void
 sc_receive_final(sc_scheduler *scheduler, uint64_t id, uint32_t attempt,
                  const dr_end *end)
--- a/packages/daemon/tests/test_draft_resume.c
+++ b/packages/daemon/tests/test_draft_resume.c
@@ -546,6 +546,16 @@
 }
 END_TEST
 
+START_TEST(test_lost_piece_resumes_the_draft_at_once)
+{
+    fx.total = 2000; /* more than the owner sends without a credit */
+    fx.owner.drop_index = 10;
+    submit(&fx.entry, 0);
+    check_whole();
+    ck_assert_uint_eq(fx.entry.resume_from[1], 10);
+}
+END_TEST
+
 START_TEST(test_link_lost_while_a_piece_is_sent)
 {
     fx.total = FW_WINDOW_TOKENS + 1;
@@ -582,6 +592,7 @@
     tcase_add_test(tests,
                    test_removed_server_resumes_after_what_the_caller_has);
     tcase_add_test(tests, test_pieces_of_an_old_forward_are_dropped);
+    tcase_add_test(tests, test_lost_piece_resumes_the_draft_at_once);
     tcase_add_test(tests, test_link_lost_while_a_piece_is_sent);
     tcase_add_test(tests, test_link_lost_while_the_end_is_sent);
     suite_add_tcase(suite, tests);
