Decisions: work that moves to another instance leaves no hedge behind

What callers would see: no wrong token, as the draft's next index passes each on once whichever run it comes from; but their draft ran twice, here and at the other instance, in a slot that others waited for. If the hedge then failed, the request would be routed a third time while its forward was still open, and the count of forwards to that server would stay too high (by reading rq_attempt_failed() and _rq_retry(), not shown by a test).

Cause: rq_cancel_and_forward() cancelled the attempt that it was given and forwarded the request, without a look at the request's other attempt. A resumed draft is judged late by the tokens of its earlier runs, so it may move before the first token of the new run, and until then it may be hedged.

Evidence, before the fix (test_migration):

test_hedged_work_that_moves_leaves_no_stream_behind: Assertion 'open_streams == 0' failed: open_streams == 1, 0 == 0

Why the fix works: a move concerns the request, so the function takes the request and cancels all its attempts, by the same loop as the end of a request.

Ruled out: the same in rq_cancel_and_reroute(), rq_on_attempt_paused() and rq_attempt_failed(), which route the request again only if no attempt is left; _rq_refuse() and _rq_end() cancel both.

--- a/packages/decisions/src/migration.c
+++ b/packages/decisions/src/migration.c
@@ -94,7 +94,7 @@
     }
     else if (faster) {
         request->left_slow_server = true;
-        rq_cancel_and_forward(policy, attempt, faster);
+        rq_cancel_and_forward(policy, request, faster);
     }
 }
 
--- a/packages/decisions/src/requests.c
+++ b/packages/decisions/src/requests.c
@@ -45,23 +45,23 @@
     request->phase = DP_PHASE_DEFAULT;
 }
 
-/* Cancels the request's attempts, frees it, and fills the freed slots. */
+/* Cancels the request's attempts; freed takes the servers of their slots. */
 static void
-_rq_end(dp_policy *policy, dp_request *request)
+_rq_cancel_attempts(dp_policy *policy, dp_request *request,
+                    dp_server *freed[2])
 {
-    _rq_leave_phase(policy, request);
-    dp_server *freed[2] = {NULL, NULL};
     for (uint32_t index = 0; index < 2; index++) {
         dp_attempt *attempt = request->attempts[index];
+        freed[index] = attempt ? attempt->server : NULL;
         if (attempt) {
-            freed[index] = attempt->server;
             at_cancel(policy, attempt);
         }
     }
-    dp_adapter *adapter = request->adapter;
-    am_remove_request(policy, request);
-    po_destroy(&policy->requests, request);
-    ad_on_request_ended(policy, adapter);
+}
+
+static void
+_rq_fill_slots(dp_policy *policy, dp_server *const freed[2])
+{
     for (uint32_t index = 0; index < 2; index++) {
         if (freed[index]) {
             or_fill_slots(policy, freed[index]);
@@ -69,6 +69,20 @@
     }
 }
 
+/* Cancels the request's attempts, frees it, and fills the freed slots. */
+static void
+_rq_end(dp_policy *policy, dp_request *request)
+{
+    _rq_leave_phase(policy, request);
+    dp_server *freed[2];
+    _rq_cancel_attempts(policy, request, freed);
+    dp_adapter *adapter = request->adapter;
+    am_remove_request(policy, request);
+    po_destroy(&policy->requests, request);
+    ad_on_request_ended(policy, adapter);
+    _rq_fill_slots(policy, freed);
+}
+
 /* Refuses the request and ends it. It may have run if it had an attempt. */
 static void
 _rq_refuse(dp_policy *policy, dp_request *request, er_code reason,
@@ -388,15 +402,14 @@
 }
 
 void
-rq_cancel_and_forward(dp_policy *policy, dp_attempt *attempt,
+rq_cancel_and_forward(dp_policy *policy, dp_request *request,
                       dp_server *target)
 {
-    dp_request *request = attempt->request;
-    dp_server *server = attempt->server;
     request->may_have_run = true;
-    at_cancel(policy, attempt);
+    dp_server *freed[2];
+    _rq_cancel_attempts(policy, request, freed);
     _rq_forward(policy, request, target);
-    or_fill_slots(policy, server);
+    _rq_fill_slots(policy, freed);
 }
 
 /* Returns true if another instance would refuse for the same reason. */
--- a/packages/decisions/src/requests.h
+++ b/packages/decisions/src/requests.h
@@ -31,8 +31,8 @@
 /* Refuses a forwarded request, so that the instance that forwarded it routes
    it again; it resumes from the tokens already made. */
 void rq_return_to_entry(dp_policy *policy, dp_attempt *attempt);
-/* Cancels the attempt and forwards the request to the owner of target. */
-void rq_cancel_and_forward(dp_policy *policy, dp_attempt *attempt,
+/* Cancels the request's attempts and forwards it to the owner of target. */
+void rq_cancel_and_forward(dp_policy *policy, dp_request *request,
                            dp_server *target);
 void rq_on_caller_gone(dp_policy *policy, dp_request *request);
 void rq_forward_finished(dp_policy *policy, dp_request *request,
--- a/packages/decisions/tests/test_migration.c
+++ b/packages/decisions/tests/test_migration.c
@@ -196,6 +196,105 @@
 }
 END_TEST
 
+#define MOVED_TAG 9
+
+/* What of the request MOVED_TAG is open, by the actions so far. */
+static uint32_t open_streams;
+static uint32_t hedges;
+static bool forwarded;
+
+static void
+track_actions(lwd_action *last_send)
+{
+    lwd_action action;
+    while (lwd_next_action(policy, &action)) {
+        if (action.type == LWD_ACTION_SEND) {
+            *last_send = action;
+        }
+        if (action.tag != MOVED_TAG) {
+            continue;
+        }
+        open_streams += action.type == LWD_ACTION_SEND;
+        open_streams -= action.type == LWD_ACTION_CANCEL;
+        hedges += action.type == LWD_ACTION_SEND && action.hedge;
+        forwarded = forwarded || action.type == LWD_ACTION_FORWARD;
+    }
+}
+
+static lwd_action
+send_long_request(uint64_t now_us, uint64_t tag)
+{
+    lwd_action send = {0};
+    lwd_make_request(policy, now_us,
+                     &(lwd_request_desc){.tag = tag,
+                                         .adapter = adapter,
+                                         .max_tokens = MAX_TOKENS,
+                                         .deadline_us = DEADLINE_US});
+    track_actions(&send);
+    ck_assert_uint_eq(send.tag, tag);
+    return send;
+}
+
+static void
+report(const lwd_action *send, lwd_event_type type, uint64_t now_us,
+       uint32_t tokens)
+{
+    lwd_feed(policy, now_us,
+             &(lwd_event){
+                 .type = type, .attempt = send->attempt, .tokens = tokens});
+}
+
+START_TEST(test_hedged_work_that_moves_leaves_no_stream_behind)
+{
+    feed_summary(fast, 2, SLOW_INTERVAL_US); /* faster after the hedge */
+    lwd_server both[] = {own, make_server(0, SLOW_TOKENS_PER_S)};
+    for (size_t i = 0; i < G_N_ELEMENTS(both); i++) {
+        lwd_feed(policy, 0,
+                 &(lwd_event){.type = LWD_EVENT_RESIDENT,
+                              .server = both[i],
+                              .adapter = adapter,
+                              .resident = true});
+    }
+    lwd_action moved = send_long_request(0, MOVED_TAG);
+    lwd_action refusal = {0};
+    uint32_t made = MAX_TOKENS / 8 - 1; /* one less than is judged */
+    ck_assert(!run_slowly(&moved, 0, made / SLOW_TOKENS_PER_S, &refusal));
+    uint64_t now_us = (uint64_t)made * SLOW_INTERVAL_US;
+    lwd_feed(policy, now_us,
+             &(lwd_event){.type = LWD_EVENT_FAILED,
+                          .attempt = moved.attempt,
+                          .tokens = made + 1,
+                          .failure = LWD_FAILURE_BROKEN});
+    open_streams = 0;
+    now_us += SLOW_INTERVAL_US;
+    lwd_feed(policy, now_us, &(lwd_event){.type = LWD_EVENT_TICK});
+    track_actions(&moved);
+    ck_assert_uint_eq(open_streams, 1);
+    /* Its new stream sends nothing; the progress of others keeps the servers
+       from being taken for silent. */
+    lwd_action others[4];
+    for (uint32_t i = 0; i < G_N_ELEMENTS(others); i++) {
+        others[i] = send_long_request(now_us, 1 + i);
+        report(&others[i], LWD_EVENT_FIRST_TOKEN, now_us, 1);
+    }
+    for (uint32_t tokens = 2; tokens < 50 && !forwarded; tokens++) {
+        now_us += SLOW_INTERVAL_US;
+        for (uint32_t i = 0; i < G_N_ELEMENTS(others); i++) {
+            report(&others[i], LWD_EVENT_PROGRESS, now_us, tokens);
+        }
+        lwd_feed(policy, now_us, &(lwd_event){.type = LWD_EVENT_TICK});
+        lwd_action last;
+        track_actions(&last);
+        if (hedges == 1) {
+            feed_summary(fast, 2 + tokens, FAST_INTERVAL_US);
+        }
+    }
+    ck_assert_uint_eq(hedges, 1);
+    ck_assert(forwarded);
+    ck_assert_uint_eq(open_streams, 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -206,6 +305,7 @@
     tcase_add_test(tests, test_owner_keeps_work_that_moved_with_many_tokens);
     tcase_add_test(tests, test_owner_keeps_work_without_a_faster_server);
     tcase_add_test(tests, test_entry_forwards_to_another_owner);
+    tcase_add_test(tests, test_hedged_work_that_moves_leaves_no_stream_behind);
     suite_add_tcase(suite, tests);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
