Links: a link that replaces another is not replaced again at once

What callers would see: after an instance came back while the link to its former process had not been seen to end, or after both ends dialled, each instance with forwards open to it replaced the link over and over, a thousand times in 0.3 s in the test. Each time all drafts forwarded over it are cancelled and resumed; a draft may be forwarded six times, then it is refused.

Cause: the loss of the old link was reported when it was out of the table and the new one not yet in it. What the report sends (a Cancel for each open forward) found no link and dialled. The link so dialled replaced the new one by the rule in peers.h, and so on, as long as a forward was open each time.

Evidence, before the fix (test_peers, three runs):

test_replaced_link_is_not_replaced_again: Assertion 'a.lost == 1' failed: a.lost == 1048 (1302, 914), 1 == 1

The test's on_lost() sends each time, as an instance does that has a forward open at any time; with fewer forwards it ends at the first time without one.

Why the fix works: the new link is in the table before the loss is reported, so what the report sends goes over it. The peer has cancelled what came over the old link and drops a Cancel for it.

Ruled out: pieces of the old link taken for those of the new one: the old link is destroyed before the next message is read, and its drafts are cancelled by their instance's name at both ends.

--- a/packages/daemon/src/peers.c
+++ b/packages/daemon/src/peers.c
@@ -170,10 +170,18 @@
         return;
     }
     if (old) {
-        _pe_remove_link(old, "replaced by a new link");
+        lg_write(LG_LINK_LOST, "peer", link->instance, "why",
+                 "replaced by a new link", NULL);
+        g_hash_table_steal(peers->links, link->instance);
     }
     g_hash_table_insert(peers->links, link->instance, link);
     lg_write(LG_LINK_UP, "peer", link->instance, NULL);
+    if (old) {
+        /* After the new link is in the table, as what on_lost() sends would
+           dial once more. It may lose the new link, which is then freed. */
+        peers->on_lost(old->instance, peers->user_data);
+        _pe_link_free(old);
+    }
 }
 
 /* -- private: messages ---------------------------------------------------- */
