Decisions: the first token of a stream says at which index it is

What callers would see: nothing wrong in their answers; a server is taken for faster than it is after it took over a draft from a forward that ended without an answer, as when its server was removed.

Cause: two places know what the caller has. The daemon starts the stream from the draft's next index, while the policy's resume_from is as old as the last event with a count, and a forward has none until it fails. The policy counted the first token as resume_from + 1, so the second one seemed to have come with all tokens of the forward, in one interval.

Evidence, before the fix (test_migration; one such draft with 300 tokens):

test_tokens_of_a_lost_forward_are_no_pace_of_the_next_server: info.token_interval_us == 98016, interval_us == 100000

Why the fix works: the daemon's event says the index already; the policy now takes it, and its resume_from is what the caller has from the first token on.

Ruled out: a wrong start of a stream or forward from the old resume_from (test_removed_server_resumes_after_what_the_caller_has).

--- a/packages/bench/src/cost.c
+++ b/packages/bench/src/cost.c
@@ -93,6 +93,7 @@
         if (reply->event.type == LWD_EVENT_FINISHED) {
             lwd_event first = reply->event;
             first.type = LWD_EVENT_FIRST_TOKEN;
+            first.tokens = 0;
             _feed(state, now_us, &first);
         }
         _feed(state, now_us, &reply->event);
--- a/packages/decisions/include/lacewing/decisions.h
+++ b/packages/decisions/include/lacewing/decisions.h
@@ -185,7 +185,8 @@
     LWD_EVENT_TICK,
     /* The caller closed its connection. Fields: request. */
     LWD_EVENT_CALLER_GONE,
-    /* An attempt made its first token. Fields: attempt. */
+    /* An attempt made its first token. Fields: attempt, tokens (as PROGRESS;
+       0: one more than its SEND named). */
     LWD_EVENT_FIRST_TOKEN,
     /* An attempt has made tokens; tokens is the total so far, with those of
        earlier attempts. Fields: attempt, tokens. */
--- a/packages/decisions/src/events.c
+++ b/packages/decisions/src/events.c
@@ -55,11 +55,11 @@
 }
 
 static void
-_ev_on_first_token(dp_policy *policy, dp_attempt *attempt)
+_ev_on_first_token(dp_policy *policy, dp_attempt *attempt, uint32_t tokens)
 {
     dp_attempt *other = at_query_other_attempt(attempt->request, attempt);
     dp_server *server = attempt->server;
-    at_on_progress(policy, attempt, attempt->tokens + 1);
+    at_on_progress(policy, attempt, MAX(attempt->tokens + 1, tokens));
     if (other) {
         at_cancel(policy, other);
     }
@@ -81,7 +81,7 @@
     switch (event->type) {
     case LWD_EVENT_FIRST_TOKEN:
         if (!attempt->first_token) {
-            _ev_on_first_token(policy, attempt);
+            _ev_on_first_token(policy, attempt, event->tokens);
         }
         break;
     case LWD_EVENT_PROGRESS:
--- a/packages/decisions/tests/test_migration.c
+++ b/packages/decisions/tests/test_migration.c
@@ -295,6 +295,45 @@
 }
 END_TEST
 
+START_TEST(test_tokens_of_a_lost_forward_are_no_pace_of_the_next_server)
+{
+    lwd_server owner = make_server(3, SLOW_TOKENS_PER_S);
+    lwd_feed(policy, 0,
+             &(lwd_event){.type = LWD_EVENT_SERVER_STATE,
+                          .server = own,
+                          .server_state = LWD_SERVER_DOWN});
+    feed_resident_summary(owner, 1);
+    lwd_make_request(policy, 0,
+                     &(lwd_request_desc){.tag = MOVED_TAG,
+                                         .adapter = adapter,
+                                         .max_tokens = MAX_TOKENS,
+                                         .deadline_us = DEADLINE_US});
+    lwd_action action;
+    ck_assert(take_action(LWD_ACTION_FORWARD, &action));
+    ck_assert_uint_eq(action.server.id, owner.id);
+    lwd_feed(policy, SECOND_US,
+             &(lwd_event){.type = LWD_EVENT_SERVER_STATE,
+                          .server = own,
+                          .server_state = LWD_SERVER_READY});
+    lwd_feed(policy, SECOND_US,
+             &(lwd_event){.type = LWD_EVENT_RESIDENT,
+                          .server = own,
+                          .adapter = adapter,
+                          .resident = true});
+    /* The caller has 300 tokens of the forward, which ends without a word. */
+    lwd_destroy_server(policy, 30 * SECOND_US, owner);
+    ck_assert(take_action(LWD_ACTION_SEND, &action));
+    lwd_server_info info = {0};
+    lwd_query_server_info(policy, own, &info);
+    uint32_t interval_us = info.token_interval_us;
+    uint64_t now_us = 31 * SECOND_US;
+    report(&action, LWD_EVENT_FIRST_TOKEN, now_us, 301);
+    report(&action, LWD_EVENT_PROGRESS, now_us + SLOW_INTERVAL_US, 302);
+    lwd_query_server_info(policy, own, &info);
+    ck_assert_uint_eq(info.token_interval_us, interval_us);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -306,6 +345,8 @@
     tcase_add_test(tests, test_owner_keeps_work_without_a_faster_server);
     tcase_add_test(tests, test_entry_forwards_to_another_owner);
     tcase_add_test(tests, test_hedged_work_that_moves_leaves_no_stream_behind);
+    tcase_add_test(
+        tests, test_tokens_of_a_lost_forward_are_no_pace_of_the_next_server);
     suite_add_tcase(suite, tests);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
