Drafts: a version added again while its drafts run is accepted

What callers would see: 404 unknown_model for every new draft of a version that was taken out of the configuration while a draft of it ran and put back later, as when a rollout is taken back, until the daemon is restarted.

Cause: sc_remove_model() destroys the policy's adapter and keeps the model's entry for the drafts that use it. sc_set_model() took that entry for one that is still configured and made no new adapter.

Evidence, before the fix: test_version_removed_and_added_while_drafts_run_is_ accepted fails at its first check, !sc_query_has_model(); a trial without that check:

code 8: adapter 65536 is not known

Why the fix works: the entry says whether its version is configured, and a version that is set again gets a new adapter. The former adapter's id still leads to the entry, for evictions that the policy orders later.

Ruled out: a draft that changes its version. It holds its entry from sc_submit() on, and each token's model is compared with it; the draft that ran while its version was removed and added ended whole in this test before too.

--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -226,24 +226,35 @@
 
 /* -- public: models ------------------------------------------------------- */
 
-void
-sc_set_model(sc_scheduler *scheduler, const char *name, uint32_t pinned)
+/* Makes the policy's adapter of the model. */
+static void
+_sc_make_adapter(sc_scheduler *scheduler, _sc_model *model, uint32_t pinned)
 {
-    if (g_hash_table_contains(scheduler->models, name)) {
-        return;
-    }
-    _sc_model *model = g_new0(_sc_model, 1);
-    model->name = g_strdup(name);
-    uint64_t tag = hs_u64(name);
+    uint64_t tag = hs_u64(model->name);
+    model->removed = false;
     model->id = lwd_make_adapter(
         scheduler->policy, _sc_now_us(scheduler),
         &(lwd_adapter_desc){.tag = tag, .hash = tag, .pinned = pinned});
-    g_hash_table_insert(scheduler->models, model->name, model);
     g_hash_table_insert(scheduler->models_by_id,
                         GUINT_TO_POINTER(model->id.id), model);
     _sc_run_actions_later(scheduler);
 }
 
+void
+sc_set_model(sc_scheduler *scheduler, const char *name, uint32_t pinned)
+{
+    _sc_model *model = g_hash_table_lookup(scheduler->models, name);
+    if (!model) {
+        model = g_new0(_sc_model, 1);
+        model->name = g_strdup(name);
+        model->removed = true;
+        g_hash_table_insert(scheduler->models, model->name, model);
+    }
+    if (model->removed) {
+        _sc_make_adapter(scheduler, model, pinned);
+    }
+}
+
 static gboolean
 _sc_draft_uses_model(void *key, void *value, void *model)
 {
@@ -251,6 +262,13 @@
     return ((_sc_draft *)value)->model == model;
 }
 
+static gboolean
+_sc_is_model(void *key, void *value, void *model)
+{
+    (void)key;
+    return value == model;
+}
+
 void
 sc_remove_model(sc_scheduler *scheduler, const char *name)
 {
@@ -258,13 +276,13 @@
     if (!model) {
         return;
     }
+    model->removed = true;
     lwd_destroy_adapter(scheduler->policy, _sc_now_us(scheduler), model->id);
     _sc_run_actions(scheduler);
     if (g_hash_table_find(scheduler->drafts, _sc_draft_uses_model, model)) {
         return; /* its drafts still use the entry */
     }
-    g_hash_table_remove(scheduler->models_by_id,
-                        GUINT_TO_POINTER(model->id.id));
+    g_hash_table_foreach_remove(scheduler->models_by_id, _sc_is_model, model);
     g_hash_table_remove(scheduler->models, name);
 }
 
@@ -339,7 +357,8 @@
 bool
 sc_query_has_model(const sc_scheduler *scheduler, const char *model)
 {
-    return g_hash_table_contains(scheduler->models, model);
+    const _sc_model *entry = g_hash_table_lookup(scheduler->models, model);
+    return entry && !entry->removed;
 }
 
 static void
--- a/packages/daemon/src/scheduler_private.h
+++ b/packages/daemon/src/scheduler_private.h
@@ -30,7 +30,8 @@
 
 typedef struct _sc_model {
     lwd_adapter id;
-    char *name; /* ADAPTER@VERSION */
+    char *name;   /* ADAPTER@VERSION */
+    bool removed; /* not configured; drafts still use the entry */
 } _sc_model;
 
 typedef struct _sc_draft {
--- a/packages/daemon/tests/test_draft_resume.c
+++ b/packages/daemon/tests/test_draft_resume.c
@@ -478,6 +478,26 @@
 }
 END_TEST
 
+/* -- versions ------------------------------------------------------------- */
+
+START_TEST(test_version_removed_and_added_while_drafts_run_is_accepted)
+{
+    submit(&fx.owner, 0);
+    while (fx.runs == 0) {
+        step();
+    }
+    ck_assert(!fx.caller.ended);
+    sc_remove_model(fx.owner.scheduler, "m@1");
+    ck_assert(!sc_query_has_model(fx.owner.scheduler, "m@1"));
+    sc_set_model(fx.owner.scheduler, "m@1", 0);
+    check_whole();
+    submit(&fx.owner, 0);
+    check_whole();
+    sc_remove_model(fx.owner.scheduler, "m@1");
+    ck_assert(!sc_query_has_model(fx.owner.scheduler, "m@1"));
+}
+END_TEST
+
 /* -- forwards ------------------------------------------------------------- */
 
 START_TEST(test_owner_resumes_a_forward_from_what_it_was_told)
@@ -587,6 +607,8 @@
                    test_second_failure_after_a_resume_restarts_no_draft);
     tcase_add_test(tests,
                    test_run_cut_after_the_last_token_is_no_whole_answer);
+    tcase_add_test(
+        tests, test_version_removed_and_added_while_drafts_run_is_accepted);
     tcase_add_test(tests, test_owner_resumes_a_forward_from_what_it_was_told);
     tcase_add_test(tests, test_lost_link_resumes_after_what_the_caller_has);
     tcase_add_test(tests,
