Test of failing servers: pieces end within the stream

MIN() evaluated its random argument twice, so that a piece could reach behind the text (found by the address sanitizer, in case 15).

--- a/packages/exchange/tests/test_stream_position.c
+++ b/packages/exchange/tests/test_stream_position.c
@@ -203,10 +203,10 @@
             GRand *random)
 {
     for (size_t at = 0; at < count;) {
-        size_t piece =
-            MIN(count - at, (size_t)g_rand_int_range(random, 1, 40));
-        ck_assert(sp_feed(position, text->str + at, piece));
-        at += piece;
+        size_t piece = (size_t)g_rand_int_range(random, 1, 40);
+        size_t end = MIN(at + piece, count);
+        ck_assert(sp_feed(position, text->str + at, end - at));
+        at = end;
     }
 }
 
