A third version of an adapter does not bring back the first

What callers saw: a request began on version 1, 11 s after version 2 was acknowledged (VERSION).

Cause: an adapter kept the time of its newest declaration only. For half of the rollout time after it any older copy may serve, so the declaration of version 3 let copies of version 1 serve again, which had been out since the grace of version 2 ended. The same for requests that wait at a server and are cancelled when their version must not begin any more.

Fix: an adapter keeps its last four declarations; how long a version may serve counts from the first newer one. The choice of a server says which version its copy has, and the exchange cancels by that. Of more than four declarations the two oldest become one with the earlier time, so that no version serves too long. A server whose copy was chosen as outdated and is full counts as before.

Ruled out: the resumed streams themselves, as the requests were first sends of plain streams.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -354,7 +354,7 @@
         if (choice.needs_another_copy) {
             _xc_request_load(exchange, _XC_EXTRA_COPY_INTERVAL_US);
         }
-        if (xc_send(exchange, choice.server, choice.version)) {
+        if (xc_send(exchange, &choice)) {
             return;
         }
         if (criteria.tried_count == FL_MAX_TRIED) {
@@ -607,9 +607,9 @@
     const fl_adapter *adapter = exchange->adapter;
     return exchange->state == XC_SENT && adapter && adapter->name &&
            exchange->first_piece_us < exchange->sent_us &&
-           exchange->expected_version < adapter->version &&
            now_us >= fl_query_old_version_end_us(exchange->core->desc.fleet,
-                                                 adapter);
+                                                 adapter,
+                                                 exchange->copy_version);
 }
 
 /* Cancels the send, then sends the request elsewhere if it is resumable, else
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -75,16 +75,16 @@
     uint32_t possible_runs; /* sends that may have run or may still run it */
     uint64_t sent_us;
     uint64_t connect_deadline_us; /* a new connection is given up then */
-    uint64_t expected_version;    /* of the adapter, that must serve; 0: any */
-    uint32_t unread_tokens;       /* of its prompt, not processed yet */
-    uint32_t queued_tokens;       /* unread at the server when it was sent, its
-                                     own included */
-    bool refused;                 /* the server did not run it */
-    bool answer_invalid;  /* not forwarded: unsigned, without a request id,
-                             encoded, too long, or, for a resumed stream, with
-                             another status than 200 */
-    bool answer_too_long; /* an event or a plain answer is over its limit */
-    uint32_t status;      /* of the answer; 0: no head yet */
+    uint64_t copy_version;  /* of the adapter at the server; 0: not known */
+    uint32_t unread_tokens; /* of its prompt, not processed yet */
+    uint32_t queued_tokens; /* unread at the server when it was sent, its
+                               own included */
+    bool refused;           /* the server did not run it */
+    bool answer_invalid;    /* not forwarded: unsigned, without a request id,
+                               encoded, too long, or, for a resumed stream, with
+                               another status than 200 */
+    bool answer_too_long;   /* an event or a plain answer is over its limit */
+    uint32_t status;        /* of the answer; 0: no head yet */
     GString *answer_headers;
     GByteArray *answer_body; /* buffered; of an answer that is no stream */
     /* streams; a piece is the bytes of one us_callbacks.body */
@@ -118,9 +118,9 @@
 void xc_free(xc_exchange *exchange);
 
 /* -- exchange_send.c */
-/* Sends the request to the server. Returns false if no connection could be
-   had. */
-bool xc_send(xc_exchange *exchange, fl_server *server, uint64_t version);
+/* Sends the request to the chosen server. Returns false if no connection could
+   be had. */
+bool xc_send(xc_exchange *exchange, const fl_choice *choice);
 /* Reports to the fleet that the server has read the prompt; first_ms: time to
    the first event, 0 if the send ends without one. */
 void xc_end_prompt_read(xc_exchange *exchange, double first_ms);
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -449,8 +449,9 @@
 }
 
 bool
-xc_send(xc_exchange *exchange, fl_server *server, uint64_t version)
+xc_send(xc_exchange *exchange, const fl_choice *choice)
 {
+    fl_server *server = choice->server;
     us_conn *conn = us_start(
         _xc_get_pool(exchange, server),
         &(us_desc){.calls = &_xc_upstream_callbacks,
@@ -473,7 +474,7 @@
        iteration, which may be long ago. */
     exchange->connect_deadline_us =
         lp_query_clock_us() + _XC_CONNECT_TIMEOUT_US;
-    exchange->expected_version = version;
+    exchange->copy_version = choice->copy_version;
     exchange->waiting_since_us = 0;
     exchange->refused = false;
     exchange->answer_invalid = false;
@@ -499,7 +500,7 @@
     exchange->possible_runs++;
     ct_add(CT_SENT, 1);
     if (exchange->logged) {
-        _xc_log_sent(exchange, version);
+        _xc_log_sent(exchange, choice->version);
     }
     fl_begin_request(server, exchange->adapter, exchange->sent_us);
     exchange->is_probe = server->notice.probe_sent_us == exchange->sent_us;
@@ -508,6 +509,6 @@
         exchange->queued_tokens = fl_begin_prefill(
             server, exchange->unread_tokens, exchange->sent_us);
     }
-    _xc_write_request(exchange, version);
+    _xc_write_request(exchange, choice->version);
     return true;
 }
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -381,10 +381,20 @@
     g_autofree char *key =
         name ? g_strdup_printf("%s/%s", model, name) : g_strdup(model);
     fl_adapter *adapter = fl_intern(fleet, key);
-    if (version > adapter->version) {
-        adapter->version = version;
-        adapter->version_declared_us = since_us;
+    if (version <= adapter->version) {
+        return;
+    }
+    adapter->version = version;
+    fl_declared *declared = adapter->declared;
+    if (adapter->declared_count == FL_MAX_DECLARED) {
+        /* The earlier time holds for both, so that neither lasts too long. */
+        declared[1].since_us = declared[0].since_us;
+        memmove(declared, declared + 1,
+                (FL_MAX_DECLARED - 1) * sizeof(*declared));
+        adapter->declared_count--;
     }
+    declared[adapter->declared_count++] =
+        (fl_declared){.version = version, .since_us = since_us};
 }
 
 /* -- public: copies ------------------------------------------------------- */
@@ -515,11 +525,23 @@
 }
 
 uint64_t
-fl_query_old_version_end_us(const fl_fleet *fleet, const fl_adapter *adapter)
+fl_query_replaced_us(const fl_adapter *adapter, uint64_t version)
+{
+    for (uint32_t i = 0; i < adapter->declared_count; i++) {
+        if (adapter->declared[i].version > version) {
+            return adapter->declared[i].since_us;
+        }
+    }
+    return FL_NOT_REPLACED;
+}
+
+uint64_t
+fl_query_old_version_end_us(const fl_fleet *fleet, const fl_adapter *adapter,
+                            uint64_t version)
 {
     uint64_t left_us =
         fleet->rollout_us - MIN(_FL_SEND_END_MARGIN_US, fleet->rollout_us / 2);
-    return adapter->version_declared_us + left_us;
+    return fl_query_replaced_us(adapter, version) + left_us;
 }
 
 bool
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -69,14 +69,23 @@
     uint64_t drop_number; /* the server's drop_count, this drop included */
 } fl_drop;
 
+/* Declarations kept for an adapter; of more, the oldest two become one. */
+#define FL_MAX_DECLARED 4
+
+typedef struct fl_declared {
+    uint64_t version;
+    uint64_t since_us; /* earliest time of the declaration */
+} fl_declared;
+
 struct fl_adapter {
     char *key; /* MODEL/ADAPTER, or MODEL */
     uint64_t hash;
     char *model;
-    char *name;                   /* NULL: the base model itself */
-    uint64_t version;             /* newest that was declared; 0: none */
-    uint64_t version_declared_us; /* earliest time of that declaration */
-    GPtrArray *copies;            /* fl_copy */
+    char *name;       /* NULL: the base model itself */
+    uint64_t version; /* newest that was declared; 0: none */
+    fl_declared declared[FL_MAX_DECLARED]; /* oldest first */
+    uint32_t declared_count;
+    GPtrArray *copies;  /* fl_copy */
     double demand;      /* decaying count of requests, half-life 4 s */
     uint64_t demand_us; /* when demand was computed */
     uint32_t unreported_requests;  /* own ones, since the last peer report */
@@ -169,6 +178,7 @@
     fl_server *server; /* the chosen one; FL_ALL_PAUSED: the one whose pause
                           ends first */
     uint64_t version;  /* that must run the request; 0: any */
+    uint64_t copy_version;   /* of the server's copy; 0: not known */
     bool needs_another_copy; /* demand calls for a further copy */
     uint64_t resume_us;      /* FL_ALL_PAUSED: end of that pause */
     bool skipped_leaving;    /* a server that announced to leave was skipped */
@@ -329,9 +339,11 @@
                              const fl_adapter *adapter);
 /* True if the copy has the newest declared version. */
 bool fl_query_up_to_date(const fl_copy *copy);
-/* Time from which no request may begin with an older version. */
+/* Time from which no request may begin with this version any more, as a newer
+   one was declared. */
 uint64_t fl_query_old_version_end_us(const fl_fleet *fleet,
-                                     const fl_adapter *adapter);
+                                     const fl_adapter *adapter,
+                                     uint64_t version);
 /* Number of ready servers of a service. */
 uint32_t fl_query_ready_count(const fl_fleet *fleet, const char *service);
 /* True if the copy is being loaded and its server will be ready and not paused
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -160,16 +160,17 @@
     }
 }
 
-/* True if a request that is sent now would begin while an older version may
-   still serve. */
+/* True if a request that is sent now would begin while the copy's version,
+   which is not the newest, may still serve. */
 static bool
 _fl_old_version_in_time(const fl_fleet *fleet, const fl_request *request,
-                        const fl_server *server)
+                        const fl_copy *copy)
 {
-    double first_ms =
-        fl_query_prefill_ms(server, request->prompt_tokens, request->now_us);
+    double first_ms = fl_query_prefill_ms(copy->server, request->prompt_tokens,
+                                          request->now_us);
     return request->now_us + (uint64_t)(first_ms * 1000.0) <
-           request->adapter->version_declared_us + fleet->old_version_grace_us;
+           fl_query_replaced_us(request->adapter, copy->version) +
+               fleet->old_version_grace_us;
 }
 
 /* Chooses among the servers with a loaded copy: one that is up to date, or
@@ -183,8 +184,7 @@
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
         if (copy->loading || fl_query_up_to_date(copy) == outdated ||
-            (outdated &&
-             !_fl_old_version_in_time(fleet, request, copy->server))) {
+            (outdated && !_fl_old_version_in_time(fleet, request, copy))) {
             continue;
         }
         if (_fl_eligible(request, copy->server)) {
@@ -446,12 +446,15 @@
         out->status = FL_NO_COPY;
     }
     _fl_choose_by_copy(fleet, request, false, out);
-    bool old_allowed = adapter->version > 0 &&
-                       request->now_us < adapter->version_declared_us +
-                                             fleet->old_version_grace_us;
-    if (out->status == FL_NO_COPY && old_allowed) {
+    bool outdated = out->status == FL_NO_COPY;
+    if (outdated) {
         _fl_choose_by_copy(fleet, request, true, out);
         out->needs_another_copy = out->status == FL_CHOSEN;
+    }
+    if (out->status == FL_CHOSEN) {
+        out->copy_version = fl_query_copy(out->server, adapter)->version;
+    }
+    if (outdated) {
         return;
     }
     if (out->status != FL_CHOSEN) {
--- a/packages/exchange/src/fleet_private.h
+++ b/packages/exchange/src/fleet_private.h
@@ -27,6 +27,12 @@
     GRand *random;
 };
 
+/* Far in the future, but sums with it do not wrap. */
+#define FL_NOT_REPLACED (UINT64_MAX / 2)
+
+/* Returns when the first version newer than this one was declared, or
+   FL_NOT_REPLACED. */
+uint64_t fl_query_replaced_us(const fl_adapter *adapter, uint64_t version);
 /* Returns the cost of a load from the weight store: its own time, and the time
    by which it delays other loads. */
 uint64_t fl_query_load_cost_us(const fl_fleet *fleet);
--- a/packages/exchange/tests/test_fleet.c
+++ b/packages/exchange/tests/test_fleet.c
@@ -139,6 +139,52 @@
 }
 END_TEST
 
+START_TEST(test_third_version_does_not_bring_back_the_first)
+{
+    fixture s = make_fixture();
+    fl_choice choice;
+    fl_server *first = put_server(&s, "i-1", "z1");
+    fl_server *second = put_server(&s, "i-2", "z2");
+    fl_adapter *a = fl_intern(s.fleet, "base/a1");
+    fl_put_copy(first, a, 1, false, s.now_us);
+    fl_put_copy(second, a, 2, false, s.now_us);
+    /* Within the time of the second version, and after it (2,500 ms). */
+    uint64_t declared_us[] = {s.now_us, s.now_us + (_i ? 1000 : 6000) * MS};
+    for (uint64_t i = 0; i < 2; i++) {
+        s.now_us = declared_us[i];
+        fl_declare_version(s.fleet, "base", "a1", 2 + i, s.now_us);
+    }
+    s.now_us = MAX(s.now_us, declared_us[0] + 2500 * MS);
+    ck_assert(choose_server(&s, a, &choice));
+    ck_assert_ptr_eq(choice.server, second);
+    ck_assert_uint_eq(
+        fl_query_old_version_end_us(s.fleet, a, 1) - declared_us[0],
+        fl_query_old_version_end_us(s.fleet, a, 2) - declared_us[1]);
+    fl_drop_copy(second, a);
+    ck_assert(!choose_server(&s, a, &choice));
+    ck_assert_int_eq(choice.status, FL_NO_COPY);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
+START_TEST(test_many_versions_at_once_keep_none_too_long)
+{
+    fixture s = make_fixture();
+    fl_adapter *a = fl_intern(s.fleet, "base/a1");
+    for (uint64_t version = 2; version < 20; version++) {
+        fl_declare_version(s.fleet, "base", "a1", version,
+                           s.now_us + version * MS);
+    }
+    uint64_t newest_end_us = fl_query_old_version_end_us(s.fleet, a, 18);
+    for (uint64_t version = 1; version < 18; version++) {
+        uint64_t end_us = fl_query_old_version_end_us(s.fleet, a, version);
+        ck_assert_uint_le(end_us, newest_end_us - (18 - version) * MS);
+        ck_assert_uint_ge(end_us, newest_end_us - 17 * MS);
+    }
+    fl_destroy(s.fleet);
+}
+END_TEST
+
 START_TEST(test_older_declaration_is_ignored)
 {
     fixture s = make_fixture();
@@ -433,6 +479,9 @@
     tcase_add_test(tcase, test_leaving_server_is_not_chosen);
     tcase_add_test(tcase, test_restarted_server_holds_no_copies);
     tcase_add_test(tcase, test_newer_version_replaces_older);
+    tcase_add_loop_test(
+        tcase, test_third_version_does_not_bring_back_the_first, 0, 2);
+    tcase_add_test(tcase, test_many_versions_at_once_keep_none_too_long);
     tcase_add_test(tcase, test_older_declaration_is_ignored);
     tcase_add_test(tcase, test_failing_server_is_avoided);
     tcase_add_test(tcase, test_peer_requests_count);
