An answer to HEAD on a streaming route is followed by no bytes

What callers would see: after the head of the answer to a HEAD request comes "0\r\n\r\n" on the same kept connection, which is read as the begin of the next answer.

Cause: any 200 on a streaming route was begun as a stream, so that its end wrote the last chunk; that a HEAD request has no body was known only to plain answers.

Fix: an answer to HEAD is no stream, whatever its route; it takes the path of plain answers, which writes no body.

Evidence: test_path/test_head_of_a_stream_is_followed_by_no_bytes failed before on both kinds of streaming route (head_end was "\r\n\r\n0\r\n\r\n") and passes.

--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -20,10 +20,17 @@
 
 /* -- private: answers of servers ------------------------------------------ */
 
+static bool
+_xc_is_head_only(const xc_exchange *exchange)
+{
+    return strcmp(exchange->head->method, "HEAD") == 0;
+}
+
 static bool
 _xc_is_stream(const xc_exchange *exchange)
 {
-    return exchange->route->kind == RC_STREAM && exchange->status == 200;
+    return exchange->route->kind == RC_STREAM && exchange->status == 200 &&
+           !_xc_is_head_only(exchange);
 }
 
 /* Returns true for headers of the server that are not passed to the caller. */
@@ -458,7 +465,7 @@
                    .id_header =
                        exchange->core->desc.dialect->headers[DL_REQUEST_ID],
                    .id = exchange->id,
-                   .head_only = strcmp(exchange->head->method, "HEAD") == 0});
+                   .head_only = _xc_is_head_only(exchange)});
     if (!conn) {
         return false;
     }
