A stream that its connection ends before the first event is broken, not complete

What callers would see: a stream whose answer has no length and whose server ends between the head and the first event comes as a complete answer without events; of a stream that the caller resumes, all the rest is missing.

Fix: such an answer is complete only behind an event. A caller that has all events and asks for more of an answer without a length gets a broken answer now; that cannot be told apart, and a broken answer promises nothing. Answers that are not forwarded (refused, invalid) are left to their own rules.

Evidence: test_resume/test_connection_ending_before_the_first_event_ends_no_stream failed before (200 with an empty body) and passes.

--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -165,13 +165,11 @@
 }
 
 bool
-xc_query_within_event(const xc_exchange *exchange)
+xc_query_behind_event(const xc_exchange *exchange)
 {
     const char *last = exchange->last_bytes;
-    bool blank_line =
-        last[2] == '\n' &&
-        (last[1] == '\n' || (last[1] == '\r' && last[0] == '\n'));
-    return last[2] && !blank_line;
+    return last[2] == '\n' &&
+           (last[1] == '\n' || (last[1] == '\r' && last[0] == '\n'));
 }
 
 static void
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -155,7 +155,7 @@
 void xc_create_position(xc_exchange *exchange);
 /* Returns whether another server can go on after what the caller has. */
 bool xc_query_can_resume(const xc_exchange *exchange);
-/* Returns whether the current send's body ends within an event so far. */
-bool xc_query_within_event(const xc_exchange *exchange);
+/* Returns whether the body of the current send ends behind an event so far. */
+bool xc_query_behind_event(const xc_exchange *exchange);
 
 #endif
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -240,13 +240,16 @@
     return exchange->status >= 500 ? FL_FAILED : FL_SUCCEEDED;
 }
 
-/* Returns true if the server closed the connection within an event of a stream
-   whose end only the connection tells: it failed. */
+/* Returns true if the server closed the connection within an event, or before
+   the first one, of a stream whose end only the connection tells: it failed.
+   A caller that has all events of a stream hardly ever asks for more. */
 static bool
 _xc_is_cut_short(const xc_exchange *exchange, const h1_head *head)
 {
-    return exchange->answer_begun && !head->chunked &&
-           head->length == H1_LENGTH_NONE && xc_query_within_event(exchange);
+    bool forwarded = exchange->answer_begun && !exchange->refused &&
+                     !exchange->answer_invalid;
+    return forwarded && !head->chunked && head->length == H1_LENGTH_NONE &&
+           !xc_query_behind_event(exchange);
 }
 
 static void
