A new adapter version cancels no resumed stream that is under way

What callers would see: a stream that went on at a second server is broken off, or sent on once more, when the time of the old version ends, though that server had begun long before.

Cause: whether the server has begun was told by the first piece of the whole request, which a first server sent before the current send. So a resumed send counted as not begun up to its end.

Fix: send_piece_count belongs to the current send and is cleared with the rest of its state; this check and the one for slow servers ask it.

Evidence: test_resume/test_new_version_cancels_no_resumed_stream_under_way failed before (out.code == 27, ER_CONNECTION, for ER_OK) and passes.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -589,8 +589,7 @@
     if (!xc_query_can_resume(exchange)) {
         return false;
     }
-    if (exchange->answer_begun &&
-        exchange->last_piece_us > exchange->sent_us) {
+    if (exchange->send_piece_count > 0) {
         return now_us - exchange->last_piece_us >
                MAX(route->gap_target_ms * 1000ULL * _XC_SLOW_GAP_FACTOR,
                    _XC_SLOW_GAP_MIN_US);
@@ -599,14 +598,15 @@
            route->latency_target_ms * 1000ULL * _XC_SLOW_FIRST_EVENT_FACTOR;
 }
 
-/* Returns true if the answer has not begun and must not begin any more at this
-   server, as a newer version of the adapter was declared too long ago. */
+/* Returns true if this server has not begun with the answer, or with the rest
+   of it, and must not begin any more, as a newer version of the adapter was
+   declared too long ago. */
 static bool
 _xc_is_outdated(const xc_exchange *exchange, uint64_t now_us)
 {
     const fl_adapter *adapter = exchange->adapter;
     return exchange->state == XC_SENT && adapter && adapter->name &&
-           exchange->first_piece_us < exchange->sent_us &&
+           exchange->send_piece_count == 0 &&
            exchange->expected_version < adapter->version &&
            now_us >= fl_query_old_version_end_us(exchange->core->desc.fleet,
                                                  adapter);
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -489,6 +489,7 @@
     exchange->answer_invalid = false;
     exchange->answer_too_long = false;
     exchange->status = 0;
+    exchange->send_piece_count = 0;
     memset(exchange->last_bytes, 0, sizeof(exchange->last_bytes));
     if (exchange->answer_body) {
         g_byte_array_set_size(exchange->answer_body, 0);
