A broken stream looks complete to no HTTP/1.0 caller

What callers would see: a caller that speaks HTTP/1.0 gets a stream that its server broke off, or that a time limit ended, as a complete one.

Cause: such a caller is told the end of a stream by that of its connection, and an answer that is broken off was closed in order. caller.h promises "visibly incomplete", which held only for chunks.

Fix: while a stream without chunks is under way, its connection ends with a reset, whoever closes it: cr_abort(), the shutdown, or the kernel after a crash. The regular end of the stream takes that back.

Evidence: test_resume/test_broken_stream_looks_complete_to_no_http_1_0_caller: its broken case failed before (caller->end == NC_FINISHED for NC_LOST), its whole case passes before and after. Of the closers, only cr_abort() is tested.

--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -436,6 +436,10 @@
     conn->keep_alive =
         conn->keep_alive && conn->chunked && !conn->port->keep_alive_disabled;
     conn->stream_begun = true;
+    if (!conn->chunked) {
+        /* Only the end of the connection tells that of the stream. */
+        nc_reset_on_close(conn->conn, true);
+    }
     g_autoptr(GString) text = g_string_sized_new(512);
     _cr_write_head(conn, text, status, headers);
     g_string_append(text, conn->chunked ? "Transfer-Encoding: chunked\r\n\r\n"
@@ -468,6 +472,9 @@
     if (conn->chunked) {
         nc_write(conn->conn, "0\r\n\r\n", 5);
     }
+    else {
+        nc_reset_on_close(conn->conn, false);
+    }
     _cr_end_request(conn);
 }
 
--- a/packages/net/include/lacewing/conn.h
+++ b/packages/net/include/lacewing/conn.h
@@ -100,6 +100,9 @@
 /* Same as nc_finish(), but leaves input unread in the socket: the peer can
    tell from the end of the connection that what it sent was not processed. */
 void nc_finish_unread(nc_conn *conn);
+/* Sets whether the peer sees a reset, not an orderly end, when the connection
+   is closed without nc_finish(), also by the end of this process. */
+void nc_reset_on_close(nc_conn *conn, bool reset);
 /* Drops written bytes that are not sent yet; `closed` is not called. */
 void nc_close(nc_conn *conn);
 /* Sends as much of the written bytes as the socket takes now, then closes. For
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -491,6 +491,16 @@
     nc_close(conn);
 }
 
+void
+nc_reset_on_close(nc_conn *conn, bool reset)
+{
+    struct linger linger = {.l_onoff = reset, .l_linger = 0};
+    if (!conn->closed) {
+        setsockopt(conn->watch.fd, SOL_SOCKET, SO_LINGER, &linger,
+                   sizeof(linger));
+    }
+}
+
 void
 nc_close(nc_conn *conn)
 {
