A server that takes over a stream looks no slower than it is

What callers would see: a server that goes on with a stream after another one fell silent is measured as slow, so that later requests avoid it or go to worse servers.

Cause: the mean time between events was taken over the pieces of the whole request: the silence of the first server counted for the second one.

Fix: the time of the first piece and the count belong to the current send.

Evidence: test_explain/test_server_that_takes_over_a_stream_looks_no_slower: a server with an event every 100 ms was measured with 188 ms before, and is within 80 to 130 ms now.

--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -198,7 +198,9 @@
     }
     exchange->last_piece_us = now_us;
     exchange->piece_count++;
-    exchange->send_piece_count++;
+    if (exchange->send_piece_count++ == 0) {
+        exchange->send_first_piece_us = now_us;
+    }
     _xc_keep_last_bytes(exchange, bytes, count);
     if (!exchange->position) {
         cr_write_piece(exchange->caller, bytes, count);
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -93,10 +93,12 @@
     uint64_t max_gap_us;     /* longest time between two pieces */
     char last_server_id[40]; /* server of the last send */
     uint32_t piece_count;
-    uint32_t send_piece_count; /* of the current send */
-    char last_bytes[3];        /* of the body of the current send; 0: none */
-    sp_position *position;     /* resumable streams: the events that the caller
-                                  has; NULL: the request cannot be resumed */
+    /* of the current send */
+    uint32_t send_piece_count;
+    uint64_t send_first_piece_us; /* set with send_piece_count */
+    char last_bytes[3];    /* of the body of the current send; 0: none */
+    sp_position *position; /* resumable streams: the events that the caller
+                              has; NULL: the request cannot be resumed */
     /* Event after which the current send asks its server to go on, for the
        log; "-": none. */
     char resume_after[XC_EVENT_ID_LOG_BYTES];
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -192,10 +192,10 @@
     /* The time of a probe after a pause says little about later requests. */
     bool measured = outcome == FL_SUCCEEDED && !exchange->is_probe;
     /* The mean time between very few pieces says little. */
-    if (measured && exchange->piece_count > 4) {
+    if (measured && exchange->send_piece_count > 4) {
         result.event_ms =
-            (double)(exchange->last_piece_us - exchange->first_piece_us) /
-            1000.0 / (exchange->piece_count - 1);
+            (double)(exchange->last_piece_us - exchange->send_first_piece_us) /
+            1000.0 / (exchange->send_piece_count - 1);
     }
     else if (measured && !exchange->adapter) {
         result.latency_ms = (double)(now_us - exchange->sent_us) / 1000.0;
