A slow caller sends its stream to no further server

What callers would see: a caller that takes no bytes for a second costs a second run of its resumable stream, up to MaxAttempts, and the servers count as failed.

Cause: reading from the server pauses while much is unsent to the caller, and the check for slow servers took that pause for the server's silence.

Fix: a send whose reading is paused is not slow, and after a pause the time is counted from its end.

Evidence: test_resume/test_slow_caller_sends_its_stream_to_no_further_server failed before (2 requests for 1) and passes.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -540,8 +540,10 @@
 {
     (void)user_data;
     xc_exchange *exchange = request;
-    if (exchange->upstream) {
+    if (exchange->upstream && exchange->paused) {
         us_pause(exchange->upstream, false);
+        exchange->paused = false;
+        exchange->unpaused_us = xc_now_us(exchange);
     }
 }
 
@@ -586,11 +588,11 @@
         return age_us > _XC_SLOW_ANSWER_MIN_US &&
                (double)age_us > expected_us * _XC_SLOW_ANSWER_FACTOR;
     }
-    if (!xc_query_can_resume(exchange)) {
+    if (!xc_query_can_resume(exchange) || exchange->paused) {
         return false;
     }
     if (exchange->send_piece_count > 0) {
-        return now_us - exchange->last_piece_us >
+        return now_us - MAX(exchange->last_piece_us, exchange->unpaused_us) >
                MAX(route->gap_target_ms * 1000ULL * _XC_SLOW_GAP_FACTOR,
                    _XC_SLOW_GAP_MIN_US);
     }
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -96,6 +96,8 @@
     /* of the current send */
     uint32_t send_piece_count;
     uint64_t send_first_piece_us; /* set with send_piece_count */
+    bool paused;           /* reading waits until the caller has taken bytes */
+    uint64_t unpaused_us;  /* end of the last such pause; 0: none */
     char last_bytes[3];    /* of the body of the current send; 0: none */
     sp_position *position; /* resumable streams: the events that the caller
                               has; NULL: the request cannot be resumed */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -128,6 +128,7 @@
         xc_forward_events(exchange, bytes, count);
         if (cr_query_unsent_bytes(exchange->caller) > _XC_MAX_UNSENT_BYTES) {
             us_pause(conn, true);
+            exchange->paused = true;
         }
         return;
     }
@@ -490,6 +491,8 @@
     exchange->answer_too_long = false;
     exchange->status = 0;
     exchange->send_piece_count = 0;
+    exchange->paused = false;
+    exchange->unpaused_us = 0;
     memset(exchange->last_bytes, 0, sizeof(exchange->last_bytes));
     if (exchange->answer_body) {
         g_byte_array_set_size(exchange->answer_body, 0);
