--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -540,8 +540,10 @@
 {
     (void)user_data;
     xc_exchange *exchange = request;
-    if (exchange->upstream) {
+    if (exchange->upstream && exchange->paused) {
         us_pause(exchange->upstream, false);
+        exchange->paused = false;
+        exchange->unpaused_us = xc_now_us(exchange);
     }
 }
 
@@ -586,12 +588,11 @@
         return age_us > _XC_SLOW_ANSWER_MIN_US &&
                (double)age_us > expected_us * _XC_SLOW_ANSWER_FACTOR;
     }
-    if (!xc_query_can_resume(exchange)) {
+    if (!xc_query_can_resume(exchange) || exchange->paused) {
         return false;
     }
-    if (exchange->answer_begun &&
-        exchange->last_piece_us > exchange->sent_us) {
-        return now_us - exchange->last_piece_us >
+    if (exchange->send_piece_count > 0) {
+        return now_us - MAX(exchange->last_piece_us, exchange->unpaused_us) >
                MAX(route->gap_target_ms * 1000ULL * _XC_SLOW_GAP_FACTOR,
                    _XC_SLOW_GAP_MIN_US);
     }
@@ -599,14 +600,15 @@
            route->latency_target_ms * 1000ULL * _XC_SLOW_FIRST_EVENT_FACTOR;
 }
 
-/* Returns true if the answer has not begun and must not begin any more at this
-   server, as a newer version of the adapter was declared too long ago. */
+/* Returns true if this server has not begun with the answer, or with the rest
+   of it, and must not begin any more, as a newer version of the adapter was
+   declared too long ago. */
 static bool
 _xc_is_outdated(const xc_exchange *exchange, uint64_t now_us)
 {
     const fl_adapter *adapter = exchange->adapter;
     return exchange->state == XC_SENT && adapter && adapter->name &&
-           exchange->first_piece_us < exchange->sent_us &&
+           exchange->send_piece_count == 0 &&
            now_us >= fl_query_old_version_end_us(exchange->core->desc.fleet,
                                                  adapter,
                                                  exchange->copy_version);
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -7,1720 +7,1469 @@
 #endif
 
 #include "exchange.pb-c.h"
-void   lacewing__exchange__instance_row__init
-                     (Lacewing__Exchange__InstanceRow         *message)
+void
+lacewing__exchange__instance_row__init(
+    Lacewing__Exchange__InstanceRow *message)
 {
-  static const Lacewing__Exchange__InstanceRow init_value = LACEWING__EXCHANGE__INSTANCE_ROW__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__InstanceRow init_value =
+        LACEWING__EXCHANGE__INSTANCE_ROW__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__instance_row__get_packed_size
-                     (const Lacewing__Exchange__InstanceRow *message)
+size_t
+lacewing__exchange__instance_row__get_packed_size(
+    const Lacewing__Exchange__InstanceRow *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__instance_row__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__instance_row__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__instance_row__pack
-                     (const Lacewing__Exchange__InstanceRow *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__instance_row__pack(
+    const Lacewing__Exchange__InstanceRow *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__instance_row__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__instance_row__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__instance_row__pack_to_buffer
-                     (const Lacewing__Exchange__InstanceRow *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__instance_row__pack_to_buffer(
+    const Lacewing__Exchange__InstanceRow *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__instance_row__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__instance_row__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__InstanceRow *
-       lacewing__exchange__instance_row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__instance_row__unpack(ProtobufCAllocator *allocator,
+                                         size_t len, const uint8_t *data)
 {
-  return (Lacewing__Exchange__InstanceRow *)
-     protobuf_c_message_unpack (&lacewing__exchange__instance_row__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__InstanceRow *)protobuf_c_message_unpack(
+        &lacewing__exchange__instance_row__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__instance_row__free_unpacked
-                     (Lacewing__Exchange__InstanceRow *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__instance_row__free_unpacked(
+    Lacewing__Exchange__InstanceRow *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__instance_row__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__instance_row__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__holder_row__init
-                     (Lacewing__Exchange__HolderRow         *message)
+void
+lacewing__exchange__holder_row__init(Lacewing__Exchange__HolderRow *message)
 {
-  static const Lacewing__Exchange__HolderRow init_value = LACEWING__EXCHANGE__HOLDER_ROW__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__HolderRow init_value =
+        LACEWING__EXCHANGE__HOLDER_ROW__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__holder_row__get_packed_size
-                     (const Lacewing__Exchange__HolderRow *message)
+size_t
+lacewing__exchange__holder_row__get_packed_size(
+    const Lacewing__Exchange__HolderRow *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__holder_row__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__holder_row__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__holder_row__pack
-                     (const Lacewing__Exchange__HolderRow *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__holder_row__pack(
+    const Lacewing__Exchange__HolderRow *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__holder_row__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__holder_row__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__holder_row__pack_to_buffer
-                     (const Lacewing__Exchange__HolderRow *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__holder_row__pack_to_buffer(
+    const Lacewing__Exchange__HolderRow *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__holder_row__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__holder_row__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__HolderRow *
-       lacewing__exchange__holder_row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__holder_row__unpack(ProtobufCAllocator *allocator,
+                                       size_t len, const uint8_t *data)
 {
-  return (Lacewing__Exchange__HolderRow *)
-     protobuf_c_message_unpack (&lacewing__exchange__holder_row__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__HolderRow *)protobuf_c_message_unpack(
+        &lacewing__exchange__holder_row__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__holder_row__free_unpacked
-                     (Lacewing__Exchange__HolderRow *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__holder_row__free_unpacked(
+    Lacewing__Exchange__HolderRow *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__holder_row__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__holder_row__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__copy_state__init
-                     (Lacewing__Exchange__CopyState         *message)
+void
+lacewing__exchange__copy_state__init(Lacewing__Exchange__CopyState *message)
 {
-  static const Lacewing__Exchange__CopyState init_value = LACEWING__EXCHANGE__COPY_STATE__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__CopyState init_value =
+        LACEWING__EXCHANGE__COPY_STATE__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__copy_state__get_packed_size
-                     (const Lacewing__Exchange__CopyState *message)
+size_t
+lacewing__exchange__copy_state__get_packed_size(
+    const Lacewing__Exchange__CopyState *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__copy_state__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__copy_state__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__copy_state__pack
-                     (const Lacewing__Exchange__CopyState *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__copy_state__pack(
+    const Lacewing__Exchange__CopyState *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__copy_state__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__copy_state__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__copy_state__pack_to_buffer
-                     (const Lacewing__Exchange__CopyState *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__copy_state__pack_to_buffer(
+    const Lacewing__Exchange__CopyState *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__copy_state__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__copy_state__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__CopyState *
-       lacewing__exchange__copy_state__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__copy_state__unpack(ProtobufCAllocator *allocator,
+                                       size_t len, const uint8_t *data)
 {
-  return (Lacewing__Exchange__CopyState *)
-     protobuf_c_message_unpack (&lacewing__exchange__copy_state__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__CopyState *)protobuf_c_message_unpack(
+        &lacewing__exchange__copy_state__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__copy_state__free_unpacked
-                     (Lacewing__Exchange__CopyState *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__copy_state__free_unpacked(
+    Lacewing__Exchange__CopyState *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__copy_state__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__copy_state__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__model_state__init
-                     (Lacewing__Exchange__ModelState         *message)
+void
+lacewing__exchange__model_state__init(Lacewing__Exchange__ModelState *message)
 {
-  static const Lacewing__Exchange__ModelState init_value = LACEWING__EXCHANGE__MODEL_STATE__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__ModelState init_value =
+        LACEWING__EXCHANGE__MODEL_STATE__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__model_state__get_packed_size
-                     (const Lacewing__Exchange__ModelState *message)
+size_t
+lacewing__exchange__model_state__get_packed_size(
+    const Lacewing__Exchange__ModelState *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__model_state__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__model_state__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__model_state__pack
-                     (const Lacewing__Exchange__ModelState *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__model_state__pack(
+    const Lacewing__Exchange__ModelState *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__model_state__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__model_state__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__model_state__pack_to_buffer
-                     (const Lacewing__Exchange__ModelState *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__model_state__pack_to_buffer(
+    const Lacewing__Exchange__ModelState *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__model_state__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__model_state__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__ModelState *
-       lacewing__exchange__model_state__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__model_state__unpack(ProtobufCAllocator *allocator,
+                                        size_t len, const uint8_t *data)
 {
-  return (Lacewing__Exchange__ModelState *)
-     protobuf_c_message_unpack (&lacewing__exchange__model_state__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__ModelState *)protobuf_c_message_unpack(
+        &lacewing__exchange__model_state__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__model_state__free_unpacked
-                     (Lacewing__Exchange__ModelState *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__model_state__free_unpacked(
+    Lacewing__Exchange__ModelState *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__model_state__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__model_state__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__server_state__init
-                     (Lacewing__Exchange__ServerState         *message)
+void
+lacewing__exchange__server_state__init(
+    Lacewing__Exchange__ServerState *message)
 {
-  static const Lacewing__Exchange__ServerState init_value = LACEWING__EXCHANGE__SERVER_STATE__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__ServerState init_value =
+        LACEWING__EXCHANGE__SERVER_STATE__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__server_state__get_packed_size
-                     (const Lacewing__Exchange__ServerState *message)
+size_t
+lacewing__exchange__server_state__get_packed_size(
+    const Lacewing__Exchange__ServerState *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__server_state__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__server_state__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__server_state__pack
-                     (const Lacewing__Exchange__ServerState *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__server_state__pack(
+    const Lacewing__Exchange__ServerState *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__server_state__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__server_state__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__server_state__pack_to_buffer
-                     (const Lacewing__Exchange__ServerState *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__server_state__pack_to_buffer(
+    const Lacewing__Exchange__ServerState *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__server_state__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__server_state__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__ServerState *
-       lacewing__exchange__server_state__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__server_state__unpack(ProtobufCAllocator *allocator,
+                                         size_t len, const uint8_t *data)
 {
-  return (Lacewing__Exchange__ServerState *)
-     protobuf_c_message_unpack (&lacewing__exchange__server_state__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__ServerState *)protobuf_c_message_unpack(
+        &lacewing__exchange__server_state__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__server_state__free_unpacked
-                     (Lacewing__Exchange__ServerState *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__server_state__free_unpacked(
+    Lacewing__Exchange__ServerState *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__server_state__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__server_state__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__server_load__init
-                     (Lacewing__Exchange__ServerLoad         *message)
+void
+lacewing__exchange__server_load__init(Lacewing__Exchange__ServerLoad *message)
 {
-  static const Lacewing__Exchange__ServerLoad init_value = LACEWING__EXCHANGE__SERVER_LOAD__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__ServerLoad init_value =
+        LACEWING__EXCHANGE__SERVER_LOAD__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__server_load__get_packed_size
-                     (const Lacewing__Exchange__ServerLoad *message)
+size_t
+lacewing__exchange__server_load__get_packed_size(
+    const Lacewing__Exchange__ServerLoad *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__server_load__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__server_load__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__server_load__pack
-                     (const Lacewing__Exchange__ServerLoad *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__server_load__pack(
+    const Lacewing__Exchange__ServerLoad *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__server_load__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__server_load__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__server_load__pack_to_buffer
-                     (const Lacewing__Exchange__ServerLoad *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__server_load__pack_to_buffer(
+    const Lacewing__Exchange__ServerLoad *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__server_load__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__server_load__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__ServerLoad *
-       lacewing__exchange__server_load__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__server_load__unpack(ProtobufCAllocator *allocator,
+                                        size_t len, const uint8_t *data)
 {
-  return (Lacewing__Exchange__ServerLoad *)
-     protobuf_c_message_unpack (&lacewing__exchange__server_load__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__ServerLoad *)protobuf_c_message_unpack(
+        &lacewing__exchange__server_load__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__server_load__free_unpacked
-                     (Lacewing__Exchange__ServerLoad *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__server_load__free_unpacked(
+    Lacewing__Exchange__ServerLoad *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__server_load__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__server_load__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__copy_use__init
-                     (Lacewing__Exchange__CopyUse         *message)
+void
+lacewing__exchange__copy_use__init(Lacewing__Exchange__CopyUse *message)
 {
-  static const Lacewing__Exchange__CopyUse init_value = LACEWING__EXCHANGE__COPY_USE__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__CopyUse init_value =
+        LACEWING__EXCHANGE__COPY_USE__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__copy_use__get_packed_size
-                     (const Lacewing__Exchange__CopyUse *message)
+size_t
+lacewing__exchange__copy_use__get_packed_size(
+    const Lacewing__Exchange__CopyUse *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__copy_use__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__copy_use__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__copy_use__pack
-                     (const Lacewing__Exchange__CopyUse *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__copy_use__pack(const Lacewing__Exchange__CopyUse *message,
+                                   uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__copy_use__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__copy_use__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__copy_use__pack_to_buffer
-                     (const Lacewing__Exchange__CopyUse *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__copy_use__pack_to_buffer(
+    const Lacewing__Exchange__CopyUse *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__copy_use__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__copy_use__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__CopyUse *
-       lacewing__exchange__copy_use__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__copy_use__unpack(ProtobufCAllocator *allocator, size_t len,
+                                     const uint8_t *data)
 {
-  return (Lacewing__Exchange__CopyUse *)
-     protobuf_c_message_unpack (&lacewing__exchange__copy_use__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__CopyUse *)protobuf_c_message_unpack(
+        &lacewing__exchange__copy_use__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__copy_use__free_unpacked
-                     (Lacewing__Exchange__CopyUse *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__copy_use__free_unpacked(
+    Lacewing__Exchange__CopyUse *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__copy_use__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__copy_use__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__use__init
-                     (Lacewing__Exchange__Use         *message)
+void
+lacewing__exchange__use__init(Lacewing__Exchange__Use *message)
 {
-  static const Lacewing__Exchange__Use init_value = LACEWING__EXCHANGE__USE__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__Use init_value =
+        LACEWING__EXCHANGE__USE__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__use__get_packed_size
-                     (const Lacewing__Exchange__Use *message)
+size_t
+lacewing__exchange__use__get_packed_size(
+    const Lacewing__Exchange__Use *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__use__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &lacewing__exchange__use__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__use__pack
-                     (const Lacewing__Exchange__Use *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__use__pack(const Lacewing__Exchange__Use *message,
+                              uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__use__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &lacewing__exchange__use__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__use__pack_to_buffer
-                     (const Lacewing__Exchange__Use *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__use__pack_to_buffer(const Lacewing__Exchange__Use *message,
+                                        ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__use__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &lacewing__exchange__use__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__Use *
-       lacewing__exchange__use__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__use__unpack(ProtobufCAllocator *allocator, size_t len,
+                                const uint8_t *data)
 {
-  return (Lacewing__Exchange__Use *)
-     protobuf_c_message_unpack (&lacewing__exchange__use__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__Use *)protobuf_c_message_unpack(
+        &lacewing__exchange__use__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__use__free_unpacked
-                     (Lacewing__Exchange__Use *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__use__free_unpacked(Lacewing__Exchange__Use *message,
+                                       ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__use__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &lacewing__exchange__use__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__load_ask__init
-                     (Lacewing__Exchange__LoadAsk         *message)
+void
+lacewing__exchange__load_ask__init(Lacewing__Exchange__LoadAsk *message)
 {
-  static const Lacewing__Exchange__LoadAsk init_value = LACEWING__EXCHANGE__LOAD_ASK__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__LoadAsk init_value =
+        LACEWING__EXCHANGE__LOAD_ASK__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__load_ask__get_packed_size
-                     (const Lacewing__Exchange__LoadAsk *message)
+size_t
+lacewing__exchange__load_ask__get_packed_size(
+    const Lacewing__Exchange__LoadAsk *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__load_ask__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__load_ask__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__load_ask__pack
-                     (const Lacewing__Exchange__LoadAsk *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__load_ask__pack(const Lacewing__Exchange__LoadAsk *message,
+                                   uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__load_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__load_ask__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__load_ask__pack_to_buffer
-                     (const Lacewing__Exchange__LoadAsk *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__load_ask__pack_to_buffer(
+    const Lacewing__Exchange__LoadAsk *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__load_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__load_ask__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__LoadAsk *
-       lacewing__exchange__load_ask__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__load_ask__unpack(ProtobufCAllocator *allocator, size_t len,
+                                     const uint8_t *data)
 {
-  return (Lacewing__Exchange__LoadAsk *)
-     protobuf_c_message_unpack (&lacewing__exchange__load_ask__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__LoadAsk *)protobuf_c_message_unpack(
+        &lacewing__exchange__load_ask__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__load_ask__free_unpacked
-                     (Lacewing__Exchange__LoadAsk *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__load_ask__free_unpacked(
+    Lacewing__Exchange__LoadAsk *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__load_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__load_ask__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__table_word__init
-                     (Lacewing__Exchange__TableWord         *message)
+void
+lacewing__exchange__table_word__init(Lacewing__Exchange__TableWord *message)
 {
-  static const Lacewing__Exchange__TableWord init_value = LACEWING__EXCHANGE__TABLE_WORD__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__TableWord init_value =
+        LACEWING__EXCHANGE__TABLE_WORD__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__table_word__get_packed_size
-                     (const Lacewing__Exchange__TableWord *message)
+size_t
+lacewing__exchange__table_word__get_packed_size(
+    const Lacewing__Exchange__TableWord *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__table_word__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__table_word__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__table_word__pack
-                     (const Lacewing__Exchange__TableWord *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__table_word__pack(
+    const Lacewing__Exchange__TableWord *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__table_word__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__table_word__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__table_word__pack_to_buffer
-                     (const Lacewing__Exchange__TableWord *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__table_word__pack_to_buffer(
+    const Lacewing__Exchange__TableWord *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__table_word__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__table_word__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__TableWord *
-       lacewing__exchange__table_word__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__table_word__unpack(ProtobufCAllocator *allocator,
+                                       size_t len, const uint8_t *data)
 {
-  return (Lacewing__Exchange__TableWord *)
-     protobuf_c_message_unpack (&lacewing__exchange__table_word__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__TableWord *)protobuf_c_message_unpack(
+        &lacewing__exchange__table_word__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__table_word__free_unpacked
-                     (Lacewing__Exchange__TableWord *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__table_word__free_unpacked(
+    Lacewing__Exchange__TableWord *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__table_word__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__table_word__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__row_word__init
-                     (Lacewing__Exchange__RowWord         *message)
+void
+lacewing__exchange__row_word__init(Lacewing__Exchange__RowWord *message)
 {
-  static const Lacewing__Exchange__RowWord init_value = LACEWING__EXCHANGE__ROW_WORD__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__RowWord init_value =
+        LACEWING__EXCHANGE__ROW_WORD__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__row_word__get_packed_size
-                     (const Lacewing__Exchange__RowWord *message)
+size_t
+lacewing__exchange__row_word__get_packed_size(
+    const Lacewing__Exchange__RowWord *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__row_word__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__row_word__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__row_word__pack
-                     (const Lacewing__Exchange__RowWord *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__row_word__pack(const Lacewing__Exchange__RowWord *message,
+                                   uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__row_word__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__row_word__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__row_word__pack_to_buffer
-                     (const Lacewing__Exchange__RowWord *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__row_word__pack_to_buffer(
+    const Lacewing__Exchange__RowWord *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__row_word__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__row_word__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__RowWord *
-       lacewing__exchange__row_word__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__row_word__unpack(ProtobufCAllocator *allocator, size_t len,
+                                     const uint8_t *data)
 {
-  return (Lacewing__Exchange__RowWord *)
-     protobuf_c_message_unpack (&lacewing__exchange__row_word__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__RowWord *)protobuf_c_message_unpack(
+        &lacewing__exchange__row_word__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__row_word__free_unpacked
-                     (Lacewing__Exchange__RowWord *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__row_word__free_unpacked(
+    Lacewing__Exchange__RowWord *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__row_word__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__row_word__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__leaving_word__init
-                     (Lacewing__Exchange__LeavingWord         *message)
+void
+lacewing__exchange__leaving_word__init(
+    Lacewing__Exchange__LeavingWord *message)
 {
-  static const Lacewing__Exchange__LeavingWord init_value = LACEWING__EXCHANGE__LEAVING_WORD__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__LeavingWord init_value =
+        LACEWING__EXCHANGE__LEAVING_WORD__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__leaving_word__get_packed_size
-                     (const Lacewing__Exchange__LeavingWord *message)
+size_t
+lacewing__exchange__leaving_word__get_packed_size(
+    const Lacewing__Exchange__LeavingWord *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__leaving_word__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor ==
+           &lacewing__exchange__leaving_word__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__leaving_word__pack
-                     (const Lacewing__Exchange__LeavingWord *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__leaving_word__pack(
+    const Lacewing__Exchange__LeavingWord *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__leaving_word__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__leaving_word__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__leaving_word__pack_to_buffer
-                     (const Lacewing__Exchange__LeavingWord *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__leaving_word__pack_to_buffer(
+    const Lacewing__Exchange__LeavingWord *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__leaving_word__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor ==
+           &lacewing__exchange__leaving_word__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__LeavingWord *
-       lacewing__exchange__leaving_word__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+lacewing__exchange__leaving_word__unpack(ProtobufCAllocator *allocator,
+                                         size_t len, const uint8_t *data)
 {
-  return (Lacewing__Exchange__LeavingWord *)
-     protobuf_c_message_unpack (&lacewing__exchange__leaving_word__descriptor,
-                                allocator, len, data);
+    return (Lacewing__Exchange__LeavingWord *)protobuf_c_message_unpack(
+        &lacewing__exchange__leaving_word__descriptor, allocator, len, data);
 }
-void   lacewing__exchange__leaving_word__free_unpacked
-                     (Lacewing__Exchange__LeavingWord *message,
-                      ProtobufCAllocator *allocator)
+void
+lacewing__exchange__leaving_word__free_unpacked(
+    Lacewing__Exchange__LeavingWord *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__leaving_word__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__leaving_word__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   lacewing__exchange__word__init
-                     (Lacewing__Exchange__Word         *message)
+void
+lacewing__exchange__word__init(Lacewing__Exchange__Word *message)
 {
-  static const Lacewing__Exchange__Word init_value = LACEWING__EXCHANGE__WORD__INIT;
-  *message = init_value;
+    static const Lacewing__Exchange__Word init_value =
+        LACEWING__EXCHANGE__WORD__INIT;
+    *message = init_value;
 }
-size_t lacewing__exchange__word__get_packed_size
-                     (const Lacewing__Exchange__Word *message)
+size_t
+lacewing__exchange__word__get_packed_size(
+    const Lacewing__Exchange__Word *message)
 {
-  assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t lacewing__exchange__word__pack
-                     (const Lacewing__Exchange__Word *message,
-                      uint8_t       *out)
+size_t
+lacewing__exchange__word__pack(const Lacewing__Exchange__Word *message,
+                               uint8_t *out)
 {
-  assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t lacewing__exchange__word__pack_to_buffer
-                     (const Lacewing__Exchange__Word *message,
-                      ProtobufCBuffer *buffer)
+size_t
+lacewing__exchange__word__pack_to_buffer(
+    const Lacewing__Exchange__Word *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Lacewing__Exchange__Word *
-       lacewing__exchange__word__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Lacewing__Exchange__Word *)
-     protobuf_c_message_unpack (&lacewing__exchange__word__descriptor,
-                                allocator, len, data);
-}
-void   lacewing__exchange__word__free_unpacked
-                     (Lacewing__Exchange__Word *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor lacewing__exchange__instance_row__field_descriptors[6] =
-{
-  {
-    "incarnation",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__InstanceRow, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "zone",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__InstanceRow, zone),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__InstanceRow, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaving",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__InstanceRow, leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "valid_ms",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__InstanceRow, valid_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "link_mbps",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__InstanceRow, link_mbps),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned lacewing__exchange__instance_row__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  0,   /* field[0] = incarnation */
-  3,   /* field[3] = leaving */
-  5,   /* field[5] = link_mbps */
-  4,   /* field[4] = valid_ms */
-  1,   /* field[1] = zone */
+lacewing__exchange__word__unpack(ProtobufCAllocator *allocator, size_t len,
+                                 const uint8_t *data)
+{
+    return (Lacewing__Exchange__Word *)protobuf_c_message_unpack(
+        &lacewing__exchange__word__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__word__free_unpacked(Lacewing__Exchange__Word *message,
+                                        ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &lacewing__exchange__word__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__instance_row__field_descriptors[6] = {
+        {
+            "incarnation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__InstanceRow, incarnation), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "zone", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__InstanceRow, zone), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__InstanceRow, address), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "leaving", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__InstanceRow, leaving), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "valid_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__InstanceRow, valid_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "link_mbps", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__InstanceRow, link_mbps), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-static const ProtobufCIntRange lacewing__exchange__instance_row__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
+static const unsigned
+    lacewing__exchange__instance_row__field_indices_by_name[] = {
+        2, /* field[2] = address */
+        0, /* field[0] = incarnation */
+        3, /* field[3] = leaving */
+        5, /* field[5] = link_mbps */
+        4, /* field[4] = valid_ms */
+        1, /* field[1] = zone */
 };
+static const ProtobufCIntRange
+    lacewing__exchange__instance_row__number_ranges[1 + 1] = {{1, 0}, {0, 6}};
 const ProtobufCMessageDescriptor lacewing__exchange__instance_row__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.InstanceRow",
-  "InstanceRow",
-  "Lacewing__Exchange__InstanceRow",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__InstanceRow),
-  6,
-  lacewing__exchange__instance_row__field_descriptors,
-  lacewing__exchange__instance_row__field_indices_by_name,
-  1,  lacewing__exchange__instance_row__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__instance_row__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.InstanceRow",
+        "InstanceRow",
+        "Lacewing__Exchange__InstanceRow",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__InstanceRow),
+        6,
+        lacewing__exchange__instance_row__field_descriptors,
+        lacewing__exchange__instance_row__field_indices_by_name,
+        1,
+        lacewing__exchange__instance_row__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__instance_row__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__holder_row__field_descriptors[4] =
-{
-  {
-    "instance",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__HolderRow, instance),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__HolderRow, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fence",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__HolderRow, fence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "given_up",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__HolderRow, given_up),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned lacewing__exchange__holder_row__field_indices_by_name[] = {
-  2,   /* field[2] = fence */
-  3,   /* field[3] = given_up */
-  1,   /* field[1] = incarnation */
-  0,   /* field[0] = instance */
-};
-static const ProtobufCIntRange lacewing__exchange__holder_row__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__holder_row__field_descriptors[4] = {
+        {
+            "instance", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__HolderRow, instance), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__HolderRow, incarnation), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "fence", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__HolderRow, fence), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "given_up", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__HolderRow, given_up), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-const ProtobufCMessageDescriptor lacewing__exchange__holder_row__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.HolderRow",
-  "HolderRow",
-  "Lacewing__Exchange__HolderRow",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__HolderRow),
-  4,
-  lacewing__exchange__holder_row__field_descriptors,
-  lacewing__exchange__holder_row__field_indices_by_name,
-  1,  lacewing__exchange__holder_row__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__holder_row__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const unsigned lacewing__exchange__holder_row__field_indices_by_name[] =
+    {
+        2, /* field[2] = fence */
+        3, /* field[3] = given_up */
+        1, /* field[1] = incarnation */
+        0, /* field[0] = instance */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__copy_state__field_descriptors[3] =
-{
-  {
-    "name",
+static const ProtobufCIntRange
+    lacewing__exchange__holder_row__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor lacewing__exchange__holder_row__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.HolderRow",
+    "HolderRow",
+    "Lacewing__Exchange__HolderRow",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__HolderRow),
+    4,
+    lacewing__exchange__holder_row__field_descriptors,
+    lacewing__exchange__holder_row__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__CopyState, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__CopyState, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "loading",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__CopyState, loading),
+    lacewing__exchange__holder_row__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__holder_row__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned lacewing__exchange__copy_state__field_indices_by_name[] = {
-  2,   /* field[2] = loading */
-  0,   /* field[0] = name */
-  1,   /* field[1] = version */
+    NULL /* reserved[123] */
 };
-static const ProtobufCIntRange lacewing__exchange__copy_state__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__copy_state__field_descriptors[3] = {
+        {
+            "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__CopyState, name), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__CopyState, version), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "loading", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__CopyState, loading), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-const ProtobufCMessageDescriptor lacewing__exchange__copy_state__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.CopyState",
-  "CopyState",
-  "Lacewing__Exchange__CopyState",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__CopyState),
-  3,
-  lacewing__exchange__copy_state__field_descriptors,
-  lacewing__exchange__copy_state__field_indices_by_name,
-  1,  lacewing__exchange__copy_state__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__copy_state__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const unsigned lacewing__exchange__copy_state__field_indices_by_name[] =
+    {
+        2, /* field[2] = loading */
+        0, /* field[0] = name */
+        1, /* field[1] = version */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__model_state__field_descriptors[4] =
-{
-  {
-    "name",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ModelState, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ModelState, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "loading",
+static const ProtobufCIntRange
+    lacewing__exchange__copy_state__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor lacewing__exchange__copy_state__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.CopyState",
+    "CopyState",
+    "Lacewing__Exchange__CopyState",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__CopyState),
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ModelState, loading),
-    NULL,
+    lacewing__exchange__copy_state__field_descriptors,
+    lacewing__exchange__copy_state__field_indices_by_name,
+    1,
+    lacewing__exchange__copy_state__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__copy_state__init,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "copies",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__ModelState, n_copies),
-    offsetof(Lacewing__Exchange__ModelState, copies),
-    &lacewing__exchange__copy_state__descriptor,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
 };
-static const unsigned lacewing__exchange__model_state__field_indices_by_name[] = {
-  3,   /* field[3] = copies */
-  2,   /* field[2] = loading */
-  0,   /* field[0] = name */
-  1,   /* field[1] = version */
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__model_state__field_descriptors[4] = {
+        {
+            "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ModelState, name), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ModelState, version), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "loading", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ModelState, loading), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "copies", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__ModelState, n_copies),
+            offsetof(Lacewing__Exchange__ModelState, copies),
+            &lacewing__exchange__copy_state__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-static const ProtobufCIntRange lacewing__exchange__model_state__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
+static const unsigned
+    lacewing__exchange__model_state__field_indices_by_name[] = {
+        3, /* field[3] = copies */
+        2, /* field[2] = loading */
+        0, /* field[0] = name */
+        1, /* field[1] = version */
 };
+static const ProtobufCIntRange
+    lacewing__exchange__model_state__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
 const ProtobufCMessageDescriptor lacewing__exchange__model_state__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.ModelState",
-  "ModelState",
-  "Lacewing__Exchange__ModelState",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__ModelState),
-  4,
-  lacewing__exchange__model_state__field_descriptors,
-  lacewing__exchange__model_state__field_indices_by_name,
-  1,  lacewing__exchange__model_state__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__model_state__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor lacewing__exchange__server_state__field_descriptors[5] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerState, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "born_ms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerState, born_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "number",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerState, number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "models",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__ServerState, n_models),
-    offsetof(Lacewing__Exchange__ServerState, models),
-    &lacewing__exchange__model_state__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fence",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerState, fence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.ModelState",
+        "ModelState",
+        "Lacewing__Exchange__ModelState",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__ModelState),
+        4,
+        lacewing__exchange__model_state__field_descriptors,
+        lacewing__exchange__model_state__field_indices_by_name,
+        1,
+        lacewing__exchange__model_state__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__model_state__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
 };
-static const unsigned lacewing__exchange__server_state__field_indices_by_name[] = {
-  1,   /* field[1] = born_ms */
-  4,   /* field[4] = fence */
-  0,   /* field[0] = id */
-  3,   /* field[3] = models */
-  2,   /* field[2] = number */
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__server_state__field_descriptors[5] = {
+        {
+            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerState, id), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "born_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerState, born_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "number", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerState, number), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "models", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__ServerState, n_models),
+            offsetof(Lacewing__Exchange__ServerState, models),
+            &lacewing__exchange__model_state__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "fence", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerState, fence), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-static const ProtobufCIntRange lacewing__exchange__server_state__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
+static const unsigned
+    lacewing__exchange__server_state__field_indices_by_name[] = {
+        1, /* field[1] = born_ms */
+        4, /* field[4] = fence */
+        0, /* field[0] = id */
+        3, /* field[3] = models */
+        2, /* field[2] = number */
 };
+static const ProtobufCIntRange
+    lacewing__exchange__server_state__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
 const ProtobufCMessageDescriptor lacewing__exchange__server_state__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.ServerState",
-  "ServerState",
-  "Lacewing__Exchange__ServerState",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__ServerState),
-  5,
-  lacewing__exchange__server_state__field_descriptors,
-  lacewing__exchange__server_state__field_indices_by_name,
-  1,  lacewing__exchange__server_state__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__server_state__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.ServerState",
+        "ServerState",
+        "Lacewing__Exchange__ServerState",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__ServerState),
+        5,
+        lacewing__exchange__server_state__field_descriptors,
+        lacewing__exchange__server_state__field_indices_by_name,
+        1,
+        lacewing__exchange__server_state__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__server_state__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__server_load__field_descriptors[10] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerLoad, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "in_flight",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerLoad, in_flight),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "streams",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerLoad, streams),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "event_ms_sum",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FLOAT,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerLoad, event_ms_sum),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "unread",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerLoad, unread),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reads",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerLoad, reads),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "read_ms_sum",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FLOAT,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerLoad, read_ms_sum),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "uses",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__ServerLoad, n_uses),
-    offsetof(Lacewing__Exchange__ServerLoad, uses),
-    &lacewing__exchange__copy_use__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "held",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerLoad, held),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "room",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__ServerLoad, room),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned lacewing__exchange__server_load__field_indices_by_name[] = {
-  3,   /* field[3] = event_ms_sum */
-  8,   /* field[8] = held */
-  0,   /* field[0] = id */
-  1,   /* field[1] = in_flight */
-  6,   /* field[6] = read_ms_sum */
-  5,   /* field[5] = reads */
-  9,   /* field[9] = room */
-  2,   /* field[2] = streams */
-  4,   /* field[4] = unread */
-  7,   /* field[7] = uses */
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__server_load__field_descriptors[10] = {
+        {
+            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerLoad, id), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "in_flight", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerLoad, in_flight), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "streams", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerLoad, streams), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "event_ms_sum", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerLoad, event_ms_sum), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "unread", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerLoad, unread), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "reads", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerLoad, reads), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "read_ms_sum", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerLoad, read_ms_sum), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "uses", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__ServerLoad, n_uses),
+            offsetof(Lacewing__Exchange__ServerLoad, uses),
+            &lacewing__exchange__copy_use__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "held", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerLoad, held), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "room", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_SINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ServerLoad, room), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-static const ProtobufCIntRange lacewing__exchange__server_load__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
+static const unsigned
+    lacewing__exchange__server_load__field_indices_by_name[] = {
+        3, /* field[3] = event_ms_sum */
+        8, /* field[8] = held */
+        0, /* field[0] = id */
+        1, /* field[1] = in_flight */
+        6, /* field[6] = read_ms_sum */
+        5, /* field[5] = reads */
+        9, /* field[9] = room */
+        2, /* field[2] = streams */
+        4, /* field[4] = unread */
+        7, /* field[7] = uses */
 };
+static const ProtobufCIntRange
+    lacewing__exchange__server_load__number_ranges[1 + 1] = {{1, 0}, {0, 10}};
 const ProtobufCMessageDescriptor lacewing__exchange__server_load__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.ServerLoad",
-  "ServerLoad",
-  "Lacewing__Exchange__ServerLoad",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__ServerLoad),
-  10,
-  lacewing__exchange__server_load__field_descriptors,
-  lacewing__exchange__server_load__field_indices_by_name,
-  1,  lacewing__exchange__server_load__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__server_load__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.ServerLoad",
+        "ServerLoad",
+        "Lacewing__Exchange__ServerLoad",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__ServerLoad),
+        10,
+        lacewing__exchange__server_load__field_descriptors,
+        lacewing__exchange__server_load__field_indices_by_name,
+        1,
+        lacewing__exchange__server_load__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__server_load__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__copy_use__field_descriptors[2] =
-{
-  {
-    "adapter",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__CopyUse, adapter),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "in_flight",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__CopyUse, in_flight),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__copy_use__field_descriptors[2] = {
+        {
+            "adapter", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__CopyUse, adapter), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "in_flight", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__CopyUse, in_flight), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned lacewing__exchange__copy_use__field_indices_by_name[] = {
-  0,   /* field[0] = adapter */
-  1,   /* field[1] = in_flight */
+    0, /* field[0] = adapter */
+    1, /* field[1] = in_flight */
 };
-static const ProtobufCIntRange lacewing__exchange__copy_use__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor lacewing__exchange__copy_use__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.CopyUse",
-  "CopyUse",
-  "Lacewing__Exchange__CopyUse",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__CopyUse),
-  2,
-  lacewing__exchange__copy_use__field_descriptors,
-  lacewing__exchange__copy_use__field_indices_by_name,
-  1,  lacewing__exchange__copy_use__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__copy_use__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor lacewing__exchange__use__field_descriptors[2] =
-{
-  {
-    "key",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__Use, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "count",
+static const ProtobufCIntRange
+    lacewing__exchange__copy_use__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor lacewing__exchange__copy_use__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.CopyUse",
+    "CopyUse",
+    "Lacewing__Exchange__CopyUse",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__CopyUse),
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__Use, count),
+    lacewing__exchange__copy_use__field_descriptors,
+    lacewing__exchange__copy_use__field_indices_by_name,
+    1,
+    lacewing__exchange__copy_use__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__copy_use__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__use__field_descriptors[2] = {
+        {
+            "key", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__Use, key), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "count", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__Use, count), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned lacewing__exchange__use__field_indices_by_name[] = {
-  1,   /* field[1] = count */
-  0,   /* field[0] = key */
+    1, /* field[1] = count */
+    0, /* field[0] = key */
 };
 static const ProtobufCIntRange lacewing__exchange__use__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor lacewing__exchange__use__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.Use",
-  "Use",
-  "Lacewing__Exchange__Use",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__Use),
-  2,
-  lacewing__exchange__use__field_descriptors,
-  lacewing__exchange__use__field_indices_by_name,
-  1,  lacewing__exchange__use__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__use__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor lacewing__exchange__load_ask__field_descriptors[4] =
-{
-  {
-    "server",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__LoadAsk, server),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "model",
+    {{1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor lacewing__exchange__use__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.Use",
+    "Use",
+    "Lacewing__Exchange__Use",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__Use),
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__LoadAsk, model),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "adapter",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__LoadAsk, adapter),
+    lacewing__exchange__use__field_descriptors,
+    lacewing__exchange__use__field_indices_by_name,
+    1,
+    lacewing__exchange__use__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__use__init,
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "request",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__LoadAsk, request),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
 };
-static const unsigned lacewing__exchange__load_ask__field_indices_by_name[] = {
-  2,   /* field[2] = adapter */
-  1,   /* field[1] = model */
-  3,   /* field[3] = request */
-  0,   /* field[0] = server */
-};
-static const ProtobufCIntRange lacewing__exchange__load_ask__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__load_ask__field_descriptors[4] = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LoadAsk, server), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "model", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LoadAsk, model), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "adapter", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LoadAsk, adapter), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "request", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LoadAsk, request), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
 };
-const ProtobufCMessageDescriptor lacewing__exchange__load_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.LoadAsk",
-  "LoadAsk",
-  "Lacewing__Exchange__LoadAsk",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__LoadAsk),
-  4,
-  lacewing__exchange__load_ask__field_descriptors,
-  lacewing__exchange__load_ask__field_indices_by_name,
-  1,  lacewing__exchange__load_ask__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__load_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const unsigned lacewing__exchange__load_ask__field_indices_by_name[] = {
+    2, /* field[2] = adapter */
+    1, /* field[1] = model */
+    3, /* field[3] = request */
+    0, /* field[0] = server */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__table_word__field_descriptors[3] =
-{
-  {
-    "table",
+static const ProtobufCIntRange
+    lacewing__exchange__load_ask__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor lacewing__exchange__load_ask__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.LoadAsk",
+    "LoadAsk",
+    "Lacewing__Exchange__LoadAsk",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__LoadAsk),
+    4,
+    lacewing__exchange__load_ask__field_descriptors,
+    lacewing__exchange__load_ask__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__TableWord, table),
+    lacewing__exchange__load_ask__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__load_ask__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "digest",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__TableWord, digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "age_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__TableWord, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
 };
-static const unsigned lacewing__exchange__table_word__field_indices_by_name[] = {
-  2,   /* field[2] = age_ms */
-  1,   /* field[1] = digest */
-  0,   /* field[0] = table */
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__table_word__field_descriptors[3] = {
+        {
+            "table", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__TableWord, table), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "digest", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__TableWord, digest), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__TableWord, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-static const ProtobufCIntRange lacewing__exchange__table_word__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor lacewing__exchange__table_word__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.TableWord",
-  "TableWord",
-  "Lacewing__Exchange__TableWord",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__TableWord),
-  3,
-  lacewing__exchange__table_word__field_descriptors,
-  lacewing__exchange__table_word__field_indices_by_name,
-  1,  lacewing__exchange__table_word__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__table_word__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const unsigned lacewing__exchange__table_word__field_indices_by_name[] =
+    {
+        2, /* field[2] = age_ms */
+        1, /* field[1] = digest */
+        0, /* field[0] = table */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__row_word__field_descriptors[5] =
-{
-  {
-    "table",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__RowWord, table),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "key",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__RowWord, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "value",
+static const ProtobufCIntRange
+    lacewing__exchange__table_word__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor lacewing__exchange__table_word__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.TableWord",
+    "TableWord",
+    "Lacewing__Exchange__TableWord",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__TableWord),
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__RowWord, value),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "removed",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__RowWord, removed),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__RowWord, version),
+    lacewing__exchange__table_word__field_descriptors,
+    lacewing__exchange__table_word__field_indices_by_name,
+    1,
+    lacewing__exchange__table_word__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__table_word__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
 };
-static const unsigned lacewing__exchange__row_word__field_indices_by_name[] = {
-  1,   /* field[1] = key */
-  3,   /* field[3] = removed */
-  0,   /* field[0] = table */
-  2,   /* field[2] = value */
-  4,   /* field[4] = version */
-};
-static const ProtobufCIntRange lacewing__exchange__row_word__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__row_word__field_descriptors[5] = {
+        {
+            "table", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__RowWord, table), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "key", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__RowWord, key), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "value", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__RowWord, value), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "removed", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__RowWord, removed), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "version", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__RowWord, version), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-const ProtobufCMessageDescriptor lacewing__exchange__row_word__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.RowWord",
-  "RowWord",
-  "Lacewing__Exchange__RowWord",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__RowWord),
-  5,
-  lacewing__exchange__row_word__field_descriptors,
-  lacewing__exchange__row_word__field_indices_by_name,
-  1,  lacewing__exchange__row_word__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__row_word__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const unsigned lacewing__exchange__row_word__field_indices_by_name[] = {
+    1, /* field[1] = key */
+    3, /* field[3] = removed */
+    0, /* field[0] = table */
+    2, /* field[2] = value */
+    4, /* field[4] = version */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__leaving_word__field_descriptors[2] =
-{
-  {
-    "server",
+static const ProtobufCIntRange
+    lacewing__exchange__row_word__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor lacewing__exchange__row_word__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.RowWord",
+    "RowWord",
+    "Lacewing__Exchange__RowWord",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__RowWord),
+    5,
+    lacewing__exchange__row_word__field_descriptors,
+    lacewing__exchange__row_word__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__LeavingWord, server),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "born_ms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__LeavingWord, born_ms),
+    lacewing__exchange__row_word__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__row_word__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
 };
-static const unsigned lacewing__exchange__leaving_word__field_indices_by_name[] = {
-  1,   /* field[1] = born_ms */
-  0,   /* field[0] = server */
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__leaving_word__field_descriptors[2] = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LeavingWord, server), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "born_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LeavingWord, born_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-static const ProtobufCIntRange lacewing__exchange__leaving_word__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
+static const unsigned
+    lacewing__exchange__leaving_word__field_indices_by_name[] = {
+        1, /* field[1] = born_ms */
+        0, /* field[0] = server */
 };
+static const ProtobufCIntRange
+    lacewing__exchange__leaving_word__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
 const ProtobufCMessageDescriptor lacewing__exchange__leaving_word__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.LeavingWord",
-  "LeavingWord",
-  "Lacewing__Exchange__LeavingWord",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__LeavingWord),
-  2,
-  lacewing__exchange__leaving_word__field_descriptors,
-  lacewing__exchange__leaving_word__field_indices_by_name,
-  1,  lacewing__exchange__leaving_word__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__leaving_word__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.LeavingWord",
+        "LeavingWord",
+        "Lacewing__Exchange__LeavingWord",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__LeavingWord),
+        2,
+        lacewing__exchange__leaving_word__field_descriptors,
+        lacewing__exchange__leaving_word__field_indices_by_name,
+        1,
+        lacewing__exchange__leaving_word__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__leaving_word__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lacewing__exchange__word__field_descriptors[12] =
-{
-  {
-    "instance",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__Word, instance),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__Word, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "servers",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__Word, n_servers),
-    offsetof(Lacewing__Exchange__Word, servers),
-    &lacewing__exchange__server_state__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "loads",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__Word, n_loads),
-    offsetof(Lacewing__Exchange__Word, loads),
-    &lacewing__exchange__server_load__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "uses",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__Word, n_uses),
-    offsetof(Lacewing__Exchange__Word, uses),
-    &lacewing__exchange__use__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "asks",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__Word, n_asks),
-    offsetof(Lacewing__Exchange__Word, asks),
-    &lacewing__exchange__load_ask__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tables",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__Word, n_tables),
-    offsetof(Lacewing__Exchange__Word, tables),
-    &lacewing__exchange__table_word__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rows",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__Word, n_rows),
-    offsetof(Lacewing__Exchange__Word, rows),
-    &lacewing__exchange__row_word__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "number",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__Word, number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "spread",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lacewing__Exchange__Word, spread),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "words",
-    12,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Lacewing__Exchange__Word, n_words),
-    offsetof(Lacewing__Exchange__Word, words),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaving",
-    13,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lacewing__Exchange__Word, n_leaving),
-    offsetof(Lacewing__Exchange__Word, leaving),
-    &lacewing__exchange__leaving_word__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__word__field_descriptors[12] = {
+        {
+            "instance", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__Word, instance), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__Word, incarnation), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "servers", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_servers),
+            offsetof(Lacewing__Exchange__Word, servers),
+            &lacewing__exchange__server_state__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "loads", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_loads),
+            offsetof(Lacewing__Exchange__Word, loads),
+            &lacewing__exchange__server_load__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "uses", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_uses),
+            offsetof(Lacewing__Exchange__Word, uses),
+            &lacewing__exchange__use__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "asks", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_asks),
+            offsetof(Lacewing__Exchange__Word, asks),
+            &lacewing__exchange__load_ask__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "tables", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_tables),
+            offsetof(Lacewing__Exchange__Word, tables),
+            &lacewing__exchange__table_word__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "rows", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_rows),
+            offsetof(Lacewing__Exchange__Word, rows),
+            &lacewing__exchange__row_word__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "number", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__Word, number), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "spread", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__Word, spread), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "words", 12, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_BYTES,
+            offsetof(Lacewing__Exchange__Word, n_words),
+            offsetof(Lacewing__Exchange__Word, words), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "leaving", 13, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_leaving),
+            offsetof(Lacewing__Exchange__Word, leaving),
+            &lacewing__exchange__leaving_word__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
-  5,   /* field[5] = asks */
-  1,   /* field[1] = incarnation */
-  0,   /* field[0] = instance */
-  11,   /* field[11] = leaving */
-  3,   /* field[3] = loads */
-  8,   /* field[8] = number */
-  7,   /* field[7] = rows */
-  2,   /* field[2] = servers */
-  9,   /* field[9] = spread */
-  6,   /* field[6] = tables */
-  4,   /* field[4] = uses */
-  10,   /* field[10] = words */
+    5,  /* field[5] = asks */
+    1,  /* field[1] = incarnation */
+    0,  /* field[0] = instance */
+    11, /* field[11] = leaving */
+    3,  /* field[3] = loads */
+    8,  /* field[8] = number */
+    7,  /* field[7] = rows */
+    2,  /* field[2] = servers */
+    9,  /* field[9] = spread */
+    6,  /* field[6] = tables */
+    4,  /* field[4] = uses */
+    10, /* field[10] = words */
 };
 static const ProtobufCIntRange lacewing__exchange__word__number_ranges[2 + 1] =
-{
-  { 1, 0 },
-  { 8, 6 },
-  { 0, 12 }
-};
-const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lacewing.exchange.Word",
-  "Word",
-  "Lacewing__Exchange__Word",
-  "lacewing.exchange",
-  sizeof(Lacewing__Exchange__Word),
-  12,
-  lacewing__exchange__word__field_descriptors,
-  lacewing__exchange__word__field_indices_by_name,
-  2,  lacewing__exchange__word__number_ranges,
-  (ProtobufCMessageInit) lacewing__exchange__word__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    {{1, 0}, {8, 6}, {0, 12}};
+const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.Word",
+    "Word",
+    "Lacewing__Exchange__Word",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__Word),
+    12,
+    lacewing__exchange__word__field_descriptors,
+    lacewing__exchange__word__field_indices_by_name,
+    2,
+    lacewing__exchange__word__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__word__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
 };
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -165,13 +165,11 @@
 }
 
 bool
-xc_query_within_event(const xc_exchange *exchange)
+xc_query_behind_event(const xc_exchange *exchange)
 {
     const char *last = exchange->last_bytes;
-    bool blank_line =
-        last[2] == '\n' &&
-        (last[1] == '\n' || (last[1] == '\r' && last[0] == '\n'));
-    return last[2] && !blank_line;
+    return last[2] == '\n' &&
+           (last[1] == '\n' || (last[1] == '\r' && last[0] == '\n'));
 }
 
 static void
@@ -200,6 +198,9 @@
     }
     exchange->last_piece_us = now_us;
     exchange->piece_count++;
+    if (exchange->send_piece_count++ == 0) {
+        exchange->send_first_piece_us = now_us;
+    }
     _xc_keep_last_bytes(exchange, bytes, count);
     if (!exchange->position) {
         cr_write_piece(exchange->caller, bytes, count);
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -93,6 +93,11 @@
     uint64_t max_gap_us;     /* longest time between two pieces */
     char last_server_id[40]; /* server of the last send */
     uint32_t piece_count;
+    /* of the current send */
+    uint32_t send_piece_count;
+    uint64_t send_first_piece_us; /* set with send_piece_count */
+    bool paused;           /* reading waits until the caller has taken bytes */
+    uint64_t unpaused_us;  /* end of the last such pause; 0: none */
     char last_bytes[3];    /* of the body of the current send; 0: none */
     sp_position *position; /* resumable streams: the events that the caller
                               has; NULL: the request cannot be resumed */
@@ -155,7 +160,7 @@
 void xc_create_position(xc_exchange *exchange);
 /* Returns whether another server can go on after what the caller has. */
 bool xc_query_can_resume(const xc_exchange *exchange);
-/* Returns whether the current send's body ends within an event so far. */
-bool xc_query_within_event(const xc_exchange *exchange);
+/* Returns whether the body of the current send ends behind an event so far. */
+bool xc_query_behind_event(const xc_exchange *exchange);
 
 #endif
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -20,10 +20,17 @@
 
 /* -- private: answers of servers ------------------------------------------ */
 
+static bool
+_xc_is_head_only(const xc_exchange *exchange)
+{
+    return strcmp(exchange->head->method, "HEAD") == 0;
+}
+
 static bool
 _xc_is_stream(const xc_exchange *exchange)
 {
-    return exchange->route->kind == RC_STREAM && exchange->status == 200;
+    return exchange->route->kind == RC_STREAM && exchange->status == 200 &&
+           !_xc_is_head_only(exchange);
 }
 
 /* Returns true for headers of the server that are not passed to the caller. */
@@ -121,6 +128,7 @@
         xc_forward_events(exchange, bytes, count);
         if (cr_query_unsent_bytes(exchange->caller) > _XC_MAX_UNSENT_BYTES) {
             us_pause(conn, true);
+            exchange->paused = true;
         }
         return;
     }
@@ -185,10 +193,10 @@
     /* The time of a probe after a pause says little about later requests. */
     bool measured = outcome == FL_SUCCEEDED && !exchange->is_probe;
     /* The mean time between very few pieces says little. */
-    if (measured && exchange->piece_count > 4) {
+    if (measured && exchange->send_piece_count > 4) {
         result.event_ms =
-            (double)(exchange->last_piece_us - exchange->first_piece_us) /
-            1000.0 / (exchange->piece_count - 1);
+            (double)(exchange->last_piece_us - exchange->send_first_piece_us) /
+            1000.0 / (exchange->send_piece_count - 1);
     }
     else if (measured && !exchange->adapter) {
         result.latency_ms = (double)(now_us - exchange->sent_us) / 1000.0;
@@ -233,13 +241,16 @@
     return exchange->status >= 500 ? FL_FAILED : FL_SUCCEEDED;
 }
 
-/* Returns true if the server closed the connection within an event of a stream
-   whose end only the connection tells: it failed. */
+/* Returns true if the server closed the connection within an event, or before
+   the first one, of a stream whose end only the connection tells: it failed.
+   A caller that has all events of a stream hardly ever asks for more. */
 static bool
 _xc_is_cut_short(const xc_exchange *exchange, const h1_head *head)
 {
-    return exchange->answer_begun && !head->chunked &&
-           head->length == H1_LENGTH_NONE && xc_query_within_event(exchange);
+    bool forwarded = exchange->answer_begun && !exchange->refused &&
+                     !exchange->answer_invalid;
+    return forwarded && !head->chunked && head->length == H1_LENGTH_NONE &&
+           !xc_query_behind_event(exchange);
 }
 
 static void
@@ -459,7 +470,7 @@
                    .id_header =
                        exchange->core->desc.dialect->headers[DL_REQUEST_ID],
                    .id = exchange->id,
-                   .head_only = strcmp(exchange->head->method, "HEAD") == 0});
+                   .head_only = _xc_is_head_only(exchange)});
     if (!conn) {
         return false;
     }
@@ -480,6 +491,9 @@
     exchange->answer_invalid = false;
     exchange->answer_too_long = false;
     exchange->status = 0;
+    exchange->send_piece_count = 0;
+    exchange->paused = false;
+    exchange->unpaused_us = 0;
     memset(exchange->last_bytes, 0, sizeof(exchange->last_bytes));
     if (exchange->answer_body) {
         g_byte_array_set_size(exchange->answer_body, 0);
