--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -437,7 +437,7 @@
         conn->keep_alive && conn->chunked && !conn->port->keep_alive_disabled;
     conn->stream_begun = true;
     if (!conn->chunked) {
-        /* Only the end of the connection tells that of the stream. */
+        /* Without chunks, only a reset shows that a stream is incomplete. */
         nc_reset_on_close(conn->conn, true);
     }
     g_autoptr(GString) text = g_string_sized_new(512);
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -165,7 +165,7 @@
 }
 
 bool
-xc_query_behind_event(const xc_exchange *exchange)
+xc_query_ends_with_event(const xc_exchange *exchange)
 {
     const char *last = exchange->last_bytes;
     return last[2] == '\n' &&
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -56,7 +56,7 @@
     uint64_t asked_us;         /* last request for a load of its adapter */
     bool logged;               /* routine events are logged, not just errors */
     bool answer_begun;         /* the caller has the head of the answer; a
-                                  further send goes on with its body */
+                                  further send continues its body */
     bool no_load_target;       /* no server can load its adapter now */
     bool skipped_leaving;      /* a server was skipped as it leaves */
     bool skipped_paused;       /* a server was skipped as it is paused */
@@ -160,7 +160,8 @@
 void xc_create_position(xc_exchange *exchange);
 /* Returns whether another server can go on after what the caller has. */
 bool xc_query_can_resume(const xc_exchange *exchange);
-/* Returns whether the body of the current send ends behind an event so far. */
-bool xc_query_behind_event(const xc_exchange *exchange);
+/* Returns whether the body of the current send, as far as it has come, ends
+   with a whole event. */
+bool xc_query_ends_with_event(const xc_exchange *exchange);
 
 #endif
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -241,16 +241,16 @@
     return exchange->status >= 500 ? FL_FAILED : FL_SUCCEEDED;
 }
 
-/* Returns true if the server closed the connection within an event, or before
-   the first one, of a stream whose end only the connection tells: it failed.
-   A caller that has all events of a stream hardly ever asks for more. */
+/* Returns true if a stream without a length was closed within an event or
+   before its first one: the server failed. A resumed stream with no event left
+   looks the same. */
 static bool
 _xc_is_cut_short(const xc_exchange *exchange, const h1_head *head)
 {
     bool forwarded = exchange->answer_begun && !exchange->refused &&
                      !exchange->answer_invalid;
     return forwarded && !head->chunked && head->length == H1_LENGTH_NONE &&
-           !xc_query_behind_event(exchange);
+           !xc_query_ends_with_event(exchange);
 }
 
 static void
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -69,7 +69,8 @@
     uint64_t drop_number; /* the server's drop_count, this drop included */
 } fl_drop;
 
-/* Declarations kept for an adapter; of more, the oldest two become one. */
+/* Most declarations kept for an adapter; beyond it, the two oldest are merged.
+ */
 #define FL_MAX_DECLARED 4
 
 typedef struct fl_declared {
--- a/packages/exchange/src/stream_position.c
+++ b/packages/exchange/src/stream_position.c
@@ -91,7 +91,7 @@
            number <= after;
 }
 
-/* Moves the position behind an event that is passed on. */
+/* Moves the position past an event that is passed on. */
 static void
 _sp_move(sp_position *position, const _sp_fields *event)
 {
@@ -135,7 +135,7 @@
     g_assert(desc->calls);
     sp_position *position = g_new0(sp_position, 1);
     position->desc = *desc;
-    /* The header's value may have blanks behind it. */
+    /* The header's value may have trailing blanks. */
     g_autofree char *id = g_strdup(desc->caller_event_id);
     position->last_id = id && *g_strstrip(id) ? g_steal_pointer(&id) : NULL;
     position->partial = g_byte_array_new();
--- a/packages/exchange/src/stream_position.h
+++ b/packages/exchange/src/stream_position.h
@@ -19,7 +19,7 @@
  * after a lost connection.
  *
  * Event ids are numbers that grow. Other events are passed on as they are, but
- * the stream cannot go on at another server behind them.
+ * the stream cannot go on at another server after them.
  *
  * Limits: an event has at most SP_MAX_EVENT_BYTES; no sockets and no clock.
  */
--- a/packages/exchange/tests/test_stream_position.c
+++ b/packages/exchange/tests/test_stream_position.c
@@ -128,7 +128,7 @@
 }
 END_TEST
 
-/* Whole events, whether a stream can go on behind them, and the last id. */
+/* Whole events, whether a stream can go on after them, and the last id. */
 static const struct {
     const char *events;
     bool can_continue;
