Log crashes of backend servers and the contents they had begun to answer

The lines of a request named its id alone, new each time it comes, and 'answer broken off' is written for one faulty answer and for a server that has ended alike. Now the first answer that breaks off starts an observation of that server process (crash_watch): a connection that outlives it, or a new one, shows that it runs; a refused one that it has crashed. The line of a crash names the contents that had only just begun; the line that ends a send has the content's fingerprint. server_crashes_total counts. Nothing is decided by it.

Ruled out as evidence: one broken-off answer (garble breaks those off too), and the list of servers, which follows a crash by seconds.

--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -80,6 +80,8 @@
       "Pauses shortened to the longest that is allowed")                      \
     X(CT_NOTICES_REFUSED, "notices_refused_total", "counter",                 \
       "Notices of servers that could not be read")                            \
+    X(CT_SERVER_CRASHES, "server_crashes_total", "counter",                   \
+      "Servers that crashed while they answered requests of this instance")   \
     X(CT_FAILED, "failed_total", "counter",                                   \
       "Requests that failed with an unknown outcome")                         \
     X(CT_BROKEN, "broken_total", "counter", "Answers broken off")             \
--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -90,6 +90,7 @@
     X(LG_NOTICE_REFUSED, WARNING, "fleet",                                    \
       "notice of a backend server could not be read")                         \
     X(LG_SERVER_GONE, INFO, "fleet", "backend server removed")                \
+    X(LG_SERVER_CRASHED, WARNING, "fleet", "backend server crashed")          \
     X(LG_HOLDER_STARTED, INFO, "orders", "became holder of a backend server") \
     X(LG_HOLDER_ENDED, INFO, "orders",                                        \
       "no longer holder of a backend server")                                 \
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -775,3 +775,20 @@
         us_close_idle(server->pool);
     }
 }
+
+cw_listens
+xc_check_listens(xc_core *core, fl_server *server, uint64_t since_us)
+{
+    (void)core;
+    if (!server->pool) {
+        return CW_LISTENS_DEFAULT;
+    }
+    if (us_query_established_count(server->pool) > 0) {
+        return CW_LISTENS_YES;
+    }
+    if (us_query_refused_us(server->pool) >= since_us) {
+        return CW_LISTENS_NO;
+    }
+    us_open_idle(server->pool);
+    return CW_LISTENS_DEFAULT;
+}
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -13,7 +13,7 @@
  * xc_query_caller_callbacks().
  *
  * commands: xc_create xc_destroy xc_set_table xc_dispatch_waiting xc_tick
- *           xc_set_leave_time xc_close_idle_connections
+ *           xc_set_leave_time xc_close_idle_connections xc_check_listens
  * queries:  xc_query_caller_callbacks
  *
  * Limits: one core in a process; called on the loop's thread only.
@@ -22,6 +22,7 @@
 #define LACEWING_XC_EXCHANGE_H
 
 #include "caller.h"
+#include "crash_watch.h"
 #include "fleet.h"
 #include "lacewing/dialect.h"
 #include "lacewing/http_client.h"
@@ -38,6 +39,8 @@
     void (*mismatch)(fl_server *server, fl_adapter *adapter, void *user_data);
     /* The head of an answer carried a notice of the server on itself. */
     void (*server_notice)(const fl_server_notice *notice, void *user_data);
+    /* A server broke off an answer; it may have crashed. */
+    void (*answer_broken)(const cw_broken *broken, void *user_data);
     /* Number of instances that share the retry budgets. */
     uint32_t (*count_live)(void *user_data);
     /* Number of other instances that are not leaving. */
@@ -79,6 +82,10 @@
 /* Closes idle connections to a server; call it when the server leaves or is
    gone. */
 void xc_close_idle_connections(xc_core *core, fl_server *server);
+/* Returns whether a server accepts connections, by those that are open or were
+   refused since since_us; tries to open one if neither is the case. */
+cw_listens xc_check_listens(xc_core *core, fl_server *server,
+                            uint64_t since_us);
 
 /* Returns the callbacks for a cr_port, whose user_data must be the core. */
 const cr_callbacks *xc_query_caller_callbacks(void);
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -43,7 +43,8 @@
     const char *body;
     size_t body_count;
     const char *id;
-    rc_table *table; /* reference that keeps route and service alive */
+    uint64_t fingerprint; /* see xc_get_fingerprint(); 0: not computed yet */
+    rc_table *table;      /* reference that keeps route and service alive */
     const rc_route *route;
     const rc_service *service;
     fl_adapter *adapter; /* NULL: a plain service */
@@ -164,4 +165,11 @@
    with a whole event. */
 bool xc_query_ends_with_event(const xc_exchange *exchange);
 
+/* -- exchange_content.c */
+/* Returns the hash of what the request asks for: it is the same each time the
+   request comes, under whatever id and through whatever instance. */
+uint64_t xc_get_fingerprint(xc_exchange *exchange);
+/* Reports that the server broke off the answer to the current send. */
+void xc_report_broken(xc_exchange *exchange);
+
 #endif
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -167,10 +167,13 @@
                exchange->piece_count,
                exchange->position ? sp_query_event_count(exchange->position)
                                   : 0);
+    char content[24];
+    g_snprintf(content, sizeof(content), "%016" G_GINT64_MODIFIER "x",
+               xc_get_fingerprint(exchange));
     lg_write(LG_REQUEST_SEND_ENDED, "request", exchange->id, "server",
-             exchange->last_server_id, "why", why, "status/pieces/events",
-             counts, "resume_after", exchange->resume_after, "last_event",
-             last_event, "can_resume",
+             exchange->last_server_id, "why", why, "content", content,
+             "status/pieces/events", counts, "resume_after",
+             exchange->resume_after, "last_event", last_event, "can_resume",
              xc_query_can_resume(exchange) ? "yes" : "no", NULL);
 }
 
@@ -261,6 +264,9 @@
         _xc_is_cut_short(exchange, us_query_head(conn))) {
         end = US_BROKEN;
     }
+    if (end == US_BROKEN) {
+        xc_report_broken(exchange);
+    }
     if (exchange->refused && exchange->status == 421 && exchange->adapter) {
         /* The server does not hold the adapter, or another server has the
            address. */
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -16,8 +16,9 @@
 /* Part of the grace period that is left when the last answers are broken
    off. */
 #define _ND_STOP_RESERVE_US 500000
-/* Period in which loads in progress at servers held here are checked: a load
-   of an adapter that is at hand takes 25 ms. */
+/* Period in which loads in progress at servers held here, and servers that
+   broke off answers, are checked: a load of an adapter that is at hand takes
+   25 ms. */
 #define _ND_FAST_TICK_MS 20
 /* Period of waiting requests and their time-outs, of leases, and of messages
    to other instances. */
@@ -56,8 +57,6 @@
    checks /readyz once a second and removes an instance after two misses. */
 #define _ND_STOP_DETECTION_US 2600000
 
-static void _nd_start_fast_timer(nd_node *node);
-
 /* -- private: adapters ---------------------------------------------------- */
 
 /* Orders a load if this instance holds the server, else asks its holder. */
@@ -74,7 +73,7 @@
            be long ago. */
         server->unanswered_load_request_us = lp_query_clock_us();
     }
-    _nd_start_fast_timer(node);
+    nd_start_fast_timer(node);
 }
 
 /* Another instance asks for a load. Returns whether this instance holds the
@@ -89,7 +88,7 @@
         lg_write(LG_LOAD_REQUESTED, "request", request, "server", server->id,
                  "adapter", adapter->key, "held", held ? "yes" : "no", NULL);
     }
-    _nd_start_fast_timer(node);
+    nd_start_fast_timer(node);
     return held;
 }
 
@@ -147,6 +146,7 @@
     .request_load = _nd_on_load_wanted,
     .mismatch = _nd_on_adapter_mismatch,
     .server_notice = nd_on_server_notice,
+    .answer_broken = nd_on_answer_broken,
     .count_live = _nd_query_live_count,
     .count_staying_peers = _nd_query_other_count,
     .config_fresh = _nd_query_config_fresh};
@@ -208,6 +208,7 @@
 {
     xc_tick(node->core);
     or_tick(node->orderer);
+    cw_tick(node->crash_watch, lp_query_now_us(node->desc.loop));
 }
 
 static void
@@ -217,14 +218,14 @@
     nd_node *node = user_data;
     node->fast_timer.id = 0;
     _nd_run_due_work(node);
-    _nd_start_fast_timer(node);
+    nd_start_fast_timer(node);
 }
 
-/* Starts the fast timer if loads are in progress at servers held here. */
-static void
-_nd_start_fast_timer(nd_node *node)
+void
+nd_start_fast_timer(nd_node *node)
 {
-    if (node->fast_timer.id == 0 && or_query_work_pending(node->orderer)) {
+    if (node->fast_timer.id == 0 && (or_query_work_pending(node->orderer) ||
+                                     cw_query_pending(node->crash_watch))) {
         node->fast_timer = tm_make_timer(
             node->timers, &(tm_timer_desc){.period_ms = _ND_FAST_TICK_MS,
                                            .once = true,
@@ -451,7 +452,7 @@
         _nd_run_slow_work(node);
         gp_flush_relayed(node->peers);
     }
-    _nd_start_fast_timer(node);
+    nd_start_fast_timer(node);
 }
 
 /* -- private: setup ------------------------------------------------------- */
@@ -528,6 +529,8 @@
                              .server_changed = _nd_on_held_server_changed,
                              .server_notice = nd_on_server_notice,
                              .user_data = node});
+    node->crash_watch = cw_create(
+        &(cw_desc){.callbacks = &nd_crash_callbacks, .user_data = node});
     node->core = xc_create(&(xc_desc){
         .loop = loop,
         .hub = node->hub,
@@ -614,6 +617,7 @@
     cr_destroy(node->caller_port);
     cr_destroy(node->status_port);
     xc_destroy(node->core);
+    cw_destroy(node->crash_watch);
     hc_destroy(node->client);
     or_destroy(node->orderer);
     gp_destroy(node->peers);
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -7,6 +7,7 @@
 #define LACEWING_ND_PRIVATE_H
 
 #include "caller.h"
+#include "crash_watch.h"
 #include "exchange.h"
 #include "gossip.h"
 #include "lacewing/http_client.h"
@@ -28,6 +29,7 @@
        store; 0: no read is due. */
     uint64_t refetch_us[KR_TABLE_NUM];
     xc_core *core;
+    cw_watch *crash_watch;
     cr_port *caller_port;
     cr_port *status_port; /* for /readyz and /metrics */
     wt_group store;
@@ -48,7 +50,7 @@
     bool lease_held;
     bool ready_logged;
     tm_timer tick;
-    tm_timer fast_timer; /* runs while loads are in progress */
+    tm_timer fast_timer; /* see nd_start_fast_timer() */
     uint32_t tick_count;
     uint64_t loads_sent_us;   /* when load was last sent to other instances */
     uint64_t servers_sent_us; /* when server states were last sent to them */
@@ -94,7 +96,14 @@
 /* Ends leaving where the list contradicts it, and updates the metrics. */
 void nd_review_notices(nd_node *node);
 
+/* -- node_crashes.c: servers that crash ----------------------------------- */
+extern const cw_callbacks nd_crash_callbacks;
+void nd_on_answer_broken(const cw_broken *broken, void *user_data);
+
 /* -- node.c --------------------------------------------------------------- */
+/* Starts the fast timer if loads are in progress at servers held here, or a
+   server that broke off answers is under observation. */
+void nd_start_fast_timer(nd_node *node);
 /* Sends other instances the digest of a table and its rows that changed. */
 void nd_send_table(nd_node *node, kr_table table);
 
--- a/packages/net/include/lacewing/upstream.h
+++ b/packages/net/include/lacewing/upstream.h
@@ -77,6 +77,10 @@
 /* Starts a request. Returns NULL if all connections are in use, or none can be
    opened. */
 us_conn *us_start(us_pool *pool, const us_desc *desc);
+/* Opens a connection that becomes idle, to learn whether the server accepts
+   one; see us_query_established_count() and us_query_refused_us(). Does
+   nothing if one is being opened already. */
+void us_open_idle(us_pool *pool);
 void us_write(us_conn *conn, const char *bytes, size_t count);
 /* Stops or continues reading the answer. */
 void us_pause(us_conn *conn, bool paused);
@@ -93,6 +97,11 @@
 bool us_query_reused(const us_conn *conn);
 /* Connections of the pool, idle and in use. */
 uint32_t us_query_conn_count(const us_pool *pool);
+/* Connections that are established, idle and in use. */
+uint32_t us_query_established_count(const us_pool *pool);
+/* When a connection could last not be established, on the loop's clock;
+   0: never. */
+uint64_t us_query_refused_us(const us_pool *pool);
 /* Connections opened since us_create(). */
 uint64_t us_query_opened_total(const us_pool *pool);
 
--- a/packages/net/src/upstream.c
+++ b/packages/net/src/upstream.c
@@ -17,8 +17,10 @@
     uint32_t capacity;
     uint64_t idle_us;
     uint64_t idle_margin_us;
-    GQueue idle;   /* us_conn, most recently used first */
-    GQueue active; /* us_conn */
+    GQueue idle;      /* us_conn, most recently used first */
+    GQueue active;    /* us_conn */
+    us_conn *opening; /* of us_open_idle(), not established yet; or NULL */
+    uint64_t refused_us;
     uint64_t opened_total;
 };
 
@@ -48,6 +50,9 @@
 static void
 _us_free_unlinked(us_conn *conn)
 {
+    if (conn->pool->opening == conn) {
+        conn->pool->opening = NULL;
+    }
     if (conn->free_source) {
         g_source_remove(conn->free_source);
     }
@@ -196,6 +201,13 @@
     (void)tcp;
     us_conn *conn = user_data;
     conn->closed = true;
+    if (end == NC_REFUSED) {
+        conn->pool->refused_us = lp_query_clock_us();
+    }
+    if (conn->pool->opening == conn) {
+        _us_free_unlinked(conn);
+        return;
+    }
     if (!conn->active) {
         _us_free(conn);
         return;
@@ -210,8 +222,22 @@
                                           : US_NOT_SENT);
 }
 
-static const nc_callbacks _us_conn_callbacks = {.data = _us_on_data,
-                                                .closed = _us_on_closed};
+/* Makes the connection of us_open_idle() idle. */
+static void
+_us_on_opened(nc_conn *tcp, void *user_data)
+{
+    (void)tcp;
+    us_conn *conn = user_data;
+    us_pool *pool = conn->pool;
+    if (pool->opening == conn) {
+        pool->opening = NULL;
+        conn->idle_until_us = lp_query_now_us(pool->loop) + pool->idle_us;
+        g_queue_push_head_link(&pool->idle, &conn->link);
+    }
+}
+
+static const nc_callbacks _us_conn_callbacks = {
+    .opened = _us_on_opened, .data = _us_on_data, .closed = _us_on_closed};
 
 /* -- public --------------------------------------------------------------- */
 
@@ -259,6 +285,7 @@
         _us_free_unlinked(conn);
     }
     us_close_idle(pool);
+    g_clear_pointer(&pool->opening, _us_free_unlinked);
     g_free(pool->address);
     g_free(pool);
 }
@@ -341,6 +368,14 @@
     return conn;
 }
 
+void
+us_open_idle(us_pool *pool)
+{
+    if (!pool->opening) {
+        pool->opening = _us_open(pool);
+    }
+}
+
 void
 us_write(us_conn *conn, const char *bytes, size_t count)
 {
@@ -407,6 +442,30 @@
     return pool->idle.length + pool->active.length;
 }
 
+static uint32_t
+_us_count_established(const GQueue *conns)
+{
+    uint32_t count = 0;
+    for (const GList *at = conns->head; at; at = at->next) {
+        const us_conn *conn = at->data;
+        count += !conn->closed && nc_query_open(conn->tcp);
+    }
+    return count;
+}
+
+uint32_t
+us_query_established_count(const us_pool *pool)
+{
+    return _us_count_established(&pool->idle) +
+           _us_count_established(&pool->active);
+}
+
+uint64_t
+us_query_refused_us(const us_pool *pool)
+{
+    return pool->refused_us;
+}
+
 uint64_t
 us_query_opened_total(const us_pool *pool)
 {
--- a/packages/net/tests/test_upstream.c
+++ b/packages/net/tests/test_upstream.c
@@ -141,10 +141,45 @@
 }
 END_TEST
 
+START_TEST(test_opened_connection_becomes_idle)
+{
+    fixture *d = make_fixture();
+    us_open_idle(d->pool);
+    us_open_idle(d->pool);
+    ck_assert_uint_eq(us_query_established_count(d->pool), 0);
+    run_loop_ms(50);
+    ck_assert_uint_eq(us_query_established_count(d->pool), 1);
+    ck_assert_uint_eq(us_query_refused_us(d->pool), 0);
+    send_request(d);
+    ck_assert_uint_eq(us_query_opened_total(d->pool), 1);
+    us_destroy(d->pool);
+}
+END_TEST
+
+START_TEST(test_refused_connection_is_told_from_an_open_one)
+{
+    fixture *d = make_fixture();
+    int fd = make_idle_conn(d);
+    ck_assert_uint_eq(us_query_established_count(d->pool), 1);
+    close(fd);
+    close(d->listener);
+    run_loop_ms(20);
+    ck_assert_uint_eq(us_query_established_count(d->pool), 0);
+    us_open_idle(d->pool);
+    run_loop_ms(50);
+    ck_assert_uint_gt(us_query_refused_us(d->pool), 0);
+    ck_assert_uint_eq(us_query_conn_count(d->pool), 0);
+    us_open_idle(d->pool);
+    us_destroy(d->pool);
+}
+END_TEST
+
 int
 main(void)
 {
     TCase *tcase = tcase_create("upstream");
+    tcase_add_test(tcase, test_opened_connection_becomes_idle);
+    tcase_add_test(tcase, test_refused_connection_is_told_from_an_open_one);
     tcase_add_test(tcase, test_idle_connection_is_used_again);
     tcase_add_test(tcase, test_connection_closed_by_server_is_not_used_again);
     tcase_add_test(tcase, test_connection_with_extra_bytes_is_not_used_again);
