--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -91,6 +91,8 @@
     X(CT_CONFIG_VERSION, "config_version", "gauge",                           \
       "Configuration version in force")                                       \
     X(CT_OPEN_REQUESTS, "open_requests", "gauge", "Requests in flight")       \
+    X(CT_CONVICTED, "contents_convicted", "gauge",                            \
+      "Contents of requests that are refused as they crash servers")          \
     X(CT_SERVERS_LEAVING, "servers_leaving", "gauge",                         \
       "Servers that are leaving, by their own notice or by the server list")  \
     X(CT_SERVERS_PAUSED, "servers_paused", "gauge",                           \
@@ -112,6 +114,8 @@
     X(CT_UNSERVED_INSTANCE_LEAVES, "instance_leaves", "instance is leaving")  \
     X(CT_UNSERVED_NO_SERVICE, "no_service", "no such service")                \
     X(CT_UNSERVED_NO_REQUEST_ID, "no_request_id", "no request id")            \
+    X(CT_UNSERVED_CRASHES_SERVERS, "crashes_servers",                         \
+      "its content crashes servers")                                          \
     X(CT_UNSERVED_NOT_RUN, "not_run", "not run by any server")                \
     X(CT_UNSERVED_VERSION, "version",                                         \
       "a new adapter version was due before the answer")                      \
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -144,11 +144,9 @@
     }
 }
 
-/* Refuses the request with a time to retry after, or fails it if it may have
-   run. */
-static void
-_xc_refuse_or_fail(xc_exchange *exchange, uint32_t retry_after_ms,
-                   ct_unserved_reason why)
+void
+xc_refuse_or_fail(xc_exchange *exchange, uint32_t retry_after_ms,
+                  ct_unserved_reason why)
 {
     if (exchange->may_have_run || exchange->answer_begun) {
         xc_fail(exchange, 502, why);
@@ -165,7 +163,7 @@
     uint32_t retry_after_ms =
         _xc_retry_after_ms(exchange->core) *
         (exchange->no_load_target ? _XC_NO_LOAD_TARGET_FACTOR : 1);
-    _xc_refuse_or_fail(exchange, retry_after_ms, why);
+    xc_refuse_or_fail(exchange, retry_after_ms, why);
 }
 
 /* Estimates the time of a whole answer at a server. With an adapter, it is the
@@ -208,8 +206,8 @@
 {
     xc_core *core = exchange->core;
     if (choice->status == FL_ALL_LEAVING) {
-        _xc_refuse_or_fail(exchange, _XC_RESTART_MS + _xc_retry_after_ms(core),
-                           CT_UNSERVED_SERVERS_LEAVE);
+        xc_refuse_or_fail(exchange, _XC_RESTART_MS + _xc_retry_after_ms(core),
+                          CT_UNSERVED_SERVERS_LEAVE);
         return true;
     }
     if (choice->status == FL_ALL_PAUSED &&
@@ -220,8 +218,8 @@
             MIN(left_ms * _XC_RETRY_SPREAD_SHARE, _XC_RETRY_SPREAD_MAX_MS);
         double retry_after_ms =
             left_ms + spread_ms * g_rand_double(core->random);
-        _xc_refuse_or_fail(exchange, (uint32_t)retry_after_ms,
-                           CT_UNSERVED_SERVERS_PAUSED);
+        xc_refuse_or_fail(exchange, (uint32_t)retry_after_ms,
+                          CT_UNSERVED_SERVERS_PAUSED);
         return true;
     }
     return false;
@@ -348,6 +346,9 @@
 void
 xc_dispatch(xc_exchange *exchange)
 {
+    if (xc_end_if_convicted(exchange)) {
+        return;
+    }
     fl_request criteria = _xc_make_criteria(exchange);
     fl_choice choice;
     while (_xc_choose_server(exchange, &criteria, &choice)) {
@@ -712,7 +713,8 @@
 xc_core *
 xc_create(const xc_desc *desc)
 {
-    g_assert(desc->loop && desc->hub && desc->fleet && desc->dialect);
+    g_assert(desc->loop && desc->hub && desc->fleet && desc->suspects &&
+             desc->dialect);
     xc_core *core = g_new0(xc_core, 1);
     core->desc = *desc;
     g_queue_init(&core->active);
@@ -776,6 +778,20 @@
     }
 }
 
+void
+xc_end_convicted(xc_core *core)
+{
+    GList *next;
+    for (GList *at = core->active.head; at; at = next) {
+        next = at->next;
+        xc_exchange *exchange = at->data;
+        if (exchange->state == XC_SENT && exchange->status == 0 &&
+            !exchange->answer_begun) {
+            xc_end_if_convicted(exchange);
+        }
+    }
+}
+
 cw_listens
 xc_check_listens(xc_core *core, fl_server *server, uint64_t since_us)
 {
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -13,7 +13,8 @@
  * xc_query_caller_callbacks().
  *
  * commands: xc_create xc_destroy xc_set_table xc_dispatch_waiting xc_tick
- *           xc_set_leave_time xc_close_idle_connections xc_check_listens
+ *           xc_set_leave_time xc_close_idle_connections xc_end_convicted
+ *           xc_check_listens
  * queries:  xc_query_caller_callbacks
  *
  * Limits: one core in a process; called on the loop's thread only.
@@ -26,6 +27,7 @@
 #include "fleet.h"
 #include "lacewing/dialect.h"
 #include "lacewing/http_client.h"
+#include "suspects.h"
 
 typedef struct xc_core xc_core;
 
@@ -41,6 +43,8 @@
     void (*server_notice)(const fl_server_notice *notice, void *user_data);
     /* A server broke off an answer; it may have crashed. */
     void (*answer_broken)(const cw_broken *broken, void *user_data);
+    /* Whether a probe of a convicted content may be sent from here. */
+    bool (*may_probe)(void *user_data);
     /* Number of instances that share the retry budgets. */
     uint32_t (*count_live)(void *user_data);
     /* Number of other instances that are not leaving. */
@@ -53,6 +57,7 @@
     lp_loop *loop;             /* required */
     nc_hub *hub;               /* required */
     fl_fleet *fleet;           /* required */
+    su_suspects *suspects;     /* required */
     const dl_dialect *dialect; /* required */
     const char *zone;          /* required */
     double retry_ratio;        /* see bg_desc, for these three */
@@ -82,6 +87,9 @@
 /* Closes idle connections to a server; call it when the server leaves or is
    gone. */
 void xc_close_idle_connections(xc_core *core, fl_server *server);
+/* Ends requests whose content was convicted and that no server has begun to
+   answer; call it after a conviction. */
+void xc_end_convicted(xc_core *core);
 /* Returns whether a server accepts connections, by those that are open or were
    refused since since_us; tries to open one if neither is the case. */
 cw_listens xc_check_listens(xc_core *core, fl_server *server,
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -607,6 +607,209 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
+lacewing__exchange__candidate__init(Lacewing__Exchange__Candidate *message)
+{
+    static const Lacewing__Exchange__Candidate init_value =
+        LACEWING__EXCHANGE__CANDIDATE__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__candidate__get_packed_size(
+    const Lacewing__Exchange__Candidate *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__candidate__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__candidate__pack(
+    const Lacewing__Exchange__Candidate *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__candidate__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__candidate__pack_to_buffer(
+    const Lacewing__Exchange__Candidate *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__candidate__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__Candidate *
+lacewing__exchange__candidate__unpack(ProtobufCAllocator *allocator,
+                                      size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__Candidate *)protobuf_c_message_unpack(
+        &lacewing__exchange__candidate__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__candidate__free_unpacked(
+    Lacewing__Exchange__Candidate *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__candidate__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+lacewing__exchange__crash_word__init(Lacewing__Exchange__CrashWord *message)
+{
+    static const Lacewing__Exchange__CrashWord init_value =
+        LACEWING__EXCHANGE__CRASH_WORD__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__crash_word__get_packed_size(
+    const Lacewing__Exchange__CrashWord *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__crash_word__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__crash_word__pack(
+    const Lacewing__Exchange__CrashWord *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__crash_word__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__crash_word__pack_to_buffer(
+    const Lacewing__Exchange__CrashWord *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__crash_word__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__CrashWord *
+lacewing__exchange__crash_word__unpack(ProtobufCAllocator *allocator,
+                                       size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__CrashWord *)protobuf_c_message_unpack(
+        &lacewing__exchange__crash_word__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__crash_word__free_unpacked(
+    Lacewing__Exchange__CrashWord *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__crash_word__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+lacewing__exchange__conviction_word__init(
+    Lacewing__Exchange__ConvictionWord *message)
+{
+    static const Lacewing__Exchange__ConvictionWord init_value =
+        LACEWING__EXCHANGE__CONVICTION_WORD__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__conviction_word__get_packed_size(
+    const Lacewing__Exchange__ConvictionWord *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__conviction_word__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__conviction_word__pack(
+    const Lacewing__Exchange__ConvictionWord *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__conviction_word__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__conviction_word__pack_to_buffer(
+    const Lacewing__Exchange__ConvictionWord *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__conviction_word__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__ConvictionWord *
+lacewing__exchange__conviction_word__unpack(ProtobufCAllocator *allocator,
+                                            size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__ConvictionWord *)protobuf_c_message_unpack(
+        &lacewing__exchange__conviction_word__descriptor, allocator, len,
+        data);
+}
+void
+lacewing__exchange__conviction_word__free_unpacked(
+    Lacewing__Exchange__ConvictionWord *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__conviction_word__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+lacewing__exchange__cleared_word__init(
+    Lacewing__Exchange__ClearedWord *message)
+{
+    static const Lacewing__Exchange__ClearedWord init_value =
+        LACEWING__EXCHANGE__CLEARED_WORD__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__cleared_word__get_packed_size(
+    const Lacewing__Exchange__ClearedWord *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__cleared_word__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__cleared_word__pack(
+    const Lacewing__Exchange__ClearedWord *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__cleared_word__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__cleared_word__pack_to_buffer(
+    const Lacewing__Exchange__ClearedWord *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__cleared_word__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__ClearedWord *
+lacewing__exchange__cleared_word__unpack(ProtobufCAllocator *allocator,
+                                         size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__ClearedWord *)protobuf_c_message_unpack(
+        &lacewing__exchange__cleared_word__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__cleared_word__free_unpacked(
+    Lacewing__Exchange__ClearedWord *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__cleared_word__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
 lacewing__exchange__word__init(Lacewing__Exchange__Word *message)
 {
     static const Lacewing__Exchange__Word init_value =
@@ -1354,7 +1557,207 @@
         NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__word__field_descriptors[12] = {
+    lacewing__exchange__candidate__field_descriptors[2] = {
+        {
+            "fingerprint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__Candidate, fingerprint), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "likelihood", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__Candidate, likelihood), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned lacewing__exchange__candidate__field_indices_by_name[] =
+    {
+        0, /* field[0] = fingerprint */
+        1, /* field[1] = likelihood */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__candidate__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor lacewing__exchange__candidate__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.Candidate",
+    "Candidate",
+    "Lacewing__Exchange__Candidate",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__Candidate),
+    2,
+    lacewing__exchange__candidate__field_descriptors,
+    lacewing__exchange__candidate__field_indices_by_name,
+    1,
+    lacewing__exchange__candidate__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__candidate__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__crash_word__field_descriptors[4] = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__CrashWord, server), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "born_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__CrashWord, born_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__CrashWord, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "candidates", 4, PROTOBUF_C_LABEL_REPEATED,
+            PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__CrashWord, n_candidates),
+            offsetof(Lacewing__Exchange__CrashWord, candidates),
+            &lacewing__exchange__candidate__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned lacewing__exchange__crash_word__field_indices_by_name[] =
+    {
+        2, /* field[2] = age_ms */
+        1, /* field[1] = born_ms */
+        3, /* field[3] = candidates */
+        0, /* field[0] = server */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__crash_word__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
+const ProtobufCMessageDescriptor lacewing__exchange__crash_word__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.CrashWord",
+    "CrashWord",
+    "Lacewing__Exchange__CrashWord",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__CrashWord),
+    4,
+    lacewing__exchange__crash_word__field_descriptors,
+    lacewing__exchange__crash_word__field_indices_by_name,
+    1,
+    lacewing__exchange__crash_word__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__crash_word__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__conviction_word__field_descriptors[4] = {
+        {
+            "item", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ConvictionWord, item), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "crashes", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ConvictionWord, crashes), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "first_crash_age_ms", 3, PROTOBUF_C_LABEL_NONE,
+            PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ConvictionWord, first_crash_age_ms),
+            NULL, NULL, 0, /* flags */
+            0, NULL, NULL  /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ConvictionWord, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned
+    lacewing__exchange__conviction_word__field_indices_by_name[] = {
+        3, /* field[3] = age_ms */
+        1, /* field[1] = crashes */
+        2, /* field[2] = first_crash_age_ms */
+        0, /* field[0] = item */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__conviction_word__number_ranges[1 + 1] = {{1, 0},
+                                                                 {0, 4}};
+const ProtobufCMessageDescriptor
+    lacewing__exchange__conviction_word__descriptor = {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.ConvictionWord",
+        "ConvictionWord",
+        "Lacewing__Exchange__ConvictionWord",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__ConvictionWord),
+        4,
+        lacewing__exchange__conviction_word__field_descriptors,
+        lacewing__exchange__conviction_word__field_indices_by_name,
+        1,
+        lacewing__exchange__conviction_word__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__conviction_word__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__cleared_word__field_descriptors[2] = {
+        {
+            "item", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ClearedWord, item), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ClearedWord, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned
+    lacewing__exchange__cleared_word__field_indices_by_name[] = {
+        1, /* field[1] = age_ms */
+        0, /* field[0] = item */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__cleared_word__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor lacewing__exchange__cleared_word__descriptor =
+    {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.ClearedWord",
+        "ClearedWord",
+        "Lacewing__Exchange__ClearedWord",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__ClearedWord),
+        2,
+        lacewing__exchange__cleared_word__field_descriptors,
+        lacewing__exchange__cleared_word__field_indices_by_name,
+        1,
+        lacewing__exchange__cleared_word__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__cleared_word__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__word__field_descriptors[15] = {
         {
             "instance", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
             0, /* quantifier_offset */
@@ -1439,9 +1842,35 @@
             &lacewing__exchange__leaving_word__descriptor, NULL, 0, /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
+        {
+            "crashes", 14, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_crashes),
+            offsetof(Lacewing__Exchange__Word, crashes),
+            &lacewing__exchange__crash_word__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "convictions", 15, PROTOBUF_C_LABEL_REPEATED,
+            PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_convictions),
+            offsetof(Lacewing__Exchange__Word, convictions),
+            &lacewing__exchange__conviction_word__descriptor, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "cleared", 16, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_cleared),
+            offsetof(Lacewing__Exchange__Word, cleared),
+            &lacewing__exchange__cleared_word__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
     5,  /* field[5] = asks */
+    14, /* field[14] = cleared */
+    13, /* field[13] = convictions */
+    12, /* field[12] = crashes */
     1,  /* field[1] = incarnation */
     0,  /* field[0] = instance */
     11, /* field[11] = leaving */
@@ -1455,7 +1884,7 @@
     10, /* field[10] = words */
 };
 static const ProtobufCIntRange lacewing__exchange__word__number_ranges[2 + 1] =
-    {{1, 0}, {8, 6}, {0, 12}};
+    {{1, 0}, {8, 6}, {0, 15}};
 const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "lacewing.exchange.Word",
@@ -1463,7 +1892,7 @@
     "Lacewing__Exchange__Word",
     "lacewing.exchange",
     sizeof(Lacewing__Exchange__Word),
-    12,
+    15,
     lacewing__exchange__word__field_descriptors,
     lacewing__exchange__word__field_indices_by_name,
     2,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -27,6 +27,10 @@
 typedef struct Lacewing__Exchange__TableWord Lacewing__Exchange__TableWord;
 typedef struct Lacewing__Exchange__RowWord Lacewing__Exchange__RowWord;
 typedef struct Lacewing__Exchange__LeavingWord Lacewing__Exchange__LeavingWord;
+typedef struct Lacewing__Exchange__Candidate Lacewing__Exchange__Candidate;
+typedef struct Lacewing__Exchange__CrashWord Lacewing__Exchange__CrashWord;
+typedef struct Lacewing__Exchange__ConvictionWord Lacewing__Exchange__ConvictionWord;
+typedef struct Lacewing__Exchange__ClearedWord Lacewing__Exchange__ClearedWord;
 typedef struct Lacewing__Exchange__Word Lacewing__Exchange__Word;
 
 
@@ -294,6 +298,79 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A content that a server was running when it crashed.
+ */
+struct  Lacewing__Exchange__Candidate
+{
+  ProtobufCMessage base;
+  uint64_t fingerprint;
+  /*
+   * see su_candidate
+   */
+  uint32_t likelihood;
+};
+#define LACEWING__EXCHANGE__CANDIDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__candidate__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * A crash of a server, as the sender saw it.
+ */
+struct  Lacewing__Exchange__CrashWord
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id
+   */
+  uint64_t server;
+  /*
+   * start of the process that ended
+   */
+  uint64_t born_ms;
+  uint32_t age_ms;
+  size_t n_candidates;
+  Lacewing__Exchange__Candidate **candidates;
+};
+#define LACEWING__EXCHANGE__CRASH_WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__crash_word__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+/*
+ * An item that was found to crash servers.
+ */
+struct  Lacewing__Exchange__ConvictionWord
+{
+  ProtobufCMessage base;
+  uint64_t item;
+  uint32_t crashes;
+  uint32_t first_crash_age_ms;
+  uint32_t age_ms;
+};
+#define LACEWING__EXCHANGE__CONVICTION_WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__conviction_word__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * An item that was answered well and crashes no servers.
+ */
+struct  Lacewing__Exchange__ClearedWord
+{
+  ProtobufCMessage base;
+  uint64_t item;
+  /*
+   * since the answer began
+   */
+  uint32_t age_ms;
+};
+#define LACEWING__EXCHANGE__CLEARED_WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__cleared_word__descriptor) \
+    , 0, 0 }
+
+
 /*
  * One datagram, or one of the messages that a relay forwards in a datagram.
  */
@@ -329,10 +406,16 @@
   Lacewing__Exchange__RowWord **rows;
   size_t n_leaving;
   Lacewing__Exchange__LeavingWord **leaving;
+  size_t n_crashes;
+  Lacewing__Exchange__CrashWord **crashes;
+  size_t n_convictions;
+  Lacewing__Exchange__ConvictionWord **convictions;
+  size_t n_cleared;
+  Lacewing__Exchange__ClearedWord **cleared;
 };
 #define LACEWING__EXCHANGE__WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__word__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Lacewing__Exchange__InstanceRow methods */
@@ -563,6 +646,82 @@
 void   lacewing__exchange__leaving_word__free_unpacked
                      (Lacewing__Exchange__LeavingWord *message,
                       ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__Candidate methods */
+void   lacewing__exchange__candidate__init
+                     (Lacewing__Exchange__Candidate         *message);
+size_t lacewing__exchange__candidate__get_packed_size
+                     (const Lacewing__Exchange__Candidate   *message);
+size_t lacewing__exchange__candidate__pack
+                     (const Lacewing__Exchange__Candidate   *message,
+                      uint8_t             *out);
+size_t lacewing__exchange__candidate__pack_to_buffer
+                     (const Lacewing__Exchange__Candidate   *message,
+                      ProtobufCBuffer     *buffer);
+Lacewing__Exchange__Candidate *
+       lacewing__exchange__candidate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lacewing__exchange__candidate__free_unpacked
+                     (Lacewing__Exchange__Candidate *message,
+                      ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__CrashWord methods */
+void   lacewing__exchange__crash_word__init
+                     (Lacewing__Exchange__CrashWord         *message);
+size_t lacewing__exchange__crash_word__get_packed_size
+                     (const Lacewing__Exchange__CrashWord   *message);
+size_t lacewing__exchange__crash_word__pack
+                     (const Lacewing__Exchange__CrashWord   *message,
+                      uint8_t             *out);
+size_t lacewing__exchange__crash_word__pack_to_buffer
+                     (const Lacewing__Exchange__CrashWord   *message,
+                      ProtobufCBuffer     *buffer);
+Lacewing__Exchange__CrashWord *
+       lacewing__exchange__crash_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lacewing__exchange__crash_word__free_unpacked
+                     (Lacewing__Exchange__CrashWord *message,
+                      ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__ConvictionWord methods */
+void   lacewing__exchange__conviction_word__init
+                     (Lacewing__Exchange__ConvictionWord         *message);
+size_t lacewing__exchange__conviction_word__get_packed_size
+                     (const Lacewing__Exchange__ConvictionWord   *message);
+size_t lacewing__exchange__conviction_word__pack
+                     (const Lacewing__Exchange__ConvictionWord   *message,
+                      uint8_t             *out);
+size_t lacewing__exchange__conviction_word__pack_to_buffer
+                     (const Lacewing__Exchange__ConvictionWord   *message,
+                      ProtobufCBuffer     *buffer);
+Lacewing__Exchange__ConvictionWord *
+       lacewing__exchange__conviction_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lacewing__exchange__conviction_word__free_unpacked
+                     (Lacewing__Exchange__ConvictionWord *message,
+                      ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__ClearedWord methods */
+void   lacewing__exchange__cleared_word__init
+                     (Lacewing__Exchange__ClearedWord         *message);
+size_t lacewing__exchange__cleared_word__get_packed_size
+                     (const Lacewing__Exchange__ClearedWord   *message);
+size_t lacewing__exchange__cleared_word__pack
+                     (const Lacewing__Exchange__ClearedWord   *message,
+                      uint8_t             *out);
+size_t lacewing__exchange__cleared_word__pack_to_buffer
+                     (const Lacewing__Exchange__ClearedWord   *message,
+                      ProtobufCBuffer     *buffer);
+Lacewing__Exchange__ClearedWord *
+       lacewing__exchange__cleared_word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lacewing__exchange__cleared_word__free_unpacked
+                     (Lacewing__Exchange__ClearedWord *message,
+                      ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__Word methods */
 void   lacewing__exchange__word__init
                      (Lacewing__Exchange__Word         *message);
@@ -620,6 +779,18 @@
 typedef void (*Lacewing__Exchange__LeavingWord_Closure)
                  (const Lacewing__Exchange__LeavingWord *message,
                   void *closure_data);
+typedef void (*Lacewing__Exchange__Candidate_Closure)
+                 (const Lacewing__Exchange__Candidate *message,
+                  void *closure_data);
+typedef void (*Lacewing__Exchange__CrashWord_Closure)
+                 (const Lacewing__Exchange__CrashWord *message,
+                  void *closure_data);
+typedef void (*Lacewing__Exchange__ConvictionWord_Closure)
+                 (const Lacewing__Exchange__ConvictionWord *message,
+                  void *closure_data);
+typedef void (*Lacewing__Exchange__ClearedWord_Closure)
+                 (const Lacewing__Exchange__ClearedWord *message,
+                  void *closure_data);
 typedef void (*Lacewing__Exchange__Word_Closure)
                  (const Lacewing__Exchange__Word *message,
                   void *closure_data);
@@ -641,6 +812,10 @@
 extern const ProtobufCMessageDescriptor lacewing__exchange__table_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__row_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__leaving_word__descriptor;
+extern const ProtobufCMessageDescriptor lacewing__exchange__candidate__descriptor;
+extern const ProtobufCMessageDescriptor lacewing__exchange__crash_word__descriptor;
+extern const ProtobufCMessageDescriptor lacewing__exchange__conviction_word__descriptor;
+extern const ProtobufCMessageDescriptor lacewing__exchange__cleared_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -201,6 +201,9 @@
     if (exchange->send_piece_count++ == 0) {
         exchange->send_first_piece_us = now_us;
     }
+    if (xc_query_under_way(exchange)) {
+        xc_note_good(exchange);
+    }
     _xc_keep_last_bytes(exchange, bytes, count);
     if (!exchange->position) {
         cr_write_piece(exchange->caller, bytes, count);
@@ -235,6 +238,9 @@
     ct_add(CT_ANSWERED, 1);
     hg_observe(HG_ANSWER, xc_query_label(exchange),
                xc_now_us(exchange) - exchange->received_us);
+    if (exchange->status >= 200 && exchange->status < 300) {
+        xc_note_good(exchange);
+    }
     if (exchange->logged) {
         _xc_log_done(exchange);
     }
--- a/packages/exchange/src/exchange_content.c
+++ b/packages/exchange/src/exchange_content.c
@@ -32,6 +32,69 @@
     return exchange->fingerprint;
 }
 
+/* Most time, at random, that is added to the time after which a caller whose
+   content was convicted may come again. */
+#define _XC_PROBE_SPREAD_MS 1000
+
+/* Allows a request to probe its convicted content if one is due. */
+static bool
+_xc_begin_probe(xc_exchange *exchange, const su_verdict *verdict)
+{
+    const xc_desc *desc = &exchange->core->desc;
+    if (!desc->callbacks->may_probe(desc->user_data)) {
+        return false;
+    }
+    su_note_probe(desc->suspects, verdict->item, xc_now_us(exchange));
+    exchange->probes_content = true;
+    exchange->logged = true;
+    xc_log_outcome(LG_CONTENT_PROBED, exchange,
+                   ct_query_unserved_text(CT_UNSERVED_CRASHES_SERVERS));
+    return true;
+}
+
+bool
+xc_end_if_convicted(xc_exchange *exchange)
+{
+    su_suspects *suspects = exchange->core->desc.suspects;
+    su_verdict verdict;
+    if (exchange->probes_content || su_query_convicted_count(suspects) == 0) {
+        return false;
+    }
+    su_status status = su_check(suspects, xc_get_fingerprint(exchange),
+                                xc_now_us(exchange), &verdict);
+    if (status == SU_FREE ||
+        (status == SU_PROBE && _xc_begin_probe(exchange, &verdict))) {
+        return false;
+    }
+    uint32_t spread_ms = (uint32_t)g_rand_int_range(exchange->core->random, 0,
+                                                    _XC_PROBE_SPREAD_MS);
+    xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
+    xc_refuse_or_fail(exchange, verdict.retry_ms + spread_ms,
+                      CT_UNSERVED_CRASHES_SERVERS);
+    return true;
+}
+
+bool
+xc_query_under_way(const xc_exchange *exchange)
+{
+    return exchange->send_piece_count > 0 &&
+           xc_now_us(exchange) >=
+               exchange->send_first_piece_us + _XC_JUST_BEGUN_US;
+}
+
+void
+xc_note_good(xc_exchange *exchange)
+{
+    su_suspects *suspects = exchange->core->desc.suspects;
+    if (exchange->good_noted || !su_query_active(suspects)) {
+        return;
+    }
+    exchange->good_noted = true;
+    su_note_good(suspects, xc_get_fingerprint(exchange),
+                 exchange->send_piece_count ? exchange->send_first_piece_us
+                                            : exchange->sent_us);
+}
+
 static cw_progress
 _xc_query_progress(const xc_exchange *exchange)
 {
@@ -41,9 +104,7 @@
     if (exchange->send_piece_count == 0) {
         return CW_HEAD_ONLY;
     }
-    bool just_begun = xc_now_us(exchange) <
-                      exchange->send_first_piece_us + _XC_JUST_BEGUN_US;
-    return just_begun ? CW_JUST_BEGUN : CW_PROGRESS_DEFAULT;
+    return xc_query_under_way(exchange) ? CW_PROGRESS_DEFAULT : CW_JUST_BEGUN;
 }
 
 void
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -61,6 +61,7 @@
     bool no_load_target;       /* no server can load its adapter now */
     bool skipped_leaving;      /* a server was skipped as it leaves */
     bool skipped_paused;       /* a server was skipped as it is paused */
+    bool probes_content;       /* its content is convicted; it may be sent */
     bool may_repeat;           /* its kind may run again after a failure */
     bool may_have_run;         /* a send of it may run or have run */
     /* the current send */
@@ -96,6 +97,7 @@
     uint32_t piece_count;
     /* of the current send */
     uint32_t send_piece_count;
+    bool good_noted;              /* see xc_note_good() */
     uint64_t send_first_piece_us; /* set with send_piece_count */
     bool paused;           /* reading waits until the caller has taken bytes */
     uint64_t unpaused_us;  /* end of the last such pause; 0: none */
@@ -133,6 +135,10 @@
 /* Cancels a send whose answer is too long, then sends the request elsewhere or
    fails it. */
 void xc_end_long_answer(xc_exchange *exchange);
+/* Refuses the request with a time to retry after, or fails it if it may have
+   run. */
+void xc_refuse_or_fail(xc_exchange *exchange, uint32_t retry_after_ms,
+                       ct_unserved_reason why);
 /* Cancels the current send; the server stops work on it. */
 void xc_cancel_send(xc_exchange *exchange, fl_outcome outcome);
 /* Logs the end of a send without a good answer, and has all later lines of the
@@ -169,6 +175,15 @@
 /* Returns the hash of what the request asks for: it is the same each time the
    request comes, under whatever id and through whatever instance. */
 uint64_t xc_get_fingerprint(xc_exchange *exchange);
+/* Ends the request if its content was convicted, unless it is sent as a probe.
+   Returns true if it has ended. */
+bool xc_end_if_convicted(xc_exchange *exchange);
+/* Notes that the server answers the content and has not crashed. Call it when
+   events have come for some time, and at the end of a good answer. */
+void xc_note_good(xc_exchange *exchange);
+/* Returns whether events of the current send have come for so long that its
+   content crashes no server as it begins to answer. */
+bool xc_query_under_way(const xc_exchange *exchange);
 /* Reports that the server broke off the answer to the current send. */
 void xc_report_broken(xc_exchange *exchange);
 
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -498,6 +498,7 @@
     exchange->answer_too_long = false;
     exchange->status = 0;
     exchange->send_piece_count = 0;
+    exchange->good_noted = false;
     exchange->paused = false;
     exchange->unpaused_us = 0;
     memset(exchange->last_bytes, 0, sizeof(exchange->last_bytes));
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -1,6 +1,6 @@
 #include "gossip.h"
 
-#include "exchange.pb-c.h"
+#include "gossip_private.h"
 #include "lacewing/conn.h"
 #include "lacewing/counter.h"
 #include "lacewing/hash.h"
@@ -60,6 +60,7 @@
     rl_plan *plan;
     uint64_t plan_digest; /* of the instances that the plan was built from */
     uint32_t poll_positions[KR_TABLE_NUM];
+    uint32_t suspects_position;
     uint64_t last_number;   /* of the last broadcast */
     GHashTable *seen;       /* instance -> rl_seen */
     GPtrArray *relay_queue; /* GBytes: messages for the rest of the zone */
@@ -137,6 +138,7 @@
                                        .zone = peers->zone,
                                        .address = peers->address,
                                        .link_mbps = peers->desc.link_mbps});
+        peers->suspects_position = rl_query_position(peers->plan, "suspects");
         for (int table = 0; table < KR_TABLE_NUM; table++) {
             char task[16];
             g_snprintf(task, sizeof(task), "table %d", table);
@@ -173,11 +175,14 @@
     peers->relay_queue_bytes += count;
 }
 
-/* Sends a message to all. repeated: its content is sent again soon, so that
-   one relay per zone is enough. */
-static void
-_gp_broadcast(gp_peers *peers, Lacewing__Exchange__Word *message,
-              bool repeated)
+uint64_t
+gp_now_us(const gp_peers *peers)
+{
+    return lp_query_now_us(peers->desc.loop);
+}
+
+void
+gp_broadcast(gp_peers *peers, Lacewing__Exchange__Word *message, bool repeated)
 {
     rl_plan *plan = _gp_current_plan(peers);
     message->number = ++peers->last_number;
@@ -350,7 +355,7 @@
         _gp_send_to_instance(peers, &message, receiver);
     }
     else {
-        _gp_broadcast(peers, &message, false);
+        gp_broadcast(peers, &message, false);
     }
     for (guint i = 0; i < state.models->len; i++) {
         g_free(((Lacewing__Exchange__ModelState *)state.models->pdata[i])
@@ -380,7 +385,7 @@
     Lacewing__Exchange__Word message = LACEWING__EXCHANGE__WORD__INIT;
     message.n_leaving = 1;
     message.leaving = notices;
-    _gp_broadcast(peers, &message, false);
+    gp_broadcast(peers, &message, false);
 }
 
 /* The parts of a message of loads and uses. */
@@ -539,7 +544,7 @@
     message.n_tables = _gp_fill_table_digest(peers, &table, KR_OWN, own);
     message.tables = tables;
     if (message.n_loads || message.n_uses) {
-        _gp_broadcast(peers, &message, true);
+        gp_broadcast(peers, &message, true);
     }
     g_ptr_array_unref(all.loads);
     g_ptr_array_unref(all.copies);
@@ -594,7 +599,7 @@
         message.n_rows = i + 1;
     }
     message.rows = row_pointers;
-    _gp_broadcast(peers, &message, false);
+    gp_broadcast(peers, &message, false);
 }
 
 /* -- private: receiving --------------------------------------------------- */
@@ -742,6 +747,8 @@
                                                 peers->desc.user_data);
         }
     }
+    gp_apply_suspects(peers, peers->desc.callbacks, peers->desc.user_data,
+                      message);
     for (size_t i = 0; i < message->n_asks; i++) {
         _gp_answer_load_request(peers, message->asks[i], message->instance);
     }
@@ -865,6 +872,13 @@
     return peers->poll_positions[table];
 }
 
+uint32_t
+gp_query_suspects_position(gp_peers *peers)
+{
+    _gp_current_plan(peers);
+    return peers->suspects_position;
+}
+
 bool
 gp_query_relayed(gp_peers *peers)
 {
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -22,6 +22,7 @@
 #include "known_rows.h"
 #include "lacewing/loop.h"
 #include "lease.h"
+#include "suspects.h"
 
 typedef struct gp_peers gp_peers;
 
@@ -51,6 +52,11 @@
     /* Another instance learned from an answer that this server leaves.
        born_ms: start of the server process that said so. */
     void (*server_leaving)(const char *id, uint64_t born_ms, void *user_data);
+    /* Another instance saw a crash, convicted an item or cleared one; times
+       are on the local clock. */
+    void (*crash)(const su_crash *crash, void *user_data);
+    void (*convicted)(const su_conviction *conviction, void *user_data);
+    void (*cleared)(uint64_t item, uint64_t began_us, void *user_data);
     /* The holder of a server sent a new state, which has been applied. */
     void (*server_changed)(fl_server *server, void *user_data);
 } gp_callbacks;
@@ -85,6 +91,10 @@
                                uint64_t revision, bool force);
 /* Broadcasts that a server announced that it leaves. Call once for each. */
 void gp_broadcast_leaving(gp_peers *peers, const fl_server *server);
+/* Broadcast what is known of requests that crash servers. */
+void gp_broadcast_crash(gp_peers *peers, const su_crash *crash);
+void gp_broadcast_conviction(gp_peers *peers, const su_conviction *conviction);
+void gp_broadcast_cleared(gp_peers *peers, uint64_t item, uint64_t began_us);
 /* Broadcasts local in-flight counts that changed or were sent too long ago,
    and adapter uses since the last call. Adds the digest of the own table, as
    messages about it may have been lost. */
@@ -99,6 +109,9 @@
 /* Returns the position for wt_set_poll_rank() among the instances that follow
    a table; 0: there are too few to poll in turn. */
 uint32_t gp_query_poll_position(gp_peers *peers, kr_table table);
+/* Returns the position, from 1, of this instance in the order in which
+   instances speak for all about requests that crash servers. */
+uint32_t gp_query_suspects_position(gp_peers *peers);
 /* Returns whether there are so many instances that they poll the store in
    turn and share the results. */
 bool gp_query_polling_shared(gp_peers *peers);
--- /dev/null
+++ b/packages/exchange/src/gossip_suspects.c
@@ -0,0 +1,116 @@
+#include "gossip_private.h"
+
+static uint32_t
+_gp_age_ms(const gp_peers *peers, uint64_t at_us)
+{
+    uint64_t now_us = gp_now_us(peers);
+    return at_us < now_us ? (uint32_t)((now_us - at_us) / 1000) : 0;
+}
+
+static uint64_t
+_gp_local_us(const gp_peers *peers, uint32_t age_ms)
+{
+    uint64_t now_us = gp_now_us(peers);
+    uint64_t age_us = age_ms * 1000ULL;
+    return age_us < now_us ? now_us - age_us : 1;
+}
+
+void
+gp_broadcast_crash(gp_peers *peers, const su_crash *crash)
+{
+    Lacewing__Exchange__Candidate candidates[SU_MAX_CANDIDATES];
+    Lacewing__Exchange__Candidate *pointers[SU_MAX_CANDIDATES];
+    uint32_t count = MIN(crash->candidate_count, SU_MAX_CANDIDATES);
+    for (uint32_t i = 0; i < count; i++) {
+        lacewing__exchange__candidate__init(&candidates[i]);
+        candidates[i].fingerprint = crash->candidates[i].fingerprint;
+        candidates[i].likelihood = crash->candidates[i].likelihood;
+        pointers[i] = &candidates[i];
+    }
+    Lacewing__Exchange__CrashWord word = LACEWING__EXCHANGE__CRASH_WORD__INIT;
+    word.server = crash->server;
+    word.born_ms = crash->born_ms;
+    word.age_ms = _gp_age_ms(peers, crash->at_us);
+    word.n_candidates = count;
+    word.candidates = pointers;
+    Lacewing__Exchange__CrashWord *words[] = {&word};
+    Lacewing__Exchange__Word message = LACEWING__EXCHANGE__WORD__INIT;
+    message.n_crashes = 1;
+    message.crashes = words;
+    gp_broadcast(peers, &message, false);
+}
+
+void
+gp_broadcast_conviction(gp_peers *peers, const su_conviction *conviction)
+{
+    Lacewing__Exchange__ConvictionWord word =
+        LACEWING__EXCHANGE__CONVICTION_WORD__INIT;
+    word.item = conviction->item;
+    word.crashes = conviction->crashes;
+    word.first_crash_age_ms = _gp_age_ms(peers, conviction->first_crash_us);
+    word.age_ms = _gp_age_ms(peers, conviction->since_us);
+    Lacewing__Exchange__ConvictionWord *words[] = {&word};
+    Lacewing__Exchange__Word message = LACEWING__EXCHANGE__WORD__INIT;
+    message.n_convictions = 1;
+    message.convictions = words;
+    gp_broadcast(peers, &message, true);
+}
+
+void
+gp_broadcast_cleared(gp_peers *peers, uint64_t item, uint64_t began_us)
+{
+    Lacewing__Exchange__ClearedWord word =
+        LACEWING__EXCHANGE__CLEARED_WORD__INIT;
+    word.item = item;
+    word.age_ms = _gp_age_ms(peers, began_us);
+    Lacewing__Exchange__ClearedWord *words[] = {&word};
+    Lacewing__Exchange__Word message = LACEWING__EXCHANGE__WORD__INIT;
+    message.n_cleared = 1;
+    message.cleared = words;
+    gp_broadcast(peers, &message, false);
+}
+
+static void
+_gp_apply_crash(const gp_peers *peers, const gp_callbacks *callbacks,
+                void *user_data, const Lacewing__Exchange__CrashWord *word)
+{
+    su_candidate candidates[SU_MAX_CANDIDATES];
+    uint32_t count = (uint32_t)MIN(word->n_candidates, SU_MAX_CANDIDATES);
+    for (uint32_t i = 0; i < count; i++) {
+        candidates[i] = (su_candidate){
+            .fingerprint = word->candidates[i]->fingerprint,
+            .likelihood = word->candidates[i]->likelihood,
+        };
+    }
+    callbacks->crash(&(su_crash){.server = word->server,
+                                 .born_ms = word->born_ms,
+                                 .at_us = _gp_local_us(peers, word->age_ms),
+                                 .candidates = candidates,
+                                 .candidate_count = count},
+                     user_data);
+}
+
+void
+gp_apply_suspects(const gp_peers *peers, const gp_callbacks *callbacks,
+                  void *user_data, const Lacewing__Exchange__Word *message)
+{
+    for (size_t i = 0; i < message->n_crashes; i++) {
+        _gp_apply_crash(peers, callbacks, user_data, message->crashes[i]);
+    }
+    for (size_t i = 0; i < message->n_convictions; i++) {
+        const Lacewing__Exchange__ConvictionWord *word =
+            message->convictions[i];
+        su_conviction conviction = {
+            .item = word->item,
+            .crashes = word->crashes,
+            .first_crash_us = _gp_local_us(peers, word->first_crash_age_ms),
+            .since_us = _gp_local_us(peers, word->age_ms),
+        };
+        callbacks->convicted(&conviction, user_data);
+    }
+    for (size_t i = 0; i < message->n_cleared; i++) {
+        callbacks->cleared(message->cleared[i]->item,
+                           _gp_local_us(peers, message->cleared[i]->age_ms),
+                           user_data);
+    }
+}
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -147,6 +147,7 @@
     .mismatch = _nd_on_adapter_mismatch,
     .server_notice = nd_on_server_notice,
     .answer_broken = nd_on_answer_broken,
+    .may_probe = nd_may_probe_content,
     .count_live = _nd_query_live_count,
     .count_staying_peers = _nd_query_other_count,
     .config_fresh = _nd_query_config_fresh};
@@ -156,6 +157,9 @@
     .table_digest = nd_on_peer_digest,
     .load_requested = _nd_on_peer_load_request,
     .server_leaving = nd_on_peer_leaving,
+    .crash = nd_on_peer_crash,
+    .convicted = nd_on_peer_conviction,
+    .cleared = nd_on_peer_cleared,
     .load_capacity = _nd_on_load_capacity,
     .server_changed = nd_wake_waiting_requests};
 
@@ -209,6 +213,7 @@
     xc_tick(node->core);
     or_tick(node->orderer);
     cw_tick(node->crash_watch, lp_query_now_us(node->desc.loop));
+    su_tick(node->suspects, lp_query_now_us(node->desc.loop));
 }
 
 static void
@@ -225,7 +230,8 @@
 nd_start_fast_timer(nd_node *node)
 {
     if (node->fast_timer.id == 0 && (or_query_work_pending(node->orderer) ||
-                                     cw_query_pending(node->crash_watch))) {
+                                     cw_query_pending(node->crash_watch) ||
+                                     su_query_pending(node->suspects))) {
         node->fast_timer = tm_make_timer(
             node->timers, &(tm_timer_desc){.period_ms = _ND_FAST_TICK_MS,
                                            .once = true,
@@ -361,6 +367,7 @@
                       _nd_query_send_interval_us(node, _ND_SEND_SERVERS_US)) {
         node->servers_sent_us = now_us;
         fl_each_server(node->fleet, _nd_send_server_state, node);
+        nd_send_convictions(node);
     }
 }
 
@@ -531,10 +538,13 @@
                              .user_data = node});
     node->crash_watch = cw_create(
         &(cw_desc){.callbacks = &nd_crash_callbacks, .user_data = node});
+    node->suspects = su_create(
+        &(su_desc){.callbacks = &nd_suspects_callbacks, .user_data = node});
     node->core = xc_create(&(xc_desc){
         .loop = loop,
         .hub = node->hub,
         .fleet = node->fleet,
+        .suspects = node->suspects,
         .dialect = node->desc.dialect,
         .zone = settings->zone,
         .retry_ratio = settings->retry_ratio,
@@ -618,6 +628,7 @@
     cr_destroy(node->status_port);
     xc_destroy(node->core);
     cw_destroy(node->crash_watch);
+    su_destroy(node->suspects);
     hc_destroy(node->client);
     or_destroy(node->orderer);
     gp_destroy(node->peers);
--- a/packages/exchange/src/node_crashes.c
+++ b/packages/exchange/src/node_crashes.c
@@ -40,12 +40,33 @@
              "contents", contents->len ? contents->str : "-", NULL);
 }
 
+/* Adds the crash to the suspects and tells the other instances. */
 static void
 _nd_on_crashed(const cw_crash *crash, void *user_data)
 {
-    (void)user_data;
+    nd_node *node = user_data;
     ct_add(CT_SERVER_CRASHES, 1);
     _nd_log_crash(crash);
+    su_candidate candidates[CW_MAX_REQUESTS];
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < crash->request_count; i++) {
+        const cw_request *request = &crash->requests[i];
+        if (request->progress != CW_PROGRESS_DEFAULT) {
+            candidates[count++] = (su_candidate){
+                .fingerprint = request->fingerprint,
+                .likelihood = request->progress,
+            };
+        }
+    }
+    if (count > 0) {
+        su_crash seen = {.server = crash->server->hash,
+                         .born_ms = crash->born_ms,
+                         .at_us = crash->at_us,
+                         .candidates = candidates,
+                         .candidate_count = count};
+        su_note_crash(node->suspects, &seen);
+        gp_broadcast_crash(node->peers, &seen);
+    }
 }
 
 const cw_callbacks nd_crash_callbacks = {.listens = _nd_check_listens,
@@ -59,3 +80,101 @@
                    lp_query_now_us(node->desc.loop));
     nd_start_fast_timer(node);
 }
+
+/* -- private: convictions ------------------------------------------------- */
+
+static void
+_nd_log_item(lg_item line, uint64_t item, uint32_t crashes)
+{
+    char text[24];
+    g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", item);
+    char number[16];
+    g_snprintf(number, sizeof(number), "%u", crashes);
+    lg_write(line, "content", text, "crashes", number, NULL);
+}
+
+/* Instances whose position is at most this speak for all: a few, as some may
+   be cut off. */
+#define _ND_SPEAKERS 2
+
+static bool
+_nd_speaks(const nd_node *node)
+{
+    return gp_query_suspects_position(node->peers) <= _ND_SPEAKERS;
+}
+
+static void
+_nd_on_convicted(const su_conviction *conviction, void *user_data)
+{
+    nd_node *node = user_data;
+    _nd_log_item(LG_CONTENT_CONVICTED, conviction->item, conviction->crashes);
+    ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
+    if (_nd_speaks(node)) {
+        gp_broadcast_conviction(node->peers, conviction);
+    }
+    xc_end_convicted(node->core);
+}
+
+static void
+_nd_on_cleared(uint64_t item, uint64_t began_us, void *user_data)
+{
+    nd_node *node = user_data;
+    _nd_log_item(LG_CONTENT_CLEARED, item, 0);
+    ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
+    gp_broadcast_cleared(node->peers, item, began_us);
+}
+
+const su_callbacks nd_suspects_callbacks = {.convicted = _nd_on_convicted,
+                                            .cleared = _nd_on_cleared};
+
+static void
+_nd_send_conviction(const su_conviction *conviction, void *user_data)
+{
+    gp_broadcast_conviction(((nd_node *)user_data)->peers, conviction);
+}
+
+/* -- public --------------------------------------------------------------- */
+
+void
+nd_on_peer_crash(const su_crash *crash, void *user_data)
+{
+    nd_node *node = user_data;
+    su_note_crash(node->suspects, crash);
+    nd_start_fast_timer(node);
+}
+
+void
+nd_on_peer_conviction(const su_conviction *conviction, void *user_data)
+{
+    nd_node *node = user_data;
+    uint32_t before = su_query_convicted_count(node->suspects);
+    su_adopt(node->suspects, conviction);
+    if (su_query_convicted_count(node->suspects) != before) {
+        _nd_log_item(LG_CONTENT_CONVICTED, conviction->item,
+                     conviction->crashes);
+        ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
+        xc_end_convicted(node->core);
+    }
+}
+
+void
+nd_on_peer_cleared(uint64_t item, uint64_t began_us, void *user_data)
+{
+    nd_node *node = user_data;
+    su_note_cleared(node->suspects, item, began_us);
+    ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
+}
+
+bool
+nd_may_probe_content(void *user_data)
+{
+    return gp_query_suspects_position(((nd_node *)user_data)->peers) == 1;
+}
+
+void
+nd_send_convictions(nd_node *node)
+{
+    if (su_query_convicted_count(node->suspects) && _nd_speaks(node)) {
+        su_each_convicted(node->suspects, _nd_send_conviction, node);
+    }
+}
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -30,6 +30,7 @@
     uint64_t refetch_us[KR_TABLE_NUM];
     xc_core *core;
     cw_watch *crash_watch;
+    su_suspects *suspects;
     cr_port *caller_port;
     cr_port *status_port; /* for /readyz and /metrics */
     wt_group store;
@@ -98,11 +99,20 @@
 
 /* -- node_crashes.c: servers that crash ----------------------------------- */
 extern const cw_callbacks nd_crash_callbacks;
+extern const su_callbacks nd_suspects_callbacks;
 void nd_on_answer_broken(const cw_broken *broken, void *user_data);
+/* From other instances. */
+void nd_on_peer_crash(const su_crash *crash, void *user_data);
+void nd_on_peer_conviction(const su_conviction *conviction, void *user_data);
+void nd_on_peer_cleared(uint64_t item, uint64_t began_us, void *user_data);
+bool nd_may_probe_content(void *user_data);
+/* Sends the convictions to all if this instance speaks for them; call it once
+   a second. */
+void nd_send_convictions(nd_node *node);
 
 /* -- node.c --------------------------------------------------------------- */
 /* Starts the fast timer if loads are in progress at servers held here, or a
-   server that broke off answers is under observation. */
+   crash is observed or counted. */
 void nd_start_fast_timer(nd_node *node);
 /* Sends other instances the digest of a table and its rows that changed. */
 void nd_send_table(nd_node *node, kr_table table);
--- /dev/null
+++ b/packages/exchange/src/suspects.c
@@ -0,0 +1,415 @@
+#include "suspects.h"
+
+#include <glib.h>
+
+#define _SU_CONVICT_CRASHES 2
+/* Reports of a crash arrive within this time: instances notice it some ms
+   after it, and datagrams take some more. */
+#define _SU_SETTLE_US 80000
+/* Crashes less far apart have one cause outside the servers. */
+#define _SU_SAME_MOMENT_US 10000
+/* Older crashes do not count. */
+#define _SU_CRASH_MAX_AGE_US UINT64_C(3600000000)
+/* Time from a conviction to its first probe, where it rests on the fewest
+   crashes, and where it rests on more. */
+#define _SU_FIRST_PROBE_US UINT64_C(5000000)
+#define _SU_FIRST_SURE_PROBE_US UINT64_C(25000000)
+/* Each further probe comes this many times later, up to the maximum. */
+#define _SU_PROBE_GROWTH 5
+#define _SU_PROBE_MAX_INTERVAL_US UINT64_C(600000000)
+/* A request that comes within this time after a probe is due may be it. */
+#define _SU_PROBE_WINDOW_US UINT64_C(2000000)
+/* Most cleared items that are remembered. */
+#define _SU_MAX_CLEARED 256
+
+typedef struct _su_record {
+    uint64_t server;
+    uint64_t born_ms;
+    uint64_t at_us; /* earliest report */
+    su_candidate candidates[SU_MAX_CANDIDATES];
+    uint32_t candidate_count;
+    bool counted; /* no report has come since it was counted */
+} _su_record;
+
+typedef struct _su_convict {
+    su_conviction conviction;
+    uint64_t probed_us; /* last probe sent from here; 0: none */
+} _su_convict;
+
+typedef struct _su_cleared {
+    uint64_t item;
+    uint64_t began_us;
+} _su_cleared;
+
+struct su_suspects {
+    su_desc desc;
+    _su_record records[SU_MAX_CRASHES];   /* ring */
+    uint64_t record_count;                /* added so far */
+    GArray *convicts;                     /* _su_convict, oldest first */
+    _su_cleared cleared[_SU_MAX_CLEARED]; /* ring */
+    uint32_t next_cleared;
+};
+
+/* -- private: crashes ----------------------------------------------------- */
+
+static uint32_t
+_su_kept_records(const su_suspects *suspects)
+{
+    return (uint32_t)MIN(suspects->record_count, SU_MAX_CRASHES);
+}
+
+static _su_record *
+_su_find_or_add(su_suspects *suspects, const su_crash *crash)
+{
+    for (uint32_t i = 0; i < _su_kept_records(suspects); i++) {
+        _su_record *record = &suspects->records[i];
+        if (record->server == crash->server &&
+            record->born_ms == crash->born_ms) {
+            record->at_us = MIN(record->at_us, crash->at_us);
+            return record;
+        }
+    }
+    _su_record *record =
+        &suspects->records[suspects->record_count++ % SU_MAX_CRASHES];
+    *record = (_su_record){.server = crash->server,
+                           .born_ms = crash->born_ms,
+                           .at_us = crash->at_us};
+    return record;
+}
+
+/* Adds a candidate, in place of a less likely one if need be. */
+static void
+_su_add_candidate(_su_record *record, const su_candidate *candidate)
+{
+    if (record->candidate_count < SU_MAX_CANDIDATES) {
+        record->candidates[record->candidate_count++] = *candidate;
+        return;
+    }
+    su_candidate *least = &record->candidates[0];
+    for (uint32_t i = 1; i < SU_MAX_CANDIDATES; i++) {
+        if (record->candidates[i].likelihood < least->likelihood) {
+            least = &record->candidates[i];
+        }
+    }
+    if (least->likelihood < candidate->likelihood) {
+        *least = *candidate;
+    }
+}
+
+static uint32_t
+_su_top_likelihood(const _su_record *record)
+{
+    uint32_t top = 1;
+    for (uint32_t i = 0; i < record->candidate_count; i++) {
+        top = MAX(top, record->candidates[i].likelihood);
+    }
+    return top;
+}
+
+/* Returns whether the item is one of the likeliest of a crash. */
+static bool
+_su_blames(const _su_record *record, uint64_t item)
+{
+    uint32_t top = _su_top_likelihood(record);
+    for (uint32_t i = 0; i < record->candidate_count; i++) {
+        const su_candidate *candidate = &record->candidates[i];
+        if (candidate->likelihood == top && candidate->fingerprint == item) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static int
+_su_compare_times(const void *a, const void *b)
+{
+    uint64_t first = *(const uint64_t *)a;
+    uint64_t second = *(const uint64_t *)b;
+    return first < second ? -1 : first > second;
+}
+
+/* Counts the crashes that blame an item, those of one moment once. */
+static su_conviction
+_su_count_crashes(const su_suspects *suspects, uint64_t item, uint64_t now_us)
+{
+    uint64_t times_us[SU_MAX_CRASHES];
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < _su_kept_records(suspects); i++) {
+        const _su_record *record = &suspects->records[i];
+        if (now_us < record->at_us + _SU_CRASH_MAX_AGE_US &&
+            _su_blames(record, item)) {
+            times_us[count++] = record->at_us;
+        }
+    }
+    qsort(times_us, count, sizeof(times_us[0]), _su_compare_times);
+    su_conviction result = {.item = item, .since_us = now_us};
+    uint64_t last_us = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        if (i == 0 || times_us[i] >= last_us + _SU_SAME_MOMENT_US) {
+            result.crashes++;
+            last_us = times_us[i];
+        }
+    }
+    result.first_crash_us = count ? times_us[0] : 0;
+    return result;
+}
+
+/* -- private: convictions ------------------------------------------------- */
+
+static _su_convict *
+_su_find_convict(const su_suspects *suspects, uint64_t item)
+{
+    for (guint i = 0; i < suspects->convicts->len; i++) {
+        _su_convict *convict =
+            &g_array_index(suspects->convicts, _su_convict, i);
+        if (convict->conviction.item == item) {
+            return convict;
+        }
+    }
+    return NULL;
+}
+
+static void
+_su_add_convict(su_suspects *suspects, const su_conviction *conviction)
+{
+    if (suspects->convicts->len == SU_MAX_CONVICTED) {
+        g_array_remove_index(suspects->convicts, 0);
+    }
+    _su_convict convict = {.conviction = *conviction};
+    g_array_append_val(suspects->convicts, convict);
+}
+
+static void
+_su_count_candidate(su_suspects *suspects, uint64_t item, uint64_t now_us)
+{
+    su_conviction counted = _su_count_crashes(suspects, item, now_us);
+    _su_convict *convict = _su_find_convict(suspects, item);
+    if (convict) {
+        convict->conviction.crashes =
+            MAX(convict->conviction.crashes, counted.crashes);
+        return;
+    }
+    if (counted.crashes >= suspects->desc.convict_crashes) {
+        _su_add_convict(suspects, &counted);
+        suspects->desc.callbacks->convicted(&counted,
+                                            suspects->desc.user_data);
+    }
+}
+
+/* Returns the time from the conviction to the probe that is due now or comes
+   next. */
+static uint64_t
+_su_probe_offset_us(const su_conviction *conviction, uint32_t least_crashes,
+                    uint64_t now_us)
+{
+    uint64_t offset_us = conviction->crashes > least_crashes
+                             ? _SU_FIRST_SURE_PROBE_US
+                             : _SU_FIRST_PROBE_US;
+    while (now_us >= conviction->since_us + offset_us + _SU_PROBE_WINDOW_US) {
+        offset_us +=
+            MIN(offset_us * (_SU_PROBE_GROWTH - 1), _SU_PROBE_MAX_INTERVAL_US);
+    }
+    return offset_us;
+}
+
+/* -- private: clearing ---------------------------------------------------- */
+
+/* Removes an item from the crashes up to began_us. Returns true if there were
+   any. */
+static bool
+_su_absolve(su_suspects *suspects, uint64_t item, uint64_t began_us)
+{
+    bool found = false;
+    for (uint32_t i = 0; i < _su_kept_records(suspects); i++) {
+        _su_record *record = &suspects->records[i];
+        if (record->at_us > began_us) {
+            continue;
+        }
+        for (uint32_t j = record->candidate_count; j > 0; j--) {
+            if (record->candidates[j - 1].fingerprint == item) {
+                record->candidates[j - 1] =
+                    record->candidates[--record->candidate_count];
+                found = true;
+            }
+        }
+    }
+    return found;
+}
+
+static bool
+_su_clear(su_suspects *suspects, uint64_t item, uint64_t began_us)
+{
+    bool found = _su_absolve(suspects, item, began_us);
+    const _su_convict *convict = _su_find_convict(suspects, item);
+    if (convict && convict->conviction.first_crash_us <= began_us) {
+        guint at = (guint)(convict - (_su_convict *)suspects->convicts->data);
+        g_array_remove_index(suspects->convicts, at);
+        found = true;
+    }
+    if (found) {
+        suspects->cleared[suspects->next_cleared++ % _SU_MAX_CLEARED] =
+            (_su_cleared){item, began_us};
+    }
+    return found;
+}
+
+/* -- public --------------------------------------------------------------- */
+
+su_suspects *
+su_create(const su_desc *desc)
+{
+    g_assert(desc->callbacks);
+    su_suspects *suspects = g_new0(su_suspects, 1);
+    suspects->desc = *desc;
+    if (suspects->desc.convict_crashes == 0) {
+        suspects->desc.convict_crashes = _SU_CONVICT_CRASHES;
+    }
+    suspects->convicts = g_array_new(FALSE, FALSE, sizeof(_su_convict));
+    return suspects;
+}
+
+void
+su_destroy(su_suspects *suspects)
+{
+    if (suspects) {
+        g_array_unref(suspects->convicts);
+        g_free(suspects);
+    }
+}
+
+void
+su_note_crash(su_suspects *suspects, const su_crash *crash)
+{
+    _su_record *record = _su_find_or_add(suspects, crash);
+    for (uint32_t i = 0; i < crash->candidate_count; i++) {
+        if (crash->candidates[i].likelihood) {
+            _su_add_candidate(record, &crash->candidates[i]);
+            record->counted = false;
+        }
+    }
+}
+
+void
+su_note_good(su_suspects *suspects, uint64_t fingerprint, uint64_t began_us)
+{
+    if (_su_clear(suspects, fingerprint, began_us)) {
+        suspects->desc.callbacks->cleared(fingerprint, began_us,
+                                          suspects->desc.user_data);
+    }
+}
+
+void
+su_note_cleared(su_suspects *suspects, uint64_t item, uint64_t began_us)
+{
+    _su_clear(suspects, item, began_us);
+}
+
+void
+su_adopt(su_suspects *suspects, const su_conviction *conviction)
+{
+    for (uint32_t i = 0; i < _SU_MAX_CLEARED; i++) {
+        const _su_cleared *cleared = &suspects->cleared[i];
+        if (cleared->item == conviction->item &&
+            cleared->began_us >= conviction->first_crash_us) {
+            /* The other instance has missed that it was cleared. */
+            suspects->desc.callbacks->cleared(cleared->item, cleared->began_us,
+                                              suspects->desc.user_data);
+            return;
+        }
+    }
+    _su_convict *known = _su_find_convict(suspects, conviction->item);
+    if (!known) {
+        _su_add_convict(suspects, conviction);
+        return;
+    }
+    known->conviction.crashes =
+        MAX(known->conviction.crashes, conviction->crashes);
+    known->conviction.since_us =
+        MIN(known->conviction.since_us, conviction->since_us);
+}
+
+void
+su_tick(su_suspects *suspects, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < _su_kept_records(suspects); i++) {
+        _su_record *record = &suspects->records[i];
+        if (record->counted || now_us < record->at_us + _SU_SETTLE_US) {
+            continue;
+        }
+        record->counted = true;
+        uint32_t top = _su_top_likelihood(record);
+        for (uint32_t j = 0; j < record->candidate_count; j++) {
+            if (record->candidates[j].likelihood == top) {
+                _su_count_candidate(suspects,
+                                    record->candidates[j].fingerprint, now_us);
+            }
+        }
+    }
+}
+
+void
+su_note_probe(su_suspects *suspects, uint64_t item, uint64_t now_us)
+{
+    _su_convict *convict = _su_find_convict(suspects, item);
+    if (convict) {
+        convict->probed_us = now_us;
+    }
+}
+
+su_status
+su_check(const su_suspects *suspects, uint64_t fingerprint, uint64_t now_us,
+         su_verdict *out)
+{
+    const _su_convict *convict = _su_find_convict(suspects, fingerprint);
+    if (!convict) {
+        return SU_FREE;
+    }
+    const su_conviction *conviction = &convict->conviction;
+    uint32_t least = suspects->desc.convict_crashes;
+    uint64_t due_us =
+        conviction->since_us + _su_probe_offset_us(conviction, least, now_us);
+    *out = (su_verdict){.item = conviction->item};
+    if (now_us >= due_us && convict->probed_us < due_us) {
+        return SU_PROBE;
+    }
+    if (now_us >= due_us) {
+        due_us = conviction->since_us +
+                 _su_probe_offset_us(conviction, least,
+                                     due_us + _SU_PROBE_WINDOW_US);
+    }
+    out->retry_ms = (uint32_t)((due_us - now_us) / 1000);
+    return SU_REFUSED;
+}
+
+bool
+su_query_active(const su_suspects *suspects)
+{
+    return suspects->record_count > 0 || suspects->convicts->len > 0;
+}
+
+bool
+su_query_pending(const su_suspects *suspects)
+{
+    for (uint32_t i = 0; i < _su_kept_records(suspects); i++) {
+        if (!suspects->records[i].counted) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t
+su_query_convicted_count(const su_suspects *suspects)
+{
+    return suspects->convicts->len;
+}
+
+void
+su_each_convicted(const su_suspects *suspects, su_conviction_callback call,
+                  void *user_data)
+{
+    for (guint i = 0; i < suspects->convicts->len; i++) {
+        call(&g_array_index(suspects->convicts, _su_convict, i).conviction,
+             user_data);
+    }
+}
--- /dev/null
+++ b/packages/exchange/src/suspects.h
@@ -0,0 +1,119 @@
+/*
+ * suspects.h: finds requests that crash backend servers (prefix su_).
+ *
+ * A request that crashes the server that begins to answer it comes again with
+ * the same content, under another id and through another instance. Each crash
+ * names the contents that the server was running, told by all instances that
+ * had requests there: the same crash told twice counts once, two crashes count
+ * twice, whoever saw them. Of one crash only the likeliest contents count:
+ * those whose answers had a head and no event yet, if there are any.
+ *
+ * A content with su_desc.convict_crashes crashes since it was last answered is
+ * convicted and refused from then on. Servers that crash at the same moment,
+ * as in a power failure, count as one crash. A good answer that began after
+ * the first crash clears a content again.
+ *
+ * So that a wrong conviction ends without an answer to clear it, one request
+ * at a time may probe the content, at intervals that grow.
+ *
+ *     su_note_crash(suspects, &(su_crash){.server = hash, ...});
+ *     su_tick(suspects, now_us);  - calls back for what it convicts
+ *     if (su_check(suspects, fingerprint, now_us, &verdict) == SU_REFUSED) {
+ *         ... refuse, with verdict.retry_ms ...
+ *     }
+ *
+ * No sockets and no clock. Made for a fleet in which servers also crash by
+ * themselves, some of them at once. Limits: the last SU_MAX_CRASHES crashes
+ * with SU_MAX_CANDIDATES contents each, SU_MAX_CONVICTED convictions.
+ */
+#ifndef LACEWING_SUSPECTS_H
+#define LACEWING_SUSPECTS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define SU_MAX_CRASHES 64
+#define SU_MAX_CANDIDATES 32
+#define SU_MAX_CONVICTED 256
+
+typedef struct su_suspects su_suspects;
+
+/* A content that a server was running when it crashed. */
+typedef struct su_candidate {
+    uint64_t fingerprint;
+    uint32_t likelihood; /* 1 and more; only the highest of a crash counts */
+} su_candidate;
+
+/* A crash as one instance saw it. */
+typedef struct su_crash {
+    uint64_t server;  /* hash of its id */
+    uint64_t born_ms; /* start of the process that ended */
+    uint64_t at_us;
+    const su_candidate *candidates;
+    uint32_t candidate_count;
+} su_crash;
+
+typedef struct su_conviction {
+    uint64_t item;           /* the fingerprint */
+    uint32_t crashes;        /* that led to it */
+    uint64_t first_crash_us; /* of these */
+    uint64_t since_us;
+} su_conviction;
+
+typedef enum su_status {
+    SU_FREE = 0, /* not convicted */
+    SU_PROBE,    /* convicted, but a probe is due */
+    SU_REFUSED
+} su_status;
+
+typedef struct su_verdict {
+    uint64_t item;     /* that is convicted */
+    uint32_t retry_ms; /* SU_REFUSED: time to the next probe */
+} su_verdict;
+
+typedef struct su_callbacks {
+    /* The crashes reported here convicted an item. */
+    void (*convicted)(const su_conviction *conviction, void *user_data);
+    /* A suspected or convicted item was answered well. */
+    void (*cleared)(uint64_t item, uint64_t began_us, void *user_data);
+} su_callbacks;
+
+typedef struct su_desc {
+    uint32_t convict_crashes;      /* default 2 */
+    const su_callbacks *callbacks; /* required */
+    void *user_data;
+} su_desc;
+
+su_suspects *su_create(const su_desc *desc);
+void su_destroy(su_suspects *suspects);
+
+/* Adds what one instance knows of a crash. */
+void su_note_crash(su_suspects *suspects, const su_crash *crash);
+/* A server answered the content well; it began to answer at began_us. */
+void su_note_good(su_suspects *suspects, uint64_t fingerprint,
+                  uint64_t began_us);
+/* The same for an item that another instance cleared; does not call back. */
+void su_note_cleared(su_suspects *suspects, uint64_t item, uint64_t began_us);
+/* Adds a conviction by another instance. */
+void su_adopt(su_suspects *suspects, const su_conviction *conviction);
+/* Counts the crashes of which all reports should have arrived. */
+void su_tick(su_suspects *suspects, uint64_t now_us);
+/* Notes that the probe that is due was sent. */
+void su_note_probe(su_suspects *suspects, uint64_t item, uint64_t now_us);
+
+/* queries */
+/* Returns whether the content may be sent. *out is set unless it is free. */
+su_status su_check(const su_suspects *suspects, uint64_t fingerprint,
+                   uint64_t now_us, su_verdict *out);
+/* True if the contents of requests matter at present: some are suspected or
+   convicted. */
+bool su_query_active(const su_suspects *suspects);
+/* True if a crash was not counted yet: su_tick() has something to do. */
+bool su_query_pending(const su_suspects *suspects);
+uint32_t su_query_convicted_count(const su_suspects *suspects);
+typedef void (*su_conviction_callback)(const su_conviction *conviction,
+                                       void *user_data);
+void su_each_convicted(const su_suspects *suspects,
+                       su_conviction_callback call, void *user_data);
+
+#endif
--- /dev/null
+++ b/packages/exchange/tests/test_suspects.c
@@ -0,0 +1,259 @@
+/* Tests of the search for requests that crash servers, in virtual time. */
+#include "run.h"
+#include "suspects.h"
+#include <glib.h>
+
+#define MS UINT64_C(1000)
+#define S (1000 * MS)
+#define START (1000 * S)
+#define HEAD_ONLY 3
+#define NO_HEAD 1
+#define DEADLY 99
+
+typedef struct fixture {
+    su_suspects *suspects;
+    uint64_t convicted[8];
+    uint32_t convicted_count;
+    uint64_t cleared[8];
+    uint32_t cleared_count;
+} fixture;
+
+static void
+on_convicted(const su_conviction *conviction, void *user_data)
+{
+    fixture *f = user_data;
+    ck_assert_uint_lt(f->convicted_count, G_N_ELEMENTS(f->convicted));
+    f->convicted[f->convicted_count++] = conviction->item;
+}
+
+static void
+on_cleared(uint64_t item, uint64_t began_us, void *user_data)
+{
+    (void)began_us;
+    fixture *f = user_data;
+    ck_assert_uint_lt(f->cleared_count, G_N_ELEMENTS(f->cleared));
+    f->cleared[f->cleared_count++] = item;
+}
+
+static const su_callbacks callbacks = {.convicted = on_convicted,
+                                       .cleared = on_cleared};
+
+static fixture *
+make_fixture(void)
+{
+    fixture *f = g_new0(fixture, 1);
+    f->suspects =
+        su_create(&(su_desc){.callbacks = &callbacks, .user_data = f});
+    return f;
+}
+
+static void
+free_fixture(fixture *f)
+{
+    su_destroy(f->suspects);
+    g_free(f);
+}
+
+/* Reports one candidate of the crash of a server. */
+static void
+report(fixture *f, uint64_t server, uint64_t at_us, uint64_t fingerprint,
+       uint32_t likelihood)
+{
+    su_candidate candidate = {.fingerprint = fingerprint,
+                              .likelihood = likelihood};
+    su_note_crash(f->suspects, &(su_crash){.server = server,
+                                           .born_ms = 1,
+                                           .at_us = at_us,
+                                           .candidates = &candidate,
+                                           .candidate_count = 1});
+}
+
+static su_status
+check(const fixture *f, uint64_t fingerprint, uint64_t now_us)
+{
+    su_verdict verdict;
+    return su_check(f->suspects, fingerprint, now_us, &verdict);
+}
+
+START_TEST(test_two_crashes_convict)
+{
+    fixture *f = make_fixture();
+    report(f, 1, START, DEADLY, HEAD_ONLY);
+    su_tick(f->suspects, START + S);
+    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
+    report(f, 2, START + S, DEADLY, HEAD_ONLY);
+    su_tick(f->suspects, START + 2 * S);
+    ck_assert_int_eq(check(f, DEADLY, START + 2 * S), SU_REFUSED);
+    ck_assert_int_eq(check(f, 7, START + 2 * S), SU_FREE);
+    ck_assert_uint_eq(f->convicted_count, 1);
+    free_fixture(f);
+}
+END_TEST
+
+START_TEST(test_one_crash_told_by_two_instances_counts_once)
+{
+    fixture *f = make_fixture();
+    report(f, 1, START, DEADLY, HEAD_ONLY);
+    report(f, 1, START + 40 * MS, DEADLY, HEAD_ONLY);
+    su_tick(f->suspects, START + S);
+    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
+    free_fixture(f);
+}
+END_TEST
+
+START_TEST(test_servers_that_crash_at_one_moment_convict_nothing)
+{
+    fixture *f = make_fixture();
+    for (uint64_t server = 1; server <= 5; server++) {
+        report(f, server, START + server * MS, DEADLY, HEAD_ONLY);
+    }
+    su_tick(f->suspects, START + S);
+    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
+    free_fixture(f);
+}
+END_TEST
+
+/* An innocent request is resent from one crash into the next. The deadly one
+   is named by another instance, later. */
+START_TEST(test_only_the_likeliest_requests_of_a_crash_are_blamed)
+{
+    fixture *f = make_fixture();
+    for (uint64_t server = 1; server <= 3; server++) {
+        uint64_t at_us = START + server * 200 * MS;
+        report(f, server, at_us, 7, NO_HEAD);
+        su_tick(f->suspects, at_us + 20 * MS);
+        report(f, server, at_us, DEADLY, HEAD_ONLY);
+        su_tick(f->suspects, at_us + 100 * MS);
+    }
+    ck_assert_uint_eq(f->convicted_count, 1);
+    ck_assert_int_eq(check(f, 7, START + S), SU_FREE);
+    ck_assert_int_eq(check(f, DEADLY, START + S), SU_REFUSED);
+    free_fixture(f);
+}
+END_TEST
+
+START_TEST(test_a_good_answer_clears)
+{
+    fixture *f = make_fixture();
+    report(f, 1, START, DEADLY, HEAD_ONLY);
+    su_tick(f->suspects, START + S);
+    su_note_good(f->suspects, DEADLY, START + S);
+    report(f, 2, START + 2 * S, DEADLY, HEAD_ONLY);
+    su_tick(f->suspects, START + 3 * S);
+    ck_assert_int_eq(check(f, DEADLY, START + 3 * S), SU_FREE);
+    report(f, 3, START + 4 * S, DEADLY, HEAD_ONLY);
+    su_tick(f->suspects, START + 5 * S);
+    ck_assert_int_eq(check(f, DEADLY, START + 5 * S), SU_REFUSED);
+    su_note_good(f->suspects, DEADLY, START + S);
+    ck_assert_int_eq(check(f, DEADLY, START + 5 * S), SU_REFUSED);
+    su_note_good(f->suspects, DEADLY, START + 3 * S);
+    ck_assert_int_eq(check(f, DEADLY, START + 5 * S), SU_FREE);
+    ck_assert_uint_eq(f->cleared_count, 2);
+    free_fixture(f);
+}
+END_TEST
+
+START_TEST(test_probes_come_ever_more_rarely)
+{
+    fixture *f = make_fixture();
+    for (uint64_t server = 1; server <= 3; server++) {
+        report(f, server, START + server * 20 * MS, DEADLY, HEAD_ONLY);
+    }
+    uint64_t since_us = START + S;
+    su_tick(f->suspects, since_us);
+    uint32_t probes = 0;
+    for (uint64_t s = 0; s < 600; s++) {
+        if (check(f, DEADLY, since_us + s * S) == SU_PROBE) {
+            su_note_probe(f->suspects, DEADLY, since_us + s * S);
+            probes++;
+        }
+        /* Two in the first two minutes. */
+        ck_assert_uint_le(probes, s < 25 ? 0 : s < 125 ? 1 : 2);
+    }
+    ck_assert_uint_eq(probes, 2);
+    free_fixture(f);
+}
+END_TEST
+
+START_TEST(test_caller_learns_when_the_next_probe_is_due)
+{
+    fixture *f = make_fixture();
+    report(f, 1, START, DEADLY, HEAD_ONLY);
+    report(f, 2, START + S, DEADLY, HEAD_ONLY);
+    uint64_t since_us = START + 2 * S;
+    su_tick(f->suspects, since_us);
+    su_verdict verdict;
+    ck_assert_int_eq(su_check(f->suspects, DEADLY, since_us + S, &verdict),
+                     SU_REFUSED);
+    ck_assert_uint_eq(verdict.retry_ms, 4000);
+    ck_assert_int_eq(su_check(f->suspects, DEADLY, since_us + 5 * S, &verdict),
+                     SU_PROBE);
+    su_note_probe(f->suspects, DEADLY, since_us + 5 * S);
+    ck_assert_int_eq(su_check(f->suspects, DEADLY, since_us + 6 * S, &verdict),
+                     SU_REFUSED);
+    ck_assert_uint_eq(verdict.retry_ms, 19000);
+    free_fixture(f);
+}
+END_TEST
+
+START_TEST(test_conviction_of_another_instance_is_adopted_unless_cleared)
+{
+    fixture *f = make_fixture();
+    su_conviction conviction = {.item = DEADLY,
+                                .crashes = 2,
+                                .first_crash_us = START,
+                                .since_us = START + S};
+    su_adopt(f->suspects, &conviction);
+    ck_assert_int_eq(check(f, DEADLY, START + S), SU_REFUSED);
+    su_note_cleared(f->suspects, DEADLY, START + S);
+    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
+    ck_assert_uint_eq(f->cleared_count, 0);
+    /* The other one has missed it and is told again. */
+    su_adopt(f->suspects, &conviction);
+    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
+    ck_assert_uint_eq(f->cleared_count, 1);
+    free_fixture(f);
+}
+END_TEST
+
+/* Servers crash by themselves for an hour, a few at a time; each has some of
+   the contents that are being served, and these are served again. */
+START_TEST(test_plain_crashes_convict_no_content_that_is_served)
+{
+    fixture *f = make_fixture();
+    g_autoptr(GRand) random = g_rand_new_with_seed((guint32)_i + 1);
+    uint64_t now_us = START;
+    for (uint64_t crash = 1; crash <= 500; crash++) {
+        now_us += (uint64_t)g_rand_int_range(random, 50, 5000) * MS;
+        for (uint64_t i = 0; i < 4; i++) {
+            uint64_t content = (uint64_t)g_rand_int_range(random, 1, 40);
+            report(f, crash, now_us, content, HEAD_ONLY);
+            su_note_good(f->suspects, content, now_us + 30 * MS);
+            f->cleared_count = 0;
+        }
+        su_tick(f->suspects, now_us + 45 * MS);
+    }
+    ck_assert_uint_eq(f->convicted_count, 0);
+    free_fixture(f);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tcase = tcase_create("suspects");
+    tcase_add_test(tcase, test_two_crashes_convict);
+    tcase_add_test(tcase, test_one_crash_told_by_two_instances_counts_once);
+    tcase_add_test(tcase,
+                   test_servers_that_crash_at_one_moment_convict_nothing);
+    tcase_add_test(tcase,
+                   test_only_the_likeliest_requests_of_a_crash_are_blamed);
+    tcase_add_test(tcase, test_a_good_answer_clears);
+    tcase_add_test(tcase, test_probes_come_ever_more_rarely);
+    tcase_add_test(tcase, test_caller_learns_when_the_next_probe_is_due);
+    tcase_add_test(
+        tcase, test_conviction_of_another_instance_is_adopted_unless_cleared);
+    tcase_add_loop_test(
+        tcase, test_plain_crashes_convict_no_content_that_is_served, 0, 20);
+    return run_case("suspects", tcase);
+}
