Refuse requests with a part of a prompt that crashes servers

Cause: contents are counted whole, and no content comes twice; what the requests share is a part of their prompts. Class: the count by content of the first matter is too narrow for what repeats.

Now a crash also blames the parts of its likeliest contents. A part is convicted by two crashes in different contents if nothing is known of it; one that was answered well before, as those that sound requests share, only by four crashes over a second without an answer on it in between.

Ruled out: refusing by the first part, the caller or the route (sound requests share them); blaming parts by counts alone (the first part is in every crash).

--- a/packages/exchange/include/lacewing/dialect.h
+++ b/packages/exchange/include/lacewing/dialect.h
@@ -180,6 +180,10 @@
     er_code (*read_report)(const char *bytes, size_t count, dl_server *out,
                            er_status *status);
     bool (*read_load)(const char *value, dl_load *out);
+    /* Reads DL_PROMPT_PARTS: the hashes of the parts that other requests may
+       share, up to max. Returns their number. */
+    uint32_t (*read_prompt_parts)(const char *value, uint64_t *parts,
+                                  uint32_t max);
     /* Reads an answer's status, DL_LEAVING and DL_RETRY_AFTER; an absent
        header is NULL. */
     void (*read_notice)(uint32_t status, const char *leaving,
--- a/packages/exchange/src/crash_watch.h
+++ b/packages/exchange/src/crash_watch.h
@@ -21,8 +21,9 @@
 #define LACEWING_CRASH_WATCH_H
 
 #include "fleet.h"
+#include "suspects.h"
 
-#define CW_MAX_REQUESTS 24
+#define CW_MAX_REQUESTS SU_MAX_CANDIDATES
 
 typedef struct cw_watch cw_watch;
 
@@ -43,7 +44,7 @@
 
 /* A request whose answer broke off. */
 typedef struct cw_request {
-    uint64_t fingerprint; /* of its content */
+    su_content content;
     cw_progress progress;
 } cw_request;
 
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -1557,7 +1557,7 @@
         NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__candidate__field_descriptors[2] = {
+    lacewing__exchange__candidate__field_descriptors[3] = {
         {
             "fingerprint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
             0, /* quantifier_offset */
@@ -1572,14 +1572,22 @@
             0,            /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
+        {
+            "parts", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
+            offsetof(Lacewing__Exchange__Candidate, n_parts),
+            offsetof(Lacewing__Exchange__Candidate, parts), NULL, NULL,
+            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+            0, NULL, NULL                     /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned lacewing__exchange__candidate__field_indices_by_name[] =
     {
         0, /* field[0] = fingerprint */
         1, /* field[1] = likelihood */
+        2, /* field[2] = parts */
 };
 static const ProtobufCIntRange
-    lacewing__exchange__candidate__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
+    lacewing__exchange__candidate__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
 const ProtobufCMessageDescriptor lacewing__exchange__candidate__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "lacewing.exchange.Candidate",
@@ -1587,7 +1595,7 @@
     "Lacewing__Exchange__Candidate",
     "lacewing.exchange",
     sizeof(Lacewing__Exchange__Candidate),
-    2,
+    3,
     lacewing__exchange__candidate__field_descriptors,
     lacewing__exchange__candidate__field_indices_by_name,
     1,
@@ -1656,7 +1664,7 @@
     NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__conviction_word__field_descriptors[4] = {
+    lacewing__exchange__conviction_word__field_descriptors[5] = {
         {
             "item", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
             0, /* quantifier_offset */
@@ -1685,17 +1693,25 @@
             0,            /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
+        {
+            "is_part", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__ConvictionWord, is_part), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned
     lacewing__exchange__conviction_word__field_indices_by_name[] = {
         3, /* field[3] = age_ms */
         1, /* field[1] = crashes */
         2, /* field[2] = first_crash_age_ms */
+        4, /* field[4] = is_part */
         0, /* field[0] = item */
 };
 static const ProtobufCIntRange
     lacewing__exchange__conviction_word__number_ranges[1 + 1] = {{1, 0},
-                                                                 {0, 4}};
+                                                                 {0, 5}};
 const ProtobufCMessageDescriptor
     lacewing__exchange__conviction_word__descriptor = {
         PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
@@ -1704,7 +1720,7 @@
         "Lacewing__Exchange__ConvictionWord",
         "lacewing.exchange",
         sizeof(Lacewing__Exchange__ConvictionWord),
-        4,
+        5,
         lacewing__exchange__conviction_word__field_descriptors,
         lacewing__exchange__conviction_word__field_indices_by_name,
         1,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -309,10 +309,12 @@
    * see su_candidate
    */
   uint32_t likelihood;
+  size_t n_parts;
+  uint64_t *parts;
 };
 #define LACEWING__EXCHANGE__CANDIDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__candidate__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0,NULL }
 
 
 /*
@@ -348,10 +350,11 @@
   uint32_t crashes;
   uint32_t first_crash_age_ms;
   uint32_t age_ms;
+  protobuf_c_boolean is_part;
 };
 #define LACEWING__EXCHANGE__CONVICTION_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__conviction_word__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/packages/exchange/src/exchange_content.c
+++ b/packages/exchange/src/exchange_content.c
@@ -10,8 +10,8 @@
 uint64_t
 xc_get_fingerprint(xc_exchange *exchange)
 {
-    if (exchange->fingerprint) {
-        return exchange->fingerprint;
+    if (exchange->content.fingerprint) {
+        return exchange->content.fingerprint;
     }
     static const dl_header content_headers[] = {DL_MODEL, DL_TOKENS,
                                                 DL_PROMPT_PARTS};
@@ -28,8 +28,30 @@
     }
     uint64_t hashes[] = {hs_u64(text->str),
                          hs_u64_bytes(exchange->body, exchange->body_count)};
-    exchange->fingerprint = MAX(hs_u64_bytes(hashes, sizeof(hashes)), 1);
-    return exchange->fingerprint;
+    exchange->content.fingerprint =
+        MAX(hs_u64_bytes(hashes, sizeof(hashes)), 1);
+    return exchange->content.fingerprint;
+}
+
+static void
+_xc_read_parts(xc_exchange *exchange)
+{
+    if (exchange->parts_read) {
+        return;
+    }
+    exchange->parts_read = true;
+    const dl_dialect *dialect = exchange->core->desc.dialect;
+    exchange->content.part_count = dialect->read_prompt_parts(
+        h1_query_header(exchange->head, dialect->headers[DL_PROMPT_PARTS]),
+        exchange->content.parts, SU_MAX_PARTS);
+}
+
+const su_content *
+xc_get_content(xc_exchange *exchange)
+{
+    xc_get_fingerprint(exchange);
+    _xc_read_parts(exchange);
+    return &exchange->content;
 }
 
 /* Most time, at random, that is added to the time after which a caller whose
@@ -60,7 +82,7 @@
     if (exchange->probes_content || su_query_convicted_count(suspects) == 0) {
         return false;
     }
-    su_status status = su_check(suspects, xc_get_fingerprint(exchange),
+    su_status status = su_check(suspects, xc_get_content(exchange),
                                 xc_now_us(exchange), &verdict);
     if (status == SU_FREE ||
         (status == SU_PROBE && _xc_begin_probe(exchange, &verdict))) {
@@ -86,11 +108,15 @@
 xc_note_good(xc_exchange *exchange)
 {
     su_suspects *suspects = exchange->core->desc.suspects;
-    if (exchange->good_noted || !su_query_active(suspects)) {
+    if (exchange->good_noted) {
         return;
     }
     exchange->good_noted = true;
-    su_note_good(suspects, xc_get_fingerprint(exchange),
+    _xc_read_parts(exchange);
+    if (su_query_active(suspects)) {
+        xc_get_fingerprint(exchange);
+    }
+    su_note_good(suspects, &exchange->content,
                  exchange->send_piece_count ? exchange->send_first_piece_us
                                             : exchange->sent_us);
 }
@@ -113,7 +139,7 @@
     cw_broken broken = {
         .server = exchange->server,
         .born_ms = exchange->server_started_ms,
-        .request = {.fingerprint = xc_get_fingerprint(exchange),
+        .request = {.content = *xc_get_content(exchange),
                     .progress = _xc_query_progress(exchange)},
     };
     const xc_desc *desc = &exchange->core->desc;
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -43,8 +43,9 @@
     const char *body;
     size_t body_count;
     const char *id;
-    uint64_t fingerprint; /* see xc_get_fingerprint(); 0: not computed yet */
-    rc_table *table;      /* reference that keeps route and service alive */
+    su_content content; /* see xc_get_content() and xc_get_fingerprint() */
+    bool parts_read;    /* content has the parts of its prompt */
+    rc_table *table;    /* reference that keeps route and service alive */
     const rc_route *route;
     const rc_service *service;
     fl_adapter *adapter; /* NULL: a plain service */
@@ -175,6 +176,8 @@
 /* Returns the hash of what the request asks for: it is the same each time the
    request comes, under whatever id and through whatever instance. */
 uint64_t xc_get_fingerprint(xc_exchange *exchange);
+/* Returns the content with its fingerprint and the parts of its prompt. */
+const su_content *xc_get_content(xc_exchange *exchange);
 /* Ends the request if its content was convicted, unless it is sent as a probe.
    Returns true if it has ended. */
 bool xc_end_if_convicted(xc_exchange *exchange);
--- a/packages/exchange/src/gossip_suspects.c
+++ b/packages/exchange/src/gossip_suspects.c
@@ -23,7 +23,10 @@
     uint32_t count = MIN(crash->candidate_count, SU_MAX_CANDIDATES);
     for (uint32_t i = 0; i < count; i++) {
         lacewing__exchange__candidate__init(&candidates[i]);
-        candidates[i].fingerprint = crash->candidates[i].fingerprint;
+        const su_content *content = &crash->candidates[i].content;
+        candidates[i].fingerprint = content->fingerprint;
+        candidates[i].n_parts = content->part_count;
+        candidates[i].parts = (uint64_t *)content->parts;
         candidates[i].likelihood = crash->candidates[i].likelihood;
         pointers[i] = &candidates[i];
     }
@@ -46,6 +49,7 @@
     Lacewing__Exchange__ConvictionWord word =
         LACEWING__EXCHANGE__CONVICTION_WORD__INIT;
     word.item = conviction->item;
+    word.is_part = conviction->is_part;
     word.crashes = conviction->crashes;
     word.first_crash_age_ms = _gp_age_ms(peers, conviction->first_crash_us);
     word.age_ms = _gp_age_ms(peers, conviction->since_us);
@@ -77,10 +81,14 @@
     su_candidate candidates[SU_MAX_CANDIDATES];
     uint32_t count = (uint32_t)MIN(word->n_candidates, SU_MAX_CANDIDATES);
     for (uint32_t i = 0; i < count; i++) {
-        candidates[i] = (su_candidate){
-            .fingerprint = word->candidates[i]->fingerprint,
-            .likelihood = word->candidates[i]->likelihood,
-        };
+        const Lacewing__Exchange__Candidate *candidate = word->candidates[i];
+        su_content *content = &candidates[i].content;
+        candidates[i].likelihood = candidate->likelihood;
+        content->fingerprint = candidate->fingerprint;
+        content->part_count = (uint32_t)MIN(candidate->n_parts, SU_MAX_PARTS);
+        for (uint32_t j = 0; j < content->part_count; j++) {
+            content->parts[j] = candidate->parts[j];
+        }
     }
     callbacks->crash(&(su_crash){.server = word->server,
                                  .born_ms = word->born_ms,
@@ -102,6 +110,7 @@
             message->convictions[i];
         su_conviction conviction = {
             .item = word->item,
+            .is_part = word->is_part,
             .crashes = word->crashes,
             .first_crash_us = _gp_local_us(peers, word->first_crash_age_ms),
             .since_us = _gp_local_us(peers, word->age_ms),
--- a/packages/exchange/src/node_crashes.c
+++ b/packages/exchange/src/node_crashes.c
@@ -26,7 +26,7 @@
             named++ < _ND_LOGGED_CONTENTS) {
             g_string_append_printf(contents, "%s%016" G_GINT64_MODIFIER "x",
                                    contents->len ? "," : "",
-                                   request->fingerprint);
+                                   request->content.fingerprint);
         }
     }
     char numbers[64];
@@ -53,7 +53,7 @@
         const cw_request *request = &crash->requests[i];
         if (request->progress != CW_PROGRESS_DEFAULT) {
             candidates[count++] = (su_candidate){
-                .fingerprint = request->fingerprint,
+                .content = request->content,
                 .likelihood = request->progress,
             };
         }
@@ -84,13 +84,24 @@
 /* -- private: convictions ------------------------------------------------- */
 
 static void
-_nd_log_item(lg_item line, uint64_t item, uint32_t crashes)
+_nd_log_conviction(const su_conviction *conviction)
+{
+    char item[24];
+    g_snprintf(item, sizeof(item), "%016" G_GINT64_MODIFIER "x",
+               conviction->item);
+    char crashes[16];
+    g_snprintf(crashes, sizeof(crashes), "%u", conviction->crashes);
+    lg_write(LG_CONTENT_CONVICTED, "kind",
+             conviction->is_part ? "part" : "request", "content", item,
+             "crashes", crashes, NULL);
+}
+
+static void
+_nd_log_cleared(uint64_t item)
 {
     char text[24];
     g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", item);
-    char number[16];
-    g_snprintf(number, sizeof(number), "%u", crashes);
-    lg_write(line, "content", text, "crashes", number, NULL);
+    lg_write(LG_CONTENT_CLEARED, "content", text, NULL);
 }
 
 /* Instances whose position is at most this speak for all: a few, as some may
@@ -107,7 +118,7 @@
 _nd_on_convicted(const su_conviction *conviction, void *user_data)
 {
     nd_node *node = user_data;
-    _nd_log_item(LG_CONTENT_CONVICTED, conviction->item, conviction->crashes);
+    _nd_log_conviction(conviction);
     ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
     if (_nd_speaks(node)) {
         gp_broadcast_conviction(node->peers, conviction);
@@ -119,7 +130,7 @@
 _nd_on_cleared(uint64_t item, uint64_t began_us, void *user_data)
 {
     nd_node *node = user_data;
-    _nd_log_item(LG_CONTENT_CLEARED, item, 0);
+    _nd_log_cleared(item);
     ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
     gp_broadcast_cleared(node->peers, item, began_us);
 }
@@ -150,8 +161,7 @@
     uint32_t before = su_query_convicted_count(node->suspects);
     su_adopt(node->suspects, conviction);
     if (su_query_convicted_count(node->suspects) != before) {
-        _nd_log_item(LG_CONTENT_CONVICTED, conviction->item,
-                     conviction->crashes);
+        _nd_log_conviction(conviction);
         ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
         xc_end_convicted(node->core);
     }
--- a/packages/exchange/src/suspects.c
+++ b/packages/exchange/src/suspects.c
@@ -3,6 +3,18 @@
 #include <glib.h>
 
 #define _SU_CONVICT_CRASHES 2
+/* Crashes that convict a part which was answered well before, and the time
+   over which they must come. Within it, a part that many requests share is
+   answered again, also while servers crash. */
+#define _SU_KNOWN_PART_CRASHES 4
+#define _SU_KNOWN_PART_SPAN_US UINT64_C(1000000)
+/* A part that was answered within this time is answered often, so that all
+   instances see it without being told. */
+#define _SU_OFTEN_US UINT64_C(1000000)
+/* Parts whose last good answer is remembered: sets of entries, the oldest of
+   which gives way. */
+#define _SU_KNOWN_SETS 512
+#define _SU_KNOWN_WAYS 8
 /* Reports of a crash arrive within this time: instances notice it some ms
    after it, and datagrams take some more. */
 #define _SU_SETTLE_US 80000
@@ -41,8 +53,15 @@
     uint64_t began_us;
 } _su_cleared;
 
+/* A part and when an answer on it that went well began last. */
+typedef struct _su_known {
+    uint64_t part;
+    uint64_t good_us;
+} _su_known;
+
 struct su_suspects {
     su_desc desc;
+    _su_known known[_SU_KNOWN_SETS][_SU_KNOWN_WAYS];
     _su_record records[SU_MAX_CRASHES];   /* ring */
     uint64_t record_count;                /* added so far */
     GArray *convicts;                     /* _su_convict, oldest first */
@@ -106,18 +125,43 @@
     return top;
 }
 
-/* Returns whether the item is one of the likeliest of a crash. */
 static bool
-_su_blames(const _su_record *record, uint64_t item)
+_su_contains(const su_content *content, uint64_t item)
+{
+    for (uint32_t i = 0; i < content->part_count; i++) {
+        if (content->parts[i] == item) {
+            return true;
+        }
+    }
+    return content->fingerprint == item;
+}
+
+/* The contents in which an item crashed servers. */
+typedef struct _su_contents {
+    uint64_t first; /* fingerprint of one of them; 0: none */
+    bool differ;
+} _su_contents;
+
+/* Returns whether the item is in one of the likeliest contents of a crash;
+   adds these contents. */
+static bool
+_su_blames(const _su_record *record, uint64_t item, _su_contents *contents)
 {
     uint32_t top = _su_top_likelihood(record);
+    bool blamed = false;
     for (uint32_t i = 0; i < record->candidate_count; i++) {
         const su_candidate *candidate = &record->candidates[i];
-        if (candidate->likelihood == top && candidate->fingerprint == item) {
-            return true;
+        if (candidate->likelihood != top ||
+            !_su_contains(&candidate->content, item)) {
+            continue;
         }
+        blamed = true;
+        uint64_t fingerprint = candidate->content.fingerprint;
+        contents->differ = contents->differ ||
+                           (contents->first && contents->first != fingerprint);
+        contents->first = fingerprint;
     }
-    return false;
+    return blamed;
 }
 
 static int
@@ -128,32 +172,77 @@
     return first < second ? -1 : first > second;
 }
 
-/* Counts the crashes that blame an item, those of one moment once. */
-static su_conviction
+/* Crashes that an item may have caused. */
+typedef struct _su_count {
+    uint32_t crashes; /* those of one moment count once */
+    uint64_t first_us;
+    uint64_t last_us;
+    bool contents_differ;
+} _su_count;
+
+static _su_count
 _su_count_crashes(const su_suspects *suspects, uint64_t item, uint64_t now_us)
 {
     uint64_t times_us[SU_MAX_CRASHES];
     uint32_t count = 0;
+    _su_contents contents = {0};
     for (uint32_t i = 0; i < _su_kept_records(suspects); i++) {
         const _su_record *record = &suspects->records[i];
         if (now_us < record->at_us + _SU_CRASH_MAX_AGE_US &&
-            _su_blames(record, item)) {
+            _su_blames(record, item, &contents)) {
             times_us[count++] = record->at_us;
         }
     }
     qsort(times_us, count, sizeof(times_us[0]), _su_compare_times);
-    su_conviction result = {.item = item, .since_us = now_us};
-    uint64_t last_us = 0;
+    _su_count result = {.contents_differ = contents.differ};
     for (uint32_t i = 0; i < count; i++) {
-        if (i == 0 || times_us[i] >= last_us + _SU_SAME_MOMENT_US) {
+        if (i == 0 || times_us[i] >= result.last_us + _SU_SAME_MOMENT_US) {
             result.crashes++;
-            last_us = times_us[i];
+            result.last_us = times_us[i];
         }
     }
-    result.first_crash_us = count ? times_us[0] : 0;
+    result.first_us = count ? times_us[0] : 0;
     return result;
 }
 
+/* -- private: parts that were answered well ------------------------------- */
+
+static _su_known *
+_su_known_set(su_suspects *suspects, uint64_t part)
+{
+    return suspects->known[part % _SU_KNOWN_SETS];
+}
+
+/* Returns when a good answer on the part began last; 0: none is known. */
+static uint64_t
+_su_last_good_us(su_suspects *suspects, uint64_t part)
+{
+    const _su_known *set = _su_known_set(suspects, part);
+    for (uint32_t i = 0; i < _SU_KNOWN_WAYS; i++) {
+        if (set[i].part == part) {
+            return set[i].good_us;
+        }
+    }
+    return 0;
+}
+
+static void
+_su_remember_good(su_suspects *suspects, uint64_t part, uint64_t began_us)
+{
+    _su_known *set = _su_known_set(suspects, part);
+    _su_known *entry = &set[0];
+    for (uint32_t i = 0; i < _SU_KNOWN_WAYS; i++) {
+        if (set[i].part == part) {
+            set[i].good_us = MAX(set[i].good_us, began_us);
+            return;
+        }
+        if (set[i].good_us < entry->good_us) {
+            entry = &set[i];
+        }
+    }
+    *entry = (_su_known){part, began_us};
+}
+
 /* -- private: convictions ------------------------------------------------- */
 
 static _su_convict *
@@ -179,23 +268,52 @@
     g_array_append_val(suspects->convicts, convict);
 }
 
+static bool
+_su_convicts(su_suspects *suspects, uint64_t item, bool is_part,
+             const _su_count *count)
+{
+    if (is_part && !count->contents_differ) {
+        return false;
+    }
+    if (is_part && _su_last_good_us(suspects, item)) {
+        return count->crashes >= _SU_KNOWN_PART_CRASHES &&
+               count->last_us >= count->first_us + _SU_KNOWN_PART_SPAN_US;
+    }
+    return count->crashes >= suspects->desc.convict_crashes;
+}
+
 static void
-_su_count_candidate(su_suspects *suspects, uint64_t item, uint64_t now_us)
+_su_judge(su_suspects *suspects, uint64_t item, bool is_part, uint64_t now_us)
 {
-    su_conviction counted = _su_count_crashes(suspects, item, now_us);
+    _su_count count = _su_count_crashes(suspects, item, now_us);
     _su_convict *convict = _su_find_convict(suspects, item);
     if (convict) {
         convict->conviction.crashes =
-            MAX(convict->conviction.crashes, counted.crashes);
+            MAX(convict->conviction.crashes, count.crashes);
         return;
     }
-    if (counted.crashes >= suspects->desc.convict_crashes) {
-        _su_add_convict(suspects, &counted);
-        suspects->desc.callbacks->convicted(&counted,
+    if (_su_convicts(suspects, item, is_part, &count)) {
+        su_conviction conviction = {.item = item,
+                                    .is_part = is_part,
+                                    .crashes = count.crashes,
+                                    .first_crash_us = count.first_us,
+                                    .since_us = now_us};
+        _su_add_convict(suspects, &conviction);
+        suspects->desc.callbacks->convicted(&conviction,
                                             suspects->desc.user_data);
     }
 }
 
+static void
+_su_judge_content(su_suspects *suspects, const su_content *content,
+                  uint64_t now_us)
+{
+    for (uint32_t i = 0; i < content->part_count; i++) {
+        _su_judge(suspects, content->parts[i], true, now_us);
+    }
+    _su_judge(suspects, content->fingerprint, false, now_us);
+}
+
 /* Returns the time from the conviction to the probe that is due now or comes
    next. */
 static uint64_t
@@ -214,43 +332,77 @@
 
 /* -- private: clearing ---------------------------------------------------- */
 
-/* Removes an item from the crashes up to began_us. Returns true if there were
-   any. */
+static void
+_su_remove_part(su_content *content, uint64_t part)
+{
+    for (uint32_t i = content->part_count; i > 0; i--) {
+        if (content->parts[i - 1] == part) {
+            content->parts[i - 1] = content->parts[--content->part_count];
+        }
+    }
+}
+
+/* Removes an item from the crashes up to began_us. Returns true if one of them
+   blamed it. */
 static bool
 _su_absolve(su_suspects *suspects, uint64_t item, uint64_t began_us)
 {
-    bool found = false;
+    bool blamed = false;
     for (uint32_t i = 0; i < _su_kept_records(suspects); i++) {
         _su_record *record = &suspects->records[i];
+        _su_contents contents = {0};
         if (record->at_us > began_us) {
             continue;
         }
+        blamed = _su_blames(record, item, &contents) || blamed;
         for (uint32_t j = record->candidate_count; j > 0; j--) {
-            if (record->candidates[j - 1].fingerprint == item) {
-                record->candidates[j - 1] =
-                    record->candidates[--record->candidate_count];
-                found = true;
+            su_candidate *candidate = &record->candidates[j - 1];
+            if (candidate->content.fingerprint == item) {
+                *candidate = record->candidates[--record->candidate_count];
+            }
+            else {
+                _su_remove_part(&candidate->content, item);
             }
         }
     }
-    return found;
+    return blamed;
 }
 
 static bool
-_su_clear(su_suspects *suspects, uint64_t item, uint64_t began_us)
+_su_release(su_suspects *suspects, uint64_t item, uint64_t began_us)
 {
-    bool found = _su_absolve(suspects, item, began_us);
     const _su_convict *convict = _su_find_convict(suspects, item);
-    if (convict && convict->conviction.first_crash_us <= began_us) {
-        guint at = (guint)(convict - (_su_convict *)suspects->convicts->data);
-        g_array_remove_index(suspects->convicts, at);
-        found = true;
+    if (!convict || convict->conviction.first_crash_us > began_us) {
+        return false;
     }
-    if (found) {
+    g_array_remove_index(
+        suspects->convicts,
+        (guint)(convict - (_su_convict *)suspects->convicts->data));
+    return true;
+}
+
+/* Clears an item. Returns true if the other instances should be told: all
+   instances see the answers on a part that is in use everywhere. */
+static bool
+_su_clear(su_suspects *suspects, uint64_t item, bool often, uint64_t began_us)
+{
+    bool blamed = _su_absolve(suspects, item, began_us);
+    bool released = _su_release(suspects, item, began_us);
+    if (blamed || released) {
         suspects->cleared[suspects->next_cleared++ % _SU_MAX_CLEARED] =
             (_su_cleared){item, began_us};
     }
-    return found;
+    return released || (blamed && !often);
+}
+
+static void
+_su_clear_and_tell(su_suspects *suspects, uint64_t item, bool often,
+                   uint64_t began_us)
+{
+    if (_su_clear(suspects, item, often, began_us)) {
+        suspects->desc.callbacks->cleared(item, began_us,
+                                          suspects->desc.user_data);
+    }
 }
 
 /* -- public --------------------------------------------------------------- */
@@ -290,18 +442,29 @@
 }
 
 void
-su_note_good(su_suspects *suspects, uint64_t fingerprint, uint64_t began_us)
+su_note_good(su_suspects *suspects, const su_content *content,
+             uint64_t began_us)
 {
-    if (_su_clear(suspects, fingerprint, began_us)) {
-        suspects->desc.callbacks->cleared(fingerprint, began_us,
-                                          suspects->desc.user_data);
+    for (uint32_t i = 0; i < content->part_count; i++) {
+        uint64_t part = content->parts[i];
+        uint64_t before_us = _su_last_good_us(suspects, part);
+        bool often = before_us && began_us < before_us + _SU_OFTEN_US;
+        _su_remember_good(suspects, part, began_us);
+        if (su_query_active(suspects)) {
+            _su_clear_and_tell(suspects, part, often, began_us);
+        }
+    }
+    if (content->fingerprint) {
+        _su_clear_and_tell(suspects, content->fingerprint, false, began_us);
     }
 }
 
 void
 su_note_cleared(su_suspects *suspects, uint64_t item, uint64_t began_us)
 {
-    _su_clear(suspects, item, began_us);
+    /* If the item is a fingerprint, it only takes the place of a part. */
+    _su_remember_good(suspects, item, began_us);
+    _su_clear(suspects, item, false, began_us);
 }
 
 void
@@ -340,8 +503,8 @@
         uint32_t top = _su_top_likelihood(record);
         for (uint32_t j = 0; j < record->candidate_count; j++) {
             if (record->candidates[j].likelihood == top) {
-                _su_count_candidate(suspects,
-                                    record->candidates[j].fingerprint, now_us);
+                _su_judge_content(suspects, &record->candidates[j].content,
+                                  now_us);
             }
         }
     }
@@ -356,11 +519,23 @@
     }
 }
 
+/* Returns the first convicted item of a content. */
+static const _su_convict *
+_su_find_in_content(const su_suspects *suspects, const su_content *content)
+{
+    const _su_convict *found =
+        _su_find_convict(suspects, content->fingerprint);
+    for (uint32_t i = 0; !found && i < content->part_count; i++) {
+        found = _su_find_convict(suspects, content->parts[i]);
+    }
+    return found;
+}
+
 su_status
-su_check(const su_suspects *suspects, uint64_t fingerprint, uint64_t now_us,
-         su_verdict *out)
+su_check(const su_suspects *suspects, const su_content *content,
+         uint64_t now_us, su_verdict *out)
 {
-    const _su_convict *convict = _su_find_convict(suspects, fingerprint);
+    const _su_convict *convict = _su_find_in_content(suspects, content);
     if (!convict) {
         return SU_FREE;
     }
--- a/packages/exchange/src/suspects.h
+++ b/packages/exchange/src/suspects.h
@@ -1,5 +1,6 @@
 /*
- * suspects.h: finds requests that crash backend servers (prefix su_).
+ * suspects.h: finds requests, and parts of prompts, that crash backend servers
+ * (prefix su_).
  *
  * A request that crashes the server that begins to answer it comes again with
  * the same content, under another id and through another instance. Each crash
@@ -8,23 +9,28 @@
  * twice, whoever saw them. Of one crash only the likeliest contents count:
  * those whose answers had a head and no event yet, if there are any.
  *
- * A content with su_desc.convict_crashes crashes since it was last answered is
- * convicted and refused from then on. Servers that crash at the same moment,
- * as in a power failure, count as one crash. A good answer that began after
- * the first crash clears a content again.
+ * An item is a content, or a part of a prompt that different contents share.
+ * An item with su_desc.convict_crashes crashes since it was last answered is
+ * convicted, and requests with it are refused from then on. A part must have
+ * crashed servers in different contents; one that is known to have been
+ * answered well before needs more crashes, over some time, as sound requests
+ * also share parts with the guilty ones. Servers that crash at the same
+ * moment, as in a power failure, count as one crash. A good answer that began
+ * after the first crash clears an item again.
  *
  * So that a wrong conviction ends without an answer to clear it, one request
- * at a time may probe the content, at intervals that grow.
+ * at a time may probe the item, at intervals that grow.
  *
  *     su_note_crash(suspects, &(su_crash){.server = hash, ...});
  *     su_tick(suspects, now_us);  - calls back for what it convicts
- *     if (su_check(suspects, fingerprint, now_us, &verdict) == SU_REFUSED) {
+ *     if (su_check(suspects, &content, now_us, &verdict) == SU_REFUSED) {
  *         ... refuse, with verdict.retry_ms ...
  *     }
  *
  * No sockets and no clock. Made for a fleet in which servers also crash by
  * themselves, some of them at once. Limits: the last SU_MAX_CRASHES crashes
- * with SU_MAX_CANDIDATES contents each, SU_MAX_CONVICTED convictions.
+ * with SU_MAX_CANDIDATES contents each, SU_MAX_CONVICTED convictions, the
+ * first SU_MAX_PARTS parts of a prompt.
  */
 #ifndef LACEWING_SUSPECTS_H
 #define LACEWING_SUSPECTS_H
@@ -33,14 +39,22 @@
 #include <stdint.h>
 
 #define SU_MAX_CRASHES 64
-#define SU_MAX_CANDIDATES 32
+#define SU_MAX_CANDIDATES 16
+#define SU_MAX_PARTS 16
 #define SU_MAX_CONVICTED 256
 
 typedef struct su_suspects su_suspects;
 
+/* What a request asks for. */
+typedef struct su_content {
+    uint64_t fingerprint;         /* of all of it; 0: not known */
+    uint64_t parts[SU_MAX_PARTS]; /* of the prompt, that others may share */
+    uint32_t part_count;
+} su_content;
+
 /* A content that a server was running when it crashed. */
 typedef struct su_candidate {
-    uint64_t fingerprint;
+    su_content content;
     uint32_t likelihood; /* 1 and more; only the highest of a crash counts */
 } su_candidate;
 
@@ -54,7 +68,8 @@
 } su_crash;
 
 typedef struct su_conviction {
-    uint64_t item;           /* the fingerprint */
+    uint64_t item; /* fingerprint or part */
+    bool is_part;
     uint32_t crashes;        /* that led to it */
     uint64_t first_crash_us; /* of these */
     uint64_t since_us;
@@ -90,7 +105,7 @@
 /* Adds what one instance knows of a crash. */
 void su_note_crash(su_suspects *suspects, const su_crash *crash);
 /* A server answered the content well; it began to answer at began_us. */
-void su_note_good(su_suspects *suspects, uint64_t fingerprint,
+void su_note_good(su_suspects *suspects, const su_content *content,
                   uint64_t began_us);
 /* The same for an item that another instance cleared; does not call back. */
 void su_note_cleared(su_suspects *suspects, uint64_t item, uint64_t began_us);
@@ -103,10 +118,10 @@
 
 /* queries */
 /* Returns whether the content may be sent. *out is set unless it is free. */
-su_status su_check(const su_suspects *suspects, uint64_t fingerprint,
+su_status su_check(const su_suspects *suspects, const su_content *content,
                    uint64_t now_us, su_verdict *out);
-/* True if the contents of requests matter at present: some are suspected or
-   convicted. */
+/* True if the fingerprints of requests matter at present: some are suspected
+   or convicted. */
 bool su_query_active(const su_suspects *suspects);
 /* True if a crash was not counted yet: su_tick() has something to do. */
 bool su_query_pending(const su_suspects *suspects);
--- a/packages/exchange/tests/test_crash_watch.c
+++ b/packages/exchange/tests/test_crash_watch.c
@@ -55,11 +55,12 @@
 static void
 note_broken(fixture *f, int server, uint64_t fingerprint, cw_progress progress)
 {
-    cw_note_broken(f->watch,
-                   &(cw_broken){.server = &f->servers[server],
-                                .born_ms = 7,
-                                .request = {fingerprint, progress}},
-                   START);
+    cw_note_broken(
+        f->watch,
+        &(cw_broken){.server = &f->servers[server],
+                     .born_ms = 7,
+                     .request = {{.fingerprint = fingerprint}, progress}},
+        START);
 }
 
 START_TEST(test_answer_broken_off_by_a_running_server_is_no_crash)
@@ -93,7 +94,7 @@
     ck_assert_uint_eq(f->last.born_ms, 7);
     ck_assert_uint_eq(f->last.at_us, START);
     ck_assert_uint_eq(f->last.request_count, 2);
-    ck_assert_uint_eq(f->last_requests[1].fingerprint, 2);
+    ck_assert_uint_eq(f->last_requests[1].content.fingerprint, 2);
     ck_assert_int_eq(f->last_requests[1].progress, CW_JUST_BEGUN);
     free_fixture(f);
 }
--- a/packages/exchange/tests/test_suspects.c
+++ b/packages/exchange/tests/test_suspects.c
@@ -54,13 +54,11 @@
     g_free(f);
 }
 
-/* Reports one candidate of the crash of a server. */
 static void
-report(fixture *f, uint64_t server, uint64_t at_us, uint64_t fingerprint,
-       uint32_t likelihood)
+report_content(fixture *f, uint64_t server, uint64_t at_us,
+               const su_content *content, uint32_t likelihood)
 {
-    su_candidate candidate = {.fingerprint = fingerprint,
-                              .likelihood = likelihood};
+    su_candidate candidate = {.content = *content, .likelihood = likelihood};
     su_note_crash(f->suspects, &(su_crash){.server = server,
                                            .born_ms = 1,
                                            .at_us = at_us,
@@ -68,11 +66,28 @@
                                            .candidate_count = 1});
 }
 
+/* Reports one candidate of the crash of a server. */
+static void
+report(fixture *f, uint64_t server, uint64_t at_us, uint64_t fingerprint,
+       uint32_t likelihood)
+{
+    report_content(f, server, at_us, &(su_content){.fingerprint = fingerprint},
+                   likelihood);
+}
+
+static void
+note_good(fixture *f, uint64_t fingerprint, uint64_t began_us)
+{
+    su_note_good(f->suspects, &(su_content){.fingerprint = fingerprint},
+                 began_us);
+}
+
 static su_status
 check(const fixture *f, uint64_t fingerprint, uint64_t now_us)
 {
     su_verdict verdict;
-    return su_check(f->suspects, fingerprint, now_us, &verdict);
+    return su_check(f->suspects, &(su_content){.fingerprint = fingerprint},
+                    now_us, &verdict);
 }
 
 START_TEST(test_two_crashes_convict)
@@ -137,16 +152,16 @@
     fixture *f = make_fixture();
     report(f, 1, START, DEADLY, HEAD_ONLY);
     su_tick(f->suspects, START + S);
-    su_note_good(f->suspects, DEADLY, START + S);
+    note_good(f, DEADLY, START + S);
     report(f, 2, START + 2 * S, DEADLY, HEAD_ONLY);
     su_tick(f->suspects, START + 3 * S);
     ck_assert_int_eq(check(f, DEADLY, START + 3 * S), SU_FREE);
     report(f, 3, START + 4 * S, DEADLY, HEAD_ONLY);
     su_tick(f->suspects, START + 5 * S);
     ck_assert_int_eq(check(f, DEADLY, START + 5 * S), SU_REFUSED);
-    su_note_good(f->suspects, DEADLY, START + S);
+    note_good(f, DEADLY, START + S);
     ck_assert_int_eq(check(f, DEADLY, START + 5 * S), SU_REFUSED);
-    su_note_good(f->suspects, DEADLY, START + 3 * S);
+    note_good(f, DEADLY, START + 3 * S);
     ck_assert_int_eq(check(f, DEADLY, START + 5 * S), SU_FREE);
     ck_assert_uint_eq(f->cleared_count, 2);
     free_fixture(f);
@@ -183,14 +198,16 @@
     uint64_t since_us = START + 2 * S;
     su_tick(f->suspects, since_us);
     su_verdict verdict;
-    ck_assert_int_eq(su_check(f->suspects, DEADLY, since_us + S, &verdict),
+    su_content deadly = {.fingerprint = DEADLY};
+    ck_assert_int_eq(su_check(f->suspects, &deadly, since_us + S, &verdict),
                      SU_REFUSED);
     ck_assert_uint_eq(verdict.retry_ms, 4000);
-    ck_assert_int_eq(su_check(f->suspects, DEADLY, since_us + 5 * S, &verdict),
-                     SU_PROBE);
+    ck_assert_int_eq(
+        su_check(f->suspects, &deadly, since_us + 5 * S, &verdict), SU_PROBE);
     su_note_probe(f->suspects, DEADLY, since_us + 5 * S);
-    ck_assert_int_eq(su_check(f->suspects, DEADLY, since_us + 6 * S, &verdict),
-                     SU_REFUSED);
+    ck_assert_int_eq(
+        su_check(f->suspects, &deadly, since_us + 6 * S, &verdict),
+        SU_REFUSED);
     ck_assert_uint_eq(verdict.retry_ms, 19000);
     free_fixture(f);
 }
@@ -228,7 +245,7 @@
         for (uint64_t i = 0; i < 4; i++) {
             uint64_t content = (uint64_t)g_rand_int_range(random, 1, 40);
             report(f, crash, now_us, content, HEAD_ONLY);
-            su_note_good(f->suspects, content, now_us + 30 * MS);
+            note_good(f, content, now_us + 30 * MS);
             f->cleared_count = 0;
         }
         su_tick(f->suspects, now_us + 45 * MS);
@@ -238,6 +255,128 @@
 }
 END_TEST
 
+/* -- parts of prompts ----------------------------------------------------- */
+
+/* Parts of the requests below: the first is in all of them. */
+enum { FIRST = 1001, GROUP, TAINTED };
+
+/* Makes a content that no other request has. */
+static su_content
+make_content(uint64_t middle, uint64_t further)
+{
+    static uint64_t fingerprint = 5000;
+    su_content content = {.fingerprint = ++fingerprint,
+                          .parts = {FIRST, middle, further},
+                          .part_count = further ? 3 : 2};
+    return content;
+}
+
+static su_status
+check_content(const fixture *f, su_content content, uint64_t now_us)
+{
+    su_verdict verdict;
+    return su_check(f->suspects, &content, now_us, &verdict);
+}
+
+START_TEST(test_part_of_prompts_is_convicted_and_sound_requests_are_not)
+{
+    fixture *f = make_fixture();
+    su_content sound = make_content(GROUP, 0);
+    su_note_good(f->suspects, &sound, START);
+    for (uint64_t server = 1; server <= 2; server++) {
+        su_content guilty = make_content(GROUP, TAINTED);
+        report_content(f, server, START + server * S, &guilty, HEAD_ONLY);
+        su_tick(f->suspects, START + server * S + 100 * MS);
+    }
+    uint64_t now_us = START + 3 * S;
+    ck_assert_int_eq(check_content(f, make_content(GROUP, TAINTED), now_us),
+                     SU_REFUSED);
+    ck_assert_int_eq(check_content(f, make_content(7, TAINTED), now_us),
+                     SU_REFUSED);
+    ck_assert_int_eq(check_content(f, make_content(GROUP, 0), now_us),
+                     SU_FREE);
+    ck_assert_uint_eq(f->convicted_count, 1);
+    free_fixture(f);
+}
+END_TEST
+
+START_TEST(test_part_is_not_convicted_by_one_content_alone)
+{
+    fixture *f = make_fixture();
+    su_content guilty = make_content(GROUP, 0);
+    for (uint64_t server = 1; server <= 3; server++) {
+        report_content(f, server, START + server * S, &guilty, HEAD_ONLY);
+        su_tick(f->suspects, START + server * S + 100 * MS);
+    }
+    ck_assert_uint_eq(f->convicted_count, 1);
+    ck_assert_uint_eq(f->convicted[0], guilty.fingerprint);
+    ck_assert_int_eq(check_content(f, make_content(GROUP, 0), START + 4 * S),
+                     SU_FREE);
+    free_fixture(f);
+}
+END_TEST
+
+START_TEST(test_part_that_turns_deadly_is_convicted_by_the_fifth_crash)
+{
+    fixture *f = make_fixture();
+    for (uint64_t i = 0; i < 10; i++) {
+        su_content sound = make_content(TAINTED, 0);
+        su_note_good(f->suspects, &sound, START + i * 100 * MS);
+    }
+    uint64_t now_us = START + S;
+    for (uint64_t server = 1; server <= 5; server++) {
+        now_us += 400 * MS;
+        su_content guilty = make_content(TAINTED, 0);
+        report_content(f, server, now_us, &guilty, HEAD_ONLY);
+        su_tick(f->suspects, now_us + 100 * MS);
+        su_content sound = make_content(GROUP, 0);
+        su_note_good(f->suspects, &sound, now_us + 150 * MS);
+    }
+    ck_assert_int_eq(check_content(f, make_content(TAINTED, 0), now_us),
+                     SU_REFUSED);
+    ck_assert_int_eq(check_content(f, make_content(GROUP, 0), now_us),
+                     SU_FREE);
+    free_fixture(f);
+}
+END_TEST
+
+/* An instance that has just started knows of no part that it is sound. */
+START_TEST(test_wrongly_convicted_part_is_cleared_by_an_answer_elsewhere)
+{
+    fixture *f = make_fixture();
+    for (uint64_t server = 1; server <= 2; server++) {
+        su_content guilty = make_content(GROUP, TAINTED);
+        report_content(f, server, START + server * S, &guilty, HEAD_ONLY);
+    }
+    su_tick(f->suspects, START + 3 * S);
+    ck_assert_int_eq(check_content(f, make_content(7, 0), START + 3 * S),
+                     SU_REFUSED);
+    su_note_cleared(f->suspects, FIRST, START + 3 * S);
+    ck_assert_int_eq(check_content(f, make_content(7, 0), START + 3 * S),
+                     SU_FREE);
+    ck_assert_int_eq(check_content(f, make_content(7, TAINTED), START + 3 * S),
+                     SU_REFUSED);
+    free_fixture(f);
+}
+END_TEST
+
+START_TEST(test_part_in_use_everywhere_is_not_told_to_all_after_each_crash)
+{
+    fixture *f = make_fixture();
+    for (uint64_t i = 1; i <= 40; i++) {
+        uint64_t now_us = START + i * 100 * MS;
+        su_content content = make_content(GROUP, 0);
+        su_note_good(f->suspects, &content, now_us);
+        content = make_content(GROUP, 0);
+        report_content(f, i, now_us + 50 * MS, &content, HEAD_ONLY);
+        su_tick(f->suspects, now_us + 99 * MS);
+    }
+    ck_assert_uint_eq(f->convicted_count, 0);
+    ck_assert_uint_eq(f->cleared_count, 0);
+    free_fixture(f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -255,5 +394,15 @@
         tcase, test_conviction_of_another_instance_is_adopted_unless_cleared);
     tcase_add_loop_test(
         tcase, test_plain_crashes_convict_no_content_that_is_served, 0, 20);
+    tcase_add_test(
+        tcase, test_part_of_prompts_is_convicted_and_sound_requests_are_not);
+    tcase_add_test(tcase, test_part_is_not_convicted_by_one_content_alone);
+    tcase_add_test(
+        tcase, test_part_that_turns_deadly_is_convicted_by_the_fifth_crash);
+    tcase_add_test(
+        tcase, test_wrongly_convicted_part_is_cleared_by_an_answer_elsewhere);
+    tcase_add_test(
+        tcase,
+        test_part_in_use_everywhere_is_not_told_to_all_after_each_crash);
     return run_case("suspects", tcase);
 }
