A deeply nested JSON text does not exhaust the stack

Reported by operators of like systems: a deeply nested entry among those of the servers ended the machines that read the list, again and again. It can happen here: a body of 500 kB, 500,000 arrays deep, ends the reader with SIGSEGV (test_decode; json-glib's parser calls itself for each level). Every reader of JSON from outside shares the cause: the users' platform, the table service, the admin API, callers' drafts, servers' answers, edits, the audit trail.

--- a/packages/admin/src/request.c
+++ b/packages/admin/src/request.c
@@ -1,6 +1,7 @@
 /* request.c: reads the author, the body and the parameters of a call. */
 #include "internal.h"
 
+#include "lacewing/json_depth.h"
 #include <string.h>
 
 /* Leading digits of a key's hash that identify the key in logs and records. */
@@ -62,6 +63,9 @@
     if (size == 0) {
         return ER_OK;
     }
+    if (!jd_query_fits(text, size)) {
+        return er_set(status, ER_BAD_REQUEST, "body: nested too deeply");
+    }
     g_autoptr(JsonParser) parser = json_parser_new_immutable();
     g_autoptr(GError) error = NULL;
     if (!json_parser_load_from_data(parser, text, (gssize)size, &error)) {
--- a/packages/admin/src/trail.c
+++ b/packages/admin/src/trail.c
@@ -4,6 +4,7 @@
  */
 #include "internal.h"
 
+#include "lacewing/json_depth.h"
 #include "lacewing/timer.h"
 #include <string.h>
 
@@ -25,7 +26,8 @@
     gsize size = 0;
     const char *data = g_bytes_get_data(row->value, &size);
     g_autofree char *text = g_strndup(data, size);
-    JsonNode *node = json_from_string(text, NULL);
+    JsonNode *node =
+        jd_query_fits(data, size) ? json_from_string(text, NULL) : NULL;
     if (node && !JSON_NODE_HOLDS_OBJECT(node)) {
         g_clear_pointer(&node, json_node_unref);
     }
--- a/packages/backend/src/order.c
+++ b/packages/backend/src/order.c
@@ -2,6 +2,7 @@
    with a timeout. */
 #include "backend_private.h"
 
+#include "lacewing/json_depth.h"
 typedef struct _be_request {
     be_server *server;
     SoupMessage *message;
@@ -117,8 +118,8 @@
     gsize size = 0;
     const char *text = body ? g_bytes_get_data(body, &size) : NULL;
     g_autoptr(JsonParser) parser = json_parser_new();
-    bool parsed =
-        text && json_parser_load_from_data(parser, text, (gssize)size, NULL);
+    bool parsed = text && jd_query_fits(text, size) &&
+                  json_parser_load_from_data(parser, text, (gssize)size, NULL);
     JsonNode *root = parsed ? json_parser_get_root(parser) : NULL;
     be_order_result result = {.code = code};
     g_autofree const char **models = NULL;
--- a/packages/backend/src/server.c
+++ b/packages/backend/src/server.c
@@ -1,7 +1,9 @@
 /* The client object, its requests and JSON helpers. */
 #include "backend_private.h"
 
+#include "lacewing/json_depth.h"
 #include <math.h>
+#include <string.h>
 
 #define _BE_DEFAULT_CONNECTIONS 512
 #define _BE_DEFAULT_STALL_TIMEOUT_MS 1500
@@ -136,7 +138,7 @@
     gsize size = 0;
     const char *text = g_bytes_get_data(body, &size);
     g_autoptr(JsonParser) parser = json_parser_new();
-    if (!size ||
+    if (!size || !jd_query_fits(text, size) ||
         !json_parser_load_from_data(parser, text, (gssize)size, NULL)) {
         return NULL;
     }
--- a/packages/backend/src/stream.c
+++ b/packages/backend/src/stream.c
@@ -1,6 +1,9 @@
 /* Completions. The answer to each is a stream of server-sent events. */
 #include "backend_private.h"
+
 #include "event_stream.h"
+#include "lacewing/json_depth.h"
+#include <string.h>
 
 #define _BE_READ_BYTES 16384      /* per read */
 #define _BE_ERROR_BYTES_MAX 65536 /* of an error body */
@@ -217,7 +220,8 @@
 static void
 _be_stream_handle_event(be_stream *stream, const char *data)
 {
-    if (!json_parser_load_from_data(stream->json, data, -1, NULL)) {
+    if (!jd_query_fits(data, strlen(data)) ||
+        !json_parser_load_from_data(stream->json, data, -1, NULL)) {
         _be_stream_end(stream, BE_END_BROKEN, NULL, "event is not valid JSON");
         return;
     }
--- a/packages/config/src/edits.c
+++ b/packages/config/src/edits.c
@@ -4,6 +4,7 @@
  */
 #include "document.h"
 
+#include "lacewing/json_depth.h"
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -130,6 +131,9 @@
 er_code
 dc_edits_parse(const char *text, dc_edits **result, er_status *status)
 {
+    if (!jd_query_fits(text, strlen(text))) {
+        return er_set(status, ER_BAD_REQUEST, "edits: nested too deeply");
+    }
     g_autoptr(JsonParser) parser = json_parser_new_immutable();
     g_autoptr(GError) error = NULL;
     if (!json_parser_load_from_data(parser, text, -1, &error)) {
--- a/packages/daemon/src/caller.c
+++ b/packages/daemon/src/caller.c
@@ -3,6 +3,7 @@
 
 #include "lacewing/counter.h"
 #include "lacewing/hash.h"
+#include "lacewing/json_depth.h"
 #include <errno.h>
 #include <glib-unix.h>
 #include <inttypes.h>
@@ -243,6 +244,7 @@
     const char *text = g_bytes_get_data(body, &size);
     JsonNode *root = NULL;
     if (size && g_utf8_validate_len(text, size, NULL) &&
+        jd_query_fits(text, size) &&
         json_parser_load_from_data(parser, text, (gssize)size, NULL)) {
         root = json_parser_get_root(parser);
     }
--- a/packages/daemon/src/daemon_admin.c
+++ b/packages/daemon/src/daemon_admin.c
@@ -3,6 +3,7 @@
 #include "daemon_private.h"
 
 #include "http_reply.h"
+#include "lacewing/json_depth.h"
 #include "lacewing/log.h"
 #include "listen.h"
 #include <string.h>
@@ -214,7 +215,7 @@
     gsize size = 0;
     const char *text = g_bytes_get_data(body, &size);
     g_autoptr(JsonParser) parser = json_parser_new();
-    if (!size ||
+    if (!size || !jd_query_fits(text, size) ||
         !json_parser_load_from_data(parser, text, (gssize)size, NULL)) {
         hp_text(message, SOUP_STATUS_BAD_REQUEST, "text/plain",
                 "the body is not JSON\n");
--- a/packages/store/src/json.c
+++ b/packages/store/src/json.c
@@ -1,5 +1,6 @@
 #include "json.h"
 
+#include "lacewing/json_depth.h"
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -45,7 +46,7 @@
     gsize size = 0;
     const char *data = g_bytes_get_data(body, &size);
     g_autoptr(JsonParser) parser = json_parser_new_immutable();
-    if (!data ||
+    if (!data || !jd_query_fits(data, size) ||
         !json_parser_load_from_data(parser, data, (gssize)size, NULL)) {
         return NULL;
     }
