An earlier refusal written once more refuses no other send

Reported by operators of like systems: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that had run (REFUSED), or these ran twice (TWICE).

- A request that was refused and is sent to the same server again, on the same kept connection: the refusal that comes once more has the right id and was taken for that of the second send, which the server ran; it was sent a third time.
Such a send now has a connection of its own.
- A refusal without a request id was taken for ours.
Servers echo the id; one that names no request now proves nothing, and the request counts as possibly run (502, no further send unless it may be repeated).

An answer with another request's id was skipped before and is still.

--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -75,6 +75,7 @@
     const fl_server *tried[FL_MAX_TRIED];
     uint32_t tried_count;
     uint32_t send_count;
+    const fl_server *sent_to[XC_MAX_SENDS]; /* servers of these sends */
     uint32_t possible_runs; /* sends that may have run or may still run it */
     uint64_t sent_us;
     uint64_t connect_deadline_us; /* a new connection is given up then */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -91,14 +91,17 @@
             h1_query_header(head, dialect->headers[DL_SERVER_LOAD]), &load)) {
         fl_set_reported_load(exchange->server, &load, xc_now_us(exchange));
     }
-    exchange->refused = dialect->read_refusal(
-        head->status,
-        h1_query_header(head, dialect->headers[DL_NOT_EXECUTED]));
-    exchange->status = head->status;
     bool has_signature =
         h1_query_header(head, dialect->headers[DL_SIGNATURE]) != NULL;
+    /* Answers with the id of another request are skipped before. */
     bool has_request_id =
         h1_query_header(head, dialect->headers[DL_REQUEST_ID]) != NULL;
+    exchange->refused =
+        has_request_id &&
+        dialect->read_refusal(
+            head->status,
+            h1_query_header(head, dialect->headers[DL_NOT_EXECUTED]));
+    exchange->status = head->status;
     exchange->answer_invalid =
         !exchange->refused && (!has_signature || !has_request_id ||
                                h1_query_header(head, "content-encoding"));
@@ -465,6 +468,17 @@
              exchange->resume_after, NULL);
 }
 
+static bool
+_xc_was_sent_to(const xc_exchange *exchange, const fl_server *server)
+{
+    for (uint32_t i = 0; i < MIN(exchange->send_count, XC_MAX_SENDS); i++) {
+        if (exchange->sent_to[i] == server) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 xc_send(xc_exchange *exchange, const fl_choice *choice)
 {
@@ -476,6 +490,9 @@
                    .id_header =
                        exchange->core->desc.dialect->headers[DL_REQUEST_ID],
                    .id = exchange->id,
+                   /* On a connection that carried this request before, the
+                      answer to that send may come once more. */
+                   .fresh = _xc_was_sent_to(exchange, server),
                    .head_only = _xc_is_head_only(exchange)});
     if (!conn) {
         return false;
@@ -517,6 +534,9 @@
         hg_observe(HG_WAIT, xc_query_label(exchange),
                    exchange->sent_us - exchange->received_us);
     }
+    if (exchange->send_count < XC_MAX_SENDS) {
+        exchange->sent_to[exchange->send_count] = server;
+    }
     exchange->send_count++;
     exchange->possible_runs++;
     ct_add(CT_SENT, 1);
