An error with status 200 gets into no stream that has begun

Now an answer goes on with a stream only if it has the stream's media type; else it counts as invalid and the caller's stream ends visibly broken off.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -106,6 +106,7 @@
     }
     g_clear_pointer(&exchange->answer_body, g_byte_array_unref);
     sp_destroy(exchange->position);
+    g_free(exchange->media_type);
     g_free(exchange);
 }
 
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -86,10 +86,11 @@
     bool refused;           /* the server did not run it */
     bool answer_invalid;    /* not forwarded: unsigned, without a request id,
                                encoded, too long, or, for a resumed stream, with
-                               another status than 200 */
+                               another status or media type */
     bool answer_too_long;   /* an event or a plain answer is over its limit */
     uint32_t status;        /* of the answer; 0: no head yet */
     GString *answer_headers;
+    char *media_type;        /* of the stream that the caller gets */
     GByteArray *answer_body; /* buffered; of an answer that is no stream */
     /* streams; a piece is the bytes of one us_callbacks.body */
     uint64_t first_piece_us;
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -79,6 +79,24 @@
     }
 }
 
+/* Returns the media type of an answer, without parameters; "": it has none. */
+static char *
+_xc_read_media_type(const h1_head *head)
+{
+    const char *type = h1_query_header(head, "content-type");
+    return type ? g_strndup(type, strcspn(type, "; \t")) : g_strdup("");
+}
+
+/* Returns whether an answer can go on with the stream that has begun: an error
+   may come with any status. */
+static bool
+_xc_continues_stream(const xc_exchange *exchange, const h1_head *head)
+{
+    g_autofree char *media_type = _xc_read_media_type(head);
+    return head->status == 200 &&
+           g_ascii_strcasecmp(media_type, exchange->media_type) == 0;
+}
+
 static void
 _xc_on_head(us_conn *conn, const h1_head *head, void *user_data)
 {
@@ -108,7 +126,7 @@
     if (exchange->answer_begun) {
         /* The caller already has the head that the first server sent. */
         exchange->answer_invalid =
-            exchange->answer_invalid || head->status != 200;
+            exchange->answer_invalid || !_xc_continues_stream(exchange, head);
         return;
     }
     if (exchange->refused || exchange->answer_invalid) {
@@ -116,6 +134,7 @@
     }
     _xc_store_answer_headers(exchange, head);
     if (_xc_is_stream(exchange)) {
+        exchange->media_type = _xc_read_media_type(head);
         xc_begin_answer(exchange);
     }
 }
