Crashes that two instances see at once count as two

test_crash_reports (listed as red): two instances of the product's own path that each lost a server to one request took the larger of the two counts, one, and sent it on. Each report is a further crash, as only the owner of a server sees it end, so a report now adds one, and its count is the least.

--- a/packages/decisions/src/poison.c
+++ b/packages/decisions/src/poison.c
@@ -72,7 +72,9 @@
         return;
     }
     dp_suspect *entry = _ps_find_or_replace(policy, fingerprint);
-    entry->deaths = MAX(entry->deaths, deaths);
+    /* The peer may have counted deaths that were not reported to here, and the
+       other way round. */
+    entry->deaths = MAX(entry->deaths + 1, deaths);
     entry->seen_us = policy->now_us;
 }
 
--- a/packages/decisions/src/poison.h
+++ b/packages/decisions/src/poison.h
@@ -16,8 +16,8 @@
 /* commands */
 /* Counts a death of a server that was running the request; tells the peers. */
 void ps_note_death(dp_policy *policy, const dp_request *request);
-/* Handles a peer's total of deaths with the content; the greater of both
-   totals stays. */
+/* Counts a death that a peer reported; deaths: all that the peer counted, this
+   one included. */
 void ps_on_peer_report(dp_policy *policy, uint64_t fingerprint,
                        uint32_t deaths);
 /* Clears a suspect after a complete answer; poison stays. */
