--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -779,20 +779,6 @@
     }
 }
 
-void
-xc_end_convicted(xc_core *core)
-{
-    GList *next;
-    for (GList *at = core->active.head; at; at = next) {
-        next = at->next;
-        xc_exchange *exchange = at->data;
-        if (exchange->state == XC_SENT && exchange->status == 0 &&
-            !exchange->answer_begun) {
-            xc_end_if_convicted(exchange);
-        }
-    }
-}
-
 cw_listens
 xc_check_listens(xc_core *core, fl_server *server, uint64_t since_us)
 {
--- a/packages/exchange/src/exchange_content.c
+++ b/packages/exchange/src/exchange_content.c
@@ -6,6 +6,11 @@
 /* An answer has only just begun for this long after its first piece. A server
    that a request crashes ends some ms after it has begun to answer. */
 #define _XC_JUST_BEGUN_US 250000
+/* Most time, at random, that is added to the time after which a caller whose
+   content was convicted may come again. */
+#define _XC_PROBE_SPREAD_MS 1000
+
+/* -- the content ---------------------------------------------------------- */
 
 uint64_t
 xc_get_fingerprint(xc_exchange *exchange)
@@ -54,9 +59,7 @@
     return &exchange->content;
 }
 
-/* Most time, at random, that is added to the time after which a caller whose
-   content was convicted may come again. */
-#define _XC_PROBE_SPREAD_MS 1000
+/* -- convicted contents --------------------------------------------------- */
 
 /* Allows a request to probe its convicted content if one is due. */
 static bool
@@ -96,6 +99,22 @@
     return true;
 }
 
+void
+xc_end_convicted(xc_core *core)
+{
+    GList *next;
+    for (GList *at = core->active.head; at; at = next) {
+        next = at->next;
+        xc_exchange *exchange = at->data;
+        if (exchange->state == XC_SENT && exchange->status == 0 &&
+            !exchange->answer_begun) {
+            xc_end_if_convicted(exchange);
+        }
+    }
+}
+
+/* -- reports to the suspects ---------------------------------------------- */
+
 bool
 xc_query_under_way(const xc_exchange *exchange)
 {
--- a/packages/exchange/src/node_crashes.c
+++ b/packages/exchange/src/node_crashes.c
@@ -5,6 +5,11 @@
 
 /* Most contents named in the log line of a crash. */
 #define _ND_LOGGED_CONTENTS 4
+/* Instances whose position is at most this speak for all: a few, as some may
+   be cut off. */
+#define _ND_SPEAKERS 2
+
+/* -- private: crashes ----------------------------------------------------- */
 
 static cw_listens
 _nd_check_listens(fl_server *server, uint64_t since_us, void *user_data)
@@ -72,15 +77,6 @@
 const cw_callbacks nd_crash_callbacks = {.listens = _nd_check_listens,
                                          .crashed = _nd_on_crashed};
 
-void
-nd_on_answer_broken(const cw_broken *broken, void *user_data)
-{
-    nd_node *node = user_data;
-    cw_note_broken(node->crash_watch, broken,
-                   lp_query_now_us(node->desc.loop));
-    nd_start_fast_timer(node);
-}
-
 /* -- private: convictions ------------------------------------------------- */
 
 static void
@@ -104,10 +100,6 @@
     lg_write(LG_CONTENT_CLEARED, "content", text, NULL);
 }
 
-/* Instances whose position is at most this speak for all: a few, as some may
-   be cut off. */
-#define _ND_SPEAKERS 2
-
 static bool
 _nd_speaks(const nd_node *node)
 {
@@ -146,6 +138,15 @@
 
 /* -- public --------------------------------------------------------------- */
 
+void
+nd_on_answer_broken(const cw_broken *broken, void *user_data)
+{
+    nd_node *node = user_data;
+    cw_note_broken(node->crash_watch, broken,
+                   lp_query_now_us(node->desc.loop));
+    nd_start_fast_timer(node);
+}
+
 void
 nd_on_peer_crash(const su_crash *crash, void *user_data)
 {
