Streams that a new adapter version ends draw on the retry budget

Now every send after one that arrived asks xc_take_resend(); where the budget is used up, the caller gets 502 or, if nothing ran, is refused.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -616,16 +616,26 @@
                                                  exchange->copy_version);
 }
 
-/* Cancels the send, then sends the request elsewhere if it is resumable, else
-   fails it. */
+bool
+xc_take_resend(const xc_exchange *exchange, uint64_t now_us)
+{
+    xc_core *core = exchange->core;
+    return bg_take_resend(
+        xc_get_retry_budget(core, exchange->service->name), now_us,
+        core->desc.callbacks->count_live(core->desc.user_data));
+}
+
+/* Cancels the send, then sends the request elsewhere if it is resumable and
+   the retry budget allows it, else fails it. */
 static void
-_xc_end_outdated(xc_exchange *exchange)
+_xc_end_outdated(xc_exchange *exchange, uint64_t now_us)
 {
     xc_log_send_ended(exchange,
                       "no answer before a new adapter version was due");
     xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
     if (xc_query_can_resume(exchange) &&
-        exchange->possible_runs < exchange->route->max_servers) {
+        exchange->possible_runs < exchange->route->max_servers &&
+        xc_take_resend(exchange, now_us)) {
         xc_dispatch(exchange);
     }
     else {
@@ -667,15 +677,11 @@
         return;
     }
     if (_xc_is_outdated(exchange, now_us)) {
-        _xc_end_outdated(exchange);
+        _xc_end_outdated(exchange, now_us);
         return;
     }
     if (_xc_is_slow(exchange, now_us) && _xc_has_alternative(exchange) &&
-        bg_take_resend(
-            xc_get_retry_budget(exchange->core, exchange->service->name),
-            now_us,
-            exchange->core->desc.callbacks->count_live(
-                exchange->core->desc.user_data))) {
+        xc_take_resend(exchange, now_us)) {
         xc_log_send_ended(exchange, "no answer in time");
         xc_cancel_send(exchange, FL_FAILED);
         xc_dispatch(exchange);
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -115,6 +115,9 @@
 uint64_t xc_now_us(const xc_exchange *exchange);
 /* Returns the histogram label of the route's kind. */
 hg_label xc_query_label(const xc_exchange *exchange);
+/* Returns whether the retry budget allows to send the request once more, and
+   draws on it. */
+bool xc_take_resend(const xc_exchange *exchange, uint64_t now_us);
 /* Returns the retry budget of a service; creates it on first use. */
 bg_budget *xc_get_retry_budget(xc_core *core, const char *service);
 
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -327,7 +327,6 @@
 static void
 _xc_retry_or_end(xc_exchange *exchange, us_end end)
 {
-    xc_core *core = exchange->core;
     uint64_t now_us = xc_now_us(exchange);
     bool arrived = end != US_NOT_SENT;
     bool not_run = !arrived || exchange->refused;
@@ -337,10 +336,7 @@
         exchange->possible_runs < exchange->route->max_servers;
     if (allowed && may_send_elsewhere && exchange->send_count < XC_MAX_SENDS &&
         now_us < exchange->deadline_us &&
-        (!arrived ||
-         bg_take_resend(
-             xc_get_retry_budget(core, exchange->service->name), now_us,
-             core->desc.callbacks->count_live(core->desc.user_data)))) {
+        (!arrived || xc_take_resend(exchange, now_us))) {
         ct_add(CT_SENT_AGAIN, 1);
         xc_dispatch(exchange);
         return;
