--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -124,4 +124,10 @@
     if (dialect->read_rows((const char *)bytes, size, &rows, NULL) == ER_OK) {
         dl_clear_rows(&rows);
     }
+    g_autofree char *header = g_strndup((const char *)bytes, size);
+    uint64_t parts[4];
+    if (dialect->read_prompt_parts(header, parts, G_N_ELEMENTS(parts)) >
+        G_N_ELEMENTS(parts)) {
+        abort();
+    }
 }
