--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -91,7 +91,7 @@
     X(CT_CONFIG_VERSION, "config_version", "gauge",                           \
       "Configuration version in force")                                       \
     X(CT_OPEN_REQUESTS, "open_requests", "gauge", "Requests in flight")       \
-    X(CT_CONVICTED, "contents_convicted", "gauge",                            \
+    X(CT_CONTENTS_BLOCKED, "contents_blocked", "gauge",                       \
       "Contents of requests that are refused as they crash servers")          \
     X(CT_SERVERS_LEAVING, "servers_leaving", "gauge",                         \
       "Servers that are leaving, by their own notice or by the server list")  \
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -347,7 +347,7 @@
 void
 xc_dispatch(xc_exchange *exchange)
 {
-    if (xc_end_if_convicted(exchange)) {
+    if (xc_end_if_blocked(exchange)) {
         return;
     }
     fl_request criteria = _xc_make_criteria(exchange);
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -13,7 +13,7 @@
  * xc_query_caller_callbacks().
  *
  * commands: xc_create xc_destroy xc_set_table xc_dispatch_waiting xc_tick
- *           xc_set_leave_time xc_close_idle_connections xc_end_convicted
+ *           xc_set_leave_time xc_close_idle_connections xc_end_blocked
  *           xc_check_listens
  * queries:  xc_query_caller_callbacks
  *
@@ -43,7 +43,7 @@
     void (*server_notice)(const fl_server_notice *notice, void *user_data);
     /* A server broke off an answer; it may have crashed. */
     void (*answer_broken)(const cw_broken *broken, void *user_data);
-    /* Whether a probe of a convicted content may be sent from here. */
+    /* Whether a probe of a blocked content may be sent from here. */
     bool (*may_probe)(void *user_data);
     /* Number of instances that share the retry budgets. */
     uint32_t (*count_live)(void *user_data);
@@ -87,9 +87,9 @@
 /* Closes idle connections to a server; call it when the server leaves or is
    gone. */
 void xc_close_idle_connections(xc_core *core, fl_server *server);
-/* Ends requests whose content was convicted and that no server has begun to
-   answer; call it after a conviction. */
-void xc_end_convicted(xc_core *core);
+/* Ends requests whose content was blocked and that no server has begun to
+   answer; call it after a block. */
+void xc_end_blocked(xc_core *core);
 /* Returns whether a server accepts connections, by those that are open or were
    refused since since_us; tries to open one if neither is the case. */
 cw_listens xc_check_listens(xc_core *core, fl_server *server,
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -707,55 +707,53 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
-lacewing__exchange__conviction_word__init(
-    Lacewing__Exchange__ConvictionWord *message)
+lacewing__exchange__block_word__init(Lacewing__Exchange__BlockWord *message)
 {
-    static const Lacewing__Exchange__ConvictionWord init_value =
-        LACEWING__EXCHANGE__CONVICTION_WORD__INIT;
+    static const Lacewing__Exchange__BlockWord init_value =
+        LACEWING__EXCHANGE__BLOCK_WORD__INIT;
     *message = init_value;
 }
 size_t
-lacewing__exchange__conviction_word__get_packed_size(
-    const Lacewing__Exchange__ConvictionWord *message)
+lacewing__exchange__block_word__get_packed_size(
+    const Lacewing__Exchange__BlockWord *message)
 {
     assert(message->base.descriptor ==
-           &lacewing__exchange__conviction_word__descriptor);
+           &lacewing__exchange__block_word__descriptor);
     return protobuf_c_message_get_packed_size(
         (const ProtobufCMessage *)(message));
 }
 size_t
-lacewing__exchange__conviction_word__pack(
-    const Lacewing__Exchange__ConvictionWord *message, uint8_t *out)
+lacewing__exchange__block_word__pack(
+    const Lacewing__Exchange__BlockWord *message, uint8_t *out)
 {
     assert(message->base.descriptor ==
-           &lacewing__exchange__conviction_word__descriptor);
+           &lacewing__exchange__block_word__descriptor);
     return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
 size_t
-lacewing__exchange__conviction_word__pack_to_buffer(
-    const Lacewing__Exchange__ConvictionWord *message, ProtobufCBuffer *buffer)
+lacewing__exchange__block_word__pack_to_buffer(
+    const Lacewing__Exchange__BlockWord *message, ProtobufCBuffer *buffer)
 {
     assert(message->base.descriptor ==
-           &lacewing__exchange__conviction_word__descriptor);
+           &lacewing__exchange__block_word__descriptor);
     return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
                                              buffer);
 }
-Lacewing__Exchange__ConvictionWord *
-lacewing__exchange__conviction_word__unpack(ProtobufCAllocator *allocator,
-                                            size_t len, const uint8_t *data)
+Lacewing__Exchange__BlockWord *
+lacewing__exchange__block_word__unpack(ProtobufCAllocator *allocator,
+                                       size_t len, const uint8_t *data)
 {
-    return (Lacewing__Exchange__ConvictionWord *)protobuf_c_message_unpack(
-        &lacewing__exchange__conviction_word__descriptor, allocator, len,
-        data);
+    return (Lacewing__Exchange__BlockWord *)protobuf_c_message_unpack(
+        &lacewing__exchange__block_word__descriptor, allocator, len, data);
 }
 void
-lacewing__exchange__conviction_word__free_unpacked(
-    Lacewing__Exchange__ConvictionWord *message, ProtobufCAllocator *allocator)
+lacewing__exchange__block_word__free_unpacked(
+    Lacewing__Exchange__BlockWord *message, ProtobufCAllocator *allocator)
 {
     if (!message)
         return;
     assert(message->base.descriptor ==
-           &lacewing__exchange__conviction_word__descriptor);
+           &lacewing__exchange__block_word__descriptor);
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
@@ -1664,45 +1662,45 @@
     NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__conviction_word__field_descriptors[5] = {
+    lacewing__exchange__block_word__field_descriptors[5] = {
         {
             "item", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
             0, /* quantifier_offset */
-            offsetof(Lacewing__Exchange__ConvictionWord, item), NULL, NULL,
+            offsetof(Lacewing__Exchange__BlockWord, item), NULL, NULL,
             0,            /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
         {
             "crashes", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
             0, /* quantifier_offset */
-            offsetof(Lacewing__Exchange__ConvictionWord, crashes), NULL, NULL,
+            offsetof(Lacewing__Exchange__BlockWord, crashes), NULL, NULL,
             0,            /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
         {
             "first_crash_age_ms", 3, PROTOBUF_C_LABEL_NONE,
             PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-            offsetof(Lacewing__Exchange__ConvictionWord, first_crash_age_ms),
-            NULL, NULL, 0, /* flags */
-            0, NULL, NULL  /* reserved1,reserved2, etc */
+            offsetof(Lacewing__Exchange__BlockWord, first_crash_age_ms), NULL,
+            NULL, 0,      /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
         },
         {
             "age_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
             0, /* quantifier_offset */
-            offsetof(Lacewing__Exchange__ConvictionWord, age_ms), NULL, NULL,
+            offsetof(Lacewing__Exchange__BlockWord, age_ms), NULL, NULL,
             0,            /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
         {
             "is_part", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
             0, /* quantifier_offset */
-            offsetof(Lacewing__Exchange__ConvictionWord, is_part), NULL, NULL,
+            offsetof(Lacewing__Exchange__BlockWord, is_part), NULL, NULL,
             0,            /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
 };
-static const unsigned
-    lacewing__exchange__conviction_word__field_indices_by_name[] = {
+static const unsigned lacewing__exchange__block_word__field_indices_by_name[] =
+    {
         3, /* field[3] = age_ms */
         1, /* field[1] = crashes */
         2, /* field[2] = first_crash_age_ms */
@@ -1710,25 +1708,23 @@
         0, /* field[0] = item */
 };
 static const ProtobufCIntRange
-    lacewing__exchange__conviction_word__number_ranges[1 + 1] = {{1, 0},
-                                                                 {0, 5}};
-const ProtobufCMessageDescriptor
-    lacewing__exchange__conviction_word__descriptor = {
-        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-        "lacewing.exchange.ConvictionWord",
-        "ConvictionWord",
-        "Lacewing__Exchange__ConvictionWord",
-        "lacewing.exchange",
-        sizeof(Lacewing__Exchange__ConvictionWord),
-        5,
-        lacewing__exchange__conviction_word__field_descriptors,
-        lacewing__exchange__conviction_word__field_indices_by_name,
-        1,
-        lacewing__exchange__conviction_word__number_ranges,
-        (ProtobufCMessageInit)lacewing__exchange__conviction_word__init,
-        NULL,
-        NULL,
-        NULL /* reserved[123] */
+    lacewing__exchange__block_word__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor lacewing__exchange__block_word__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.BlockWord",
+    "BlockWord",
+    "Lacewing__Exchange__BlockWord",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__BlockWord),
+    5,
+    lacewing__exchange__block_word__field_descriptors,
+    lacewing__exchange__block_word__field_indices_by_name,
+    1,
+    lacewing__exchange__block_word__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__block_word__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
     lacewing__exchange__cleared_word__field_descriptors[2] = {
@@ -1866,12 +1862,10 @@
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
         {
-            "convictions", 15, PROTOBUF_C_LABEL_REPEATED,
-            PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Lacewing__Exchange__Word, n_convictions),
-            offsetof(Lacewing__Exchange__Word, convictions),
-            &lacewing__exchange__conviction_word__descriptor, NULL,
-            0,            /* flags */
+            "blocks", 15, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_blocks),
+            offsetof(Lacewing__Exchange__Word, blocks),
+            &lacewing__exchange__block_word__descriptor, NULL, 0, /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
         {
@@ -1884,8 +1878,8 @@
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
     5,  /* field[5] = asks */
+    13, /* field[13] = blocks */
     14, /* field[14] = cleared */
-    13, /* field[13] = convictions */
     12, /* field[12] = crashes */
     1,  /* field[1] = incarnation */
     0,  /* field[0] = instance */
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -29,7 +29,7 @@
 typedef struct Lacewing__Exchange__LeavingWord Lacewing__Exchange__LeavingWord;
 typedef struct Lacewing__Exchange__Candidate Lacewing__Exchange__Candidate;
 typedef struct Lacewing__Exchange__CrashWord Lacewing__Exchange__CrashWord;
-typedef struct Lacewing__Exchange__ConvictionWord Lacewing__Exchange__ConvictionWord;
+typedef struct Lacewing__Exchange__BlockWord Lacewing__Exchange__BlockWord;
 typedef struct Lacewing__Exchange__ClearedWord Lacewing__Exchange__ClearedWord;
 typedef struct Lacewing__Exchange__Word Lacewing__Exchange__Word;
 
@@ -343,7 +343,7 @@
 /*
  * An item that was found to crash servers.
  */
-struct  Lacewing__Exchange__ConvictionWord
+struct  Lacewing__Exchange__BlockWord
 {
   ProtobufCMessage base;
   uint64_t item;
@@ -352,8 +352,8 @@
   uint32_t age_ms;
   protobuf_c_boolean is_part;
 };
-#define LACEWING__EXCHANGE__CONVICTION_WORD__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__conviction_word__descriptor) \
+#define LACEWING__EXCHANGE__BLOCK_WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lacewing__exchange__block_word__descriptor) \
     , 0, 0, 0, 0, 0 }
 
 
@@ -411,8 +411,8 @@
   Lacewing__Exchange__LeavingWord **leaving;
   size_t n_crashes;
   Lacewing__Exchange__CrashWord **crashes;
-  size_t n_convictions;
-  Lacewing__Exchange__ConvictionWord **convictions;
+  size_t n_blocks;
+  Lacewing__Exchange__BlockWord **blocks;
   size_t n_cleared;
   Lacewing__Exchange__ClearedWord **cleared;
 };
@@ -687,24 +687,24 @@
 void   lacewing__exchange__crash_word__free_unpacked
                      (Lacewing__Exchange__CrashWord *message,
                       ProtobufCAllocator *allocator);
-/* Lacewing__Exchange__ConvictionWord methods */
-void   lacewing__exchange__conviction_word__init
-                     (Lacewing__Exchange__ConvictionWord         *message);
-size_t lacewing__exchange__conviction_word__get_packed_size
-                     (const Lacewing__Exchange__ConvictionWord   *message);
-size_t lacewing__exchange__conviction_word__pack
-                     (const Lacewing__Exchange__ConvictionWord   *message,
+/* Lacewing__Exchange__BlockWord methods */
+void   lacewing__exchange__block_word__init
+                     (Lacewing__Exchange__BlockWord         *message);
+size_t lacewing__exchange__block_word__get_packed_size
+                     (const Lacewing__Exchange__BlockWord   *message);
+size_t lacewing__exchange__block_word__pack
+                     (const Lacewing__Exchange__BlockWord   *message,
                       uint8_t             *out);
-size_t lacewing__exchange__conviction_word__pack_to_buffer
-                     (const Lacewing__Exchange__ConvictionWord   *message,
+size_t lacewing__exchange__block_word__pack_to_buffer
+                     (const Lacewing__Exchange__BlockWord   *message,
                       ProtobufCBuffer     *buffer);
-Lacewing__Exchange__ConvictionWord *
-       lacewing__exchange__conviction_word__unpack
+Lacewing__Exchange__BlockWord *
+       lacewing__exchange__block_word__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   lacewing__exchange__conviction_word__free_unpacked
-                     (Lacewing__Exchange__ConvictionWord *message,
+void   lacewing__exchange__block_word__free_unpacked
+                     (Lacewing__Exchange__BlockWord *message,
                       ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__ClearedWord methods */
 void   lacewing__exchange__cleared_word__init
@@ -788,8 +788,8 @@
 typedef void (*Lacewing__Exchange__CrashWord_Closure)
                  (const Lacewing__Exchange__CrashWord *message,
                   void *closure_data);
-typedef void (*Lacewing__Exchange__ConvictionWord_Closure)
-                 (const Lacewing__Exchange__ConvictionWord *message,
+typedef void (*Lacewing__Exchange__BlockWord_Closure)
+                 (const Lacewing__Exchange__BlockWord *message,
                   void *closure_data);
 typedef void (*Lacewing__Exchange__ClearedWord_Closure)
                  (const Lacewing__Exchange__ClearedWord *message,
@@ -817,7 +817,7 @@
 extern const ProtobufCMessageDescriptor lacewing__exchange__leaving_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__candidate__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__crash_word__descriptor;
-extern const ProtobufCMessageDescriptor lacewing__exchange__conviction_word__descriptor;
+extern const ProtobufCMessageDescriptor lacewing__exchange__block_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__cleared_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor;
 
--- a/packages/exchange/src/exchange_content.c
+++ b/packages/exchange/src/exchange_content.c
@@ -7,7 +7,7 @@
    that a request crashes ends some ms after it has begun to answer. */
 #define _XC_JUST_BEGUN_US 250000
 /* Most time, at random, that is added to the time after which a caller whose
-   content was convicted may come again. */
+   content was blocked may come again. */
 #define _XC_PROBE_SPREAD_MS 1000
 
 /* -- the content ---------------------------------------------------------- */
@@ -59,9 +59,9 @@
     return &exchange->content;
 }
 
-/* -- convicted contents --------------------------------------------------- */
+/* -- blocked contents --------------------------------------------------- */
 
-/* Allows a request to probe its convicted content if one is due. */
+/* Allows a request to probe its blocked content if one is due. */
 static bool
 _xc_begin_probe(xc_exchange *exchange, const su_verdict *verdict)
 {
@@ -78,11 +78,11 @@
 }
 
 bool
-xc_end_if_convicted(xc_exchange *exchange)
+xc_end_if_blocked(xc_exchange *exchange)
 {
     su_suspects *suspects = exchange->core->desc.suspects;
     su_verdict verdict;
-    if (exchange->probes_content || su_query_convicted_count(suspects) == 0) {
+    if (exchange->probes_content || su_query_blocked_count(suspects) == 0) {
         return false;
     }
     su_status status = su_check(suspects, xc_get_content(exchange),
@@ -100,7 +100,7 @@
 }
 
 void
-xc_end_convicted(xc_core *core)
+xc_end_blocked(xc_core *core)
 {
     GList *next;
     for (GList *at = core->active.head; at; at = next) {
@@ -108,7 +108,7 @@
         xc_exchange *exchange = at->data;
         if (exchange->state == XC_SENT && exchange->status == 0 &&
             !exchange->answer_begun) {
-            xc_end_if_convicted(exchange);
+            xc_end_if_blocked(exchange);
         }
     }
 }
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -62,7 +62,7 @@
     bool no_load_target;       /* no server can load its adapter now */
     bool skipped_leaving;      /* a server was skipped as it leaves */
     bool skipped_paused;       /* a server was skipped as it is paused */
-    bool probes_content;       /* its content is convicted; it may be sent */
+    bool probes_content;       /* its content is blocked; it may be sent */
     bool may_repeat;           /* its kind may run again after a failure */
     bool may_have_run;         /* a send of it may run or have run */
     /* the current send */
@@ -183,9 +183,9 @@
 uint64_t xc_get_fingerprint(xc_exchange *exchange);
 /* Returns the content with its fingerprint and the parts of its prompt. */
 const su_content *xc_get_content(xc_exchange *exchange);
-/* Ends the request if its content was convicted, unless it is sent as a probe.
+/* Ends the request if its content was blocked, unless it is sent as a probe.
    Returns true if it has ended. */
-bool xc_end_if_convicted(xc_exchange *exchange);
+bool xc_end_if_blocked(xc_exchange *exchange);
 /* Notes that the server answers the content and has not crashed. Call it when
    events have come for some time, and at the end of a good answer. */
 void xc_note_good(xc_exchange *exchange);
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -52,10 +52,10 @@
     /* Another instance learned from an answer that this server leaves.
        born_ms: start of the server process that said so. */
     void (*server_leaving)(const char *id, uint64_t born_ms, void *user_data);
-    /* Another instance saw a crash, convicted an item or cleared one; times
+    /* Another instance saw a crash, blocked an item or cleared one; times
        are on the local clock. */
     void (*crash)(const su_crash *crash, void *user_data);
-    void (*convicted)(const su_conviction *conviction, void *user_data);
+    void (*blocked)(const su_block *block, void *user_data);
     void (*cleared)(uint64_t item, uint64_t began_us, void *user_data);
     /* The holder of a server sent a new state, which has been applied. */
     void (*server_changed)(fl_server *server, void *user_data);
@@ -93,7 +93,7 @@
 void gp_broadcast_leaving(gp_peers *peers, const fl_server *server);
 /* Broadcast what is known of requests that crash servers. */
 void gp_broadcast_crash(gp_peers *peers, const su_crash *crash);
-void gp_broadcast_conviction(gp_peers *peers, const su_conviction *conviction);
+void gp_broadcast_block(gp_peers *peers, const su_block *block);
 void gp_broadcast_cleared(gp_peers *peers, uint64_t item, uint64_t began_us);
 /* Broadcasts local in-flight counts that changed or were sent too long ago,
    and adapter uses since the last call. Adds the digest of the own table, as
@@ -110,7 +110,7 @@
    a table; 0: there are too few to poll in turn. */
 uint32_t gp_query_poll_position(gp_peers *peers, kr_table table);
 /* Returns the position, from 1, of this instance in the order in which
-   instances speak for all about requests that crash servers. */
+   instances send what is blocked to all. */
 uint32_t gp_query_suspects_position(gp_peers *peers);
 /* Returns whether there are so many instances that they poll the store in
    turn and share the results. */
--- a/packages/exchange/src/gossip_suspects.c
+++ b/packages/exchange/src/gossip_suspects.c
@@ -44,19 +44,18 @@
 }
 
 void
-gp_broadcast_conviction(gp_peers *peers, const su_conviction *conviction)
+gp_broadcast_block(gp_peers *peers, const su_block *block)
 {
-    Lacewing__Exchange__ConvictionWord word =
-        LACEWING__EXCHANGE__CONVICTION_WORD__INIT;
-    word.item = conviction->item;
-    word.is_part = conviction->is_part;
-    word.crashes = conviction->crashes;
-    word.first_crash_age_ms = _gp_age_ms(peers, conviction->first_crash_us);
-    word.age_ms = _gp_age_ms(peers, conviction->since_us);
-    Lacewing__Exchange__ConvictionWord *words[] = {&word};
+    Lacewing__Exchange__BlockWord word = LACEWING__EXCHANGE__BLOCK_WORD__INIT;
+    word.item = block->item;
+    word.is_part = block->is_part;
+    word.crashes = block->crashes;
+    word.first_crash_age_ms = _gp_age_ms(peers, block->first_crash_us);
+    word.age_ms = _gp_age_ms(peers, block->since_us);
+    Lacewing__Exchange__BlockWord *words[] = {&word};
     Lacewing__Exchange__Word message = LACEWING__EXCHANGE__WORD__INIT;
-    message.n_convictions = 1;
-    message.convictions = words;
+    message.n_blocks = 1;
+    message.blocks = words;
     gp_broadcast(peers, &message, true);
 }
 
@@ -105,17 +104,16 @@
     for (size_t i = 0; i < message->n_crashes; i++) {
         _gp_apply_crash(peers, callbacks, user_data, message->crashes[i]);
     }
-    for (size_t i = 0; i < message->n_convictions; i++) {
-        const Lacewing__Exchange__ConvictionWord *word =
-            message->convictions[i];
-        su_conviction conviction = {
+    for (size_t i = 0; i < message->n_blocks; i++) {
+        const Lacewing__Exchange__BlockWord *word = message->blocks[i];
+        su_block block = {
             .item = word->item,
             .is_part = word->is_part,
             .crashes = word->crashes,
             .first_crash_us = _gp_local_us(peers, word->first_crash_age_ms),
             .since_us = _gp_local_us(peers, word->age_ms),
         };
-        callbacks->convicted(&conviction, user_data);
+        callbacks->blocked(&block, user_data);
     }
     for (size_t i = 0; i < message->n_cleared; i++) {
         callbacks->cleared(message->cleared[i]->item,
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -158,7 +158,7 @@
     .load_requested = _nd_on_peer_load_request,
     .server_leaving = nd_on_peer_leaving,
     .crash = nd_on_peer_crash,
-    .convicted = nd_on_peer_conviction,
+    .blocked = nd_on_peer_block,
     .cleared = nd_on_peer_cleared,
     .load_capacity = _nd_on_load_capacity,
     .server_changed = nd_wake_waiting_requests};
@@ -367,7 +367,7 @@
                       _nd_query_send_interval_us(node, _ND_SEND_SERVERS_US)) {
         node->servers_sent_us = now_us;
         fl_each_server(node->fleet, _nd_send_server_state, node);
-        nd_send_convictions(node);
+        nd_send_blocks(node);
     }
 }
 
--- a/packages/exchange/src/node_crashes.c
+++ b/packages/exchange/src/node_crashes.c
@@ -5,9 +5,9 @@
 
 /* Most contents named in the log line of a crash. */
 #define _ND_LOGGED_CONTENTS 4
-/* Instances whose position is at most this speak for all: a few, as some may
-   be cut off. */
-#define _ND_SPEAKERS 2
+/* Instances whose position is at most this send what is blocked to all: a few,
+   as some may be cut off. */
+#define _ND_BLOCK_SENDERS 2
 
 /* -- private: crashes ----------------------------------------------------- */
 
@@ -77,19 +77,17 @@
 const cw_callbacks nd_crash_callbacks = {.listens = _nd_check_listens,
                                          .crashed = _nd_on_crashed};
 
-/* -- private: convictions ------------------------------------------------- */
+/* -- private: blocks ------------------------------------------------- */
 
 static void
-_nd_log_conviction(const su_conviction *conviction)
+_nd_log_block(const su_block *block)
 {
     char item[24];
-    g_snprintf(item, sizeof(item), "%016" G_GINT64_MODIFIER "x",
-               conviction->item);
+    g_snprintf(item, sizeof(item), "%016" G_GINT64_MODIFIER "x", block->item);
     char crashes[16];
-    g_snprintf(crashes, sizeof(crashes), "%u", conviction->crashes);
-    lg_write(LG_CONTENT_CONVICTED, "kind",
-             conviction->is_part ? "part" : "request", "content", item,
-             "crashes", crashes, NULL);
+    g_snprintf(crashes, sizeof(crashes), "%u", block->crashes);
+    lg_write(LG_CONTENT_BLOCKED, "kind", block->is_part ? "part" : "request",
+             "content", item, "crashes", crashes, NULL);
 }
 
 static void
@@ -101,21 +99,21 @@
 }
 
 static bool
-_nd_speaks(const nd_node *node)
+_nd_sends_blocks(const nd_node *node)
 {
-    return gp_query_suspects_position(node->peers) <= _ND_SPEAKERS;
+    return gp_query_suspects_position(node->peers) <= _ND_BLOCK_SENDERS;
 }
 
 static void
-_nd_on_convicted(const su_conviction *conviction, void *user_data)
+_nd_on_blocked(const su_block *block, void *user_data)
 {
     nd_node *node = user_data;
-    _nd_log_conviction(conviction);
-    ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
-    if (_nd_speaks(node)) {
-        gp_broadcast_conviction(node->peers, conviction);
+    _nd_log_block(block);
+    ct_set(CT_CONTENTS_BLOCKED, su_query_blocked_count(node->suspects));
+    if (_nd_sends_blocks(node)) {
+        gp_broadcast_block(node->peers, block);
     }
-    xc_end_convicted(node->core);
+    xc_end_blocked(node->core);
 }
 
 static void
@@ -123,17 +121,17 @@
 {
     nd_node *node = user_data;
     _nd_log_cleared(item);
-    ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
+    ct_set(CT_CONTENTS_BLOCKED, su_query_blocked_count(node->suspects));
     gp_broadcast_cleared(node->peers, item, began_us);
 }
 
-const su_callbacks nd_suspects_callbacks = {.convicted = _nd_on_convicted,
+const su_callbacks nd_suspects_callbacks = {.blocked = _nd_on_blocked,
                                             .cleared = _nd_on_cleared};
 
 static void
-_nd_send_conviction(const su_conviction *conviction, void *user_data)
+_nd_send_block(const su_block *block, void *user_data)
 {
-    gp_broadcast_conviction(((nd_node *)user_data)->peers, conviction);
+    gp_broadcast_block(((nd_node *)user_data)->peers, block);
 }
 
 /* -- public --------------------------------------------------------------- */
@@ -156,15 +154,15 @@
 }
 
 void
-nd_on_peer_conviction(const su_conviction *conviction, void *user_data)
+nd_on_peer_block(const su_block *block, void *user_data)
 {
     nd_node *node = user_data;
-    uint32_t before = su_query_convicted_count(node->suspects);
-    su_adopt(node->suspects, conviction);
-    if (su_query_convicted_count(node->suspects) != before) {
-        _nd_log_conviction(conviction);
-        ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
-        xc_end_convicted(node->core);
+    uint32_t before = su_query_blocked_count(node->suspects);
+    su_adopt(node->suspects, block);
+    if (su_query_blocked_count(node->suspects) != before) {
+        _nd_log_block(block);
+        ct_set(CT_CONTENTS_BLOCKED, su_query_blocked_count(node->suspects));
+        xc_end_blocked(node->core);
     }
 }
 
@@ -173,7 +171,7 @@
 {
     nd_node *node = user_data;
     su_note_cleared(node->suspects, item, began_us);
-    ct_set(CT_CONVICTED, su_query_convicted_count(node->suspects));
+    ct_set(CT_CONTENTS_BLOCKED, su_query_blocked_count(node->suspects));
 }
 
 bool
@@ -183,9 +181,9 @@
 }
 
 void
-nd_send_convictions(nd_node *node)
+nd_send_blocks(nd_node *node)
 {
-    if (su_query_convicted_count(node->suspects) && _nd_speaks(node)) {
-        su_each_convicted(node->suspects, _nd_send_conviction, node);
+    if (su_query_blocked_count(node->suspects) && _nd_sends_blocks(node)) {
+        su_each_blocked(node->suspects, _nd_send_block, node);
     }
 }
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -103,12 +103,12 @@
 void nd_on_answer_broken(const cw_broken *broken, void *user_data);
 /* From other instances. */
 void nd_on_peer_crash(const su_crash *crash, void *user_data);
-void nd_on_peer_conviction(const su_conviction *conviction, void *user_data);
+void nd_on_peer_block(const su_block *block, void *user_data);
 void nd_on_peer_cleared(uint64_t item, uint64_t began_us, void *user_data);
 bool nd_may_probe_content(void *user_data);
-/* Sends the convictions to all if this instance speaks for them; call it once
+/* Sends what is blocked to all if this instance is one that does; call it once
    a second. */
-void nd_send_convictions(nd_node *node);
+void nd_send_blocks(nd_node *node);
 
 /* -- node.c --------------------------------------------------------------- */
 /* Starts the fast timer if loads are in progress at servers held here, or a
--- a/packages/exchange/src/suspects.c
+++ b/packages/exchange/src/suspects.c
@@ -2,8 +2,8 @@
 
 #include <glib.h>
 
-#define _SU_CONVICT_CRASHES 2
-/* Crashes that convict a part which was answered well before, and the time
+#define _SU_BLOCK_CRASHES 2
+/* Crashes that entry a part which was answered well before, and the time
    over which they must come. Within it, a part that many requests share is
    answered again, also while servers crash. */
 #define _SU_KNOWN_PART_CRASHES 4
@@ -22,7 +22,7 @@
 #define _SU_SAME_MOMENT_US 10000
 /* Older crashes do not count. */
 #define _SU_CRASH_MAX_AGE_US UINT64_C(3600000000)
-/* Time from a conviction to its first probe, where it rests on the fewest
+/* Time from a block to its first probe, where it rests on the fewest
    crashes, and where it rests on more. */
 #define _SU_FIRST_PROBE_US UINT64_C(5000000)
 #define _SU_FIRST_SURE_PROBE_US UINT64_C(25000000)
@@ -43,10 +43,10 @@
     bool counted; /* no report has come since it was counted */
 } _su_record;
 
-typedef struct _su_convict {
-    su_conviction conviction;
+typedef struct _su_blocked {
+    su_block block;
     uint64_t probed_us; /* last probe sent from here; 0: none */
-} _su_convict;
+} _su_blocked;
 
 typedef struct _su_cleared {
     uint64_t item;
@@ -64,7 +64,7 @@
     _su_known known[_SU_KNOWN_SETS][_SU_KNOWN_WAYS];
     _su_record records[SU_MAX_CRASHES];   /* ring */
     uint64_t record_count;                /* added so far */
-    GArray *convicts;                     /* _su_convict, oldest first */
+    GArray *blocked;                      /* _su_blocked, oldest first */
     _su_cleared cleared[_SU_MAX_CLEARED]; /* ring */
     uint32_t next_cleared;
 };
@@ -145,23 +145,24 @@
 /* Returns whether the item is in one of the likeliest contents of a crash;
    adds these contents. */
 static bool
-_su_blames(const _su_record *record, uint64_t item, _su_contents *contents)
+_su_is_likely_in(const _su_record *record, uint64_t item,
+                 _su_contents *contents)
 {
     uint32_t top = _su_top_likelihood(record);
-    bool blamed = false;
+    bool likely = false;
     for (uint32_t i = 0; i < record->candidate_count; i++) {
         const su_candidate *candidate = &record->candidates[i];
         if (candidate->likelihood != top ||
             !_su_contains(&candidate->content, item)) {
             continue;
         }
-        blamed = true;
+        likely = true;
         uint64_t fingerprint = candidate->content.fingerprint;
         contents->differ = contents->differ ||
                            (contents->first && contents->first != fingerprint);
         contents->first = fingerprint;
     }
-    return blamed;
+    return likely;
 }
 
 static int
@@ -189,7 +190,7 @@
     for (uint32_t i = 0; i < _su_kept_records(suspects); i++) {
         const _su_record *record = &suspects->records[i];
         if (now_us < record->at_us + _SU_CRASH_MAX_AGE_US &&
-            _su_blames(record, item, &contents)) {
+            _su_is_likely_in(record, item, &contents)) {
             times_us[count++] = record->at_us;
         }
     }
@@ -243,34 +244,33 @@
     *entry = (_su_known){part, began_us};
 }
 
-/* -- private: convictions ------------------------------------------------- */
+/* -- private: blocks ------------------------------------------------- */
 
-static _su_convict *
-_su_find_convict(const su_suspects *suspects, uint64_t item)
+static _su_blocked *
+_su_find_blocked(const su_suspects *suspects, uint64_t item)
 {
-    for (guint i = 0; i < suspects->convicts->len; i++) {
-        _su_convict *convict =
-            &g_array_index(suspects->convicts, _su_convict, i);
-        if (convict->conviction.item == item) {
-            return convict;
+    for (guint i = 0; i < suspects->blocked->len; i++) {
+        _su_blocked *entry = &g_array_index(suspects->blocked, _su_blocked, i);
+        if (entry->block.item == item) {
+            return entry;
         }
     }
     return NULL;
 }
 
 static void
-_su_add_convict(su_suspects *suspects, const su_conviction *conviction)
+_su_add_blocked(su_suspects *suspects, const su_block *block)
 {
-    if (suspects->convicts->len == SU_MAX_CONVICTED) {
-        g_array_remove_index(suspects->convicts, 0);
+    if (suspects->blocked->len == SU_MAX_BLOCKED) {
+        g_array_remove_index(suspects->blocked, 0);
     }
-    _su_convict convict = {.conviction = *conviction};
-    g_array_append_val(suspects->convicts, convict);
+    _su_blocked entry = {.block = *block};
+    g_array_append_val(suspects->blocked, entry);
 }
 
 static bool
-_su_convicts(su_suspects *suspects, uint64_t item, bool is_part,
-             const _su_count *count)
+_su_must_block(su_suspects *suspects, uint64_t item, bool is_part,
+               const _su_count *count)
 {
     if (is_part && !count->contents_differ) {
         return false;
@@ -279,51 +279,50 @@
         return count->crashes >= _SU_KNOWN_PART_CRASHES &&
                count->last_us >= count->first_us + _SU_KNOWN_PART_SPAN_US;
     }
-    return count->crashes >= suspects->desc.convict_crashes;
+    return count->crashes >= suspects->desc.block_crashes;
 }
 
 static void
-_su_judge(su_suspects *suspects, uint64_t item, bool is_part, uint64_t now_us)
+_su_update_item(su_suspects *suspects, uint64_t item, bool is_part,
+                uint64_t now_us)
 {
     _su_count count = _su_count_crashes(suspects, item, now_us);
-    _su_convict *convict = _su_find_convict(suspects, item);
-    if (convict) {
-        convict->conviction.crashes =
-            MAX(convict->conviction.crashes, count.crashes);
+    _su_blocked *entry = _su_find_blocked(suspects, item);
+    if (entry) {
+        entry->block.crashes = MAX(entry->block.crashes, count.crashes);
         return;
     }
-    if (_su_convicts(suspects, item, is_part, &count)) {
-        su_conviction conviction = {.item = item,
-                                    .is_part = is_part,
-                                    .crashes = count.crashes,
-                                    .first_crash_us = count.first_us,
-                                    .since_us = now_us};
-        _su_add_convict(suspects, &conviction);
-        suspects->desc.callbacks->convicted(&conviction,
-                                            suspects->desc.user_data);
+    if (_su_must_block(suspects, item, is_part, &count)) {
+        su_block block = {.item = item,
+                          .is_part = is_part,
+                          .crashes = count.crashes,
+                          .first_crash_us = count.first_us,
+                          .since_us = now_us};
+        _su_add_blocked(suspects, &block);
+        suspects->desc.callbacks->blocked(&block, suspects->desc.user_data);
     }
 }
 
 static void
-_su_judge_content(su_suspects *suspects, const su_content *content,
-                  uint64_t now_us)
+_su_update_content(su_suspects *suspects, const su_content *content,
+                   uint64_t now_us)
 {
     for (uint32_t i = 0; i < content->part_count; i++) {
-        _su_judge(suspects, content->parts[i], true, now_us);
+        _su_update_item(suspects, content->parts[i], true, now_us);
     }
-    _su_judge(suspects, content->fingerprint, false, now_us);
+    _su_update_item(suspects, content->fingerprint, false, now_us);
 }
 
-/* Returns the time from the conviction to the probe that is due now or comes
+/* Returns the time from the block to the probe that is due now or comes
    next. */
 static uint64_t
-_su_probe_offset_us(const su_conviction *conviction, uint32_t least_crashes,
+_su_probe_offset_us(const su_block *block, uint32_t least_crashes,
                     uint64_t now_us)
 {
-    uint64_t offset_us = conviction->crashes > least_crashes
+    uint64_t offset_us = block->crashes > least_crashes
                              ? _SU_FIRST_SURE_PROBE_US
                              : _SU_FIRST_PROBE_US;
-    while (now_us >= conviction->since_us + offset_us + _SU_PROBE_WINDOW_US) {
+    while (now_us >= block->since_us + offset_us + _SU_PROBE_WINDOW_US) {
         offset_us +=
             MIN(offset_us * (_SU_PROBE_GROWTH - 1), _SU_PROBE_MAX_INTERVAL_US);
     }
@@ -342,19 +341,20 @@
     }
 }
 
-/* Removes an item from the crashes up to began_us. Returns true if one of them
-   blamed it. */
+/* Removes an item from the crashes up to began_us. Returns true if it
+   was one of the likeliest in one of them. */
 static bool
-_su_absolve(su_suspects *suspects, uint64_t item, uint64_t began_us)
+_su_remove_from_crashes(su_suspects *suspects, uint64_t item,
+                        uint64_t began_us)
 {
-    bool blamed = false;
+    bool likely = false;
     for (uint32_t i = 0; i < _su_kept_records(suspects); i++) {
         _su_record *record = &suspects->records[i];
         _su_contents contents = {0};
         if (record->at_us > began_us) {
             continue;
         }
-        blamed = _su_blames(record, item, &contents) || blamed;
+        likely = _su_is_likely_in(record, item, &contents) || likely;
         for (uint32_t j = record->candidate_count; j > 0; j--) {
             su_candidate *candidate = &record->candidates[j - 1];
             if (candidate->content.fingerprint == item) {
@@ -365,19 +365,19 @@
             }
         }
     }
-    return blamed;
+    return likely;
 }
 
 static bool
-_su_release(su_suspects *suspects, uint64_t item, uint64_t began_us)
+_su_unblock(su_suspects *suspects, uint64_t item, uint64_t began_us)
 {
-    const _su_convict *convict = _su_find_convict(suspects, item);
-    if (!convict || convict->conviction.first_crash_us > began_us) {
+    const _su_blocked *entry = _su_find_blocked(suspects, item);
+    if (!entry || entry->block.first_crash_us > began_us) {
         return false;
     }
     g_array_remove_index(
-        suspects->convicts,
-        (guint)(convict - (_su_convict *)suspects->convicts->data));
+        suspects->blocked,
+        (guint)(entry - (_su_blocked *)suspects->blocked->data));
     return true;
 }
 
@@ -386,13 +386,13 @@
 static bool
 _su_clear(su_suspects *suspects, uint64_t item, bool often, uint64_t began_us)
 {
-    bool blamed = _su_absolve(suspects, item, began_us);
-    bool released = _su_release(suspects, item, began_us);
-    if (blamed || released) {
+    bool likely = _su_remove_from_crashes(suspects, item, began_us);
+    bool unblocked = _su_unblock(suspects, item, began_us);
+    if (likely || unblocked) {
         suspects->cleared[suspects->next_cleared++ % _SU_MAX_CLEARED] =
             (_su_cleared){item, began_us};
     }
-    return released || (blamed && !often);
+    return unblocked || (likely && !often);
 }
 
 static void
@@ -413,10 +413,10 @@
     g_assert(desc->callbacks);
     su_suspects *suspects = g_new0(su_suspects, 1);
     suspects->desc = *desc;
-    if (suspects->desc.convict_crashes == 0) {
-        suspects->desc.convict_crashes = _SU_CONVICT_CRASHES;
+    if (suspects->desc.block_crashes == 0) {
+        suspects->desc.block_crashes = _SU_BLOCK_CRASHES;
     }
-    suspects->convicts = g_array_new(FALSE, FALSE, sizeof(_su_convict));
+    suspects->blocked = g_array_new(FALSE, FALSE, sizeof(_su_blocked));
     return suspects;
 }
 
@@ -424,7 +424,7 @@
 su_destroy(su_suspects *suspects)
 {
     if (suspects) {
-        g_array_unref(suspects->convicts);
+        g_array_unref(suspects->blocked);
         g_free(suspects);
     }
 }
@@ -468,27 +468,25 @@
 }
 
 void
-su_adopt(su_suspects *suspects, const su_conviction *conviction)
+su_adopt(su_suspects *suspects, const su_block *block)
 {
     for (uint32_t i = 0; i < _SU_MAX_CLEARED; i++) {
         const _su_cleared *cleared = &suspects->cleared[i];
-        if (cleared->item == conviction->item &&
-            cleared->began_us >= conviction->first_crash_us) {
+        if (cleared->item == block->item &&
+            cleared->began_us >= block->first_crash_us) {
             /* The other instance has missed that it was cleared. */
             suspects->desc.callbacks->cleared(cleared->item, cleared->began_us,
                                               suspects->desc.user_data);
             return;
         }
     }
-    _su_convict *known = _su_find_convict(suspects, conviction->item);
+    _su_blocked *known = _su_find_blocked(suspects, block->item);
     if (!known) {
-        _su_add_convict(suspects, conviction);
+        _su_add_blocked(suspects, block);
         return;
     }
-    known->conviction.crashes =
-        MAX(known->conviction.crashes, conviction->crashes);
-    known->conviction.since_us =
-        MIN(known->conviction.since_us, conviction->since_us);
+    known->block.crashes = MAX(known->block.crashes, block->crashes);
+    known->block.since_us = MIN(known->block.since_us, block->since_us);
 }
 
 void
@@ -503,8 +501,8 @@
         uint32_t top = _su_top_likelihood(record);
         for (uint32_t j = 0; j < record->candidate_count; j++) {
             if (record->candidates[j].likelihood == top) {
-                _su_judge_content(suspects, &record->candidates[j].content,
-                                  now_us);
+                _su_update_content(suspects, &record->candidates[j].content,
+                                   now_us);
             }
         }
     }
@@ -513,20 +511,20 @@
 void
 su_note_probe(su_suspects *suspects, uint64_t item, uint64_t now_us)
 {
-    _su_convict *convict = _su_find_convict(suspects, item);
-    if (convict) {
-        convict->probed_us = now_us;
+    _su_blocked *entry = _su_find_blocked(suspects, item);
+    if (entry) {
+        entry->probed_us = now_us;
     }
 }
 
-/* Returns the first convicted item of a content. */
-static const _su_convict *
+/* Returns the first blocked item of a content. */
+static const _su_blocked *
 _su_find_in_content(const su_suspects *suspects, const su_content *content)
 {
-    const _su_convict *found =
-        _su_find_convict(suspects, content->fingerprint);
+    const _su_blocked *found =
+        _su_find_blocked(suspects, content->fingerprint);
     for (uint32_t i = 0; !found && i < content->part_count; i++) {
-        found = _su_find_convict(suspects, content->parts[i]);
+        found = _su_find_blocked(suspects, content->parts[i]);
     }
     return found;
 }
@@ -535,22 +533,22 @@
 su_check(const su_suspects *suspects, const su_content *content,
          uint64_t now_us, su_verdict *out)
 {
-    const _su_convict *convict = _su_find_in_content(suspects, content);
-    if (!convict) {
+    const _su_blocked *entry = _su_find_in_content(suspects, content);
+    if (!entry) {
         return SU_FREE;
     }
-    const su_conviction *conviction = &convict->conviction;
-    uint32_t least = suspects->desc.convict_crashes;
+    const su_block *block = &entry->block;
+    uint32_t least = suspects->desc.block_crashes;
     uint64_t due_us =
-        conviction->since_us + _su_probe_offset_us(conviction, least, now_us);
-    *out = (su_verdict){.item = conviction->item};
-    if (now_us >= due_us && convict->probed_us < due_us) {
+        block->since_us + _su_probe_offset_us(block, least, now_us);
+    *out = (su_verdict){.item = block->item};
+    if (now_us >= due_us && entry->probed_us < due_us) {
         return SU_PROBE;
     }
     if (now_us >= due_us) {
-        due_us = conviction->since_us +
-                 _su_probe_offset_us(conviction, least,
-                                     due_us + _SU_PROBE_WINDOW_US);
+        due_us =
+            block->since_us +
+            _su_probe_offset_us(block, least, due_us + _SU_PROBE_WINDOW_US);
     }
     out->retry_ms = (uint32_t)((due_us - now_us) / 1000);
     return SU_REFUSED;
@@ -559,7 +557,7 @@
 bool
 su_query_active(const su_suspects *suspects)
 {
-    return suspects->record_count > 0 || suspects->convicts->len > 0;
+    return suspects->record_count > 0 || suspects->blocked->len > 0;
 }
 
 bool
@@ -574,17 +572,17 @@
 }
 
 uint32_t
-su_query_convicted_count(const su_suspects *suspects)
+su_query_blocked_count(const su_suspects *suspects)
 {
-    return suspects->convicts->len;
+    return suspects->blocked->len;
 }
 
 void
-su_each_convicted(const su_suspects *suspects, su_conviction_callback call,
-                  void *user_data)
+su_each_blocked(const su_suspects *suspects, su_block_callback call,
+                void *user_data)
 {
-    for (guint i = 0; i < suspects->convicts->len; i++) {
-        call(&g_array_index(suspects->convicts, _su_convict, i).conviction,
+    for (guint i = 0; i < suspects->blocked->len; i++) {
+        call(&g_array_index(suspects->blocked, _su_blocked, i).block,
              user_data);
     }
 }
--- a/packages/exchange/src/suspects.h
+++ b/packages/exchange/src/suspects.h
@@ -10,26 +10,26 @@
  * those whose answers had a head and no event yet, if there are any.
  *
  * An item is a content, or a part of a prompt that different contents share.
- * An item with su_desc.convict_crashes crashes since it was last answered is
- * convicted, and requests with it are refused from then on. A part must have
+ * An item with su_desc.block_crashes crashes since it was last answered is
+ * blocked, and requests with it are refused from then on. A part must have
  * crashed servers in different contents; one that is known to have been
  * answered well before needs more crashes, over some time, as sound requests
- * also share parts with the guilty ones. Servers that crash at the same
+ * also share parts with the harmful ones. Servers that crash at the same
  * moment, as in a power failure, count as one crash. A good answer that began
  * after the first crash clears an item again.
  *
- * So that a wrong conviction ends without an answer to clear it, one request
+ * So that a wrong block ends without an answer to clear it, one request
  * at a time may probe the item, at intervals that grow.
  *
  *     su_note_crash(suspects, &(su_crash){.server = hash, ...});
- *     su_tick(suspects, now_us);  - calls back for what it convicts
+ *     su_tick(suspects, now_us);  - calls back for what it blocked
  *     if (su_check(suspects, &content, now_us, &verdict) == SU_REFUSED) {
  *         ... refuse, with verdict.retry_ms ...
  *     }
  *
  * No sockets and no clock. Made for a fleet in which servers also crash by
  * themselves, some of them at once. Limits: the last SU_MAX_CRASHES crashes
- * with SU_MAX_CANDIDATES contents each, SU_MAX_CONVICTED convictions, the
+ * with SU_MAX_CANDIDATES contents each, SU_MAX_BLOCKED blocks, the
  * first SU_MAX_PARTS parts of a prompt.
  */
 #ifndef LACEWING_SUSPECTS_H
@@ -41,7 +41,7 @@
 #define SU_MAX_CRASHES 64
 #define SU_MAX_CANDIDATES 16
 #define SU_MAX_PARTS 16
-#define SU_MAX_CONVICTED 256
+#define SU_MAX_BLOCKED 256
 
 typedef struct su_suspects su_suspects;
 
@@ -67,34 +67,34 @@
     uint32_t candidate_count;
 } su_crash;
 
-typedef struct su_conviction {
+typedef struct su_block {
     uint64_t item; /* fingerprint or part */
     bool is_part;
     uint32_t crashes;        /* that led to it */
     uint64_t first_crash_us; /* of these */
     uint64_t since_us;
-} su_conviction;
+} su_block;
 
 typedef enum su_status {
-    SU_FREE = 0, /* not convicted */
-    SU_PROBE,    /* convicted, but a probe is due */
+    SU_FREE = 0, /* not blocked */
+    SU_PROBE,    /* blocked, but a probe is due */
     SU_REFUSED
 } su_status;
 
 typedef struct su_verdict {
-    uint64_t item;     /* that is convicted */
+    uint64_t item;     /* that is blocked */
     uint32_t retry_ms; /* SU_REFUSED: time to the next probe */
 } su_verdict;
 
 typedef struct su_callbacks {
-    /* The crashes reported here convicted an item. */
-    void (*convicted)(const su_conviction *conviction, void *user_data);
-    /* A suspected or convicted item was answered well. */
+    /* The crashes reported here blocked an item. */
+    void (*blocked)(const su_block *block, void *user_data);
+    /* A suspected or blocked item was answered well. */
     void (*cleared)(uint64_t item, uint64_t began_us, void *user_data);
 } su_callbacks;
 
 typedef struct su_desc {
-    uint32_t convict_crashes;      /* default 2 */
+    uint32_t block_crashes;        /* default 2 */
     const su_callbacks *callbacks; /* required */
     void *user_data;
 } su_desc;
@@ -109,8 +109,8 @@
                   uint64_t began_us);
 /* The same for an item that another instance cleared; does not call back. */
 void su_note_cleared(su_suspects *suspects, uint64_t item, uint64_t began_us);
-/* Adds a conviction by another instance. */
-void su_adopt(su_suspects *suspects, const su_conviction *conviction);
+/* Adds a block by another instance. */
+void su_adopt(su_suspects *suspects, const su_block *block);
 /* Counts the crashes of which all reports should have arrived. */
 void su_tick(su_suspects *suspects, uint64_t now_us);
 /* Notes that the probe that is due was sent. */
@@ -121,14 +121,13 @@
 su_status su_check(const su_suspects *suspects, const su_content *content,
                    uint64_t now_us, su_verdict *out);
 /* True if the fingerprints of requests matter at present: some are suspected
-   or convicted. */
+   or blocked. */
 bool su_query_active(const su_suspects *suspects);
 /* True if a crash was not counted yet: su_tick() has something to do. */
 bool su_query_pending(const su_suspects *suspects);
-uint32_t su_query_convicted_count(const su_suspects *suspects);
-typedef void (*su_conviction_callback)(const su_conviction *conviction,
-                                       void *user_data);
-void su_each_convicted(const su_suspects *suspects,
-                       su_conviction_callback call, void *user_data);
+uint32_t su_query_blocked_count(const su_suspects *suspects);
+typedef void (*su_block_callback)(const su_block *block, void *user_data);
+void su_each_blocked(const su_suspects *suspects, su_block_callback call,
+                     void *user_data);
 
 #endif
--- a/packages/exchange/tests/test_suspects.c
+++ b/packages/exchange/tests/test_suspects.c
@@ -8,22 +8,22 @@
 #define START (1000 * S)
 #define HEAD_ONLY 3
 #define NO_HEAD 1
-#define DEADLY 99
+#define CRASHING 99
 
 typedef struct fixture {
     su_suspects *suspects;
-    uint64_t convicted[8];
-    uint32_t convicted_count;
+    uint64_t blocked[8];
+    uint32_t blocked_count;
     uint64_t cleared[8];
     uint32_t cleared_count;
 } fixture;
 
 static void
-on_convicted(const su_conviction *conviction, void *user_data)
+on_blocked(const su_block *block, void *user_data)
 {
     fixture *f = user_data;
-    ck_assert_uint_lt(f->convicted_count, G_N_ELEMENTS(f->convicted));
-    f->convicted[f->convicted_count++] = conviction->item;
+    ck_assert_uint_lt(f->blocked_count, G_N_ELEMENTS(f->blocked));
+    f->blocked[f->blocked_count++] = block->item;
 }
 
 static void
@@ -35,7 +35,7 @@
     f->cleared[f->cleared_count++] = item;
 }
 
-static const su_callbacks callbacks = {.convicted = on_convicted,
+static const su_callbacks callbacks = {.blocked = on_blocked,
                                        .cleared = on_cleared};
 
 static fixture *
@@ -90,17 +90,17 @@
                     now_us, &verdict);
 }
 
-START_TEST(test_two_crashes_convict)
+START_TEST(test_two_crashes_block)
 {
     fixture *f = make_fixture();
-    report(f, 1, START, DEADLY, HEAD_ONLY);
+    report(f, 1, START, CRASHING, HEAD_ONLY);
     su_tick(f->suspects, START + S);
-    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
-    report(f, 2, START + S, DEADLY, HEAD_ONLY);
+    ck_assert_int_eq(check(f, CRASHING, START + S), SU_FREE);
+    report(f, 2, START + S, CRASHING, HEAD_ONLY);
     su_tick(f->suspects, START + 2 * S);
-    ck_assert_int_eq(check(f, DEADLY, START + 2 * S), SU_REFUSED);
+    ck_assert_int_eq(check(f, CRASHING, START + 2 * S), SU_REFUSED);
     ck_assert_int_eq(check(f, 7, START + 2 * S), SU_FREE);
-    ck_assert_uint_eq(f->convicted_count, 1);
+    ck_assert_uint_eq(f->blocked_count, 1);
     free_fixture(f);
 }
 END_TEST
@@ -108,41 +108,41 @@
 START_TEST(test_one_crash_told_by_two_instances_counts_once)
 {
     fixture *f = make_fixture();
-    report(f, 1, START, DEADLY, HEAD_ONLY);
-    report(f, 1, START + 40 * MS, DEADLY, HEAD_ONLY);
+    report(f, 1, START, CRASHING, HEAD_ONLY);
+    report(f, 1, START + 40 * MS, CRASHING, HEAD_ONLY);
     su_tick(f->suspects, START + S);
-    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
+    ck_assert_int_eq(check(f, CRASHING, START + S), SU_FREE);
     free_fixture(f);
 }
 END_TEST
 
-START_TEST(test_servers_that_crash_at_one_moment_convict_nothing)
+START_TEST(test_servers_that_crash_at_one_moment_block_nothing)
 {
     fixture *f = make_fixture();
     for (uint64_t server = 1; server <= 5; server++) {
-        report(f, server, START + server * MS, DEADLY, HEAD_ONLY);
+        report(f, server, START + server * MS, CRASHING, HEAD_ONLY);
     }
     su_tick(f->suspects, START + S);
-    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
+    ck_assert_int_eq(check(f, CRASHING, START + S), SU_FREE);
     free_fixture(f);
 }
 END_TEST
 
-/* An innocent request is resent from one crash into the next. The deadly one
-   is named by another instance, later. */
-START_TEST(test_only_the_likeliest_requests_of_a_crash_are_blamed)
+/* An unrelated request is resent from one crash into the next. The crashing
+   one is named by another instance, later. */
+START_TEST(test_only_the_likeliest_requests_of_a_crash_count)
 {
     fixture *f = make_fixture();
     for (uint64_t server = 1; server <= 3; server++) {
         uint64_t at_us = START + server * 200 * MS;
         report(f, server, at_us, 7, NO_HEAD);
         su_tick(f->suspects, at_us + 20 * MS);
-        report(f, server, at_us, DEADLY, HEAD_ONLY);
+        report(f, server, at_us, CRASHING, HEAD_ONLY);
         su_tick(f->suspects, at_us + 100 * MS);
     }
-    ck_assert_uint_eq(f->convicted_count, 1);
+    ck_assert_uint_eq(f->blocked_count, 1);
     ck_assert_int_eq(check(f, 7, START + S), SU_FREE);
-    ck_assert_int_eq(check(f, DEADLY, START + S), SU_REFUSED);
+    ck_assert_int_eq(check(f, CRASHING, START + S), SU_REFUSED);
     free_fixture(f);
 }
 END_TEST
@@ -150,19 +150,19 @@
 START_TEST(test_a_good_answer_clears)
 {
     fixture *f = make_fixture();
-    report(f, 1, START, DEADLY, HEAD_ONLY);
+    report(f, 1, START, CRASHING, HEAD_ONLY);
     su_tick(f->suspects, START + S);
-    note_good(f, DEADLY, START + S);
-    report(f, 2, START + 2 * S, DEADLY, HEAD_ONLY);
+    note_good(f, CRASHING, START + S);
+    report(f, 2, START + 2 * S, CRASHING, HEAD_ONLY);
     su_tick(f->suspects, START + 3 * S);
-    ck_assert_int_eq(check(f, DEADLY, START + 3 * S), SU_FREE);
-    report(f, 3, START + 4 * S, DEADLY, HEAD_ONLY);
+    ck_assert_int_eq(check(f, CRASHING, START + 3 * S), SU_FREE);
+    report(f, 3, START + 4 * S, CRASHING, HEAD_ONLY);
     su_tick(f->suspects, START + 5 * S);
-    ck_assert_int_eq(check(f, DEADLY, START + 5 * S), SU_REFUSED);
-    note_good(f, DEADLY, START + S);
-    ck_assert_int_eq(check(f, DEADLY, START + 5 * S), SU_REFUSED);
-    note_good(f, DEADLY, START + 3 * S);
-    ck_assert_int_eq(check(f, DEADLY, START + 5 * S), SU_FREE);
+    ck_assert_int_eq(check(f, CRASHING, START + 5 * S), SU_REFUSED);
+    note_good(f, CRASHING, START + S);
+    ck_assert_int_eq(check(f, CRASHING, START + 5 * S), SU_REFUSED);
+    note_good(f, CRASHING, START + 3 * S);
+    ck_assert_int_eq(check(f, CRASHING, START + 5 * S), SU_FREE);
     ck_assert_uint_eq(f->cleared_count, 2);
     free_fixture(f);
 }
@@ -172,14 +172,14 @@
 {
     fixture *f = make_fixture();
     for (uint64_t server = 1; server <= 3; server++) {
-        report(f, server, START + server * 20 * MS, DEADLY, HEAD_ONLY);
+        report(f, server, START + server * 20 * MS, CRASHING, HEAD_ONLY);
     }
     uint64_t since_us = START + S;
     su_tick(f->suspects, since_us);
     uint32_t probes = 0;
     for (uint64_t s = 0; s < 600; s++) {
-        if (check(f, DEADLY, since_us + s * S) == SU_PROBE) {
-            su_note_probe(f->suspects, DEADLY, since_us + s * S);
+        if (check(f, CRASHING, since_us + s * S) == SU_PROBE) {
+            su_note_probe(f->suspects, CRASHING, since_us + s * S);
             probes++;
         }
         /* Two in the first two minutes. */
@@ -193,41 +193,42 @@
 START_TEST(test_caller_learns_when_the_next_probe_is_due)
 {
     fixture *f = make_fixture();
-    report(f, 1, START, DEADLY, HEAD_ONLY);
-    report(f, 2, START + S, DEADLY, HEAD_ONLY);
+    report(f, 1, START, CRASHING, HEAD_ONLY);
+    report(f, 2, START + S, CRASHING, HEAD_ONLY);
     uint64_t since_us = START + 2 * S;
     su_tick(f->suspects, since_us);
     su_verdict verdict;
-    su_content deadly = {.fingerprint = DEADLY};
-    ck_assert_int_eq(su_check(f->suspects, &deadly, since_us + S, &verdict),
+    su_content crashing = {.fingerprint = CRASHING};
+    ck_assert_int_eq(su_check(f->suspects, &crashing, since_us + S, &verdict),
                      SU_REFUSED);
     ck_assert_uint_eq(verdict.retry_ms, 4000);
     ck_assert_int_eq(
-        su_check(f->suspects, &deadly, since_us + 5 * S, &verdict), SU_PROBE);
-    su_note_probe(f->suspects, DEADLY, since_us + 5 * S);
+        su_check(f->suspects, &crashing, since_us + 5 * S, &verdict),
+        SU_PROBE);
+    su_note_probe(f->suspects, CRASHING, since_us + 5 * S);
     ck_assert_int_eq(
-        su_check(f->suspects, &deadly, since_us + 6 * S, &verdict),
+        su_check(f->suspects, &crashing, since_us + 6 * S, &verdict),
         SU_REFUSED);
     ck_assert_uint_eq(verdict.retry_ms, 19000);
     free_fixture(f);
 }
 END_TEST
 
-START_TEST(test_conviction_of_another_instance_is_adopted_unless_cleared)
+START_TEST(test_block_of_another_instance_is_adopted_unless_cleared)
 {
     fixture *f = make_fixture();
-    su_conviction conviction = {.item = DEADLY,
-                                .crashes = 2,
-                                .first_crash_us = START,
-                                .since_us = START + S};
-    su_adopt(f->suspects, &conviction);
-    ck_assert_int_eq(check(f, DEADLY, START + S), SU_REFUSED);
-    su_note_cleared(f->suspects, DEADLY, START + S);
-    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
+    su_block block = {.item = CRASHING,
+                      .crashes = 2,
+                      .first_crash_us = START,
+                      .since_us = START + S};
+    su_adopt(f->suspects, &block);
+    ck_assert_int_eq(check(f, CRASHING, START + S), SU_REFUSED);
+    su_note_cleared(f->suspects, CRASHING, START + S);
+    ck_assert_int_eq(check(f, CRASHING, START + S), SU_FREE);
     ck_assert_uint_eq(f->cleared_count, 0);
     /* The other one has missed it and is told again. */
-    su_adopt(f->suspects, &conviction);
-    ck_assert_int_eq(check(f, DEADLY, START + S), SU_FREE);
+    su_adopt(f->suspects, &block);
+    ck_assert_int_eq(check(f, CRASHING, START + S), SU_FREE);
     ck_assert_uint_eq(f->cleared_count, 1);
     free_fixture(f);
 }
@@ -235,7 +236,7 @@
 
 /* Servers crash by themselves for an hour, a few at a time; each has some of
    the contents that are being served, and these are served again. */
-START_TEST(test_plain_crashes_convict_no_content_that_is_served)
+START_TEST(test_plain_crashes_block_no_content_that_is_served)
 {
     fixture *f = make_fixture();
     g_autoptr(GRand) random = g_rand_new_with_seed((guint32)_i + 1);
@@ -250,7 +251,7 @@
         }
         su_tick(f->suspects, now_us + 45 * MS);
     }
-    ck_assert_uint_eq(f->convicted_count, 0);
+    ck_assert_uint_eq(f->blocked_count, 0);
     free_fixture(f);
 }
 END_TEST
@@ -278,14 +279,14 @@
     return su_check(f->suspects, &content, now_us, &verdict);
 }
 
-START_TEST(test_part_of_prompts_is_convicted_and_sound_requests_are_not)
+START_TEST(test_part_of_prompts_is_blocked_and_sound_requests_are_not)
 {
     fixture *f = make_fixture();
     su_content sound = make_content(GROUP, 0);
     su_note_good(f->suspects, &sound, START);
     for (uint64_t server = 1; server <= 2; server++) {
-        su_content guilty = make_content(GROUP, TAINTED);
-        report_content(f, server, START + server * S, &guilty, HEAD_ONLY);
+        su_content harmful = make_content(GROUP, TAINTED);
+        report_content(f, server, START + server * S, &harmful, HEAD_ONLY);
         su_tick(f->suspects, START + server * S + 100 * MS);
     }
     uint64_t now_us = START + 3 * S;
@@ -295,28 +296,28 @@
                      SU_REFUSED);
     ck_assert_int_eq(check_content(f, make_content(GROUP, 0), now_us),
                      SU_FREE);
-    ck_assert_uint_eq(f->convicted_count, 1);
+    ck_assert_uint_eq(f->blocked_count, 1);
     free_fixture(f);
 }
 END_TEST
 
-START_TEST(test_part_is_not_convicted_by_one_content_alone)
+START_TEST(test_part_is_not_blocked_by_one_content_alone)
 {
     fixture *f = make_fixture();
-    su_content guilty = make_content(GROUP, 0);
+    su_content harmful = make_content(GROUP, 0);
     for (uint64_t server = 1; server <= 3; server++) {
-        report_content(f, server, START + server * S, &guilty, HEAD_ONLY);
+        report_content(f, server, START + server * S, &harmful, HEAD_ONLY);
         su_tick(f->suspects, START + server * S + 100 * MS);
     }
-    ck_assert_uint_eq(f->convicted_count, 1);
-    ck_assert_uint_eq(f->convicted[0], guilty.fingerprint);
+    ck_assert_uint_eq(f->blocked_count, 1);
+    ck_assert_uint_eq(f->blocked[0], harmful.fingerprint);
     ck_assert_int_eq(check_content(f, make_content(GROUP, 0), START + 4 * S),
                      SU_FREE);
     free_fixture(f);
 }
 END_TEST
 
-START_TEST(test_part_that_turns_deadly_is_convicted_by_the_fifth_crash)
+START_TEST(test_part_that_turns_harmful_is_blocked_by_the_fifth_crash)
 {
     fixture *f = make_fixture();
     for (uint64_t i = 0; i < 10; i++) {
@@ -326,8 +327,8 @@
     uint64_t now_us = START + S;
     for (uint64_t server = 1; server <= 5; server++) {
         now_us += 400 * MS;
-        su_content guilty = make_content(TAINTED, 0);
-        report_content(f, server, now_us, &guilty, HEAD_ONLY);
+        su_content harmful = make_content(TAINTED, 0);
+        report_content(f, server, now_us, &harmful, HEAD_ONLY);
         su_tick(f->suspects, now_us + 100 * MS);
         su_content sound = make_content(GROUP, 0);
         su_note_good(f->suspects, &sound, now_us + 150 * MS);
@@ -341,12 +342,12 @@
 END_TEST
 
 /* An instance that has just started knows of no part that it is sound. */
-START_TEST(test_wrongly_convicted_part_is_cleared_by_an_answer_elsewhere)
+START_TEST(test_wrongly_blocked_part_is_cleared_by_an_answer_elsewhere)
 {
     fixture *f = make_fixture();
     for (uint64_t server = 1; server <= 2; server++) {
-        su_content guilty = make_content(GROUP, TAINTED);
-        report_content(f, server, START + server * S, &guilty, HEAD_ONLY);
+        su_content harmful = make_content(GROUP, TAINTED);
+        report_content(f, server, START + server * S, &harmful, HEAD_ONLY);
     }
     su_tick(f->suspects, START + 3 * S);
     ck_assert_int_eq(check_content(f, make_content(7, 0), START + 3 * S),
@@ -371,7 +372,7 @@
         report_content(f, i, now_us + 50 * MS, &content, HEAD_ONLY);
         su_tick(f->suspects, now_us + 99 * MS);
     }
-    ck_assert_uint_eq(f->convicted_count, 0);
+    ck_assert_uint_eq(f->blocked_count, 0);
     ck_assert_uint_eq(f->cleared_count, 0);
     free_fixture(f);
 }
@@ -381,26 +382,24 @@
 main(void)
 {
     TCase *tcase = tcase_create("suspects");
-    tcase_add_test(tcase, test_two_crashes_convict);
+    tcase_add_test(tcase, test_two_crashes_block);
     tcase_add_test(tcase, test_one_crash_told_by_two_instances_counts_once);
-    tcase_add_test(tcase,
-                   test_servers_that_crash_at_one_moment_convict_nothing);
-    tcase_add_test(tcase,
-                   test_only_the_likeliest_requests_of_a_crash_are_blamed);
+    tcase_add_test(tcase, test_servers_that_crash_at_one_moment_block_nothing);
+    tcase_add_test(tcase, test_only_the_likeliest_requests_of_a_crash_count);
     tcase_add_test(tcase, test_a_good_answer_clears);
     tcase_add_test(tcase, test_probes_come_ever_more_rarely);
     tcase_add_test(tcase, test_caller_learns_when_the_next_probe_is_due);
-    tcase_add_test(
-        tcase, test_conviction_of_another_instance_is_adopted_unless_cleared);
+    tcase_add_test(tcase,
+                   test_block_of_another_instance_is_adopted_unless_cleared);
     tcase_add_loop_test(
-        tcase, test_plain_crashes_convict_no_content_that_is_served, 0, 20);
-    tcase_add_test(
-        tcase, test_part_of_prompts_is_convicted_and_sound_requests_are_not);
-    tcase_add_test(tcase, test_part_is_not_convicted_by_one_content_alone);
-    tcase_add_test(
-        tcase, test_part_that_turns_deadly_is_convicted_by_the_fifth_crash);
+        tcase, test_plain_crashes_block_no_content_that_is_served, 0, 20);
+    tcase_add_test(tcase,
+                   test_part_of_prompts_is_blocked_and_sound_requests_are_not);
+    tcase_add_test(tcase, test_part_is_not_blocked_by_one_content_alone);
+    tcase_add_test(tcase,
+                   test_part_that_turns_harmful_is_blocked_by_the_fifth_crash);
     tcase_add_test(
-        tcase, test_wrongly_convicted_part_is_cleared_by_an_answer_elsewhere);
+        tcase, test_wrongly_blocked_part_is_cleared_by_an_answer_elsewhere);
     tcase_add_test(
         tcase,
         test_part_in_use_everywhere_is_not_told_to_all_after_each_crash);
