Read, log and count the rate limits that backend servers name

Nothing is decided by it yet.

An answer without the header ends the limit only if its request was sent after the limit was last named: answers overtake each other.

--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -78,6 +78,14 @@
       "Answers of servers that asked for a pause")                            \
     X(CT_PAUSES_CAPPED, "pauses_capped_total", "counter",                     \
       "Pauses shortened to the longest that is allowed")                      \
+    X(CT_LIMITS_STARTED, "server_limits_total", "counter",                    \
+      "Rate limits that servers began to name")                               \
+    X(CT_SENT_TO_LIMITED, "sent_to_limited_total", "counter",                 \
+      "Requests sent to servers with a rate limit")                           \
+    X(CT_ORDERS_TO_LIMITED, "orders_to_limited_total", "counter",             \
+      "Orders sent to servers with a rate limit")                             \
+    X(CT_REPORTS_TO_LIMITED, "reports_to_limited_total", "counter",           \
+      "Calls that read the state of servers with a rate limit")               \
     X(CT_NOTICES_REFUSED, "notices_refused_total", "counter",                 \
       "Notices of servers that could not be read")                            \
     X(CT_SERVER_CRASHES, "server_crashes_total", "counter",                   \
@@ -97,6 +105,8 @@
       "Servers that are leaving, by their own notice or by the server list")  \
     X(CT_SERVERS_PAUSED, "servers_paused", "gauge",                           \
       "Servers that get no requests because they asked for a pause")          \
+    X(CT_SERVERS_LIMITED, "servers_limited", "gauge",                         \
+      "Servers that named a rate limit")                                      \
     X(CT_OWNED_SERVERS, "owned_servers", "gauge",                             \
       "Backend servers owned by this instance")                               \
     X(CT_PEERS_READY, "peers_ready", "gauge", "Peers known to be ready")
--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -87,6 +87,9 @@
       "backend server is no longer leaving")                                  \
     X(LG_SERVER_PAUSES, INFO, "fleet", "backend server asked for a pause")    \
     X(LG_SERVER_RESUMES, INFO, "fleet", "backend server's pause is over")     \
+    X(LG_SERVER_LIMITED, INFO, "fleet", "backend server named a rate limit")  \
+    X(LG_SERVER_UNLIMITED, INFO, "fleet",                                     \
+      "backend server's rate limit is over")                                  \
     X(LG_NOTICE_REFUSED, WARNING, "fleet",                                    \
       "notice of a backend server could not be read")                         \
     X(LG_SERVER_GONE, INFO, "fleet", "backend server removed")                \
--- a/packages/exchange/include/lacewing/dialect.h
+++ b/packages/exchange/include/lacewing/dialect.h
@@ -28,6 +28,8 @@
     DL_NOT_EXECUTED,   /* the backend server did not run the request */
     DL_RETRY_AFTER,    /* seconds, with fractions */
     DL_LEAVING,        /* the backend server accepts no new requests */
+    DL_LIMIT,          /* requests per second that the backend server takes
+                          from all instances together */
     DL_SERVER_ID,      /* the backend server that answers */
     DL_MODEL,          /* MODEL or MODEL/ADAPTER */
     DL_TOKENS,         /* prompt tokens and most tokens to generate */
@@ -160,8 +162,11 @@
 typedef struct dl_notice {
     bool leaving;      /* it accepts no new requests any more */
     uint64_t pause_ms; /* it asks for no requests for this long; 0: no pause */
-    bool unreadable;   /* one of the two has an unknown value, which counts
-                          as not reported */
+    bool limited;      /* it takes limit_per_s from all instances together */
+    double limit_per_s;
+    bool limit_unreadable; /* a limit is named, its value is unknown */
+    bool unreadable;       /* one of them has an unknown value, which counts
+                              as not reported */
 } dl_notice;
 
 typedef struct dl_dialect {
@@ -184,10 +189,11 @@
        share, up to max. Returns their number. */
     uint32_t (*read_prompt_parts)(const char *value, uint64_t *parts,
                                   uint32_t max);
-    /* Reads an answer's status, DL_LEAVING and DL_RETRY_AFTER; an absent
-       header is NULL. */
+    /* Reads an answer's status, DL_LEAVING, DL_RETRY_AFTER and DL_LIMIT; an
+       absent header is NULL. */
     void (*read_notice)(uint32_t status, const char *leaving,
-                        const char *retry_after, dl_notice *out);
+                        const char *retry_after, const char *limit,
+                        dl_notice *out);
     dl_order_result (*read_order_status)(uint32_t status);
     /* Returns whether an answer guarantees that the request did not run; an
        absent DL_NOT_EXECUTED is NULL. */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -67,11 +67,16 @@
 _xc_read_notice(xc_exchange *exchange, const h1_head *head)
 {
     const xc_desc *desc = &exchange->core->desc;
+    /* An answer with the id of another request was skipped before; one without
+       an id may be anything. */
+    bool is_answer =
+        h1_query_header(head, desc->dialect->headers[DL_REQUEST_ID]) != NULL;
     fl_server_notice notice;
     if (nr_read_notice(&(nr_desc){.dialect = desc->dialect,
                                   .fleet = desc->fleet,
                                   .server = exchange->server->id,
                                   .born_ms = exchange->server_started_ms,
+                                  .sent_us = is_answer ? exchange->sent_us : 0,
                                   .now_us = xc_now_us(exchange)},
                        head, &notice)) {
         exchange->pause_requested = notice.notice.pause_ms != 0;
@@ -555,6 +560,7 @@
     exchange->send_count++;
     exchange->possible_runs++;
     ct_add(CT_SENT, 1);
+    ct_add(CT_SENT_TO_LIMITED, server->limit.limited);
     if (exchange->logged) {
         _xc_log_sent(exchange, choice->version);
     }
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -99,6 +99,7 @@
         if (strcmp(old->id, server->id) == 0) {
             if (old->born_ms == server->born_ms) {
                 server->notice = old->notice;
+                server->limit = old->limit;
             }
             return;
         }
@@ -220,6 +221,7 @@
     server->failure_rate = 0;
     server->cooldown_until_us = 0;
     server->reported_load = (dl_load){0};
+    server->limit = (sl_limit){0};
     server->drop_count += _FL_CACHE_RESET_DROPS;
     server->load_capacity_us = 0;
 }
@@ -297,6 +299,22 @@
     return changes;
 }
 
+uint32_t
+fl_apply_limit(fl_fleet *fleet, const fl_server_notice *report,
+               fl_server **out)
+{
+    fl_server *server = g_hash_table_lookup(fleet->servers, report->id);
+    const dl_notice *notice = &report->notice;
+    *out = server && server->born_ms == report->born_ms ? server : NULL;
+    if (!*out || notice->limit_unreadable) {
+        return 0;
+    }
+    return notice->limited
+               ? sl_apply_named(&server->limit, notice->limit_per_s,
+                                report->now_us)
+               : sl_apply_absent(&server->limit, report->sent_us);
+}
+
 void
 fl_note_store_version(fl_fleet *fleet, uint64_t version, uint64_t asked_us)
 {
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -31,6 +31,7 @@
 
 #include "lacewing/dialect.h"
 #include "notice.h"
+#include "server_limit.h"
 
 /* Most servers that a request excludes as already tried. */
 #define FL_MAX_TRIED 4
@@ -141,6 +142,7 @@
     uint64_t cooldown_until_us; /* avoided until then, after failures */
     nt_notice notice;     /* what the server announced; an announcement that
                              it leaves also sets the state */
+    sl_limit limit;       /* the rate limit that it named */
     bool orders_possible; /* some instance can give it orders now */
     /* When the oldest load request that its holder has not answered was sent;
        0: none is unanswered. */
@@ -207,6 +209,8 @@
     uint64_t born_ms;
     nt_source source; /* required, NT_ANSWER or NT_PEER */
     dl_notice notice; /* NT_ANSWER */
+    uint64_t sent_us; /* NT_ANSWER: when the request was sent; 0: it is not
+                         known whether this is the answer to it */
     uint64_t now_us;
 } fl_server_notice;
 
@@ -232,6 +236,10 @@
    (*out is NULL then). */
 uint32_t fl_apply_notice(fl_fleet *fleet, const fl_server_notice *report,
                          fl_server **out);
+/* Applies the rate limit that the head of an answer named, or that it named
+   none. Returns the sl_change flags of *out. */
+uint32_t fl_apply_limit(fl_fleet *fleet, const fl_server_notice *report,
+                        fl_server **out);
 /* Passes the version of the store on to all servers, see
    nt_note_store_version(). */
 void fl_note_store_version(fl_fleet *fleet, uint64_t version,
--- a/packages/exchange/src/notice_read.h
+++ b/packages/exchange/src/notice_read.h
@@ -22,6 +22,8 @@
     const fl_fleet *fleet;     /* required */
     const char *server;        /* required, id of the server that was asked */
     uint64_t born_ms;          /* start of its process when it was asked */
+    uint64_t sent_us; /* when it was asked; 0: the answer may be to another
+                         request */
     uint64_t now_us;
 } nr_desc;
 
--- a/packages/exchange/src/orderer.c
+++ b/packages/exchange/src/orderer.c
@@ -40,7 +40,8 @@
 typedef struct _or_request {
     or_orderer *orderer;
     char *server;
-    uint64_t born_ms;    /* start of the server process that was asked */
+    uint64_t born_ms; /* start of the server process that was asked */
+    uint64_t sent_us;
     uint64_t generation; /* of the plan */
     bool is_report;      /* else an order */
 } _or_request;
@@ -218,6 +219,7 @@
                                   .fleet = desc->fleet,
                                   .server = request->server,
                                   .born_ms = request->born_ms,
+                                  .sent_us = request->sent_us,
                                   .now_us = lp_query_now_us(desc->loop)},
                        head, &notice)) {
         desc->server_notice(&notice, desc->user_data);
@@ -258,6 +260,7 @@
     request->orderer = orderer;
     request->server = g_strdup(server->id);
     request->born_ms = server->born_ms;
+    request->sent_us = lp_query_now_us(orderer->desc.loop);
     request->generation = plan->generation;
     request->is_report = body == NULL;
     plan->in_flight = true;
@@ -294,6 +297,7 @@
         orderer->model_tokens -= 1.0;
     }
     ct_add(CT_ORDERS, 1);
+    ct_add(CT_ORDERS_TO_LIMITED, server->limit.limited);
     if (order->adapter && !step->is_poll) {
         ct_add(order->kind == DL_LOAD ? CT_LOADS : CT_EVICTIONS, 1);
     }
@@ -324,6 +328,7 @@
         }
         if (step.kind == OD_REPORT) {
             ct_add(CT_REPORTS, 1);
+            ct_add(CT_REPORTS_TO_LIMITED, server->limit.limited);
             _or_send_request(orderer, server, "GET",
                              orderer->desc.dialect->report_path, NULL);
             return;
