--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -72,6 +72,10 @@
       "Requests not sent to a server because it announced that it leaves")    \
     X(CT_HELD_PAUSED, "held_back_paused_total", "counter",                    \
       "Requests not sent to a server because it asked for a pause")           \
+    X(CT_HELD_LIMITED, "held_back_limited_total", "counter",                  \
+      "Requests not sent to a server for want of a permit")                   \
+    X(CT_PERMITS, "permits_total", "counter",                                 \
+      "Permits received to send to servers with a rate limit")                \
     X(CT_SAID_LEAVING, "servers_said_leaving_total", "counter",               \
       "Servers that announced in an answer that they leave")                  \
     X(CT_SAID_PAUSE, "servers_said_pause_total", "counter",                   \
@@ -121,6 +125,8 @@
       "all servers announced that they leave")                                \
     X(CT_UNSERVED_SERVERS_PAUSED, "servers_paused",                           \
       "all servers asked for a pause")                                        \
+    X(CT_UNSERVED_SERVERS_LIMITED, "servers_limited",                         \
+      "rate limits of all servers reached")                                   \
     X(CT_UNSERVED_INSTANCE_LEAVES, "instance_leaves", "instance is leaving")  \
     X(CT_UNSERVED_NO_SERVICE, "no_service", "no such service")                \
     X(CT_UNSERVED_NO_REQUEST_ID, "no_request_id", "no request id")            \
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -199,9 +199,51 @@
                exchange->deadline_us;
 }
 
+static uint32_t
+_xc_count_waiting(const xc_exchange *exchange)
+{
+    uint32_t count = 0;
+    for (GList *at = exchange->core->waiting_capacity.head; at;
+         at = at->next) {
+        count += ((const xc_exchange *)at->data)->service == exchange->service;
+    }
+    return count;
+}
+
+/* Returns whether the request waits for a permit, where all eligible servers
+   are limited. One that waits already stays. */
+static lw_verdict
+_xc_decide_limited_wait(const xc_exchange *exchange, const fl_choice *choice)
+{
+    if (exchange->waiting_since_us) {
+        return (lw_verdict){.waits = true};
+    }
+    xc_core *core = exchange->core;
+    const char *service = exchange->service->name;
+    lw_returns *returns = g_hash_table_lookup(core->returns, service);
+    if (!returns) {
+        returns = g_new0(lw_returns, 1);
+        g_hash_table_insert(core->returns, g_strdup(service), returns);
+    }
+    uint64_t now_us = xc_now_us(exchange);
+    uint64_t left_us =
+        exchange->deadline_us > now_us ? exchange->deadline_us - now_us : 0;
+    return lw_decide(
+        returns,
+        &(lw_load){
+            .permits_per_s = choice->permits_per_s,
+            .limit_per_s = choice->limit_per_s,
+            .instances =
+                MAX(core->desc.callbacks->count_live(core->desc.user_data), 1),
+            .waiting = _xc_count_waiting(exchange),
+            .max_wait_us =
+                MIN(left_us, _xc_max_wait_us(exchange, choice->status)),
+            .now_us = now_us});
+}
+
 /* Ends a request that no server will serve in time because all eligible
-   servers leave or have asked for a pause. Returns false if it may still be
-   served. */
+   servers leave, have asked for a pause or are limited. Returns false if it
+   may still be served. */
 static bool
 _xc_end_unservable(xc_exchange *exchange, const fl_choice *choice)
 {
@@ -223,6 +265,15 @@
                           CT_UNSERVED_SERVERS_PAUSED);
         return true;
     }
+    if (choice->status == FL_ALL_LIMITED) {
+        lw_verdict verdict = _xc_decide_limited_wait(exchange, choice);
+        if (!verdict.waits) {
+            xc_refuse_or_fail(exchange,
+                              (uint32_t)(verdict.retry_after_us / 1000),
+                              CT_UNSERVED_SERVERS_LIMITED);
+            return true;
+        }
+    }
     return false;
 }
 
@@ -238,11 +289,12 @@
             exchange->send_count ? now_us : exchange->received_us;
     }
     if (now_us >= exchange->waiting_since_us + max_wait_us) {
-        xc_give_up(exchange, why == FL_NO_COPY    ? CT_UNSERVED_NO_COPY
-                             : why == FL_ALL_FULL ? CT_UNSERVED_SERVERS_FULL
-                             : why == FL_ALL_PAUSED
-                                 ? CT_UNSERVED_SERVERS_PAUSED
-                                 : CT_UNSERVED_NO_SERVER);
+        xc_give_up(exchange,
+                   why == FL_NO_COPY       ? CT_UNSERVED_NO_COPY
+                   : why == FL_ALL_FULL    ? CT_UNSERVED_SERVERS_FULL
+                   : why == FL_ALL_PAUSED  ? CT_UNSERVED_SERVERS_PAUSED
+                   : why == FL_ALL_LIMITED ? CT_UNSERVED_SERVERS_LIMITED
+                                           : CT_UNSERVED_NO_SERVER);
         return;
     }
     exchange->wait_link.data = exchange;
@@ -332,6 +384,10 @@
         exchange->skipped_leaving || choice->skipped_leaving;
     exchange->skipped_paused =
         exchange->skipped_paused || choice->skipped_paused;
+    ct_add(CT_HELD_LIMITED,
+           choice->skipped_limited && !exchange->skipped_limited);
+    exchange->skipped_limited =
+        exchange->skipped_limited || choice->skipped_limited;
 }
 
 static bool
@@ -351,6 +407,9 @@
         return;
     }
     fl_request criteria = _xc_make_criteria(exchange);
+    criteria.wants_permits = true;
+    criteria.waited = exchange->wanted_permit;
+    exchange->wanted_permit = true;
     fl_choice choice;
     while (_xc_choose_server(exchange, &criteria, &choice)) {
         if (choice.needs_another_copy) {
@@ -707,12 +766,7 @@
         next = at->next;
         _xc_check(at->data, now_us);
     }
-    guint waiting = core->waiting_capacity.length;
-    for (guint i = 0; i < waiting && core->waiting_capacity.head; i++) {
-        xc_exchange *exchange = core->waiting_capacity.head->data;
-        xc_stop_waiting(exchange);
-        xc_dispatch(exchange);
-    }
+    xc_dispatch_waiting_capacity(core);
 }
 
 /* -- public --------------------------------------------------------------- */
@@ -728,6 +782,8 @@
     g_queue_init(&core->waiting_capacity);
     core->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)bg_destroy);
+    core->returns =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     core->random = g_rand_new();
     return core;
 }
@@ -745,6 +801,7 @@
         _xc_release(exchange);
     }
     g_hash_table_unref(core->budgets);
+    g_hash_table_unref(core->returns);
     g_rand_free(core->random);
     rc_unref(core->table);
     g_free(core);
@@ -769,6 +826,17 @@
     }
 }
 
+void
+xc_dispatch_waiting_capacity(xc_core *core)
+{
+    guint waiting = core->waiting_capacity.length;
+    for (guint i = 0; i < waiting && core->waiting_capacity.head; i++) {
+        xc_exchange *exchange = core->waiting_capacity.head->data;
+        xc_stop_waiting(exchange);
+        xc_dispatch(exchange);
+    }
+}
+
 void
 xc_set_leave_time(xc_core *core, uint64_t leave_us, bool callers_redirected)
 {
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -76,6 +76,9 @@
 /* Dispatches the requests that wait for the adapter; call it when the adapter
    has gained or lost a copy. */
 void xc_dispatch_waiting(xc_core *core, fl_adapter *adapter);
+/* Dispatches the requests that wait for capacity; call it when there is more
+   of it. */
+void xc_dispatch_waiting_capacity(xc_core *core);
 /* Handles time-outs and requests that wait for capacity; call it about every
    50 ms. */
 void xc_tick(xc_core *core);
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -607,6 +607,157 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
+lacewing__exchange__limit_word__init(Lacewing__Exchange__LimitWord *message)
+{
+    static const Lacewing__Exchange__LimitWord init_value =
+        LACEWING__EXCHANGE__LIMIT_WORD__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__limit_word__get_packed_size(
+    const Lacewing__Exchange__LimitWord *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__limit_word__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__limit_word__pack(
+    const Lacewing__Exchange__LimitWord *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__limit_word__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__limit_word__pack_to_buffer(
+    const Lacewing__Exchange__LimitWord *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__limit_word__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__LimitWord *
+lacewing__exchange__limit_word__unpack(ProtobufCAllocator *allocator,
+                                       size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__LimitWord *)protobuf_c_message_unpack(
+        &lacewing__exchange__limit_word__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__limit_word__free_unpacked(
+    Lacewing__Exchange__LimitWord *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__limit_word__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+lacewing__exchange__permit_ask__init(Lacewing__Exchange__PermitAsk *message)
+{
+    static const Lacewing__Exchange__PermitAsk init_value =
+        LACEWING__EXCHANGE__PERMIT_ASK__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__permit_ask__get_packed_size(
+    const Lacewing__Exchange__PermitAsk *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__permit_ask__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__permit_ask__pack(
+    const Lacewing__Exchange__PermitAsk *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__permit_ask__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__permit_ask__pack_to_buffer(
+    const Lacewing__Exchange__PermitAsk *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__permit_ask__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__PermitAsk *
+lacewing__exchange__permit_ask__unpack(ProtobufCAllocator *allocator,
+                                       size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__PermitAsk *)protobuf_c_message_unpack(
+        &lacewing__exchange__permit_ask__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__permit_ask__free_unpacked(
+    Lacewing__Exchange__PermitAsk *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__permit_ask__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+lacewing__exchange__permit_grant__init(
+    Lacewing__Exchange__PermitGrant *message)
+{
+    static const Lacewing__Exchange__PermitGrant init_value =
+        LACEWING__EXCHANGE__PERMIT_GRANT__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__permit_grant__get_packed_size(
+    const Lacewing__Exchange__PermitGrant *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__permit_grant__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__permit_grant__pack(
+    const Lacewing__Exchange__PermitGrant *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__permit_grant__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__permit_grant__pack_to_buffer(
+    const Lacewing__Exchange__PermitGrant *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__permit_grant__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__PermitGrant *
+lacewing__exchange__permit_grant__unpack(ProtobufCAllocator *allocator,
+                                         size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__PermitGrant *)protobuf_c_message_unpack(
+        &lacewing__exchange__permit_grant__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__permit_grant__free_unpacked(
+    Lacewing__Exchange__PermitGrant *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__permit_grant__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
 lacewing__exchange__candidate__init(Lacewing__Exchange__Candidate *message)
 {
     static const Lacewing__Exchange__Candidate init_value =
@@ -1554,6 +1705,186 @@
         NULL,
         NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__limit_word__field_descriptors[5] = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LimitWord, server), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "born_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LimitWord, born_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "limited", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LimitWord, limited), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "per_s", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LimitWord, per_s), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__LimitWord, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned lacewing__exchange__limit_word__field_indices_by_name[] =
+    {
+        4, /* field[4] = age_ms */
+        1, /* field[1] = born_ms */
+        2, /* field[2] = limited */
+        3, /* field[3] = per_s */
+        0, /* field[0] = server */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__limit_word__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor lacewing__exchange__limit_word__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.LimitWord",
+    "LimitWord",
+    "Lacewing__Exchange__LimitWord",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__LimitWord),
+    5,
+    lacewing__exchange__limit_word__field_descriptors,
+    lacewing__exchange__limit_word__field_indices_by_name,
+    1,
+    lacewing__exchange__limit_word__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__limit_word__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__permit_ask__field_descriptors[5] = {
+        {
+            "limit", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__PermitAsk, limit),
+            &lacewing__exchange__limit_word__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "wanted", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__PermitAsk, wanted), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "weight", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__PermitAsk, weight), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "urgent", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__PermitAsk, urgent), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "expired", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__PermitAsk, expired), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned lacewing__exchange__permit_ask__field_indices_by_name[] =
+    {
+        4, /* field[4] = expired */
+        0, /* field[0] = limit */
+        3, /* field[3] = urgent */
+        1, /* field[1] = wanted */
+        2, /* field[2] = weight */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__permit_ask__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor lacewing__exchange__permit_ask__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.PermitAsk",
+    "PermitAsk",
+    "Lacewing__Exchange__PermitAsk",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__PermitAsk),
+    5,
+    lacewing__exchange__permit_ask__field_descriptors,
+    lacewing__exchange__permit_ask__field_indices_by_name,
+    1,
+    lacewing__exchange__permit_ask__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__permit_ask__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__permit_grant__field_descriptors[3] = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__PermitGrant, server), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "born_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__PermitGrant, born_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "count", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__PermitGrant, count), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned
+    lacewing__exchange__permit_grant__field_indices_by_name[] = {
+        1, /* field[1] = born_ms */
+        2, /* field[2] = count */
+        0, /* field[0] = server */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__permit_grant__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor lacewing__exchange__permit_grant__descriptor =
+    {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.PermitGrant",
+        "PermitGrant",
+        "Lacewing__Exchange__PermitGrant",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__PermitGrant),
+        3,
+        lacewing__exchange__permit_grant__field_descriptors,
+        lacewing__exchange__permit_grant__field_indices_by_name,
+        1,
+        lacewing__exchange__permit_grant__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__permit_grant__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor
     lacewing__exchange__candidate__field_descriptors[3] = {
         {
@@ -1769,7 +2100,7 @@
         NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__word__field_descriptors[15] = {
+    lacewing__exchange__word__field_descriptors[18] = {
         {
             "instance", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
             0, /* quantifier_offset */
@@ -1875,6 +2206,29 @@
             &lacewing__exchange__cleared_word__descriptor, NULL, 0, /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
+        {
+            "limits", 17, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_limits),
+            offsetof(Lacewing__Exchange__Word, limits),
+            &lacewing__exchange__limit_word__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "permit_asks", 18, PROTOBUF_C_LABEL_REPEATED,
+            PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_permit_asks),
+            offsetof(Lacewing__Exchange__Word, permit_asks),
+            &lacewing__exchange__permit_ask__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "permit_grants", 19, PROTOBUF_C_LABEL_REPEATED,
+            PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_permit_grants),
+            offsetof(Lacewing__Exchange__Word, permit_grants),
+            &lacewing__exchange__permit_grant__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
     5,  /* field[5] = asks */
@@ -1884,8 +2238,11 @@
     1,  /* field[1] = incarnation */
     0,  /* field[0] = instance */
     11, /* field[11] = leaving */
+    15, /* field[15] = limits */
     3,  /* field[3] = loads */
     8,  /* field[8] = number */
+    16, /* field[16] = permit_asks */
+    17, /* field[17] = permit_grants */
     7,  /* field[7] = rows */
     2,  /* field[2] = servers */
     9,  /* field[9] = spread */
@@ -1894,7 +2251,7 @@
     10, /* field[10] = words */
 };
 static const ProtobufCIntRange lacewing__exchange__word__number_ranges[2 + 1] =
-    {{1, 0}, {8, 6}, {0, 15}};
+    {{1, 0}, {8, 6}, {0, 18}};
 const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "lacewing.exchange.Word",
@@ -1902,7 +2259,7 @@
     "Lacewing__Exchange__Word",
     "lacewing.exchange",
     sizeof(Lacewing__Exchange__Word),
-    15,
+    18,
     lacewing__exchange__word__field_descriptors,
     lacewing__exchange__word__field_indices_by_name,
     2,
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -8,6 +8,7 @@
 #include "lacewing/counter.h"
 #include "lacewing/histogram.h"
 #include "lacewing/log.h"
+#include "limited_wait.h"
 #include "stream_position.h"
 
 /* Most sends of one request, including those that a server refused. */
@@ -21,6 +22,7 @@
     GQueue active;           /* xc_exchange, all */
     GQueue waiting_capacity; /* xc_exchange in XC_WAITING_CAPACITY */
     GHashTable *budgets;     /* service -> bg_budget */
+    GHashTable *returns;     /* service -> lw_returns */
     GRand *random;
     uint64_t leave_us;       /* this instance ends then; 0: it stays */
     bool callers_redirected; /* the platform sends new callers elsewhere */
@@ -62,6 +64,8 @@
     bool no_load_target;       /* no server can load its adapter now */
     bool skipped_leaving;      /* a server was skipped as it leaves */
     bool skipped_paused;       /* a server was skipped as it is paused */
+    bool skipped_limited;      /* a server was skipped for want of a permit */
+    bool wanted_permit;        /* since the last send, see fl_request.waited */
     bool probes_content;       /* its content is blocked; it may be sent */
     bool may_repeat;           /* its kind may run again after a failure */
     bool may_have_run;         /* a send of it may run or have run */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -530,6 +530,7 @@
         lp_query_clock_us() + _XC_CONNECT_TIMEOUT_US;
     exchange->copy_version = choice->copy_version;
     exchange->waiting_since_us = 0;
+    exchange->wanted_permit = false;
     exchange->refused = false;
     exchange->answer_invalid = false;
     exchange->answer_too_long = false;
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -100,6 +100,7 @@
             if (old->born_ms == server->born_ms) {
                 server->notice = old->notice;
                 server->limit = old->limit;
+                server->permits = old->permits;
             }
             return;
         }
@@ -222,6 +223,7 @@
     server->cooldown_until_us = 0;
     server->reported_load = (dl_load){0};
     server->limit = (sl_limit){0};
+    server->permits = (pm_permits){0};
     server->drop_count += _FL_CACHE_RESET_DROPS;
     server->load_capacity_us = 0;
 }
@@ -315,6 +317,20 @@
                : sl_apply_absent(&server->limit, report->sent_us);
 }
 
+uint32_t
+fl_apply_peer_limit(fl_fleet *fleet, const fl_peer_limit *report,
+                    fl_server **out)
+{
+    fl_server *server = g_hash_table_lookup(fleet->servers, report->id);
+    *out = server && server->born_ms == report->born_ms ? server : NULL;
+    if (!*out) {
+        return 0;
+    }
+    return report->limited
+               ? sl_apply_named(&server->limit, report->per_s, report->at_us)
+               : sl_apply_absent(&server->limit, report->at_us);
+}
+
 void
 fl_note_store_version(fl_fleet *fleet, uint64_t version, uint64_t asked_us)
 {
@@ -562,11 +578,33 @@
     return fl_query_replaced_us(adapter, version) + left_us;
 }
 
+bool
+fl_query_open(const fl_server *server, uint64_t now_us)
+{
+    return nt_query_available(&server->notice, now_us) &&
+           (!server->limit.limited || pm_query_any(&server->permits, now_us));
+}
+
+bool
+fl_query_all_limited(const fl_fleet *fleet, const char *service)
+{
+    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
+    for (guint i = 0; list && i < list->len; i++) {
+        const fl_server *server = list->pdata[i];
+        if (server->state == FL_READY && !server->limit.limited) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 fl_query_load_worth_waiting(const fl_fleet *fleet, const fl_copy *copy,
                             uint64_t now_us)
 {
     return copy->loading && copy->server->state == FL_READY &&
+           (!copy->server->limit.limited ||
+            fl_query_all_limited(fleet, copy->server->service)) &&
            nt_query_available_us(&copy->server->notice, now_us) <=
                now_us + fl_query_load_cost_us(fleet);
 }
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -31,6 +31,7 @@
 
 #include "lacewing/dialect.h"
 #include "notice.h"
+#include "permits.h"
 #include "server_limit.h"
 
 /* Most servers that a request excludes as already tried. */
@@ -143,6 +144,7 @@
     nt_notice notice;     /* what the server announced; an announcement that
                              it leaves also sets the state */
     sl_limit limit;       /* the rate limit that it named */
+    pm_permits permits;   /* while it is limited */
     bool orders_possible; /* some instance can give it orders now */
     /* When the oldest load request that its holder has not answered was sent;
        0: none is unanswered. */
@@ -163,6 +165,8 @@
     uint64_t now_us;
     const fl_server *tried[FL_MAX_TRIED]; /* excluded */
     uint32_t tried_count;
+    bool wants_permits; /* permits of limited servers are wanted for it */
+    bool waited;        /* it was counted as wanting them before */
 } fl_request;
 
 typedef enum fl_choice_status {
@@ -173,7 +177,9 @@
     FL_ALL_FULL,    /* all candidates are full */
     FL_ALL_LEAVING, /* all servers are leaving, at least one of them by its
                        own announcement */
-    FL_ALL_PAUSED   /* the candidates asked for a pause */
+    FL_ALL_PAUSED,  /* the candidates asked for a pause */
+    FL_ALL_LIMITED  /* the candidates have rate limits, and this instance has
+                       no permit now */
 } fl_choice_status;
 
 typedef struct fl_choice {
@@ -186,6 +192,10 @@
     uint64_t resume_us;      /* FL_ALL_PAUSED: end of that pause */
     bool skipped_leaving;    /* a server that announced to leave was skipped */
     bool skipped_paused;     /* a paused server was skipped */
+    bool skipped_limited;    /* a server was skipped for want of a permit */
+    double permits_per_s;    /* FL_ALL_LIMITED: granted to this instance for
+                                the candidates lately */
+    double limit_per_s;      /* FL_ALL_LIMITED: sum of their limits */
 } fl_choice;
 
 typedef enum fl_outcome {
@@ -214,6 +224,16 @@
     uint64_t now_us;
 } fl_server_notice;
 
+/* What another instance knows of the rate limit of the server process that
+   started at born_ms. */
+typedef struct fl_peer_limit {
+    const char *id; /* required */
+    uint64_t born_ms;
+    bool limited;
+    double per_s;   /* limited */
+    uint64_t at_us; /* on the local clock */
+} fl_peer_limit;
+
 typedef struct fl_desc {
     uint32_t rollout_ms; /* time within which a new version is in use; default
                             5000 */
@@ -240,6 +260,11 @@
    none. Returns the sl_change flags of *out. */
 uint32_t fl_apply_limit(fl_fleet *fleet, const fl_server_notice *report,
                         fl_server **out);
+/* Applies what another instance knows of a server's rate limit; at_us: see
+   sl_apply_named() or sl_apply_absent(). Returns the sl_change flags of
+   *out. */
+uint32_t fl_apply_peer_limit(fl_fleet *fleet, const fl_peer_limit *report,
+                             fl_server **out);
 /* Passes the version of the store on to all servers, see
    nt_note_store_version(). */
 void fl_note_store_version(fl_fleet *fleet, uint64_t version,
@@ -308,7 +333,8 @@
    FL_CHOSEN. */
 bool fl_choose_server(fl_fleet *fleet, const fl_request *request,
                       fl_choice *out);
-/* Returns the server to load a further copy to; NULL: none can take orders. */
+/* Returns the server to load a further copy to; NULL: none can take orders.
+   Servers with a rate limit come last. */
 fl_server *fl_choose_load_server(fl_fleet *fleet, const char *service,
                                  fl_adapter *adapter, uint64_t now_us);
 /* Returns the loaded copy that is least needed and not in use; NULL: none. */
@@ -353,6 +379,9 @@
 uint64_t fl_query_old_version_end_us(const fl_fleet *fleet,
                                      const fl_adapter *adapter,
                                      uint64_t version);
+/* True if requests and orders may be sent to the server: it is not leaving,
+   not paused, and there is a permit if it is limited. */
+bool fl_query_open(const fl_server *server, uint64_t now_us);
 /* Number of ready servers of a service. */
 uint32_t fl_query_ready_count(const fl_fleet *fleet, const char *service);
 /* True if the copy is being loaded and its server will be ready and not paused
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -65,18 +65,17 @@
 _fl_eligible(const fl_request *request, const fl_server *server)
 {
     return server->state == FL_READY && !_fl_already_tried(request, server) &&
-           nt_query_available(&server->notice, request->now_us);
+           fl_query_open(server, request->now_us);
 }
 
-/* Notes why a server that could otherwise serve is skipped. */
-static void
-_fl_note_skipped(const fl_request *request, const fl_server *server,
-                 fl_choice *out)
+/* True if the server lacks only a permit. */
+static bool
+_fl_lacks_permit(const fl_request *request, const fl_server *server)
 {
-    out->skipped_leaving =
-        out->skipped_leaving || nt_query_reported_leaving(&server->notice);
-    out->skipped_paused = out->skipped_paused ||
-                          nt_query_paused(&server->notice, request->now_us);
+    return server->state == FL_READY && !_fl_already_tried(request, server) &&
+           nt_query_available(&server->notice, request->now_us) &&
+           server->limit.limited &&
+           !pm_query_any(&server->permits, request->now_us);
 }
 
 /* Returns the requests in flight per slot. */
@@ -142,24 +141,74 @@
            (uint32_t)(server->slots * _FL_MAX_PER_SLOT) + 1;
 }
 
+/* The best candidates so far. */
+typedef struct _fl_best {
+    double cost;        /* of the choice */
+    fl_server *limited; /* best of those that lack only a permit */
+    double limited_cost;
+} _fl_best;
+
 /* Makes the server the choice if it is not full and costs less than the best
    one so far. */
 static void
 _fl_compare_candidate(fl_fleet *fleet, const fl_request *request,
-                      fl_server *server, double *best, fl_choice *out)
+                      fl_server *server, _fl_best *best, fl_choice *out)
 {
     if (_fl_saturated(server, request->now_us)) {
         out->status = out->status == FL_CHOSEN ? FL_CHOSEN : FL_ALL_FULL;
         return;
     }
     double cost = _fl_request_cost(fleet, request, server);
-    if (out->status != FL_CHOSEN || cost < *best) {
-        *best = cost;
+    if (out->status != FL_CHOSEN || cost < best->cost) {
+        best->cost = cost;
         out->server = server;
         out->status = FL_CHOSEN;
     }
 }
 
+/* Notes why a server that could otherwise serve is skipped. */
+static void
+_fl_note_skipped(fl_fleet *fleet, const fl_request *request, fl_server *server,
+                 _fl_best *best, fl_choice *out)
+{
+    out->skipped_leaving =
+        out->skipped_leaving || nt_query_reported_leaving(&server->notice);
+    out->skipped_paused = out->skipped_paused ||
+                          nt_query_paused(&server->notice, request->now_us);
+    if (!_fl_lacks_permit(request, server) ||
+        _fl_saturated(server, request->now_us)) {
+        return;
+    }
+    out->skipped_limited = true;
+    out->permits_per_s += pm_query_per_s(&server->permits, request->now_us);
+    out->limit_per_s += server->limit.per_s;
+    double cost = _fl_request_cost(fleet, request, server);
+    if (!best->limited || cost < best->limited_cost) {
+        best->limited = server;
+        best->limited_cost = cost;
+    }
+}
+
+/* Notes the wish for a permit at the server that the request would go to. */
+static void
+_fl_want_permit(const fl_request *request, const _fl_best *best,
+                const fl_choice *out)
+{
+    if (!request->wants_permits) {
+        return;
+    }
+    bool chosen = out->status == FL_CHOSEN;
+    if (best->limited && (!chosen || best->limited_cost < best->cost)) {
+        pm_note_wanted(&best->limited->permits,
+                       (request->waited ? PM_COUNTED : 0) |
+                           (chosen ? 0 : PM_URGENT),
+                       request->now_us);
+    }
+    else if (chosen && out->server->limit.limited && !request->waited) {
+        pm_note_wanted(&out->server->permits, 0, request->now_us);
+    }
+}
+
 /* True if a request that is sent now would begin while the copy's version,
    which is not the newest, may still serve. */
 static bool
@@ -177,9 +226,8 @@
    with outdated one of an older version that may still serve. */
 static void
 _fl_choose_by_copy(fl_fleet *fleet, const fl_request *request, bool outdated,
-                   fl_choice *out)
+                   _fl_best *best, fl_choice *out)
 {
-    double best = 0;
     const fl_adapter *adapter = request->adapter;
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
@@ -188,10 +236,10 @@
             continue;
         }
         if (_fl_eligible(request, copy->server)) {
-            _fl_compare_candidate(fleet, request, copy->server, &best, out);
+            _fl_compare_candidate(fleet, request, copy->server, best, out);
         }
         else {
-            _fl_note_skipped(request, copy->server, out);
+            _fl_note_skipped(fleet, request, copy->server, best, out);
         }
     }
 }
@@ -214,6 +262,11 @@
 _fl_can_load(const fl_fleet *fleet, const fl_server *server,
              const fl_adapter *adapter, uint64_t now_us)
 {
+    /* A copy there would serve few requests, though the server looks idle. */
+    if (server->limit.limited &&
+        !fl_query_all_limited(fleet, server->service)) {
+        return false;
+    }
     fl_adapter *model = g_hash_table_lookup(fleet->adapters, adapter->model);
     const fl_copy *base = model ? fl_query_copy(server, model) : NULL;
     return server->state == FL_READY && server->orders_possible && base &&
@@ -308,17 +361,16 @@
 
 static void
 _fl_choose_any_server(fl_fleet *fleet, const fl_request *request,
-                      fl_choice *out)
+                      _fl_best *best, fl_choice *out)
 {
-    double best = 0;
     const GPtrArray *list =
         g_hash_table_lookup(fleet->services, request->service);
     for (guint i = 0; list && i < list->len; i++) {
         if (_fl_eligible(request, list->pdata[i])) {
-            _fl_compare_candidate(fleet, request, list->pdata[i], &best, out);
+            _fl_compare_candidate(fleet, request, list->pdata[i], best, out);
         }
         else {
-            _fl_note_skipped(request, list->pdata[i], out);
+            _fl_note_skipped(fleet, request, list->pdata[i], best, out);
         }
     }
 }
@@ -382,7 +434,7 @@
     return announced;
 }
 
-/* True if a ready server of the service is not paused. */
+/* True if a ready server of the service is neither paused nor limited. */
 static bool
 _fl_any_server_open(const fl_fleet *fleet, const fl_request *request)
 {
@@ -390,7 +442,7 @@
         g_hash_table_lookup(fleet->services, request->service);
     for (guint i = 0; list && i < list->len; i++) {
         const fl_server *server = list->pdata[i];
-        if (server->state == FL_READY &&
+        if (server->state == FL_READY && !server->limit.limited &&
             nt_query_available(&server->notice, request->now_us)) {
             return true;
         }
@@ -409,6 +461,12 @@
         return;
     }
     bool any_open = _fl_any_server_open(fleet, request);
+    /* Only adapters can be loaded elsewhere. */
+    bool loadable = any_open && request->adapter && request->adapter->name;
+    if (out->skipped_limited) {
+        out->status = loadable ? out->status : FL_ALL_LIMITED;
+        return;
+    }
     if (request->adapter) {
         _fl_first_copy_to_resume(request, out);
     }
@@ -435,20 +493,34 @@
 
 /* -- public: choice of a server ------------------------------------------- */
 
+/* True if each ready server that holds the adapter's version is limited. */
+static bool
+_fl_only_limited_copies(const fl_adapter *adapter)
+{
+    for (guint i = 0; i < adapter->copies->len; i++) {
+        const fl_copy *copy = adapter->copies->pdata[i];
+        if (!copy->loading && fl_query_up_to_date(copy) &&
+            copy->server->state == FL_READY && !copy->server->limit.limited) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Chooses among the servers with a copy of the adapter, and tells whether a
    further copy should be loaded. */
 static void
 _fl_choose_for_adapter(fl_fleet *fleet, const fl_request *request,
-                       fl_choice *out)
+                       _fl_best *best, fl_choice *out)
 {
     fl_adapter *adapter = request->adapter;
     if (fl_query_ready_count(fleet, request->service) > 0) {
         out->status = FL_NO_COPY;
     }
-    _fl_choose_by_copy(fleet, request, false, out);
+    _fl_choose_by_copy(fleet, request, false, best, out);
     bool outdated = out->status == FL_NO_COPY;
     if (outdated) {
-        _fl_choose_by_copy(fleet, request, true, out);
+        _fl_choose_by_copy(fleet, request, true, best, out);
         out->needs_another_copy = out->status == FL_CHOSEN;
     }
     if (out->status == FL_CHOSEN) {
@@ -463,19 +535,22 @@
     }
     out->version = adapter->name ? adapter->version : 0;
     out->needs_another_copy =
-        adapter->name && _fl_extra_copy_pays(fleet, request, out->server);
+        adapter->name && (_fl_only_limited_copies(adapter) ||
+                          _fl_extra_copy_pays(fleet, request, out->server));
 }
 
 bool
 fl_choose_server(fl_fleet *fleet, const fl_request *request, fl_choice *out)
 {
     *out = (fl_choice){.status = FL_NO_SERVER};
+    _fl_best best = {0};
     if (request->adapter) {
-        _fl_choose_for_adapter(fleet, request, out);
+        _fl_choose_for_adapter(fleet, request, &best, out);
     }
     else {
-        _fl_choose_any_server(fleet, request, out);
+        _fl_choose_any_server(fleet, request, &best, out);
     }
+    _fl_want_permit(request, &best, out);
     if (out->status == FL_NO_SERVER || out->status == FL_NO_COPY) {
         _fl_explain_no_choice(fleet, request, out);
     }
--- a/packages/exchange/src/fleet_load.c
+++ b/packages/exchange/src/fleet_load.c
@@ -271,6 +271,7 @@
 {
     server->own_in_flight++;
     nt_begin_request(&server->notice, now_us);
+    pm_take(&server->permits, now_us);
     fl_copy *copy = adapter ? fl_query_copy(server, adapter) : NULL;
     if (copy) {
         copy->own_in_flight++;
--- a/packages/exchange/src/fleet_private.h
+++ b/packages/exchange/src/fleet_private.h
@@ -36,6 +36,8 @@
 /* Returns the cost of a load from the weight store: its own time, and the time
    by which it delays other loads. */
 uint64_t fl_query_load_cost_us(const fl_fleet *fleet);
+/* Returns whether all ready servers of the service have rate limits. */
+bool fl_query_all_limited(const fl_fleet *fleet, const char *service);
 /* Returns the factor by which the server now works slower than usual, as it
    reported last; the deviation from 1 decays with time. */
 double fl_query_slowness(const fl_server *server, uint64_t now_us);
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -181,6 +181,21 @@
     return lp_query_now_us(peers->desc.loop);
 }
 
+uint32_t
+gp_age_ms(const gp_peers *peers, uint64_t at_us)
+{
+    uint64_t now_us = gp_now_us(peers);
+    return at_us < now_us ? (uint32_t)((now_us - at_us) / 1000) : 0;
+}
+
+uint64_t
+gp_local_us(const gp_peers *peers, uint32_t age_ms)
+{
+    uint64_t now_us = gp_now_us(peers);
+    uint64_t age_us = age_ms * 1000ULL;
+    return age_us < now_us ? now_us - age_us : 1;
+}
+
 void
 gp_broadcast(gp_peers *peers, Lacewing__Exchange__Word *message, bool repeated)
 {
@@ -196,10 +211,9 @@
     }
 }
 
-/* Returns false if the instance is unknown or sending failed. */
-static bool
-_gp_send_to_instance(gp_peers *peers, Lacewing__Exchange__Word *message,
-                     const char *instance)
+bool
+gp_send_to_instance(gp_peers *peers, Lacewing__Exchange__Word *message,
+                    const char *instance)
 {
     size_t count;
     g_autofree uint8_t *bytes = _gp_pack(peers, message, &count);
@@ -251,7 +265,7 @@
     Lacewing__Exchange__Word message = LACEWING__EXCHANGE__WORD__INIT;
     message.n_asks = 1;
     message.asks = asks;
-    return _gp_send_to_instance(peers, &message, holder);
+    return gp_send_to_instance(peers, &message, holder);
 }
 
 /* A ServerState message and what it refers to. */
@@ -352,7 +366,7 @@
     message.n_servers = 1;
     message.servers = servers;
     if (receiver) {
-        _gp_send_to_instance(peers, &message, receiver);
+        gp_send_to_instance(peers, &message, receiver);
     }
     else {
         gp_broadcast(peers, &message, false);
@@ -749,6 +763,8 @@
     }
     gp_apply_suspects(peers, peers->desc.callbacks, peers->desc.user_data,
                       message);
+    gp_apply_limits(peers, peers->desc.callbacks, peers->desc.user_data,
+                    message);
     for (size_t i = 0; i < message->n_asks; i++) {
         _gp_answer_load_request(peers, message->asks[i], message->instance);
     }
@@ -879,6 +895,12 @@
     return peers->suspects_position;
 }
 
+const char *
+gp_query_limit_divider(gp_peers *peers, const char *server, bool leaving)
+{
+    return rl_query_first(_gp_current_plan(peers), server, leaving);
+}
+
 bool
 gp_query_relayed(gp_peers *peers)
 {
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -57,6 +57,14 @@
     void (*crash)(const su_crash *crash, void *user_data);
     void (*blocked)(const su_block *block, void *user_data);
     void (*cleared)(uint64_t item, uint64_t began_us, void *user_data);
+    /* Another instance learned that a server has a rate limit, or none any
+       more. */
+    void (*server_limit)(const fl_peer_limit *limit, void *user_data);
+    /* Another instance asks for permits of a server, or grants some. */
+    void (*permits_asked)(const char *instance, const char *id,
+                          const pm_ask *ask, void *user_data);
+    void (*permits_granted)(const char *id, uint64_t born_ms, uint32_t count,
+                            void *user_data);
     /* The holder of a server sent a new state, which has been applied. */
     void (*server_changed)(fl_server *server, void *user_data);
 } gp_callbacks;
@@ -91,6 +99,13 @@
                                uint64_t revision, bool force);
 /* Broadcasts that a server announced that it leaves. Call once for each. */
 void gp_broadcast_leaving(gp_peers *peers, const fl_server *server);
+/* Broadcasts whether a server has a rate limit. */
+void gp_broadcast_limit(gp_peers *peers, const fl_server *server);
+/* Asks the instance that divides a server's limit for permits. */
+void gp_ask_permits(gp_peers *peers, const fl_server *server,
+                    const char *receiver, const pm_ask *ask);
+void gp_grant_permits(gp_peers *peers, const fl_server *server,
+                      const char *receiver, uint32_t count);
 /* Broadcast what is known of requests that crash servers. */
 void gp_broadcast_crash(gp_peers *peers, const su_crash *crash);
 void gp_broadcast_block(gp_peers *peers, const su_block *block);
@@ -112,6 +127,11 @@
 /* Returns the position, from 1, of this instance in the order in which
    instances send what is blocked to all. */
 uint32_t gp_query_suspects_position(gp_peers *peers);
+/* Returns the instance that divides the rate limit of a server, the same at
+   all instances that know of each other; may be this one. leaving: this one
+   leaves. */
+const char *gp_query_limit_divider(gp_peers *peers, const char *server,
+                                   bool leaving);
 /* Returns whether there are so many instances that they poll the store in
    turn and share the results. */
 bool gp_query_polling_shared(gp_peers *peers);
--- a/packages/exchange/src/gossip_suspects.c
+++ b/packages/exchange/src/gossip_suspects.c
@@ -1,20 +1,5 @@
 #include "gossip_private.h"
 
-static uint32_t
-_gp_age_ms(const gp_peers *peers, uint64_t at_us)
-{
-    uint64_t now_us = gp_now_us(peers);
-    return at_us < now_us ? (uint32_t)((now_us - at_us) / 1000) : 0;
-}
-
-static uint64_t
-_gp_local_us(const gp_peers *peers, uint32_t age_ms)
-{
-    uint64_t now_us = gp_now_us(peers);
-    uint64_t age_us = age_ms * 1000ULL;
-    return age_us < now_us ? now_us - age_us : 1;
-}
-
 void
 gp_broadcast_crash(gp_peers *peers, const su_crash *crash)
 {
@@ -33,7 +18,7 @@
     Lacewing__Exchange__CrashWord word = LACEWING__EXCHANGE__CRASH_WORD__INIT;
     word.server = crash->server;
     word.born_ms = crash->born_ms;
-    word.age_ms = _gp_age_ms(peers, crash->at_us);
+    word.age_ms = gp_age_ms(peers, crash->at_us);
     word.n_candidates = count;
     word.candidates = pointers;
     Lacewing__Exchange__CrashWord *words[] = {&word};
@@ -50,8 +35,8 @@
     word.item = block->item;
     word.is_part = block->is_part;
     word.crashes = block->crashes;
-    word.first_crash_age_ms = _gp_age_ms(peers, block->first_crash_us);
-    word.age_ms = _gp_age_ms(peers, block->since_us);
+    word.first_crash_age_ms = gp_age_ms(peers, block->first_crash_us);
+    word.age_ms = gp_age_ms(peers, block->since_us);
     Lacewing__Exchange__BlockWord *words[] = {&word};
     Lacewing__Exchange__Word message = LACEWING__EXCHANGE__WORD__INIT;
     message.n_blocks = 1;
@@ -65,7 +50,7 @@
     Lacewing__Exchange__ClearedWord word =
         LACEWING__EXCHANGE__CLEARED_WORD__INIT;
     word.item = item;
-    word.age_ms = _gp_age_ms(peers, began_us);
+    word.age_ms = gp_age_ms(peers, began_us);
     Lacewing__Exchange__ClearedWord *words[] = {&word};
     Lacewing__Exchange__Word message = LACEWING__EXCHANGE__WORD__INIT;
     message.n_cleared = 1;
@@ -91,7 +76,7 @@
     }
     callbacks->crash(&(su_crash){.server = word->server,
                                  .born_ms = word->born_ms,
-                                 .at_us = _gp_local_us(peers, word->age_ms),
+                                 .at_us = gp_local_us(peers, word->age_ms),
                                  .candidates = candidates,
                                  .candidate_count = count},
                      user_data);
@@ -110,14 +95,14 @@
             .item = word->item,
             .is_part = word->is_part,
             .crashes = word->crashes,
-            .first_crash_us = _gp_local_us(peers, word->first_crash_age_ms),
-            .since_us = _gp_local_us(peers, word->age_ms),
+            .first_crash_us = gp_local_us(peers, word->first_crash_age_ms),
+            .since_us = gp_local_us(peers, word->age_ms),
         };
         callbacks->blocked(&block, user_data);
     }
     for (size_t i = 0; i < message->n_cleared; i++) {
         callbacks->cleared(message->cleared[i]->item,
-                           _gp_local_us(peers, message->cleared[i]->age_ms),
+                           gp_local_us(peers, message->cleared[i]->age_ms),
                            user_data);
     }
 }
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -157,6 +157,9 @@
     .table_digest = nd_on_peer_digest,
     .load_requested = _nd_on_peer_load_request,
     .server_leaving = nd_on_peer_leaving,
+    .server_limit = nd_on_peer_limit,
+    .permits_asked = nd_on_permits_asked,
+    .permits_granted = nd_on_permits_granted,
     .crash = nd_on_peer_crash,
     .blocked = nd_on_peer_block,
     .cleared = nd_on_peer_cleared,
@@ -453,6 +456,7 @@
     nd_node *node = user_data;
     _nd_log_long_turn(node);
     _nd_run_due_work(node);
+    nd_run_limits(node);
     _nd_update_leases(node);
     _nd_send_periodic_updates(node);
     if (++node->tick_count % _ND_TICKS_PER_SLOW_TICK == 0) {
@@ -598,6 +602,8 @@
     node->incarnation = ((uint64_t)g_random_int() << 20) | 1;
     node->store.watches = g_ptr_array_new();
     node->known_rows = kr_create();
+    node->limit_shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                               (GDestroyNotify)ls_destroy);
     node->tx_rows = dl_make_rows();
     node->unlisted_servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -639,6 +645,7 @@
     rc_unref(node->config);
     g_hash_table_unref(node->unlisted_servers);
     kr_destroy(node->known_rows);
+    g_hash_table_unref(node->limit_shares);
     g_ptr_array_unref(node->store.watches);
     g_array_unref(node->tx_rows);
     g_clear_pointer(&node->servers_in_read, g_hash_table_unref);
--- a/packages/exchange/src/node_notices.c
+++ b/packages/exchange/src/node_notices.c
@@ -32,35 +32,6 @@
              seconds, NULL);
 }
 
-/* Logs a rate limit that began, changed or ended. */
-static void
-_nd_log_limit(const nd_node *node, const fl_server *server, uint32_t changes,
-              const char *source)
-{
-    char per_s[24];
-    g_snprintf(per_s, sizeof(per_s), "%g", server->limit.per_s);
-    char seconds[24];
-    g_snprintf(
-        seconds, sizeof(seconds), "%.1f",
-        (double)(lp_query_now_us(node->desc.loop) - server->limit.started_us) /
-            G_USEC_PER_SEC);
-    lg_write(changes & SL_ENDED ? LG_SERVER_UNLIMITED : LG_SERVER_LIMITED,
-             "server", server->id, "source", source, "per_s", per_s, "seconds",
-             seconds, NULL);
-}
-
-static void
-_nd_apply_limit(nd_node *node, const fl_server_notice *report)
-{
-    fl_server *server;
-    uint32_t changes = fl_apply_limit(node->fleet, report, &server);
-    ct_add(CT_LIMITS_STARTED, (changes & SL_STARTED) != 0);
-    if (changes) {
-        _nd_log_limit(node, server, changes,
-                      nt_query_source_name(report->source));
-    }
-}
-
 typedef struct _nd_counts {
     uint64_t now_us;
     int64_t leaving;
@@ -137,7 +108,7 @@
     if (changes & NT_FIRST_UNREADABLE) {
         lg_write(LG_NOTICE_REFUSED, "server", server->id, NULL);
     }
-    _nd_apply_limit(node, report);
+    nd_apply_limit(node, report);
 }
 
 void
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -13,6 +13,7 @@
 #include "lacewing/http_client.h"
 #include "lacewing/node.h"
 #include "lease.h"
+#include "limit_share.h"
 #include "orderer.h"
 #include "watch.h"
 
@@ -31,6 +32,7 @@
     xc_core *core;
     cw_watch *crash_watch;
     su_suspects *suspects;
+    GHashTable *limit_shares; /* server id -> ls_share, divided here */
     cr_port *caller_port;
     cr_port *status_port; /* for /readyz and /metrics */
     wt_group store;
@@ -97,6 +99,19 @@
 /* Ends leaving where the list contradicts it, and updates the metrics. */
 void nd_review_notices(nd_node *node);
 
+/* -- node_limits.c: servers with rate limits ------------------------------ */
+/* Applies what the head of a server's answer says of a rate limit. */
+void nd_apply_limit(nd_node *node, const fl_server_notice *report);
+/* From other instances, see gp_callbacks. */
+void nd_on_peer_limit(const fl_peer_limit *limit, void *user_data);
+void nd_on_permits_asked(const char *instance, const char *id,
+                         const pm_ask *ask, void *user_data);
+void nd_on_permits_granted(const char *id, uint64_t born_ms, uint32_t count,
+                           void *user_data);
+/* Asks for permits that are wanted, and grants those that this instance
+   divides. */
+void nd_run_limits(nd_node *node);
+
 /* -- node_crashes.c: servers that crash ----------------------------------- */
 extern const cw_callbacks nd_crash_callbacks;
 extern const su_callbacks nd_suspects_callbacks;
--- a/packages/exchange/src/orders.c
+++ b/packages/exchange/src/orders.c
@@ -10,6 +10,8 @@
 /* A load that takes longer than usual is polled at these intervals. */
 #define _OD_ADAPTER_POLL_US 15000
 #define _OD_MODEL_POLL_US 100000
+/* The same at a server with a rate limit, which each poll draws on. */
+#define _OD_LIMITED_POLL_US 1000000
 /* The state in a server's report is some hundred ms old, so a report shows the
    effect of an order only after this time. */
 #define _OD_REPORT_LAG_US 350000
@@ -265,16 +267,33 @@
                          : _od_next_adapter_step(plan, now_us, limits);
 }
 
+/* Returns whether there may be a step, without taking it. */
+static bool
+_od_is_step_due(const od_plan *plan, uint64_t now_us, const od_limits *limits)
+{
+    return plan->state_known ? plan->pending->len > 0 ||
+                                   _od_find_due_poll(plan, now_us, limits)
+                             : now_us >= plan->report_us;
+}
+
 od_step
 od_next(od_plan *plan, uint64_t now_us, const od_limits *limits)
 {
-    if (plan->in_flight || plan->server->state != FL_READY ||
-        !nt_query_available(&plan->server->notice, now_us)) {
+    fl_server *server = plan->server;
+    if (plan->in_flight || server->state != FL_READY ||
+        !nt_query_available(&server->notice, now_us)) {
+        return (od_step){0};
+    }
+    if (!fl_query_open(server, now_us)) {
+        if (_od_is_step_due(plan, now_us, limits)) {
+            pm_note_wanted(&server->permits, PM_COUNTED, now_us);
+        }
         return (od_step){0};
     }
     od_step step = _od_next_step(plan, now_us, limits);
     if (step.kind != OD_NOTHING) {
-        nt_begin_request(&plan->server->notice, now_us);
+        nt_begin_request(&server->notice, now_us);
+        pm_take(&server->permits, now_us);
     }
     return step;
 }
@@ -286,9 +305,12 @@
 {
     fl_copy *copy = fl_query_copy(plan->server, plan->ordered_adapter);
     if (plan->is_poll && copy && copy->loading) {
-        copy->next_check_us =
-            now_us + (plan->ordered_adapter->name ? _OD_ADAPTER_POLL_US
-                                                  : _OD_MODEL_POLL_US);
+        uint64_t poll_us = plan->ordered_adapter->name ? _OD_ADAPTER_POLL_US
+                                                       : _OD_MODEL_POLL_US;
+        if (plan->server->limit.limited) {
+            poll_us = _OD_LIMITED_POLL_US;
+        }
+        copy->next_check_us = now_us + poll_us;
         return;
     }
     plan->order_count++;
--- a/packages/exchange/src/relay.c
+++ b/packages/exchange/src/relay.c
@@ -251,6 +251,28 @@
     return position;
 }
 
+const char *
+rl_query_first(const rl_plan *plan, const char *task, bool local_leaves)
+{
+    const char *first = plan->instance;
+    uint64_t lowest = UINT64_MAX;
+    for (guint i = 0; i < plan->all->len; i++) {
+        const _rl_instance *instance = plan->all->pdata[i];
+        bool local = strcmp(instance->instance, plan->instance) == 0;
+        if (local ? local_leaves : instance->leaving) {
+            continue;
+        }
+        g_autofree char *name =
+            g_strconcat(task, " ", instance->instance, NULL);
+        uint64_t rank = hs_u64(name);
+        if (rank < lowest) {
+            lowest = rank;
+            first = instance->instance;
+        }
+    }
+    return first;
+}
+
 bool
 rl_query_is_relay(rl_plan *plan)
 {
--- a/packages/exchange/src/relay.h
+++ b/packages/exchange/src/relay.h
@@ -85,6 +85,11 @@
    instances that is different for each task. Other instances that leave do not
    count. */
 uint32_t rl_query_position(const rl_plan *plan, const char *task);
+/* Returns the instance at the first position of that order among those that do
+   not leave. The local one counts unless it leaves (local_leaves) and there
+   are others. */
+const char *rl_query_first(const rl_plan *plan, const char *task,
+                           bool local_leaves);
 /* Returns whether others may choose the local instance as a relay. */
 bool rl_query_is_relay(rl_plan *plan);
 
