Log changing limits once a second; tell others of the row of an era

A server may name another limit with each answer, and each was a log line. The row e/ERA was not passed on, as it is in no digest, so each of many instances would have tried to write it once.

--- a/packages/exchange/src/lease.c
+++ b/packages/exchange/src/lease.c
@@ -496,6 +496,7 @@
         others += !peer->public.leaving && !le_is_self(lease, peer->instance);
     }
     uint64_t peer_digest = digest;
+    digest ^= lease->era_settled ? _le_mix_bits(lease->era + 1) : 0;
     g_hash_table_iter_init(&iter, lease->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const le_server_row *server = value;
--- a/packages/exchange/src/node_limits.c
+++ b/packages/exchange/src/node_limits.c
@@ -7,16 +7,24 @@
 /* An instance that begins to divide a limit that was in force before waits for
    this long: the one that did so may not know of it yet. */
 #define _ND_DIVIDER_DELAY_US 1000000
+/* A server may name another limit with each answer. */
+#define _ND_LIMIT_LOG_INTERVAL_US 1000000
 /* A share is forgotten when no instance has asked for this long. */
 #define _ND_SHARE_LIFETIME_US 10000000
 
 /* -- private -------------------------------------------------------------- */
 
-/* Logs a rate limit that began, changed or ended. */
+/* Logs a rate limit that began, changed or ended; changes once a second. */
 static void
-_nd_log_limit(const nd_node *node, const fl_server *server, uint32_t changes,
+_nd_log_limit(const nd_node *node, fl_server *server, uint32_t changes,
               nt_source source)
 {
+    uint64_t logged_us = server->limit.logged_us;
+    if (changes == SL_CHANGED && lp_query_now_us(node->desc.loop) <
+                                     logged_us + _ND_LIMIT_LOG_INTERVAL_US) {
+        return;
+    }
+    server->limit.logged_us = lp_query_now_us(node->desc.loop);
     char per_s[24];
     g_snprintf(per_s, sizeof(per_s), "%g", server->limit.per_s);
     char seconds[24];
--- a/packages/exchange/src/server_limit.h
+++ b/packages/exchange/src/server_limit.h
@@ -35,6 +35,7 @@
     uint64_t named_us;     /* when it was last named */
     uint64_t unlimited_us; /* when the last request was sent whose answer named
                               none; 0: none did */
+    uint64_t logged_us;    /* node: the last log line on it */
 } sl_limit;
 
 /* An answer that arrived at seen_us named a limit. Returns sl_change. */
