--- a/packages/exchange/src/lease_private.h
+++ b/packages/exchange/src/lease_private.h
@@ -127,6 +127,7 @@
     GPtrArray *keys;
 };
 
+/* -- lease_era.c: restorations of the store from a copy */
 /* Notes the era of a version of the store. */
 void le_note_era(le_lease *lease, uint64_t now_us, uint64_t version);
 /* Takes in the row of an era. */
@@ -134,6 +135,7 @@
 /* Call it after a read of the whole table: without the row of its era, the
    store may have been restored shortly before this instance started. */
 void le_check_era_settled(le_lease *lease, uint64_t now_us, bool first_read);
+
 void le_free_peer(void *data);
 void le_free_server(void *data);
 void le_clear_write(void *data);
