Review case 4: count all requests, with clients that leave at their deadline

The check counted bookings and look-ups only, where the rule counts all requests unanswered at their route's TimeoutMs, and the clients waited beyond their Deadline-Ms.

--- a/review/standin/bed.h
+++ b/review/standin/bed.h
@@ -170,6 +170,8 @@
 #define FIRST_ID 0x5a0000000000ULL
 typedef enum kind { BOOK = 0, STOCK, CHAT, DRAFT, KIND_NUM } kind;
 extern const char *const kind_names[KIND_NUM];
+/* Deadline-Ms of each kind: its client leaves then. */
+extern const int deadlines_ms[KIND_NUM];
 typedef struct work {
     kind kind;
     int instance;
@@ -198,7 +200,6 @@
     int kind_count;
     int next;
     int pause_ms;      /* between an answer and the next request */
-    int patience_ms;   /* gives up then; 0: never */
     int hold_ms;       /* reads nothing for so long within each answer */
     int receive_bytes; /* of its socket; 0: as the system sets it */
     const char *headers;
--- a/review/standin/clients.c
+++ b/review/standin/clients.c
@@ -46,7 +46,6 @@
     *c = (client){.number = client_count++,
                   .instance = instance,
                   .pause_ms = pause_ms,
-                  .patience_ms = 0,
                   .current = -1};
     return c;
 }
@@ -65,10 +64,11 @@
     }
 }
 
+const int deadlines_ms[KIND_NUM] = {4000, 4000, 12000, 15000};
+
 static void
 write_request(client *c, kind k, int number)
 {
-    static const int deadlines_ms[KIND_NUM] = {4000, 4000, 12000, 15000};
     buffer out = {0};
     bool plain = k == BOOK || k == STOCK;
     const char *body = k == STOCK ? "" : "{\"what\":\"a request\"}";
@@ -110,7 +110,9 @@
     c->conn = NULL;
     c->answers = 0;
     c->current = -1;
-    send_next(c);
+    if (!c->once) {
+        call_later(c->pause_ms, send_next, c);
+    }
 }
 
 static void
@@ -144,9 +146,7 @@
                                .sent_ms = now_ms()};
     c->held = false;
     write_request(c, k, c->current);
-    if (c->patience_ms) {
-        call_later(c->patience_ms, give_up, (void *)(intptr_t)c->current);
-    }
+    call_later(deadlines_ms[k], give_up, (void *)(intptr_t)c->current);
 }
 
 /* Returns the length of a whole answer; 0: it is not whole. */
--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -16,19 +16,26 @@
     "\"TargetLatencyMs\":%d,\"Priority\":%d,\"Service\":\"%s\","              \
     "\"MaxAttempts\":%d,\"Sticky\":%s,\"Resumable\":%s%s}"
 
+/* TimeoutMs of each kind of request, below what its clients wait. */
+#define BEFORE_DEADLINE_MS 1000
+
 static void
 put_config(bool two_models)
 {
     buffer out = {0};
     buffer_print(&out, "{\"Version\":7,\"Routes\":[");
-    buffer_print(&out, ROUTE ",", "book", "book", "unsafe", 4000, 300, 2,
-                 "desk", 1, "false", "false", "");
-    buffer_print(&out, ROUTE ",", "stock", "stock", "safe", 4000, 300, 2,
-                 "desk", 2, "false", "false", "");
-    buffer_print(&out, ROUTE ",", "chat", "chat", "streaming", 12000, 600, 1,
-                 "llm", 1, "true", "false", ",\"GapTargetMs\":250");
-    buffer_print(&out, ROUTE "],", "draft", "draft", "streaming", 15000, 1000,
-                 1, "llm", 2, "true", "true", ",\"GapTargetMs\":250");
+    buffer_print(&out, ROUTE ",", "book", "book", "unsafe",
+                 deadlines_ms[BOOK] - BEFORE_DEADLINE_MS, 300, 2, "desk", 1,
+                 "false", "false", "");
+    buffer_print(&out, ROUTE ",", "stock", "stock", "safe",
+                 deadlines_ms[STOCK] - BEFORE_DEADLINE_MS, 300, 2, "desk", 2,
+                 "false", "false", "");
+    buffer_print(&out, ROUTE ",", "chat", "chat", "streaming",
+                 deadlines_ms[CHAT] - BEFORE_DEADLINE_MS, 600, 1, "llm", 1,
+                 "true", "false", ",\"GapTargetMs\":250");
+    buffer_print(&out, ROUTE "],", "draft", "draft", "streaming",
+                 deadlines_ms[DRAFT] - BEFORE_DEADLINE_MS, 1000, 1, "llm", 2,
+                 "true", "true", ",\"GapTargetMs\":250");
     buffer_print(
         &out,
         "\"Services\":[{\"Name\":\"llm\",\"HealthPath\":\"/healthz\","
@@ -288,25 +295,33 @@
     note("%s begins no more such answers", servers[0].id);
     run_until(now_ms() + 24000);
     int64_t to_ms = now_ms();
-    run_until(now_ms() + 6000);
-    int unanswered = 0;
-    int late = 0;
+    run_until(now_ms() + deadlines_ms[DRAFT] + 1000);
+    int unanswered[KIND_NUM] = {0};
+    int late[KIND_NUM] = {0};
+    int sums[2] = {0};
     for (int i = 0; i < work_count; i++) {
         const work *w = &works[i];
-        if (w->sent_ms < from_ms || w->sent_ms >= to_ms ||
-            (w->kind != BOOK && w->kind != STOCK)) {
+        if (w->sent_ms < from_ms || w->sent_ms >= to_ms) {
             continue;
         }
+        int64_t timeout_ms = deadlines_ms[w->kind] - BEFORE_DEADLINE_MS;
         int64_t done_ms = w->done_ms ? w->done_ms : now_ms();
-        unanswered += done_ms > w->sent_ms + 4000;
-        late += done_ms > w->sent_ms + 4500;
+        unanswered[w->kind] += done_ms > w->sent_ms + timeout_ms;
+        late[w->kind] += done_ms > w->sent_ms + timeout_ms + 500;
     }
     note_sums();
-    note("bookings and look-ups unanswered at their route's TimeoutMs: %d; "
-         "of these without an answer half a second later: %d (at most half); "
-         "answers without end: %d",
-         unanswered, late, servers[0].endless);
-    return end(late * 2 > unanswered);
+    for (int k = 0; k < KIND_NUM; k++) {
+        note("%s: %d unanswered at the route's TimeoutMs, %d of these half a "
+             "second later",
+             kind_names[k], unanswered[k], late[k]);
+        sums[0] += unanswered[k];
+        sums[1] += late[k];
+    }
+    note("all requests unanswered at their route's TimeoutMs: %d; of these "
+         "without an answer half a second later: %d (at most half); answers "
+         "without end: %d",
+         sums[0], sums[1], servers[0].endless);
+    return end(sums[1] * 2 > sums[0]);
 }
 
 /* -- the store comes back from a copy while a machine is added -------------
