Break off framed streams that end inside an event

Cause: _xc_is_cut_short() looked for a whole event at the end only where the body had neither chunks nor a length. Framing that ends in good order says that the bytes have arrived, not that the server was done.

Why it works: the check goes by the bytes of the answer, whichever framing they came in. The answer goes on at another server on resumable routes and is broken off elsewhere. Ruled out: sp_end(), which the claim names; it is what passes on 200 answers that are no events (a new test keeps that). An empty answer to a caller that names its last event stays complete; without framing, as before, it does not.

Related paths: bodies with a length and empty ones had the same fault. The product's own drafts end only with their done event.

--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -102,6 +102,23 @@
            g_ascii_strcasecmp(media_type, exchange->media_type) == 0;
 }
 
+/* Returns whether the answer that has begun consists of events. */
+static bool
+_xc_has_events(const xc_exchange *exchange)
+{
+    return g_ascii_strcasecmp(exchange->media_type, "text/event-stream") == 0;
+}
+
+/* Returns whether the current send asked the server to go on after an event.
+ */
+static bool
+_xc_resumes_stream(const xc_exchange *exchange)
+{
+    const char *name = exchange->core->desc.dialect->headers[DL_LAST_EVENT];
+    return exchange->position ? sp_query_last_id(exchange->position) != NULL
+                              : h1_query_header(exchange->head, name) != NULL;
+}
+
 static void
 _xc_on_head(us_conn *conn, const h1_head *head, void *user_data)
 {
@@ -271,16 +288,23 @@
     return exchange->status >= 500 ? FL_FAILED : FL_SUCCEEDED;
 }
 
-/* Returns true if a stream without a length was closed within an event or
-   before its first one: the server failed. A resumed stream with no event left
-   looks the same. */
+/* Returns true if the body of a stream ended before the end of an event: the
+   server failed, however the body was framed. */
 static bool
 _xc_is_cut_short(const xc_exchange *exchange, const h1_head *head)
 {
     bool forwarded = exchange->answer_begun && !exchange->refused &&
                      !exchange->answer_invalid;
-    return forwarded && !head->chunked && head->length == H1_LENGTH_NONE &&
-           !xc_query_ends_with_event(exchange);
+    bool framed = head->chunked || head->length != H1_LENGTH_NONE;
+    /* Only its type tells a framed body of events from another one. */
+    if (!forwarded || (framed && !_xc_has_events(exchange)) ||
+        xc_query_ends_with_event(exchange)) {
+        return false;
+    }
+    /* After the event that the caller named as its last one, there may be no
+       event left. Without framing, the server may as well have failed. */
+    return !framed || exchange->send_piece_count > 0 ||
+           !_xc_resumes_stream(exchange);
 }
 
 static void
--- a/packages/exchange/src/stream_position.h
+++ b/packages/exchange/src/stream_position.h
@@ -13,7 +13,7 @@
  *         .caller_event_id = id, .calls = &calls, .user_data = self});
  *     sp_begin_send(position);        before each send
  *     sp_feed(position, bytes, count);
- *     sp_end(position);               if the server completed the answer
+ *     sp_end(position);               if the answer is complete
  *
  * This serves servers that fail under streams, and callers that come back
  * after a lost connection.
@@ -65,8 +65,8 @@
 /* Calls back with each event that is whole. Returns false if the event that is
    not is too long. */
 bool sp_feed(sp_position *position, const char *bytes, size_t count);
-/* The answer is complete: passes on what is left, an event without its last
-   blank line. */
+/* The answer is complete: passes on what is left, of a body that does not
+   consist of events. */
 void sp_end(sp_position *position);
 
 /* queries */
