Sum prompt tokens in 64 bits

Cause: fl_begin_prefill() added the header's number to a sum of 32 bits; a second prompt wrapped it around, and fl_end_prefill() asserts that the sum covers each prompt that ends. Greater numbers were cut to their lower 32 bits.

Why it works: a sum of 2^32 prompts of the greatest size fits 64 bits, more than an instance can have open. Ruled out: dropping the assertion, which would leave a server with much to read looking idle.

Related paths: other numbers of callers go only into products of 64 bits or doubles; the product's own path derives the size from the body's length.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -505,17 +505,23 @@
                           core->callers_redirected));
 }
 
+/* Returns the number that a text begins with, 0 for none; a greater number
+   than 32 bits hold counts as their greatest. */
+static uint32_t
+_xc_parse_token_count(const char *text)
+{
+    return (uint32_t)MIN(g_ascii_strtoull(text, NULL, 10), UINT32_MAX);
+}
+
 static void
 _xc_read_token_counts(xc_exchange *exchange)
 {
     const char *name = exchange->core->desc.dialect->headers[DL_TOKENS];
     const char *tokens = h1_query_header(exchange->head, name);
     const char *comma = tokens ? strchr(tokens, ',') : NULL;
-    exchange->prompt_tokens =
-        tokens ? (uint32_t)g_ascii_strtoull(tokens, NULL, 10) : 0;
+    exchange->prompt_tokens = tokens ? _xc_parse_token_count(tokens) : 0;
     exchange->max_tokens =
-        comma ? (uint32_t)g_ascii_strtoull(comma + 1, NULL, 10)
-              : _XC_DEFAULT_MAX_TOKENS;
+        comma ? _xc_parse_token_count(comma + 1) : _XC_DEFAULT_MAX_TOKENS;
     const char *hint = h1_query_header(
         exchange->head, exchange->core->desc.dialect->headers[DL_LENGTH_HINT]);
     exchange->hint_tokens = MIN(_xc_parse_u32(hint, 0), exchange->max_tokens);
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -85,7 +85,7 @@
     uint64_t connect_deadline_us; /* a new connection is given up then */
     uint64_t copy_version;  /* of the adapter at the server; 0: not known */
     uint32_t unread_tokens; /* of its prompt, not processed yet */
-    uint32_t queued_tokens; /* unread at the server when it was sent, its
+    uint64_t queued_tokens; /* unread at the server when it was sent, its
                                own included */
     bool refused;           /* the server did not run it */
     bool answer_invalid;    /* not forwarded: unsigned, without a request id,
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -104,7 +104,7 @@
     uint32_t peer; /* hash of its name */
     uint32_t in_flight;
     uint32_t prefill_tokens; /* prompt tokens of requests that have no first
-                                event yet */
+                                event yet; at most what 32 bits hold */
     uint64_t updated_us;
 } fl_peer_load;
 
@@ -127,7 +127,7 @@
     uint32_t unreported_streams; /* ended since the last peer report */
     double unreported_event_ms;  /* sum over these streams */
     double latency_ms; /* plain services: average time of an answer */
-    uint32_t own_prefill_tokens;  /* as fl_peer_load.prefill_tokens, of our own
+    uint64_t own_prefill_tokens;  /* as fl_peer_load.prefill_tokens, of our own
                                      requests */
     double prefill_ms;            /* per 1000 prompt tokens; 0: not known */
     uint32_t unreported_prefills; /* ended since the last peer report */
@@ -346,10 +346,10 @@
                     const fl_result *result);
 /* Counts the tokens of a prompt that is sent. Returns all prompt tokens that
    the server processes before the first event, this prompt's included. */
-uint32_t fl_begin_prefill(fl_server *server, uint32_t tokens, uint64_t now_us);
+uint64_t fl_begin_prefill(fl_server *server, uint32_t tokens, uint64_t now_us);
 /* The first event came after first_ms, or never (0). ahead is the result of
    fl_begin_prefill(). */
-void fl_end_prefill(fl_server *server, uint32_t tokens, uint32_t ahead,
+void fl_end_prefill(fl_server *server, uint32_t tokens, uint64_t ahead,
                     double first_ms);
 /* Stores the load that a server reported with an answer. */
 void fl_set_reported_load(fl_server *server, const dl_load *load,
--- a/packages/exchange/src/fleet_load.c
+++ b/packages/exchange/src/fleet_load.c
@@ -154,10 +154,10 @@
 
 /* Returns the prompt tokens of all requests there that have no first event
    yet, by the peers' reports that are not too old. */
-static uint32_t
+static uint64_t
 _fl_prefill_tokens(const fl_server *server, uint64_t now_us)
 {
-    uint32_t sum = server->own_prefill_tokens;
+    uint64_t sum = server->own_prefill_tokens;
     for (guint i = 0; i < server->peer_loads->len; i++) {
         const fl_peer_load *load =
             &g_array_index(server->peer_loads, fl_peer_load, i);
@@ -173,7 +173,7 @@
 {
     double prefill_ms =
         server->prefill_ms > 0 ? server->prefill_ms : _FL_DEFAULT_PREFILL_MS;
-    return (_fl_prefill_tokens(server, now_us) + tokens) / 1000.0 *
+    return (double)(_fl_prefill_tokens(server, now_us) + tokens) / 1000.0 *
            prefill_ms * fl_query_slowness(server, now_us);
 }
 
@@ -229,7 +229,7 @@
     fleet->fetch_ms += _FL_EWMA_WEIGHT * (load_ms - fleet->fetch_ms);
 }
 
-uint32_t
+uint64_t
 fl_begin_prefill(fl_server *server, uint32_t tokens, uint64_t now_us)
 {
     server->own_prefill_tokens += tokens;
@@ -251,7 +251,7 @@
 }
 
 void
-fl_end_prefill(fl_server *server, uint32_t tokens, uint32_t ahead,
+fl_end_prefill(fl_server *server, uint32_t tokens, uint64_t ahead,
                double first_ms)
 {
     g_assert(server->own_prefill_tokens >= tokens);
@@ -259,8 +259,8 @@
     if (first_ms <= 0 || ahead < _FL_PREFILL_MIN_TOKENS) {
         return;
     }
-    double prefill_ms =
-        MAX(first_ms - _FL_FIRST_EVENT_OVERHEAD_MS, 1.0) * 1000.0 / ahead;
+    double prefill_ms = MAX(first_ms - _FL_FIRST_EVENT_OVERHEAD_MS, 1.0) *
+                        1000.0 / (double)ahead;
     fl_update_prefill_ms(server, 1, prefill_ms);
     server->unreported_prefills++;
     server->unreported_prefill_ms += prefill_ms;
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -43,7 +43,7 @@
     uint64_t state_received_us;
     uint64_t sent_state_digest;
     uint32_t sent_in_flight; /* local requests only */
-    uint32_t sent_prefill_tokens;
+    uint64_t sent_prefill_tokens;
     uint64_t load_sent_us; /* when the load was last sent */
     int32_t sent_load_capacity;
     uint64_t sent_uses_digest; /* of the in-flight requests of each copy */
@@ -487,7 +487,7 @@
     load->in_flight = server->own_in_flight;
     load->streams = server->unreported_streams;
     load->event_ms_sum = (float)server->unreported_event_ms;
-    load->unread = server->own_prefill_tokens;
+    load->unread = (uint32_t)MIN(server->own_prefill_tokens, UINT32_MAX);
     load->reads = server->unreported_prefills;
     load->read_ms_sum = (float)server->unreported_prefill_ms;
     load->held = held;
--- a/packages/exchange/tests/test_fleet.c
+++ b/packages/exchange/tests/test_fleet.c
@@ -332,7 +332,7 @@
     fl_choice choice;
     ck_assert(fl_choose_server(s.fleet, &request, &choice));
     ck_assert_ptr_eq(choice.server, two);
-    uint32_t ahead = fl_begin_prefill(two, 20000, s.now_us);
+    uint64_t ahead = fl_begin_prefill(two, 20000, s.now_us);
     ck_assert_uint_eq(ahead, 20000);
     ck_assert(fl_choose_server(s.fleet, &request, &choice));
     ck_assert_ptr_eq(choice.server, one);
@@ -343,6 +343,32 @@
 }
 END_TEST
 
+/* The sums of prompt tokens hold what several callers may write into their
+   requests: none wraps around. */
+START_TEST(test_prefill_sums_of_the_greatest_prompts_do_not_wrap)
+{
+    enum { PROMPTS = 3 };
+    fixture s = make_fixture();
+    fl_server *one = put_server(&s, "i-1", "z1");
+    const uint64_t all = PROMPTS * (uint64_t)UINT32_MAX;
+    fl_update_prefill_ms(one, 1, 1000); /* ms of 1000 tokens */
+    for (uint64_t i = 1; i <= PROMPTS; i++) {
+        ck_assert_uint_eq(fl_begin_prefill(one, UINT32_MAX, s.now_us),
+                          i * UINT32_MAX);
+    }
+    fl_set_peer_in_flight(one, 7, 1, s.now_us);
+    fl_set_peer_prefill_tokens(one, 7, UINT32_MAX);
+    ck_assert_double_ge(fl_query_prefill_ms(one, UINT32_MAX, s.now_us),
+                        (double)(all + UINT32_MAX));
+    for (int i = 0; i < PROMPTS; i++) {
+        fl_end_prefill(one, UINT32_MAX, all, 0);
+    }
+    fl_set_peer_in_flight(one, 7, 0, s.now_us);
+    ck_assert_double_eq(fl_query_prefill_ms(one, 0, s.now_us), 0);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
 /* An older version serves during a grace time, but not for a request that
    would only begin after it, behind the prompts in flight there. */
 START_TEST(test_old_version_not_used_after_long_prefill)
@@ -470,6 +496,8 @@
 {
     TCase *tcase = tcase_create("fleet");
     tcase_add_test(tcase, test_pending_prefill_counts);
+    tcase_add_test(tcase,
+                   test_prefill_sums_of_the_greatest_prompts_do_not_wrap);
     tcase_add_test(tcase, test_old_version_not_used_after_long_prefill);
     tcase_add_test(tcase, test_copies_used_by_peers_are_not_evicted);
     tcase_add_test(tcase, test_adapter_with_more_copies_is_evicted_first);
