Refuse prompts that fit no server at once

Cause: the memory of an engine stands in the configuration and was not read.

Why it works: every server of the service would refuse it, so nothing is lost; 503 says that it has not run, as a server's own refusal does. Prompt plus output is not checked, as its end is not known.

--- a/packages/exchange/include/lacewing/routes.h
+++ b/packages/exchange/include/lacewing/routes.h
@@ -63,6 +63,8 @@
     bool engine;              /* runs models; if false the rest is unused */
     uint32_t slots;           /* of one server */
     uint32_t max_adapters;    /* of one server */
+    uint32_t kv_tokens;       /* prompt and output tokens that fit into the
+                                 KV cache of one server; 0: not known */
     double weights_mb;        /* memory of one server for model weights and
                                  adapters */
     double loads_per_s;       /* of models, over all servers */
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -42,6 +42,9 @@
 /* Retry time when all instances, or all servers of a service, are leaving:
    about the time until one is back. */
 #define _XC_RESTART_MS 1500
+/* Retry time for a prompt that fits no server: those of a service are alike
+   until the operator changes them. */
+#define _XC_PROMPT_TOO_LARGE_RETRY_MS 10000
 /* After a pause of all servers, callers' retries are spread at random over
    this share of the pause that is left, and over no more than the maximum. */
 #define _XC_RETRY_SPREAD_SHARE 0.5
@@ -527,6 +530,16 @@
     exchange->hint_tokens = MIN(_xc_parse_u32(hint, 0), exchange->max_tokens);
 }
 
+/* Returns true if the prompt alone is larger than the memory of any server of
+   the service: each of them would refuse it. */
+static bool
+_xc_fits_no_server(const xc_exchange *exchange)
+{
+    uint32_t kv_tokens = exchange->service->kv_tokens;
+    return exchange->adapter && kv_tokens &&
+           exchange->prompt_tokens > kv_tokens;
+}
+
 static void *
 _xc_on_request(cr_conn *caller, const h1_head *head, const char *body,
                size_t body_count, void *user_data)
@@ -572,6 +585,11 @@
     exchange->logged = lg_sample(exchange->id);
     exchange->adapter = _xc_find_adapter(core, exchange->service, head);
     _xc_read_token_counts(exchange);
+    if (_xc_fits_no_server(exchange)) {
+        xc_refuse(exchange, 503, _XC_PROMPT_TOO_LARGE_RETRY_MS,
+                  CT_UNSERVED_PROMPT_TOO_LARGE);
+        return NULL;
+    }
     if (!_xc_ends_before_leave(exchange)) {
         bool others = core->desc.callbacks->count_staying_peers(
                           core->desc.user_data) > 0;
