Search each byte of a stream once for the end of an event

Cause: sp_feed() searched the whole unfinished event again for each piece, and moved all that followed a whole event to the front once per event. Both grow with the square of the bytes.

Evidence: with a counter of bytes searched or moved in the old code, test_work_is_linear_in_the_bytes_of_a_stream fails in 17 of 25 cases: pieces of 1 and 2 bytes for the search, a whole read of small events for the moving.

Why it works: the position up to which no end was found is kept, and what was passed on is removed once for each piece. What counts as an event's end is unchanged. Ruled out: a smaller limit of an event, which only makes the square smaller; a copy of each piece costs no more than before.

--- a/packages/exchange/src/stream_position.c
+++ b/packages/exchange/src/stream_position.c
@@ -10,7 +10,9 @@
     bool inexact;        /* the caller has an event after last_id */
     bool unordered;      /* the ids of its events do not grow */
     GByteArray *partial; /* the event that is not whole yet */
+    size_t searched;     /* bytes of it that hold no end of an event */
     uint32_t event_count;
+    uint64_t work_bytes;
 };
 
 /* The fields of an event that count for the position. */
@@ -65,18 +67,25 @@
     return valid;
 }
 
-/* Returns the length of the first whole event; 0: none is whole yet. */
+/* Returns the end of the first whole event that begins at `start`; 0: none is
+   whole yet. Looks at each byte once over all calls. */
 static size_t
-_sp_event_length(const GByteArray *bytes)
-{
-    const char *text = (const char *)bytes->data;
-    for (guint i = 1; i < bytes->len; i++) {
-        if (text[i] == '\n' &&
-            (text[i - 1] == '\n' ||
-             (i > 2 && text[i - 1] == '\r' && text[i - 2] == '\n'))) {
-            return i + 1;
+_sp_find_event_end(sp_position *position, size_t start)
+{
+    const char *text = (const char *)position->partial->data;
+    const size_t count = position->partial->len;
+    const size_t from = MAX(start + 1, position->searched);
+    for (size_t at = from; at < count; at++) {
+        if (text[at] == '\n' &&
+            (text[at - 1] == '\n' || (at > start + 2 && text[at - 1] == '\r' &&
+                                      text[at - 2] == '\n'))) {
+            position->searched = at + 1;
+            position->work_bytes += at + 1 - from;
+            return at + 1;
         }
     }
+    position->searched = MAX(from, count);
+    position->work_bytes += position->searched - from;
     return 0;
 }
 
@@ -110,11 +119,10 @@
     }
 }
 
-/* Passes on the first `count` bytes of the partial event. */
+/* Passes on an event. */
 static void
-_sp_pass_on(sp_position *position, size_t count)
+_sp_pass_on(sp_position *position, const char *bytes, size_t count)
 {
-    const char *bytes = (const char *)position->partial->data;
     _sp_fields fields = _sp_parse_event(bytes, count);
     sp_event event = {.bytes = bytes,
                       .count = count,
@@ -126,7 +134,15 @@
     }
     position->desc.calls->event(&event, position->desc.user_data);
     g_free(fields.id);
+}
+
+/* Removes the first bytes of `partial`, which have been passed on. */
+static void
+_sp_remove(sp_position *position, size_t count)
+{
+    position->work_bytes += position->partial->len - count;
     g_byte_array_remove_range(position->partial, 0, (guint)count);
+    position->searched -= MIN(count, position->searched);
 }
 
 sp_position *
@@ -158,6 +174,7 @@
 sp_begin_send(sp_position *position)
 {
     g_byte_array_set_size(position->partial, 0);
+    position->searched = 0;
     position->event_count = 0;
     g_free(position->send_after_id);
     position->send_after_id = g_strdup(position->last_id);
@@ -168,9 +185,15 @@
 {
     g_byte_array_append(position->partial, (const guint8 *)bytes,
                         (guint)count);
-    size_t length;
-    while ((length = _sp_event_length(position->partial)) > 0) {
-        _sp_pass_on(position, length);
+    const char *text = (const char *)position->partial->data;
+    size_t start = 0;
+    size_t end;
+    while ((end = _sp_find_event_end(position, start)) > 0) {
+        _sp_pass_on(position, text + start, end - start);
+        start = end;
+    }
+    if (start) {
+        _sp_remove(position, start);
     }
     return position->partial->len <= SP_MAX_EVENT_BYTES;
 }
@@ -178,8 +201,10 @@
 void
 sp_end(sp_position *position)
 {
-    if (position->partial->len) {
-        _sp_pass_on(position, position->partial->len);
+    size_t count = position->partial->len;
+    if (count) {
+        _sp_pass_on(position, (const char *)position->partial->data, count);
+        _sp_remove(position, count);
     }
 }
 
@@ -195,6 +220,12 @@
     return !position->inexact && !position->unordered;
 }
 
+uint64_t
+sp_query_work_bytes(const sp_position *position)
+{
+    return position->work_bytes;
+}
+
 uint32_t
 sp_query_event_count(const sp_position *position)
 {
--- a/packages/exchange/src/stream_position.h
+++ b/packages/exchange/src/stream_position.h
@@ -79,5 +79,8 @@
 bool sp_query_can_continue(const sp_position *position);
 /* Returns the number of whole events of the current send. */
 uint32_t sp_query_event_count(const sp_position *position);
+/* Returns how many bytes were searched or moved for all sends so far; it grows
+   linearly with the bytes fed, however these are cut into pieces. */
+uint64_t sp_query_work_bytes(const sp_position *position);
 
 #endif
--- a/packages/exchange/tests/test_stream_position.c
+++ b/packages/exchange/tests/test_stream_position.c
@@ -128,6 +128,36 @@
 }
 END_TEST
 
+/* Guards against work that grows with the square of the bytes: a server that
+   cuts its stream into pieces of one byte would hold up the loop, and with it
+   all other callers. */
+START_TEST(test_work_is_linear_in_the_bytes_of_a_stream)
+{
+    enum { BYTES = 200 * 1024, MAX_WORK_PER_BYTE = 4 };
+    static const char *const patterns[] = {"x", "x\n", "\r\nx", "id: 1\n\n",
+                                           "data: e\r\n\r\n"};
+    static const size_t pieces[] = {1, 2, 7, 1000, BYTES};
+    const char *pattern = patterns[_i % (int)G_N_ELEMENTS(patterns)];
+    size_t piece = pieces[_i / (int)G_N_ELEMENTS(patterns)];
+    caller c = make_caller();
+    sp_position *position = make_position(&c, NULL);
+    GString *text = g_string_new(NULL);
+    while (text->len < BYTES) {
+        g_string_append(text, pattern);
+    }
+    sp_begin_send(position);
+    for (size_t at = 0; at < text->len; at += piece) {
+        ck_assert(
+            sp_feed(position, text->str + at, MIN(piece, text->len - at)));
+    }
+    ck_assert_uint_le(sp_query_work_bytes(position),
+                      text->len * MAX_WORK_PER_BYTE);
+    g_string_free(text, TRUE);
+    sp_destroy(position);
+    clear_caller(&c);
+}
+END_TEST
+
 /* Whole events, whether a stream can go on after them, and the last id. */
 static const struct {
     const char *events;
@@ -261,6 +291,8 @@
                         0, 2);
     tcase_add_loop_test(tcase, test_new_stream_starts_at_its_beginning, 0, 3);
     tcase_add_test(tcase, test_endless_event_is_too_long);
+    tcase_add_loop_test(tcase, test_work_is_linear_in_the_bytes_of_a_stream, 0,
+                        25);
     tcase_add_loop_test(tcase, test_each_event_comes_once_over_failing_servers,
                         0, 300);
     tcase_add_loop_test(tcase,
