Search each byte of a draft's events once

Evidence: with a counter of bytes searched or moved in the old code, test_work_is_linear_in_the_bytes_of_a_line fails for pieces of 1 and 7 bytes; with the change it passes. Not seen by a caller.

Why it works: the parser keeps the offset up to which no further line ends, and moves bytes only where lines were returned.

--- a/packages/backend/src/event_stream.c
+++ b/packages/backend/src/event_stream.c
@@ -5,7 +5,9 @@
 struct se_parser {
     GString *buffer;
     size_t read_offset; /* end of the lines already returned */
+    size_t searched;    /* offset up to which no further line ends */
     bool failed;
+    uint64_t work_bytes;
 };
 
 se_parser *
@@ -28,8 +30,12 @@
 void
 se_push(se_parser *parser, const char *bytes, size_t size)
 {
-    g_string_erase(parser->buffer, 0, (gssize)parser->read_offset);
-    parser->read_offset = 0;
+    if (parser->read_offset) {
+        parser->work_bytes += parser->buffer->len - parser->read_offset;
+        g_string_erase(parser->buffer, 0, (gssize)parser->read_offset);
+        parser->searched -= parser->read_offset;
+        parser->read_offset = 0;
+    }
     g_string_append_len(parser->buffer, bytes, (gssize)size);
 }
 
@@ -39,8 +45,13 @@
 {
     char *start = parser->buffer->str + parser->read_offset;
     size_t left = parser->buffer->len - parser->read_offset;
-    char *end = memchr(start, '\n', left);
+    char *unsearched = parser->buffer->str + parser->searched;
+    size_t unsearched_bytes = parser->buffer->len - parser->searched;
+    char *end = memchr(unsearched, '\n', unsearched_bytes);
+    parser->work_bytes +=
+        end ? (size_t)(end + 1 - unsearched) : unsearched_bytes;
     if (!end) {
+        parser->searched = parser->buffer->len;
         parser->failed = parser->failed || left > SE_LINE_BYTES_MAX;
         return NULL;
     }
@@ -49,6 +60,7 @@
         end[-1] = '\0';
     }
     parser->read_offset = (size_t)(end + 1 - parser->buffer->str);
+    parser->searched = parser->read_offset;
     return start;
 }
 
@@ -65,6 +77,12 @@
     return NULL;
 }
 
+uint64_t
+se_query_work_bytes(const se_parser *parser)
+{
+    return parser->work_bytes;
+}
+
 bool
 se_query_failed(const se_parser *parser)
 {
--- a/packages/backend/src/event_stream.h
+++ b/packages/backend/src/event_stream.h
@@ -17,6 +17,7 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #define SE_LINE_BYTES_MAX (256 * 1024)
 
@@ -28,6 +29,9 @@
 /* Returns the next data line without its field name, or NULL if no complete
    one is left. */
 const char *se_next(se_parser *parser);
+/* Returns how many bytes were searched or moved so far; it grows linearly with
+   the bytes pushed, however these are cut into pieces. */
+uint64_t se_query_work_bytes(const se_parser *parser);
 /* Returns true if a line was too long. No further line is returned. */
 bool se_query_failed(const se_parser *parser);
 
--- a/packages/backend/tests/test_backend.c
+++ b/packages/backend/tests/test_backend.c
@@ -484,6 +484,25 @@
 }
 END_TEST
 
+/* Guards against work that grows with the square of the bytes: an engine that
+   cuts its lines into pieces of one byte would hold up all other drafts. */
+START_TEST(test_work_is_linear_in_the_bytes_of_a_line)
+{
+    enum { BYTES = 200 * 1024, MAX_WORK_PER_BYTE = 4 };
+    static const size_t pieces[] = {1, 7, BYTES};
+    g_autofree char *line = g_strnfill(BYTES, 'x');
+    se_parser *parser = se_create();
+    for (size_t at = 0; at < BYTES; at += pieces[_i]) {
+        se_push(parser, line + at, MIN(pieces[_i], BYTES - at));
+        ck_assert_ptr_null(se_next(parser));
+    }
+    ck_assert_uint_le(se_query_work_bytes(parser), BYTES * MAX_WORK_PER_BYTE);
+    se_push(parser, "\ndata: a\n", 9);
+    ck_assert_str_eq(se_next(parser), "a");
+    se_destroy(parser);
+}
+END_TEST
+
 START_TEST(test_too_long_line_fails)
 {
     se_parser *parser = se_create();
@@ -515,6 +534,8 @@
         G_N_ELEMENTS(malformed_runs));
     tcase_add_test(tests, test_call_reports_whether_it_ran);
     tcase_add_test(tests, test_events_split_anywhere);
+    tcase_add_loop_test(tests, test_work_is_linear_in_the_bytes_of_a_line, 0,
+                        3);
     tcase_add_test(tests, test_too_long_line_fails);
     suite_add_tcase(suite, tests);
     SRunner *runner = srunner_create(suite);
