Bound the memory of all buffered answers together

Other operators saw a machine run out of memory under answers without end.

Cause: each answer had a limit, their sum had none; memory_mb was not used.

Why it works: buffered answers report the memory they take; above a quarter of memory_mb the largest is given up, which keeps small ones. Reports and orders end at 256 KiB. Ruled out: a smaller limit for each answer (at 48 answers it would have to be under 1.4 MiB, and sound answers may be longer); refusing new requests while the sum is high, which hits callers of sound servers.

Related paths: buffers of given-up and failed sends are freed at once.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -50,6 +50,9 @@
 #define _XC_RETRY_SPREAD_SHARE 0.5
 #define _XC_RETRY_SPREAD_MAX_MS 1000.0
 
+/* Default of xc_desc.max_answer_bytes. */
+#define _XC_ANSWER_BYTES (64 * 1024 * 1024)
+
 /* -- private: core -------------------------------------------------------- */
 
 uint64_t
@@ -107,7 +110,7 @@
     if (exchange->answer_headers) {
         g_string_free(exchange->answer_headers, TRUE);
     }
-    g_clear_pointer(&exchange->answer_body, g_byte_array_unref);
+    xc_drop_answer_body(exchange);
     sp_destroy(exchange->position);
     g_free(exchange->media_type);
     g_free(exchange);
@@ -808,6 +811,8 @@
                                           (GDestroyNotify)bg_destroy);
     core->returns =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    core->answer_bytes.max_bytes =
+        desc->max_answer_bytes ? desc->max_answer_bytes : _XC_ANSWER_BYTES;
     core->random = g_rand_new();
     return core;
 }
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -60,6 +60,8 @@
     su_suspects *suspects;     /* required */
     const dl_dialect *dialect; /* required */
     const char *zone;          /* required */
+    uint64_t max_answer_bytes; /* memory for servers' answers that are
+                                  buffered whole; default 64 MiB */
     double retry_ratio;        /* see bg_desc, for these three */
     double retry_slack;
     uint32_t retry_window_ms;
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -254,7 +254,8 @@
         return;
     }
     g_autoptr(GString) headers = g_steal_pointer(&exchange->answer_headers);
-    g_autoptr(GByteArray) body = g_steal_pointer(&exchange->answer_body);
+    g_autoptr(GByteArray) body =
+        exchange->answer_body ? g_byte_array_ref(exchange->answer_body) : NULL;
     cr_answer answer = {
         .status = exchange->status,
         .headers = headers ? headers->str : NULL,
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -4,6 +4,7 @@
 #define LACEWING_XC_PRIVATE_H
 
 #include "budget.h"
+#include "byte_budget.h"
 #include "exchange.h"
 #include "lacewing/counter.h"
 #include "lacewing/histogram.h"
@@ -23,6 +24,7 @@
     GQueue waiting_capacity; /* xc_exchange in XC_WAITING_CAPACITY */
     GHashTable *budgets;     /* service -> bg_budget */
     GHashTable *returns;     /* service -> lw_returns */
+    bb_budget answer_bytes;  /* of all answer_body */
     GRand *random;
     uint64_t leave_us;       /* this instance ends then; 0: it stays */
     bool callers_redirected; /* the platform sends new callers elsewhere */
@@ -83,19 +85,22 @@
     uint32_t possible_runs; /* sends that may have run or may still run it */
     uint64_t sent_us;
     uint64_t connect_deadline_us; /* a new connection is given up then */
-    uint64_t copy_version;  /* of the adapter at the server; 0: not known */
-    uint32_t unread_tokens; /* of its prompt, not processed yet */
-    uint64_t queued_tokens; /* unread at the server when it was sent, its
-                               own included */
-    bool refused;           /* the server did not run it */
-    bool answer_invalid;    /* not forwarded: unsigned, without a request id,
-                               encoded, too long, or, for a resumed stream, with
-                               another status or media type */
-    bool answer_too_long;   /* an event or a plain answer is over its limit */
-    uint32_t status;        /* of the answer; 0: no head yet */
+    uint64_t copy_version;   /* of the adapter at the server; 0: not known */
+    uint32_t unread_tokens;  /* of its prompt, not processed yet */
+    uint64_t queued_tokens;  /* unread at the server when it was sent, its
+                                own included */
+    bool refused;            /* the server did not run it */
+    bool answer_invalid;     /* not forwarded: unsigned, without a request id,
+                                encoded, too long, or, for a resumed stream, with
+                                another status or media type */
+    bool answer_too_long;    /* an event or a plain answer is over its limit */
+    bool answer_crowded_out; /* memory for all answers was used up, and this
+                                was the largest */
+    uint32_t status;         /* of the answer; 0: no head yet */
     GString *answer_headers;
     char *media_type;        /* of the stream that the caller gets */
     GByteArray *answer_body; /* buffered; of an answer that is no stream */
+    bb_share answer_bytes;   /* memory that answer_body takes */
     /* streams; a piece is the bytes of one us_callbacks.body */
     uint64_t first_piece_us;
     uint64_t last_piece_us;
@@ -139,6 +144,8 @@
 /* Sends the request to the chosen server. Returns false if no connection could
    be had. */
 bool xc_send(xc_exchange *exchange, const fl_choice *choice);
+/* Frees the buffer of a plain answer. */
+void xc_drop_answer_body(xc_exchange *exchange);
 /* Reports to the fleet that the server has read the prompt; first_ms: time to
    the first event, 0 if the send ends without one. */
 void xc_end_prompt_read(xc_exchange *exchange, double first_ms);
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -161,6 +161,56 @@
     }
 }
 
+/* Returns the memory of an array with this many bytes: GLib doubles it. */
+static uint64_t
+_xc_array_bytes(size_t count)
+{
+    return count ? UINT64_C(1) << g_bit_storage(count - 1) : 0;
+}
+
+void
+xc_drop_answer_body(xc_exchange *exchange)
+{
+    ct_add(CT_ANSWER_BYTES, -(int64_t)exchange->answer_bytes.bytes);
+    bb_set(&exchange->core->answer_bytes, &exchange->answer_bytes, exchange,
+           0);
+    g_clear_pointer(&exchange->answer_body, g_byte_array_unref);
+}
+
+/* Gives up a plain answer; xc_tick() ends its send. */
+static void
+_xc_drop_long_answer(xc_exchange *exchange)
+{
+    exchange->answer_invalid = true;
+    exchange->answer_too_long = true;
+    xc_drop_answer_body(exchange);
+}
+
+/* Buffers a piece of a plain answer. Where that takes more memory than all
+   answers may have, the largest of them is given up. */
+static void
+_xc_buffer(xc_exchange *exchange, const char *bytes, size_t count)
+{
+    bb_budget *budget = &exchange->core->answer_bytes;
+    if (!exchange->answer_body) {
+        exchange->answer_body = g_byte_array_new();
+    }
+    if (exchange->answer_body->len + count > _XC_MAX_ANSWER_BYTES) {
+        _xc_drop_long_answer(exchange);
+        return;
+    }
+    g_byte_array_append(exchange->answer_body, (const guint8 *)bytes,
+                        (guint)count);
+    uint64_t used = _xc_array_bytes(exchange->answer_body->len);
+    ct_add(CT_ANSWER_BYTES, (int64_t)(used - exchange->answer_bytes.bytes));
+    bb_set(budget, &exchange->answer_bytes, exchange, used);
+    xc_exchange *largest;
+    while ((largest = bb_query_excess(budget))) {
+        largest->answer_crowded_out = true;
+        _xc_drop_long_answer(largest);
+    }
+}
+
 static void
 _xc_on_body(us_conn *conn, const char *bytes, size_t count, void *user_data)
 {
@@ -176,16 +226,7 @@
         }
         return;
     }
-    if (!exchange->answer_body) {
-        exchange->answer_body = g_byte_array_new();
-    }
-    if (exchange->answer_body->len + count > _XC_MAX_ANSWER_BYTES) {
-        exchange->answer_invalid = true;
-        exchange->answer_too_long = true;
-        return;
-    }
-    g_byte_array_append(exchange->answer_body, (const guint8 *)bytes,
-                        (guint)count);
+    _xc_buffer(exchange, bytes, count);
 }
 
 /* -- private: end of a send ----------------------------------------------- */
@@ -384,7 +425,10 @@
 void
 xc_end_long_answer(xc_exchange *exchange)
 {
-    xc_log_send_ended(exchange, "answer too long");
+    ct_add(CT_ANSWERS_TOO_LONG, 1);
+    xc_log_send_ended(exchange, exchange->answer_crowded_out
+                                    ? "no memory for a longer answer"
+                                    : "answer too long");
     xc_cancel_send(exchange, FL_FAILED);
     _xc_retry_or_end(exchange, US_BROKEN);
 }
@@ -564,9 +608,8 @@
     exchange->paused = false;
     exchange->unpaused_us = 0;
     memset(exchange->last_bytes, 0, sizeof(exchange->last_bytes));
-    if (exchange->answer_body) {
-        g_byte_array_set_size(exchange->answer_body, 0);
-    }
+    exchange->answer_crowded_out = false;
+    xc_drop_answer_body(exchange);
     if (exchange->position) {
         sp_begin_send(exchange->position);
     }
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -10,6 +10,9 @@
 /* A holder that did not answer is asked nothing for this long: about the time
    of a lease, after which another instance may hold it. */
 #define _ND_HOLDER_COOLDOWN_US 3000000
+/* The part of the instance's memory that buffered answers of servers may take;
+   answers to callers, streams and requests need the rest. */
+#define _ND_ANSWER_MEMORY_PART 4
 /* Iterations of the loop of at least this length are logged: input that
    arrived meanwhile was not read. */
 #define _ND_LONG_TURN_US 100000
@@ -551,6 +554,8 @@
         .suspects = node->suspects,
         .dialect = node->desc.dialect,
         .zone = settings->zone,
+        .max_answer_bytes =
+            settings->memory_mb * UINT64_C(1000000) / _ND_ANSWER_MEMORY_PART,
         .retry_ratio = settings->retry_ratio,
         .retry_slack = settings->retry_slack,
         .retry_window_ms = (uint32_t)(settings->retry_window_s * 1000),
--- a/packages/exchange/src/node_settings.c
+++ b/packages/exchange/src/node_settings.c
@@ -56,7 +56,10 @@
     _ND_DOUBLE(
         retry_slack, "sends", 0, 1e6, "50",
         "Further resends allowed per window, beside those by the ratio."),
-    _ND_U32(memory_mb, "MB", 16, 1e6, "256", "Memory of this instance."),
+    _ND_U32(
+        memory_mb, "MB", 16, 1e6, "256",
+        "Memory of this instance; buffered answers of servers take a quarter "
+        "of it at most."),
     _ND_U32(descriptors, "files", 64, 1e6, "4096",
             "Open files and sockets of this instance."),
     _ND_DOUBLE(link_mbps, "Mbit/s", 0, 1e6, "0",
--- a/packages/exchange/src/orderer.c
+++ b/packages/exchange/src/orderer.c
@@ -9,6 +9,8 @@
 /* Timeout of orders and reports, which are answered within some ms, unless the
    server is being emptied or is frozen. */
 #define _OR_TIMEOUT_MS 700
+/* Longest answer to them: reports list adapters and runs, some kB. */
+#define _OR_MAX_ANSWER_BYTES (256 * 1024)
 /* Model loads that one instance may send in a burst, besides its share of the
    rate; see _or_may_load_model(). */
 #define _OR_MODEL_BURST_LOADS 1.0
@@ -275,6 +277,7 @@
                           .body = body ? body->str : NULL,
                           .body_count = body ? body->len : 0,
                           .timeout_ms = _OR_TIMEOUT_MS,
+                          .max_answer_bytes = _OR_MAX_ANSWER_BYTES,
                           .head = _or_on_answer_head,
                           .done = _or_on_answer,
                           .user_data = request});
--- a/packages/net/include/lacewing/http_client.h
+++ b/packages/net/include/lacewing/http_client.h
@@ -18,6 +18,7 @@
 
 #include "lacewing/upstream.h"
 
+/* Default of hc_request.max_answer_bytes. */
 #define HC_MAX_ANSWER_BYTES (16 * 1024 * 1024)
 
 typedef struct hc_client hc_client;
@@ -27,7 +28,7 @@
 typedef struct hc_answer {
     er_code code; /* ER_OK for an answer of any status, ER_TIMEOUT if none came
                      in time, ER_CONNECTION if the connection failed
-                     or the answer is not valid HTTP */
+                     or the answer is too long or not valid HTTP */
     bool sent;    /* part of the request may have reached the server */
     uint32_t status; /* HTTP status */
     const h1_head *head;
@@ -46,7 +47,8 @@
     const char *type;    /* Content-Type; required with a body */
     const char *body;    /* or NULL */
     size_t body_count;
-    uint32_t timeout_ms; /* from hc_call() to the end of the answer */
+    uint32_t timeout_ms;       /* from hc_call() to the end of the answer */
+    uint32_t max_answer_bytes; /* longest body; default 16 MiB */
     /* optional: the head is complete; the body may still fail */
     hc_head head;
     hc_done done; /* required */
--- a/packages/net/src/http_client.c
+++ b/packages/net/src/http_client.c
@@ -27,6 +27,9 @@
     hc_done done;
     void *user_data;
     GByteArray *body; /* body of the answer, as far as received */
+    uint32_t max_answer_bytes;
+    bool too_long; /* the body is over its limit; the next tick ends the call
+                    */
 } _hc_call;
 
 static void
@@ -55,7 +58,9 @@
 {
     (void)conn;
     _hc_call *call = user_data;
-    if (call->body->len + count <= HC_MAX_ANSWER_BYTES) {
+    call->too_long =
+        call->too_long || call->body->len + count > call->max_answer_bytes;
+    if (!call->too_long) {
         g_byte_array_append(call->body, (const guint8 *)bytes, (guint)count);
     }
 }
@@ -66,7 +71,7 @@
     _hc_call *call = user_data;
     const h1_head *head = us_query_head(conn);
     hc_answer answer = {.code = ER_CONNECTION, .sent = end != US_NOT_SENT};
-    if (end == US_COMPLETE) {
+    if (end == US_COMPLETE && !call->too_long) {
         answer.code = ER_OK;
         answer.status = head->status;
         answer.head = head;
@@ -82,10 +87,11 @@
 static void
 _hc_check_timeout(_hc_call *call, uint64_t clock_us)
 {
-    if (clock_us < call->deadline_us) {
+    if (clock_us < call->deadline_us && !call->too_long) {
         return;
     }
-    hc_answer answer = {.code = ER_TIMEOUT, .sent = true};
+    hc_answer answer = {.code = call->too_long ? ER_CONNECTION : ER_TIMEOUT,
+                        .sent = true};
     if (call->conn) {
         answer.sent = us_query_any_sent(call->conn);
         us_cancel(call->conn);
@@ -205,6 +211,9 @@
     call->done = request->done;
     call->user_data = request->user_data;
     call->body = g_byte_array_new();
+    call->max_answer_bytes = request->max_answer_bytes
+                                 ? request->max_answer_bytes
+                                 : HC_MAX_ANSWER_BYTES;
     /* Not the time of the loop: its iteration may have begun long ago. */
     call->deadline_us = lp_query_clock_us() + request->timeout_ms * 1000ULL;
     g_queue_push_tail_link(&client->calls, &call->link);
