Refuse names that no configuration has, at once

What callers saw: the name of an adapter that does not exist waited up to the route's target for a 503, and had a load ordered meanwhile, which may drop an adapter that others use; each such name stayed in memory.

Cause: names were not compared with the configuration, which says how many adapters a model has.

Why it works: the check comes before the name makes an entry. A name that any engine of the route may have is known, so that routes split between services refuse nothing that one of them serves; while the configuration may be out of date, names are not judged. Ruled out: 503, which invites the caller back.

--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -136,6 +136,8 @@
     X(CT_UNSERVED_INSTANCE_LEAVES, "instance_leaves", "instance is leaving")  \
     X(CT_UNSERVED_NO_SERVICE, "no_service", "no such service")                \
     X(CT_UNSERVED_NO_REQUEST_ID, "no_request_id", "no request id")            \
+    X(CT_UNSERVED_UNKNOWN_ADAPTER, "unknown_adapter",                         \
+      "no such model or adapter in the configuration")                        \
     X(CT_UNSERVED_PROMPT_TOO_LARGE, "prompt_too_large",                       \
       "prompt larger than the memory of any server")                          \
     X(CT_UNSERVED_CRASHES_SERVERS, "crashes_servers",                         \
--- a/packages/exchange/include/lacewing/dialect.h
+++ b/packages/exchange/include/lacewing/dialect.h
@@ -202,6 +202,9 @@
        share, up to max. Returns their number. */
     uint32_t (*read_prompt_parts)(const char *value, uint64_t *parts,
                                   uint32_t max);
+    /* Returns whether this is the name of an adapter of a model that has so
+       many. */
+    bool (*names_adapter)(const char *name, uint32_t adapter_count);
     /* Reads an answer's status, DL_LEAVING, DL_RETRY_AFTER and DL_LIMIT; an
        absent header is NULL. */
     void (*read_notice)(uint32_t status, const char *leaving,
--- a/packages/exchange/include/lacewing/routes.h
+++ b/packages/exchange/include/lacewing/routes.h
@@ -53,8 +53,9 @@
 typedef struct rc_model {
     char *name;
     double weights_mb;
-    uint32_t load_ms;  /* time of a load from the weight store */
-    double adapter_mb; /* size of one adapter */
+    uint32_t load_ms;       /* time of a load from the weight store */
+    double adapter_mb;      /* size of one adapter */
+    uint32_t adapter_count; /* 0: not known */
 } rc_model;
 
 typedef struct rc_service {
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -586,6 +586,11 @@
         return NULL;
     }
     exchange->logged = lg_sample(exchange->id);
+    if (xc_query_unknown_adapter(exchange)) {
+        xc_refuse(exchange, 404, _xc_retry_after_ms(core),
+                  CT_UNSERVED_UNKNOWN_ADAPTER);
+        return NULL;
+    }
     exchange->adapter = _xc_find_adapter(core, exchange->service, head);
     _xc_read_token_counts(exchange);
     if (_xc_fits_no_server(exchange)) {
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -140,6 +140,12 @@
 /* Frees the exchange; the caller has its answer, or is gone. */
 void xc_free(xc_exchange *exchange);
 
+/* -- exchange_names.c */
+/* Returns whether no engine that the route may lead to has the model or
+   adapter that the request names. Names that any of them may have count as
+   known, and so do all while the configuration may be out of date. */
+bool xc_query_unknown_adapter(const xc_exchange *exchange);
+
 /* -- exchange_send.c */
 /* Sends the request to the chosen server. Returns false if no connection could
    be had. */
