Free sent bytes of a connection whose peer is always behind

Related path of the memory of answers: written bytes stayed in memory after they were sent until all were, so that a stream to a caller that reads all the time but is always a little behind kept everything. Not seen by a caller.

Evidence: test_sent_bytes_of_a_peer_that_is_behind_are_freed fails without the change (over 32 MiB of heap with 8 MiB unsent, growing with each piece) and passes with it.

Why it works: sent bytes are removed once they are half of the buffer, so that each byte is moved once on average.

--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -15,6 +15,8 @@
 /* Most bytes read from a socket at once; more input takes further iterations
    of the loop. */
 #define _NC_READ_BUFFER_BYTES 65536
+/* Fewer sent bytes than this are not freed before the others are sent too. */
+#define _NC_MIN_FREED_BYTES 65536
 /* Connections that the kernel keeps for a listener until they are accepted. */
 #define _NC_BACKLOG 512
 /* Most connections accepted in one iteration, so that requests in flight are
@@ -147,6 +149,18 @@
     return true;
 }
 
+/* Frees bytes that are sent while others are not, once they are the larger
+   part: each byte is moved once on average. */
+static void
+_nc_free_sent(nc_conn *conn)
+{
+    if (conn->out_start >= _NC_MIN_FREED_BYTES &&
+        conn->out_start >= conn->out->len / 2) {
+        g_byte_array_remove_range(conn->out, 0, (guint)conn->out_start);
+        conn->out_start = 0;
+    }
+}
+
 static void
 _nc_flush(nc_conn *conn)
 {
@@ -441,6 +455,7 @@
     if (conn->closed || count == 0) {
         return;
     }
+    _nc_free_sent(conn);
     g_byte_array_append(conn->out, (const guint8 *)bytes, (guint)count);
     _nc_schedule_flush(conn);
 }
