Fuzz streams and orders for their properties, not only for crashes

The fuzzers passed over both faults of the review, as they check for crashes only. fz_stream: cut in any way a stream has the same events, and work that is linear in its bytes. fz_order: an order with names of any bytes has its own members and no other.

--- a/Makefile
+++ b/Makefile
@@ -50,8 +50,8 @@
 fuzz: install-packages
 	@CC=clang cmake -S . -B build-fuzz -G Ninja -DLACEWING_FUZZ=ON >/dev/null
 	@cmake --build build-fuzz --target fuzz_frames fuzz_events fuzz_edits \
-		fuzz_config fuzz_http fuzz_platform
-	@for name in frames events edits config http platform; do \
+		fuzz_config fuzz_http fuzz_platform fuzz_stream fuzz_order
+	@for name in frames events edits config http platform stream order; do \
 		build-fuzz/bin/fuzz_$$name -max_total_time=$(FUZZ_SECONDS) \
 			-print_final_stats=1 -verbosity=0 || exit 1; done
 
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -5,6 +5,12 @@
 #include "lacewing/frame.h"
 #include "lacewing/http1.h"
 #include "lacewing/users_platform.h"
+#include "stream_position.h"
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+/* Most bytes of a stream that are searched or moved for each one fed. */
+#define _FZ_MAX_WORK_PER_BYTE 4
 
 /* Pushes the input in two pieces. The first byte selects where it is split, so
    that some input reaches every split position. */
@@ -102,6 +108,71 @@
     }
 }
 
+static void
+_fz_on_event(const sp_event *event, void *user_data)
+{
+    GString *seen = user_data;
+    g_string_append_len(seen, event->bytes, (gssize)event->count);
+    g_string_append_c(seen, '|');
+}
+
+/* Returns the events of a stream that comes in pieces of this size. */
+static GString *
+_fz_read_events(const uint8_t *bytes, size_t size, size_t piece)
+{
+    static const sp_callbacks calls = {.event = _fz_on_event};
+    GString *seen = g_string_new(NULL);
+    sp_position *position =
+        sp_create(&(sp_desc){.calls = &calls, .user_data = seen});
+    sp_begin_send(position);
+    bool fits = true;
+    for (size_t at = 0; at < size && fits; at += piece) {
+        fits =
+            sp_feed(position, (const char *)bytes + at, MIN(piece, size - at));
+    }
+    g_assert(sp_query_work_bytes(position) <= size * _FZ_MAX_WORK_PER_BYTE);
+    sp_destroy(position);
+    return seen;
+}
+
+void
+fz_stream(const uint8_t *bytes, size_t size)
+{
+    if (size == 0) {
+        return;
+    }
+    const size_t pieces[] = {size, 1, 2, 1 + bytes[0] % 16U};
+    GString *expected = _fz_read_events(bytes, size, pieces[0]);
+    for (size_t i = 1; i < G_N_ELEMENTS(pieces); i++) {
+        GString *seen = _fz_read_events(bytes, size, pieces[i]);
+        g_assert(g_string_equal(seen, expected));
+        g_string_free(seen, TRUE);
+    }
+    g_string_free(expected, TRUE);
+}
+
+void
+fz_order(const uint8_t *bytes, size_t size)
+{
+    static const char *const members[] = {"Model", "Adapter", "HolderId"};
+    g_autofree char *name = g_strndup((const char *)bytes, size);
+    g_autofree char *expected = g_utf8_make_valid(name, -1);
+    GString *body = up_query_dialect()->write_order(&(dl_order){
+        .kind = DL_LOAD, .model = name, .adapter = name, .holder = name});
+    g_autoptr(JsonParser) parser = json_parser_new();
+    bool parsed = json_parser_load_from_data(parser, body->str, -1, NULL);
+    g_assert(parsed);
+    JsonObject *root = json_node_get_object(json_parser_get_root(parser));
+    g_assert(json_object_get_size(root) == 5);
+    for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+        g_assert(strcmp(json_object_get_string_member(root, members[i]),
+                        expected) == 0);
+    }
+    g_assert(
+        strcmp(json_object_get_string_member(root, "Operation"), "load") == 0);
+    g_string_free(body, TRUE);
+}
+
 void
 fz_platform(const uint8_t *bytes, size_t size)
 {
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -1,8 +1,9 @@
 /*
  * targets.h: fuzz targets for the decoders of untrusted input (prefix fz_).
  *
- * Each target passes arbitrary bytes to one decoder, which must neither crash
- * nor read out of bounds. The libFuzzer programs fuzz_NAME (clang,
+ * Each target passes arbitrary bytes to one decoder or writer, which must
+ * neither crash nor read out of bounds, and aborts where the property that is
+ * named at it does not hold. The libFuzzer programs fuzz_NAME (clang,
  * -DLACEWING_FUZZ=ON) search for input that breaks a decoder. test_fuzz runs
  * the targets on a fixed corpus and on mutations of it with a fixed seed.
  *
@@ -26,6 +27,12 @@
 void fz_config(const uint8_t *bytes, size_t size);
 /* HTTP/1.1 requests and responses. */
 void fz_http(const uint8_t *bytes, size_t size);
+/* Events of a stream that is cut into pieces: the same events as in one piece,
+   nothing of an unfinished one, and work that is linear in the bytes. */
+void fz_stream(const uint8_t *bytes, size_t size);
+/* An order with names made of the bytes: it has its own members and no other,
+   with these names as their values. */
+void fz_order(const uint8_t *bytes, size_t size);
 /* Rows, operators, servers and reports in the dialect of the users'
    platform. */
 void fz_platform(const uint8_t *bytes, size_t size);
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -30,6 +30,8 @@
     "{\"Service\":\"s\",\"Address\":\"1.2.3.4:5\",\"Zone\":\"z\",\"Slots\":1,"
     "\"State\":\"ready\",\"Sequence\":0,\"born\":1,\"Models\":[{\"Name\":"
     "\"m\",\"Adapters\":[\"a@1\"]}],\"Coming\":[\"m/b@2\"]}",
+    "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n: c\n\nid: 3\nda",
+    "z1\",\"Adapter\":null,\"Model\":\"m1",
     "{\"Rows\":[{\"Table\":\"t\",\"part\":\"\",\"Key\":\"k\",\"Value\":"
     "\"aGk=\",\"Ver\":4}],\"MorePages\":false,\"Ver\":5}",
     "",
@@ -44,6 +46,8 @@
     fz_config(bytes, size);
     fz_http(bytes, size);
     fz_platform(bytes, size);
+    fz_stream(bytes, size);
+    fz_order(bytes, size);
 }
 
 /* Applies one random change: overwrites a byte, truncates the input, repeats
