--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -109,8 +109,8 @@
     return g_ascii_strcasecmp(exchange->media_type, "text/event-stream") == 0;
 }
 
-/* Returns whether the current send asked the server to go on after an event.
- */
+/* Returns whether the current send, of which no event has come yet, asked the
+   server to go on after an event. */
 static bool
 _xc_resumes_stream(const xc_exchange *exchange)
 {
