Forward the head of a stream with its first bytes

Callers saw a connection close without a whole answer where a request had to end between a server's head and its first event: a newer version of its adapter was due, or the server ended there. The instance had forwarded the head at once, so only closing the connection was left.

The head now waits for the first bytes of the body. A request that ends before them gets 502, or goes on at another server where its kind allows it; objectives are measured to the first event, so no caller waits longer.

--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -98,7 +98,8 @@
                                 was the largest */
     uint32_t status;         /* of the answer; 0: no head yet */
     GString *answer_headers;
-    char *media_type;        /* of the stream that the caller gets */
+    char *media_type;        /* of the stream that the caller gets; NULL until
+                                its head has come from a server */
     GByteArray *answer_body; /* buffered; of an answer that is no stream */
     bb_share answer_bytes;   /* memory that answer_body takes */
     /* streams; a piece is the bytes of one us_callbacks.body */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -102,7 +102,7 @@
            g_ascii_strcasecmp(media_type, exchange->media_type) == 0;
 }
 
-/* Returns whether the answer that has begun consists of events. */
+/* Returns whether the stream consists of events. */
 static bool
 _xc_has_events(const xc_exchange *exchange)
 {
@@ -156,8 +156,10 @@
     }
     _xc_store_answer_headers(exchange, head);
     if (_xc_is_stream(exchange)) {
+        /* The head goes to the caller with the first bytes of the body: until
+           then the request can still end with another answer. */
+        g_free(exchange->media_type);
         exchange->media_type = _xc_read_media_type(head);
-        xc_begin_answer(exchange);
     }
 }
 
@@ -218,7 +220,10 @@
     if (exchange->refused || exchange->answer_invalid) {
         return;
     }
-    if (exchange->answer_begun) {
+    if (_xc_is_stream(exchange)) {
+        if (!exchange->answer_begun) {
+            xc_begin_answer(exchange);
+        }
         xc_forward_events(exchange, bytes, count);
         if (cr_query_unsent_bytes(exchange->caller) > _XC_MAX_UNSENT_BYTES) {
             us_pause(conn, true);
@@ -334,11 +339,11 @@
 static bool
 _xc_is_cut_short(const xc_exchange *exchange, const h1_head *head)
 {
-    bool forwarded = exchange->answer_begun && !exchange->refused &&
-                     !exchange->answer_invalid;
+    bool streamed = _xc_is_stream(exchange) && !exchange->refused &&
+                    !exchange->answer_invalid;
     bool framed = head->chunked || head->length != H1_LENGTH_NONE;
     /* Only its type tells a framed body of events from another one. */
-    if (!forwarded || (framed && !_xc_has_events(exchange)) ||
+    if (!streamed || (framed && !_xc_has_events(exchange)) ||
         xc_query_ends_with_event(exchange)) {
         return false;
     }
