Keep callers that read nothing for a while; tell in the log why one is gone

The idle limit of the configuration bounds how long a caller may take no byte, and an idle connection with unread bytes no longer ends while they leave. A machine that acknowledges nothing is told by TCP_INFO: 2 s without an acknowledgement and three unanswered retransmissions or probes. The log names the reason.

--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -15,6 +15,8 @@
 /* Time within which a new connection sends its first request; a stopping
    instance does not close it earlier. */
 #define _CR_FIRST_REQUEST_US 300000
+/* Time between checks whether a caller still acknowledges. */
+#define _CR_SILENCE_CHECK_US 500000
 /* Idle connections are closed somewhat later than the idle limit that callers
    are told. */
 #define _CR_IDLE_GRACE_FACTOR 1.05
@@ -41,8 +43,11 @@
     h1_reader *reader;
     GList link;
     _cr_state state;
-    uint64_t state_since_us;  /* closing: since bytes last left */
-    size_t last_unsent_bytes; /* closing: at the last check */
+    uint64_t state_since_us;
+    bool has_unsent;          /* at the last check */
+    uint64_t last_sent_bytes; /* at the last check */
+    uint64_t progress_us;     /* of the last change of these two */
+    uint64_t silence_checked_us;
     GByteArray *body;
     void *request;
     uint32_t refusal_status; /* status of an answer given here; 0: none */
@@ -190,20 +195,27 @@
     return conn->state == _CR_CLOSING ? count : used;
 }
 
+/* Frees the connection and tells the user of a request that is not answered.
+ */
 static void
-_cr_on_closed(nc_conn *nc, nc_end end, void *user_data)
+_cr_end(cr_conn *conn, cr_gone_reason why)
 {
-    (void)nc;
-    (void)end;
-    cr_conn *conn = user_data;
     if (conn->state == _CR_BUSY && conn->request) {
         void *request = conn->request;
         conn->request = NULL;
-        conn->port->desc.callbacks->gone(request, conn->port->desc.user_data);
+        conn->port->desc.callbacks->gone(request, why,
+                                         conn->port->desc.user_data);
     }
     _cr_free(conn);
 }
 
+static void
+_cr_on_closed(nc_conn *nc, nc_end end, void *user_data)
+{
+    (void)nc;
+    _cr_end(user_data, end == NC_FINISHED ? CR_CLOSED : CR_LOST);
+}
+
 static void
 _cr_on_drained(nc_conn *nc, void *user_data)
 {
@@ -234,6 +246,7 @@
                                         .calls = &_cr_reader_callbacks,
                                         .user_data = conn});
     g_queue_push_tail_link(&port->conns, &conn->link);
+    nc_allow_slow_reader(nc);
     nc_set_callbacks(nc, &_cr_conn_callbacks, conn);
 }
 
@@ -266,7 +279,8 @@
     while ((link = g_queue_pop_head_link(&port->conns))) {
         cr_conn *conn = link->data;
         if (conn->request) {
-            port->desc.callbacks->gone(conn->request, port->desc.user_data);
+            port->desc.callbacks->gone(conn->request, CR_CLOSED,
+                                       port->desc.user_data);
         }
         /* Requests of the loop's last iteration were answered after its last
            write to the sockets. */
@@ -293,24 +307,48 @@
     }
 }
 
-/* Frees a closing connection _CR_LINGER_US after its last byte has left, or
-   when the caller has taken no byte for the idle limit. */
+/* Frees a closing connection _CR_LINGER_US after its last byte has left. */
 static void
 _cr_check_closing(cr_conn *conn, uint64_t now_us)
 {
-    size_t unsent = nc_query_unsent(conn->conn);
-    if (unsent != conn->last_unsent_bytes) {
-        conn->last_unsent_bytes = unsent;
-        conn->state_since_us = now_us;
-        return;
-    }
-    uint64_t timeout_us =
-        unsent ? conn->port->limits.idle_ms * 1000ULL : _CR_LINGER_US;
-    if (now_us > conn->state_since_us + timeout_us) {
+    uint64_t since_us = MAX(conn->state_since_us, conn->progress_us);
+    if (!conn->has_unsent && now_us > since_us + _CR_LINGER_US) {
         _cr_free(conn);
     }
 }
 
+/* Ends the connection of a caller that has taken no byte for the idle limit,
+   or that no longer acknowledges. Returns true if it has ended. */
+static bool
+_cr_end_if_unread(cr_conn *conn, uint64_t now_us)
+{
+    uint64_t sent_bytes = nc_query_sent(conn->conn);
+    bool has_unsent = nc_query_unsent(conn->conn) > 0;
+    if (sent_bytes != conn->last_sent_bytes ||
+        has_unsent != conn->has_unsent) {
+        conn->last_sent_bytes = sent_bytes;
+        conn->has_unsent = has_unsent;
+        conn->progress_us = now_us;
+    }
+    if (has_unsent &&
+        now_us > conn->progress_us + conn->port->limits.idle_ms * 1000ULL) {
+        _cr_end(conn, CR_UNREAD);
+        return true;
+    }
+    /* Keep-alive probes watch a connection that has nothing to send. */
+    bool may_be_silent = has_unsent || conn->state != _CR_IDLE;
+    if (!may_be_silent ||
+        now_us < conn->silence_checked_us + _CR_SILENCE_CHECK_US) {
+        return false;
+    }
+    conn->silence_checked_us = now_us;
+    if (nc_query_peer_silent(conn->conn)) {
+        _cr_end(conn, CR_SILENT);
+        return true;
+    }
+    return false;
+}
+
 /* Returns true if the connection is idle and no part of a next request has
    arrived, neither in its buffer nor in the socket. */
 static bool
@@ -325,11 +363,16 @@
 {
     const rc_limits *limits = &conn->port->limits;
     uint64_t age_us = now_us - conn->state_since_us;
+    if (conn->state != _CR_READING && _cr_end_if_unread(conn, now_us)) {
+        return;
+    }
     switch (conn->state) {
     case _CR_IDLE:
+        /* The last answer may still be on its way. */
+        age_us = now_us - MAX(conn->state_since_us, conn->progress_us);
         if ((double)age_us >
                 limits->idle_ms * 1000.0 * _CR_IDLE_GRACE_FACTOR &&
-            _cr_is_unused(conn)) {
+            !conn->has_unsent && _cr_is_unused(conn)) {
             _cr_free(conn);
         }
         break;
@@ -391,6 +434,21 @@
     }
 }
 
+const char *
+cr_query_gone_text(cr_gone_reason why)
+{
+    switch (why) {
+    case CR_LOST:
+        return "connection reset or lost";
+    case CR_UNREAD:
+        return "caller read nothing for the idle limit";
+    case CR_SILENT:
+        return "caller no longer acknowledges";
+    default:
+        return "caller closed the connection";
+    }
+}
+
 /* -- public: answers ------------------------------------------------------ */
 
 static void
--- a/packages/exchange/src/caller.h
+++ b/packages/exchange/src/caller.h
@@ -5,7 +5,8 @@
  * once it is complete; bytes after it wait until it is answered. Answers are
  * sent with a length, in chunks, or, to an HTTP/1.0 caller, until the
  * connection closes. The configuration's limits apply to the size of heads
- * and bodies, to the time a head takes, and to idle connections.
+ * and bodies, to the time a head takes, to idle connections, and to the time
+ * for which a caller reads nothing of its answer.
  *
  * Limits: a request body is buffered whole before the request is handed on.
  */
@@ -19,14 +20,22 @@
 typedef struct cr_port cr_port;
 typedef struct cr_conn cr_conn;
 
+/* Why a caller's connection ended before its answer. */
+typedef enum cr_gone_reason {
+    CR_CLOSED = 0, /* the caller closed it in order */
+    CR_LOST,       /* reset or failed */
+    CR_UNREAD,     /* the caller has read nothing for the idle limit */
+    CR_SILENT      /* the caller's machine no longer acknowledges */
+} cr_gone_reason;
+
 typedef struct cr_callbacks {
     /* A request is complete. The user ends it with exactly one cr_respond(),
        cr_end_stream() or cr_abort(), unless gone() comes first. Returns the
        user's request, which is passed to gone() and drained(). */
     void *(*request)(cr_conn *conn, const h1_head *head, const char *body,
                      size_t body_count, void *user_data);
-    /* The caller closed its connection; the request must not be answered. */
-    void (*gone)(void *request, void *user_data);
+    /* The caller's connection ended; the request must not be answered. */
+    void (*gone)(void *request, cr_gone_reason why, void *user_data);
     /* optional: all written bytes have left, see cr_query_unsent_bytes() */
     void (*drained)(void *request, void *user_data);
 } cr_callbacks;
@@ -60,6 +69,9 @@
    request. */
 void cr_close_idle(cr_port *port);
 
+/* Returns the text of a reason, for logs. */
+const char *cr_query_gone_text(cr_gone_reason why);
+
 void cr_respond(cr_conn *conn, const cr_answer *answer);
 /* Sends a stream: its head, its pieces and its regular end. */
 void cr_begin_stream(cr_conn *conn, uint32_t status, const char *headers);
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -617,13 +617,12 @@
 }
 
 static void
-_xc_on_gone(void *request, void *user_data)
+_xc_on_gone(void *request, cr_gone_reason why, void *user_data)
 {
     (void)user_data;
     xc_exchange *exchange = request;
     ct_add(CT_CANCELLED, 1);
-    xc_log_outcome(LG_REQUEST_CANCELLED, exchange,
-                   "caller closed the connection");
+    xc_log_outcome(LG_REQUEST_CANCELLED, exchange, cr_query_gone_text(why));
     xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
     xc_free(exchange);
 }
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -201,9 +201,10 @@
 }
 
 static void
-_nd_on_status_client_gone(void *request, void *user_data)
+_nd_on_status_client_gone(void *request, cr_gone_reason why, void *user_data)
 {
     (void)request;
+    (void)why;
     (void)user_data;
 }
 
--- a/packages/net/include/lacewing/conn.h
+++ b/packages/net/include/lacewing/conn.h
@@ -7,7 +7,9 @@
  * or by nc_resume(). What is written during one iteration of the loop is sent
  * together before the loop sleeps. Every connection has TCP_NODELAY, short
  * keep-alive probes and TCP_USER_TIMEOUT, so that a peer behind a network
- * partition ends in NC_LOST rather than in silence.
+ * partition ends in NC_LOST rather than in silence. TCP_USER_TIMEOUT also ends
+ * a connection whose peer is alive but reads nothing; nc_allow_slow_reader()
+ * replaces it.
  *
  *     nc_conn *conn = nc_connect(hub, "10.0.0.7:8080", &callbacks, self);
  *     nc_write(conn, bytes, count);
@@ -95,6 +97,10 @@
 void nc_resume(nc_conn *conn);
 /* Stops or continues reading, for backpressure. */
 void nc_pause(nc_conn *conn, bool paused);
+/* Lets the peer read nothing for as long as it likes: its closed window no
+   longer ends the connection. The caller of this bounds that time itself and
+   asks nc_query_peer_silent() whether the peer still acknowledges. */
+void nc_allow_slow_reader(nc_conn *conn);
 /* Sends what was written, then a FIN; drops input from then on. */
 void nc_finish(nc_conn *conn);
 /* Same as nc_finish(), but leaves input unread in the socket: the peer can
@@ -122,6 +128,9 @@
 size_t nc_query_unsent(const nc_conn *conn);
 /* Bytes of input kept because `data` did not consume them. */
 size_t nc_query_unconsumed(const nc_conn *conn);
+/* The peer acknowledges neither bytes nor probes of its window, and has not for
+   the hub's user_timeout_ms. Costs a system call. */
+bool nc_query_peer_silent(const nc_conn *conn);
 uint32_t nc_query_conn_count(const nc_hub *hub);
 
 #endif
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -22,10 +22,17 @@
 /* Most connections accepted in one iteration, so that requests in flight are
    not held up. */
 #define _NC_ACCEPT_BATCH 64
+/* Consecutive retransmissions, or probes of a closed window, that a silent
+   peer leaves unanswered within _NC_USER_TIMEOUT_MS: the first three are sent
+   within about 1.4 s. Fewer may be lost on the way. */
+#define _NC_SILENT_RETRANSMITS 3
 /* Keep-alive probes close an idle connection after about 2 s of silence. */
 #define _NC_KEEPALIVE_IDLE_S 1
 #define _NC_KEEPALIVE_INTERVAL_S 1
 #define _NC_KEEPALIVE_PROBES 2
+/* The same without TCP_USER_TIMEOUT, which ends the connection one probe
+   earlier. */
+#define _NC_SLOW_READER_PROBES 1
 
 struct nc_hub {
     lp_loop *loop;
@@ -529,6 +536,16 @@
     g_ptr_array_add(conn->hub->closed_conns, conn);
 }
 
+void
+nc_allow_slow_reader(nc_conn *conn)
+{
+    _nc_set_option(conn->watch.fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+    /* Without TCP_USER_TIMEOUT, the number of probes decides when an idle
+       connection to a silent peer ends. */
+    _nc_set_option(conn->watch.fd, IPPROTO_TCP, TCP_KEEPCNT,
+                   _NC_SLOW_READER_PROBES);
+}
+
 bool
 nc_query_open(const nc_conn *conn)
 {
@@ -573,6 +590,20 @@
     return conn->unconsumed->len;
 }
 
+bool
+nc_query_peer_silent(const nc_conn *conn)
+{
+    struct tcp_info info = {0};
+    socklen_t size = sizeof(info);
+    if (conn->closed ||
+        getsockopt(conn->watch.fd, IPPROTO_TCP, TCP_INFO, &info, &size)) {
+        return false;
+    }
+    return info.tcpi_last_ack_recv >= conn->hub->user_timeout_ms &&
+           (info.tcpi_retransmits >= _NC_SILENT_RETRANSMITS ||
+            info.tcpi_probes >= _NC_SILENT_RETRANSMITS);
+}
+
 uint32_t
 nc_query_conn_count(const nc_hub *hub)
 {
