--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -138,6 +138,11 @@
     X(CT_UNSERVED_NO_REQUEST_ID, "no_request_id", "no request id")            \
     X(CT_UNSERVED_UNKNOWN_ADAPTER, "unknown_adapter",                         \
       "no such model or adapter in the configuration")                        \
+    X(CT_UNSERVED_AMBIGUOUS_KEY, "ambiguous_key", "more than one key")        \
+    X(CT_UNSERVED_NO_KEY, "no_key", "no key of a workspace")                  \
+    X(CT_UNSERVED_UNKNOWN_KEY, "unknown_key",                                 \
+      "the key belongs to no workspace")                                      \
+    X(CT_UNSERVED_QUOTA, "quota", "quota of the workspace used up")           \
     X(CT_UNSERVED_PROMPT_TOO_LARGE, "prompt_too_large",                       \
       "prompt larger than the memory of any server")                          \
     X(CT_UNSERVED_CRASHES_SERVERS, "crashes_servers",                         \
--- a/packages/exchange/include/lacewing/dialect.h
+++ b/packages/exchange/include/lacewing/dialect.h
@@ -41,6 +41,7 @@
     DL_KV_BACKUP,      /* server that keeps a copy of the KV cache */
     DL_KV_RESUME_FROM, /* KV cache copy that the run continues from */
     DL_KV_FETCH_FROM,  /* server that caches parts of the prompt */
+    DL_WORKSPACE,      /* name of the caller's workspace, for the server */
     DL_STORE_ERA,      /* counts how often the store was restored */
     DL_HEADER_NUM
 } dl_header;
--- a/packages/exchange/include/lacewing/routes.h
+++ b/packages/exchange/include/lacewing/routes.h
@@ -17,6 +17,7 @@
 #ifndef LACEWING_ROUTES_H
 #define LACEWING_ROUTES_H
 
+#include "lacewing/workspaces.h"
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -46,6 +47,7 @@
     uint32_t priority;          /* 0 is the highest */
     uint32_t max_servers;       /* number of servers that may run a request */
     bool resumable;             /* streams may continue at another server */
+    bool is_public;             /* needs no key of a workspace */
     GArray *targets;            /* rc_target; several if the route is split */
     uint32_t weight_sum;        /* of the targets, set by rc_add_route() */
 } rc_route;
@@ -90,6 +92,9 @@
 /* Building; the table takes ownership of the strings and arrays. */
 void rc_add_service(rc_table *table, const rc_service *service);
 void rc_add_route(rc_table *table, const rc_route *route);
+/* Sets the workspaces whose callers may use the routes that are not public;
+   takes ownership. Without it, the routes need no keys. */
+void rc_set_workspaces(rc_table *table, wp_table *workspaces);
 void rc_set_limits(rc_table *table, const rc_limits *limits);
 /* Sorts the routes and makes the table read-only. */
 void rc_seal(rc_table *table);
@@ -97,6 +102,8 @@
 /* queries */
 uint64_t rc_query_version(const rc_table *table);
 uint32_t rc_query_route_count(const rc_table *table);
+/* Returns NULL if no keys are needed. */
+const wp_table *rc_query_workspaces(const rc_table *table);
 const rc_limits *rc_query_limits(const rc_table *table);
 /* Returns the route of the host with the longest prefix of the target's path;
    NULL: none. Ignores the case and the port of the host; the target may be in
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -30,10 +30,9 @@
    the minimum: a load takes 250 ms, a queue of loads several times that. */
 #define _XC_LOAD_WAIT_FACTOR 1
 #define _XC_LOAD_WAIT_MIN_US 600000
-/* Refused callers may retry after this time plus a random time of up to the
-   same length. Where no server can take the load, usually because a lease has
-   lapsed, it is four times that: about the duration of a lease. */
-#define _XC_RETRY_AFTER_MS 400
+/* Refused callers may retry after XC_RETRY_AFTER_MS plus a random time of up
+   to the same length. Where no server can take the load, usually because a
+   lease has lapsed, it is four times that: about the duration of a lease. */
 #define _XC_NO_LOAD_TARGET_FACTOR 4
 /* Most tokens of a stream whose caller gives no limit. */
 #define _XC_DEFAULT_MAX_TOKENS 1000
@@ -127,8 +126,8 @@
 static uint32_t
 _xc_retry_after_ms(xc_core *core)
 {
-    return _XC_RETRY_AFTER_MS +
-           (uint32_t)g_rand_int_range(core->random, 0, _XC_RETRY_AFTER_MS);
+    return XC_RETRY_AFTER_MS +
+           (uint32_t)g_rand_int_range(core->random, 0, XC_RETRY_AFTER_MS);
 }
 
 /* Returns the longest time that a request waits for a server. */
@@ -262,7 +261,7 @@
     if (choice->status == FL_ALL_PAUSED &&
         !_xc_can_outwait_pause(exchange, choice)) {
         uint64_t left_us = choice->resume_us - xc_now_us(exchange);
-        double left_ms = MAX((double)left_us / 1000.0, _XC_RETRY_AFTER_MS);
+        double left_ms = MAX((double)left_us / 1000.0, XC_RETRY_AFTER_MS);
         double spread_ms =
             MIN(left_ms * _XC_RETRY_SPREAD_SHARE, _XC_RETRY_SPREAD_MAX_MS);
         double retry_after_ms =
@@ -586,6 +585,9 @@
         return NULL;
     }
     exchange->logged = lg_sample(exchange->id);
+    if (!xc_find_workspace(exchange)) {
+        return NULL;
+    }
     if (xc_query_unknown_adapter(exchange)) {
         xc_refuse(exchange, 404, _xc_retry_after_ms(core),
                   CT_UNSERVED_UNKNOWN_ADAPTER);
@@ -606,6 +608,9 @@
                   CT_UNSERVED_INSTANCE_LEAVES);
         return NULL;
     }
+    if (!xc_take_quota(exchange)) {
+        return NULL;
+    }
     if (exchange->adapter) {
         fl_count_own_request(core->desc.fleet, exchange->adapter,
                              exchange->received_us);
@@ -806,7 +811,7 @@
 xc_create(const xc_desc *desc)
 {
     g_assert(desc->loop && desc->hub && desc->fleet && desc->suspects &&
-             desc->dialect);
+             desc->quotas && desc->dialect);
     xc_core *core = g_new0(xc_core, 1);
     core->desc = *desc;
     g_queue_init(&core->active);
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -27,6 +27,7 @@
 #include "fleet.h"
 #include "lacewing/dialect.h"
 #include "lacewing/http_client.h"
+#include "quota.h"
 #include "suspects.h"
 
 typedef struct xc_core xc_core;
@@ -58,6 +59,7 @@
     nc_hub *hub;               /* required */
     fl_fleet *fleet;           /* required */
     su_suspects *suspects;     /* required */
+    qt_quotas *quotas;         /* required */
     const dl_dialect *dialect; /* required */
     const char *zone;          /* required */
     uint64_t max_answer_bytes; /* memory for servers' answers that are
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -758,6 +758,56 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
+lacewing__exchange__quota_use__init(Lacewing__Exchange__QuotaUse *message)
+{
+    static const Lacewing__Exchange__QuotaUse init_value =
+        LACEWING__EXCHANGE__QUOTA_USE__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__quota_use__get_packed_size(
+    const Lacewing__Exchange__QuotaUse *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__quota_use__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__quota_use__pack(
+    const Lacewing__Exchange__QuotaUse *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__quota_use__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__quota_use__pack_to_buffer(
+    const Lacewing__Exchange__QuotaUse *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__quota_use__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__QuotaUse *
+lacewing__exchange__quota_use__unpack(ProtobufCAllocator *allocator,
+                                      size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__QuotaUse *)protobuf_c_message_unpack(
+        &lacewing__exchange__quota_use__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__quota_use__free_unpacked(
+    Lacewing__Exchange__QuotaUse *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__quota_use__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
 lacewing__exchange__candidate__init(Lacewing__Exchange__Candidate *message)
 {
     static const Lacewing__Exchange__Candidate init_value =
@@ -1893,6 +1943,55 @@
         NULL,
         NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__quota_use__field_descriptors[3] = {
+        {
+            "workspace", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__QuotaUse, workspace), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "admitted", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__QuotaUse, admitted), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "refused", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__QuotaUse, refused), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned lacewing__exchange__quota_use__field_indices_by_name[] =
+    {
+        1, /* field[1] = admitted */
+        2, /* field[2] = refused */
+        0, /* field[0] = workspace */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__quota_use__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor lacewing__exchange__quota_use__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "lacewing.exchange.QuotaUse",
+    "QuotaUse",
+    "Lacewing__Exchange__QuotaUse",
+    "lacewing.exchange",
+    sizeof(Lacewing__Exchange__QuotaUse),
+    3,
+    lacewing__exchange__quota_use__field_descriptors,
+    lacewing__exchange__quota_use__field_indices_by_name,
+    1,
+    lacewing__exchange__quota_use__number_ranges,
+    (ProtobufCMessageInit)lacewing__exchange__quota_use__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor
     lacewing__exchange__candidate__field_descriptors[3] = {
         {
@@ -2108,7 +2207,7 @@
         NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__word__field_descriptors[18] = {
+    lacewing__exchange__word__field_descriptors[19] = {
         {
             "instance", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
             0, /* quantifier_offset */
@@ -2237,6 +2336,14 @@
             &lacewing__exchange__permit_grant__descriptor, NULL, 0, /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
+        {
+            "quota_uses", 20, PROTOBUF_C_LABEL_REPEATED,
+            PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__Word, n_quota_uses),
+            offsetof(Lacewing__Exchange__Word, quota_uses),
+            &lacewing__exchange__quota_use__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
     5,  /* field[5] = asks */
@@ -2251,6 +2358,7 @@
     8,  /* field[8] = number */
     16, /* field[16] = permit_asks */
     17, /* field[17] = permit_grants */
+    18, /* field[18] = quota_uses */
     7,  /* field[7] = rows */
     2,  /* field[2] = servers */
     9,  /* field[9] = spread */
@@ -2259,7 +2367,7 @@
     10, /* field[10] = words */
 };
 static const ProtobufCIntRange lacewing__exchange__word__number_ranges[2 + 1] =
-    {{1, 0}, {8, 6}, {0, 18}};
+    {{1, 0}, {8, 6}, {0, 19}};
 const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "lacewing.exchange.Word",
@@ -2267,7 +2375,7 @@
     "Lacewing__Exchange__Word",
     "lacewing.exchange",
     sizeof(Lacewing__Exchange__Word),
-    18,
+    19,
     lacewing__exchange__word__field_descriptors,
     lacewing__exchange__word__field_indices_by_name,
     2,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Lacewing__Exchange__LimitWord Lacewing__Exchange__LimitWord;
 typedef struct Lacewing__Exchange__PermitAsk Lacewing__Exchange__PermitAsk;
 typedef struct Lacewing__Exchange__PermitGrant Lacewing__Exchange__PermitGrant;
+typedef struct Lacewing__Exchange__QuotaUse Lacewing__Exchange__QuotaUse;
 typedef struct Lacewing__Exchange__Candidate Lacewing__Exchange__Candidate;
 typedef struct Lacewing__Exchange__CrashWord Lacewing__Exchange__CrashWord;
 typedef struct Lacewing__Exchange__BlockWord Lacewing__Exchange__BlockWord;
@@ -382,6 +383,25 @@
         , (char *)protobuf_c_empty_string, 0, 0                               \
     }
 
+/*
+ * What the sender admitted and refused of a workspace since its process began,
+ * in the unit of the workspace's quota.
+ */
+struct Lacewing__Exchange__QuotaUse {
+    ProtobufCMessage base;
+    /*
+     * hash of its name
+     */
+    uint32_t workspace;
+    uint64_t admitted;
+    uint64_t refused;
+};
+#define LACEWING__EXCHANGE__QUOTA_USE__INIT                                   \
+    {                                                                         \
+        PROTOBUF_C_MESSAGE_INIT(&lacewing__exchange__quota_use__descriptor)   \
+        , 0, 0, 0                                                             \
+    }
+
 /*
  * A content that a server was running when it crashed.
  */
@@ -505,13 +525,15 @@
     Lacewing__Exchange__PermitAsk **permit_asks;
     size_t n_permit_grants;
     Lacewing__Exchange__PermitGrant **permit_grants;
+    size_t n_quota_uses;
+    Lacewing__Exchange__QuotaUse **quota_uses;
 };
 #define LACEWING__EXCHANGE__WORD__INIT                                        \
     {                                                                         \
         PROTOBUF_C_MESSAGE_INIT(&lacewing__exchange__word__descriptor)        \
         , (char *)protobuf_c_empty_string, 0, 0, 0, 0, NULL, 0, NULL, 0,      \
             NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0,    \
-            NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL                          \
+            NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL                 \
     }
 
 /* Lacewing__Exchange__InstanceRow methods */
@@ -724,6 +746,20 @@
                                          size_t len, const uint8_t *data);
 void lacewing__exchange__permit_grant__free_unpacked(
     Lacewing__Exchange__PermitGrant *message, ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__QuotaUse methods */
+void
+lacewing__exchange__quota_use__init(Lacewing__Exchange__QuotaUse *message);
+size_t lacewing__exchange__quota_use__get_packed_size(
+    const Lacewing__Exchange__QuotaUse *message);
+size_t lacewing__exchange__quota_use__pack(
+    const Lacewing__Exchange__QuotaUse *message, uint8_t *out);
+size_t lacewing__exchange__quota_use__pack_to_buffer(
+    const Lacewing__Exchange__QuotaUse *message, ProtobufCBuffer *buffer);
+Lacewing__Exchange__QuotaUse *
+lacewing__exchange__quota_use__unpack(ProtobufCAllocator *allocator,
+                                      size_t len, const uint8_t *data);
+void lacewing__exchange__quota_use__free_unpacked(
+    Lacewing__Exchange__QuotaUse *message, ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__Candidate methods */
 void
 lacewing__exchange__candidate__init(Lacewing__Exchange__Candidate *message);
@@ -825,6 +861,8 @@
     const Lacewing__Exchange__PermitAsk *message, void *closure_data);
 typedef void (*Lacewing__Exchange__PermitGrant_Closure)(
     const Lacewing__Exchange__PermitGrant *message, void *closure_data);
+typedef void (*Lacewing__Exchange__QuotaUse_Closure)(
+    const Lacewing__Exchange__QuotaUse *message, void *closure_data);
 typedef void (*Lacewing__Exchange__Candidate_Closure)(
     const Lacewing__Exchange__Candidate *message, void *closure_data);
 typedef void (*Lacewing__Exchange__CrashWord_Closure)(
@@ -869,6 +907,8 @@
     lacewing__exchange__permit_ask__descriptor;
 extern const ProtobufCMessageDescriptor
     lacewing__exchange__permit_grant__descriptor;
+extern const ProtobufCMessageDescriptor
+    lacewing__exchange__quota_use__descriptor;
 extern const ProtobufCMessageDescriptor
     lacewing__exchange__candidate__descriptor;
 extern const ProtobufCMessageDescriptor
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -65,7 +65,8 @@
     g_snprintf(counts, sizeof(counts), "%u/%u", exchange->send_count,
                exchange->piece_count);
     lg_write(item, "request", exchange->id ? exchange->id : "-", "why", why,
-             "route", exchange->route->name, "adapter",
+             "route", exchange->route->name, "workspace",
+             exchange->workspace ? exchange->workspace->name : "-", "adapter",
              adapter ? adapter->key : "-", "server",
              exchange->send_count ? exchange->last_server_id : "-",
              "sent/first/after_ms", times, "sends/pieces", counts,
@@ -80,10 +81,16 @@
     xc_log_outcome(LG_REQUEST_REFUSED, exchange, ct_query_unserved_text(why));
     ct_count_refused(ER_NO_SERVER);
     ct_count_unserved(CT_OUTCOME_REFUSED, why);
-    char headers[64];
-    g_snprintf(headers, sizeof(headers), "%s: %.2f\r\n",
-               exchange->core->desc.dialect->headers[DL_RETRY_AFTER],
-               after_ms / 1000.0);
+    xc_return_quota(exchange);
+    char headers[64] = "";
+    if (status == 429 || status == 503) {
+        g_snprintf(headers, sizeof(headers), "%s: %.2f\r\n",
+                   exchange->core->desc.dialect->headers[DL_RETRY_AFTER],
+                   after_ms / 1000.0);
+    }
+    else if (status == 401) {
+        g_strlcpy(headers, "WWW-Authenticate: Bearer\r\n", sizeof(headers));
+    }
     cr_conn *caller = exchange->caller;
     xc_free(exchange);
     cr_respond(caller, &(cr_answer){.status = status, .headers = headers});
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -14,6 +14,8 @@
 
 /* Most sends of one request, including those that a server refused. */
 #define XC_MAX_SENDS 4
+/* Least time after which a refused caller may retry. */
+#define XC_RETRY_AFTER_MS 400
 /* Longest event id in a log line, with its end; longer ones are cut. */
 #define XC_EVENT_ID_LOG_BYTES 41
 
@@ -52,7 +54,10 @@
     rc_table *table;    /* reference that keeps route and service alive */
     const rc_route *route;
     const rc_service *service;
-    fl_adapter *adapter; /* NULL: a plain service */
+    /* NULL: the route is public or needs no key; kept alive by the table */
+    const wp_workspace *workspace;
+    uint32_t quota_amount; /* drawn on the workspace's quota */
+    fl_adapter *adapter;   /* NULL: a plain service */
     uint32_t prompt_tokens;
     uint32_t max_tokens;  /* that a stream may produce */
     uint32_t hint_tokens; /* the caller's estimate of them; 0: none */
@@ -147,6 +152,21 @@
    known, and so do all while the configuration may be out of date. */
 bool xc_query_unknown_adapter(const xc_exchange *exchange);
 
+/* -- exchange_workspace.c */
+/* Finds the workspace of the caller by its key. Returns false if the request
+   may not be used without one, or with this key, and is answered. */
+bool xc_find_workspace(xc_exchange *exchange);
+/* Draws on the quota of the workspace. Returns false if that is used up and
+   the request is answered. */
+bool xc_take_quota(xc_exchange *exchange);
+/* Gives back what a request has drawn that did not run. */
+void xc_return_quota(xc_exchange *exchange);
+/* Returns whether a header of the caller is kept from the server: its key, and
+   the name of its workspace, which only the system may set. */
+bool xc_hides_header(const xc_exchange *exchange, const char *name);
+/* Returns the rank of the request, 0 is the highest. */
+uint32_t xc_query_priority(const xc_exchange *exchange);
+
 /* -- exchange_send.c */
 /* Sends the request to the chosen server. Returns false if no connection could
    be had. */
@@ -170,8 +190,8 @@
 void xc_log_send_ended(xc_exchange *exchange, const char *why);
 
 /* -- exchange_answer.c */
-/* Answers that the request did not run and never will, and that the caller may
-   retry after retry_after_ms. */
+/* Answers that the request did not run and never will; with 429 or 503, that
+   the caller may retry after retry_after_ms. */
 void xc_refuse(xc_exchange *exchange, uint32_t status, uint32_t retry_after_ms,
                ct_unserved_reason why);
 /* Answers with an error that says nothing about whether the request ran; cuts
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -462,7 +462,8 @@
         return true;
     }
     return strcasecmp(name, "content-length") == 0 ||
-           strcasecmp(name, "expect") == 0;
+           strcasecmp(name, "expect") == 0 ||
+           xc_hides_header(exchange, name);
 }
 
 static void
@@ -497,10 +498,14 @@
     _xc_append_header_u64(text, names[DL_DEADLINE], MAX(left_us / 1000, 1));
     g_string_append_printf(text, "%s: %s\r\n", names[DL_EXPECT_SERVER],
                            exchange->server->id);
+    if (exchange->workspace) {
+        g_string_append_printf(text, "%s: %s\r\n", names[DL_WORKSPACE],
+                               exchange->workspace->name);
+    }
     if (exchange->adapter) {
         /* The header's range is 0 to 9, and 0 is the highest. */
         _xc_append_header_u64(text, names[DL_PRIORITY],
-                              MIN(exchange->route->priority * 2 + 1, 9));
+                              MIN(xc_query_priority(exchange) * 2 + 1, 9));
     }
     if (version) {
         _xc_append_header_u64(text, names[DL_EXPECT_VERSION], version);
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -222,6 +222,13 @@
                fleet->old_version_grace_us;
 }
 
+/* Servers of several services may hold a model of the same name. */
+static bool
+_fl_is_of_service(const fl_request *request, const fl_server *server)
+{
+    return strcmp(server->service, request->service) == 0;
+}
+
 /* Chooses among the servers with a loaded copy: one that is up to date, or
    with outdated one of an older version that may still serve. */
 static void
@@ -231,7 +238,8 @@
     const fl_adapter *adapter = request->adapter;
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
-        if (copy->loading || fl_query_up_to_date(copy) == outdated ||
+        if (copy->loading || !_fl_is_of_service(request, copy->server) ||
+            fl_query_up_to_date(copy) == outdated ||
             (outdated && !_fl_old_version_in_time(fleet, request, copy))) {
             continue;
         }
@@ -399,7 +407,8 @@
     const fl_adapter *adapter = request->adapter;
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
-        if (!copy->loading && fl_query_up_to_date(copy)) {
+        if (!copy->loading && fl_query_up_to_date(copy) &&
+            _fl_is_of_service(request, copy->server)) {
             _fl_note_resume(request, copy->server, out);
         }
     }
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -409,6 +409,7 @@
     GPtrArray *copies; /* CopyUse, of all servers */
     GPtrArray *lists;  /* CopyUse *, one array per server */
     GPtrArray *uses;   /* Use */
+    GPtrArray *quotas; /* QuotaUse */
 } _gp_loads;
 
 /* Adds the local in-flight requests of each copy that has any. */
@@ -538,6 +539,19 @@
     return true;
 }
 
+static void
+_gp_add_quota_use(const qt_use *use, void *user_data)
+{
+    _gp_loads *all = user_data;
+    Lacewing__Exchange__QuotaUse *word =
+        g_new(Lacewing__Exchange__QuotaUse, 1);
+    lacewing__exchange__quota_use__init(word);
+    word->workspace = use->workspace;
+    word->admitted = use->admitted;
+    word->refused = use->refused;
+    g_ptr_array_add(all->quotas, word);
+}
+
 void
 gp_broadcast_loads(gp_peers *peers, const gp_table_digest *own)
 {
@@ -545,10 +559,15 @@
                      .loads = g_ptr_array_new_with_free_func(g_free),
                      .copies = g_ptr_array_new_with_free_func(g_free),
                      .lists = g_ptr_array_new_with_free_func(g_free),
-                     .uses = g_ptr_array_new_with_free_func(g_free)};
+                     .uses = g_ptr_array_new_with_free_func(g_free),
+                     .quotas = g_ptr_array_new_with_free_func(g_free)};
     fl_each_server(peers->desc.fleet, _gp_add_load, &all);
     fl_each_unreported(peers->desc.fleet, _gp_add_use, &all);
+    qt_each_unreported(peers->desc.quotas, lp_query_now_us(peers->desc.loop),
+                       _gp_add_quota_use, &all);
     Lacewing__Exchange__Word message = LACEWING__EXCHANGE__WORD__INIT;
+    message.n_quota_uses = all.quotas->len;
+    message.quota_uses = (Lacewing__Exchange__QuotaUse **)all.quotas->pdata;
     message.n_loads = all.loads->len;
     message.loads = (Lacewing__Exchange__ServerLoad **)all.loads->pdata;
     message.n_uses = all.uses->len;
@@ -557,13 +576,14 @@
     Lacewing__Exchange__TableWord *tables[] = {&table};
     message.n_tables = _gp_fill_table_digest(peers, &table, KR_OWN, own);
     message.tables = tables;
-    if (message.n_loads || message.n_uses) {
+    if (message.n_loads || message.n_uses || message.n_quota_uses) {
         gp_broadcast(peers, &message, true);
     }
     g_ptr_array_unref(all.loads);
     g_ptr_array_unref(all.copies);
     g_ptr_array_unref(all.lists);
     g_ptr_array_unref(all.uses);
+    g_ptr_array_unref(all.quotas);
 }
 
 static bool
@@ -734,6 +754,15 @@
 {
     uint64_t now_us = lp_query_now_us(peers->desc.loop);
     uint32_t peer = (uint32_t)g_str_hash(message->instance);
+    qt_note_heard(peers->desc.quotas, message->instance, now_us);
+    for (size_t i = 0; i < message->n_quota_uses; i++) {
+        const Lacewing__Exchange__QuotaUse *word = message->quota_uses[i];
+        qt_feed(peers->desc.quotas, message->instance, message->incarnation,
+                &(qt_use){.workspace = word->workspace,
+                          .admitted = word->admitted,
+                          .refused = word->refused},
+                now_us);
+    }
     for (size_t i = 0; i < message->n_loads; i++) {
         _gp_apply_load(peers, message->loads[i], peer);
     }
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -22,6 +22,7 @@
 #include "known_rows.h"
 #include "lacewing/loop.h"
 #include "lease.h"
+#include "quota.h"
 #include "suspects.h"
 
 typedef struct gp_peers gp_peers;
@@ -73,6 +74,7 @@
     lp_loop *loop;        /* required */
     fl_fleet *fleet;      /* required */
     le_lease *lease;      /* required */
+    qt_quotas *quotas;    /* required */
     const char *instance; /* required */
     const char *zone;     /* required */
     const char *address;  /* required, IP:PORT of datagrams */
@@ -111,7 +113,7 @@
 void gp_broadcast_block(gp_peers *peers, const su_block *block);
 void gp_broadcast_cleared(gp_peers *peers, uint64_t item, uint64_t began_us);
 /* Broadcasts local in-flight counts that changed or were sent too long ago,
-   and adapter uses since the last call. Adds the digest of the own table, as
+   adapter uses since the last call, and what was admitted of quotas. Adds the digest of the own table, as
    messages about it may have been lost. */
 void gp_broadcast_loads(gp_peers *peers, const gp_table_digest *own);
 /* Broadcasts the digest of a store table and its new rows (dl_row). Rows that
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -548,11 +548,13 @@
         &(cw_desc){.callbacks = &nd_crash_callbacks, .user_data = node});
     node->suspects = su_create(
         &(su_desc){.callbacks = &nd_suspects_callbacks, .user_data = node});
+    node->quotas = qt_create();
     node->core = xc_create(&(xc_desc){
         .loop = loop,
         .hub = node->hub,
         .fleet = node->fleet,
         .suspects = node->suspects,
+        .quotas = node->quotas,
         .dialect = node->desc.dialect,
         .zone = settings->zone,
         .max_answer_bytes =
@@ -572,6 +574,7 @@
         gp_create(&(gp_desc){.loop = node->desc.loop,
                              .fleet = node->fleet,
                              .lease = node->lease,
+                             .quotas = node->quotas,
                              .instance = settings->instance,
                              .zone = settings->zone,
                              .address = peer_address,
@@ -640,6 +643,7 @@
     cr_destroy(node->status_port);
     xc_destroy(node->core);
     cw_destroy(node->crash_watch);
+    qt_destroy(node->quotas);
     su_destroy(node->suspects);
     hc_destroy(node->client);
     or_destroy(node->orderer);
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -31,6 +31,7 @@
     uint64_t refetch_us[KR_TABLE_NUM];
     xc_core *core;
     cw_watch *crash_watch;
+    qt_quotas *quotas;
     su_suspects *suspects;
     GHashTable *limit_shares; /* server id -> ls_share, divided here */
     cr_port *caller_port;
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -133,6 +133,8 @@
     rc_unref(node->config);
     node->config = rc_ref(table);
     xc_set_table(node->core, table);
+    qt_set_limits(node->quotas, rc_query_workspaces(table),
+                  lp_query_now_us(node->desc.loop));
     or_set_table(node->orderer, table);
     cr_set_limits(node->caller_port, rc_query_limits(table));
     fl_each_server(node->fleet, nd_add_lease_candidate, node);
--- a/packages/exchange/src/routes.c
+++ b/packages/exchange/src/routes.c
@@ -7,7 +7,8 @@
     uint64_t version;
     bool sealed;
     rc_limits limits;
-    GPtrArray *routes;   /* rc_route */
+    wp_table *workspaces; /* NULL: no keys are needed */
+    GPtrArray *routes;    /* rc_route */
     GPtrArray *services; /* rc_service */
     /* host in lower case -> GPtrArray of rc_route, longest prefix first */
     GHashTable *routes_by_host;
@@ -117,6 +118,7 @@
     g_hash_table_unref(table->routes_by_host);
     g_hash_table_unref(table->services_by_name);
     g_ptr_array_unref(table->routes);
+    wp_destroy(table->workspaces);
     g_ptr_array_unref(table->services);
     g_free(table);
 }
@@ -152,6 +154,13 @@
     g_ptr_array_add(list, copy);
 }
 
+void
+rc_set_workspaces(rc_table *table, wp_table *workspaces)
+{
+    g_assert(!table->sealed && !table->workspaces);
+    table->workspaces = workspaces;
+}
+
 void
 rc_set_limits(rc_table *table, const rc_limits *limits)
 {
@@ -183,6 +192,12 @@
     return table->routes->len;
 }
 
+const wp_table *
+rc_query_workspaces(const rc_table *table)
+{
+    return table->workspaces;
+}
+
 const rc_limits *
 rc_query_limits(const rc_table *table)
 {
--- a/packages/exchange/tests/test_gossip.c
+++ b/packages/exchange/tests/test_gossip.c
@@ -101,6 +101,7 @@
         self->peers = gp_create(&(gp_desc){.loop = loop,
                                            .fleet = self->fleet,
                                            .lease = self->lease,
+                                           .quotas = qt_create(),
                                            .instance = self->name,
                                            .zone = self->zone,
                                            .address = self->address,
