--- a/packages/exchange/include/lacewing/workspaces.h
+++ b/packages/exchange/include/lacewing/workspaces.h
@@ -23,9 +23,9 @@
 
 typedef struct wp_workspace {
     const char *name;
-    bool has_priority; /* priority is set; it goes before the route's */
-    uint32_t priority; /* 0 is the highest */
-    bool in_tokens;    /* the quota counts tokens, otherwise requests */
+    bool has_priority;     /* priority is set; it goes before the route's */
+    uint32_t priority;     /* 0 is the highest */
+    bool in_tokens;        /* the quota counts tokens, otherwise requests */
     uint32_t plain_tokens; /* that a request counts as which names none */
     double per_s;          /* quota over all instances; 0: no limit */
     double burst;          /* may be used at once on top of it */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -462,8 +462,7 @@
         return true;
     }
     return strcasecmp(name, "content-length") == 0 ||
-           strcasecmp(name, "expect") == 0 ||
-           xc_hides_header(exchange, name);
+           strcasecmp(name, "expect") == 0 || xc_hides_header(exchange, name);
 }
 
 static void
--- a/packages/exchange/src/exchange_workspace.c
+++ b/packages/exchange/src/exchange_workspace.c
@@ -51,8 +51,7 @@
     }
     uint32_t count = _xc_count_headers(exchange->head, _XC_KEY_HEADER);
     if (count > 1) {
-        xc_refuse(exchange, 400, XC_RETRY_AFTER_MS,
-                  CT_UNSERVED_AMBIGUOUS_KEY);
+        xc_refuse(exchange, 400, XC_RETRY_AFTER_MS, CT_UNSERVED_AMBIGUOUS_KEY);
         return false;
     }
     const char *key =
@@ -76,8 +75,7 @@
     if (!h1_query_header(exchange->head, name)) {
         return exchange->workspace->plain_tokens;
     }
-    uint64_t tokens =
-        (uint64_t)exchange->prompt_tokens + exchange->max_tokens;
+    uint64_t tokens = (uint64_t)exchange->prompt_tokens + exchange->max_tokens;
     return (uint32_t)MIN(tokens, UINT32_MAX);
 }
 
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -113,8 +113,8 @@
 void gp_broadcast_block(gp_peers *peers, const su_block *block);
 void gp_broadcast_cleared(gp_peers *peers, uint64_t item, uint64_t began_us);
 /* Broadcasts local in-flight counts that changed or were sent too long ago,
-   adapter uses since the last call, and what was admitted of quotas. Adds the digest of the own table, as
-   messages about it may have been lost. */
+   adapter uses since the last call, and what was admitted of quotas. Adds the
+   digest of the own table, as messages about it may have been lost. */
 void gp_broadcast_loads(gp_peers *peers, const gp_table_digest *own);
 /* Broadcasts the digest of a store table and its new rows (dl_row). Rows that
    are too many or too large for a datagram are left out: receivers then read
--- a/packages/exchange/src/quota.c
+++ b/packages/exchange/src/quota.c
@@ -51,20 +51,20 @@
     uint64_t incarnation; /* of the sums */
     uint64_t admitted;
     uint64_t refused;
-    _qt_count asked;   /* for its part of the quota */
-    double lost_part;  /* of the quota, since the instance is not heard */
+    _qt_count asked;  /* for its part of the quota */
+    double lost_part; /* of the quota, since the instance is not heard */
 } _qt_peer_use;
 
 typedef struct _qt_quota {
     uint32_t hash;
     double per_s; /* 0: no limit */
     double burst;
-    uint32_t generation; /* of qt_quotas, when it was set last */
-    double level;      /* of the shared bucket */
-    uint64_t level_us; /* when it was computed */
+    uint32_t generation;   /* of qt_quotas, when it was set last */
+    double level;          /* of the shared bucket */
+    uint64_t level_us;     /* when it was computed */
     _qt_count asked;       /* over all instances */
     _qt_count asked_parts; /* the same, to compare with theirs */
-    uint64_t admitted; /* here, since the start */
+    uint64_t admitted;     /* here, since the start */
     uint64_t refused;
     uint32_t repeats_left;
     uint64_t reported_us;
@@ -114,13 +114,11 @@
 {
     double part = _qt_heard_part(quota);
     if (now_us > quota->level_us) {
-        double elapsed_s =
-            (double)(now_us - quota->level_us) / G_USEC_PER_SEC;
+        double elapsed_s = (double)(now_us - quota->level_us) / G_USEC_PER_SEC;
         quota->level += elapsed_s * quota->per_s * part;
         quota->level_us = now_us;
     }
-    quota->level =
-        MIN(quota->level, quota->burst * _QT_BURST_PART * part);
+    quota->level = MIN(quota->level, quota->burst * _QT_BURST_PART * part);
 }
 
 /* -- private: other instances --------------------------------------------- */
@@ -145,8 +143,7 @@
 _qt_keep_part(_qt_quota *quota, const _qt_peer *lost, guint instance_count,
               uint64_t now_us)
 {
-    _qt_peer_use *use =
-        g_hash_table_lookup(quota->peer_uses, (gpointer)lost);
+    _qt_peer_use *use = g_hash_table_lookup(quota->peer_uses, (gpointer)lost);
     if (!use) {
         use = g_new0(_qt_peer_use, 1);
         g_hash_table_insert(quota->peer_uses, (gpointer)lost, use);
@@ -164,8 +161,7 @@
 static void
 _qt_return_part(_qt_quota *quota, const _qt_peer *peer)
 {
-    _qt_peer_use *use =
-        g_hash_table_lookup(quota->peer_uses, (gpointer)peer);
+    _qt_peer_use *use = g_hash_table_lookup(quota->peer_uses, (gpointer)peer);
     if (use) {
         quota->lost_part = MAX(quota->lost_part - use->lost_part, 0.0);
         use->lost_part = 0;
@@ -256,11 +252,11 @@
 qt_create(void)
 {
     qt_quotas *quotas = g_new0(qt_quotas, 1);
-    quotas->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                            _qt_free_quota);
+    quotas->by_name =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, _qt_free_quota);
     quotas->by_hash = g_hash_table_new(NULL, NULL);
-    quotas->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                          _qt_free_peer);
+    quotas->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, _qt_free_peer);
     return quotas;
 }
 
@@ -335,8 +331,8 @@
     double asked_per_s =
         _qt_query_count(&quota->asked, _QT_ASKED_DECAY_US, now_us) /
         (_QT_ASKED_DECAY_US / G_USEC_PER_SEC);
-    double room_per_s = quota->per_s * _qt_heard_part(quota) +
-                        quota->level / _QT_LEVEL_S;
+    double room_per_s =
+        quota->per_s * _qt_heard_part(quota) + quota->level / _QT_LEVEL_S;
     return asked_per_s > 0 ? CLAMP(room_per_s / asked_per_s, 0.0, 1.0) : 1.0;
 }
 
@@ -348,10 +344,8 @@
 {
     double per_s = MAX(quota->per_s * _qt_heard_part(quota), 1.0);
     double overdrawn_ms = MAX(-quota->level, 0.0) / per_s * 1000.0;
-    double factor =
-        MIN(1.0 / MAX(admitted_part, 0.01), _QT_MAX_RETRY_FACTOR);
-    return (uint32_t)(overdrawn_ms +
-                      _QT_MIN_RETRY_MS * (1.0 + draw * factor));
+    double factor = MIN(1.0 / MAX(admitted_part, 0.01), _QT_MAX_RETRY_FACTOR);
+    return (uint32_t)(overdrawn_ms + _QT_MIN_RETRY_MS * (1.0 + draw * factor));
 }
 
 qt_verdict
@@ -386,6 +380,7 @@
         _qt_fill(quota, now_us);
         quota->level += amount;
         quota->admitted -= MIN(amount, quota->admitted);
+        _qt_add_asked(quota, -(double)amount, now_us);
         quota->repeats_left = _QT_REPEATS;
     }
 }
@@ -408,8 +403,8 @@
         const qt_use *use, uint64_t now_us)
 {
     const _qt_peer *peer = _qt_get_peer(quotas, instance);
-    _qt_quota *quota = g_hash_table_lookup(quotas->by_hash,
-                                           GUINT_TO_POINTER(use->workspace));
+    _qt_quota *quota =
+        g_hash_table_lookup(quotas->by_hash, GUINT_TO_POINTER(use->workspace));
     if (!quota) {
         return;
     }
@@ -432,7 +427,7 @@
     /* A refund lowers a sum; a message may arrive after a later one. */
     double admitted = (double)use->admitted - (double)known->admitted;
     double refused = (double)use->refused - (double)known->refused;
-    double asked = MAX(admitted, 0.0) + MAX(refused, 0.0);
+    double asked = admitted + refused;
     known->admitted = use->admitted;
     known->refused = use->refused;
     _qt_fill(quota, now_us);
@@ -451,9 +446,8 @@
     g_hash_table_iter_init(&iter, quotas->by_name);
     while (g_hash_table_iter_next(&iter, NULL, &data)) {
         _qt_quota *quota = data;
-        bool busy =
-            _qt_query_count(&quota->asked, _QT_ASKED_DECAY_US, now_us) >
-            quota->per_s * _QT_BUSY_PART;
+        bool busy = _qt_query_count(&quota->asked, _QT_ASKED_DECAY_US,
+                                    now_us) > quota->per_s * _QT_BUSY_PART;
         uint64_t interval_us = busy ? _QT_REPORT_BUSY_US : _QT_REPORT_US;
         if (quota->repeats_left &&
             now_us >= quota->reported_us + interval_us) {
--- a/packages/exchange/src/routes.c
+++ b/packages/exchange/src/routes.c
@@ -9,7 +9,7 @@
     rc_limits limits;
     wp_table *workspaces; /* NULL: no keys are needed */
     GPtrArray *routes;    /* rc_route */
-    GPtrArray *services; /* rc_service */
+    GPtrArray *services;  /* rc_service */
     /* host in lower case -> GPtrArray of rc_route, longest prefix first */
     GHashTable *routes_by_host;
     GHashTable *services_by_name; /* name -> rc_service */
--- a/packages/exchange/tests/test_quota.c
+++ b/packages/exchange/tests/test_quota.c
@@ -146,10 +146,9 @@
 set_weights(bool uneven)
 {
     for (int i = 0; i < sim->count; i++) {
-        sim->instances[i].weight =
-            !uneven                              ? 1.0
-            : g_rand_double(sim->random) < 0.1 ? 20.0
-                                                 : 0.5;
+        sim->instances[i].weight = !uneven                            ? 1.0
+                                   : g_rand_double(sim->random) < 0.1 ? 20.0
+                                                                      : 0.5;
     }
 }
 
