--- a/packages/exchange/tests/test_quota.c
+++ b/packages/exchange/tests/test_quota.c
@@ -220,7 +220,8 @@
         double load =
             p->load_late > 0 && sim->now_us >= 10 * S ? p->load_late : p->load;
         owed += load * PER_S / 100.0 * 2 * g_rand_double(sim->random);
-        for (; owed >= REQUEST_TOKENS; owed -= REQUEST_TOKENS) {
+        while (owed >= REQUEST_TOKENS) {
+            owed -= REQUEST_TOKENS;
             ask(draw_instance());
         }
         for (int i = 0; i < sim->count; i++) {
--- a/packages/net/include/lacewing/conn.h
+++ b/packages/net/include/lacewing/conn.h
@@ -128,8 +128,8 @@
 size_t nc_query_unsent(const nc_conn *conn);
 /* Bytes of input kept because `data` did not consume them. */
 size_t nc_query_unconsumed(const nc_conn *conn);
-/* The peer acknowledges neither bytes nor probes of its window, and has not for
-   the hub's user_timeout_ms. Costs a system call. */
+/* The peer acknowledges neither bytes nor probes of its window, and has not
+   for the hub's user_timeout_ms. Costs a system call. */
 bool nc_query_peer_silent(const nc_conn *conn);
 uint32_t nc_query_conn_count(const nc_hub *hub);
 
