Spread requests over servers where many instances choose at once

Callers of plain services wait or are refused while other servers idle: all instances send to the server that looked cheapest 45 to 135 ms ago (docs/design/14-even-load.md).

Each instance now draws among the candidates, so that the requests of others that it can't have heard of yet raise the cheap ones to one level. No further messages; with less than one unseen request a candidate the cheapest is taken as before.

--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -282,7 +282,10 @@
 _xc_end_send(xc_exchange *exchange, fl_outcome outcome)
 {
     uint64_t now_us = xc_now_us(exchange);
-    fl_result result = {.outcome = outcome, .now_us = now_us};
+    fl_result result = {.outcome = outcome,
+                        .held_ms =
+                            (double)(now_us - exchange->sent_us) / 1000.0,
+                        .now_us = now_us};
     /* The time of a probe after a pause says little about later requests. */
     bool measured = outcome == FL_SUCCEEDED && !exchange->is_probe;
     /* The mean time between very few pieces says little. */
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -162,6 +162,8 @@
     fleet->adapters = g_hash_table_new(g_str_hash, g_str_equal);
     fleet->retired = g_ptr_array_new_with_free_func(_fl_free_server);
     fleet->unreported = g_ptr_array_new();
+    fleet->spread = g_array_new(FALSE, FALSE, sizeof(sd_candidate));
+    fleet->spread_servers = g_ptr_array_new();
     uint32_t rollout_ms = desc->rollout_ms ? desc->rollout_ms : _FL_ROLLOUT_MS;
     fleet->rollout_us = rollout_ms * 1000ULL;
     fleet->old_version_grace_us =
@@ -194,6 +196,8 @@
     }
     g_ptr_array_unref(fleet->retired);
     g_ptr_array_unref(fleet->unreported);
+    g_array_unref(fleet->spread);
+    g_ptr_array_unref(fleet->spread_servers);
     g_hash_table_unref(fleet->early_notices);
     g_hash_table_iter_init(&iter, fleet->adapters);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -127,6 +127,7 @@
     uint32_t unreported_streams; /* ended since the last peer report */
     double unreported_event_ms;  /* sum over these streams */
     double latency_ms; /* plain services: average time of an answer */
+    double held_ms;    /* average time of a request there; 0: not known */
     uint64_t own_prefill_tokens;  /* as fl_peer_load.prefill_tokens, of our own
                                      requests */
     double prefill_ms;            /* per 1000 prompt tokens; 0: not known */
@@ -210,6 +211,7 @@
     fl_outcome outcome;
     double latency_ms; /* FL_SUCCEEDED: to the whole answer; 0: not measured */
     double event_ms; /* FL_SUCCEEDED, streams: mean between events; 0: none */
+    double held_ms;  /* FL_SUCCEEDED: time for which it had the request */
     uint64_t now_us;
 } fl_result;
 
@@ -307,6 +309,11 @@
                           double prefill_ms_sum);
 /* Updates the mean time of a load from the weight store. */
 void fl_update_fetch_ms(fl_fleet *fleet, double load_ms);
+/* Sets how old what is known of other instances' requests is on average. From
+   then on, requests are spread over servers that many others choose from at
+   the same time, see spread.h; 0, the default: each goes to the server that
+   costs least. */
+void fl_set_report_age_ms(fl_fleet *fleet, double age_ms);
 /* Sets the number of requests that another instance has in flight there. */
 void fl_set_peer_in_flight(fl_server *server, uint32_t peer,
                            uint32_t in_flight, uint64_t now_us);
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -47,6 +47,11 @@
    less than the time of a load, more than the differences of idle servers. */
 #define _FL_AFFINITY_MS 120.0
 
+/* A choice is drawn, instead of the cheapest server, from this many requests
+   of other instances for each candidate that are not known yet; with fewer,
+   what is known decides better. */
+#define _FL_MIN_UNSEEN 1.0
+
 /* -- private: choice of a server ------------------------------------------ */
 
 static bool
@@ -133,6 +138,17 @@
     return cost * (1.0 + 0.04 * g_rand_double(fleet->random));
 }
 
+/* Returns about how much each further request raises the cost. */
+static double
+_fl_request_slope(const fl_request *request, const fl_server *server,
+                  double cost)
+{
+    double utilization = _fl_utilization(server, request->now_us);
+    double steepness = utilization < 0.8 ? 1.0 : 5.0;
+    double factor = 1.0 + utilization + 4.0 * MAX(utilization - 0.8, 0);
+    return cost / factor * steepness / server->slots;
+}
+
 /* True if the server has its most requests in flight. */
 static bool
 _fl_saturated(const fl_server *server, uint64_t now_us)
@@ -144,10 +160,20 @@
 /* The best candidates so far. */
 typedef struct _fl_best {
     double cost;        /* of the choice */
+    double unseen;      /* requests that other instances send to the candidates
+                           before they are heard of */
     fl_server *limited; /* best of those that lack only a permit */
     double limited_cost;
 } _fl_best;
 
+static void
+_fl_clear_candidates(fl_fleet *fleet, _fl_best *best)
+{
+    best->unseen = 0;
+    g_array_set_size(fleet->spread, 0);
+    g_ptr_array_set_size(fleet->spread_servers, 0);
+}
+
 /* Makes the server the choice if it is not full and costs less than the best
    one so far. */
 static void
@@ -164,6 +190,30 @@
         out->server = server;
         out->status = FL_CHOSEN;
     }
+    if (fleet->report_age_ms > 0 && server->held_ms > 0) {
+        uint32_t peers = fl_query_in_flight(server, request->now_us) -
+                         server->own_in_flight;
+        best->unseen += peers * fleet->report_age_ms / server->held_ms;
+    }
+    sd_candidate candidate = {
+        .cost = cost, .slope = _fl_request_slope(request, server, cost)};
+    g_array_append_val(fleet->spread, candidate);
+    g_ptr_array_add(fleet->spread_servers, server);
+}
+
+/* Replaces the cheapest server by a drawn one where so many requests of other
+   instances are not known yet that they would go to the same one. */
+static void
+_fl_spread(fl_fleet *fleet, const _fl_best *best, fl_choice *out)
+{
+    uint32_t count = fleet->spread->len;
+    if (out->status == FL_CHOSEN && count > 1 &&
+        best->unseen >= count * _FL_MIN_UNSEEN) {
+        uint32_t at =
+            sd_choose((const sd_candidate *)(void *)fleet->spread->data, count,
+                      best->unseen, g_rand_double(fleet->random));
+        out->server = fleet->spread_servers->pdata[at];
+    }
 }
 
 /* Notes why a server that could otherwise serve is skipped. */
@@ -236,6 +286,7 @@
                    _fl_best *best, fl_choice *out)
 {
     const fl_adapter *adapter = request->adapter;
+    _fl_clear_candidates(fleet, best);
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
         if (copy->loading || !_fl_is_of_service(request, copy->server) ||
@@ -250,6 +301,7 @@
             _fl_note_skipped(fleet, request, copy->server, best, out);
         }
     }
+    _fl_spread(fleet, best, out);
 }
 
 /* True if the server holds no copy, or a loaded one of an older version that
@@ -373,6 +425,7 @@
 {
     const GPtrArray *list =
         g_hash_table_lookup(fleet->services, request->service);
+    _fl_clear_candidates(fleet, best);
     for (guint i = 0; list && i < list->len; i++) {
         if (_fl_eligible(request, list->pdata[i])) {
             _fl_compare_candidate(fleet, request, list->pdata[i], best, out);
@@ -381,6 +434,7 @@
             _fl_note_skipped(fleet, request, list->pdata[i], best, out);
         }
     }
+    _fl_spread(fleet, best, out);
 }
 
 /* -- private: no server can be chosen ------------------------------------- */
--- a/packages/exchange/src/fleet_load.c
+++ b/packages/exchange/src/fleet_load.c
@@ -103,6 +103,12 @@
     }
 }
 
+void
+fl_set_report_age_ms(fl_fleet *fleet, double age_ms)
+{
+    fleet->report_age_ms = age_ms;
+}
+
 void
 fl_clear_peer_copies_in_flight(fl_server *server, uint32_t peer)
 {
@@ -317,6 +323,10 @@
     server->failure_rate *= 1.0 - _FL_FAILURE_EWMA_WEIGHT;
     server->consecutive_failures = 0;
     server->cooldown_until_us = 0;
+    if (result->held_ms > 0) {
+        server->held_ms += (server->held_ms > 0 ? _FL_EWMA_WEIGHT : 1.0) *
+                           (result->held_ms - server->held_ms);
+    }
     if (result->latency_ms > 0) {
         server->latency_ms +=
             (server->latency_ms > 0 ? _FL_EWMA_WEIGHT : 1.0) *
--- a/packages/exchange/src/fleet_private.h
+++ b/packages/exchange/src/fleet_private.h
@@ -3,6 +3,7 @@
 #define LACEWING_FL_PRIVATE_H
 
 #include "fleet.h"
+#include "spread.h"
 
 /* Time between events where none is known yet; only ratios to other servers
    matter. */
@@ -23,7 +24,10 @@
     nt_rules rules;
     uint64_t rollout_us;           /* a new version is in use within this */
     uint64_t old_version_grace_us; /* older copies are still chosen for this */
-    double fetch_ms; /* moving average of loads from the weight store */
+    double fetch_ms;      /* moving average of loads from the weight store */
+    double report_age_ms; /* mean age of what is known of other instances */
+    GArray *spread;       /* sd_candidate, of the choice that is being made */
+    GPtrArray *spread_servers; /* fl_server of each of them */
     GRand *random;
 };
 
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -364,9 +364,11 @@
 _nd_send_periodic_updates(nd_node *node)
 {
     uint64_t now_us = lp_query_now_us(node->desc.loop);
-    if (now_us >= node->loads_sent_us +
-                      _nd_query_send_interval_us(node, _ND_SEND_LOADS_US)) {
+    uint64_t interval_us = _nd_query_send_interval_us(node, _ND_SEND_LOADS_US);
+    if (now_us >= node->loads_sent_us + interval_us) {
         node->loads_sent_us = now_us;
+        /* Others send at the same interval. */
+        fl_set_report_age_ms(node->fleet, (double)interval_us / 2000.0);
         gp_table_digest own = _nd_query_table_state(node, KR_OWN);
         gp_broadcast_loads(node->peers, &own);
     }
--- a/packages/exchange/tests/test_fleet.c
+++ b/packages/exchange/tests/test_fleet.c
@@ -491,11 +491,73 @@
 }
 END_TEST
 
+/* Requests of others at each of four servers, of which the first has fewest.
+ */
+static void
+add_others(fixture *s, fl_server **servers, uint32_t in_flight)
+{
+    for (int i = 0; i < 4; i++) {
+        g_autofree char *id = g_strdup_printf("i-%d", i);
+        servers[i] = put_server(s, id, "z1");
+        fl_begin_request(servers[i], s->base, s->now_us);
+        fl_end_request(servers[i], s->base,
+                       &(fl_result){.outcome = FL_SUCCEEDED,
+                                    .event_ms = 20,
+                                    .held_ms = 50,
+                                    .now_us = s->now_us});
+        fl_set_peer_in_flight(servers[i], 7, in_flight + (i ? 3 : 0),
+                              s->now_us);
+    }
+}
+
+/* Returns how many of the servers are chosen in 200 choices. */
+static int
+count_chosen(fixture *s, fl_server *const *servers)
+{
+    bool chosen[4] = {false};
+    fl_choice choice;
+    for (int i = 0; i < 200; i++) {
+        ck_assert(choose_server(s, s->base, &choice));
+        for (int j = 0; j < 4; j++) {
+            chosen[j] = chosen[j] || choice.server == servers[j];
+        }
+    }
+    return chosen[0] + chosen[1] + chosen[2] + chosen[3];
+}
+
+/* Guards against all instances sending to the server that looks idle, and
+   against spreading where others send too little to matter. */
+START_TEST(test_unseen_requests_of_others_spread_the_choice)
+{
+    static const struct {
+        double age_ms;
+        uint32_t in_flight;
+        int chosen;
+    } plays[] = {{0, 8, 1}, {1, 8, 1}, {100, 0, 1}, {100, 8, 4}};
+    fixture s = make_fixture();
+    fl_server *servers[4];
+    add_others(&s, servers, plays[_i].in_flight);
+    if (plays[_i].in_flight == 0) {
+        for (int i = 1; i < 4; i++) {
+            fl_set_peer_in_flight(servers[i], 7, 0, s.now_us);
+            for (int j = 0; j < 3; j++) {
+                fl_begin_request(servers[i], s.base, s.now_us);
+            }
+        }
+    }
+    fl_set_report_age_ms(s.fleet, plays[_i].age_ms);
+    ck_assert_int_eq(count_chosen(&s, servers), plays[_i].chosen);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
 int
 main(void)
 {
     TCase *tcase = tcase_create("fleet");
     tcase_add_test(tcase, test_pending_prefill_counts);
+    tcase_add_loop_test(
+        tcase, test_unseen_requests_of_others_spread_the_choice, 0, 4);
     tcase_add_test(tcase,
                    test_prefill_sums_of_the_greatest_prompts_do_not_wrap);
     tcase_add_test(tcase, test_old_version_not_used_after_long_prefill);
