Read a server's stream on while its caller reads slowly

A stream was no longer read from its server once 256 KB waited for the caller. A server cuts off what stays unread for seconds, so a slow caller lost the rest of its answer: with a stand-in stream of 12.8 MB the server was not read on at all within 1.5 s.

What waits for callers now counts toward the memory for answers (a quarter of memory_mb), and the server is read on. When that memory is used up, streams that still grow and the largest one are slowed; from half as much again on the largest ends, visibly and with a line in the log. Other callers are served.

--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -34,6 +34,8 @@
     X(CT_CANCELLED, "cancelled_total", "counter",                             \
       "Requests cancelled because the caller disconnected")                   \
     X(CT_TOKENS, "tokens_total", "counter", "Tokens passed to callers")       \
+    X(CT_STREAMS_SLOWED, "streams_slowed_total", "counter",                   \
+      "Streams whose server was read slower for want of memory")              \
     X(CT_ANSWERS_TOO_LONG, "answers_too_long_total", "counter",               \
       "Servers' answers given up as too long, or for want of memory")         \
     X(CT_PIECES_DROPPED, "pieces_dropped_total", "counter",                   \
@@ -107,7 +109,7 @@
     X(CT_CONFIG_VERSION, "config_version", "gauge",                           \
       "Configuration version in force")                                       \
     X(CT_ANSWER_BYTES, "answer_bytes", "gauge",                               \
-      "Memory for servers' answers that are buffered whole")                  \
+      "Memory for answers of servers that callers have not got")              \
     X(CT_OPEN_REQUESTS, "open_requests", "gauge", "Requests in flight")       \
     X(CT_CONTENTS_BLOCKED, "contents_blocked", "gauge",                       \
       "Contents of requests that are refused as they crash servers")          \
--- a/packages/exchange/src/caller.c
+++ b/packages/exchange/src/caller.c
@@ -444,6 +444,8 @@
         return "caller read nothing for the idle limit";
     case CR_SILENT:
         return "caller no longer acknowledges";
+    case CR_NO_MEMORY:
+        return "no memory for what the caller has not read";
     default:
         return "caller closed the connection";
     }
@@ -549,6 +551,12 @@
     _cr_free(conn);
 }
 
+void
+cr_drop(cr_conn *conn, cr_gone_reason why)
+{
+    _cr_end(conn, why);
+}
+
 uint32_t
 cr_query_open_connections(const cr_port *port)
 {
--- a/packages/exchange/src/caller.h
+++ b/packages/exchange/src/caller.h
@@ -25,7 +25,8 @@
     CR_CLOSED = 0, /* the caller closed it in order */
     CR_LOST,       /* reset or failed */
     CR_UNREAD,     /* the caller has read nothing for the idle limit */
-    CR_SILENT      /* the caller's machine no longer acknowledges */
+    CR_SILENT,     /* the caller's machine no longer acknowledges */
+    CR_NO_MEMORY   /* cr_drop(): no memory for what the caller has not read */
 } cr_gone_reason;
 
 typedef struct cr_callbacks {
@@ -69,6 +70,9 @@
    request. */
 void cr_close_idle(cr_port *port);
 
+/* Closes the connection at once and frees what the caller has not read; calls
+   gone(). */
+void cr_drop(cr_conn *conn, cr_gone_reason why);
 /* Returns the text of a reason, for logs. */
 const char *cr_query_gone_text(cr_gone_reason why);
 
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -636,12 +636,7 @@
 _xc_on_drained(void *request, void *user_data)
 {
     (void)user_data;
-    xc_exchange *exchange = request;
-    if (exchange->upstream && exchange->paused) {
-        us_pause(exchange->upstream, false);
-        exchange->paused = false;
-        exchange->unpaused_us = xc_now_us(exchange);
-    }
+    xc_resume_reading(request);
 }
 
 static const cr_callbacks _xc_caller_callbacks = {
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -26,7 +26,7 @@
     GQueue waiting_capacity; /* xc_exchange in XC_WAITING_CAPACITY */
     GHashTable *budgets;     /* service -> bg_budget */
     GHashTable *returns;     /* service -> lw_returns */
-    bb_budget answer_bytes;  /* of all answer_body */
+    bb_budget answer_bytes;  /* see xc_exchange.answer_bytes */
     GRand *random;
     uint64_t leave_us;       /* this instance ends then; 0: it stays */
     bool callers_redirected; /* the platform sends new callers elsewhere */
@@ -106,7 +106,8 @@
     char *media_type;        /* of the stream that the caller gets; NULL until
                                 its head has come from a server */
     GByteArray *answer_body; /* buffered; of an answer that is no stream */
-    bb_share answer_bytes;   /* memory that answer_body takes */
+    bb_share answer_bytes; /* memory that answer_body takes, or what the caller
+                              of a stream has not read */
     /* streams; a piece is the bytes of one us_callbacks.body */
     uint64_t first_piece_us;
     uint64_t last_piece_us;
@@ -117,9 +118,10 @@
     uint32_t send_piece_count;
     bool good_noted;              /* see xc_note_good() */
     uint64_t send_first_piece_us; /* set with send_piece_count */
-    bool paused;           /* reading waits until the caller has taken bytes */
-    uint64_t unpaused_us;  /* end of the last such pause; 0: none */
-    char last_bytes[3];    /* of the body of the current send; 0: none */
+    bool paused;          /* for want of memory, reading waits until the caller
+                             has taken all bytes */
+    uint64_t unpaused_us; /* end of the last such pause; 0: none */
+    char last_bytes[3];   /* of the body of the current send; 0: none */
     sp_position *position; /* resumable streams: the events that the caller
                               has; NULL: the request cannot be resumed */
     /* Event after which the current send asks its server to go on, for the
@@ -171,6 +173,9 @@
 /* Sends the request to the chosen server. Returns false if no connection could
    be had. */
 bool xc_send(xc_exchange *exchange, const fl_choice *choice);
+/* Goes on reading the server's answer, as the caller has taken all of it so
+   far. */
+void xc_resume_reading(xc_exchange *exchange);
 /* Frees the buffer of a plain answer. */
 void xc_drop_answer_body(xc_exchange *exchange);
 /* Reports to the fleet that the server has read the prompt; first_ms: time to
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -10,9 +10,9 @@
    them; the rest is left to instances that this one cannot see. */
 #define _XC_POOL_SHARE 0.85
 #define _XC_POOL_MIN_CONNECTIONS 3
-/* Reading a stream from the server pauses while more than this is unsent to
-   the caller, so that a slow caller holds up only its own stream. */
-#define _XC_MAX_UNSENT_BYTES (256 * 1024)
+/* Bytes of a stream that wait for a slow caller count toward the memory for
+   answers from this many on. */
+#define _XC_COUNTED_UNSENT_BYTES (64 * 1024)
 /* Longest plain answer; it is buffered whole. */
 #define _XC_MAX_ANSWER_BYTES (8 * 1024 * 1024)
 
@@ -170,12 +170,19 @@
     return count ? UINT64_C(1) << g_bit_storage(count - 1) : 0;
 }
 
+static void
+_xc_set_answer_bytes(xc_exchange *exchange, uint64_t bytes)
+{
+    ct_add(CT_ANSWER_BYTES,
+           (int64_t)bytes - (int64_t)exchange->answer_bytes.bytes);
+    bb_set(&exchange->core->answer_bytes, &exchange->answer_bytes, exchange,
+           bytes);
+}
+
 void
 xc_drop_answer_body(xc_exchange *exchange)
 {
-    ct_add(CT_ANSWER_BYTES, -(int64_t)exchange->answer_bytes.bytes);
-    bb_set(&exchange->core->answer_bytes, &exchange->answer_bytes, exchange,
-           0);
+    _xc_set_answer_bytes(exchange, 0);
     g_clear_pointer(&exchange->answer_body, g_byte_array_unref);
 }
 
@@ -188,12 +195,48 @@
     xc_drop_answer_body(exchange);
 }
 
-/* Buffers a piece of a plain answer. Where that takes more memory than all
-   answers may have, the largest of them is given up. */
 static void
-_xc_buffer(xc_exchange *exchange, const char *bytes, size_t count)
+_xc_pause_reading(xc_exchange *exchange)
+{
+    if (exchange->answer_begun && exchange->upstream && !exchange->paused) {
+        us_pause(exchange->upstream, true);
+        exchange->paused = true;
+        ct_add(CT_STREAMS_SLOWED, 1);
+    }
+}
+
+/* Where all answers take more memory than they may have, slows this stream and
+   the largest one, and gives up the largest plain answer. From half as much
+   again on, the largest stream ends too; that may free the exchange. */
+static void
+_xc_limit_answer_bytes(xc_exchange *exchange)
 {
     bb_budget *budget = &exchange->core->answer_bytes;
+    uint64_t hard_max_bytes = budget->max_bytes + budget->max_bytes / 2;
+    xc_exchange *largest = bb_query_excess(budget);
+    if (largest) {
+        _xc_pause_reading(exchange);
+    }
+    for (; largest; largest = bb_query_excess(budget)) {
+        if (!largest->answer_begun) {
+            largest->answer_crowded_out = true;
+            _xc_drop_long_answer(largest);
+        }
+        else if (budget->used_bytes > hard_max_bytes) {
+            _xc_set_answer_bytes(largest, 0);
+            cr_drop(largest->caller, CR_NO_MEMORY);
+        }
+        else {
+            _xc_pause_reading(largest);
+            return;
+        }
+    }
+}
+
+/* Buffers a piece of a plain answer. */
+static void
+_xc_buffer(xc_exchange *exchange, const char *bytes, size_t count)
+{
     if (!exchange->answer_body) {
         exchange->answer_body = g_byte_array_new();
     }
@@ -203,19 +246,39 @@
     }
     g_byte_array_append(exchange->answer_body, (const guint8 *)bytes,
                         (guint)count);
-    uint64_t used = _xc_array_bytes(exchange->answer_body->len);
-    ct_add(CT_ANSWER_BYTES, (int64_t)(used - exchange->answer_bytes.bytes));
-    bb_set(budget, &exchange->answer_bytes, exchange, used);
-    xc_exchange *largest;
-    while ((largest = bb_query_excess(budget))) {
-        largest->answer_crowded_out = true;
-        _xc_drop_long_answer(largest);
+    _xc_set_answer_bytes(exchange,
+                         _xc_array_bytes(exchange->answer_body->len));
+    _xc_limit_answer_bytes(exchange);
+}
+
+/* Counts what waits for the caller to read it. The server is read on
+   meanwhile, as it cuts off an answer that stays unread. */
+static void
+_xc_count_unsent(xc_exchange *exchange)
+{
+    size_t unsent = cr_query_unsent_bytes(exchange->caller);
+    _xc_set_answer_bytes(exchange,
+                         unsent >= _XC_COUNTED_UNSENT_BYTES ? unsent : 0);
+    _xc_limit_answer_bytes(exchange);
+}
+
+void
+xc_resume_reading(xc_exchange *exchange)
+{
+    if (exchange->answer_begun) {
+        _xc_set_answer_bytes(exchange, 0);
+    }
+    if (exchange->upstream && exchange->paused) {
+        us_pause(exchange->upstream, false);
+        exchange->paused = false;
+        exchange->unpaused_us = xc_now_us(exchange);
     }
 }
 
 static void
 _xc_on_body(us_conn *conn, const char *bytes, size_t count, void *user_data)
 {
+    (void)conn;
     xc_exchange *exchange = user_data;
     if (exchange->refused || exchange->answer_invalid) {
         return;
@@ -225,10 +288,7 @@
             xc_begin_answer(exchange);
         }
         xc_forward_events(exchange, bytes, count);
-        if (cr_query_unsent_bytes(exchange->caller) > _XC_MAX_UNSENT_BYTES) {
-            us_pause(conn, true);
-            exchange->paused = true;
-        }
+        _xc_count_unsent(exchange);
         return;
     }
     _xc_buffer(exchange, bytes, count);
