lacewing check-routes: check a configuration of routes before it is sent

Operators saw mistakes in a configuration only when callers were refused. Keys are told by number and digest only.

--- a/packages/exchange/include/lacewing/routes.h
+++ b/packages/exchange/include/lacewing/routes.h
@@ -116,6 +116,10 @@
 const char *rc_query_target(const rc_route *route, uint32_t draw);
 /* Returns the first model of a service with this name; NULL: none. */
 const rc_model *rc_query_model(const rc_service *service, const char *name);
+/* Calls back once for each route. */
+typedef void (*rc_route_callback)(const rc_route *route, void *user_data);
+void rc_each_route(const rc_table *table, rc_route_callback call,
+                   void *user_data);
 /* Calls back once for each service. */
 typedef void (*rc_service_callback)(const rc_service *service,
                                     void *user_data);
--- a/packages/exchange/include/lacewing/workspaces.h
+++ b/packages/exchange/include/lacewing/workspaces.h
@@ -29,6 +29,10 @@
     uint32_t plain_tokens; /* that a request counts as which names none */
     double per_s;          /* quota over all instances; 0: no limit */
     double burst;          /* may be used at once on top of it */
+    /* set by wp_add() */
+    uint32_t key_count;        /* that are not empty */
+    uint32_t shared_key_count; /* that another workspace had before */
+    uint32_t keys_digest;      /* of all keys, in any order */
 } wp_workspace;
 
 typedef void (*wp_callback)(const wp_workspace *workspace, void *user_data);
--- a/packages/exchange/src/routes.c
+++ b/packages/exchange/src/routes.c
@@ -262,6 +262,14 @@
     return NULL;
 }
 
+void
+rc_each_route(const rc_table *table, rc_route_callback call, void *user_data)
+{
+    for (guint i = 0; i < table->routes->len; i++) {
+        call(table->routes->pdata[i], user_data);
+    }
+}
+
 void
 rc_each_service(const rc_table *table, rc_service_callback call,
                 void *user_data)
--- a/packages/exchange/src/workspaces.c
+++ b/packages/exchange/src/workspaces.c
@@ -45,9 +45,16 @@
     copy->name = g_strdup(workspace->name);
     g_ptr_array_add(table->workspaces, copy);
     for (size_t i = 0; i < key_count; i++) {
-        if (*keys[i]) {
-            g_hash_table_replace(table->by_key_hash, hs_sha256(keys[i]), copy);
+        if (!*keys[i]) {
+            continue;
         }
+        char *hash = hs_sha256(keys[i]);
+        const wp_workspace *other =
+            g_hash_table_lookup(table->by_key_hash, hash);
+        copy->key_count++;
+        copy->shared_key_count += other && other != copy;
+        copy->keys_digest ^= (uint32_t)hs_u64(keys[i]);
+        g_hash_table_replace(table->by_key_hash, hash, copy);
     }
 }
 
--- a/packages/exchange/tests/test_spread.c
+++ b/packages/exchange/tests/test_spread.c
@@ -117,8 +117,9 @@
                 }
             }
         }
-        for (owed += per_ms * 2 * g_rand_double(random); owed >= 1;
-             owed -= 1) {
+        owed += per_ms * 2 * g_rand_double(random);
+        while (owed >= 1) {
+            owed -= 1;
             uint32_t from =
                 (uint32_t)g_rand_int_range(random, 0, (int)p->instances);
             uint32_t at = choose(p, how, known[from], per_ms, random);
--- a/packages/tool/completion/lacewing.bash
+++ b/packages/tool/completion/lacewing.bash
@@ -2,7 +2,7 @@
 # /usr/share/bash-completion/completions/lacewing
 _lacewing()
 {
-    local commands="questionnaire check diff init apply history rollback status \
+    local commands="questionnaire check check-routes diff init apply history rollback status \
 servers adapters explain drain audit top report settings-reference \
 metrics-reference"
     local current=${COMP_WORDS[COMP_CWORD]}
@@ -22,6 +22,7 @@
         local options="--help"
         case ${COMP_WORDS[1]} in
         questionnaire) options+=" --answers --output --save-answers --questions" ;;
+        check-routes) options+=" --against --json" ;;
         check | diff) options+=" --json" ;;
         init) options+=" --platform --who --force" ;;
         report | settings-reference | metrics-reference) options+=" --output" ;;
--- a/packages/tool/src/command.h
+++ b/packages/tool/src/command.h
@@ -51,6 +51,8 @@
     X("questionnaire", tl_run_questionnaire,                                  \
       "write a configuration from answers")                                   \
     X("check", tl_run_check, "check whether a configuration can work")        \
+    X("check-routes", tl_run_check_routes,                                    \
+      "check a configuration of routes before it is sent")                    \
     X("diff", tl_run_diff, "show the edits between two configurations")       \
     X("init", tl_run_init, "write the first configuration to the platform")   \
     X("apply", tl_run_apply, "change the configuration in force")             \
