Quotas: an instance that starts uses an equal part of each quota for 2 s

All instances were killed at 13 s while a workspace pressed. Each started with a full burst, and counted others' demand only from their second message on, so all admitted everything for about a second.

An instance now starts without a burst, and for 2 s admits by its own demand and an equal part of the quota. Below the quota that refuses hardly anything.

--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -367,6 +367,7 @@
     uint64_t interval_us = _nd_query_send_interval_us(node, _ND_SEND_LOADS_US);
     if (now_us >= node->loads_sent_us + interval_us) {
         node->loads_sent_us = now_us;
+        qt_set_instance_count(node->quotas, le_query_live_count(node->lease));
         /* Others send at the same interval. */
         fl_set_report_age_ms(node->fleet, (double)interval_us / 2000.0);
         gp_table_digest own = _nd_query_table_state(node, KR_OWN);
--- a/packages/exchange/src/quota.c
+++ b/packages/exchange/src/quota.c
@@ -15,6 +15,10 @@
 /* The same for the counts that tell the parts of the instances: long enough
    to change little while an instance is not heard. */
 #define _QT_PART_DECAY_US 5000000.0
+/* For this long after the first quotas are known, the others' counts are not:
+   two messages of each are needed, which come every 270 ms at most, and some
+   are lost. */
+#define _QT_STARTING_US 2000000
 /* An instance that is not heard for this long keeps its part of the quotas:
    messages come every 90 to 270 ms and some are lost. */
 #define _QT_UNHEARD_US 1000000
@@ -63,6 +67,7 @@
     double level;          /* of the shared bucket */
     uint64_t level_us;     /* when it was computed */
     _qt_count asked;       /* over all instances */
+    _qt_count own_asked;   /* at this one */
     _qt_count asked_parts; /* the same, to compare with theirs */
     uint64_t admitted;     /* here, since the start */
     uint64_t refused;
@@ -76,6 +81,8 @@
     GHashTable *by_name; /* name -> _qt_quota */
     GHashTable *by_hash; /* hash of the name -> _qt_quota, not owned */
     GHashTable *peers;   /* instance -> _qt_peer */
+    uint32_t instance_count;
+    uint64_t started_us; /* when the first quotas were known; 0: not yet */
     uint32_t generation; /* counts the calls of qt_set_limits() */
 };
 
@@ -109,10 +116,27 @@
     return MAX(1.0 - quota->lost_part, 0.0);
 }
 
+static bool
+_qt_is_starting(const qt_quotas *quotas, uint64_t now_us)
+{
+    return now_us < quotas->started_us + _QT_STARTING_US;
+}
+
+/* Returns the part of the quota that this instance and those that it hears use
+   together; while it starts, that is an equal part for itself. */
+static double
+_qt_usable_part(const qt_quotas *quotas, const _qt_quota *quota,
+                uint64_t now_us)
+{
+    return _qt_is_starting(quotas, now_us)
+               ? 1.0 / MAX(quotas->instance_count, 1)
+               : _qt_heard_part(quota);
+}
+
 static void
-_qt_fill(_qt_quota *quota, uint64_t now_us)
+_qt_fill(const qt_quotas *quotas, _qt_quota *quota, uint64_t now_us)
 {
-    double part = _qt_heard_part(quota);
+    double part = _qt_usable_part(quotas, quota, now_us);
     if (now_us > quota->level_us) {
         double elapsed_s = (double)(now_us - quota->level_us) / G_USEC_PER_SEC;
         quota->level += elapsed_s * quota->per_s * part;
@@ -248,6 +272,12 @@
 
 /* -- public --------------------------------------------------------------- */
 
+void
+qt_set_instance_count(qt_quotas *quotas, uint32_t count)
+{
+    quotas->instance_count = count;
+}
+
 qt_quotas *
 qt_create(void)
 {
@@ -283,12 +313,11 @@
     qt_quotas *quotas = setting->quotas;
     _qt_quota *quota = g_hash_table_lookup(quotas->by_name, workspace->name);
     if (quota) {
-        _qt_fill(quota, setting->now_us);
+        _qt_fill(quotas, quota, setting->now_us);
     }
     else {
         quota = g_new0(_qt_quota, 1);
         quota->hash = (uint32_t)hs_u64(workspace->name);
-        quota->level = workspace->burst * _QT_BURST_PART;
         quota->level_us = setting->now_us;
         quota->peer_uses = g_hash_table_new_full(NULL, NULL, NULL, g_free);
         g_hash_table_insert(quotas->by_name, g_strdup(workspace->name), quota);
@@ -317,6 +346,9 @@
 qt_set_limits(qt_quotas *quotas, const wp_table *workspaces, uint64_t now_us)
 {
     quotas->generation++;
+    if (workspaces && quotas->started_us == 0) {
+        quotas->started_us = now_us;
+    }
     if (workspaces) {
         wp_each(workspaces, _qt_set_limit,
                 &(_qt_setting){.quotas = quotas, .now_us = now_us});
@@ -326,13 +358,15 @@
 
 /* Returns the probability at which a request is admitted now. */
 static double
-_qt_admitted_part(const _qt_quota *quota, uint64_t now_us)
+_qt_admitted_part(const qt_quotas *quotas, const _qt_quota *quota,
+                  uint64_t now_us)
 {
-    double asked_per_s =
-        _qt_query_count(&quota->asked, _QT_ASKED_DECAY_US, now_us) /
-        (_QT_ASKED_DECAY_US / G_USEC_PER_SEC);
-    double room_per_s =
-        quota->per_s * _qt_heard_part(quota) + quota->level / _QT_LEVEL_S;
+    const _qt_count *asked =
+        _qt_is_starting(quotas, now_us) ? &quota->own_asked : &quota->asked;
+    double asked_per_s = _qt_query_count(asked, _QT_ASKED_DECAY_US, now_us) /
+                         (_QT_ASKED_DECAY_US / G_USEC_PER_SEC);
+    double room_per_s = quota->per_s * _qt_usable_part(quotas, quota, now_us) +
+                        quota->level / _QT_LEVEL_S;
     return asked_per_s > 0 ? CLAMP(room_per_s / asked_per_s, 0.0, 1.0) : 1.0;
 }
 
@@ -356,10 +390,11 @@
     if (!quota || quota->per_s <= 0) {
         return (qt_verdict){.admitted = true};
     }
-    _qt_fill(quota, now_us);
+    _qt_fill(quotas, quota, now_us);
     _qt_add_asked(quota, amount, now_us);
+    _qt_add(&quota->own_asked, _QT_ASKED_DECAY_US, amount, now_us);
     quota->repeats_left = _QT_REPEATS;
-    double part = _qt_admitted_part(quota, now_us);
+    double part = _qt_admitted_part(quotas, quota, now_us);
     if (draw < part) {
         quota->level -= amount;
         quota->admitted += amount;
@@ -377,10 +412,12 @@
 {
     _qt_quota *quota = g_hash_table_lookup(quotas->by_name, workspace);
     if (quota && quota->per_s > 0) {
-        _qt_fill(quota, now_us);
+        _qt_fill(quotas, quota, now_us);
         quota->level += amount;
         quota->admitted -= MIN(amount, quota->admitted);
         _qt_add_asked(quota, -(double)amount, now_us);
+        _qt_add(&quota->own_asked, _QT_ASKED_DECAY_US, -(double)amount,
+                now_us);
         quota->repeats_left = _QT_REPEATS;
     }
 }
@@ -430,8 +467,10 @@
     double asked = admitted + refused;
     known->admitted = use->admitted;
     known->refused = use->refused;
-    _qt_fill(quota, now_us);
-    quota->level -= admitted;
+    _qt_fill(quotas, quota, now_us);
+    if (!_qt_is_starting(quotas, now_us)) {
+        quota->level -= admitted;
+    }
     _qt_add(&known->asked, _QT_PART_DECAY_US, asked, now_us);
     _qt_add_asked(quota, asked, now_us);
 }
--- a/packages/exchange/src/quota.h
+++ b/packages/exchange/src/quota.h
@@ -20,6 +20,9 @@
  * part of the quota that it had when it was last heard: what is on the other
  * side of a cut link is neither used here nor refused there.
  *
+ * An instance that has just started knows nothing of the others; for 2 s it
+ * uses an equal part of the quota by itself.
+ *
  * Answers demand above a quota that comes through many instances at once,
  * unevenly and in jumps. No sockets and no clock.
  */
@@ -53,6 +56,8 @@
    Those of other workspaces are removed. */
 void qt_set_limits(qt_quotas *quotas, const wp_table *workspaces,
                    uint64_t now_us);
+/* Sets how many instances there are, this one included. */
+void qt_set_instance_count(qt_quotas *quotas, uint32_t count);
 /* Decides on a request. draw: a random number from 0 to below 1. A workspace
    without a quota is admitted always. */
 qt_verdict qt_admit(qt_quotas *quotas, const char *workspace, uint32_t amount,
--- a/packages/exchange/src/route_check.c
+++ b/packages/exchange/src/route_check.c
@@ -184,8 +184,7 @@
                                target->weight);
     }
     g_hash_table_replace(
-        run->lines,
-        g_strdup_printf("route %s%s", route->host, route->prefix),
+        run->lines, g_strdup_printf("route %s%s", route->host, route->prefix),
         g_string_free(text, FALSE));
 }
 
--- a/packages/exchange/tests/test_quota.c
+++ b/packages/exchange/tests/test_quota.c
@@ -61,6 +61,7 @@
     bool jumps;       /* each 2 s, another few instances get most of it */
     bool cuts;        /* a quarter is cut off from 12 s to 20 s */
     bool ends;        /* instances end or stand still now and then */
+    bool all_end;     /* all instances start again at 16 s */
     double load_late; /* demand / quota from 10 s on; 0: as before */
 } play;
 
@@ -103,6 +104,7 @@
     qt_destroy(one->quotas);
     one->quotas = qt_create();
     one->incarnation++;
+    qt_set_instance_count(one->quotas, (uint32_t)sim->count);
     qt_set_limits(one->quotas, sim->workspaces, sim->now_us);
 }
 
@@ -189,6 +191,10 @@
             sim->instances[i].cut = sim->now_us == 12 * S;
         }
     }
+    for (int i = 0; p->all_end && sim->now_us == 16 * S && i < sim->count;
+         i++) {
+        start_instance(i);
+    }
     if (p->ends && sim->now_us % S == 0) {
         int at = g_rand_int_range(sim->random, 0, sim->count);
         sim->instances[at].stopped_until = sim->now_us + 2500 * MS;
@@ -281,6 +287,9 @@
     {.count = 68, .load = 0.9, .load_late = 7.0, .jumps = true},
     {.count = 68, .load = 0.55, .load_late = 4.0, .ends = true},
     {.count = 68, .load = 0.55, .load_late = 4.0, .cuts = true},
+    {.count = 68, .load = 0.55, .load_late = 4.0, .all_end = true},
+    {.count = 6, .load = 0.55, .load_late = 4.0, .all_end = true},
+    {.count = 68, .load = 0.55, .all_end = true},
     {.count = 195, .load = 0.55, .load_late = 4.0, .cuts = true},
 };
 
--- a/packages/exchange/tests/test_route_check.c
+++ b/packages/exchange/tests/test_route_check.c
@@ -91,8 +91,8 @@
     g_autoptr(rc_table) before = read_config(
         CONFIG(ONE "," ROUTE("two", "/b/", APP), DESK(",\"RatePerS\":5")));
     g_autoptr(rc_table) after = read_config(
-        CONFIG(ROUTE("one", "/a/", APP ",\"Priority\":2") "," ROUTE(
-                   "three", "/c/", APP),
+        CONFIG(ROUTE("one", "/a/",
+                     APP ",\"Priority\":2") "," ROUTE("three", "/c/", APP),
                DESK(",\"RatePerS\":4")));
     g_autoptr(GString) findings = g_string_new(NULL);
     ck_assert_uint_eq(rk_compare(before, before, add_finding, findings), 0);
@@ -110,7 +110,6 @@
     tcase_add_loop_test(
         tcase, test_mistakes_are_found_before_the_configuration_is_sent, 0,
         G_N_ELEMENTS(checks));
-    tcase_add_test(tcase,
-                   test_differences_from_the_version_in_force_are_told);
+    tcase_add_test(tcase, test_differences_from_the_version_in_force_are_told);
     return run_case("route_check", tcase);
 }
--- a/packages/tool/src/cmd_check_routes.c
+++ b/packages/tool/src/cmd_check_routes.c
@@ -58,8 +58,7 @@
     g_autoptr(rc_table) in_force = NULL;
     er_status status = {0};
     if (_tl_load_routes(argv[1], &table, &status) != ER_OK ||
-        (against &&
-         _tl_load_routes(against, &in_force, &status) != ER_OK)) {
+        (against && _tl_load_routes(against, &in_force, &status) != ER_OK)) {
         return tl_fail(&status);
     }
     g_autoptr(tl_table) findings =
