A request may be cancelled by the first of several pieces of one read

The process would end with a segmentation fault (test_request_may_be_cancelled_by_its_first_piece, signal 11 before).

Beside it names and comments of the new code, and candidates are noted only where load is spread.

--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -155,11 +155,13 @@
 bool xc_query_unknown_adapter(const xc_exchange *exchange);
 
 /* -- exchange_workspace.c */
-/* Finds the workspace of the caller by its key. Returns false if the request
-   may not be used without one, or with this key, and is answered. */
+/* Finds the workspace of the caller by its key. Returns false, with the
+   request answered, if the route needs a key and the caller's is missing or
+   unknown.
+ */
 bool xc_find_workspace(xc_exchange *exchange);
-/* Draws on the quota of the workspace. Returns false if that is used up and
-   the request is answered. */
+/* Draws on the quota of the workspace. Returns false, with the request
+   answered, if that is used up. */
 bool xc_take_quota(xc_exchange *exchange);
 /* Gives back what a request has drawn that did not run. */
 void xc_return_quota(xc_exchange *exchange);
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -174,6 +174,23 @@
     g_ptr_array_set_size(fleet->spread_servers, 0);
 }
 
+/* Notes the server for _fl_spread(), and what others send there unseen: by
+   Little's law, its requests divided by the time for which it has each. */
+static void
+_fl_add_candidate(fl_fleet *fleet, const fl_request *request,
+                  fl_server *server, double cost, _fl_best *best)
+{
+    if (server->held_ms > 0) {
+        uint32_t others = fl_query_in_flight(server, request->now_us) -
+                          server->own_in_flight;
+        best->unseen += others * fleet->report_age_ms / server->held_ms;
+    }
+    sd_candidate candidate = {
+        .cost = cost, .slope = _fl_request_slope(request, server, cost)};
+    g_array_append_val(fleet->spread, candidate);
+    g_ptr_array_add(fleet->spread_servers, server);
+}
+
 /* Makes the server the choice if it is not full and costs less than the best
    one so far. */
 static void
@@ -190,15 +207,9 @@
         out->server = server;
         out->status = FL_CHOSEN;
     }
-    if (fleet->report_age_ms > 0 && server->held_ms > 0) {
-        uint32_t peers = fl_query_in_flight(server, request->now_us) -
-                         server->own_in_flight;
-        best->unseen += peers * fleet->report_age_ms / server->held_ms;
+    if (fleet->report_age_ms > 0) {
+        _fl_add_candidate(fleet, request, server, cost, best);
     }
-    sd_candidate candidate = {
-        .cost = cost, .slope = _fl_request_slope(request, server, cost)};
-    g_array_append_val(fleet->spread, candidate);
-    g_ptr_array_add(fleet->spread_servers, server);
 }
 
 /* Replaces the cheapest server by a drawn one where so many requests of other
--- a/packages/exchange/src/quota.c
+++ b/packages/exchange/src/quota.c
@@ -67,8 +67,8 @@
     double level;          /* of the shared bucket */
     uint64_t level_us;     /* when it was computed */
     _qt_count asked;       /* over all instances */
-    _qt_count own_asked;   /* at this one */
-    _qt_count asked_parts; /* the same, to compare with theirs */
+    _qt_count asked_parts; /* the same, slower: to tell their parts */
+    _qt_count own_asked;   /* at this instance */
     uint64_t admitted;     /* here, since the start */
     uint64_t refused;
     uint32_t repeats_left;
@@ -272,12 +272,6 @@
 
 /* -- public --------------------------------------------------------------- */
 
-void
-qt_set_instance_count(qt_quotas *quotas, uint32_t count)
-{
-    quotas->instance_count = count;
-}
-
 qt_quotas *
 qt_create(void)
 {
@@ -301,6 +295,12 @@
     }
 }
 
+void
+qt_set_instance_count(qt_quotas *quotas, uint32_t count)
+{
+    quotas->instance_count = count;
+}
+
 typedef struct _qt_setting {
     qt_quotas *quotas;
     uint64_t now_us;
--- a/packages/net/src/upstream.c
+++ b/packages/net/src/upstream.c
@@ -144,7 +144,8 @@
 _us_on_body(const char *bytes, size_t count, void *user_data)
 {
     us_conn *conn = user_data;
-    if (conn->active && !conn->skip_answer) {
+    /* An earlier piece of the same input may have cancelled it. */
+    if (conn->active && !conn->closed && !conn->skip_answer) {
         conn->desc.calls->body(conn, bytes, count, conn->desc.user_data);
     }
 }
--- a/packages/net/tests/test_upstream.c
+++ b/packages/net/tests/test_upstream.c
@@ -141,6 +141,40 @@
 }
 END_TEST
 
+static uint32_t pieces;
+
+static void
+cancel_on_body(us_conn *conn, const char *bytes, size_t count, void *user_data)
+{
+    (void)bytes;
+    (void)count;
+    (void)user_data;
+    pieces++;
+    us_cancel(conn);
+}
+
+static const us_callbacks cancelling_calls = {
+    .head = on_head, .body = cancel_on_body, .end = on_end};
+
+/* Guards against a crash at the second piece of one read, after the first one
+   has cancelled the request. */
+START_TEST(test_request_may_be_cancelled_by_its_first_piece)
+{
+    static const char answer[] = "HTTP/1.1 200 OK\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n"
+                                 "2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n";
+    fixture *d = make_fixture();
+    us_conn *conn = us_start(
+        d->pool, &(us_desc){.calls = &cancelling_calls, .user_data = d});
+    us_write(conn, "GET / HTTP/1.1\r\n\r\n", 18);
+    int fd = accept(d->listener, NULL, NULL);
+    send(fd, answer, strlen(answer), MSG_NOSIGNAL);
+    run_loop_ms(50);
+    ck_assert_uint_eq(pieces, 1);
+    ck_assert_uint_eq(d->ended, 0);
+}
+END_TEST
+
 START_TEST(test_opened_connection_becomes_idle)
 {
     fixture *d = make_fixture();
@@ -178,6 +212,7 @@
 main(void)
 {
     TCase *tcase = tcase_create("upstream");
+    tcase_add_test(tcase, test_request_may_be_cancelled_by_its_first_piece);
     tcase_add_test(tcase, test_opened_connection_becomes_idle);
     tcase_add_test(tcase, test_refused_connection_is_told_from_an_open_one);
     tcase_add_test(tcase, test_idle_connection_is_used_again);
