Sum the requests in flight at a candidate once per choice

The choice of a server summed the requests of all instances up to five times for each candidate, three times before load was spread.

--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -114,9 +114,9 @@
    part of up to 4 % spreads requests over servers of like cost. */
 static double
 _fl_request_cost(fl_fleet *fleet, const fl_request *request,
-                 const fl_server *server)
+                 const fl_server *server, uint32_t in_flight)
 {
-    double utilization = _fl_utilization(server, request->now_us);
+    double utilization = (double)in_flight / server->slots;
     double cost = _fl_work_ms(server, request->adapter != NULL, utilization) *
                   fl_query_slowness(server, request->now_us);
     /* The prefill of a long prompt stalls the streams that run there. */
@@ -140,10 +140,9 @@
 
 /* Returns about how much each further request raises the cost. */
 static double
-_fl_request_slope(const fl_request *request, const fl_server *server,
-                  double cost)
+_fl_request_slope(const fl_server *server, uint32_t in_flight, double cost)
 {
-    double utilization = _fl_utilization(server, request->now_us);
+    double utilization = (double)in_flight / server->slots;
     double steepness = utilization < 0.8 ? 1.0 : 5.0;
     double factor = 1.0 + utilization + 4.0 * MAX(utilization - 0.8, 0);
     return cost / factor * steepness / server->slots;
@@ -151,10 +150,9 @@
 
 /* True if the server has its most requests in flight. */
 static bool
-_fl_saturated(const fl_server *server, uint64_t now_us)
+_fl_saturated(const fl_server *server, uint32_t in_flight)
 {
-    return fl_query_in_flight(server, now_us) >=
-           (uint32_t)(server->slots * _FL_MAX_PER_SLOT) + 1;
+    return in_flight >= (uint32_t)(server->slots * _FL_MAX_PER_SLOT) + 1;
 }
 
 /* The best candidates so far. */
@@ -177,16 +175,15 @@
 /* Notes the server for _fl_spread(), and what others send there unseen: by
    Little's law, its requests divided by the time for which it has each. */
 static void
-_fl_add_candidate(fl_fleet *fleet, const fl_request *request,
-                  fl_server *server, double cost, _fl_best *best)
+_fl_add_candidate(fl_fleet *fleet, fl_server *server, uint32_t in_flight,
+                  double cost, _fl_best *best)
 {
     if (server->held_ms > 0) {
-        uint32_t others = fl_query_in_flight(server, request->now_us) -
-                          server->own_in_flight;
+        uint32_t others = in_flight - server->own_in_flight;
         best->unseen += others * fleet->report_age_ms / server->held_ms;
     }
     sd_candidate candidate = {
-        .cost = cost, .slope = _fl_request_slope(request, server, cost)};
+        .cost = cost, .slope = _fl_request_slope(server, in_flight, cost)};
     g_array_append_val(fleet->spread, candidate);
     g_ptr_array_add(fleet->spread_servers, server);
 }
@@ -197,18 +194,20 @@
 _fl_compare_candidate(fl_fleet *fleet, const fl_request *request,
                       fl_server *server, _fl_best *best, fl_choice *out)
 {
-    if (_fl_saturated(server, request->now_us)) {
+    /* Sums over all instances, so it is asked for once. */
+    uint32_t in_flight = fl_query_in_flight(server, request->now_us);
+    if (_fl_saturated(server, in_flight)) {
         out->status = out->status == FL_CHOSEN ? FL_CHOSEN : FL_ALL_FULL;
         return;
     }
-    double cost = _fl_request_cost(fleet, request, server);
+    double cost = _fl_request_cost(fleet, request, server, in_flight);
     if (out->status != FL_CHOSEN || cost < best->cost) {
         best->cost = cost;
         out->server = server;
         out->status = FL_CHOSEN;
     }
     if (fleet->report_age_ms > 0) {
-        _fl_add_candidate(fleet, request, server, cost, best);
+        _fl_add_candidate(fleet, server, in_flight, cost, best);
     }
 }
 
@@ -236,14 +235,17 @@
         out->skipped_leaving || nt_query_reported_leaving(&server->notice);
     out->skipped_paused = out->skipped_paused ||
                           nt_query_paused(&server->notice, request->now_us);
-    if (!_fl_lacks_permit(request, server) ||
-        _fl_saturated(server, request->now_us)) {
+    if (!_fl_lacks_permit(request, server)) {
+        return;
+    }
+    uint32_t in_flight = fl_query_in_flight(server, request->now_us);
+    if (_fl_saturated(server, in_flight)) {
         return;
     }
     out->skipped_limited = true;
     out->permits_per_s += pm_query_per_s(&server->permits, request->now_us);
     out->limit_per_s += server->limit.per_s;
-    double cost = _fl_request_cost(fleet, request, server);
+    double cost = _fl_request_cost(fleet, request, server, in_flight);
     if (!best->limited || cost < best->limited_cost) {
         best->limited = server;
         best->limited_cost = cost;
@@ -681,7 +683,8 @@
         }
         double time_ms = _fl_new_copy_cost(fleet, server, adapter, now_us) +
                          _FL_AFFINITY_MS * _fl_affinity_rank(adapter, server);
-        if (_fl_max_loading_reached(server) || _fl_saturated(server, now_us)) {
+        if (_fl_max_loading_reached(server) ||
+            _fl_saturated(server, fl_query_in_flight(server, now_us))) {
             time_ms += _FL_BUSY_PENALTY_MS;
         }
         if (!chosen || time_ms < best) {
