Quotas: sums of another process are a new beginning

Sums are compared within one incarnation only now; what an instance admits before its first message is heard is at most a quarter of a second's worth.

--- a/packages/exchange/src/quota.c
+++ b/packages/exchange/src/quota.c
@@ -451,15 +451,12 @@
         known = g_new0(_qt_peer_use, 1);
         g_hash_table_insert(quota->peer_uses, (gpointer)peer, known);
     }
-    if (known->incarnation == 0) {
-        /* What it admitted before this instance knew it is long past. */
+    if (known->incarnation != incarnation) {
+        /* What it admitted before this instance knew it may be long past, and
+           a late message of the process before has large sums. */
         known->admitted = use->admitted;
         known->refused = use->refused;
     }
-    else if (known->incarnation != incarnation) {
-        known->admitted = 0;
-        known->refused = 0;
-    }
     known->incarnation = incarnation;
     /* A refund lowers a sum; a message may arrive after a later one. */
     double admitted = (double)use->admitted - (double)known->admitted;
--- a/packages/exchange/tests/test_quota.c
+++ b/packages/exchange/tests/test_quota.c
@@ -90,6 +90,12 @@
     }
 }
 
+static void
+copy_use(const qt_use *use, void *user_data)
+{
+    *(qt_use *)user_data = *use;
+}
+
 static void
 on_use(const qt_use *use, void *user_data)
 {
@@ -319,11 +325,45 @@
 }
 END_TEST
 
+/* Guards against a late message of an instance's process before, whose sums
+   are those of its whole life, being taken for what was just admitted. */
+START_TEST(test_late_message_of_an_ended_process_counts_nothing)
+{
+    wp_table *workspaces = wp_create();
+    wp_add(workspaces,
+           &(wp_workspace){.name = WORKSPACE, .per_s = PER_S, .burst = BURST},
+           NULL, 0);
+    qt_quotas *quotas = qt_create();
+    qt_set_limits(quotas, workspaces, 1);
+    qt_use use = {.workspace = 0};
+    qt_admit(quotas, WORKSPACE, 1, 0, 2 * S);
+    qt_quotas *other = qt_create();
+    qt_set_limits(other, workspaces, 1);
+    qt_admit(other, WORKSPACE, 1, 0, 2 * S);
+    qt_each_unreported(other, 3 * S, copy_use, &use);
+    ck_assert_uint_ne(use.workspace, 0);
+    uint64_t now_us = 6 * S;
+    for (uint64_t incarnation = 2; incarnation > 0; incarnation--) {
+        use.admitted = incarnation == 2 ? 1000 : 50000000;
+        now_us += 100 * MS;
+        qt_note_heard(quotas, "entry-2", now_us);
+        qt_feed(quotas, "entry-2", incarnation, &use, now_us);
+    }
+    ck_assert(
+        qt_admit(quotas, WORKSPACE, REQUEST_TOKENS, 0.99, now_us).admitted);
+    qt_destroy(quotas);
+    qt_destroy(other);
+    wp_destroy(workspaces);
+}
+END_TEST
+
 int
 main(void)
 {
     TCase *tcase = tcase_create("quota");
     tcase_set_timeout(tcase, 280);
+    tcase_add_test(tcase,
+                   test_late_message_of_an_ended_process_counts_nothing);
     tcase_add_loop_test(tcase, test_all_instances_together_keep_the_quota, 0,
                         G_N_ELEMENTS(plays));
     return run_case("quota", tcase);
