A new plain server gets its part of the work at once

A new server's time of an answer is not known, and counted as 40 ms. Where the others answer in less, it got nothing until they were overrun: after servers of a service are replaced or start under a new id, they idle while the rest is busy.

--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -121,6 +121,22 @@
     }
 }
 
+/* Returns the mean time of an answer at the servers of a service; 0: not
+ * known.
+ */
+static double
+_fl_mean_latency_ms(const GPtrArray *servers)
+{
+    double sum_ms = 0;
+    uint32_t count = 0;
+    for (guint i = 0; i < servers->len; i++) {
+        const fl_server *server = servers->pdata[i];
+        sum_ms += server->latency_ms;
+        count += server->latency_ms > 0;
+    }
+    return count ? sum_ms / count : 0;
+}
+
 static fl_server *
 _fl_add_server(fl_fleet *fleet, const dl_server *entry)
 {
@@ -135,7 +151,11 @@
     server->born_ms = entry->born_ms;
     _fl_inherit_notice(fleet, server);
     g_hash_table_insert(fleet->servers, server->id, server);
-    g_ptr_array_add(_fl_service_servers(fleet, server->service), server);
+    GPtrArray *servers = _fl_service_servers(fleet, server->service);
+    /* With a default that is far above the others' times, a new server would
+       stand idle until they are overrun. */
+    server->latency_ms = _fl_mean_latency_ms(servers);
+    g_ptr_array_add(servers, server);
     return server;
 }
 
--- a/packages/exchange/tests/test_fleet.c
+++ b/packages/exchange/tests/test_fleet.c
@@ -491,6 +491,30 @@
 }
 END_TEST
 
+/* Guards against a new server that stands idle while the others are overrun:
+   how fast it is shows only once it has served. */
+START_TEST(test_new_plain_server_gets_its_part_at_once)
+{
+    fixture s = make_fixture();
+    fl_choice choice;
+    fl_server *old = put_server(&s, "i-1", "z1");
+    fl_begin_request(old, NULL, s.now_us);
+    fl_end_request(old, NULL,
+                   &(fl_result){.outcome = FL_SUCCEEDED,
+                                .latency_ms = 2,
+                                .now_us = s.now_us});
+    fl_server *added = put_server(&s, "i-2", "z1");
+    int chosen = 0;
+    for (int i = 0; i < 100; i++) {
+        ck_assert(choose_server(&s, NULL, &choice));
+        chosen += choice.server == added;
+    }
+    ck_assert_int_gt(chosen, 20);
+    ck_assert_int_lt(chosen, 80);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
 /* Requests of others at each of four servers, of which the first has fewest.
  */
 static void
@@ -556,6 +580,7 @@
 {
     TCase *tcase = tcase_create("fleet");
     tcase_add_test(tcase, test_pending_prefill_counts);
+    tcase_add_test(tcase, test_new_plain_server_gets_its_part_at_once);
     tcase_add_loop_test(
         tcase, test_unseen_requests_of_others_spread_the_choice, 0, 4);
     tcase_add_test(tcase,
