--- a/packages/exchange/src/quota.c
+++ b/packages/exchange/src/quota.c
@@ -161,17 +161,26 @@
     g_free(data);
 }
 
+/* Returns what is known of a workspace's use at another instance; creates it
+   on first use. */
+static _qt_peer_use *
+_qt_get_peer_use(_qt_quota *quota, const _qt_peer *peer)
+{
+    _qt_peer_use *use = g_hash_table_lookup(quota->peer_uses, (gpointer)peer);
+    if (!use) {
+        use = g_new0(_qt_peer_use, 1);
+        g_hash_table_insert(quota->peer_uses, (gpointer)peer, use);
+    }
+    return use;
+}
+
 /* Keeps the part of the quota for an instance that is no longer heard: half by
    what it asked for and half by the number of instances, as demand moves. */
 static void
 _qt_keep_part(_qt_quota *quota, const _qt_peer *lost, guint instance_count,
               uint64_t now_us)
 {
-    _qt_peer_use *use = g_hash_table_lookup(quota->peer_uses, (gpointer)lost);
-    if (!use) {
-        use = g_new0(_qt_peer_use, 1);
-        g_hash_table_insert(quota->peer_uses, (gpointer)lost, use);
-    }
+    _qt_peer_use *use = _qt_get_peer_use(quota, lost);
     double asked = _qt_query_count(&use->asked, _QT_PART_DECAY_US, now_us);
     double all =
         _qt_query_count(&quota->asked_parts, _QT_PART_DECAY_US, now_us);
@@ -445,12 +454,7 @@
     if (!quota) {
         return;
     }
-    _qt_peer_use *known =
-        g_hash_table_lookup(quota->peer_uses, (gpointer)peer);
-    if (!known) {
-        known = g_new0(_qt_peer_use, 1);
-        g_hash_table_insert(quota->peer_uses, (gpointer)peer, known);
-    }
+    _qt_peer_use *known = _qt_get_peer_use(quota, peer);
     if (known->incarnation != incarnation) {
         /* What it admitted before this instance knew it may be long past, and
            a late message of the process before has large sums. */
