--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -249,6 +249,7 @@
         self.poison = None       # text of a part that crashes it as it begins to answer
         self.headers = ()        # further headers of all answers
         self.back_s = 2.5
+        self.silent = False      # its machine falls silent as it crashes, without resets
         self.state = "ready"
         self.last_beat = 0
 
@@ -264,7 +265,7 @@
         self.sequence, self.running, self.state = 0, 0, "ready"
         self.models = {}    # adapter name or "" (the model) -> (version, ready time)
         self.listener = await asyncio.start_server(self.serve, self.ip, self.port,
-                                                   reuse_address=True)
+                                                   reuse_address=True, reuse_port=True)
         self.up = True
         self.beat(True)
         self.world.record.line("server", self.id, self.service, "starts")
@@ -299,14 +300,38 @@
         self.up = False
         self.world.record.line("server", self.id, "crashes, running", self.running)
         self.world.crashes.append(now())
-        self.listener.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
         asyncio.get_running_loop().create_task(self._lapse(self.id))
+        writers, silence = list(self.writers), self._begin_silence() if self.silent else []
+        self.listener.close()
+        self._fill(silence)
+        if not self.silent:
+            for writer in writers:
+                writer.transport.abort()
         if back:
             await asyncio.sleep(self.back_s)
+            for writer in writers:  # it knows none of its connections any more
+                writer.transport.abort()
+            for sock in silence:
+                sock.close()
             await self.start()
 
+    def _begin_silence(self):
+        """Opens a listener that accepts nothing; open connections stay as they are."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((self.ip, self.port))
+        sock.listen(0)
+        return [sock]
+
+    def _fill(self, silence):
+        """Fills the queue of that listener: further connections get no answer."""
+        for _ in range(8 if silence else 0):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex((self.ip, self.port))
+            silence.append(sock)
+
     async def _lapse(self, old):
         await asyncio.sleep(3.6)  # three heartbeat intervals of silence
         if self.id != old or not self.up:
@@ -402,19 +427,24 @@
     async def stream(self, rid, headers, base, writer):
         head = ("HTTP/1.1 200 OK\r\n" + "".join("%s: %s\r\n" % h for h in base) +
                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode()
+        start = (self.id, self.born)
         if self.early_head:
             writer.write(head)
         await asyncio.sleep(self.first_ms / 1000)
+        if not self.up or (self.id, self.born) != start:
+            await asyncio.sleep(3600)
         self.world.ran(self, rid)
         if self.poison and any(p.split(":")[0] == self.poison for p in
                                headers.get("prompt-prefix", "").split(",")):
-            # The process ends as it begins to write the answer.
+            # The process, or its machine, ends as it begins to write the answer.
             asyncio.get_running_loop().create_task(self.crash())
             await asyncio.sleep(3600)
         if not self.early_head:
             writer.write(head)
         first = int(headers.get("last-event-id", "0") or 0) + 1
         for number in range(first, self.events + 1):
+            while not self.up or (self.id, self.born) != start:
+                await asyncio.sleep(3600)
             event = b"id: %d\ndata: %s-%d%s\n\n" % (number, rid.encode(), number, b"x" * 40)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
