--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -69,6 +69,7 @@
              exchange->workspace ? exchange->workspace->name : "-", "adapter",
              adapter ? adapter->key : "-", "server",
              exchange->send_count ? exchange->last_server_id : "-",
+             "source_ended", exchange->source_end ? exchange->source_end : "-",
              "sent/first/after_ms", times, "sends/pieces", counts,
              "copies/coming/servers/busy/slots", copies, NULL);
 }
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -113,6 +113,8 @@
     uint64_t last_piece_us;
     uint64_t max_gap_us;     /* longest time between two pieces */
     char last_server_id[40]; /* server of the last send */
+    const char *source_end; /* how the last send that brought events ended, for
+                               the log; NULL: none has */
     uint32_t piece_count;
     /* of the current send */
     uint32_t send_piece_count;
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -310,6 +310,9 @@
 xc_log_send_ended(xc_exchange *exchange, const char *why)
 {
     exchange->logged = true; /* the rest of the request is logged */
+    if (exchange->send_piece_count > 0) {
+        exchange->source_end = why;
+    }
     char last_event[XC_EVENT_ID_LOG_BYTES];
     _xc_format_last_id(exchange, last_event);
     char counts[64];
