exchange: keep the state of a send in a struct of its own

No change of behaviour: the fields of the current send move from xc_exchange to xc_send_state, so that a request can have a second send beside it.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -106,8 +106,8 @@
     xc_stop_waiting(exchange);
     ct_add(CT_OPEN_REQUESTS, -1);
     rc_unref(exchange->table);
-    if (exchange->answer_headers) {
-        g_string_free(exchange->answer_headers, TRUE);
+    if (exchange->send.answer_headers) {
+        g_string_free(exchange->send.answer_headers, TRUE);
     }
     xc_drop_answer_body(exchange);
     sp_destroy(exchange->position);
@@ -373,7 +373,7 @@
     if (criteria.tried_count == FL_MAX_TRIED) {
         return false;
     }
-    criteria.tried[criteria.tried_count++] = exchange->server;
+    criteria.tried[criteria.tried_count++] = exchange->send.server;
     return fl_choose_server(exchange->core->desc.fleet, &criteria, &choice);
 }
 
@@ -674,17 +674,18 @@
         exchange->possible_runs >= route->max_servers) {
         return false;
     }
-    uint64_t age_us = now_us - exchange->sent_us;
+    uint64_t age_us = now_us - exchange->send.sent_us;
     if (route->kind == RC_SAFE) {
-        double expected_us = exchange->server->latency_ms * 1000.0;
+        double expected_us = exchange->send.server->latency_ms * 1000.0;
         return age_us > _XC_SLOW_ANSWER_MIN_US &&
                (double)age_us > expected_us * _XC_SLOW_ANSWER_FACTOR;
     }
-    if (!xc_query_can_resume(exchange) || exchange->paused) {
+    if (!xc_query_can_resume(exchange) || exchange->send.paused) {
         return false;
     }
-    if (exchange->send_piece_count > 0) {
-        return now_us - MAX(exchange->last_piece_us, exchange->unpaused_us) >
+    if (exchange->send.piece_count > 0) {
+        return now_us -
+                   MAX(exchange->last_piece_us, exchange->send.unpaused_us) >
                MAX(route->gap_target_ms * 1000ULL * _XC_SLOW_GAP_FACTOR,
                    _XC_SLOW_GAP_MIN_US);
     }
@@ -700,10 +701,10 @@
 {
     const fl_adapter *adapter = exchange->adapter;
     return exchange->state == XC_SENT && adapter && adapter->name &&
-           exchange->send_piece_count == 0 &&
+           exchange->send.piece_count == 0 &&
            now_us >= fl_query_old_version_end_us(exchange->core->desc.fleet,
                                                  adapter,
-                                                 exchange->copy_version);
+                                                 exchange->send.copy_version);
 }
 
 bool
@@ -738,9 +739,9 @@
 static bool
 _xc_server_withdrew(const xc_exchange *exchange)
 {
-    const nt_notice *notice = &exchange->server->notice;
+    const nt_notice *notice = &exchange->send.server->notice;
     return nt_query_reported_leaving(notice) ||
-           notice->paused_us > exchange->sent_us;
+           notice->paused_us > exchange->send.sent_us;
 }
 
 /* Ends, resends or dispatches the request if a time limit of it is past. */
@@ -753,8 +754,8 @@
         return;
     }
     if (exchange->state == XC_SENT &&
-        !us_query_connected(exchange->upstream)) {
-        bool late = now_us >= exchange->connect_deadline_us;
+        !us_query_connected(exchange->send.upstream)) {
+        bool late = now_us >= exchange->send.connect_deadline_us;
         if (late || _xc_server_withdrew(exchange)) {
             xc_cancel_send(exchange,
                            late ? FL_UNREACHABLE : FL_OUTCOME_DEFAULT);
@@ -762,7 +763,7 @@
             return;
         }
     }
-    if (exchange->state == XC_SENT && exchange->answer_too_long) {
+    if (exchange->state == XC_SENT && exchange->send.answer_too_long) {
         xc_end_long_answer(exchange);
         return;
     }
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -54,7 +54,7 @@
     }
     char times[64];
     g_snprintf(times, sizeof(times), "%u/%u/%u",
-               _xc_elapsed_ms(exchange, exchange->sent_us),
+               _xc_elapsed_ms(exchange, exchange->send.sent_us),
                _xc_elapsed_ms(exchange, exchange->first_piece_us),
                _xc_elapsed_ms(exchange, now_us));
     char copies[64];
@@ -68,7 +68,7 @@
              "route", exchange->route->name, "workspace",
              exchange->workspace ? exchange->workspace->name : "-", "adapter",
              adapter ? adapter->key : "-", "server",
-             exchange->send_count ? exchange->last_server_id : "-",
+             exchange->send_count ? exchange->send.server_id : "-",
              "source_ended", exchange->source_end ? exchange->source_end : "-",
              "sent/first/after_ms", times, "sends/pieces", counts,
              "copies/coming/servers/busy/slots", copies, NULL);
@@ -122,8 +122,8 @@
 xc_begin_answer(xc_exchange *exchange)
 {
     exchange->answer_begun = true;
-    cr_begin_stream(exchange->caller, exchange->status,
-                    exchange->answer_headers->str);
+    cr_begin_stream(exchange->caller, exchange->send.status,
+                    exchange->send.answer_headers->str);
 }
 
 /* Logs the first event of a send that was asked to go on after an event. */
@@ -133,9 +133,9 @@
     char first[XC_EVENT_ID_LOG_BYTES];
     g_strlcpy(first, event->id ? event->id : "-", sizeof(first));
     lg_write(LG_REQUEST_RESUMED, "request", exchange->id, "server",
-             exchange->last_server_id, "resume_after", exchange->resume_after,
-             "first_event", first, "forwarded", event->repeated ? "no" : "yes",
-             NULL);
+             exchange->send.server_id, "resume_after",
+             exchange->send.resume_after, "first_event", first, "forwarded",
+             event->repeated ? "no" : "yes", NULL);
 }
 
 static void
@@ -143,7 +143,7 @@
 {
     xc_exchange *exchange = user_data;
     if (event->number == 1 && exchange->logged &&
-        strcmp(exchange->resume_after, "-") != 0) {
+        strcmp(exchange->send.resume_after, "-") != 0) {
         _xc_log_first_event(exchange, event);
     }
     if (event->repeated) {
@@ -175,7 +175,7 @@
 bool
 xc_query_ends_with_event(const xc_exchange *exchange)
 {
-    const char *last = exchange->last_bytes;
+    const char *last = exchange->send.last_bytes;
     return last[2] == '\n' &&
            (last[1] == '\n' || (last[1] == '\r' && last[0] == '\n'));
 }
@@ -183,10 +183,12 @@
 static void
 _xc_keep_last_bytes(xc_exchange *exchange, const char *bytes, size_t count)
 {
-    const size_t kept = sizeof(exchange->last_bytes);
+    const size_t kept = sizeof(exchange->send.last_bytes);
     size_t added = MIN(count, kept);
-    memmove(exchange->last_bytes, exchange->last_bytes + added, kept - added);
-    memcpy(exchange->last_bytes + kept - added, bytes + count - added, added);
+    memmove(exchange->send.last_bytes, exchange->send.last_bytes + added,
+            kept - added);
+    memcpy(exchange->send.last_bytes + kept - added, bytes + count - added,
+           added);
 }
 
 void
@@ -194,7 +196,7 @@
 {
     uint64_t now_us = xc_now_us(exchange);
     xc_end_prompt_read(exchange,
-                       (double)(now_us - exchange->sent_us) / 1000.0);
+                       (double)(now_us - exchange->send.sent_us) / 1000.0);
     if (exchange->piece_count == 0) {
         exchange->first_piece_us = now_us;
         hg_observe(HG_FIRST_PIECE, xc_query_label(exchange),
@@ -206,8 +208,8 @@
     }
     exchange->last_piece_us = now_us;
     exchange->piece_count++;
-    if (exchange->send_piece_count++ == 0) {
-        exchange->send_first_piece_us = now_us;
+    if (exchange->send.piece_count++ == 0) {
+        exchange->send.first_piece_us = now_us;
     }
     if (xc_query_under_way(exchange)) {
         xc_note_good(exchange);
@@ -217,8 +219,8 @@
         cr_write_piece(exchange->caller, bytes, count);
     }
     else if (!sp_feed(exchange->position, bytes, count)) {
-        exchange->answer_invalid = true;
-        exchange->answer_too_long = true;
+        exchange->send.answer_invalid = true;
+        exchange->send.answer_too_long = true;
     }
 }
 
@@ -227,16 +229,16 @@
 {
     char times[80];
     g_snprintf(times, sizeof(times), "%u/%u/%u/%u",
-               _xc_elapsed_ms(exchange, exchange->sent_us),
+               _xc_elapsed_ms(exchange, exchange->send.sent_us),
                _xc_elapsed_ms(exchange, exchange->first_piece_us),
                (uint32_t)(exchange->max_gap_us / 1000),
                _xc_elapsed_ms(exchange, xc_now_us(exchange)));
     char status[16];
-    g_snprintf(status, sizeof(status), "%u", exchange->status);
+    g_snprintf(status, sizeof(status), "%u", exchange->send.status);
     lg_write(LG_REQUEST_ANSWERED, "request", exchange->id, "route",
              exchange->route->name, "adapter",
              exchange->adapter ? exchange->adapter->key : "-", "server",
-             exchange->last_server_id, "status", status,
+             exchange->send.server_id, "status", status,
              "sent/first/pause/all_ms", times, NULL);
 }
 
@@ -246,7 +248,7 @@
     ct_add(CT_ANSWERED, 1);
     hg_observe(HG_ANSWER, xc_query_label(exchange),
                xc_now_us(exchange) - exchange->received_us);
-    if (exchange->status >= 200 && exchange->status < 300) {
+    if (exchange->send.status >= 200 && exchange->send.status < 300) {
         xc_note_good(exchange);
     }
     if (exchange->logged) {
@@ -261,11 +263,14 @@
         cr_end_stream(caller);
         return;
     }
-    g_autoptr(GString) headers = g_steal_pointer(&exchange->answer_headers);
+    g_autoptr(GString) headers =
+        g_steal_pointer(&exchange->send.answer_headers);
     g_autoptr(GByteArray) body =
-        exchange->answer_body ? g_byte_array_ref(exchange->answer_body) : NULL;
+        exchange->send.answer_body
+            ? g_byte_array_ref(exchange->send.answer_body)
+            : NULL;
     cr_answer answer = {
-        .status = exchange->status,
+        .status = exchange->send.status,
         .headers = headers ? headers->str : NULL,
         .body = body ? (const char *)body->data : NULL,
         .body_count = body ? body->len : 0,
--- a/packages/exchange/src/exchange_content.c
+++ b/packages/exchange/src/exchange_content.c
@@ -110,7 +110,7 @@
     for (GList *at = core->active.head; at; at = next) {
         next = at->next;
         xc_exchange *exchange = at->data;
-        if (exchange->state == XC_SENT && exchange->status == 0 &&
+        if (exchange->state == XC_SENT && exchange->send.status == 0 &&
             !exchange->answer_begun) {
             xc_end_if_blocked(exchange);
         }
@@ -122,35 +122,35 @@
 bool
 xc_query_under_way(const xc_exchange *exchange)
 {
-    return exchange->send_piece_count > 0 &&
+    return exchange->send.piece_count > 0 &&
            xc_now_us(exchange) >=
-               exchange->send_first_piece_us + _XC_JUST_BEGUN_US;
+               exchange->send.first_piece_us + _XC_JUST_BEGUN_US;
 }
 
 void
 xc_note_good(xc_exchange *exchange)
 {
     su_suspects *suspects = exchange->core->desc.suspects;
-    if (exchange->good_noted) {
+    if (exchange->send.good_noted) {
         return;
     }
-    exchange->good_noted = true;
+    exchange->send.good_noted = true;
     _xc_read_parts(exchange);
     if (su_query_active(suspects)) {
         xc_get_fingerprint(exchange);
     }
     su_note_good(suspects, &exchange->content,
-                 exchange->send_piece_count ? exchange->send_first_piece_us
-                                            : exchange->sent_us);
+                 exchange->send.piece_count ? exchange->send.first_piece_us
+                                            : exchange->send.sent_us);
 }
 
 static cw_progress
 _xc_query_progress(const xc_exchange *exchange)
 {
-    if (exchange->status == 0) {
+    if (exchange->send.status == 0) {
         return CW_NO_HEAD;
     }
-    if (exchange->send_piece_count == 0) {
+    if (exchange->send.piece_count == 0) {
         return CW_HEAD_ONLY;
     }
     return xc_query_under_way(exchange) ? CW_PROGRESS_DEFAULT : CW_JUST_BEGUN;
@@ -160,8 +160,8 @@
 _xc_report(xc_exchange *exchange, bool gave_up)
 {
     cw_broken broken = {
-        .server = exchange->server,
-        .born_ms = exchange->server_started_ms,
+        .server = exchange->send.server,
+        .born_ms = exchange->send.server_started_ms,
         .gave_up = gave_up,
         .request = {.content = *xc_get_content(exchange),
                     .progress = _xc_query_progress(exchange)},
@@ -179,8 +179,8 @@
 void
 xc_report_if_silent(xc_exchange *exchange)
 {
-    uint64_t heard_us = exchange->send_piece_count ? exchange->last_piece_us
-                                                   : exchange->sent_us;
+    uint64_t heard_us = exchange->send.piece_count ? exchange->last_piece_us
+                                                   : exchange->send.sent_us;
     if (xc_now_us(exchange) >= heard_us + _XC_SILENT_US) {
         _xc_report(exchange, true);
     }
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -39,6 +39,44 @@
     XC_SENT              /* a server has it */
 } xc_state;
 
+/* One send of a request to a server; its state is kept after its end, until
+   the next send. A piece is the bytes of one us_callbacks.body. */
+typedef struct xc_send_state {
+    us_conn *upstream; /* NULL: the send has ended */
+    fl_server *server; /* NULL: the send has ended */
+    char server_id[40];
+    uint64_t server_started_ms; /* start of the server's process, at the time
+                                   of the send */
+    bool pause_requested; /* the server refused it and asked for a pause */
+    bool is_probe; /* it is the first request at the server after a pause */
+    uint64_t sent_us;
+    uint64_t connect_deadline_us; /* a new connection is given up then */
+    uint64_t copy_version;   /* of the adapter at the server; 0: not known */
+    uint32_t unread_tokens;  /* of its prompt, not processed yet */
+    uint64_t queued_tokens;  /* unread at the server when it was sent, its own
+                                included */
+    bool refused;            /* the server did not run it */
+    bool answer_invalid;     /* not forwarded: unsigned, without a request id,
+                                encoded, too long, or, for a resumed stream, with
+                                another status or media type */
+    bool answer_too_long;    /* an event or a plain answer is over its limit */
+    bool answer_crowded_out; /* memory for all answers was used up, and this
+                                was the largest */
+    uint32_t status;         /* of the answer; 0: no head yet */
+    GString *answer_headers;
+    GByteArray *answer_body; /* buffered; of an answer that is no stream */
+    uint32_t piece_count;    /* of a stream, as first_piece_us */
+    uint64_t first_piece_us; /* set with piece_count */
+    bool good_noted;         /* see xc_note_good() */
+    bool paused;          /* for want of memory, reading waits until the caller
+                             has taken all bytes */
+    uint64_t unpaused_us; /* end of the last such pause; 0: none */
+    char last_bytes[3];   /* of the body; 0: none */
+    /* Event after which it asks its server to go on, for the log; "-": none.
+     */
+    char resume_after[XC_EVENT_ID_LOG_BYTES];
+} xc_send_state;
+
 typedef struct xc_exchange {
     xc_core *core;
     cr_conn *caller;
@@ -76,59 +114,25 @@
     bool probes_content;       /* its content is blocked; it may be sent */
     bool may_repeat;           /* its kind may run again after a failure */
     bool may_have_run;         /* a send of it may run or have run */
-    /* the current send */
-    us_conn *upstream;
-    fl_server *server;
-    uint64_t server_started_ms; /* start of the server's process, at the
-                                   time of the send */
-    bool pause_requested; /* the server refused it and asked for a pause */
-    bool is_probe; /* it is the first request at the server after a pause */
+    xc_send_state send;        /* the latest */
     const fl_server *tried[FL_MAX_TRIED];
     uint32_t tried_count;
     uint32_t send_count;
     const fl_server *sent_to[XC_MAX_SENDS]; /* servers of these sends */
     uint32_t possible_runs; /* sends that may have run or may still run it */
-    uint64_t sent_us;
-    uint64_t connect_deadline_us; /* a new connection is given up then */
-    uint64_t copy_version;   /* of the adapter at the server; 0: not known */
-    uint32_t unread_tokens;  /* of its prompt, not processed yet */
-    uint64_t queued_tokens;  /* unread at the server when it was sent, its
-                                own included */
-    bool refused;            /* the server did not run it */
-    bool answer_invalid;     /* not forwarded: unsigned, without a request id,
-                                encoded, too long, or, for a resumed stream, with
-                                another status or media type */
-    bool answer_too_long;    /* an event or a plain answer is over its limit */
-    bool answer_crowded_out; /* memory for all answers was used up, and this
-                                was the largest */
-    uint32_t status;         /* of the answer; 0: no head yet */
-    GString *answer_headers;
-    char *media_type;        /* of the stream that the caller gets; NULL until
-                                its head has come from a server */
-    GByteArray *answer_body; /* buffered; of an answer that is no stream */
-    bb_share answer_bytes; /* memory that answer_body takes, or what the caller
-                              of a stream has not read */
+    char *media_type;       /* of the stream that the caller gets; NULL until
+                               its head has come from a server */
+    bb_share answer_bytes;  /* memory that send.answer_body takes, or what the
+                               caller of a stream has not read */
     /* streams; a piece is the bytes of one us_callbacks.body */
     uint64_t first_piece_us;
     uint64_t last_piece_us;
-    uint64_t max_gap_us;     /* longest time between two pieces */
-    char last_server_id[40]; /* server of the last send */
+    uint64_t max_gap_us;    /* longest time between two pieces */
     const char *source_end; /* how the last send that brought events ended, for
                                the log; NULL: none has */
     uint32_t piece_count;
-    /* of the current send */
-    uint32_t send_piece_count;
-    bool good_noted;              /* see xc_note_good() */
-    uint64_t send_first_piece_us; /* set with send_piece_count */
-    bool paused;          /* for want of memory, reading waits until the caller
-                             has taken all bytes */
-    uint64_t unpaused_us; /* end of the last such pause; 0: none */
-    char last_bytes[3];   /* of the body of the current send; 0: none */
     sp_position *position; /* resumable streams: the events that the caller
                               has; NULL: the request cannot be resumed */
-    /* Event after which the current send asks its server to go on, for the
-       log; "-": none. */
-    char resume_after[XC_EVENT_ID_LOG_BYTES];
 } xc_exchange;
 
 uint64_t xc_now_us(const xc_exchange *exchange);
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -29,8 +29,8 @@
 static bool
 _xc_is_stream(const xc_exchange *exchange)
 {
-    return exchange->route->kind == RC_STREAM && exchange->status == 200 &&
-           !_xc_is_head_only(exchange);
+    return exchange->route->kind == RC_STREAM &&
+           exchange->send.status == 200 && !_xc_is_head_only(exchange);
 }
 
 /* Returns true for headers of the server that are not passed to the caller. */
@@ -45,10 +45,10 @@
 static void
 _xc_store_answer_headers(xc_exchange *exchange, const h1_head *head)
 {
-    if (!exchange->answer_headers) {
-        exchange->answer_headers = g_string_sized_new(256);
+    if (!exchange->send.answer_headers) {
+        exchange->send.answer_headers = g_string_sized_new(256);
     }
-    GString *text = exchange->answer_headers;
+    GString *text = exchange->send.answer_headers;
     g_string_truncate(text, 0);
     for (uint32_t i = 0; i < head->header_count; i++) {
         const h1_header *header = &head->headers[i];
@@ -72,14 +72,15 @@
     bool is_answer =
         h1_query_header(head, desc->dialect->headers[DL_REQUEST_ID]) != NULL;
     fl_server_notice notice;
-    if (nr_read_notice(&(nr_desc){.dialect = desc->dialect,
-                                  .fleet = desc->fleet,
-                                  .server = exchange->server->id,
-                                  .born_ms = exchange->server_started_ms,
-                                  .sent_us = is_answer ? exchange->sent_us : 0,
-                                  .now_us = xc_now_us(exchange)},
-                       head, &notice)) {
-        exchange->pause_requested = notice.notice.pause_ms != 0;
+    if (nr_read_notice(
+            &(nr_desc){.dialect = desc->dialect,
+                       .fleet = desc->fleet,
+                       .server = exchange->send.server->id,
+                       .born_ms = exchange->send.server_started_ms,
+                       .sent_us = is_answer ? exchange->send.sent_us : 0,
+                       .now_us = xc_now_us(exchange)},
+            head, &notice)) {
+        exchange->send.pause_requested = notice.notice.pause_ms != 0;
         desc->callbacks->server_notice(&notice, desc->user_data);
     }
 }
@@ -129,29 +130,30 @@
     dl_load load;
     if (dialect->read_load(
             h1_query_header(head, dialect->headers[DL_SERVER_LOAD]), &load)) {
-        fl_set_reported_load(exchange->server, &load, xc_now_us(exchange));
+        fl_set_reported_load(exchange->send.server, &load,
+                             xc_now_us(exchange));
     }
     bool has_signature =
         h1_query_header(head, dialect->headers[DL_SIGNATURE]) != NULL;
     /* Answers with the id of another request are skipped before. */
     bool has_request_id =
         h1_query_header(head, dialect->headers[DL_REQUEST_ID]) != NULL;
-    exchange->refused =
+    exchange->send.refused =
         has_request_id &&
         dialect->read_refusal(
             head->status,
             h1_query_header(head, dialect->headers[DL_NOT_EXECUTED]));
-    exchange->status = head->status;
-    exchange->answer_invalid =
-        !exchange->refused && (!has_signature || !has_request_id ||
-                               h1_query_header(head, "content-encoding"));
+    exchange->send.status = head->status;
+    exchange->send.answer_invalid =
+        !exchange->send.refused && (!has_signature || !has_request_id ||
+                                    h1_query_header(head, "content-encoding"));
     if (exchange->answer_begun) {
         /* The caller already has the head that the first server sent. */
-        exchange->answer_invalid =
-            exchange->answer_invalid || !_xc_continues_stream(exchange, head);
+        exchange->send.answer_invalid = exchange->send.answer_invalid ||
+                                        !_xc_continues_stream(exchange, head);
         return;
     }
-    if (exchange->refused || exchange->answer_invalid) {
+    if (exchange->send.refused || exchange->send.answer_invalid) {
         return;
     }
     _xc_store_answer_headers(exchange, head);
@@ -183,24 +185,25 @@
 xc_drop_answer_body(xc_exchange *exchange)
 {
     _xc_set_answer_bytes(exchange, 0);
-    g_clear_pointer(&exchange->answer_body, g_byte_array_unref);
+    g_clear_pointer(&exchange->send.answer_body, g_byte_array_unref);
 }
 
 /* Gives up a plain answer; xc_tick() ends its send. */
 static void
 _xc_drop_long_answer(xc_exchange *exchange)
 {
-    exchange->answer_invalid = true;
-    exchange->answer_too_long = true;
+    exchange->send.answer_invalid = true;
+    exchange->send.answer_too_long = true;
     xc_drop_answer_body(exchange);
 }
 
 static void
 _xc_pause_reading(xc_exchange *exchange)
 {
-    if (exchange->answer_begun && exchange->upstream && !exchange->paused) {
-        us_pause(exchange->upstream, true);
-        exchange->paused = true;
+    if (exchange->answer_begun && exchange->send.upstream &&
+        !exchange->send.paused) {
+        us_pause(exchange->send.upstream, true);
+        exchange->send.paused = true;
         ct_add(CT_STREAMS_SLOWED, 1);
     }
 }
@@ -219,7 +222,7 @@
     }
     for (; largest; largest = bb_query_excess(budget)) {
         if (!largest->answer_begun) {
-            largest->answer_crowded_out = true;
+            largest->send.answer_crowded_out = true;
             _xc_drop_long_answer(largest);
         }
         else if (budget->used_bytes > hard_max_bytes) {
@@ -237,17 +240,17 @@
 static void
 _xc_buffer(xc_exchange *exchange, const char *bytes, size_t count)
 {
-    if (!exchange->answer_body) {
-        exchange->answer_body = g_byte_array_new();
+    if (!exchange->send.answer_body) {
+        exchange->send.answer_body = g_byte_array_new();
     }
-    if (exchange->answer_body->len + count > _XC_MAX_ANSWER_BYTES) {
+    if (exchange->send.answer_body->len + count > _XC_MAX_ANSWER_BYTES) {
         _xc_drop_long_answer(exchange);
         return;
     }
-    g_byte_array_append(exchange->answer_body, (const guint8 *)bytes,
+    g_byte_array_append(exchange->send.answer_body, (const guint8 *)bytes,
                         (guint)count);
     _xc_set_answer_bytes(exchange,
-                         _xc_array_bytes(exchange->answer_body->len));
+                         _xc_array_bytes(exchange->send.answer_body->len));
     _xc_limit_answer_bytes(exchange);
 }
 
@@ -268,10 +271,10 @@
     if (exchange->answer_begun) {
         _xc_set_answer_bytes(exchange, 0);
     }
-    if (exchange->upstream && exchange->paused) {
-        us_pause(exchange->upstream, false);
-        exchange->paused = false;
-        exchange->unpaused_us = xc_now_us(exchange);
+    if (exchange->send.upstream && exchange->send.paused) {
+        us_pause(exchange->send.upstream, false);
+        exchange->send.paused = false;
+        exchange->send.unpaused_us = xc_now_us(exchange);
     }
 }
 
@@ -280,7 +283,7 @@
 {
     (void)conn;
     xc_exchange *exchange = user_data;
-    if (exchange->refused || exchange->answer_invalid) {
+    if (exchange->send.refused || exchange->send.answer_invalid) {
         return;
     }
     if (_xc_is_stream(exchange)) {
@@ -310,13 +313,13 @@
 xc_log_send_ended(xc_exchange *exchange, const char *why)
 {
     exchange->logged = true; /* the rest of the request is logged */
-    if (exchange->send_piece_count > 0) {
+    if (exchange->send.piece_count > 0) {
         exchange->source_end = why;
     }
     char last_event[XC_EVENT_ID_LOG_BYTES];
     _xc_format_last_id(exchange, last_event);
     char counts[64];
-    g_snprintf(counts, sizeof(counts), "%u/%u/%u", exchange->status,
+    g_snprintf(counts, sizeof(counts), "%u/%u/%u", exchange->send.status,
                exchange->piece_count,
                exchange->position ? sp_query_event_count(exchange->position)
                                   : 0);
@@ -324,19 +327,19 @@
     g_snprintf(content, sizeof(content), "%016" G_GINT64_MODIFIER "x",
                xc_get_fingerprint(exchange));
     lg_write(LG_REQUEST_SEND_ENDED, "request", exchange->id, "server",
-             exchange->last_server_id, "why", why, "content", content,
+             exchange->send.server_id, "why", why, "content", content,
              "status/pieces/events", counts, "resume_after",
-             exchange->resume_after, "last_event", last_event, "can_resume",
-             xc_query_can_resume(exchange) ? "yes" : "no", NULL);
+             exchange->send.resume_after, "last_event", last_event,
+             "can_resume", xc_query_can_resume(exchange) ? "yes" : "no", NULL);
 }
 
 void
 xc_end_prompt_read(xc_exchange *exchange, double first_ms)
 {
-    if (exchange->unread_tokens) {
-        fl_end_prefill(exchange->server, exchange->unread_tokens,
-                       exchange->queued_tokens, first_ms);
-        exchange->unread_tokens = 0;
+    if (exchange->send.unread_tokens) {
+        fl_end_prefill(exchange->send.server, exchange->send.unread_tokens,
+                       exchange->send.queued_tokens, first_ms);
+        exchange->send.unread_tokens = 0;
     }
 }
 
@@ -347,40 +350,40 @@
     uint64_t now_us = xc_now_us(exchange);
     fl_result result = {.outcome = outcome,
                         .held_ms =
-                            (double)(now_us - exchange->sent_us) / 1000.0,
+                            (double)(now_us - exchange->send.sent_us) / 1000.0,
                         .now_us = now_us};
     /* The time of a probe after a pause says little about later requests. */
-    bool measured = outcome == FL_SUCCEEDED && !exchange->is_probe;
+    bool measured = outcome == FL_SUCCEEDED && !exchange->send.is_probe;
     /* The mean time between very few pieces says little. */
-    if (measured && exchange->send_piece_count > 4) {
+    if (measured && exchange->send.piece_count > 4) {
         result.event_ms =
-            (double)(exchange->last_piece_us - exchange->send_first_piece_us) /
-            1000.0 / (exchange->send_piece_count - 1);
+            (double)(exchange->last_piece_us - exchange->send.first_piece_us) /
+            1000.0 / (exchange->send.piece_count - 1);
     }
     else if (measured && !exchange->adapter) {
-        result.latency_ms = (double)(now_us - exchange->sent_us) / 1000.0;
+        result.latency_ms = (double)(now_us - exchange->send.sent_us) / 1000.0;
     }
     xc_end_prompt_read(exchange, 0);
-    fl_end_request(exchange->server, exchange->adapter, &result);
+    fl_end_request(exchange->send.server, exchange->adapter, &result);
     if (exchange->tried_count < FL_MAX_TRIED) {
-        exchange->tried[exchange->tried_count++] = exchange->server;
+        exchange->tried[exchange->tried_count++] = exchange->send.server;
     }
-    exchange->upstream = NULL;
-    exchange->server = NULL;
+    exchange->send.upstream = NULL;
+    exchange->send.server = NULL;
 }
 
 void
 xc_cancel_send(xc_exchange *exchange, fl_outcome outcome)
 {
-    if (!exchange->upstream) {
+    if (!exchange->send.upstream) {
         return;
     }
-    bool sent = us_query_any_sent(exchange->upstream);
+    bool sent = us_query_any_sent(exchange->send.upstream);
     exchange->may_have_run = exchange->may_have_run || sent;
     if (sent) {
         xc_report_if_silent(exchange);
     }
-    us_cancel(exchange->upstream);
+    us_cancel(exchange->send.upstream);
     _xc_end_send(exchange, outcome);
     exchange->state = XC_NEW;
     if (!sent && exchange->possible_runs > 0) {
@@ -394,13 +397,13 @@
     if (end == US_NOT_SENT) {
         return FL_UNREACHABLE;
     }
-    if (end == US_BROKEN || exchange->answer_invalid) {
+    if (end == US_BROKEN || exchange->send.answer_invalid) {
         return FL_FAILED;
     }
-    if (exchange->refused || exchange->pause_requested) {
+    if (exchange->send.refused || exchange->send.pause_requested) {
         return FL_REFUSED;
     }
-    return exchange->status >= 500 ? FL_FAILED : FL_SUCCEEDED;
+    return exchange->send.status >= 500 ? FL_FAILED : FL_SUCCEEDED;
 }
 
 /* Returns true if the body of a stream ended before the end of an event: the
@@ -408,8 +411,8 @@
 static bool
 _xc_is_cut_short(const xc_exchange *exchange, const h1_head *head)
 {
-    bool streamed = _xc_is_stream(exchange) && !exchange->refused &&
-                    !exchange->answer_invalid;
+    bool streamed = _xc_is_stream(exchange) && !exchange->send.refused &&
+                    !exchange->send.answer_invalid;
     bool framed = head->chunked || head->length != H1_LENGTH_NONE;
     /* Only its type tells a framed body of events from another one. */
     if (!streamed || (framed && !_xc_has_events(exchange)) ||
@@ -418,7 +421,7 @@
     }
     /* After the event that the caller named as its last one, there may be no
        event left. Without framing, the server may as well have failed. */
-    return !framed || exchange->send_piece_count > 0 ||
+    return !framed || exchange->send.piece_count > 0 ||
            !_xc_resumes_stream(exchange);
 }
 
@@ -433,40 +436,42 @@
     if (end == US_BROKEN) {
         xc_report_broken(exchange);
     }
-    else if (end == US_COMPLETE && !exchange->refused) {
+    else if (end == US_COMPLETE && !exchange->send.refused) {
         const xc_desc *desc = &exchange->core->desc;
-        desc->callbacks->answer_good(
-            exchange->server, exchange->server_started_ms, desc->user_data);
+        desc->callbacks->answer_good(exchange->send.server,
+                                     exchange->send.server_started_ms,
+                                     desc->user_data);
     }
-    if (exchange->refused && exchange->status == 421 && exchange->adapter) {
+    if (exchange->send.refused && exchange->send.status == 421 &&
+        exchange->adapter) {
         /* The server does not hold the adapter, or another server has the
            address. */
         exchange->core->desc.callbacks->mismatch(
-            exchange->server, exchange->adapter,
+            exchange->send.server, exchange->adapter,
             exchange->core->desc.user_data);
     }
-    if (exchange->refused || end == US_NOT_SENT) {
+    if (exchange->send.refused || end == US_NOT_SENT) {
         exchange->possible_runs--;
     }
     else {
         exchange->may_have_run = true;
     }
     _xc_end_send(exchange, _xc_classify_outcome(exchange, end));
-    bool good =
-        end == US_COMPLETE && !exchange->refused && !exchange->answer_invalid;
+    bool good = end == US_COMPLETE && !exchange->send.refused &&
+                !exchange->send.answer_invalid;
     bool better_elsewhere =
-        good && exchange->may_repeat && exchange->status >= 500;
+        good && exchange->may_repeat && exchange->send.status >= 500;
     exchange->state = XC_NEW;
     if (good && !better_elsewhere) {
         xc_finish_answer(exchange);
         return;
     }
-    xc_log_send_ended(exchange, end == US_NOT_SENT
-                                    ? "no connection to the server"
-                                : exchange->refused ? "not run by the server"
-                                : exchange->answer_invalid ? "invalid answer"
-                                : end == US_BROKEN ? "answer broken off"
-                                                   : "server error");
+    xc_log_send_ended(exchange,
+                      end == US_NOT_SENT       ? "no connection to the server"
+                      : exchange->send.refused ? "not run by the server"
+                      : exchange->send.answer_invalid ? "invalid answer"
+                      : end == US_BROKEN              ? "answer broken off"
+                                                      : "server error");
     _xc_retry_or_end(exchange, end);
 }
 
@@ -478,7 +483,7 @@
 {
     uint64_t now_us = xc_now_us(exchange);
     bool arrived = end != US_NOT_SENT;
-    bool not_run = !arrived || exchange->refused;
+    bool not_run = !arrived || exchange->send.refused;
     bool allowed =
         not_run || exchange->may_repeat || xc_query_can_resume(exchange);
     bool may_send_elsewhere =
@@ -490,8 +495,9 @@
         xc_dispatch(exchange);
         return;
     }
-    bool has_answer = end == US_COMPLETE && !exchange->refused &&
-                      !exchange->answer_invalid && !exchange->answer_begun;
+    bool has_answer = end == US_COMPLETE && !exchange->send.refused &&
+                      !exchange->send.answer_invalid &&
+                      !exchange->answer_begun;
     if (has_answer) {
         xc_finish_answer(exchange);
     }
@@ -505,7 +511,7 @@
 xc_end_long_answer(xc_exchange *exchange)
 {
     ct_add(CT_ANSWERS_TOO_LONG, 1);
-    xc_log_send_ended(exchange, exchange->answer_crowded_out
+    xc_log_send_ended(exchange, exchange->send.answer_crowded_out
                                     ? "no memory for a longer answer"
                                     : "answer too long");
     xc_cancel_send(exchange, FL_FAILED);
@@ -570,7 +576,7 @@
         exchange->deadline_us > now_us ? exchange->deadline_us - now_us : 0;
     _xc_append_header_u64(text, names[DL_DEADLINE], MAX(left_us / 1000, 1));
     g_string_append_printf(text, "%s: %s\r\n", names[DL_EXPECT_SERVER],
-                           exchange->server->id);
+                           exchange->send.server->id);
     if (exchange->workspace) {
         g_string_append_printf(text, "%s: %s\r\n", names[DL_WORKSPACE],
                                exchange->workspace->name);
@@ -594,8 +600,8 @@
         _xc_append_header_u64(text, "Content-Length", exchange->body_count);
     }
     g_string_append(text, "\r\n");
-    us_write(exchange->upstream, text->str, text->len);
-    us_write(exchange->upstream, exchange->body, exchange->body_count);
+    us_write(exchange->send.upstream, text->str, text->len);
+    us_write(exchange->send.upstream, exchange->body, exchange->body_count);
 }
 
 /* Returns the server's connection pool, sized to this instance's share of the
@@ -620,15 +626,17 @@
 static void
 _xc_log_sent(const xc_exchange *exchange, uint64_t version)
 {
-    const fl_server *server = exchange->server;
+    const fl_server *server = exchange->send.server;
     char numbers[64];
     g_snprintf(numbers, sizeof(numbers), "%u/%u/%.0f/%.0f/%.2f",
-               fl_query_in_flight(server, exchange->sent_us), server->slots,
-               server->event_ms, server->latency_ms, server->failure_rate);
+               fl_query_in_flight(server, exchange->send.sent_us),
+               server->slots, server->event_ms, server->latency_ms,
+               server->failure_rate);
     char times[64];
-    g_snprintf(times, sizeof(times), "%u/%u",
-               (uint32_t)((exchange->sent_us - exchange->received_us) / 1000),
-               (uint32_t)((exchange->deadline_us - exchange->sent_us) / 1000));
+    g_snprintf(
+        times, sizeof(times), "%u/%u",
+        (uint32_t)((exchange->send.sent_us - exchange->received_us) / 1000),
+        (uint32_t)((exchange->deadline_us - exchange->send.sent_us) / 1000));
     char version_text[24];
     g_snprintf(version_text, sizeof(version_text), "%" G_GUINT64_FORMAT,
                version);
@@ -636,7 +644,7 @@
              "adapter", exchange->adapter ? exchange->adapter->key : "-",
              "version", version_text, "busy/slots/event_ms/latency_ms/failing",
              numbers, "waited/left_ms", times, "resume_after",
-             exchange->resume_after, NULL);
+             exchange->send.resume_after, NULL);
 }
 
 static bool
@@ -668,42 +676,42 @@
     if (!conn) {
         return false;
     }
-    exchange->upstream = conn;
-    exchange->server = server;
-    exchange->server_started_ms = server->born_ms;
-    exchange->pause_requested = false;
-    g_strlcpy(exchange->last_server_id, server->id,
-              sizeof(exchange->last_server_id));
-    exchange->sent_us = xc_now_us(exchange);
+    exchange->send.upstream = conn;
+    exchange->send.server = server;
+    exchange->send.server_started_ms = server->born_ms;
+    exchange->send.pause_requested = false;
+    g_strlcpy(exchange->send.server_id, server->id,
+              sizeof(exchange->send.server_id));
+    exchange->send.sent_us = xc_now_us(exchange);
     /* Reads the clock itself, as the loop's time is that of the start of its
        iteration, which may be long ago. */
-    exchange->connect_deadline_us =
+    exchange->send.connect_deadline_us =
         lp_query_clock_us() + _XC_CONNECT_TIMEOUT_US;
-    exchange->copy_version = choice->copy_version;
+    exchange->send.copy_version = choice->copy_version;
     exchange->waiting_since_us = 0;
     exchange->wanted_permit = false;
-    exchange->refused = false;
-    exchange->answer_invalid = false;
-    exchange->answer_too_long = false;
-    exchange->status = 0;
-    exchange->send_piece_count = 0;
-    exchange->good_noted = false;
-    exchange->paused = false;
-    exchange->unpaused_us = 0;
-    memset(exchange->last_bytes, 0, sizeof(exchange->last_bytes));
-    exchange->answer_crowded_out = false;
+    exchange->send.refused = false;
+    exchange->send.answer_invalid = false;
+    exchange->send.answer_too_long = false;
+    exchange->send.status = 0;
+    exchange->send.piece_count = 0;
+    exchange->send.good_noted = false;
+    exchange->send.paused = false;
+    exchange->send.unpaused_us = 0;
+    memset(exchange->send.last_bytes, 0, sizeof(exchange->send.last_bytes));
+    exchange->send.answer_crowded_out = false;
     xc_drop_answer_body(exchange);
     if (exchange->position) {
         sp_begin_send(exchange->position);
     }
-    _xc_format_last_id(exchange, exchange->resume_after);
+    _xc_format_last_id(exchange, exchange->send.resume_after);
     exchange->state = XC_SENT;
     if (exchange->send_count == 0) {
         bg_count_first_send(
             xc_get_retry_budget(exchange->core, exchange->service->name),
-            exchange->sent_us);
+            exchange->send.sent_us);
         hg_observe(HG_WAIT, xc_query_label(exchange),
-                   exchange->sent_us - exchange->received_us);
+                   exchange->send.sent_us - exchange->received_us);
     }
     if (exchange->send_count < XC_MAX_SENDS) {
         exchange->sent_to[exchange->send_count] = server;
@@ -715,12 +723,13 @@
     if (exchange->logged) {
         _xc_log_sent(exchange, choice->version);
     }
-    fl_begin_request(server, exchange->adapter, exchange->sent_us);
-    exchange->is_probe = server->notice.probe_sent_us == exchange->sent_us;
+    fl_begin_request(server, exchange->adapter, exchange->send.sent_us);
+    exchange->send.is_probe =
+        server->notice.probe_sent_us == exchange->send.sent_us;
     if (exchange->adapter) {
-        exchange->unread_tokens = exchange->prompt_tokens;
-        exchange->queued_tokens = fl_begin_prefill(
-            server, exchange->unread_tokens, exchange->sent_us);
+        exchange->send.unread_tokens = exchange->prompt_tokens;
+        exchange->send.queued_tokens = fl_begin_prefill(
+            server, exchange->send.unread_tokens, exchange->send.sent_us);
     }
     _xc_write_request(exchange, choice->version);
     return true;
