Keep a silent server's answer until another server has begun one

Cause: a source was given up before its successor had accepted. Now the send stays beside the next one, and the first of the two that brings a whole event or a whole plain answer has the request; the other is cancelled at that moment. What the earlier server sends meanwhile ends the later send. A send that ends without an answer leaves the request with the other one. At most two sends are under way, and both count toward the servers that may run the request.

--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -118,6 +118,8 @@
     X(LG_REQUEST_SENT, INFO, "request", "sent to a backend server")           \
     X(LG_REQUEST_SEND_ENDED, INFO, "request",                                 \
       "no valid answer from a backend server")                                \
+    X(LG_REQUEST_SEND_KEPT, INFO, "request",                                  \
+      "backend server is silent, asking another one as well")                 \
     X(LG_REQUEST_RESUMED, INFO, "request", "first event of a resumed stream") \
     X(LG_REQUEST_REFUSED, INFO, "request", "refused, not run")                \
     X(LG_REQUEST_FAILED, WARNING, "request", "failed")                        \
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -49,6 +49,9 @@
 #define _XC_RETRY_SPREAD_SHARE 0.5
 #define _XC_RETRY_SPREAD_MAX_MS 1000.0
 
+/* Why a send of an outdated adapter version ended, for the log. */
+#define _XC_OUTDATED "no answer before a new adapter version was due"
+
 /* Default of xc_desc.max_answer_bytes. */
 #define _XC_ANSWER_BYTES (64 * 1024 * 1024)
 
@@ -106,10 +109,9 @@
     xc_stop_waiting(exchange);
     ct_add(CT_OPEN_REQUESTS, -1);
     rc_unref(exchange->table);
-    if (exchange->send.answer_headers) {
-        g_string_free(exchange->send.answer_headers, TRUE);
-    }
     xc_drop_answer_body(exchange);
+    xc_clear_send(exchange, &exchange->send);
+    xc_clear_send(exchange, &exchange->other);
     sp_destroy(exchange->position);
     g_free(exchange->media_type);
     g_free(exchange);
@@ -361,6 +363,9 @@
         .tried_count = exchange->tried_count,
     };
     memcpy(criteria.tried, exchange->tried, sizeof(criteria.tried));
+    if (xc_query_has_other(exchange) && criteria.tried_count < FL_MAX_TRIED) {
+        criteria.tried[criteria.tried_count++] = exchange->other.server;
+    }
     return criteria;
 }
 
@@ -429,6 +434,9 @@
         }
         criteria.tried[criteria.tried_count++] = choice.server;
     }
+    if (xc_continue_other(exchange)) {
+        return;
+    }
     if (_xc_end_unservable(exchange, &choice)) {
         return;
     }
@@ -628,7 +636,7 @@
     xc_exchange *exchange = request;
     ct_add(CT_CANCELLED, 1);
     xc_log_outcome(LG_REQUEST_CANCELLED, exchange, cr_query_gone_text(why));
-    xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
+    xc_cancel_all_sends(exchange, FL_OUTCOME_DEFAULT);
     xc_free(exchange);
 }
 
@@ -653,9 +661,7 @@
 static void
 _xc_time_out(xc_exchange *exchange)
 {
-    if (exchange->state == XC_SENT) {
-        xc_cancel_send(exchange, FL_FAILED);
-    }
+    xc_cancel_all_sends(exchange, FL_FAILED);
     if (exchange->may_have_run || exchange->answer_begun) {
         xc_fail(exchange, 504, CT_UNSERVED_TIME_OVER);
     }
@@ -693,18 +699,18 @@
            route->latency_target_ms * 1000ULL * _XC_SLOW_FIRST_EVENT_FACTOR;
 }
 
-/* Returns true if this server has not begun with the answer, or with the rest
-   of it, and must not begin any more, as a newer version of the adapter was
-   declared too long ago. */
+/* Returns true if the server of a send has not begun with the answer, or with
+   the rest of it, and must not begin any more, as a newer version of the
+   adapter was declared too long ago. */
 static bool
-_xc_is_outdated(const xc_exchange *exchange, uint64_t now_us)
+_xc_is_outdated(const xc_exchange *exchange, const xc_send_state *send,
+                uint64_t now_us)
 {
     const fl_adapter *adapter = exchange->adapter;
-    return exchange->state == XC_SENT && adapter && adapter->name &&
-           exchange->send.piece_count == 0 &&
+    return send->upstream && adapter && adapter->name &&
+           send->piece_count == 0 &&
            now_us >= fl_query_old_version_end_us(exchange->core->desc.fleet,
-                                                 adapter,
-                                                 exchange->send.copy_version);
+                                                 adapter, send->copy_version);
 }
 
 bool
@@ -716,14 +722,17 @@
         core->desc.callbacks->count_live(core->desc.user_data));
 }
 
-/* Cancels the send, then sends the request elsewhere if it is resumable and
-   the retry budget allows it, else fails it. */
+/* Cancels the send, then goes on with the other one, or sends the request
+   elsewhere if it is resumable and the retry budget allows it, else fails it.
+ */
 static void
 _xc_end_outdated(xc_exchange *exchange, uint64_t now_us)
 {
-    xc_log_send_ended(exchange,
-                      "no answer before a new adapter version was due");
+    xc_log_send_ended(exchange, _XC_OUTDATED);
     xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
+    if (xc_continue_other(exchange)) {
+        return;
+    }
     if (xc_query_can_resume(exchange) &&
         exchange->possible_runs < exchange->route->max_servers &&
         xc_take_resend(exchange, now_us)) {
@@ -744,6 +753,24 @@
            notice->paused_us > exchange->send.sent_us;
 }
 
+/* Sends the request to another server as well, as its server is silent. Of two
+   sends, the later one, which has brought nothing, ends. */
+static void
+_xc_ask_another(xc_exchange *exchange)
+{
+    if (xc_query_has_other(exchange)) {
+        xc_log_send_ended(exchange, "no answer in time");
+        xc_cancel_send(exchange, FL_FAILED);
+    }
+    else {
+        exchange->logged = true;
+        lg_write(LG_REQUEST_SEND_KEPT, "request", exchange->id, "server",
+                 exchange->send.server_id, NULL);
+        xc_keep_send(exchange);
+    }
+    xc_dispatch(exchange);
+}
+
 /* Ends, resends or dispatches the request if a time limit of it is past. */
 static void
 _xc_check(xc_exchange *exchange, uint64_t now_us)
@@ -753,6 +780,7 @@
         _xc_time_out(exchange);
         return;
     }
+    xc_select_latest_send(exchange);
     if (exchange->state == XC_SENT &&
         !us_query_connected(exchange->send.upstream)) {
         bool late = now_us >= exchange->send.connect_deadline_us;
@@ -767,15 +795,16 @@
         xc_end_long_answer(exchange);
         return;
     }
-    if (_xc_is_outdated(exchange, now_us)) {
+    if (_xc_is_outdated(exchange, &exchange->other, now_us)) {
+        xc_cancel_other(exchange, _XC_OUTDATED);
+    }
+    if (_xc_is_outdated(exchange, &exchange->send, now_us)) {
         _xc_end_outdated(exchange, now_us);
         return;
     }
     if (_xc_is_slow(exchange, now_us) && _xc_has_alternative(exchange) &&
         xc_take_resend(exchange, now_us)) {
-        xc_log_send_ended(exchange, "no answer in time");
-        xc_cancel_send(exchange, FL_FAILED);
-        xc_dispatch(exchange);
+        _xc_ask_another(exchange);
         return;
     }
     if (exchange->state == XC_WAITING_COPY) {
@@ -831,7 +860,7 @@
     GList *link;
     while ((link = g_queue_pop_head_link(&core->active))) {
         xc_exchange *exchange = link->data;
-        xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
+        xc_cancel_all_sends(exchange, FL_OUTCOME_DEFAULT);
         _xc_release(exchange);
     }
     g_hash_table_unref(core->budgets);
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -105,7 +105,7 @@
                    ct_query_unserved_text(why));
     ct_add(begun ? CT_BROKEN : CT_FAILED, 1);
     ct_count_unserved(begun ? CT_OUTCOME_BROKEN : CT_OUTCOME_FAILED, why);
-    xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
+    xc_cancel_all_sends(exchange, FL_OUTCOME_DEFAULT);
     cr_conn *caller = exchange->caller;
     xc_free(exchange);
     if (begun) {
@@ -122,6 +122,7 @@
 xc_begin_answer(xc_exchange *exchange)
 {
     exchange->answer_begun = true;
+    exchange->media_type = g_strdup(exchange->send.media_type);
     cr_begin_stream(exchange->caller, exchange->send.status,
                     exchange->send.answer_headers->str);
 }
@@ -210,6 +211,9 @@
     exchange->piece_count++;
     if (exchange->send.piece_count++ == 0) {
         exchange->send.first_piece_us = now_us;
+        if (exchange->position) {
+            sp_begin_send(exchange->position);
+        }
     }
     if (xc_query_under_way(exchange)) {
         xc_note_good(exchange);
@@ -256,7 +260,7 @@
     }
     cr_conn *caller = exchange->caller;
     if (exchange->answer_begun) {
-        if (exchange->position) {
+        if (exchange->position && exchange->send.piece_count > 0) {
             sp_end(exchange->position);
         }
         xc_free(exchange);
--- a/packages/exchange/src/exchange_content.c
+++ b/packages/exchange/src/exchange_content.c
@@ -97,7 +97,7 @@
     }
     uint32_t spread_ms = (uint32_t)g_rand_int_range(exchange->core->random, 0,
                                                     _XC_PROBE_SPREAD_MS);
-    xc_cancel_send(exchange, FL_OUTCOME_DEFAULT);
+    xc_cancel_all_sends(exchange, FL_OUTCOME_DEFAULT);
     xc_refuse_or_fail(exchange, verdict.retry_ms + spread_ms,
                       CT_UNSERVED_CRASHES_SERVERS);
     return true;
@@ -111,7 +111,7 @@
         next = at->next;
         xc_exchange *exchange = at->data;
         if (exchange->state == XC_SENT && exchange->send.status == 0 &&
-            !exchange->answer_begun) {
+            exchange->other.status == 0 && !exchange->answer_begun) {
             xc_end_if_blocked(exchange);
         }
     }
@@ -181,7 +181,9 @@
 {
     uint64_t heard_us = exchange->send.piece_count ? exchange->last_piece_us
                                                    : exchange->send.sent_us;
-    if (xc_now_us(exchange) >= heard_us + _XC_SILENT_US) {
+    if (xc_now_us(exchange) >= heard_us + _XC_SILENT_US &&
+        !exchange->send.silence_reported) {
+        exchange->send.silence_reported = true;
         _xc_report(exchange, true);
     }
 }
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -65,9 +65,14 @@
     uint32_t status;         /* of the answer; 0: no head yet */
     GString *answer_headers;
     GByteArray *answer_body; /* buffered; of an answer that is no stream */
+    char *media_type;        /* of a stream; NULL: its head has not come */
+    /* Of a stream: what came before its first whole event, while another send
+       may still bring one; NULL: none. */
+    GByteArray *early;
     uint32_t piece_count;    /* of a stream, as first_piece_us */
     uint64_t first_piece_us; /* set with piece_count */
     bool good_noted;         /* see xc_note_good() */
+    bool silence_reported;   /* see xc_report_if_silent() */
     bool paused;          /* for want of memory, reading waits until the caller
                              has taken all bytes */
     uint64_t unpaused_us; /* end of the last such pause; 0: none */
@@ -114,16 +119,20 @@
     bool probes_content;       /* its content is blocked; it may be sent */
     bool may_repeat;           /* its kind may run again after a failure */
     bool may_have_run;         /* a send of it may run or have run */
-    xc_send_state send;        /* the latest */
+    xc_send_state send;
+    /* A second send, until one of the two brings an event or a plain answer;
+       there is one while its upstream is set. The functions of a send work on
+       `send`, see xc_select_send(). */
+    xc_send_state other;
     const fl_server *tried[FL_MAX_TRIED];
     uint32_t tried_count;
     uint32_t send_count;
     const fl_server *sent_to[XC_MAX_SENDS]; /* servers of these sends */
     uint32_t possible_runs; /* sends that may have run or may still run it */
-    char *media_type;       /* of the stream that the caller gets; NULL until
-                               its head has come from a server */
-    bb_share answer_bytes;  /* memory that send.answer_body takes, or what the
-                               caller of a stream has not read */
+    char *media_type;       /* of the stream that the caller gets; NULL: it has
+                               not begun */
+    bb_share answer_bytes; /* memory that the answer_body of the sends take, or
+                              what the caller of a stream has not read */
     /* streams; a piece is the bytes of one us_callbacks.body */
     uint64_t first_piece_us;
     uint64_t last_piece_us;
@@ -184,8 +193,12 @@
 /* Goes on reading the server's answer, as the caller has taken all of it so
    far. */
 void xc_resume_reading(xc_exchange *exchange);
-/* Frees the buffer of a plain answer. */
+/* Sets the memory that the exchange takes to that of its plain answers. */
+void xc_count_answer_bodies(xc_exchange *exchange);
+/* Frees the buffers of plain answers. */
 void xc_drop_answer_body(xc_exchange *exchange);
+/* Returns whether the stream consists of events. */
+bool xc_query_has_events(const xc_exchange *exchange);
 /* Reports to the fleet that the server has read the prompt; first_ms: time to
    the first event, 0 if the send ends without one. */
 void xc_end_prompt_read(xc_exchange *exchange, double first_ms);
@@ -202,6 +215,29 @@
    request logged. */
 void xc_log_send_ended(xc_exchange *exchange, const char *why);
 
+/* -- exchange_second.c */
+/* Lets the send under way go on beside the next one. */
+void xc_keep_send(xc_exchange *exchange);
+/* The send has ended: goes on with the other one. Returns false if there is
+   none. */
+bool xc_continue_other(xc_exchange *exchange);
+/* Makes the send of this connection xc_exchange.send. */
+void xc_select_send(xc_exchange *exchange, const us_conn *conn);
+/* The same with the send that began last. */
+void xc_select_latest_send(xc_exchange *exchange);
+/* Cancels the other send, if there is one; why: for the log. */
+void xc_cancel_other(xc_exchange *exchange, const char *why);
+void xc_cancel_all_sends(xc_exchange *exchange, fl_outcome outcome);
+/* A piece of a stream has come. Returns false if it waits for a whole event,
+   as another send may bring one before; else cancels that one. *early: all
+   bytes to forward in place of the piece, to be freed; NULL: just the piece.
+ */
+bool xc_take_piece(xc_exchange *exchange, const char *bytes, size_t count,
+                   GByteArray **early);
+/* Frees the buffers of a send that has ended, and clears it. */
+void xc_clear_send(xc_exchange *exchange, xc_send_state *send);
+bool xc_query_has_other(const xc_exchange *exchange);
+
 /* -- exchange_answer.c */
 /* Answers that the request did not run and never will; with 429 or 503, that
    the caller may retry after retry_after_ms. */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -96,18 +96,18 @@
 /* Returns whether an answer can go on with the stream that has begun: an error
    may come with any status. */
 static bool
-_xc_continues_stream(const xc_exchange *exchange, const h1_head *head)
+_xc_continues_stream(const xc_exchange *exchange)
 {
-    g_autofree char *media_type = _xc_read_media_type(head);
-    return head->status == 200 &&
+    const char *media_type = exchange->send.media_type;
+    return media_type &&
            g_ascii_strcasecmp(media_type, exchange->media_type) == 0;
 }
 
-/* Returns whether the stream consists of events. */
-static bool
-_xc_has_events(const xc_exchange *exchange)
+bool
+xc_query_has_events(const xc_exchange *exchange)
 {
-    return g_ascii_strcasecmp(exchange->media_type, "text/event-stream") == 0;
+    return g_ascii_strcasecmp(exchange->send.media_type,
+                              "text/event-stream") == 0;
 }
 
 /* Returns whether the current send, of which no event has come yet, asked the
@@ -123,8 +123,8 @@
 static void
 _xc_on_head(us_conn *conn, const h1_head *head, void *user_data)
 {
-    (void)conn;
     xc_exchange *exchange = user_data;
+    xc_select_send(exchange, conn);
     const dl_dialect *dialect = exchange->core->desc.dialect;
     _xc_read_notice(exchange, head);
     dl_load load;
@@ -147,22 +147,21 @@
     exchange->send.answer_invalid =
         !exchange->send.refused && (!has_signature || !has_request_id ||
                                     h1_query_header(head, "content-encoding"));
+    if (_xc_is_stream(exchange)) {
+        exchange->send.media_type = _xc_read_media_type(head);
+    }
     if (exchange->answer_begun) {
         /* The caller already has the head that the first server sent. */
-        exchange->send.answer_invalid = exchange->send.answer_invalid ||
-                                        !_xc_continues_stream(exchange, head);
+        exchange->send.answer_invalid =
+            exchange->send.answer_invalid || !_xc_continues_stream(exchange);
         return;
     }
     if (exchange->send.refused || exchange->send.answer_invalid) {
         return;
     }
+    /* The head of a stream goes to the caller with the first bytes of the
+       body: until then the request can still end with another answer. */
     _xc_store_answer_headers(exchange, head);
-    if (_xc_is_stream(exchange)) {
-        /* The head goes to the caller with the first bytes of the body: until
-           then the request can still end with another answer. */
-        g_free(exchange->media_type);
-        exchange->media_type = _xc_read_media_type(head);
-    }
 }
 
 /* Returns the memory of an array with this many bytes: GLib doubles it. */
@@ -172,6 +171,12 @@
     return count ? UINT64_C(1) << g_bit_storage(count - 1) : 0;
 }
 
+static uint64_t
+_xc_body_bytes(const xc_send_state *send)
+{
+    return send->answer_body ? _xc_array_bytes(send->answer_body->len) : 0;
+}
+
 static void
 _xc_set_answer_bytes(xc_exchange *exchange, uint64_t bytes)
 {
@@ -181,17 +186,26 @@
            bytes);
 }
 
+void
+xc_count_answer_bodies(xc_exchange *exchange)
+{
+    _xc_set_answer_bytes(exchange, _xc_body_bytes(&exchange->send) +
+                                       _xc_body_bytes(&exchange->other));
+}
+
 void
 xc_drop_answer_body(xc_exchange *exchange)
 {
     _xc_set_answer_bytes(exchange, 0);
     g_clear_pointer(&exchange->send.answer_body, g_byte_array_unref);
+    g_clear_pointer(&exchange->other.answer_body, g_byte_array_unref);
 }
 
 /* Gives up a plain answer; xc_tick() ends its send. */
 static void
 _xc_drop_long_answer(xc_exchange *exchange)
 {
+    xc_cancel_other(exchange, "no memory for a longer answer");
     exchange->send.answer_invalid = true;
     exchange->send.answer_too_long = true;
     xc_drop_answer_body(exchange);
@@ -249,8 +263,7 @@
     }
     g_byte_array_append(exchange->send.answer_body, (const guint8 *)bytes,
                         (guint)count);
-    _xc_set_answer_bytes(exchange,
-                         _xc_array_bytes(exchange->send.answer_body->len));
+    xc_count_answer_bodies(exchange);
     _xc_limit_answer_bytes(exchange);
 }
 
@@ -281,20 +294,25 @@
 static void
 _xc_on_body(us_conn *conn, const char *bytes, size_t count, void *user_data)
 {
-    (void)conn;
     xc_exchange *exchange = user_data;
+    xc_select_send(exchange, conn);
     if (exchange->send.refused || exchange->send.answer_invalid) {
         return;
     }
-    if (_xc_is_stream(exchange)) {
-        if (!exchange->answer_begun) {
-            xc_begin_answer(exchange);
-        }
-        xc_forward_events(exchange, bytes, count);
-        _xc_count_unsent(exchange);
+    if (!_xc_is_stream(exchange)) {
+        _xc_buffer(exchange, bytes, count);
+        return;
+    }
+    g_autoptr(GByteArray) early = NULL;
+    if (!xc_take_piece(exchange, bytes, count, &early)) {
         return;
     }
-    _xc_buffer(exchange, bytes, count);
+    if (!exchange->answer_begun) {
+        xc_begin_answer(exchange);
+    }
+    xc_forward_events(exchange, early ? (const char *)early->data : bytes,
+                      early ? early->len : count);
+    _xc_count_unsent(exchange);
 }
 
 /* -- private: end of a send ----------------------------------------------- */
@@ -319,10 +337,11 @@
     char last_event[XC_EVENT_ID_LOG_BYTES];
     _xc_format_last_id(exchange, last_event);
     char counts[64];
+    /* The position is at the events of an earlier send until then. */
+    bool counted = exchange->position && exchange->send.piece_count > 0;
     g_snprintf(counts, sizeof(counts), "%u/%u/%u", exchange->send.status,
                exchange->piece_count,
-               exchange->position ? sp_query_event_count(exchange->position)
-                                  : 0);
+               counted ? sp_query_event_count(exchange->position) : 0);
     char content[24];
     g_snprintf(content, sizeof(content), "%016" G_GINT64_MODIFIER "x",
                xc_get_fingerprint(exchange));
@@ -415,7 +434,7 @@
                     !exchange->send.answer_invalid;
     bool framed = head->chunked || head->length != H1_LENGTH_NONE;
     /* Only its type tells a framed body of events from another one. */
-    if (!streamed || (framed && !_xc_has_events(exchange)) ||
+    if (!streamed || (framed && !xc_query_has_events(exchange)) ||
         xc_query_ends_with_event(exchange)) {
         return false;
     }
@@ -429,6 +448,7 @@
 _xc_on_end(us_conn *conn, us_end end, void *user_data)
 {
     xc_exchange *exchange = user_data;
+    xc_select_send(exchange, conn);
     if (end == US_COMPLETE &&
         _xc_is_cut_short(exchange, us_query_head(conn))) {
         end = US_BROKEN;
@@ -460,9 +480,11 @@
     bool good = end == US_COMPLETE && !exchange->send.refused &&
                 !exchange->send.answer_invalid;
     bool better_elsewhere =
-        good && exchange->may_repeat && exchange->send.status >= 500;
+        good && exchange->send.status >= 500 &&
+        (exchange->may_repeat || xc_query_has_other(exchange));
     exchange->state = XC_NEW;
     if (good && !better_elsewhere) {
+        xc_cancel_other(exchange, "another server answered first");
         xc_finish_answer(exchange);
         return;
     }
@@ -475,12 +497,15 @@
     _xc_retry_or_end(exchange, end);
 }
 
-/* Handles a send without a good answer: sends the request to another server,
-   or ends it with the answer at hand or an error. Only a send that reached the
-   server uses up retry budget. */
+/* Handles a send without a good answer: goes on with the other send, sends the
+   request to another server, or ends it with the answer at hand or an error.
+   Only a send that reached the server uses up retry budget. */
 static void
 _xc_retry_or_end(xc_exchange *exchange, us_end end)
 {
+    if (xc_continue_other(exchange)) {
+        return;
+    }
     uint64_t now_us = xc_now_us(exchange);
     bool arrived = end != US_NOT_SENT;
     bool not_run = !arrived || exchange->send.refused;
@@ -676,10 +701,10 @@
     if (!conn) {
         return false;
     }
+    xc_clear_send(exchange, &exchange->send);
     exchange->send.upstream = conn;
     exchange->send.server = server;
     exchange->send.server_started_ms = server->born_ms;
-    exchange->send.pause_requested = false;
     g_strlcpy(exchange->send.server_id, server->id,
               sizeof(exchange->send.server_id));
     exchange->send.sent_us = xc_now_us(exchange);
@@ -690,20 +715,6 @@
     exchange->send.copy_version = choice->copy_version;
     exchange->waiting_since_us = 0;
     exchange->wanted_permit = false;
-    exchange->send.refused = false;
-    exchange->send.answer_invalid = false;
-    exchange->send.answer_too_long = false;
-    exchange->send.status = 0;
-    exchange->send.piece_count = 0;
-    exchange->send.good_noted = false;
-    exchange->send.paused = false;
-    exchange->send.unpaused_us = 0;
-    memset(exchange->send.last_bytes, 0, sizeof(exchange->send.last_bytes));
-    exchange->send.answer_crowded_out = false;
-    xc_drop_answer_body(exchange);
-    if (exchange->position) {
-        sp_begin_send(exchange->position);
-    }
     _xc_format_last_id(exchange, exchange->send.resume_after);
     exchange->state = XC_SENT;
     if (exchange->send_count == 0) {
