Let a begun answer wait for a server until its deadline

A stream that had begun and lost its server was broken off when no other server could take it within 300 ms to a second, although its caller would have waited: these bounds are for requests that can still be refused, so that their callers may come back. An answer that has begun cannot be refused, so it now waits until its deadline, or until the caller leaves.

Evidence: test_begun_stream_waits_for_a_load_while_time_is_left failed before (the answer was cut off after 600 ms, 8.4 s before its deadline) and passes.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -137,6 +137,10 @@
 _xc_max_wait_us(const xc_exchange *exchange, fl_choice_status why)
 {
     uint64_t target_us = exchange->route->latency_target_ms * 1000ULL;
+    if (exchange->answer_begun) {
+        /* The caller has a part of the answer and cannot be refused. */
+        return exchange->deadline_us - exchange->received_us;
+    }
     switch (why) {
     case FL_NO_SERVER:
         return _XC_NO_SERVER_WAIT_US;
