Let requests that outwaited a pause await its probe

Requests that had waited for the end of a pause of all servers were refused some ms later: after a pause the server gets one request first, and the wait of the others ran out while that one was under way. Those that have waited now get 300 ms more for it.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -34,6 +34,9 @@
    to the same length. Where no server can take the load, usually because a
    lease has lapsed, it is four times that: about the duration of a lease. */
 #define _XC_NO_LOAD_TARGET_FACTOR 4
+/* Requests that have waited for a pause to end wait so much longer for the
+   answer to the first request after it, as the server gets only that one. */
+#define _XC_PROBE_WAIT_US 300000
 /* Most tokens of a stream whose caller gives no limit. */
 #define _XC_DEFAULT_MAX_TOKENS 1000
 /* Retry time when another instance can take the request at once. */
@@ -152,7 +155,10 @@
     case FL_ALL_FULL:
         return target_us;
     default:
-        return MAX(target_us * _XC_LOAD_WAIT_FACTOR, _XC_LOAD_WAIT_MIN_US);
+        return MAX(target_us * _XC_LOAD_WAIT_FACTOR, _XC_LOAD_WAIT_MIN_US) +
+               (exchange->waiting_since_us && why == FL_ALL_PAUSED
+                    ? _XC_PROBE_WAIT_US
+                    : 0);
     }
 }
 
