--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -26,6 +26,9 @@
 /* Longest wait when no server can be expected soon; long enough for a server's
    entry or a lease that is just changing. */
 #define _XC_NO_SERVER_WAIT_US 300000
+/* Longest wait of an answer that has begun, as its caller cannot be refused:
+   callers leave a stream after a gap of two seconds or more. */
+#define _XC_BEGUN_WAIT_US 2000000
 /* Longest wait for a load, in multiples of the route's target, and at least
    the minimum: a load takes 250 ms, a queue of loads several times that. */
 #define _XC_LOAD_WAIT_FACTOR 1
@@ -141,8 +144,7 @@
 {
     uint64_t target_us = exchange->route->latency_target_ms * 1000ULL;
     if (exchange->answer_begun) {
-        /* The caller has a part of the answer and cannot be refused. */
-        return exchange->deadline_us - exchange->received_us;
+        return _XC_BEGUN_WAIT_US;
     }
     switch (why) {
     case FL_NO_SERVER:
