Log the software version of backend servers and what callers resume

Servers list the version of their program, which nothing read, so no line could tell an instance that continues a stream at another version from a caller that takes it up elsewhere. The lines of a started server and of a send name it now, and the latter the attempt that the caller resumes.

--- a/packages/exchange/include/lacewing/dialect.h
+++ b/packages/exchange/include/lacewing/dialect.h
@@ -22,6 +22,8 @@
     DL_DEADLINE,       /* ms that the caller still waits */
     DL_PROMPT_PARTS,   /* parts of the prompt with their token counts */
     DL_LAST_EVENT,     /* id of the last event that the caller received */
+    DL_RESUMES,        /* DL_REQUEST_ID of the attempt that brought the caller
+                          the first event of its stream */
     DL_SIGNATURE,      /* the backend server's signature of its answer */
     DL_EXPECT_SERVER,  /* only this backend server may run the request */
     DL_SERVER_LOAD,    /* running, waiting, slots, slowness */
@@ -112,10 +114,12 @@
 
 /* State of a backend server, from its row in the store or from its report. */
 typedef struct dl_server {
-    char *id;      /* from the store only */
-    char *service; /* from the store only */
-    char *address; /* from the store only */
-    char *zone;    /* from the store only */
+    char *id;       /* from the store only */
+    char *service;  /* from the store only */
+    char *address;  /* from the store only */
+    char *zone;     /* from the store only */
+    char *software; /* version of its program, not of its models: any text;
+                       from the store only */
     uint32_t slots;
     dl_server_state state; /* from the store only */
     uint64_t born_ms;      /* start of its process; a process that started
--- a/packages/exchange/src/dialect.c
+++ b/packages/exchange/src/dialect.c
@@ -75,6 +75,7 @@
     g_clear_pointer(&server->service, g_free);
     g_clear_pointer(&server->address, g_free);
     g_clear_pointer(&server->zone, g_free);
+    g_clear_pointer(&server->software, g_free);
     g_clear_pointer(&server->models, g_array_unref);
 }
 
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -665,11 +665,15 @@
     char version_text[24];
     g_snprintf(version_text, sizeof(version_text), "%" G_GUINT64_FORMAT,
                version);
+    const char *resumes = h1_query_header(
+        exchange->head, exchange->core->desc.dialect->headers[DL_RESUMES]);
     lg_write(LG_REQUEST_SENT, "request", exchange->id, "server", server->id,
-             "adapter", exchange->adapter ? exchange->adapter->key : "-",
-             "version", version_text, "busy/slots/event_ms/latency_ms/failing",
-             numbers, "waited/left_ms", times, "resume_after",
-             exchange->send.resume_after, NULL);
+             "software", server->software, "adapter",
+             exchange->adapter ? exchange->adapter->key : "-", "version",
+             version_text, "busy/slots/event_ms/latency_ms/failing", numbers,
+             "waited/left_ms", times, "resume_after",
+             exchange->send.resume_after, "resumes", resumes ? resumes : "-",
+             NULL);
 }
 
 static bool
--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -63,6 +63,7 @@
     g_free(server->address);
     g_free(server->service);
     g_free(server->zone);
+    g_free(server->software);
     g_free(server);
 }
 
@@ -137,6 +138,17 @@
     return count ? sum_ms / count : 0;
 }
 
+static void
+_fl_set_software(fl_server *server, const char *software)
+{
+    software = software ? software : "";
+    if (g_strcmp0(server->software, software) != 0) {
+        g_free(server->software);
+        server->software = g_strdup(software);
+        server->software_hash = fl_hash_software(server->service, software);
+    }
+}
+
 static fl_server *
 _fl_add_server(fl_fleet *fleet, const dl_server *entry)
 {
@@ -149,6 +161,7 @@
     server->peer_loads = g_array_new(FALSE, TRUE, sizeof(fl_peer_load));
     server->hash = hs_u64(server->id);
     server->born_ms = entry->born_ms;
+    _fl_set_software(server, entry->software);
     _fl_inherit_notice(fleet, server);
     g_hash_table_insert(fleet->servers, server->id, server);
     GPtrArray *servers = _fl_service_servers(fleet, server->service);
@@ -172,6 +185,13 @@
 
 /* -- public: servers and adapters ----------------------------------------- */
 
+uint64_t
+fl_hash_software(const char *service, const char *software)
+{
+    g_autofree char *text = g_strdup_printf("%s\n%s", service, software);
+    return MAX(hs_u64(text), 1);
+}
+
 fl_fleet *
 fl_create(const fl_desc *desc)
 {
@@ -275,6 +295,7 @@
         _fl_reset_process_state(server);
     }
     server->born_ms = entry->born_ms;
+    _fl_set_software(server, entry->software);
     server->slots = MAX(entry->slots, 1);
     _fl_take_early_notice(fleet, server);
     nt_apply_list_entry(&server->notice, entry->state == DL_SERVER_READY,
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -116,8 +116,10 @@
     uint64_t hash;
     uint32_t slots;
     fl_state state;
-    uint64_t born_ms;  /* start of its process */
-    GPtrArray *copies; /* fl_copy, of adapters and base models */
+    uint64_t born_ms;       /* start of its process */
+    char *software;         /* version of its program, any text */
+    uint64_t software_hash; /* of the service and that version; not 0 */
+    GPtrArray *copies;      /* fl_copy, of adapters and base models */
     uint32_t own_in_flight;
     GArray *peer_loads;    /* fl_peer_load */
     dl_load reported_load; /* of the server's latest answer with a load */
@@ -363,6 +365,8 @@
                           uint64_t now_us);
 
 /* queries */
+/* Returns fl_server.software_hash. */
+uint64_t fl_hash_software(const char *service, const char *software);
 /* Returns whether the process of a server that started at born_ms was
    removed. */
 bool fl_query_removed(const fl_fleet *fleet, const char *id, uint64_t born_ms);
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -274,7 +274,7 @@
     if (is_new_process) {
         lg_write(LG_SERVER_STARTED, "server", server->id, "service",
                  server->service, "address", server->address, "zone",
-                 server->zone, NULL);
+                 server->zone, "software", server->software, NULL);
         xc_close_idle_connections(node->core, server);
     }
     if (server->state == FL_LEAVING && state_before != FL_LEAVING) {
