Continue a stream only at servers of the software version that began it

An instance that went on with a stream, after its server had crashed, fallen silent or broken it off, chose any server with the adapter.

Cause: nothing in the choice knew the software version. A send now keeps the version of its server as it was at the time of the send, since another process may get the id; the version of the send that brings the first event binds the request, in choosing a server and in asking for a load. Where no server of it is ready, the answer ends at once.

--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -129,6 +129,8 @@
     X(CT_UNSERVED_NO_COPY, "no_copy", "no copy of the adapter")               \
     X(CT_UNSERVED_SERVERS_FULL, "servers_full", "all servers full")           \
     X(CT_UNSERVED_NO_SERVER, "no_server", "no server")                        \
+    X(CT_UNSERVED_SOFTWARE, "software",                                       \
+      "no server of the software version that began the stream")              \
     X(CT_UNSERVED_SERVERS_LEAVE, "servers_leave",                             \
       "all servers announced that they leave")                                \
     X(CT_UNSERVED_SERVERS_PAUSED, "servers_paused",                           \
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -261,12 +261,18 @@
 }
 
 /* Ends a request that no server will serve in time because all eligible
-   servers leave, have asked for a pause or are limited. Returns false if it
-   may still be served. */
+   servers leave, have asked for a pause or are limited, or none has the
+   software version that began its stream. Returns false if it may still be
+   served. */
 static bool
 _xc_end_unservable(xc_exchange *exchange, const fl_choice *choice)
 {
     xc_core *core = exchange->core;
+    if (choice->status == FL_NO_SOFTWARE) {
+        xc_refuse_or_fail(exchange, _XC_RESTART_MS + _xc_retry_after_ms(core),
+                          CT_UNSERVED_SOFTWARE);
+        return true;
+    }
     if (choice->status == FL_ALL_LEAVING) {
         xc_refuse_or_fail(exchange, _XC_RESTART_MS + _xc_retry_after_ms(core),
                           CT_UNSERVED_SERVERS_LEAVE);
@@ -329,6 +335,34 @@
     }
 }
 
+static fl_request
+_xc_make_criteria(const xc_exchange *exchange)
+{
+    fl_request criteria = {
+        .service = exchange->service->name,
+        .adapter = exchange->adapter,
+        .zone = exchange->core->desc.zone,
+        .prompt_tokens = exchange->prompt_tokens,
+        .software_hash = exchange->software_hash,
+        .now_us = xc_now_us(exchange),
+        .tried_count = exchange->tried_count,
+    };
+    memcpy(criteria.tried, exchange->tried, sizeof(criteria.tried));
+    if (xc_query_has_other(exchange) && criteria.tried_count < FL_MAX_TRIED) {
+        criteria.tried[criteria.tried_count++] = exchange->other.server;
+    }
+    return criteria;
+}
+
+/* Returns whether the server has the software version that the request needs.
+ */
+static bool
+_xc_may_use(const xc_exchange *exchange, const fl_server *server)
+{
+    return exchange->software_hash == 0 ||
+           (server && server->software_hash == exchange->software_hash);
+}
+
 /* Asks for a further copy of the adapter, unless it was asked for less than
    min_interval_us ago or a copy is being loaded. */
 static void
@@ -336,19 +370,23 @@
 {
     fl_adapter *adapter = exchange->adapter;
     uint64_t now_us = xc_now_us(exchange);
-    if (!adapter->name ||
-        now_us < adapter->last_load_request_us + min_interval_us) {
+    bool requested =
+        now_us < adapter->last_load_request_us + min_interval_us &&
+        _xc_may_use(exchange, adapter->last_load_server);
+    if (!adapter->name || requested) {
         return;
     }
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
-        if (fl_query_load_worth_waiting(exchange->core->desc.fleet, copy,
+        if (_xc_may_use(exchange, copy->server) &&
+            fl_query_load_worth_waiting(exchange->core->desc.fleet, copy,
                                         now_us)) {
             return; /* being loaded already */
         }
     }
-    fl_server *server = fl_choose_load_server(
-        exchange->core->desc.fleet, exchange->service->name, adapter, now_us);
+    fl_request criteria = _xc_make_criteria(exchange);
+    fl_server *server =
+        fl_choose_load_server_for(exchange->core->desc.fleet, &criteria);
     exchange->no_load_target = server == NULL;
     if (server) {
         adapter->last_load_request_us = now_us;
@@ -363,24 +401,6 @@
     }
 }
 
-static fl_request
-_xc_make_criteria(const xc_exchange *exchange)
-{
-    fl_request criteria = {
-        .service = exchange->service->name,
-        .adapter = exchange->adapter,
-        .zone = exchange->core->desc.zone,
-        .prompt_tokens = exchange->prompt_tokens,
-        .now_us = xc_now_us(exchange),
-        .tried_count = exchange->tried_count,
-    };
-    memcpy(criteria.tried, exchange->tried, sizeof(criteria.tried));
-    if (xc_query_has_other(exchange) && criteria.tried_count < FL_MAX_TRIED) {
-        criteria.tried[criteria.tried_count++] = exchange->other.server;
-    }
-    return criteria;
-}
-
 /* Returns true if another server could serve the request now. */
 static bool
 _xc_has_alternative(const xc_exchange *exchange)
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -123,6 +123,7 @@
 {
     exchange->answer_begun = true;
     exchange->media_type = g_strdup(exchange->send.media_type);
+    exchange->software_hash = exchange->send.software_hash;
     cr_begin_stream(exchange->caller, exchange->send.status,
                     exchange->send.answer_headers->str);
 }
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -45,6 +45,8 @@
     us_conn *upstream; /* NULL: the send has ended */
     fl_server *server; /* NULL: the send has ended */
     char server_id[40];
+    uint64_t software_hash; /* fl_server.software_hash at the time of the send:
+                               another process may get the server's id */
     uint64_t server_started_ms; /* start of the server's process, at the time
                                    of the send */
     bool pause_requested; /* the server refused it and asked for a pause */
@@ -109,16 +111,19 @@
     uint64_t waiting_since_us; /* without a server; 0: it does not wait */
     uint64_t asked_us;         /* last request for a load of its adapter */
     bool logged;               /* routine events are logged, not just errors */
-    bool answer_begun;         /* the caller has the head of the answer; a
-                                  further send continues its body */
-    bool no_load_target;       /* no server can load its adapter now */
-    bool skipped_leaving;      /* a server was skipped as it leaves */
-    bool skipped_paused;       /* a server was skipped as it is paused */
-    bool skipped_limited;      /* a server was skipped for want of a permit */
-    bool wanted_permit;        /* since the last send, see fl_request.waited */
-    bool probes_content;       /* its content is blocked; it may be sent */
-    bool may_repeat;           /* its kind may run again after a failure */
-    bool may_have_run;         /* a send of it may run or have run */
+    /* Software version whose servers alone may go on with the stream; 0: any,
+       no event has come. */
+    uint64_t software_hash;
+    bool answer_begun;    /* the caller has the head of the answer; a
+                             further send continues its body */
+    bool no_load_target;  /* no server can load its adapter now */
+    bool skipped_leaving; /* a server was skipped as it leaves */
+    bool skipped_paused;  /* a server was skipped as it is paused */
+    bool skipped_limited; /* a server was skipped for want of a permit */
+    bool wanted_permit;   /* since the last send, see fl_request.waited */
+    bool probes_content;  /* its content is blocked; it may be sent */
+    bool may_repeat;      /* its kind may run again after a failure */
+    bool may_have_run;    /* a send of it may run or have run */
     xc_send_state send;
     /* A second send, until one of the two brings an event or a plain answer;
        there is one while its upstream is set. The functions of a send work on
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -709,6 +709,7 @@
     exchange->send.upstream = conn;
     exchange->send.server = server;
     exchange->send.server_started_ms = server->born_ms;
+    exchange->send.software_hash = server->software_hash;
     g_strlcpy(exchange->send.server_id, server->id,
               sizeof(exchange->send.server_id));
     exchange->send.sent_us = xc_now_us(exchange);
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -165,6 +165,7 @@
     fl_adapter *adapter;    /* NULL: any server of the service */
     const char *zone;       /* preferred */
     uint32_t prompt_tokens; /* 0: not known */
+    uint64_t software_hash; /* of the servers that may serve it; 0: any */
     uint64_t now_us;
     const fl_server *tried[FL_MAX_TRIED]; /* excluded */
     uint32_t tried_count;
@@ -176,6 +177,7 @@
     FL_CHOICE_STATUS_DEFAULT = 0,
     FL_CHOSEN,
     FL_NO_SERVER,   /* no server of the service is eligible */
+    FL_NO_SOFTWARE, /* no server of the required software version is ready */
     FL_NO_COPY,     /* no eligible server holds the adapter's version */
     FL_ALL_FULL,    /* all candidates are full */
     FL_ALL_LEAVING, /* all servers are leaving, at least one of them by its
@@ -346,6 +348,9 @@
    Servers with a rate limit come last. */
 fl_server *fl_choose_load_server(fl_fleet *fleet, const char *service,
                                  fl_adapter *adapter, uint64_t now_us);
+/* The same for a request that may need a software version. */
+fl_server *fl_choose_load_server_for(fl_fleet *fleet,
+                                     const fl_request *request);
 /* Returns the loaded copy that is least needed and not in use; NULL: none. */
 fl_copy *fl_query_victim(const fl_server *server, uint64_t now_us);
 
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -65,6 +65,17 @@
     return false;
 }
 
+/* True if the server is of the service and of the software version that the
+   request needs. Servers of several services may hold a model of the same
+   name. */
+static bool
+_fl_may_serve(const fl_request *request, const fl_server *server)
+{
+    return strcmp(server->service, request->service) == 0 &&
+           (request->software_hash == 0 ||
+            server->software_hash == request->software_hash);
+}
+
 /* True if the server is ready, open for requests and not tried yet. */
 static bool
 _fl_eligible(const fl_request *request, const fl_server *server)
@@ -285,13 +296,6 @@
                fleet->old_version_grace_us;
 }
 
-/* Servers of several services may hold a model of the same name. */
-static bool
-_fl_is_of_service(const fl_request *request, const fl_server *server)
-{
-    return strcmp(server->service, request->service) == 0;
-}
-
 /* Chooses among the servers with a loaded copy: one that is up to date, or
    with outdated one of an older version that may still serve. */
 static void
@@ -302,7 +306,7 @@
     _fl_clear_candidates(fleet, best);
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
-        if (copy->loading || !_fl_is_of_service(request, copy->server) ||
+        if (copy->loading || !_fl_may_serve(request, copy->server) ||
             fl_query_up_to_date(copy) == outdated ||
             (outdated && !_fl_old_version_in_time(fleet, request, copy))) {
             continue;
@@ -392,14 +396,17 @@
 
 /* Returns the server where a new copy costs least; NULL: none can load it. */
 static fl_server *
-_fl_best_load_server(const fl_fleet *fleet, const char *service,
-                     const fl_adapter *adapter, uint64_t now_us)
+_fl_best_load_server(const fl_fleet *fleet, const fl_request *request)
 {
-    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
+    const GPtrArray *list =
+        g_hash_table_lookup(fleet->services, request->service);
+    const fl_adapter *adapter = request->adapter;
+    uint64_t now_us = request->now_us;
     fl_server *best = NULL;
     for (guint i = 0; list && i < list->len; i++) {
         fl_server *server = list->pdata[i];
-        if (_fl_can_load(fleet, server, adapter, now_us) &&
+        if (_fl_may_serve(request, server) &&
+            _fl_can_load(fleet, server, adapter, now_us) &&
             (!best || _fl_new_copy_cost(fleet, server, adapter, now_us) <
                           _fl_new_copy_cost(fleet, best, adapter, now_us))) {
             best = server;
@@ -418,8 +425,7 @@
         _FL_EXTRA_COPY_MIN_DEMAND) {
         return false;
     }
-    const fl_server *other = _fl_best_load_server(
-        fleet, request->service, request->adapter, request->now_us);
+    const fl_server *other = _fl_best_load_server(fleet, request);
     if (!other) {
         return false;
     }
@@ -440,11 +446,15 @@
         g_hash_table_lookup(fleet->services, request->service);
     _fl_clear_candidates(fleet, best);
     for (guint i = 0; list && i < list->len; i++) {
-        if (_fl_eligible(request, list->pdata[i])) {
-            _fl_compare_candidate(fleet, request, list->pdata[i], best, out);
+        fl_server *server = list->pdata[i];
+        if (!_fl_may_serve(request, server)) {
+            continue;
+        }
+        if (_fl_eligible(request, server)) {
+            _fl_compare_candidate(fleet, request, server, best, out);
         }
         else {
-            _fl_note_skipped(fleet, request, list->pdata[i], best, out);
+            _fl_note_skipped(fleet, request, server, best, out);
         }
     }
     _fl_spread(fleet, best, out);
@@ -475,7 +485,7 @@
     for (guint i = 0; i < adapter->copies->len; i++) {
         const fl_copy *copy = adapter->copies->pdata[i];
         if (!copy->loading && fl_query_up_to_date(copy) &&
-            _fl_is_of_service(request, copy->server)) {
+            _fl_may_serve(request, copy->server)) {
             _fl_note_resume(request, copy->server, out);
         }
     }
@@ -489,19 +499,25 @@
     const GPtrArray *list =
         g_hash_table_lookup(fleet->services, request->service);
     for (guint i = 0; list && i < list->len; i++) {
-        _fl_note_resume(request, list->pdata[i], out);
+        if (_fl_may_serve(request, list->pdata[i])) {
+            _fl_note_resume(request, list->pdata[i], out);
+        }
     }
 }
 
-/* True if all servers of the service are leaving and at least one of them
-   announced it itself. */
+/* True if all servers that may serve the request are leaving and at least one
+   of them announced it itself. */
 static bool
-_fl_all_leaving(const fl_fleet *fleet, const char *service)
+_fl_all_leaving(const fl_fleet *fleet, const fl_request *request)
 {
-    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
+    const GPtrArray *list =
+        g_hash_table_lookup(fleet->services, request->service);
     bool announced = false;
     for (guint i = 0; list && i < list->len; i++) {
         const fl_server *server = list->pdata[i];
+        if (!_fl_may_serve(request, server)) {
+            continue;
+        }
         if (server->state != FL_LEAVING) {
             return false;
         }
@@ -510,7 +526,8 @@
     return announced;
 }
 
-/* True if a ready server of the service is neither paused nor limited. */
+/* True if a ready server that may serve the request is neither paused nor
+   limited. */
 static bool
 _fl_any_server_open(const fl_fleet *fleet, const fl_request *request)
 {
@@ -518,7 +535,8 @@
         g_hash_table_lookup(fleet->services, request->service);
     for (guint i = 0; list && i < list->len; i++) {
         const fl_server *server = list->pdata[i];
-        if (server->state == FL_READY && !server->limit.limited &&
+        if (server->state == FL_READY && _fl_may_serve(request, server) &&
+            !server->limit.limited &&
             nt_query_available(&server->notice, request->now_us)) {
             return true;
         }
@@ -532,7 +550,7 @@
 _fl_explain_no_choice(const fl_fleet *fleet, const fl_request *request,
                       fl_choice *out)
 {
-    if (_fl_all_leaving(fleet, request->service)) {
+    if (_fl_all_leaving(fleet, request)) {
         out->status = FL_ALL_LEAVING;
         return;
     }
@@ -583,6 +601,20 @@
     return true;
 }
 
+static bool
+_fl_any_ready(const fl_fleet *fleet, const fl_request *request)
+{
+    const GPtrArray *list =
+        g_hash_table_lookup(fleet->services, request->service);
+    for (guint i = 0; list && i < list->len; i++) {
+        const fl_server *server = list->pdata[i];
+        if (server->state == FL_READY && _fl_may_serve(request, server)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Chooses among the servers with a copy of the adapter, and tells whether a
    further copy should be loaded. */
 static void
@@ -590,7 +622,7 @@
                        _fl_best *best, fl_choice *out)
 {
     fl_adapter *adapter = request->adapter;
-    if (fl_query_ready_count(fleet, request->service) > 0) {
+    if (_fl_any_ready(fleet, request)) {
         out->status = FL_NO_COPY;
     }
     _fl_choose_by_copy(fleet, request, false, best, out);
@@ -630,6 +662,10 @@
     if (out->status == FL_NO_SERVER || out->status == FL_NO_COPY) {
         _fl_explain_no_choice(fleet, request, out);
     }
+    if (out->status == FL_NO_SERVER && request->software_hash &&
+        !_fl_any_ready(fleet, request)) {
+        out->status = FL_NO_SOFTWARE;
+    }
     return out->status == FL_CHOSEN;
 }
 
@@ -663,22 +699,35 @@
 fl_choose_load_server(fl_fleet *fleet, const char *service,
                       fl_adapter *adapter, uint64_t now_us)
 {
+    return fl_choose_load_server_for(fleet, &(fl_request){.service = service,
+                                                          .adapter = adapter,
+                                                          .now_us = now_us});
+}
+
+fl_server *
+fl_choose_load_server_for(fl_fleet *fleet, const fl_request *request)
+{
+    const fl_adapter *adapter = request->adapter;
+    uint64_t now_us = request->now_us;
     /* The load is in that server's queue; a request to another server would
        load the adapter twice. */
     if (adapter->last_load_server &&
+        _fl_may_serve(request, adapter->last_load_server) &&
         now_us < adapter->last_load_request_us + _FL_QUEUED_LOAD_US &&
         _fl_can_load(fleet, adapter->last_load_server, adapter, now_us)) {
         return adapter->last_load_server;
     }
     if (adapter->copies->len) {
-        return _fl_best_load_server(fleet, service, adapter, now_us);
+        return _fl_best_load_server(fleet, request);
     }
-    const GPtrArray *list = g_hash_table_lookup(fleet->services, service);
+    const GPtrArray *list =
+        g_hash_table_lookup(fleet->services, request->service);
     fl_server *chosen = NULL;
     double best = 0;
     for (guint i = 0; list && i < list->len; i++) {
         fl_server *server = list->pdata[i];
-        if (!_fl_can_load(fleet, server, adapter, now_us)) {
+        if (!_fl_may_serve(request, server) ||
+            !_fl_can_load(fleet, server, adapter, now_us)) {
             continue;
         }
         double time_ms = _fl_new_copy_cost(fleet, server, adapter, now_us) +
