--- a/packages/common/include/lacewing/counter.h
+++ b/packages/common/include/lacewing/counter.h
@@ -131,6 +131,8 @@
     X(CT_UNSERVED_NO_SERVER, "no_server", "no server")                        \
     X(CT_UNSERVED_SOFTWARE, "software",                                       \
       "no server of the software version that began the stream")              \
+    X(CT_UNSERVED_ORIGIN, "origin",                                           \
+      "software version that began the stream not known")                     \
     X(CT_UNSERVED_SERVERS_LEAVE, "servers_leave",                             \
       "all servers announced that they leave")                                \
     X(CT_UNSERVED_SERVERS_PAUSED, "servers_paused",                           \
--- a/packages/common/include/lacewing/log.h
+++ b/packages/common/include/lacewing/log.h
@@ -94,6 +94,10 @@
       "backend server's rate limit is over")                                  \
     X(LG_NOTICE_REFUSED, WARNING, "fleet",                                    \
       "notice of a backend server could not be read")                         \
+    X(LG_SOFTWARE_MIXED, INFO, "fleet",                                       \
+      "servers of several software versions in one service")                  \
+    X(LG_SOFTWARE_UNIFORM, INFO, "fleet",                                     \
+      "one software version in each service for long")                        \
     X(LG_SERVER_GONE, INFO, "fleet", "backend server removed")                \
     X(LG_SERVER_CRASHED, WARNING, "fleet", "backend server crashed")          \
     X(LG_CRASH_COUNTED, INFO, "suspects", "crash of a server counted")        \
--- a/packages/exchange/include/lacewing/dialect.h
+++ b/packages/exchange/include/lacewing/dialect.h
@@ -70,6 +70,7 @@
 typedef struct dl_rows {
     GArray *rows;     /* dl_row, cleared with dl_clear_rows() */
     uint64_t version; /* of the whole store; changes are read from here */
+    uint64_t now_ms;  /* the store's clock; 0: not stated */
     bool more;        /* there are further pages */
 } dl_rows;
 
@@ -192,6 +193,8 @@
     const char *operator_table; /* configuration and versions */
     const char *server_table;   /* list of backend servers */
     const char *own_table;      /* leases, written by the exchange */
+    const char *stream_table;   /* streams that callers may take up again,
+                                   written by the exchange */
     const char *report_path;    /* GET at a backend server */
     const char *order_path;     /* POST at a backend server */
     const char *tx_path;        /* POST at the store */
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -105,6 +105,9 @@
         g_queue_unlink(&exchange->core->waiting_capacity,
                        &exchange->wait_link);
     }
+    else if (exchange->state == XC_WAITING_ORIGIN) {
+        g_queue_unlink(&exchange->core->waiting_origin, &exchange->wait_link);
+    }
     exchange->state = XC_NEW;
 }
 
@@ -610,6 +613,8 @@
     exchange->id = h1_query_header(head, names[DL_REQUEST_ID]);
     uint32_t timeout_ms = _xc_parse_u32(
         h1_query_header(head, names[DL_DEADLINE]), _XC_DEFAULT_DEADLINE_MS);
+    exchange->caller_deadline_us =
+        exchange->received_us + timeout_ms * 1000ULL;
     if (route->timeout_ms) {
         timeout_ms = MIN(timeout_ms, route->timeout_ms);
     }
@@ -655,7 +660,9 @@
         fl_count_own_request(core->desc.fleet, exchange->adapter,
                              exchange->received_us);
     }
-    xc_dispatch(exchange);
+    if (xc_find_origin(exchange)) {
+        xc_dispatch(exchange);
+    }
     /* The exchange may be answered and freed already; the caller's connection
        then ignores this pointer. */
     return exchange;
@@ -668,6 +675,7 @@
     xc_exchange *exchange = request;
     ct_add(CT_CANCELLED, 1);
     xc_log_outcome(LG_REQUEST_CANCELLED, exchange, cr_query_gone_text(why));
+    xc_note_broken_off(exchange);
     xc_cancel_all_sends(exchange, FL_OUTCOME_DEFAULT);
     xc_free(exchange);
 }
@@ -812,6 +820,9 @@
         _xc_time_out(exchange);
         return;
     }
+    if (xc_end_if_origin_overdue(exchange, now_us)) {
+        return;
+    }
     xc_select_latest_send(exchange);
     if (exchange->state == XC_SENT &&
         !us_query_connected(exchange->send.upstream)) {
@@ -868,11 +879,12 @@
 xc_create(const xc_desc *desc)
 {
     g_assert(desc->loop && desc->hub && desc->fleet && desc->suspects &&
-             desc->quotas && desc->dialect);
+             desc->quotas && desc->origins && desc->dialect);
     xc_core *core = g_new0(xc_core, 1);
     core->desc = *desc;
     g_queue_init(&core->active);
     g_queue_init(&core->waiting_capacity);
+    g_queue_init(&core->waiting_origin);
     core->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)bg_destroy);
     core->returns =
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -14,7 +14,7 @@
  *
  * commands: xc_create xc_destroy xc_set_table xc_dispatch_waiting xc_tick
  *           xc_set_leave_time xc_close_idle_connections xc_end_blocked
- *           xc_check_listens
+ *           xc_note_origins_read xc_check_listens
  * queries:  xc_query_caller_callbacks
  *
  * Limits: one core in a process; called on the loop's thread only.
@@ -28,6 +28,7 @@
 #include "lacewing/dialect.h"
 #include "lacewing/http_client.h"
 #include "quota.h"
+#include "stream_origins.h"
 #include "suspects.h"
 
 typedef struct xc_core xc_core;
@@ -56,6 +57,14 @@
     uint32_t (*count_staying_peers)(void *user_data);
     /* True if the configuration is known to be the newest. */
     bool (*config_fresh)(void *user_data);
+    /* Asks for a read of what other instances know of streams; answered by
+       xc_note_origins_read(). */
+    void (*find_origins)(void *user_data);
+    /* A stream of this instance broke off: its caller may take it up again at
+       another one at once. */
+    void (*stream_broke_off)(void *user_data);
+    /* True once what earlier processes knew of streams was read. */
+    bool (*origins_known)(void *user_data);
 } xc_callbacks;
 
 typedef struct xc_desc {
@@ -64,6 +73,7 @@
     fl_fleet *fleet;           /* required */
     su_suspects *suspects;     /* required */
     qt_quotas *quotas;         /* required */
+    so_origins *origins;       /* required */
     const dl_dialect *dialect; /* required */
     const char *zone;          /* required */
     uint64_t max_answer_bytes; /* memory for servers' answers that are
@@ -101,6 +111,9 @@
 /* Ends requests whose content was blocked and that no server has begun to
    answer; call it after a block. */
 void xc_end_blocked(xc_core *core);
+/* A read of other instances' streams that began at began_us has ended:
+   dispatches or refuses the requests that wait for it. */
+void xc_note_origins_read(xc_core *core, uint64_t began_us);
 /* Returns whether a server accepts connections, by those that are open or were
    refused since since_us; tries to open one if neither is the case. */
 cw_listens xc_check_listens(xc_core *core, fl_server *server,
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -1009,6 +1009,107 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
+lacewing__exchange__mixed_service__init(
+    Lacewing__Exchange__MixedService *message)
+{
+    static const Lacewing__Exchange__MixedService init_value =
+        LACEWING__EXCHANGE__MIXED_SERVICE__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__mixed_service__get_packed_size(
+    const Lacewing__Exchange__MixedService *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__mixed_service__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__mixed_service__pack(
+    const Lacewing__Exchange__MixedService *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__mixed_service__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__mixed_service__pack_to_buffer(
+    const Lacewing__Exchange__MixedService *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__mixed_service__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__MixedService *
+lacewing__exchange__mixed_service__unpack(ProtobufCAllocator *allocator,
+                                          size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__MixedService *)protobuf_c_message_unpack(
+        &lacewing__exchange__mixed_service__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__mixed_service__free_unpacked(
+    Lacewing__Exchange__MixedService *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__mixed_service__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+lacewing__exchange__streams_row__init(Lacewing__Exchange__StreamsRow *message)
+{
+    static const Lacewing__Exchange__StreamsRow init_value =
+        LACEWING__EXCHANGE__STREAMS_ROW__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__streams_row__get_packed_size(
+    const Lacewing__Exchange__StreamsRow *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__streams_row__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__streams_row__pack(
+    const Lacewing__Exchange__StreamsRow *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__streams_row__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__streams_row__pack_to_buffer(
+    const Lacewing__Exchange__StreamsRow *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__streams_row__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__StreamsRow *
+lacewing__exchange__streams_row__unpack(ProtobufCAllocator *allocator,
+                                        size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__StreamsRow *)protobuf_c_message_unpack(
+        &lacewing__exchange__streams_row__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__streams_row__free_unpacked(
+    Lacewing__Exchange__StreamsRow *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__streams_row__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
 lacewing__exchange__word__init(Lacewing__Exchange__Word *message)
 {
     static const Lacewing__Exchange__Word init_value =
@@ -2206,6 +2307,124 @@
         NULL,
         NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__mixed_service__field_descriptors[2] = {
+        {
+            "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__MixedService, service), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "left_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__MixedService, left_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned
+    lacewing__exchange__mixed_service__field_indices_by_name[] = {
+        1, /* field[1] = left_ms */
+        0, /* field[0] = service */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__mixed_service__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor
+    lacewing__exchange__mixed_service__descriptor = {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.MixedService",
+        "MixedService",
+        "Lacewing__Exchange__MixedService",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__MixedService),
+        2,
+        lacewing__exchange__mixed_service__field_descriptors,
+        lacewing__exchange__mixed_service__field_indices_by_name,
+        1,
+        lacewing__exchange__mixed_service__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__mixed_service__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__streams_row__field_descriptors[6] = {
+        {
+            "written_ms", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__StreamsRow, written_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "mixed", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Lacewing__Exchange__StreamsRow, n_mixed),
+            offsetof(Lacewing__Exchange__StreamsRow, mixed),
+            &lacewing__exchange__mixed_service__descriptor, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "software", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
+            offsetof(Lacewing__Exchange__StreamsRow, n_software),
+            offsetof(Lacewing__Exchange__StreamsRow, software), NULL, NULL,
+            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+            0, NULL, NULL                     /* reserved1,reserved2, etc */
+        },
+        {
+            "attempt", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
+            offsetof(Lacewing__Exchange__StreamsRow, n_attempt),
+            offsetof(Lacewing__Exchange__StreamsRow, attempt), NULL, NULL,
+            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+            0, NULL, NULL                     /* reserved1,reserved2, etc */
+        },
+        {
+            "software_at", 5, PROTOBUF_C_LABEL_REPEATED,
+            PROTOBUF_C_TYPE_UINT32,
+            offsetof(Lacewing__Exchange__StreamsRow, n_software_at),
+            offsetof(Lacewing__Exchange__StreamsRow, software_at), NULL, NULL,
+            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+            0, NULL, NULL                     /* reserved1,reserved2, etc */
+        },
+        {
+            "left_ms", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
+            offsetof(Lacewing__Exchange__StreamsRow, n_left_ms),
+            offsetof(Lacewing__Exchange__StreamsRow, left_ms), NULL, NULL,
+            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+            0, NULL, NULL                     /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned
+    lacewing__exchange__streams_row__field_indices_by_name[] = {
+        3, /* field[3] = attempt */
+        5, /* field[5] = left_ms */
+        1, /* field[1] = mixed */
+        2, /* field[2] = software */
+        4, /* field[4] = software_at */
+        0, /* field[0] = written_ms */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__streams_row__number_ranges[1 + 1] = {{1, 0}, {0, 6}};
+const ProtobufCMessageDescriptor lacewing__exchange__streams_row__descriptor =
+    {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.StreamsRow",
+        "StreamsRow",
+        "Lacewing__Exchange__StreamsRow",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__StreamsRow),
+        6,
+        lacewing__exchange__streams_row__field_descriptors,
+        lacewing__exchange__streams_row__field_indices_by_name,
+        1,
+        lacewing__exchange__streams_row__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__streams_row__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor
     lacewing__exchange__word__field_descriptors[19] = {
         {
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -34,6 +34,9 @@
 typedef struct Lacewing__Exchange__CrashWord Lacewing__Exchange__CrashWord;
 typedef struct Lacewing__Exchange__BlockWord Lacewing__Exchange__BlockWord;
 typedef struct Lacewing__Exchange__ClearedWord Lacewing__Exchange__ClearedWord;
+typedef struct Lacewing__Exchange__MixedService
+    Lacewing__Exchange__MixedService;
+typedef struct Lacewing__Exchange__StreamsRow Lacewing__Exchange__StreamsRow;
 typedef struct Lacewing__Exchange__Word Lacewing__Exchange__Word;
 
 /* --- enums --- */
@@ -479,6 +482,66 @@
         , 0, 0                                                                \
     }
 
+/*
+ * A service whose servers have had several software versions lately.
+ */
+struct Lacewing__Exchange__MixedService {
+    ProtobufCMessage base;
+    /*
+     * hash of its name
+     */
+    uint64_t service;
+    /*
+     * for which that matters, from written_ms on
+     */
+    uint32_t left_ms;
+};
+#define LACEWING__EXCHANGE__MIXED_SERVICE__INIT                               \
+    {                                                                         \
+        PROTOBUF_C_MESSAGE_INIT(                                              \
+            &lacewing__exchange__mixed_service__descriptor)                   \
+        , 0, 0                                                                \
+    }
+
+/*
+ * Row of the streams' table: streams that an instance forwarded while a
+ * service was mixed. The last three lists are parallel.
+ */
+struct Lacewing__Exchange__StreamsRow {
+    ProtobufCMessage base;
+    /*
+     * on the store's clock
+     */
+    uint64_t written_ms;
+    size_t n_mixed;
+    Lacewing__Exchange__MixedService **mixed;
+    /*
+     * 0: several versions
+     */
+    size_t n_software;
+    uint64_t *software;
+    /*
+     * hash of its request id
+     */
+    size_t n_attempt;
+    uint64_t *attempt;
+    /*
+     * index into software
+     */
+    size_t n_software_at;
+    uint32_t *software_at;
+    /*
+     * until the caller has given up
+     */
+    size_t n_left_ms;
+    uint32_t *left_ms;
+};
+#define LACEWING__EXCHANGE__STREAMS_ROW__INIT                                 \
+    {                                                                         \
+        PROTOBUF_C_MESSAGE_INIT(&lacewing__exchange__streams_row__descriptor) \
+        , 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL                      \
+    }
+
 /*
  * One datagram, or one of the messages that a relay forwards in a datagram.
  */
@@ -816,6 +879,34 @@
                                          size_t len, const uint8_t *data);
 void lacewing__exchange__cleared_word__free_unpacked(
     Lacewing__Exchange__ClearedWord *message, ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__MixedService methods */
+void lacewing__exchange__mixed_service__init(
+    Lacewing__Exchange__MixedService *message);
+size_t lacewing__exchange__mixed_service__get_packed_size(
+    const Lacewing__Exchange__MixedService *message);
+size_t lacewing__exchange__mixed_service__pack(
+    const Lacewing__Exchange__MixedService *message, uint8_t *out);
+size_t lacewing__exchange__mixed_service__pack_to_buffer(
+    const Lacewing__Exchange__MixedService *message, ProtobufCBuffer *buffer);
+Lacewing__Exchange__MixedService *
+lacewing__exchange__mixed_service__unpack(ProtobufCAllocator *allocator,
+                                          size_t len, const uint8_t *data);
+void lacewing__exchange__mixed_service__free_unpacked(
+    Lacewing__Exchange__MixedService *message, ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__StreamsRow methods */
+void
+lacewing__exchange__streams_row__init(Lacewing__Exchange__StreamsRow *message);
+size_t lacewing__exchange__streams_row__get_packed_size(
+    const Lacewing__Exchange__StreamsRow *message);
+size_t lacewing__exchange__streams_row__pack(
+    const Lacewing__Exchange__StreamsRow *message, uint8_t *out);
+size_t lacewing__exchange__streams_row__pack_to_buffer(
+    const Lacewing__Exchange__StreamsRow *message, ProtobufCBuffer *buffer);
+Lacewing__Exchange__StreamsRow *
+lacewing__exchange__streams_row__unpack(ProtobufCAllocator *allocator,
+                                        size_t len, const uint8_t *data);
+void lacewing__exchange__streams_row__free_unpacked(
+    Lacewing__Exchange__StreamsRow *message, ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__Word methods */
 void lacewing__exchange__word__init(Lacewing__Exchange__Word *message);
 size_t lacewing__exchange__word__get_packed_size(
@@ -871,6 +962,10 @@
     const Lacewing__Exchange__BlockWord *message, void *closure_data);
 typedef void (*Lacewing__Exchange__ClearedWord_Closure)(
     const Lacewing__Exchange__ClearedWord *message, void *closure_data);
+typedef void (*Lacewing__Exchange__MixedService_Closure)(
+    const Lacewing__Exchange__MixedService *message, void *closure_data);
+typedef void (*Lacewing__Exchange__StreamsRow_Closure)(
+    const Lacewing__Exchange__StreamsRow *message, void *closure_data);
 typedef void (*Lacewing__Exchange__Word_Closure)(
     const Lacewing__Exchange__Word *message, void *closure_data);
 
@@ -917,6 +1012,10 @@
     lacewing__exchange__block_word__descriptor;
 extern const ProtobufCMessageDescriptor
     lacewing__exchange__cleared_word__descriptor;
+extern const ProtobufCMessageDescriptor
+    lacewing__exchange__mixed_service__descriptor;
+extern const ProtobufCMessageDescriptor
+    lacewing__exchange__streams_row__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -104,6 +104,7 @@
     xc_log_outcome(begun ? LG_REQUEST_BROKEN : LG_REQUEST_FAILED, exchange,
                    ct_query_unserved_text(why));
     ct_add(begun ? CT_BROKEN : CT_FAILED, 1);
+    xc_note_broken_off(exchange);
     ct_count_unserved(begun ? CT_OUTCOME_BROKEN : CT_OUTCOME_FAILED, why);
     xc_cancel_all_sends(exchange, FL_OUTCOME_DEFAULT);
     cr_conn *caller = exchange->caller;
@@ -124,6 +125,7 @@
     exchange->answer_begun = true;
     exchange->media_type = g_strdup(exchange->send.media_type);
     exchange->software_hash = exchange->send.software_hash;
+    xc_note_origin(exchange);
     cr_begin_stream(exchange->caller, exchange->send.status,
                     exchange->send.answer_headers->str);
 }
@@ -261,6 +263,7 @@
     }
     cr_conn *caller = exchange->caller;
     if (exchange->answer_begun) {
+        xc_note_stream_done(exchange);
         if (exchange->position && exchange->send.piece_count > 0) {
             sp_end(exchange->position);
         }
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -24,6 +24,7 @@
     rc_table *table;
     GQueue active;           /* xc_exchange, all */
     GQueue waiting_capacity; /* xc_exchange in XC_WAITING_CAPACITY */
+    GQueue waiting_origin;   /* xc_exchange in XC_WAITING_ORIGIN */
     GHashTable *budgets;     /* service -> bg_budget */
     GHashTable *returns;     /* service -> lw_returns */
     bb_budget answer_bytes;  /* see xc_exchange.answer_bytes */
@@ -36,6 +37,7 @@
     XC_NEW = 0,
     XC_WAITING_COPY,     /* in adapter->waiting */
     XC_WAITING_CAPACITY, /* in core->waiting_capacity */
+    XC_WAITING_ORIGIN,   /* in core->waiting_origin */
     XC_SENT              /* a server has it */
 } xc_state;
 
@@ -111,6 +113,9 @@
     uint64_t waiting_since_us; /* without a server; 0: it does not wait */
     uint64_t asked_us;         /* last request for a load of its adapter */
     bool logged;               /* routine events are logged, not just errors */
+    uint64_t attempt_hash; /* of the attempt that brought the caller the first
+                              event of its stream */
+    uint64_t caller_deadline_us;
     /* Software version whose servers alone may go on with the stream; 0: any,
        no event has come. */
     uint64_t software_hash;
@@ -220,6 +225,20 @@
    request logged. */
 void xc_log_send_ended(xc_exchange *exchange, const char *why);
 
+/* -- exchange_origin.c */
+/* Finds the software version that began the caller's stream, if it takes one
+   up again. Returns false if the request waits for it, or was refused. */
+bool xc_find_origin(xc_exchange *exchange);
+/* Refuses a request whose wait for it has lasted too long. Returns whether it
+   did. */
+bool xc_end_if_origin_overdue(xc_exchange *exchange, uint64_t now_us);
+/* The first event of a send is forwarded. */
+void xc_note_origin(xc_exchange *exchange);
+/* The caller has the whole answer, as far as is known here. */
+void xc_note_stream_done(xc_exchange *exchange);
+/* The answer has begun and ends early. */
+void xc_note_broken_off(xc_exchange *exchange);
+
 /* -- exchange_second.c */
 /* Lets the send under way go on beside the next one. */
 void xc_keep_send(xc_exchange *exchange);
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -154,7 +154,10 @@
     .may_probe = nd_may_probe_content,
     .count_live = _nd_query_live_count,
     .count_staying_peers = _nd_query_other_count,
-    .config_fresh = _nd_query_config_fresh};
+    .config_fresh = _nd_query_config_fresh,
+    .find_origins = nd_find_origins,
+    .stream_broke_off = nd_on_stream_broke_off,
+    .origins_known = nd_query_origins_known};
 static const gp_callbacks _nd_peer_callbacks = {
     .revision = or_query_revision,
     .row = nd_on_peer_row,
@@ -350,9 +353,8 @@
     kr_clear_changed_rows(node->known_rows, table);
 }
 
-/* Returns the interval, lengthened where many instances send to each other. */
-static uint64_t
-_nd_query_send_interval_us(const nd_node *node, uint64_t base_us)
+uint64_t
+nd_query_send_interval_us(const nd_node *node, uint64_t base_us)
 {
     uint32_t live = le_query_live_count(node->lease);
     return base_us *
@@ -365,7 +367,7 @@
 _nd_send_periodic_updates(nd_node *node)
 {
     uint64_t now_us = lp_query_now_us(node->desc.loop);
-    uint64_t interval_us = _nd_query_send_interval_us(node, _ND_SEND_LOADS_US);
+    uint64_t interval_us = nd_query_send_interval_us(node, _ND_SEND_LOADS_US);
     if (now_us >= node->loads_sent_us + interval_us) {
         node->loads_sent_us = now_us;
         qt_set_instance_count(node->quotas, le_query_live_count(node->lease));
@@ -375,7 +377,7 @@
         gp_broadcast_loads(node->peers, &own);
     }
     if (now_us >= node->servers_sent_us +
-                      _nd_query_send_interval_us(node, _ND_SEND_SERVERS_US)) {
+                      nd_query_send_interval_us(node, _ND_SEND_SERVERS_US)) {
         node->servers_sent_us = now_us;
         fl_each_server(node->fleet, _nd_send_server_state, node);
         nd_send_blocks(node);
@@ -467,6 +469,7 @@
     nd_run_limits(node);
     _nd_update_leases(node);
     _nd_send_periodic_updates(node);
+    nd_run_streams(node);
     if (++node->tick_count % _ND_TICKS_PER_SLOW_TICK == 0) {
         _nd_run_slow_work(node);
         gp_flush_relayed(node->peers);
@@ -554,12 +557,15 @@
                                           .seed = node->incarnation,
                                           .user_data = node});
     node->quotas = qt_create();
+    node->origins = so_create(&(so_desc){0});
+    node->streams.obsolete = g_ptr_array_new_with_free_func(g_free);
     node->core = xc_create(&(xc_desc){
         .loop = loop,
         .hub = node->hub,
         .fleet = node->fleet,
         .suspects = node->suspects,
         .quotas = node->quotas,
+        .origins = node->origins,
         .dialect = node->desc.dialect,
         .zone = settings->zone,
         .max_answer_bytes =
@@ -649,6 +655,9 @@
     xc_destroy(node->core);
     cw_destroy(node->crash_watch);
     qt_destroy(node->quotas);
+    so_destroy(node->origins);
+    g_ptr_array_unref(node->streams.obsolete);
+    g_free(node->streams.page_after);
     su_destroy(node->suspects);
     hc_destroy(node->client);
     or_destroy(node->orderer);
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -32,6 +32,25 @@
     xc_core *core;
     cw_watch *crash_watch;
     qt_quotas *quotas;
+    so_origins *origins;
+    struct {
+        bool known; /* the table was read once */
+        bool reading;
+        bool writing;
+        bool written; /* this instance has a row */
+        bool urgent;  /* the row is written at the next tick */
+        bool wanted;  /* requests wait for a read */
+        bool mixed;   /* as it was logged */
+        uint64_t read_began_us;
+        uint64_t wrote_us;         /* when the last write was sent */
+        uint64_t written_revision; /* so_query_revision() of that row */
+        uint64_t servers_noted_us;
+        uint64_t store_now_ms; /* the store's clock at store_now_us */
+        uint64_t store_now_us;
+        char *page_after;    /* last key of the page that was read; NULL: none
+                                is being read */
+        GPtrArray *obsolete; /* keys of rows that nobody needs */
+    } streams;
     su_suspects *suspects;
     GHashTable *limit_shares; /* server id -> ls_share, divided here */
     cr_port *caller_port;
@@ -132,10 +151,21 @@
    a second. */
 void nd_send_blocks(nd_node *node);
 
+/* -- node_streams.c: streams that callers may take up again --------------- */
+/* Reads and writes the rows of the streams' table that are due; call it on
+   each tick. */
+void nd_run_streams(nd_node *node);
+/* See xc_callbacks. */
+void nd_find_origins(void *user_data);
+void nd_on_stream_broke_off(void *user_data);
+bool nd_query_origins_known(void *user_data);
+
 /* -- node.c --------------------------------------------------------------- */
 /* Starts the fast timer if loads are in progress at servers held here, or a
    crash is observed or counted. */
 void nd_start_fast_timer(nd_node *node);
+/* Returns the interval, lengthened where many instances send to each other. */
+uint64_t nd_query_send_interval_us(const nd_node *node, uint64_t base_us);
 /* Sends other instances the digest of a table and its rows that changed. */
 void nd_send_table(nd_node *node, kr_table table);
 
--- /dev/null
+++ b/packages/exchange/src/node_streams.c
@@ -0,0 +1,296 @@
+#include "node_private.h"
+
+#include "lacewing/counter.h"
+#include "lacewing/hash.h"
+#include "lacewing/histogram.h"
+#include "lacewing/log.h"
+#include <string.h>
+
+/* Interval in which servers in the list are noted, and old streams removed. */
+#define _ND_NOTE_SERVERS_US 500000
+/* Interval in which changed streams are written while a service is mixed: what
+   began since is lost if all instances end at once. It grows with the number
+   of instances. */
+#define _ND_WRITE_STREAMS_US 300000
+/* The row is written this often without a change, as it says for how long the
+   service stays mixed. */
+#define _ND_REWRITE_STREAMS_US 5000000
+/* Shortest time between two reads. */
+#define _ND_READ_STREAMS_US 100000
+/* Pause before the read at the start is tried again. */
+#define _ND_RETRY_FIRST_READ_US 500000
+/* A call takes some ms; a slow store answers within this time. */
+#define _ND_STREAMS_TIMEOUT_MS 1000
+/* Most rows of instances that are gone to remove in one transaction. */
+#define _ND_MAX_REMOVED_ROWS 50
+
+/* -- private: the store's clock ------------------------------------------- */
+
+static uint64_t
+_nd_store_now_ms(const nd_node *node, uint64_t now_us)
+{
+    return node->streams.store_now_ms +
+           (now_us - node->streams.store_now_us) / 1000;
+}
+
+/* Parses an answer of the store and takes its time. Returns false if it has
+   failed. */
+static bool
+_nd_read_answer(nd_node *node, const hc_answer *answer, dl_rows *rows)
+{
+    const dl_dialect *dialect = node->desc.dialect;
+    er_status status = {0};
+    if (answer->code != ER_OK || answer->status != 200) {
+        return false;
+    }
+    const char *era =
+        h1_query_header(answer->head, dialect->headers[DL_STORE_ERA]);
+    if (dialect->read_rows(answer->bytes, answer->count, era, rows, &status) !=
+        ER_OK) {
+        return false;
+    }
+    node->streams.store_now_ms = rows->now_ms;
+    node->streams.store_now_us = lp_query_now_us(node->desc.loop);
+    return true;
+}
+
+/* -- private: reading ----------------------------------------------------- */
+
+static char *
+_nd_row_key(const nd_node *node)
+{
+    return g_strconcat("s/", node->desc.settings->instance, NULL);
+}
+
+static void
+_nd_apply_streams_row(nd_node *node, const dl_row *row, uint64_t store_now_ms)
+{
+    g_autofree char *own_key = _nd_row_key(node);
+    bool own = strcmp(row->key, own_key) == 0;
+    if (!row->value) {
+        return;
+    }
+    if (!so_read_row(node->origins, row->value, own,
+                     lp_query_now_us(node->desc.loop), store_now_ms)) {
+        lg_write(LG_ROW_REFUSED, "key", row->key, "why",
+                 "not a row of streams", NULL);
+    }
+    node->streams.written = node->streams.written || own;
+    if (!own && so_query_row_expired(row->value, store_now_ms) &&
+        node->streams.obsolete->len < _ND_MAX_REMOVED_ROWS) {
+        g_ptr_array_add(node->streams.obsolete, g_strdup(row->key));
+    }
+}
+
+static void _nd_read_page(nd_node *node);
+
+static void
+_nd_end_read(nd_node *node)
+{
+    node->streams.reading = false;
+    g_clear_pointer(&node->streams.page_after, g_free);
+}
+
+static void
+_nd_on_page(const hc_answer *answer, void *user_data)
+{
+    nd_node *node = user_data;
+    dl_rows rows = {0};
+    if (!_nd_read_answer(node, answer, &rows)) {
+        _nd_end_read(node);
+        return;
+    }
+    for (guint i = 0; i < rows.rows->len; i++) {
+        _nd_apply_streams_row(node, &g_array_index(rows.rows, dl_row, i),
+                              rows.now_ms);
+    }
+    if (rows.more && rows.rows->len) {
+        g_free(node->streams.page_after);
+        node->streams.page_after =
+            g_strdup(g_array_index(rows.rows, dl_row, rows.rows->len - 1).key);
+        _nd_read_page(node);
+    }
+    else {
+        _nd_end_read(node);
+        node->streams.known = true;
+        node->streams.wanted = false;
+        hg_observe(HG_STORE_CALL, HG_READ,
+                   lp_query_now_us(node->desc.loop) -
+                       node->streams.read_began_us);
+        xc_note_origins_read(node->core, node->streams.read_began_us);
+    }
+    dl_clear_rows(&rows);
+}
+
+static void
+_nd_read_page(nd_node *node)
+{
+    const dl_dialect *dialect = node->desc.dialect;
+    g_autoptr(GString) path = dialect->write_get_path(
+        dialect->stream_table, node->streams.page_after);
+    ct_add(CT_STORE_CALLS, 1);
+    lg_write(LG_STORE_REQUEST, "table", dialect->stream_table, "why",
+             node->streams.wanted ? "a caller takes up a stream" : "start",
+             NULL);
+    hc_call(node->client, &(hc_request){.address = node->desc.settings->store,
+                                        .method = "GET",
+                                        .path = path->str,
+                                        .timeout_ms = _ND_STREAMS_TIMEOUT_MS,
+                                        .done = _nd_on_page,
+                                        .user_data = node});
+}
+
+static void
+_nd_read_if_due(nd_node *node, uint64_t now_us)
+{
+    uint64_t pause_us = node->streams.wanted   ? _ND_READ_STREAMS_US
+                        : !node->streams.known ? _ND_RETRY_FIRST_READ_US
+                                               : UINT64_MAX;
+    if (node->streams.reading || pause_us == UINT64_MAX ||
+        now_us < node->streams.read_began_us + pause_us) {
+        return;
+    }
+    node->streams.reading = true;
+    node->streams.read_began_us = now_us;
+    g_ptr_array_set_size(node->streams.obsolete, 0);
+    _nd_read_page(node);
+}
+
+/* -- private: writing ----------------------------------------------------- */
+
+static void
+_nd_on_written(const hc_answer *answer, void *user_data)
+{
+    nd_node *node = user_data;
+    dl_rows rows = {0};
+    node->streams.writing = false;
+    hg_observe(HG_STORE_CALL, HG_WRITE,
+               lp_query_now_us(node->desc.loop) - node->streams.wrote_us);
+    if (_nd_read_answer(node, answer, &rows)) {
+        g_ptr_array_set_size(node->streams.obsolete, 0);
+        dl_clear_rows(&rows);
+    }
+    else {
+        node->streams.written_revision = 0; /* it is written again */
+    }
+}
+
+/* Writes or, value NULL, removes the row of this instance. */
+static void
+_nd_write_row(nd_node *node, GBytes *value, uint64_t now_us)
+{
+    const dl_dialect *dialect = node->desc.dialect;
+    g_autofree char *key = _nd_row_key(node);
+    dl_write writes[1 + _ND_MAX_REMOVED_ROWS] = {{key, value}};
+    size_t count = 1;
+    for (guint i = 0; i < node->streams.obsolete->len; i++) {
+        writes[count++] = (dl_write){node->streams.obsolete->pdata[i], NULL};
+    }
+    g_autoptr(GString) body =
+        dialect->write_tx(&(dl_tx){.table = dialect->stream_table,
+                                   .writes = writes,
+                                   .write_count = count});
+    node->streams.writing = true;
+    node->streams.urgent = false;
+    node->streams.written = value != NULL;
+    node->streams.wrote_us = now_us;
+    node->streams.written_revision = so_query_revision(node->origins);
+    ct_add(CT_STORE_CALLS, 1);
+    lg_write(LG_STORE_REQUEST, "table", dialect->stream_table, "why",
+             value ? "streams have changed" : "one software version is left",
+             NULL);
+    hc_call(node->client, &(hc_request){.address = node->desc.settings->store,
+                                        .method = "POST",
+                                        .path = dialect->tx_path,
+                                        .type = dialect->body_type,
+                                        .body = body->str,
+                                        .body_count = body->len,
+                                        .timeout_ms = _ND_STREAMS_TIMEOUT_MS,
+                                        .done = _nd_on_written,
+                                        .user_data = node});
+}
+
+/* The row may hold streams of an earlier process, so it is not written before
+   the first read. */
+static void
+_nd_write_if_due(nd_node *node, uint64_t now_us)
+{
+    if (node->streams.writing || !node->streams.known) {
+        return;
+    }
+    if (!so_query_any_mixed(node->origins, now_us)) {
+        if (node->streams.written) {
+            _nd_write_row(node, NULL, now_us);
+        }
+        return;
+    }
+    uint64_t interval_us =
+        nd_query_send_interval_us(node, _ND_WRITE_STREAMS_US);
+    bool changed =
+        so_query_revision(node->origins) != node->streams.written_revision;
+    bool due = changed
+                   ? node->streams.urgent ||
+                         now_us >= node->streams.wrote_us + interval_us
+                   : now_us >= node->streams.wrote_us + _ND_REWRITE_STREAMS_US;
+    if (due) {
+        g_autoptr(GBytes) row = so_write_row(node->origins, now_us,
+                                             _nd_store_now_ms(node, now_us));
+        _nd_write_row(node, row, now_us);
+    }
+}
+
+/* -- private: servers ----------------------------------------------------- */
+
+static void
+_nd_note_server(fl_server *server, void *user_data)
+{
+    nd_node *node = user_data;
+    so_note_server(node->origins, hs_u64(server->service),
+                   server->software_hash, lp_query_now_us(node->desc.loop));
+}
+
+static void
+_nd_note_servers(nd_node *node, uint64_t now_us)
+{
+    bool before = node->streams.mixed;
+    node->streams.servers_noted_us = now_us;
+    fl_each_server(node->fleet, _nd_note_server, node);
+    so_expire(node->origins, now_us);
+    node->streams.mixed = so_query_any_mixed(node->origins, now_us);
+    if (node->streams.mixed != before) {
+        lg_write(before ? LG_SOFTWARE_UNIFORM : LG_SOFTWARE_MIXED, NULL);
+    }
+}
+
+/* -- public --------------------------------------------------------------- */
+
+void
+nd_run_streams(nd_node *node)
+{
+    uint64_t now_us = lp_query_now_us(node->desc.loop);
+    if (now_us >= node->streams.servers_noted_us + _ND_NOTE_SERVERS_US) {
+        _nd_note_servers(node, now_us);
+    }
+    _nd_read_if_due(node, now_us);
+    _nd_write_if_due(node, now_us);
+}
+
+void
+nd_find_origins(void *user_data)
+{
+    nd_node *node = user_data;
+    node->streams.wanted = true;
+    _nd_read_if_due(node, lp_query_now_us(node->desc.loop));
+}
+
+void
+nd_on_stream_broke_off(void *user_data)
+{
+    ((nd_node *)user_data)->streams.urgent = true;
+}
+
+bool
+nd_query_origins_known(void *user_data)
+{
+    return ((const nd_node *)user_data)->streams.known;
+}
--- /dev/null
+++ b/packages/exchange/src/stream_origins.c
@@ -0,0 +1,387 @@
+#include "stream_origins.h"
+
+#include "exchange.pb-c.h"
+
+#define _SO_MEMORY_US 30000000
+/* A row whose times are farther in the future than this was written by a clock
+   that ran differently: they are cut. */
+#define _SO_MAX_LEFT_MS 60000
+
+typedef struct _so_stream {
+    uint64_t software; /* 0: several versions */
+    uint64_t until_us;
+    bool own; /* this instance has to write it */
+} _so_stream;
+
+typedef struct _so_software {
+    uint64_t hash;
+    uint64_t seen_us; /* when the list last had a server of it */
+} _so_software;
+
+typedef struct _so_service {
+    GArray *software;         /* _so_software */
+    uint64_t stored_until_us; /* mixed until then, by rows of the store */
+} _so_service;
+
+struct so_origins {
+    uint64_t memory_us;
+    GHashTable *streams;  /* attempt (uint64_t) -> _so_stream */
+    GHashTable *services; /* service (uint64_t) -> _so_service */
+    uint64_t revision;
+};
+
+static void
+_so_free_service(void *data)
+{
+    g_array_unref(((_so_service *)data)->software);
+    g_free(data);
+}
+
+static uint64_t *
+_so_copy_key(uint64_t key)
+{
+    uint64_t *copy = g_new(uint64_t, 1);
+    *copy = key;
+    return copy;
+}
+
+so_origins *
+so_create(const so_desc *desc)
+{
+    so_origins *origins = g_new0(so_origins, 1);
+    origins->memory_us = desc->memory_us ? desc->memory_us : _SO_MEMORY_US;
+    origins->streams =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    origins->services = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                              g_free, _so_free_service);
+    return origins;
+}
+
+void
+so_destroy(so_origins *origins)
+{
+    if (origins) {
+        g_hash_table_unref(origins->streams);
+        g_hash_table_unref(origins->services);
+        g_free(origins);
+    }
+}
+
+/* -- services ------------------------------------------------------------- */
+
+static _so_service *
+_so_get_service(so_origins *origins, uint64_t hash)
+{
+    _so_service *service = g_hash_table_lookup(origins->services, &hash);
+    if (!service) {
+        service = g_new0(_so_service, 1);
+        service->software = g_array_new(FALSE, TRUE, sizeof(_so_software));
+        g_hash_table_insert(origins->services, _so_copy_key(hash), service);
+    }
+    return service;
+}
+
+void
+so_note_server(so_origins *origins, uint64_t service_hash, uint64_t software,
+               uint64_t now_us)
+{
+    _so_service *service = _so_get_service(origins, service_hash);
+    for (guint i = 0; i < service->software->len; i++) {
+        _so_software *known =
+            &g_array_index(service->software, _so_software, i);
+        if (known->hash == software) {
+            known->seen_us = MAX(known->seen_us, now_us);
+            return;
+        }
+    }
+    _so_software added = {.hash = software, .seen_us = now_us};
+    g_array_append_val(service->software, added);
+    origins->revision++;
+}
+
+/* Returns until when it matters that the service has had several versions: a
+   stream that began at the version seen last but one may come back. */
+static uint64_t
+_so_mixed_until_us(const so_origins *origins, const _so_service *service)
+{
+    uint64_t last_us = 0;
+    uint64_t second_us = 0;
+    for (guint i = 0; i < service->software->len; i++) {
+        uint64_t seen_us =
+            g_array_index(service->software, _so_software, i).seen_us;
+        second_us = MAX(second_us, MIN(seen_us, last_us));
+        last_us = MAX(last_us, seen_us);
+    }
+    uint64_t until_us = second_us ? second_us + origins->memory_us : 0;
+    return MAX(until_us, service->stored_until_us);
+}
+
+bool
+so_query_mixed(const so_origins *origins, uint64_t service_hash,
+               uint64_t now_us)
+{
+    const _so_service *service =
+        g_hash_table_lookup(origins->services, &service_hash);
+    return service && now_us < _so_mixed_until_us(origins, service);
+}
+
+bool
+so_query_any_mixed(const so_origins *origins, uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (now_us < _so_mixed_until_us(origins, value)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* -- streams -------------------------------------------------------------- */
+
+static void
+_so_put_stream(so_origins *origins, uint64_t attempt, uint64_t software,
+               uint64_t until_us, bool own)
+{
+    _so_stream *stream = g_hash_table_lookup(origins->streams, &attempt);
+    if (!stream) {
+        stream = g_new0(_so_stream, 1);
+        stream->software = software;
+        g_hash_table_insert(origins->streams, _so_copy_key(attempt), stream);
+    }
+    else if (stream->software != software) {
+        stream->software = 0;
+    }
+    stream->until_us = MAX(stream->until_us, until_us);
+    stream->own = stream->own || own;
+    origins->revision += own;
+}
+
+void
+so_note_stream(so_origins *origins, uint64_t attempt, uint64_t software,
+               uint64_t until_us)
+{
+    _so_put_stream(origins, attempt, software, until_us, true);
+}
+
+void
+so_shorten(so_origins *origins, uint64_t attempt, uint64_t until_us)
+{
+    _so_stream *stream = g_hash_table_lookup(origins->streams, &attempt);
+    if (stream) {
+        stream->until_us = MIN(stream->until_us, until_us);
+    }
+}
+
+static gboolean
+_so_is_over(gpointer key, gpointer value, gpointer user_data)
+{
+    (void)key;
+    return ((const _so_stream *)value)->until_us <= *(uint64_t *)user_data;
+}
+
+void
+so_expire(so_origins *origins, uint64_t now_us)
+{
+    g_hash_table_foreach_remove(origins->streams, _so_is_over, &now_us);
+}
+
+so_origin
+so_query(const so_origins *origins, uint64_t attempt, uint64_t now_us)
+{
+    const _so_stream *stream = g_hash_table_lookup(origins->streams, &attempt);
+    bool known = stream && now_us < stream->until_us;
+    return (so_origin){.known = known,
+                       .software = known ? stream->software : 0};
+}
+
+uint64_t
+so_query_revision(const so_origins *origins)
+{
+    return origins->revision;
+}
+
+uint32_t
+so_query_count(const so_origins *origins)
+{
+    return g_hash_table_size(origins->streams);
+}
+
+/* -- rows ----------------------------------------------------------------- */
+
+typedef struct _so_entry {
+    uint64_t attempt;
+    const _so_stream *stream;
+} _so_entry;
+
+static gint
+_so_compare_entries(gconstpointer a, gconstpointer b)
+{
+    uint64_t first = ((const _so_entry *)a)->stream->until_us;
+    uint64_t second = ((const _so_entry *)b)->stream->until_us;
+    return first > second ? -1 : first < second;
+}
+
+/* Returns the streams for the row, those that end last first. */
+static GArray *
+_so_collect_entries(const so_origins *origins, uint64_t now_us)
+{
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(_so_entry));
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->streams);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        _so_entry entry = {.attempt = *(uint64_t *)key, .stream = value};
+        if (entry.stream->own && entry.stream->until_us > now_us) {
+            g_array_append_val(entries, entry);
+        }
+    }
+    g_array_sort(entries, _so_compare_entries);
+    g_array_set_size(entries, MIN(entries->len, SO_MAX_ROW_STREAMS));
+    return entries;
+}
+
+static uint32_t
+_so_left_ms(uint64_t until_us, uint64_t now_us)
+{
+    uint64_t left_us = until_us > now_us ? until_us - now_us : 0;
+    return (uint32_t)MIN(left_us / 1000, _SO_MAX_LEFT_MS);
+}
+
+static uint32_t
+_so_index_of(GArray *hashes, uint64_t hash)
+{
+    for (guint i = 0; i < hashes->len; i++) {
+        if (g_array_index(hashes, uint64_t, i) == hash) {
+            return i;
+        }
+    }
+    g_array_append_val(hashes, hash);
+    return hashes->len - 1;
+}
+
+/* Returns the services that are mixed. */
+static GPtrArray *
+_so_collect_mixed(const so_origins *origins, uint64_t now_us)
+{
+    GPtrArray *mixed = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->services);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        uint32_t left_ms =
+            _so_left_ms(_so_mixed_until_us(origins, value), now_us);
+        if (left_ms) {
+            Lacewing__Exchange__MixedService *service =
+                g_new(Lacewing__Exchange__MixedService, 1);
+            lacewing__exchange__mixed_service__init(service);
+            service->service = *(uint64_t *)key;
+            service->left_ms = left_ms;
+            g_ptr_array_add(mixed, service);
+        }
+    }
+    return mixed;
+}
+
+GBytes *
+so_write_row(const so_origins *origins, uint64_t now_us, uint64_t store_now_ms)
+{
+    g_autoptr(GArray) entries = _so_collect_entries(origins, now_us);
+    g_autoptr(GPtrArray) mixed = _so_collect_mixed(origins, now_us);
+    g_autoptr(GArray) software = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_autofree uint64_t *attempts = g_new(uint64_t, entries->len + 1);
+    g_autofree uint32_t *software_at = g_new(uint32_t, entries->len + 1);
+    g_autofree uint32_t *left_ms = g_new(uint32_t, entries->len + 1);
+    for (guint i = 0; i < entries->len; i++) {
+        const _so_entry *entry = &g_array_index(entries, _so_entry, i);
+        attempts[i] = entry->attempt;
+        software_at[i] = _so_index_of(software, entry->stream->software);
+        left_ms[i] = _so_left_ms(entry->stream->until_us, now_us);
+    }
+    Lacewing__Exchange__StreamsRow row = LACEWING__EXCHANGE__STREAMS_ROW__INIT;
+    row.written_ms = store_now_ms;
+    row.n_mixed = mixed->len;
+    row.mixed = (Lacewing__Exchange__MixedService **)mixed->pdata;
+    row.n_software = software->len;
+    row.software = (uint64_t *)(void *)software->data;
+    row.n_attempt = entries->len;
+    row.attempt = attempts;
+    row.n_software_at = entries->len;
+    row.software_at = software_at;
+    row.n_left_ms = entries->len;
+    row.left_ms = left_ms;
+    size_t size = lacewing__exchange__streams_row__get_packed_size(&row);
+    uint8_t *bytes = g_malloc(size);
+    lacewing__exchange__streams_row__pack(&row, bytes);
+    return g_bytes_new_take(bytes, size);
+}
+
+/* Returns NULL if the row cannot be read; else the caller frees it. */
+static Lacewing__Exchange__StreamsRow *
+_so_unpack(GBytes *bytes)
+{
+    gsize size = 0;
+    const uint8_t *data = g_bytes_get_data(bytes, &size);
+    Lacewing__Exchange__StreamsRow *row =
+        lacewing__exchange__streams_row__unpack(NULL, size, data);
+    if (row && (row->n_software_at != row->n_attempt ||
+                row->n_left_ms != row->n_attempt)) {
+        lacewing__exchange__streams_row__free_unpacked(row, NULL);
+        return NULL;
+    }
+    return row;
+}
+
+/* Returns what is left of a time in a row, now; 0: nothing. */
+static uint64_t
+_so_still_left_us(const Lacewing__Exchange__StreamsRow *row, uint32_t left_ms,
+                  uint64_t store_now_ms)
+{
+    uint64_t until_ms = row->written_ms + MIN(left_ms, _SO_MAX_LEFT_MS);
+    uint64_t still_ms = until_ms > store_now_ms ? until_ms - store_now_ms : 0;
+    return MIN(still_ms, _SO_MAX_LEFT_MS) * 1000;
+}
+
+bool
+so_read_row(so_origins *origins, GBytes *bytes, bool own, uint64_t now_us,
+            uint64_t store_now_ms)
+{
+    Lacewing__Exchange__StreamsRow *row = _so_unpack(bytes);
+    if (!row) {
+        return false;
+    }
+    for (size_t i = 0; i < row->n_mixed; i++) {
+        _so_service *service =
+            _so_get_service(origins, row->mixed[i]->service);
+        uint64_t left_us =
+            _so_still_left_us(row, row->mixed[i]->left_ms, store_now_ms);
+        service->stored_until_us =
+            MAX(service->stored_until_us, left_us ? now_us + left_us : 0);
+    }
+    for (size_t i = 0; i < row->n_attempt; i++) {
+        uint64_t left_us =
+            _so_still_left_us(row, row->left_ms[i], store_now_ms);
+        if (left_us && row->software_at[i] < row->n_software) {
+            _so_put_stream(origins, row->attempt[i],
+                           row->software[row->software_at[i]],
+                           now_us + left_us, own);
+        }
+    }
+    lacewing__exchange__streams_row__free_unpacked(row, NULL);
+    return true;
+}
+
+bool
+so_query_row_expired(GBytes *bytes, uint64_t store_now_ms)
+{
+    Lacewing__Exchange__StreamsRow *row = _so_unpack(bytes);
+    bool expired = !row || row->written_ms + _SO_MAX_LEFT_MS < store_now_ms;
+    if (row) {
+        lacewing__exchange__streams_row__free_unpacked(row, NULL);
+    }
+    return expired;
+}
--- /dev/null
+++ b/packages/exchange/src/stream_origins.h
@@ -0,0 +1,85 @@
+/*
+ * stream_origins.h: which software version began each stream (prefix so_).
+ *
+ * What servers of two software versions write does not fit together, so a
+ * stream may go on only at the version that began it. A caller that lost its
+ * connection takes its stream up at any instance, and names the attempt that
+ * brought its first event. so_origins keeps the version of each such attempt
+ * for as long as its caller may come back, and whether a service has had more
+ * than one version for so long; without that, any server can go on.
+ *
+ *     so_note_server(origins, service, software, now_us);  for each listed one
+ *     so_note_stream(origins, attempt, software, until_us); at its first event
+ *     so_origin origin = so_query(origins, attempt, now_us);
+ *     if (!origin.known && so_query_mixed(origins, service, now_us)) { ... }
+ *
+ * As all instances may end at once, each writes its streams to a row of the
+ * store while a service is mixed; so_write_row() and so_read_row() convert
+ * them. Times in rows are those of the store's clock.
+ *
+ * Services, software versions and attempts are hashes, see hash.h; 0 is none.
+ *
+ * Limits: a row holds the SO_MAX_ROW_STREAMS streams that end last; no sockets
+ * and no clock.
+ */
+#ifndef LACEWING_STREAM_ORIGINS_H
+#define LACEWING_STREAM_ORIGINS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A stream takes up to 15 bytes of a row, and a row has at most 64 KiB. */
+#define SO_MAX_ROW_STREAMS 4000
+
+typedef struct so_origins so_origins;
+
+typedef struct so_desc {
+    uint64_t memory_us; /* longest time from a stream's first event to its
+                           caller's last return; default 30 s */
+} so_desc;
+
+typedef struct so_origin {
+    bool known;
+    uint64_t software; /* 0: several versions are known for it */
+} so_origin;
+
+so_origins *so_create(const so_desc *desc);
+void so_destroy(so_origins *origins);
+
+/* The list has a server of this software version; call it again while it has.
+ */
+void so_note_server(so_origins *origins, uint64_t service, uint64_t software,
+                    uint64_t now_us);
+/* A server of this version has brought the first event of a stream, or one of
+   a stream that it continues. The caller may come back until until_us. */
+void so_note_stream(so_origins *origins, uint64_t attempt, uint64_t software,
+                    uint64_t until_us);
+/* The stream ended; its caller may still come back until until_us. */
+void so_shorten(so_origins *origins, uint64_t attempt, uint64_t until_us);
+/* Removes streams whose callers do not come back any more. */
+void so_expire(so_origins *origins, uint64_t now_us);
+
+/* Returns the row with the streams that this instance noted. */
+GBytes *so_write_row(const so_origins *origins, uint64_t now_us,
+                     uint64_t store_now_ms);
+/* Adds what a row says; own: an earlier process of this instance wrote it.
+   Returns false if it cannot be read. */
+bool so_read_row(so_origins *origins, GBytes *row, bool own, uint64_t now_us,
+                 uint64_t store_now_ms);
+
+/* queries */
+so_origin so_query(const so_origins *origins, uint64_t attempt,
+                   uint64_t now_us);
+/* Returns whether servers of more than one version may have begun the streams
+   of the service that callers come back with. */
+bool so_query_mixed(const so_origins *origins, uint64_t service,
+                    uint64_t now_us);
+bool so_query_any_mixed(const so_origins *origins, uint64_t now_us);
+/* Grows whenever the row of this instance changes. */
+uint64_t so_query_revision(const so_origins *origins);
+uint32_t so_query_count(const so_origins *origins);
+/* Returns whether nothing in a row is needed any more. */
+bool so_query_row_expired(GBytes *row, uint64_t store_now_ms);
+
+#endif
