Let streams that go on wait for a slot while software versions are mixed

Cause: the instance sent them to servers whose slots were taken, in the hope that these queue them, and a refusal ended them as new requests had used up the retry budget. Now such a stream waits up to 1.5 s for a server with a free slot, a refusal without budget waits for budget, and new requests leave 40 % of it. Only while a service has servers of several versions.

--- a/packages/exchange/src/budget.c
+++ b/packages/exchange/src/budget.c
@@ -63,27 +63,37 @@
     budget->first_sends[0]++;
 }
 
+/* Returns the resends of a whole window. */
+static double
+_bg_allowed(const bg_budget *budget, uint32_t live_instances)
+{
+    double first_sends = 0;
+    for (uint32_t i = 0; i < _BG_WINDOW_STEPS; i++) {
+        first_sends += budget->first_sends[i];
+    }
+    return _BG_USED_SHARE * (budget->desc.ratio * first_sends +
+                             budget->desc.slack / MAX(live_instances, 1));
+}
+
 double
 bg_query_resends_left(bg_budget *budget, uint64_t now_us,
                       uint32_t live_instances)
 {
     _bg_slide_window(budget, now_us);
-    double first_sends = 0;
     double resends = 0;
     for (uint32_t i = 0; i <= _BG_WINDOW_STEPS; i++) {
-        first_sends += i < _BG_WINDOW_STEPS ? budget->first_sends[i] : 0;
         resends += budget->resends[i];
     }
-    double allowed =
-        _BG_USED_SHARE * (budget->desc.ratio * first_sends +
-                          budget->desc.slack / MAX(live_instances, 1));
-    return allowed - resends;
+    return _bg_allowed(budget, live_instances) - resends;
 }
 
 bool
-bg_take_resend(bg_budget *budget, uint64_t now_us, uint32_t live_instances)
+bg_take_resend(bg_budget *budget, uint64_t now_us, uint32_t live_instances,
+               double kept_share)
 {
-    if (bg_query_resends_left(budget, now_us, live_instances) < 1.0) {
+    double left = bg_query_resends_left(budget, now_us, live_instances);
+    double kept = kept_share * _bg_allowed(budget, live_instances);
+    if (left - kept < 1.0) {
         return false;
     }
     budget->resends[0]++;
--- a/packages/exchange/src/budget.h
+++ b/packages/exchange/src/budget.h
@@ -8,7 +8,7 @@
  * that the total stays within the limit while a new instance is not seen yet.
  *
  *     bg_count_first_send(budget, now_us);
- *     if (bg_take_resend(budget, now_us, live_instances)) { send again }
+ *     if (bg_take_resend(budget, now_us, live_instances, 0)) { send again }
  *
  * Limits: one budget per service; the window slides in steps of a tenth.
  */
@@ -30,9 +30,10 @@
 void bg_destroy(bg_budget *budget);
 
 void bg_count_first_send(bg_budget *budget, uint64_t now_us);
-/* Takes one resend from the budget; returns false if none is left. */
+/* Takes one resend from the budget; returns false if none is left but the
+   kept_share of the whole budget, 0 to 1, which is kept for others. */
 bool bg_take_resend(bg_budget *budget, uint64_t now_us,
-                    uint32_t live_instances);
+                    uint32_t live_instances, double kept_share);
 
 /* queries */
 double bg_query_resends_left(bg_budget *budget, uint64_t now_us,
--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -1,6 +1,7 @@
 #include "answer_estimate.h"
 #include "exchange_private.h"
 
+#include "lacewing/hash.h"
 #include "lacewing/log.h"
 #include <string.h>
 
@@ -26,7 +27,10 @@
 /* Longest wait when no server can be expected soon; long enough for a server's
    entry or a lease that is just changing. */
 #define _XC_NO_SERVER_WAIT_US 300000
-/* Longest wait of an answer that has begun, as its caller cannot be refused:
+/* Share of the retry budget that is kept for streams that go on, while servers
+   of several software versions serve. */
+#define _XC_RESENDS_KEPT 0.4
+/* Longest wait of a stream that goes on, as its caller would lose the rest:
    callers leave a stream after a gap of two seconds or more. */
 #define _XC_BEGUN_WAIT_US 2000000
 /* Longest wait for a load, in multiples of the route's target, and at least
@@ -146,7 +150,7 @@
 _xc_max_wait_us(const xc_exchange *exchange, fl_choice_status why)
 {
     uint64_t target_us = exchange->route->latency_target_ms * 1000ULL;
-    if (exchange->answer_begun) {
+    if (exchange->answer_begun || exchange->slot_wait_until_us) {
         return _XC_BEGUN_WAIT_US;
     }
     switch (why) {
@@ -347,6 +351,7 @@
         .zone = exchange->core->desc.zone,
         .prompt_tokens = exchange->prompt_tokens,
         .software_hash = exchange->software_hash,
+        .needs_slot = xc_now_us(exchange) < exchange->slot_wait_until_us,
         .now_us = xc_now_us(exchange),
         .tried_count = exchange->tried_count,
     };
@@ -451,6 +456,12 @@
     if (xc_end_if_blocked(exchange)) {
         return;
     }
+    if (exchange->owes_resend &&
+        !xc_take_resend(exchange, xc_now_us(exchange))) {
+        _xc_wait(exchange, FL_ALL_FULL);
+        return;
+    }
+    exchange->owes_resend = false;
     fl_request criteria = _xc_make_criteria(exchange);
     criteria.wants_permits = true;
     criteria.waited = exchange->wanted_permit;
@@ -757,9 +768,15 @@
 xc_take_resend(const xc_exchange *exchange, uint64_t now_us)
 {
     xc_core *core = exchange->core;
+    /* Streams that go on where only some servers can are refused more often
+       than others, and their callers lose more. */
+    bool keeps = !exchange->slot_wait_until_us &&
+                 so_query_mixed(core->desc.origins,
+                                hs_u64(exchange->service->name), now_us);
     return bg_take_resend(
         xc_get_retry_budget(core, exchange->service->name), now_us,
-        core->desc.callbacks->count_live(core->desc.user_data));
+        core->desc.callbacks->count_live(core->desc.user_data),
+        keeps ? _XC_RESENDS_KEPT : 0);
 }
 
 /* Cancels the send, then goes on with the other one, or sends the request
--- a/packages/exchange/src/exchange_origin.c
+++ b/packages/exchange/src/exchange_origin.c
@@ -14,6 +14,9 @@
 /* Callers come back within their deadline; their clocks and messages add some
    of this. */
 #define _XC_ORIGIN_SLACK_US 2000000
+/* Longest wait for a free slot; below the gap of two seconds after which
+   callers leave. */
+#define _XC_SLOT_WAIT_US 1500000
 /* A caller that has lost the end of a whole answer comes back at once. */
 #define _XC_DONE_MEMORY_US 3000000
 
@@ -74,6 +77,7 @@
     }
     if (origin.known) {
         exchange->software_hash = origin.software;
+        xc_wait_for_slot(exchange);
         return origin.software ? _XC_ORIGIN_FOUND : _XC_ORIGIN_LOST;
     }
     if (desc->callbacks->origins_known(desc->user_data) &&
@@ -157,6 +161,17 @@
     return true;
 }
 
+void
+xc_wait_for_slot(xc_exchange *exchange)
+{
+    uint64_t now_us = xc_now_us(exchange);
+    if (exchange->software_hash &&
+        so_query_mixed(exchange->core->desc.origins,
+                       hs_u64(exchange->service->name), now_us)) {
+        exchange->slot_wait_until_us = now_us + _XC_SLOT_WAIT_US;
+    }
+}
+
 void
 xc_note_origin(xc_exchange *exchange)
 {
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -116,6 +116,9 @@
     uint64_t attempt_hash; /* of the attempt that brought the caller the first
                               event of its stream */
     uint64_t caller_deadline_us;
+    bool owes_resend; /* the next send draws on the retry budget first */
+    uint64_t slot_wait_until_us; /* until then it goes only to servers with a
+                                    free slot; 0: to any */
     /* Software version whose servers alone may go on with the stream; 0: any,
        no event has come. */
     uint64_t software_hash;
@@ -232,6 +235,10 @@
 /* Refuses a request whose wait for it has lasted too long. Returns whether it
    did. */
 bool xc_end_if_origin_overdue(xc_exchange *exchange, uint64_t now_us);
+/* The stream is to go on at another server. Where only some servers can, it
+   waits for a free slot, as a refusal would leave its caller without the rest.
+ */
+void xc_wait_for_slot(xc_exchange *exchange);
 /* The first event of a send is forwarded. */
 void xc_note_origin(xc_exchange *exchange);
 /* The caller has the whole answer, as far as is known here. */
--- a/packages/exchange/src/exchange_send.c
+++ b/packages/exchange/src/exchange_send.c
@@ -506,6 +506,9 @@
     if (xc_continue_other(exchange)) {
         return;
     }
+    if (exchange->answer_begun) {
+        xc_wait_for_slot(exchange);
+    }
     uint64_t now_us = xc_now_us(exchange);
     bool arrived = end != US_NOT_SENT;
     bool not_run = !arrived || exchange->send.refused;
@@ -513,9 +516,12 @@
         not_run || exchange->may_repeat || xc_query_can_resume(exchange);
     bool may_send_elsewhere =
         exchange->possible_runs < exchange->route->max_servers;
-    if (allowed && may_send_elsewhere && exchange->send_count < XC_MAX_SENDS &&
-        now_us < exchange->deadline_us &&
-        (!arrived || xc_take_resend(exchange, now_us))) {
+    bool may_send = allowed && may_send_elsewhere &&
+                    exchange->send_count < XC_MAX_SENDS &&
+                    now_us < exchange->deadline_us;
+    bool paid = !arrived || (may_send && xc_take_resend(exchange, now_us));
+    exchange->owes_resend = !paid && now_us < exchange->slot_wait_until_us;
+    if (may_send && (paid || exchange->owes_resend)) {
         ct_add(CT_SENT_AGAIN, 1);
         xc_dispatch(exchange);
         return;
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -166,6 +166,8 @@
     const char *zone;       /* preferred */
     uint32_t prompt_tokens; /* 0: not known */
     uint64_t software_hash; /* of the servers that may serve it; 0: any */
+    bool needs_slot; /* no server is eligible whose slots are all taken, though
+                        it may queue the request */
     uint64_t now_us;
     const fl_server *tried[FL_MAX_TRIED]; /* excluded */
     uint32_t tried_count;
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -207,7 +207,8 @@
 {
     /* Sums over all instances, so it is asked for once. */
     uint32_t in_flight = fl_query_in_flight(server, request->now_us);
-    if (_fl_saturated(server, in_flight)) {
+    if (_fl_saturated(server, in_flight) ||
+        (request->needs_slot && in_flight >= server->slots)) {
         out->status = out->status == FL_CHOSEN ? FL_CHOSEN : FL_ALL_FULL;
         return;
     }
--- a/packages/exchange/tests/test_budget.c
+++ b/packages/exchange/tests/test_budget.c
@@ -25,7 +25,7 @@
                 bg_count_first_send(budgets[i], now_us);
                 first_sends[step]++;
             }
-            if (bg_take_resend(budgets[i], now_us, INSTANCES)) {
+            if (bg_take_resend(budgets[i], now_us, INSTANCES, 0)) {
                 resends[step]++;
             }
         }
@@ -51,12 +51,28 @@
     bg_budget *budget =
         bg_create(&(bg_desc){.ratio = 0.2, .slack = 10, .window_ms = 1000});
     uint32_t taken = 0;
-    while (bg_take_resend(budget, 0, 1)) {
+    while (bg_take_resend(budget, 0, 1, 0)) {
         taken++;
     }
     ck_assert_uint_ge(taken, 5);
-    ck_assert(!bg_take_resend(budget, 500 * MS, 1));
-    ck_assert(bg_take_resend(budget, 1300 * MS, 1));
+    ck_assert(!bg_take_resend(budget, 500 * MS, 1, 0));
+    ck_assert(bg_take_resend(budget, 1300 * MS, 1, 0));
+    bg_destroy(budget);
+}
+END_TEST
+
+/* New requests leave a part to streams that go on. */
+START_TEST(test_part_of_the_budget_is_kept)
+{
+    bg_budget *budget =
+        bg_create(&(bg_desc){.ratio = 0.2, .slack = 100, .window_ms = 1000});
+    double all = bg_query_resends_left(budget, 0, 1);
+    while (bg_take_resend(budget, 0, 1, 0.4)) {
+    }
+    double left = bg_query_resends_left(budget, 0, 1);
+    ck_assert_double_ge(left, 0.4 * all);
+    ck_assert_double_le(left, 0.4 * all + 1.0);
+    ck_assert(bg_take_resend(budget, 0, 1, 0));
     bg_destroy(budget);
 }
 END_TEST
@@ -67,5 +83,6 @@
     TCase *tcase = tcase_create("budget");
     tcase_add_loop_test(tcase, test_all_instances_stay_within_budget, 0, 10);
     tcase_add_test(tcase, test_budget_refills);
+    tcase_add_test(tcase, test_part_of_the_budget_is_kept);
     return run_case("budget", tcase);
 }
--- a/packages/exchange/tests/test_fleet.c
+++ b/packages/exchange/tests/test_fleet.c
@@ -651,6 +651,27 @@
 }
 END_TEST
 
+/* A stream that goes on would lose the rest by a refusal of a full server. */
+START_TEST(test_request_that_needs_a_slot_goes_to_no_full_server)
+{
+    fixture s = make_fixture();
+    fl_server *one = put_server(&s, "i-1", "z1");
+    fl_request request = {
+        .service = "llm", .adapter = s.base, .now_us = s.now_us};
+    fl_choice choice;
+    for (uint32_t i = 0; i < one->slots; i++) {
+        request.needs_slot = true;
+        ck_assert(fl_choose_server(s.fleet, &request, &choice));
+        fl_begin_request(one, s.base, s.now_us);
+    }
+    ck_assert(!fl_choose_server(s.fleet, &request, &choice));
+    ck_assert_int_eq(choice.status, FL_ALL_FULL);
+    request.needs_slot = false;
+    ck_assert(fl_choose_server(s.fleet, &request, &choice));
+    fl_destroy(s.fleet);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -685,5 +706,7 @@
     tcase_add_test(tcase, test_load_server_is_same_at_all_instances);
     tcase_add_test(tcase, test_load_needs_orders_and_base_model);
     tcase_add_test(tcase, test_victim_is_least_needed_unused_copy);
+    tcase_add_test(tcase,
+                   test_request_that_needs_a_slot_goes_to_no_full_server);
     return run_case("fleet", tcase);
 }
