node_streams: bound the writes of many instances

195 instances that each write their row three times in 0.9 s would pass what one part of the store takes (200 a second), beside their leases. The interval is now 8 ms an instance, at least 300 ms, and a third of it after a stream broke off. test_software_versions: 14 of 14. By calculation; the store's limit was not played.

--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -353,8 +353,9 @@
     kr_clear_changed_rows(node->known_rows, table);
 }
 
-uint64_t
-nd_query_send_interval_us(const nd_node *node, uint64_t base_us)
+/* Returns the interval, lengthened where many instances send to each other. */
+static uint64_t
+_nd_query_send_interval_us(const nd_node *node, uint64_t base_us)
 {
     uint32_t live = le_query_live_count(node->lease);
     return base_us *
@@ -367,7 +368,7 @@
 _nd_send_periodic_updates(nd_node *node)
 {
     uint64_t now_us = lp_query_now_us(node->desc.loop);
-    uint64_t interval_us = nd_query_send_interval_us(node, _ND_SEND_LOADS_US);
+    uint64_t interval_us = _nd_query_send_interval_us(node, _ND_SEND_LOADS_US);
     if (now_us >= node->loads_sent_us + interval_us) {
         node->loads_sent_us = now_us;
         qt_set_instance_count(node->quotas, le_query_live_count(node->lease));
@@ -377,7 +378,7 @@
         gp_broadcast_loads(node->peers, &own);
     }
     if (now_us >= node->servers_sent_us +
-                      nd_query_send_interval_us(node, _ND_SEND_SERVERS_US)) {
+                      _nd_query_send_interval_us(node, _ND_SEND_SERVERS_US)) {
         node->servers_sent_us = now_us;
         fl_each_server(node->fleet, _nd_send_server_state, node);
         nd_send_blocks(node);
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -38,7 +38,7 @@
         bool reading;
         bool writing;
         bool written; /* this instance has a row */
-        bool urgent;  /* the row is written at the next tick */
+        bool urgent;  /* a stream broke off: it is written earlier */
         bool wanted;  /* requests wait for a read */
         bool mixed;   /* as it was logged */
         uint64_t read_began_us;
@@ -164,8 +164,6 @@
 /* Starts the fast timer if loads are in progress at servers held here, or a
    crash is observed or counted. */
 void nd_start_fast_timer(nd_node *node);
-/* Returns the interval, lengthened where many instances send to each other. */
-uint64_t nd_query_send_interval_us(const nd_node *node, uint64_t base_us);
 /* Sends other instances the digest of a table and its rows that changed. */
 void nd_send_table(nd_node *node, kr_table table);
 
--- a/packages/exchange/src/node_streams.c
+++ b/packages/exchange/src/node_streams.c
@@ -9,9 +9,13 @@
 /* Interval in which servers in the list are noted, and old streams removed. */
 #define _ND_NOTE_SERVERS_US 500000
 /* Interval in which changed streams are written while a service is mixed: what
-   began since is lost if all instances end at once. It grows with the number
-   of instances. */
+   began since is lost if all instances end at once. With many instances it is
+   longer, so that all of them together make some 125 writes a second: the
+   store takes 200 in one part. */
 #define _ND_WRITE_STREAMS_US 300000
+#define _ND_WRITE_STREAMS_PER_INSTANCE_US 8000
+/* After a stream broke off, the row is written after this part of it. */
+#define _ND_URGENT_WRITE_PART 3
 /* The row is written this often without a change, as it says for how long the
    service stays mixed. */
 #define _ND_REWRITE_STREAMS_US 5000000
@@ -210,6 +214,16 @@
                                         .user_data = node});
 }
 
+static uint64_t
+_nd_write_interval_us(const nd_node *node)
+{
+    uint64_t interval_us =
+        MAX(_ND_WRITE_STREAMS_US, le_query_live_count(node->lease) *
+                                      _ND_WRITE_STREAMS_PER_INSTANCE_US);
+    return node->streams.urgent ? interval_us / _ND_URGENT_WRITE_PART
+                                : interval_us;
+}
+
 /* The row may hold streams of an earlier process, so it is not written before
    the first read. */
 static void
@@ -224,15 +238,11 @@
         }
         return;
     }
-    uint64_t interval_us =
-        nd_query_send_interval_us(node, _ND_WRITE_STREAMS_US);
     bool changed =
         so_query_revision(node->origins) != node->streams.written_revision;
-    bool due = changed
-                   ? node->streams.urgent ||
-                         now_us >= node->streams.wrote_us + interval_us
-                   : now_us >= node->streams.wrote_us + _ND_REWRITE_STREAMS_US;
-    if (due) {
+    uint64_t interval_us =
+        changed ? _nd_write_interval_us(node) : _ND_REWRITE_STREAMS_US;
+    if (now_us >= node->streams.wrote_us + interval_us) {
         g_autoptr(GBytes) row = so_write_row(node->origins, now_us,
                                              _nd_store_now_ms(node, now_us));
         _nd_write_row(node, row, now_us);
