Write streams as they begin, so that all instances may be killed

A row is now written as a stream begins. Over time an instance keeps to one write in 8 ms an instance, 125 a second in all, and four may come sooner. Streams need no further write as they break off, so that call is gone. The line of a refusal names the attempt that the caller resumes.

--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -686,7 +686,6 @@
     xc_exchange *exchange = request;
     ct_add(CT_CANCELLED, 1);
     xc_log_outcome(LG_REQUEST_CANCELLED, exchange, cr_query_gone_text(why));
-    xc_note_broken_off(exchange);
     xc_cancel_all_sends(exchange, FL_OUTCOME_DEFAULT);
     xc_free(exchange);
 }
--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -60,9 +60,8 @@
     /* Asks for a read of what other instances know of streams; answered by
        xc_note_origins_read(). */
     void (*find_origins)(void *user_data);
-    /* A stream of this instance broke off: its caller may take it up again at
-       another one at once. */
-    void (*stream_broke_off)(void *user_data);
+    /* A stream of this instance began, and was noted. */
+    void (*stream_began)(void *user_data);
     /* True once what earlier processes knew of streams was read. */
     bool (*origins_known)(void *user_data);
 } xc_callbacks;
--- a/packages/exchange/src/exchange_answer.c
+++ b/packages/exchange/src/exchange_answer.c
@@ -64,12 +64,15 @@
     char counts[64];
     g_snprintf(counts, sizeof(counts), "%u/%u", exchange->send_count,
                exchange->piece_count);
+    const char *resumes = h1_query_header(
+        exchange->head, exchange->core->desc.dialect->headers[DL_RESUMES]);
     lg_write(item, "request", exchange->id ? exchange->id : "-", "why", why,
              "route", exchange->route->name, "workspace",
              exchange->workspace ? exchange->workspace->name : "-", "adapter",
              adapter ? adapter->key : "-", "server",
-             exchange->send_count ? exchange->send.server_id : "-",
-             "source_ended", exchange->source_end ? exchange->source_end : "-",
+             exchange->send_count ? exchange->send.server_id : "-", "resumes",
+             resumes ? resumes : "-", "source_ended",
+             exchange->source_end ? exchange->source_end : "-",
              "sent/first/after_ms", times, "sends/pieces", counts,
              "copies/coming/servers/busy/slots", copies, NULL);
 }
@@ -104,7 +107,6 @@
     xc_log_outcome(begun ? LG_REQUEST_BROKEN : LG_REQUEST_FAILED, exchange,
                    ct_query_unserved_text(why));
     ct_add(begun ? CT_BROKEN : CT_FAILED, 1);
-    xc_note_broken_off(exchange);
     ct_count_unserved(begun ? CT_OUTCOME_BROKEN : CT_OUTCOME_FAILED, why);
     xc_cancel_all_sends(exchange, FL_OUTCOME_DEFAULT);
     cr_conn *caller = exchange->caller;
--- a/packages/exchange/src/exchange_origin.c
+++ b/packages/exchange/src/exchange_origin.c
@@ -5,9 +5,9 @@
 #include "lacewing/hash.h"
 #include <string.h>
 
-/* The instance that had the stream writes where it began as soon as the stream
-   breaks off; a read that begins this long after its caller has come back
-   finds it, unless that instance has ended. */
+/* A stream is written as it begins, or a little later where many begin; a read
+   that begins this long after its caller has come back finds it, unless its
+   instance has ended before. */
 #define _XC_ORIGIN_SETTLE_US 600000
 /* Further time for that read to end; a slow store answers within it. */
 #define _XC_ORIGIN_READ_US 400000
@@ -175,10 +175,12 @@
 void
 xc_note_origin(xc_exchange *exchange)
 {
+    const xc_desc *desc = &exchange->core->desc;
     if (exchange->position) {
-        so_note_stream(exchange->core->desc.origins, exchange->attempt_hash,
+        so_note_stream(desc->origins, exchange->attempt_hash,
                        exchange->software_hash,
                        exchange->caller_deadline_us + _XC_ORIGIN_SLACK_US);
+        desc->callbacks->stream_began(desc->user_data);
     }
 }
 
@@ -188,12 +190,3 @@
     so_shorten(exchange->core->desc.origins, exchange->attempt_hash,
                xc_now_us(exchange) + _XC_DONE_MEMORY_US);
 }
-
-void
-xc_note_broken_off(xc_exchange *exchange)
-{
-    const xc_desc *desc = &exchange->core->desc;
-    if (exchange->answer_begun && exchange->position) {
-        desc->callbacks->stream_broke_off(desc->user_data);
-    }
-}
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -243,8 +243,6 @@
 void xc_note_origin(xc_exchange *exchange);
 /* The caller has the whole answer, as far as is known here. */
 void xc_note_stream_done(xc_exchange *exchange);
-/* The answer has begun and ends early. */
-void xc_note_broken_off(xc_exchange *exchange);
 
 /* -- exchange_second.c */
 /* Lets the send under way go on beside the next one. */
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -38,11 +38,11 @@
         bool reading;
         bool writing;
         bool written; /* this instance has a row */
-        bool urgent;  /* a stream broke off: it is written earlier */
         bool wanted;  /* requests wait for a read */
         bool mixed;   /* as it was logged */
         uint64_t read_began_us;
         uint64_t wrote_us;         /* when the last write was sent */
+        uint64_t paced_until_us;   /* see _ND_WRITE_STREAMS_BURST */
         uint64_t written_revision; /* so_query_revision() of that row */
         uint64_t servers_noted_us;
         uint64_t store_now_ms; /* the store's clock at store_now_us */
@@ -157,7 +157,7 @@
 void nd_run_streams(nd_node *node);
 /* See xc_callbacks. */
 void nd_find_origins(void *user_data);
-void nd_on_stream_broke_off(void *user_data);
+void nd_on_stream_began(void *user_data);
 bool nd_query_origins_known(void *user_data);
 
 /* -- node.c --------------------------------------------------------------- */
--- a/packages/exchange/src/node_streams.c
+++ b/packages/exchange/src/node_streams.c
@@ -8,14 +8,13 @@
 
 /* Interval in which servers in the list are noted, and old streams removed. */
 #define _ND_NOTE_SERVERS_US 500000
-/* Interval in which changed streams are written while a service is mixed: what
-   began since is lost if all instances end at once. With many instances it is
-   longer, so that all of them together make some 125 writes a second: the
-   store takes 200 in one part. */
-#define _ND_WRITE_STREAMS_US 300000
+/* Mean time between two writes of changed streams, at least, for each
+   instance: all instances together then make 125 writes a second, of the 200
+   that the store takes in one part. */
 #define _ND_WRITE_STREAMS_PER_INSTANCE_US 8000
-/* After a stream broke off, the row is written after this part of it. */
-#define _ND_URGENT_WRITE_PART 3
+/* So many writes may come sooner. A stream is written as it begins, since it
+   is lost if all instances end before. */
+#define _ND_WRITE_STREAMS_BURST 4
 /* The row is written this often without a change, as it says for how long the
    service stays mixed. */
 #define _ND_REWRITE_STREAMS_US 5000000
@@ -195,7 +194,6 @@
                                    .writes = writes,
                                    .write_count = count});
     node->streams.writing = true;
-    node->streams.urgent = false;
     node->streams.written = value != NULL;
     node->streams.wrote_us = now_us;
     node->streams.written_revision = so_query_revision(node->origins);
@@ -217,11 +215,18 @@
 static uint64_t
 _nd_write_interval_us(const nd_node *node)
 {
-    uint64_t interval_us =
-        MAX(_ND_WRITE_STREAMS_US, le_query_live_count(node->lease) *
-                                      _ND_WRITE_STREAMS_PER_INSTANCE_US);
-    return node->streams.urgent ? interval_us / _ND_URGENT_WRITE_PART
-                                : interval_us;
+    return MAX(le_query_live_count(node->lease), 1) *
+           _ND_WRITE_STREAMS_PER_INSTANCE_US;
+}
+
+static bool
+_nd_is_write_due(const nd_node *node, uint64_t now_us)
+{
+    bool changed =
+        so_query_revision(node->origins) != node->streams.written_revision;
+    uint64_t ahead_us = _nd_write_interval_us(node) * _ND_WRITE_STREAMS_BURST;
+    return changed ? now_us + ahead_us >= node->streams.paced_until_us
+                   : now_us >= node->streams.wrote_us + _ND_REWRITE_STREAMS_US;
 }
 
 /* The row may hold streams of an earlier process, so it is not written before
@@ -238,11 +243,10 @@
         }
         return;
     }
-    bool changed =
-        so_query_revision(node->origins) != node->streams.written_revision;
-    uint64_t interval_us =
-        changed ? _nd_write_interval_us(node) : _ND_REWRITE_STREAMS_US;
-    if (now_us >= node->streams.wrote_us + interval_us) {
+    if (_nd_is_write_due(node, now_us)) {
+        node->streams.paced_until_us =
+            MAX(now_us, node->streams.paced_until_us) +
+            _nd_write_interval_us(node);
         g_autoptr(GBytes) row = so_write_row(node->origins, now_us,
                                              _nd_store_now_ms(node, now_us));
         _nd_write_row(node, row, now_us);
@@ -293,10 +297,13 @@
     _nd_read_if_due(node, lp_query_now_us(node->desc.loop));
 }
 
+/* Written at once, unless the last write was too short ago: a stream that is
+   not written when all instances end cannot be taken up again. */
 void
-nd_on_stream_broke_off(void *user_data)
+nd_on_stream_began(void *user_data)
 {
-    ((nd_node *)user_data)->streams.urgent = true;
+    nd_node *node = user_data;
+    _nd_write_if_due(node, lp_query_now_us(node->desc.loop));
 }
 
 bool
