--- a/review/13/case.c
+++ b/review/13/case.c
@@ -1,120 +1,87 @@
-/* Servers read long bodies slowly; instances hold all of them, without a
-   bound, until the platform ends them for their memory. */
-#include "standin.h"
+/* Streams of a machine that loses power just before a second software version
+   appears are not taken up anywhere. */
+#include "chain.h"
 
 #include <signal.h>
 #include <string.h>
-#include <sys/wait.h>
 
-#define INSTANCES 2
-#define MEMORY_MB 260
-#define BODY_BYTES 4194304 /* MaxBodyBytes */
-#define PER_S 8            /* drafts, over both instances */
-#define LOAD_MS 50000
-#define PACE 131072 /* bytes a second that a server reads of one body */
-
-static si_instance *all[INSTANCES];
-static gint answered;
-static gint refused;
-static gint unanswered;
-static char *body;
-
-static void *
-draft(void *data)
-{
-    si_instance *instance = all[GPOINTER_TO_INT(data) % INSTANCES];
-    si_call call =
-        si_do(instance->listen, "POST", "/review/1",
-              "Deadline-Ms: 12000\r\nModel: base/a7\r\n"
-              "Token-Usage: 800,400\r\n",
-              body, BODY_BYTES, 14000, 0);
-    g_atomic_int_inc(call.complete && call.status == 200 ? &answered
-                     : call.status != 0 ? &refused
-                                        : &unanswered);
-    si_note("draft %s at %s: status %d%s", call.id, instance->name,
-            call.status, call.status ? "" : ", connection ended");
-    return NULL;
-}
-
-/* The platform ends a process that exceeds its memory, and starts it again
-   after a short delay. */
-static int ends[INSTANCES];
-static uint64_t most_kb[INSTANCES];
-static volatile bool over;
-
-static void *
-watch_memory(void *data)
-{
-    int at = GPOINTER_TO_INT(data);
-    while (!over) {
-        g_usleep(20000);
-        uint64_t kb = si_query_memory_kb(all[at]);
-        most_kb[at] = MAX(most_kb[at], kb);
-        bool alive = si_query_alive(all[at]);
-        if (alive && kb <= MEMORY_MB * 1024ULL) {
-            continue;
-        }
-        if (alive) {
-            kill(all[at]->pid, SIGKILL);
-            waitpid(all[at]->pid, NULL, 0);
-            all[at]->pid = 0;
-        }
-        ends[at]++;
-        si_note("%s ends by itself: %" G_GUINT64_FORMAT
-                " kB of %d MB, end %d",
-                all[at]->name, kb, MEMORY_MB, ends[at]);
-        g_usleep(1000000);
-        si_instance *next = si_start_instance(all[at]->name, MEMORY_MB);
-        si_await_ready(next);
-        all[at] = next;
-    }
-    return NULL;
-}
+#define INSTANCES 6
+#define STREAMS 30
+#define NEW_STREAMS 30
 
 int
 main(int argc, char **argv)
 {
     si_begin(argc > 1 ? argv[1] : ".");
     si_put_config(3);
-    body = g_strnfill(BODY_BYTES, 'b');
-    si_server *servers[4];
     for (int i = 0; i < 4; i++) {
-        g_autofree char *id = g_strdup_printf("i-llm-%d", i + 1);
-        servers[i] = si_make_server(id, "llm", true, "v1", "a7");
-        servers[i]->reads_slowly = si_trouble() ? PACE : 0;
-        si_start_server(servers[i]);
+        g_autofree char *id = g_strdup_printf("i-old-%d", i + 1);
+        si_start_server(si_make_server(id, "llm", true, "v1", "a7"));
     }
-    si_note("servers read %s", si_trouble() ? "slowly" : "at once");
+    si_instance *all[INSTANCES];
     for (int i = 0; i < INSTANCES; i++) {
         g_autofree char *name = g_strdup_printf("front-a-%d", i + 1);
-        all[i] = si_start_instance(name, MEMORY_MB);
+        all[i] = si_start_instance(name, 260);
     }
     for (int i = 0; i < INSTANCES; i++) {
         if (!si_await_ready(all[i])) {
             si_end(2, "%s is not ready", all[i]->name);
         }
-        si_run_thread(watch_memory, GINT_TO_POINTER(i));
     }
-    uint64_t begun = si_now_ms() + 3000;
-    for (int i = 0; i < LOAD_MS * PER_S / 1000; i++) {
-        si_sleep_until(begun + (uint64_t)i * 1000 / PER_S);
-        si_run_thread(draft, GINT_TO_POINTER(i));
+    uint64_t begun = si_now_ms() + 4000;
+    si_sleep_until(begun);
+    static si_chain chains[STREAMS];
+    for (int i = 0; i < STREAMS; i++) {
+        chains[i].number = i + 1;
+        chains[i].instances[0] = all[0];
+        for (int j = 1; j < CHAIN_ATTEMPTS; j++) {
+            /* Retries reach other daemons. */
+            chains[i].instances[j] = all[1 + (i + j) % (INSTANCES - 1)];
+        }
+        si_run_thread(si_run_chain, &chains[i]);
+        g_usleep(10000);
+    }
+
+    /* One machine of six loses power, and is dark for 3.5 s: it is stopped,
+       then killed. */
+    si_sleep_until(begun + 1500);
+    if (si_trouble()) {
+        kill(all[0]->pid, SIGSTOP);
+        si_note("%s loses power", all[0]->name);
+    }
+    /* A release begins: the new server starts first. */
+    si_sleep_until(begun + 2500);
+    si_start_server(si_make_server("i-new-1", "llm", true, "v2", NULL));
+    si_sleep_until(begun + 5000);
+    if (si_trouble()) {
+        kill(all[0]->pid, SIGKILL);
+        si_note("%s is back: its connections are reset", all[0]->name);
+    }
+    static si_chain fresh[NEW_STREAMS];
+    for (int i = 0; i < NEW_STREAMS; i++) {
+        fresh[i].number = 1000 + i;
+        fresh[i].instances[0] = all[1 + i % (INSTANCES - 1)];
+        si_run_thread(si_run_chain, &fresh[i]);
+        g_usleep(30000);
     }
-    g_usleep(13000000);
-    over = true;
     si_await_threads();
-    int machines = 0;
-    for (int i = 0; i < INSTANCES; i++) {
-        machines += ends[i] >= 3;
-        si_note("%s: %d ends, at most %" G_GUINT64_FORMAT " kB",
-                all[i]->name, ends[i], most_kb[i]);
+
+    int taken_up = 0;
+    int go_on = 0;
+    int begin = 0;
+    for (int i = 0; i < STREAMS; i++) {
+        taken_up += chains[i].taken_up;
+        go_on += chains[i].goes_on;
+    }
+    for (int i = 0; i < NEW_STREAMS; i++) {
+        begin += fresh[i].calls[0].events->len > 0;
     }
-    si_note("drafts answered 200: %d, with another status: %d, not "
-            "answered: %d",
-            answered, refused, unanswered);
-    si_end(machines >= 2 ? 1 : 0,
-           "Fault: %d of %d instances ended by themselves three times or more "
-           "(%d and %d), most memory %" G_GUINT64_FORMAT " kB",
-           machines, INSTANCES, ends[0], ends[1],
-           MAX(most_kb[0], most_kb[1]));
+    si_note("taken up %d, go on %d; new streams %d, begun %d", taken_up, go_on,
+            NEW_STREAMS, begin);
+    bool broken =
+        taken_up >= 12 && (double)go_on / taken_up < 0.5 * begin / NEW_STREAMS;
+    si_end(broken,
+           "LOST: %d of %d streams that callers took up go on; %d of %d new "
+           "ones begin",
+           go_on, taken_up, begin, NEW_STREAMS);
 }
