--- a/review/11/case.c
+++ b/review/11/case.c
@@ -2,7 +2,6 @@
    is cut off and has not heard of this version. */
 #include "chain.h"
 
-#include <signal.h>
 #include <string.h>
 
 #define INSTANCES 6
@@ -57,9 +56,14 @@
     /* The process of another machine is killed; its callers come back. */
     si_sleep_until(begun + 4200);
     if (si_trouble()) {
-        kill(first->pid, SIGKILL);
+        si_kill_instance(first);
         si_note("%s is killed", first->name);
     }
+    /* The platform starts it again after a short delay. */
+    si_sleep_until(begun + 5200);
+    if (si_trouble()) {
+        si_run_instance(first);
+    }
     si_sleep_until(begun + 5500);
     if (si_trouble()) {
         alone->door->cut = 0;
--- a/review/13/case.c
+++ b/review/13/case.c
@@ -54,8 +54,9 @@
     si_start_server(si_make_server("i-new-1", "llm", true, "v2", NULL));
     si_sleep_until(begun + 5000);
     if (si_trouble()) {
-        kill(all[0]->pid, SIGKILL);
+        si_kill_instance(all[0]);
         si_note("%s is back: its connections are reset", all[0]->name);
+        si_run_instance(all[0]);
     }
     static si_chain fresh[NEW_STREAMS];
     for (int i = 0; i < NEW_STREAMS; i++) {
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,7 +5,7 @@
 cd "$here/../.." || exit 2
 number=$(basename "$here")
 [ -x "target/review-3/case-$number" ] && [ -x target/bin/lacewingd ] || exit 2
-timeout -s TERM 115 "target/review-3/case-$number" "$here"
+timeout -k 3 -s TERM 114 "target/review-3/case-$number" "$here"
 code=$?
 [ $code -le 1 ] && exit $code
 exit 2
--- a/review/standin-3/chain.c
+++ b/review/standin-3/chain.c
@@ -13,11 +13,14 @@
         if (!instance) {
             break;
         }
-        g_autofree char *headers =
-            last ? g_strdup_printf(CHAIN_HEADERS "Last-Event-Id: %u\r\n"
-                                                 "Resumes: %s\r\n",
+        g_autofree char *more =
+            last ? g_strdup_printf("Last-Event-Id: %u\r\nResumes: %s\r\n",
                                    last, first_id)
-                 : g_strdup(CHAIN_HEADERS);
+                 : g_strdup("");
+        /* The last part of a prompt belongs to the request. */
+        g_autofree char *headers = g_strdup_printf(
+            CHAIN_HEADERS "Prompt-Prefix: 5c1e07a2:198,%08x:602\r\n%s",
+            (unsigned)c->number + 0x1000, more);
         si_call *call = &c->calls[c->count];
         *call = si_do(instance->listen, "POST", "/draft/1", headers, "prompt",
                       6, 4000, 0);
--- a/review/standin-3/standin.h
+++ b/review/standin-3/standin.h
@@ -88,6 +88,9 @@
     si_door *door;
 } si_instance;
 si_instance *si_start_instance(const char *name, uint32_t memory_mb);
+/* Ends its process; starts it again, with the same settings. */
+void si_kill_instance(si_instance *instance);
+void si_run_instance(si_instance *instance);
 /* Returns false if it is not ready within 15 s. */
 bool si_await_ready(si_instance *instance);
 /* Memory in use, kB; 0: the process has ended. */
