--- a/packages/exchange/src/exchange.c
+++ b/packages/exchange/src/exchange.c
@@ -342,6 +342,19 @@
     }
 }
 
+/* Returns the software version whose servers alone may get the request; 0:
+   any. A stream that others may have to go on with begins only where they can
+   learn of it, see stream_origins.h. */
+static uint64_t
+_xc_query_software(const xc_exchange *exchange)
+{
+    if (exchange->software_hash || !exchange->position) {
+        return exchange->software_hash;
+    }
+    return so_query_begin_software(exchange->core->desc.origins,
+                                   hs_u64(exchange->service->name));
+}
+
 static fl_request
 _xc_make_criteria(const xc_exchange *exchange)
 {
@@ -350,7 +363,7 @@
         .adapter = exchange->adapter,
         .zone = exchange->core->desc.zone,
         .prompt_tokens = exchange->prompt_tokens,
-        .software_hash = exchange->software_hash,
+        .software_hash = _xc_query_software(exchange),
         .needs_slot = xc_now_us(exchange) < exchange->slot_wait_until_us,
         .now_us = xc_now_us(exchange),
         .tried_count = exchange->tried_count,
@@ -367,8 +380,8 @@
 static bool
 _xc_may_use(const xc_exchange *exchange, const fl_server *server)
 {
-    return exchange->software_hash == 0 ||
-           (server && server->software_hash == exchange->software_hash);
+    uint64_t software = _xc_query_software(exchange);
+    return software == 0 || (server && server->software_hash == software);
 }
 
 /* Asks for a further copy of the adapter, unless it was asked for less than
@@ -446,6 +459,9 @@
 {
     bool chosen =
         fl_choose_server(exchange->core->desc.fleet, criteria, choice);
+    if (choice->status == FL_NO_SOFTWARE && !exchange->software_hash) {
+        choice->status = FL_NO_SERVER; /* it may begin at others soon */
+    }
     _xc_count_skipped(exchange, choice);
     return chosen;
 }
@@ -836,7 +852,7 @@
         _xc_time_out(exchange);
         return;
     }
-    if (xc_end_if_origin_overdue(exchange, now_us)) {
+    if (xc_end_origin_wait(exchange, now_us)) {
         return;
     }
     xc_select_latest_send(exchange);
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -1110,6 +1110,57 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
+lacewing__exchange__origins_word__init(
+    Lacewing__Exchange__OriginsWord *message)
+{
+    static const Lacewing__Exchange__OriginsWord init_value =
+        LACEWING__EXCHANGE__ORIGINS_WORD__INIT;
+    *message = init_value;
+}
+size_t
+lacewing__exchange__origins_word__get_packed_size(
+    const Lacewing__Exchange__OriginsWord *message)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__origins_word__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+lacewing__exchange__origins_word__pack(
+    const Lacewing__Exchange__OriginsWord *message, uint8_t *out)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__origins_word__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+lacewing__exchange__origins_word__pack_to_buffer(
+    const Lacewing__Exchange__OriginsWord *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor ==
+           &lacewing__exchange__origins_word__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Lacewing__Exchange__OriginsWord *
+lacewing__exchange__origins_word__unpack(ProtobufCAllocator *allocator,
+                                         size_t len, const uint8_t *data)
+{
+    return (Lacewing__Exchange__OriginsWord *)protobuf_c_message_unpack(
+        &lacewing__exchange__origins_word__descriptor, allocator, len, data);
+}
+void
+lacewing__exchange__origins_word__free_unpacked(
+    Lacewing__Exchange__OriginsWord *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor ==
+           &lacewing__exchange__origins_word__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
 lacewing__exchange__word__init(Lacewing__Exchange__Word *message)
 {
     static const Lacewing__Exchange__Word init_value =
@@ -2426,7 +2477,49 @@
         NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__word__field_descriptors[19] = {
+    lacewing__exchange__origins_word__field_descriptors[2] = {
+        {
+            "store_lost", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__OriginsWord, store_lost), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "mixed", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__OriginsWord, mixed), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned
+    lacewing__exchange__origins_word__field_indices_by_name[] = {
+        1, /* field[1] = mixed */
+        0, /* field[0] = store_lost */
+};
+static const ProtobufCIntRange
+    lacewing__exchange__origins_word__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor lacewing__exchange__origins_word__descriptor =
+    {
+        PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+        "lacewing.exchange.OriginsWord",
+        "OriginsWord",
+        "Lacewing__Exchange__OriginsWord",
+        "lacewing.exchange",
+        sizeof(Lacewing__Exchange__OriginsWord),
+        2,
+        lacewing__exchange__origins_word__field_descriptors,
+        lacewing__exchange__origins_word__field_indices_by_name,
+        1,
+        lacewing__exchange__origins_word__number_ranges,
+        (ProtobufCMessageInit)lacewing__exchange__origins_word__init,
+        NULL,
+        NULL,
+        NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    lacewing__exchange__word__field_descriptors[20] = {
         {
             "instance", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
             0, /* quantifier_offset */
@@ -2563,6 +2656,13 @@
             &lacewing__exchange__quota_use__descriptor, NULL, 0, /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
+        {
+            "origins", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__Word, origins),
+            &lacewing__exchange__origins_word__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned lacewing__exchange__word__field_indices_by_name[] = {
     5,  /* field[5] = asks */
@@ -2575,6 +2675,7 @@
     15, /* field[15] = limits */
     3,  /* field[3] = loads */
     8,  /* field[8] = number */
+    19, /* field[19] = origins */
     16, /* field[16] = permit_asks */
     17, /* field[17] = permit_grants */
     18, /* field[18] = quota_uses */
@@ -2586,7 +2687,7 @@
     10, /* field[10] = words */
 };
 static const ProtobufCIntRange lacewing__exchange__word__number_ranges[2 + 1] =
-    {{1, 0}, {8, 6}, {0, 19}};
+    {{1, 0}, {8, 6}, {0, 20}};
 const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "lacewing.exchange.Word",
@@ -2594,7 +2695,7 @@
     "Lacewing__Exchange__Word",
     "lacewing.exchange",
     sizeof(Lacewing__Exchange__Word),
-    19,
+    20,
     lacewing__exchange__word__field_descriptors,
     lacewing__exchange__word__field_indices_by_name,
     2,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -37,6 +37,7 @@
 typedef struct Lacewing__Exchange__MixedService
     Lacewing__Exchange__MixedService;
 typedef struct Lacewing__Exchange__StreamsRow Lacewing__Exchange__StreamsRow;
+typedef struct Lacewing__Exchange__OriginsWord Lacewing__Exchange__OriginsWord;
 typedef struct Lacewing__Exchange__Word Lacewing__Exchange__Word;
 
 /* --- enums --- */
@@ -542,6 +543,28 @@
         , 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL                      \
     }
 
+/*
+ * What the sender knows that others need for streams that callers take up
+ * again. Left out while the store answers the sender and no service is mixed.
+ */
+struct Lacewing__Exchange__OriginsWord {
+    ProtobufCMessage base;
+    /*
+     * the store does not answer the sender
+     */
+    protobuf_c_boolean store_lost;
+    /*
+     * a service is mixed
+     */
+    protobuf_c_boolean mixed;
+};
+#define LACEWING__EXCHANGE__ORIGINS_WORD__INIT                                \
+    {                                                                         \
+        PROTOBUF_C_MESSAGE_INIT(                                              \
+            &lacewing__exchange__origins_word__descriptor)                    \
+        , 0, 0                                                                \
+    }
+
 /*
  * One datagram, or one of the messages that a relay forwards in a datagram.
  */
@@ -590,13 +613,14 @@
     Lacewing__Exchange__PermitGrant **permit_grants;
     size_t n_quota_uses;
     Lacewing__Exchange__QuotaUse **quota_uses;
+    Lacewing__Exchange__OriginsWord *origins;
 };
 #define LACEWING__EXCHANGE__WORD__INIT                                        \
     {                                                                         \
         PROTOBUF_C_MESSAGE_INIT(&lacewing__exchange__word__descriptor)        \
         , (char *)protobuf_c_empty_string, 0, 0, 0, 0, NULL, 0, NULL, 0,      \
             NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0,    \
-            NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL                 \
+            NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, NULL           \
     }
 
 /* Lacewing__Exchange__InstanceRow methods */
@@ -907,6 +931,20 @@
                                         size_t len, const uint8_t *data);
 void lacewing__exchange__streams_row__free_unpacked(
     Lacewing__Exchange__StreamsRow *message, ProtobufCAllocator *allocator);
+/* Lacewing__Exchange__OriginsWord methods */
+void lacewing__exchange__origins_word__init(
+    Lacewing__Exchange__OriginsWord *message);
+size_t lacewing__exchange__origins_word__get_packed_size(
+    const Lacewing__Exchange__OriginsWord *message);
+size_t lacewing__exchange__origins_word__pack(
+    const Lacewing__Exchange__OriginsWord *message, uint8_t *out);
+size_t lacewing__exchange__origins_word__pack_to_buffer(
+    const Lacewing__Exchange__OriginsWord *message, ProtobufCBuffer *buffer);
+Lacewing__Exchange__OriginsWord *
+lacewing__exchange__origins_word__unpack(ProtobufCAllocator *allocator,
+                                         size_t len, const uint8_t *data);
+void lacewing__exchange__origins_word__free_unpacked(
+    Lacewing__Exchange__OriginsWord *message, ProtobufCAllocator *allocator);
 /* Lacewing__Exchange__Word methods */
 void lacewing__exchange__word__init(Lacewing__Exchange__Word *message);
 size_t lacewing__exchange__word__get_packed_size(
@@ -966,6 +1004,8 @@
     const Lacewing__Exchange__MixedService *message, void *closure_data);
 typedef void (*Lacewing__Exchange__StreamsRow_Closure)(
     const Lacewing__Exchange__StreamsRow *message, void *closure_data);
+typedef void (*Lacewing__Exchange__OriginsWord_Closure)(
+    const Lacewing__Exchange__OriginsWord *message, void *closure_data);
 typedef void (*Lacewing__Exchange__Word_Closure)(
     const Lacewing__Exchange__Word *message, void *closure_data);
 
@@ -1016,6 +1056,8 @@
     lacewing__exchange__mixed_service__descriptor;
 extern const ProtobufCMessageDescriptor
     lacewing__exchange__streams_row__descriptor;
+extern const ProtobufCMessageDescriptor
+    lacewing__exchange__origins_word__descriptor;
 extern const ProtobufCMessageDescriptor lacewing__exchange__word__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/exchange/src/exchange_origin.c
+++ b/packages/exchange/src/exchange_origin.c
@@ -11,6 +11,9 @@
 #define _XC_ORIGIN_SETTLE_US 600000
 /* Further time for that read to end; a slow store answers within it. */
 #define _XC_ORIGIN_READ_US 400000
+/* What other instances say counts this long after the caller has come back:
+   datagrams that came while the instance stood still are read by then. */
+#define _XC_ORIGIN_HEARD_US 100000
 /* Callers come back within their deadline; their clocks and messages add some
    of this. */
 #define _XC_ORIGIN_SLACK_US 2000000
@@ -64,15 +67,27 @@
             _xc_header(exchange, DL_RESUMES));
 }
 
+/* Returns true if all streams of the service that callers come back with began
+   at its base, as the rows say that were read after this caller came back. */
+static bool
+_xc_began_at_base(const xc_exchange *exchange, uint64_t read_us)
+{
+    const xc_desc *desc = &exchange->core->desc;
+    return read_us >= exchange->origin_asked_us &&
+           desc->callbacks->origins_known(desc->user_data) &&
+           !so_query_restored(desc->origins, xc_now_us(exchange));
+}
+
 /* Looks for the origin among what is known here. read_us: when the latest read
    of what others know began; 0: none has ended since. */
 static _xc_origin_verdict
-_xc_look_up_origin(xc_exchange *exchange, bool named, uint64_t read_us)
+_xc_look_up_origin(xc_exchange *exchange, uint64_t read_us)
 {
     const xc_desc *desc = &exchange->core->desc;
     uint64_t now_us = xc_now_us(exchange);
+    uint64_t service = hs_u64(exchange->service->name);
     so_origin origin = {0};
-    if (named) {
+    if (exchange->origin_named) {
         origin = so_query(desc->origins, exchange->attempt_hash, now_us);
     }
     if (origin.known) {
@@ -80,12 +95,16 @@
         xc_wait_for_slot(exchange);
         return origin.software ? _XC_ORIGIN_FOUND : _XC_ORIGIN_LOST;
     }
-    if (desc->callbacks->origins_known(desc->user_data) &&
-        !so_query_mixed(desc->origins, hs_u64(exchange->service->name),
-                        now_us)) {
-        return _XC_ORIGIN_FOUND; /* there has been one version only */
+    if (!so_query_mixed(desc->origins, service, now_us)) {
+        uint64_t base = so_query_base(desc->origins, service);
+        if (!base || !_xc_began_at_base(exchange, read_us)) {
+            return _XC_ORIGIN_AWAITED;
+        }
+        exchange->software_hash = base;
+        return _XC_ORIGIN_FOUND;
     }
-    return named && read_us < exchange->received_us + _XC_ORIGIN_SETTLE_US
+    return exchange->origin_named &&
+                   read_us < exchange->received_us + _XC_ORIGIN_SETTLE_US
                ? _XC_ORIGIN_AWAITED
                : _XC_ORIGIN_LOST;
 }
@@ -109,8 +128,10 @@
     if (resumed) {
         exchange->attempt_hash = hs_u64(resumed);
     }
-    _xc_origin_verdict verdict =
-        _xc_look_up_origin(exchange, resumed != NULL, 0);
+    exchange->origin_named = resumed != NULL;
+    /* The loop's time may be that before the instance stood still. */
+    exchange->origin_asked_us = lp_query_clock_us();
+    _xc_origin_verdict verdict = _xc_look_up_origin(exchange, 0);
     if (verdict == _XC_ORIGIN_AWAITED) {
         exchange->wait_link.data = exchange;
         exchange->state = XC_WAITING_ORIGIN;
@@ -132,7 +153,7 @@
     for (guint i = 0; i < waiting; i++) {
         xc_exchange *exchange = core->waiting_origin.head->data;
         xc_stop_waiting(exchange);
-        switch (_xc_look_up_origin(exchange, true, began_us)) {
+        switch (_xc_look_up_origin(exchange, began_us)) {
         case _XC_ORIGIN_FOUND:
             xc_dispatch(exchange);
             break;
@@ -149,12 +170,37 @@
     }
 }
 
+/* Returns true if the store's rows cannot be read, but no stream can have
+   begun at another version than the base: an instance would have to store its
+   row first, and to reach the store when most others do not. */
+static bool
+_xc_store_is_lost(const xc_exchange *exchange, uint64_t now_us)
+{
+    const xc_desc *desc = &exchange->core->desc;
+    uint64_t service = hs_u64(exchange->service->name);
+    return !so_query_mixed(desc->origins, service, now_us) &&
+           so_query_base(desc->origins, service) &&
+           desc->callbacks->origins_known(desc->user_data) &&
+           desc->callbacks->store_lost_by_most(exchange->origin_asked_us +
+                                                   _XC_ORIGIN_HEARD_US,
+                                               desc->user_data);
+}
+
 bool
-xc_end_if_origin_overdue(xc_exchange *exchange, uint64_t now_us)
+xc_end_origin_wait(xc_exchange *exchange, uint64_t now_us)
 {
-    if (exchange->state != XC_WAITING_ORIGIN ||
-        now_us < exchange->received_us + _XC_ORIGIN_SETTLE_US +
-                     _XC_ORIGIN_READ_US) {
+    if (exchange->state != XC_WAITING_ORIGIN) {
+        return false;
+    }
+    if (_xc_store_is_lost(exchange, now_us)) {
+        xc_stop_waiting(exchange);
+        exchange->software_hash = so_query_base(
+            exchange->core->desc.origins, hs_u64(exchange->service->name));
+        xc_dispatch(exchange);
+        return true;
+    }
+    if (now_us <
+        exchange->received_us + _XC_ORIGIN_SETTLE_US + _XC_ORIGIN_READ_US) {
         return false;
     }
     _xc_refuse_unknown_origin(exchange);
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -116,6 +116,8 @@
     uint64_t attempt_hash; /* of the attempt that brought the caller the first
                               event of its stream */
     uint64_t caller_deadline_us;
+    uint64_t origin_asked_us; /* when that attempt was first looked for */
+    bool origin_named;        /* the caller names that attempt */
     bool owes_resend; /* the next send draws on the retry budget first */
     uint64_t slot_wait_until_us; /* until then it goes only to servers with a
                                     free slot; 0: to any */
@@ -232,9 +234,10 @@
 /* Finds the software version that began the caller's stream, if it takes one
    up again. Returns false if the request waits for it, or was refused. */
 bool xc_find_origin(xc_exchange *exchange);
-/* Refuses a request whose wait for it has lasted too long. Returns whether it
-   did. */
-bool xc_end_if_origin_overdue(xc_exchange *exchange, uint64_t now_us);
+/* Dispatches a request that waits for it where the store cannot tell, or
+   refuses it if its wait has lasted too long. Returns whether it did either.
+ */
+bool xc_end_origin_wait(xc_exchange *exchange, uint64_t now_us);
 /* The stream is to go on at another server. Where only some servers can, it
    waits for a free slot, as a refusal would leave its caller without the rest.
  */
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -552,6 +552,22 @@
     g_ptr_array_add(all->quotas, word);
 }
 
+/* Returns false if there is nothing to tell. */
+static bool
+_gp_fill_origins(const gp_peers *peers, Lacewing__Exchange__OriginsWord *word)
+{
+    const gp_callbacks *callbacks = peers->desc.callbacks;
+    gp_origins known = {0};
+    if (!callbacks->origins ||
+        !callbacks->origins(&known, peers->desc.user_data)) {
+        return false;
+    }
+    lacewing__exchange__origins_word__init(word);
+    word->store_lost = known.store_lost;
+    word->mixed = known.mixed;
+    return true;
+}
+
 void
 gp_broadcast_loads(gp_peers *peers, const gp_table_digest *own)
 {
@@ -576,7 +592,10 @@
     Lacewing__Exchange__TableWord *tables[] = {&table};
     message.n_tables = _gp_fill_table_digest(peers, &table, KR_OWN, own);
     message.tables = tables;
-    if (message.n_loads || message.n_uses || message.n_quota_uses) {
+    Lacewing__Exchange__OriginsWord origins;
+    message.origins = _gp_fill_origins(peers, &origins) ? &origins : NULL;
+    if (message.n_loads || message.n_uses || message.n_quota_uses ||
+        message.origins) {
         gp_broadcast(peers, &message, true);
     }
     g_ptr_array_unref(all.loads);
@@ -770,6 +789,12 @@
         fl_add_demand(fl_intern(peers->desc.fleet, message->uses[i]->key),
                       message->uses[i]->count, now_us);
     }
+    if (message->origins && peers->desc.callbacks->peer_origins) {
+        gp_origins known = {.store_lost = message->origins->store_lost,
+                            .mixed = message->origins->mixed};
+        peers->desc.callbacks->peer_origins(message->instance, &known,
+                                            peers->desc.user_data);
+    }
     for (size_t i = 0; i < message->n_leaving; i++) {
         peers->desc.callbacks->server_leaving(message->leaving[i]->server,
                                               message->leaving[i]->born_ms,
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -34,6 +34,13 @@
     uint64_t at_us;
 } gp_table_digest;
 
+/* What an instance knows that others need for streams that callers take up
+   again. */
+typedef struct gp_origins {
+    bool store_lost; /* the store does not answer it */
+    bool mixed;      /* a service is mixed, see stream_origins.h */
+} gp_origins;
+
 typedef struct gp_callbacks {
     /* Another instance read this row from the store, or wrote it. */
     void (*row)(kr_table table, const dl_row *row, void *user_data);
@@ -66,6 +73,10 @@
                           const pm_ask *ask, void *user_data);
     void (*permits_granted)(const char *id, uint64_t born_ms, uint32_t count,
                             void *user_data);
+    /* Stores what to tell the others. Returns false if there is nothing. */
+    bool (*origins)(gp_origins *out, void *user_data);
+    void (*peer_origins)(const char *instance, const gp_origins *origins,
+                         void *user_data);
     /* The holder of a server sent a new state, which has been applied. */
     void (*server_changed)(fl_server *server, void *user_data);
 } gp_callbacks;
@@ -113,8 +124,9 @@
 void gp_broadcast_block(gp_peers *peers, const su_block *block);
 void gp_broadcast_cleared(gp_peers *peers, uint64_t item, uint64_t began_us);
 /* Broadcasts local in-flight counts that changed or were sent too long ago,
-   adapter uses since the last call, and what was admitted of quotas. Adds the
-   digest of the own table, as messages about it may have been lost. */
+   adapter uses since the last call, what was admitted of quotas, and what
+   gp_callbacks.origins tells. Adds the digest of the own table, as messages
+   about it may have been lost. */
 void gp_broadcast_loads(gp_peers *peers, const gp_table_digest *own);
 /* Broadcasts the digest of a store table and its new rows (dl_row). Rows that
    are too many or too large for a datagram are left out: receivers then read
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -157,7 +157,8 @@
     .config_fresh = _nd_query_config_fresh,
     .find_origins = nd_find_origins,
     .stream_began = nd_on_stream_began,
-    .origins_known = nd_query_origins_known};
+    .origins_known = nd_query_origins_known,
+    .store_lost_by_most = nd_query_store_lost_by_most};
 static const gp_callbacks _nd_peer_callbacks = {
     .revision = or_query_revision,
     .row = nd_on_peer_row,
@@ -171,6 +172,8 @@
     .blocked = nd_on_peer_block,
     .cleared = nd_on_peer_cleared,
     .load_capacity = _nd_on_load_capacity,
+    .origins = nd_query_own_origins,
+    .peer_origins = nd_on_peer_origins,
     .server_changed = nd_wake_waiting_requests};
 
 /* -- private: /readyz and /metrics ---------------------------------------- */
@@ -560,6 +563,8 @@
     node->quotas = qt_create();
     node->origins = so_create(&(so_desc){0});
     node->streams.obsolete = g_ptr_array_new_with_free_func(g_free);
+    node->streams.peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     node->core = xc_create(&(xc_desc){
         .loop = loop,
         .hub = node->hub,
@@ -658,6 +663,7 @@
     qt_destroy(node->quotas);
     so_destroy(node->origins);
     g_ptr_array_unref(node->streams.obsolete);
+    g_hash_table_unref(node->streams.peers);
     g_free(node->streams.page_after);
     su_destroy(node->suspects);
     hc_destroy(node->client);
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -17,6 +17,12 @@
 #include "orderer.h"
 #include "watch.h"
 
+/* What another instance said last for streams that callers take up again. */
+typedef struct nd_peer_origins {
+    gp_origins known;
+    uint64_t heard_us;
+} nd_peer_origins;
+
 struct nd_node {
     nd_desc desc;
     tm_service *timers;
@@ -44,12 +50,14 @@
         uint64_t wrote_us;         /* when the last write was sent */
         uint64_t paced_until_us;   /* see _ND_WRITE_STREAMS_BURST */
         uint64_t written_revision; /* so_query_revision() of that row */
-        uint64_t servers_noted_us;
+        uint64_t servers_noted_us; /* 0: the list has changed since */
+        uint64_t era; /* of the store, as the rows were last read or written */
         uint64_t store_now_ms; /* the store's clock at store_now_us */
         uint64_t store_now_us;
         char *page_after;    /* last key of the page that was read; NULL: none
                                 is being read */
         GPtrArray *obsolete; /* keys of rows that nobody needs */
+        GHashTable *peers;   /* instance -> nd_peer_origins */
     } streams;
     su_suspects *suspects;
     GHashTable *limit_shares; /* server id -> ls_share, divided here */
@@ -159,6 +167,11 @@
 void nd_find_origins(void *user_data);
 void nd_on_stream_began(void *user_data);
 bool nd_query_origins_known(void *user_data);
+bool nd_query_store_lost_by_most(uint64_t since_us, void *user_data);
+/* See gp_callbacks. */
+bool nd_query_own_origins(gp_origins *out, void *user_data);
+void nd_on_peer_origins(const char *instance, const gp_origins *known,
+                        void *user_data);
 
 /* -- node.c --------------------------------------------------------------- */
 /* Starts the fast timer if loads are in progress at servers held here, or a
--- a/packages/exchange/src/node_streams.c
+++ b/packages/exchange/src/node_streams.c
@@ -36,6 +36,19 @@
            (now_us - node->streams.store_now_us) / 1000;
 }
 
+/* Notes the store's era. After a restoration the row is written again at once.
+ */
+static void
+_nd_note_era(nd_node *node, uint64_t era)
+{
+    if (era > node->streams.era) {
+        if (node->streams.known) {
+            so_note_restored(node->origins, lp_query_now_us(node->desc.loop));
+        }
+        node->streams.era = era;
+    }
+}
+
 /* Parses an answer of the store and takes its time. Returns false if it has
    failed. */
 static bool
@@ -52,6 +65,7 @@
         ER_OK) {
         return false;
     }
+    _nd_note_era(node, dl_query_era(rows->version));
     node->streams.store_now_ms = rows->now_ms;
     node->streams.store_now_us = lp_query_now_us(node->desc.loop);
     return true;
@@ -117,6 +131,7 @@
         _nd_end_read(node);
         node->streams.known = true;
         node->streams.wanted = false;
+        node->streams.servers_noted_us = 0;
         hg_observe(HG_STORE_CALL, HG_READ,
                    lp_query_now_us(node->desc.loop) -
                        node->streams.read_began_us);
@@ -154,7 +169,9 @@
         return;
     }
     node->streams.reading = true;
-    node->streams.read_began_us = now_us;
+    /* Not the loop's time: what comes from callers before the call must not
+       count as come after it, see xc_note_origins_read(). */
+    node->streams.read_began_us = lp_query_clock_us();
     g_ptr_array_set_size(node->streams.obsolete, 0);
     _nd_read_page(node);
 }
@@ -170,6 +187,7 @@
     hg_observe(HG_STORE_CALL, HG_WRITE,
                lp_query_now_us(node->desc.loop) - node->streams.wrote_us);
     if (_nd_read_answer(node, answer, &rows)) {
+        so_note_row_stored(node->origins);
         g_ptr_array_set_size(node->streams.obsolete, 0);
         dl_clear_rows(&rows);
     }
@@ -196,6 +214,7 @@
     node->streams.writing = true;
     node->streams.written = value != NULL;
     node->streams.wrote_us = now_us;
+    so_note_row_sent(node->origins, now_us);
     node->streams.written_revision = so_query_revision(node->origins);
     ct_add(CT_STORE_CALLS, 1);
     lg_write(LG_STORE_REQUEST, "table", dialect->stream_table, "why",
@@ -269,6 +288,9 @@
     bool before = node->streams.mixed;
     node->streams.servers_noted_us = now_us;
     fl_each_server(node->fleet, _nd_note_server, node);
+    if (node->streams.known) {
+        so_end_list(node->origins, now_us);
+    }
     so_expire(node->origins, now_us);
     node->streams.mixed = so_query_any_mixed(node->origins, now_us);
     if (node->streams.mixed != before) {
@@ -282,6 +304,7 @@
 nd_run_streams(nd_node *node)
 {
     uint64_t now_us = lp_query_now_us(node->desc.loop);
+    _nd_note_era(node, wt_query_era(node->own_watch));
     if (now_us >= node->streams.servers_noted_us + _ND_NOTE_SERVERS_US) {
         _nd_note_servers(node, now_us);
     }
@@ -311,3 +334,63 @@
 {
     return ((const nd_node *)user_data)->streams.known;
 }
+
+/* -- public: what instances tell each other ------------------------------- */
+
+bool
+nd_query_own_origins(gp_origins *out, void *user_data)
+{
+    const nd_node *node = user_data;
+    out->store_lost = !wt_query_reachable(node->server_watch);
+    out->mixed =
+        so_query_any_mixed(node->origins, lp_query_now_us(node->desc.loop));
+    return out->store_lost || out->mixed;
+}
+
+void
+nd_on_peer_origins(const char *instance, const gp_origins *known,
+                   void *user_data)
+{
+    nd_node *node = user_data;
+    nd_peer_origins *peer = g_hash_table_lookup(node->streams.peers, instance);
+    if (!peer) {
+        peer = g_new0(nd_peer_origins, 1);
+        g_hash_table_insert(node->streams.peers, g_strdup(instance), peer);
+    }
+    peer->known = *known;
+    peer->heard_us = lp_query_clock_us();
+}
+
+typedef struct _nd_vote {
+    const nd_node *node;
+    uint64_t since_us;
+    uint32_t lost;  /* instances that have lost the store */
+    uint32_t other; /* all others that are known */
+} _nd_vote;
+
+static void
+_nd_count_vote(const le_peer *peer, void *user_data)
+{
+    _nd_vote *vote = user_data;
+    const nd_peer_origins *said =
+        g_hash_table_lookup(vote->node->streams.peers, peer->instance);
+    bool lost = said && said->heard_us > vote->since_us &&
+                said->known.store_lost && !said->known.mixed;
+    vote->lost += lost;
+    vote->other += !lost;
+}
+
+bool
+nd_query_store_lost_by_most(uint64_t since_us, void *user_data)
+{
+    const nd_node *node = user_data;
+    gp_origins own = {0};
+    nd_query_own_origins(&own, user_data);
+    if (!own.store_lost || own.mixed) {
+        return false;
+    }
+    _nd_vote vote = {.node = node, .since_us = since_us};
+    le_each_peer(node->lease, _nd_count_vote, &vote);
+    /* An instance alone cannot tell a lost store from being cut off. */
+    return vote.lost > 0 && vote.lost + 1 > vote.other;
+}
--- a/packages/exchange/src/node_tables.c
+++ b/packages/exchange/src/node_tables.c
@@ -276,6 +276,7 @@
                  server->service, "address", server->address, "zone",
                  server->zone, "software", server->software, NULL);
         xc_close_idle_connections(node->core, server);
+        node->streams.servers_noted_us = 0;
     }
     if (server->state == FL_LEAVING && state_before != FL_LEAVING) {
         nd_begin_leaving(node, server);
--- a/packages/exchange/src/stream_origins.c
+++ b/packages/exchange/src/stream_origins.c
@@ -6,6 +6,10 @@
 /* A row whose times are farther in the future than this was written by a clock
    that ran differently: they are cut. */
 #define _SO_MAX_LEFT_MS 60000
+/* After a restoration of the store all instances have written their rows again
+   within this time: they learn of it from their next call, about once a
+   second. */
+#define _SO_RESTORED_US 3000000
 
 typedef struct _so_stream {
     uint64_t software; /* 0: several versions */
@@ -21,6 +25,9 @@
 typedef struct _so_service {
     GArray *software;         /* _so_software */
     uint64_t stored_until_us; /* mixed until then, by rows of the store */
+    uint64_t base;            /* see so_query_base() */
+    bool sent;                /* the row that was sent last says it is mixed */
+    bool announced;           /* so does a row that is stored */
 } _so_service;
 
 struct so_origins {
@@ -28,6 +35,7 @@
     GHashTable *streams;  /* attempt (uint64_t) -> _so_stream */
     GHashTable *services; /* service (uint64_t) -> _so_service */
     uint64_t revision;
+    uint64_t restored_us; /* when the store was last restored; 0: never */
 };
 
 static void
@@ -116,6 +124,53 @@
     return MAX(until_us, service->stored_until_us);
 }
 
+/* Returns the version that the list had last; 0: it had none within the
+   memory. */
+static uint64_t
+_so_latest_software(const so_origins *origins, const _so_service *service,
+                    uint64_t now_us)
+{
+    _so_software latest = {0};
+    for (guint i = 0; i < service->software->len; i++) {
+        _so_software at = g_array_index(service->software, _so_software, i);
+        latest = at.seen_us >= latest.seen_us ? at : latest;
+    }
+    return now_us < latest.seen_us + origins->memory_us ? latest.hash : 0;
+}
+
+void
+so_end_list(so_origins *origins, uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _so_service *service = value;
+        if (now_us >= _so_mixed_until_us(origins, service)) {
+            service->base = _so_latest_software(origins, service, now_us);
+        }
+    }
+}
+
+uint64_t
+so_query_base(const so_origins *origins, uint64_t service_hash)
+{
+    const _so_service *service =
+        g_hash_table_lookup(origins->services, &service_hash);
+    return service ? service->base : 0;
+}
+
+uint64_t
+so_query_begin_software(const so_origins *origins, uint64_t service_hash)
+{
+    const _so_service *service =
+        g_hash_table_lookup(origins->services, &service_hash);
+    if (service && service->announced) {
+        return 0;
+    }
+    return service && service->base ? service->base : SO_NO_SOFTWARE;
+}
+
 bool
 so_query_mixed(const so_origins *origins, uint64_t service_hash,
                uint64_t now_us)
@@ -211,6 +266,53 @@
 
 /* -- rows ----------------------------------------------------------------- */
 
+void
+so_note_row_sent(so_origins *origins, uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _so_service *service = value;
+        service->sent = now_us < _so_mixed_until_us(origins, service);
+        service->announced = service->announced && service->sent;
+    }
+}
+
+void
+so_note_row_stored(so_origins *origins)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _so_service *service = value;
+        service->announced = service->announced || service->sent;
+    }
+}
+
+void
+so_note_restored(so_origins *origins, uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _so_service *service = value;
+        service->sent = false;
+        service->announced = false;
+    }
+    origins->restored_us = now_us;
+    origins->revision++;
+}
+
+bool
+so_query_restored(const so_origins *origins, uint64_t now_us)
+{
+    return origins->restored_us &&
+           now_us < origins->restored_us + _SO_RESTORED_US;
+}
+
 typedef struct _so_entry {
     uint64_t attempt;
     const _so_stream *stream;
@@ -361,6 +463,7 @@
             _so_still_left_us(row, row->mixed[i]->left_ms, store_now_ms);
         service->stored_until_us =
             MAX(service->stored_until_us, left_us ? now_us + left_us : 0);
+        service->announced = service->announced || (own && left_us);
     }
     for (size_t i = 0; i < row->n_attempt; i++) {
         uint64_t left_us =
--- a/packages/exchange/src/stream_origins.h
+++ b/packages/exchange/src/stream_origins.h
@@ -5,10 +5,11 @@
  * stream may go on only at the version that began it. A caller that lost its
  * connection takes its stream up at any instance, and names the attempt that
  * brought its first event. so_origins keeps the version of each such attempt
- * for as long as its caller may come back, and whether a service has had more
- * than one version for so long; without that, any server can go on.
+ * for as long as its caller may come back, and whether a service is mixed: has
+ * had more than one version for so long.
  *
  *     so_note_server(origins, service, software, now_us);  for each listed one
+ *     so_end_list(origins, now_us);
  *     so_note_stream(origins, attempt, software, until_us); at its first event
  *     so_origin origin = so_query(origins, attempt, now_us);
  *     if (!origin.known && so_query_mixed(origins, service, now_us)) { ... }
@@ -17,6 +18,17 @@
  * store while a service is mixed; so_write_row() and so_read_row() convert
  * them. Times in rows are those of the store's clock.
  *
+ * No stream begins at a further version of a service before the row of its
+ * instance is stored and says that the service is mixed: until then streams
+ * begin at the base, the only version that there was before. So an instance
+ * that reads the rows after a caller has come back with a stream, and finds no
+ * row that says so, knows that the stream began at the base, however old its
+ * own list of servers is.
+ *
+ *     uint64_t software = so_query_begin_software(origins, service);
+ *     so_note_row_sent(origins, now_us);  with each write of the row
+ *     so_note_row_stored(origins);        when the store has acknowledged it
+ *
  * Services, software versions and attempts are hashes, see hash.h; 0 is none.
  *
  * Limits: a row holds the SO_MAX_ROW_STREAMS streams that end last; no sockets
@@ -31,6 +43,8 @@
 
 /* A stream takes up to 15 bytes of a row, and a row has at most 64 KiB. */
 #define SO_MAX_ROW_STREAMS 4000
+/* Stands for a software version that no server has. */
+#define SO_NO_SOFTWARE UINT64_MAX
 
 typedef struct so_origins so_origins;
 
@@ -51,6 +65,9 @@
  */
 void so_note_server(so_origins *origins, uint64_t service, uint64_t software,
                     uint64_t now_us);
+/* All listed servers were noted, and the rows of the store were read since
+   this process began. */
+void so_end_list(so_origins *origins, uint64_t now_us);
 /* A server of this version has brought the first event of a stream, or one of
    a stream that it continues. The caller may come back until until_us. */
 void so_note_stream(so_origins *origins, uint64_t attempt, uint64_t software,
@@ -60,6 +77,14 @@
 /* Removes streams whose callers do not come back any more. */
 void so_expire(so_origins *origins, uint64_t now_us);
 
+/* The row as it is now is sent to the store, or, where no service is mixed,
+   its removal. */
+void so_note_row_sent(so_origins *origins, uint64_t now_us);
+/* The store has acknowledged the row that was sent last. */
+void so_note_row_stored(so_origins *origins);
+/* The store was restored from a copy, which may lack rows. */
+void so_note_restored(so_origins *origins, uint64_t now_us);
+
 /* Returns the row with the streams that this instance noted. */
 GBytes *so_write_row(const so_origins *origins, uint64_t now_us,
                      uint64_t store_now_ms);
@@ -76,6 +101,13 @@
 bool so_query_mixed(const so_origins *origins, uint64_t service,
                     uint64_t now_us);
 bool so_query_any_mixed(const so_origins *origins, uint64_t now_us);
+/* Returns the base of a service; 0: it is not known. */
+uint64_t so_query_base(const so_origins *origins, uint64_t service);
+/* Returns the only version at which a stream of the service may begin now: the
+   base, or SO_NO_SOFTWARE if that is not known; 0: at any version. */
+uint64_t so_query_begin_software(const so_origins *origins, uint64_t service);
+/* Returns whether rows may be missing, as the store was restored lately. */
+bool so_query_restored(const so_origins *origins, uint64_t now_us);
 /* Grows whenever the row of this instance changes. */
 uint64_t so_query_revision(const so_origins *origins);
 uint32_t so_query_count(const so_origins *origins);
--- a/packages/exchange/tests/test_stream_origins.c
+++ b/packages/exchange/tests/test_stream_origins.c
@@ -61,6 +61,56 @@
 }
 END_TEST
 
+/* Other instances learn from the row that streams may begin at a further
+   version, so none does before. */
+START_TEST(test_streams_begin_at_the_base_until_the_row_is_stored)
+{
+    so_origins *origins = make_origins();
+    ck_assert_uint_eq(so_query_begin_software(origins, SERVICE),
+                      SO_NO_SOFTWARE);
+    so_note_server(origins, SERVICE, V1, NOW);
+    so_end_list(origins, NOW);
+    ck_assert_uint_eq(so_query_begin_software(origins, SERVICE), V1);
+    so_note_server(origins, SERVICE, V2, NOW + S);
+    so_end_list(origins, NOW + S);
+    so_note_row_sent(origins, NOW + S);
+    ck_assert_uint_eq(so_query_begin_software(origins, SERVICE), V1);
+    so_note_row_stored(origins);
+    ck_assert_uint_eq(so_query_begin_software(origins, SERVICE), 0);
+    /* The store loses the row. */
+    so_note_restored(origins, NOW + 2 * S);
+    ck_assert(so_query_restored(origins, NOW + 2 * S));
+    ck_assert_uint_eq(so_query_begin_software(origins, SERVICE), V1);
+    so_note_row_sent(origins, NOW + 2 * S);
+    so_note_row_stored(origins);
+    ck_assert_uint_eq(so_query_begin_software(origins, SERVICE), 0);
+    /* V1 is gone, and its streams are over: the row goes, V2 is the base. */
+    so_note_server(origins, SERVICE, V2, NOW + 40 * S);
+    so_note_row_sent(origins, NOW + 40 * S);
+    so_end_list(origins, NOW + 40 * S);
+    ck_assert_uint_eq(so_query_begin_software(origins, SERVICE), V2);
+    so_destroy(origins);
+}
+END_TEST
+
+/* A process that starts while two versions serve cannot know which one was
+   first. */
+START_TEST(test_process_that_starts_among_two_versions_has_no_base)
+{
+    so_origins *origins = make_origins();
+    so_note_server(origins, SERVICE, V1, NOW);
+    so_note_server(origins, SERVICE, V2, NOW);
+    so_end_list(origins, NOW);
+    ck_assert_uint_eq(so_query_base(origins, SERVICE), 0);
+    ck_assert_uint_eq(so_query_begin_software(origins, SERVICE),
+                      SO_NO_SOFTWARE);
+    so_note_row_sent(origins, NOW);
+    so_note_row_stored(origins);
+    ck_assert_uint_eq(so_query_begin_software(origins, SERVICE), 0);
+    so_destroy(origins);
+}
+END_TEST
+
 /* All instances end; the next process knows only the rows. */
 START_TEST(test_row_tells_the_next_process_what_the_last_one_knew)
 {
@@ -142,6 +192,10 @@
     tcase_add_test(
         tcase,
         test_service_is_mixed_until_no_stream_of_the_older_version_is_left);
+    tcase_add_test(tcase,
+                   test_streams_begin_at_the_base_until_the_row_is_stored);
+    tcase_add_test(tcase,
+                   test_process_that_starts_among_two_versions_has_no_base);
     tcase_add_test(tcase,
                    test_row_tells_the_next_process_what_the_last_one_knew);
     tcase_add_test(tcase, test_row_of_another_writer_is_refused_or_harmless);
