Streams of a machine that ended before a second version came go on (LOST)

Callers of a machine that lost power had their streams refused at all others, for as long as they tried: servers of a second software version had appeared between the loss and their return.

Cause: an instance writes its streams only while it sees several versions, so none of those were written, and an origin that is in no row was refused. But an instance whose row does not say that a service is mixed has begun streams at the base only, and so has each that ended before.

Now a row names the base and its writer's process, and an instance tells the others, with what it tells of load, up to which time of the store's clock all of its streams of further versions are in its row. A stream that a read of all rows has not shown goes on at the base if all writers of rows had told so for a time after its caller came back, before that read began. It is refused, as before, if one of them is silent, has started again since (its last streams may not have been written), has a write under way that may take effect late, or names another base, and for 30 s after the store was restored. Streams of further versions stay in rows until their callers have given up, also after whole answers.

Five calls of so_read_row() in test_stream_origins name the writer in place of whether it is the reader's own; what they check is unchanged.

--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -114,9 +114,10 @@
 /* Ends requests whose content was blocked and that no server has begun to
    answer; call it after a block. */
 void xc_end_blocked(xc_core *core);
-/* A read of other instances' streams that began at began_us has ended:
-   dispatches or refuses the requests that wait for it. */
-void xc_note_origins_read(xc_core *core, uint64_t began_us);
+/* A read of other instances' streams that began at began_us has ended, at
+   store_ms of the store's clock: dispatches or refuses the requests that wait
+   for it. */
+void xc_note_origins_read(xc_core *core, uint64_t began_us, uint64_t store_ms);
 /* Returns whether a server accepts connections, by those that are open or were
    refused since since_us; tries to open one if neither is the case. */
 cw_listens xc_check_listens(xc_core *core, fl_server *server,
--- a/packages/exchange/src/exchange.pb-c.c
+++ b/packages/exchange/src/exchange.pb-c.c
@@ -2359,7 +2359,7 @@
         NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__mixed_service__field_descriptors[2] = {
+    lacewing__exchange__mixed_service__field_descriptors[4] = {
         {
             "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
             0, /* quantifier_offset */
@@ -2374,14 +2374,30 @@
             0,            /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
+        {
+            "base_software", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__MixedService, base_software), NULL,
+            NULL, 0,      /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "gap_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__MixedService, gap_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned
     lacewing__exchange__mixed_service__field_indices_by_name[] = {
+        2, /* field[2] = base_software */
+        3, /* field[3] = gap_ms */
         1, /* field[1] = left_ms */
         0, /* field[0] = service */
 };
 static const ProtobufCIntRange
-    lacewing__exchange__mixed_service__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
+    lacewing__exchange__mixed_service__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
 const ProtobufCMessageDescriptor
     lacewing__exchange__mixed_service__descriptor = {
         PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
@@ -2390,7 +2406,7 @@
         "Lacewing__Exchange__MixedService",
         "lacewing.exchange",
         sizeof(Lacewing__Exchange__MixedService),
-        2,
+        4,
         lacewing__exchange__mixed_service__field_descriptors,
         lacewing__exchange__mixed_service__field_indices_by_name,
         1,
@@ -2401,7 +2417,7 @@
         NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__streams_row__field_descriptors[6] = {
+    lacewing__exchange__streams_row__field_descriptors[7] = {
         {
             "written_ms", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
             0, /* quantifier_offset */
@@ -2446,10 +2462,18 @@
             0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
             0, NULL, NULL                     /* reserved1,reserved2, etc */
         },
+        {
+            "incarnation", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__StreamsRow, incarnation), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned
     lacewing__exchange__streams_row__field_indices_by_name[] = {
         3, /* field[3] = attempt */
+        6, /* field[6] = incarnation */
         5, /* field[5] = left_ms */
         1, /* field[1] = mixed */
         2, /* field[2] = software */
@@ -2457,7 +2481,7 @@
         0, /* field[0] = written_ms */
 };
 static const ProtobufCIntRange
-    lacewing__exchange__streams_row__number_ranges[1 + 1] = {{1, 0}, {0, 6}};
+    lacewing__exchange__streams_row__number_ranges[1 + 1] = {{1, 0}, {0, 7}};
 const ProtobufCMessageDescriptor lacewing__exchange__streams_row__descriptor =
     {
         PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
@@ -2466,7 +2490,7 @@
         "Lacewing__Exchange__StreamsRow",
         "lacewing.exchange",
         sizeof(Lacewing__Exchange__StreamsRow),
-        6,
+        7,
         lacewing__exchange__streams_row__field_descriptors,
         lacewing__exchange__streams_row__field_indices_by_name,
         1,
@@ -2477,7 +2501,7 @@
         NULL /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor
-    lacewing__exchange__origins_word__field_descriptors[2] = {
+    lacewing__exchange__origins_word__field_descriptors[3] = {
         {
             "store_lost", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
             0, /* quantifier_offset */
@@ -2492,14 +2516,22 @@
             0,            /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
+        {
+            "written_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Lacewing__Exchange__OriginsWord, written_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned
     lacewing__exchange__origins_word__field_indices_by_name[] = {
         1, /* field[1] = mixed */
         0, /* field[0] = store_lost */
+        2, /* field[2] = written_ms */
 };
 static const ProtobufCIntRange
-    lacewing__exchange__origins_word__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
+    lacewing__exchange__origins_word__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
 const ProtobufCMessageDescriptor lacewing__exchange__origins_word__descriptor =
     {
         PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
@@ -2508,7 +2540,7 @@
         "Lacewing__Exchange__OriginsWord",
         "lacewing.exchange",
         sizeof(Lacewing__Exchange__OriginsWord),
-        2,
+        3,
         lacewing__exchange__origins_word__field_descriptors,
         lacewing__exchange__origins_word__field_indices_by_name,
         1,
--- a/packages/exchange/src/exchange.pb-c.h
+++ b/packages/exchange/src/exchange.pb-c.h
@@ -496,12 +496,21 @@
      * for which that matters, from written_ms on
      */
     uint32_t left_ms;
+    /*
+     * only one that the writer had before; 0: unknown
+     */
+    uint64_t base_software;
+    /*
+     * For which callers may come back, from written_ms on, with streams of an
+     * earlier process of the writer that are in no row.
+     */
+    uint32_t gap_ms;
 };
 #define LACEWING__EXCHANGE__MIXED_SERVICE__INIT                               \
     {                                                                         \
         PROTOBUF_C_MESSAGE_INIT(                                              \
             &lacewing__exchange__mixed_service__descriptor)                   \
-        , 0, 0                                                                \
+        , 0, 0, 0, 0                                                          \
     }
 
 /*
@@ -536,11 +545,15 @@
      */
     size_t n_left_ms;
     uint32_t *left_ms;
+    /*
+     * of the writer
+     */
+    uint64_t incarnation;
 };
 #define LACEWING__EXCHANGE__STREAMS_ROW__INIT                                 \
     {                                                                         \
         PROTOBUF_C_MESSAGE_INIT(&lacewing__exchange__streams_row__descriptor) \
-        , 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL                      \
+        , 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0                   \
     }
 
 /*
@@ -557,12 +570,18 @@
      * a service is mixed
      */
     protobuf_c_boolean mixed;
+    /*
+     * All streams that began at the sender before this time of the store's
+     * clock, at other versions than the base, are in its row; 0: that cannot
+     * be told.
+     */
+    uint64_t written_ms;
 };
 #define LACEWING__EXCHANGE__ORIGINS_WORD__INIT                                \
     {                                                                         \
         PROTOBUF_C_MESSAGE_INIT(                                              \
             &lacewing__exchange__origins_word__descriptor)                    \
-        , 0, 0                                                                \
+        , 0, 0, 0                                                             \
     }
 
 /*
--- a/packages/exchange/src/exchange_origin.c
+++ b/packages/exchange/src/exchange_origin.c
@@ -103,8 +103,19 @@
         exchange->software_hash = base;
         return _XC_ORIGIN_FOUND;
     }
-    return exchange->origin_named &&
-                   read_us < exchange->received_us + _XC_ORIGIN_SETTLE_US
+    if (!exchange->origin_named) {
+        return _XC_ORIGIN_LOST;
+    }
+    if (exchange->origin_asked_store_ms &&
+        desc->callbacks->origins_known(desc->user_data)) {
+        exchange->software_hash = so_query_unwritten(
+            desc->origins, service, exchange->origin_asked_store_ms, now_us);
+    }
+    if (exchange->software_hash) {
+        xc_wait_for_slot(exchange);
+        return _XC_ORIGIN_FOUND;
+    }
+    return read_us < exchange->received_us + _XC_ORIGIN_SETTLE_US
                ? _XC_ORIGIN_AWAITED
                : _XC_ORIGIN_LOST;
 }
@@ -147,12 +158,16 @@
 }
 
 void
-xc_note_origins_read(xc_core *core, uint64_t began_us)
+xc_note_origins_read(xc_core *core, uint64_t began_us, uint64_t store_ms)
 {
     guint waiting = core->waiting_origin.length;
     for (guint i = 0; i < waiting; i++) {
         xc_exchange *exchange = core->waiting_origin.head->data;
         xc_stop_waiting(exchange);
+        if (!exchange->origin_asked_store_ms &&
+            began_us >= exchange->origin_asked_us) {
+            exchange->origin_asked_store_ms = store_ms;
+        }
         switch (_xc_look_up_origin(exchange, began_us)) {
         case _XC_ORIGIN_FOUND:
             xc_dispatch(exchange);
@@ -233,6 +248,12 @@
 void
 xc_note_stream_done(xc_exchange *exchange)
 {
-    so_shorten(exchange->core->desc.origins, exchange->attempt_hash,
-               xc_now_us(exchange) + _XC_DONE_MEMORY_US);
+    so_origins *origins = exchange->core->desc.origins;
+    /* Streams that no row has are taken for those of the base, so those of
+       other versions stay there for as long as their callers may come back. */
+    if (exchange->software_hash ==
+        so_query_base(origins, hs_u64(exchange->service->name))) {
+        so_shorten(origins, exchange->attempt_hash,
+                   xc_now_us(exchange) + _XC_DONE_MEMORY_US);
+    }
 }
--- a/packages/exchange/src/exchange_private.h
+++ b/packages/exchange/src/exchange_private.h
@@ -117,7 +117,9 @@
                               event of its stream */
     uint64_t caller_deadline_us;
     uint64_t origin_asked_us; /* when that attempt was first looked for */
-    bool origin_named;        /* the caller names that attempt */
+    uint64_t origin_asked_store_ms; /* not before that, on the store's clock;
+                                       0: not known yet */
+    bool origin_named;              /* the caller names that attempt */
     bool owes_resend; /* the next send draws on the retry budget first */
     uint64_t slot_wait_until_us; /* until then it goes only to servers with a
                                     free slot; 0: to any */
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -565,6 +565,7 @@
     lacewing__exchange__origins_word__init(word);
     word->store_lost = known.store_lost;
     word->mixed = known.mixed;
+    word->written_ms = known.written_ms;
     return true;
 }
 
@@ -791,8 +792,10 @@
     }
     if (message->origins && peers->desc.callbacks->peer_origins) {
         gp_origins known = {.store_lost = message->origins->store_lost,
-                            .mixed = message->origins->mixed};
-        peers->desc.callbacks->peer_origins(message->instance, &known,
+                            .mixed = message->origins->mixed,
+                            .written_ms = message->origins->written_ms};
+        peers->desc.callbacks->peer_origins(message->instance,
+                                            message->incarnation, &known,
                                             peers->desc.user_data);
     }
     for (size_t i = 0; i < message->n_leaving; i++) {
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -37,8 +37,9 @@
 /* What an instance knows that others need for streams that callers take up
    again. */
 typedef struct gp_origins {
-    bool store_lost; /* the store does not answer it */
-    bool mixed;      /* a service is mixed, see stream_origins.h */
+    bool store_lost;     /* the store does not answer it */
+    bool mixed;          /* a service is mixed, see stream_origins.h */
+    uint64_t written_ms; /* see so_peer */
 } gp_origins;
 
 typedef struct gp_callbacks {
@@ -75,8 +76,8 @@
                             void *user_data);
     /* Stores what to tell the others. Returns false if there is nothing. */
     bool (*origins)(gp_origins *out, void *user_data);
-    void (*peer_origins)(const char *instance, const gp_origins *origins,
-                         void *user_data);
+    void (*peer_origins)(const char *instance, uint64_t incarnation,
+                         const gp_origins *origins, void *user_data);
     /* The holder of a server sent a new state, which has been applied. */
     void (*server_changed)(fl_server *server, void *user_data);
 } gp_callbacks;
--- a/packages/exchange/src/node.c
+++ b/packages/exchange/src/node.c
@@ -1,6 +1,7 @@
 #include "node_private.h"
 
 #include "lacewing/counter.h"
+#include "lacewing/hash.h"
 #include "lacewing/log.h"
 #include <string.h>
 
@@ -561,7 +562,9 @@
                                           .seed = node->incarnation,
                                           .user_data = node});
     node->quotas = qt_create();
-    node->origins = so_create(&(so_desc){0});
+    g_autofree char *row_key = nd_make_streams_key(settings->instance);
+    node->origins = so_create(&(so_desc){.writer = hs_u64(row_key),
+                                         .incarnation = node->incarnation});
     node->streams.obsolete = g_ptr_array_new_with_free_func(g_free);
     node->streams.peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -50,6 +50,14 @@
         uint64_t wrote_us;         /* when the last write was sent */
         uint64_t paced_until_us;   /* see _ND_WRITE_STREAMS_BURST */
         uint64_t written_revision; /* so_query_revision() of that row */
+        /* of that row, so_query_further_revision() and the store's clock */
+        uint64_t sent_further_revision;
+        uint64_t sent_store_ms;
+        /* the same of the row that is stored; 0: none of this process is */
+        uint64_t stored_further_revision;
+        uint64_t stored_ms;
+        uint64_t late_write_us;    /* a write without an answer may take effect
+                                      until then; 0: there is none */
         uint64_t servers_noted_us; /* 0: the list has changed since */
         uint64_t era; /* of the store, as the rows were last read or written */
         uint64_t store_now_ms; /* the store's clock at store_now_us */
@@ -163,6 +171,8 @@
 /* Reads and writes the rows of the streams' table that are due; call it on
    each tick. */
 void nd_run_streams(nd_node *node);
+/* Returns the key of an instance's row of streams. */
+char *nd_make_streams_key(const char *instance);
 /* See xc_callbacks. */
 void nd_find_origins(void *user_data);
 void nd_on_stream_began(void *user_data);
@@ -170,8 +180,8 @@
 bool nd_query_store_lost_by_most(uint64_t since_us, void *user_data);
 /* See gp_callbacks. */
 bool nd_query_own_origins(gp_origins *out, void *user_data);
-void nd_on_peer_origins(const char *instance, const gp_origins *known,
-                        void *user_data);
+void nd_on_peer_origins(const char *instance, uint64_t incarnation,
+                        const gp_origins *known, void *user_data);
 
 /* -- node.c --------------------------------------------------------------- */
 /* Starts the fast timer if loads are in progress at servers held here, or a
--- a/packages/exchange/src/node_streams.c
+++ b/packages/exchange/src/node_streams.c
@@ -24,6 +24,8 @@
 #define _ND_RETRY_FIRST_READ_US 500000
 /* A call takes some ms; a slow store answers within this time. */
 #define _ND_STREAMS_TIMEOUT_MS 1000
+/* A write without an answer takes effect within this time, or never. */
+#define _ND_LATE_WRITE_US 5000000
 /* Most rows of instances that are gone to remove in one transaction. */
 #define _ND_MAX_REMOVED_ROWS 50
 
@@ -44,6 +46,7 @@
     if (era > node->streams.era) {
         if (node->streams.known) {
             so_note_restored(node->origins, lp_query_now_us(node->desc.loop));
+            node->streams.stored_ms = 0;
         }
         node->streams.era = era;
     }
@@ -73,21 +76,22 @@
 
 /* -- private: reading ----------------------------------------------------- */
 
-static char *
-_nd_row_key(const nd_node *node)
+char *
+nd_make_streams_key(const char *instance)
 {
-    return g_strconcat("s/", node->desc.settings->instance, NULL);
+    return g_strconcat("s/", instance, NULL);
 }
 
 static void
 _nd_apply_streams_row(nd_node *node, const dl_row *row, uint64_t store_now_ms)
 {
-    g_autofree char *own_key = _nd_row_key(node);
+    g_autofree char *own_key =
+        nd_make_streams_key(node->desc.settings->instance);
     bool own = strcmp(row->key, own_key) == 0;
     if (!row->value) {
         return;
     }
-    if (!so_read_row(node->origins, row->value, own,
+    if (!so_read_row(node->origins, hs_u64(row->key), row->value,
                      lp_query_now_us(node->desc.loop), store_now_ms)) {
         lg_write(LG_ROW_REFUSED, "key", row->key, "why",
                  "not a row of streams", NULL);
@@ -129,13 +133,15 @@
     }
     else {
         _nd_end_read(node);
+        so_end_read(node->origins);
         node->streams.known = true;
         node->streams.wanted = false;
         node->streams.servers_noted_us = 0;
         hg_observe(HG_STORE_CALL, HG_READ,
                    lp_query_now_us(node->desc.loop) -
                        node->streams.read_began_us);
-        xc_note_origins_read(node->core, node->streams.read_began_us);
+        xc_note_origins_read(node->core, node->streams.read_began_us,
+                             rows.now_ms);
     }
     dl_clear_rows(&rows);
 }
@@ -173,6 +179,7 @@
        count as come after it, see xc_note_origins_read(). */
     node->streams.read_began_us = lp_query_clock_us();
     g_ptr_array_set_size(node->streams.obsolete, 0);
+    so_begin_read(node->origins);
     _nd_read_page(node);
 }
 
@@ -188,11 +195,19 @@
                lp_query_now_us(node->desc.loop) - node->streams.wrote_us);
     if (_nd_read_answer(node, answer, &rows)) {
         so_note_row_stored(node->origins);
+        node->streams.stored_ms = node->streams.sent_store_ms;
+        node->streams.stored_further_revision =
+            node->streams.sent_further_revision;
+        if (node->streams.wrote_us >= node->streams.late_write_us) {
+            node->streams.late_write_us = 0;
+        }
         g_ptr_array_set_size(node->streams.obsolete, 0);
         dl_clear_rows(&rows);
     }
     else {
         node->streams.written_revision = 0; /* it is written again */
+        node->streams.late_write_us =
+            lp_query_now_us(node->desc.loop) + _ND_LATE_WRITE_US;
     }
 }
 
@@ -201,7 +216,7 @@
 _nd_write_row(nd_node *node, GBytes *value, uint64_t now_us)
 {
     const dl_dialect *dialect = node->desc.dialect;
-    g_autofree char *key = _nd_row_key(node);
+    g_autofree char *key = nd_make_streams_key(node->desc.settings->instance);
     dl_write writes[1 + _ND_MAX_REMOVED_ROWS] = {{key, value}};
     size_t count = 1;
     for (guint i = 0; i < node->streams.obsolete->len; i++) {
@@ -214,6 +229,9 @@
     node->streams.writing = true;
     node->streams.written = value != NULL;
     node->streams.wrote_us = now_us;
+    node->streams.sent_store_ms = _nd_store_now_ms(node, now_us);
+    node->streams.sent_further_revision =
+        so_query_further_revision(node->origins);
     so_note_row_sent(node->origins, now_us);
     node->streams.written_revision = so_query_revision(node->origins);
     ct_add(CT_STORE_CALLS, 1);
@@ -337,21 +355,42 @@
 
 /* -- public: what instances tell each other ------------------------------- */
 
+/* Returns the time of the store's clock before which all streams began here
+   that are in the stored row, see so_peer. This instance's view of that clock
+   is never ahead of it. */
+static uint64_t
+_nd_query_written_ms(const nd_node *node, uint64_t now_us)
+{
+    if (!node->streams.stored_ms || node->streams.late_write_us ||
+        !so_query_row_complete(node->origins)) {
+        return 0;
+    }
+    return so_query_further_revision(node->origins) ==
+                   node->streams.stored_further_revision
+               ? _nd_store_now_ms(node, now_us)
+               : node->streams.stored_ms;
+}
+
 bool
 nd_query_own_origins(gp_origins *out, void *user_data)
 {
     const nd_node *node = user_data;
+    uint64_t now_us = lp_query_now_us(node->desc.loop);
     out->store_lost = !wt_query_reachable(node->server_watch);
-    out->mixed =
-        so_query_any_mixed(node->origins, lp_query_now_us(node->desc.loop));
+    out->mixed = so_query_any_mixed(node->origins, now_us);
+    out->written_ms = out->mixed ? _nd_query_written_ms(node, now_us) : 0;
     return out->store_lost || out->mixed;
 }
 
 void
-nd_on_peer_origins(const char *instance, const gp_origins *known,
-                   void *user_data)
+nd_on_peer_origins(const char *instance, uint64_t incarnation,
+                   const gp_origins *known, void *user_data)
 {
     nd_node *node = user_data;
+    g_autofree char *key = nd_make_streams_key(instance);
+    so_note_peer(node->origins, &(so_peer){.writer = hs_u64(key),
+                                           .incarnation = incarnation,
+                                           .written_ms = known->written_ms});
     nd_peer_origins *peer = g_hash_table_lookup(node->streams.peers, instance);
     if (!peer) {
         peer = g_new0(nd_peer_origins, 1);
--- a/packages/exchange/src/stream_origins.c
+++ b/packages/exchange/src/stream_origins.c
@@ -28,13 +28,37 @@
     uint64_t base;            /* see so_query_base() */
     bool sent;                /* the row that was sent last says it is mixed */
     bool announced;           /* so does a row that is stored */
+    /* Callers may come back until then with streams of an earlier process of
+       this instance that are in no row; 0: they do not. */
+    uint64_t gap_until_us;
 } _so_service;
 
+/* A row that was read and says that the service is mixed. */
+typedef struct _so_owner {
+    uint64_t service;
+    uint64_t writer;
+    uint64_t incarnation;
+    uint64_t base;
+    uint64_t gap_until_us;
+} _so_owner;
+
+typedef struct _so_peer_state {
+    so_peer told;
+    so_peer told_before_read;
+} _so_peer_state;
+
 struct so_origins {
     uint64_t memory_us;
+    uint64_t writer;
+    uint64_t incarnation;
     GHashTable *streams;  /* attempt (uint64_t) -> _so_stream */
     GHashTable *services; /* service (uint64_t) -> _so_service */
+    GHashTable *peers;    /* writer (uint64_t) -> _so_peer_state */
+    GArray *owners;       /* _so_owner, of the last whole read */
+    GArray *read_owners;  /* _so_owner, of the read under way */
     uint64_t revision;
+    uint64_t further_revision;
+    bool row_complete;
     uint64_t restored_us; /* when the store was last restored; 0: never */
 };
 
@@ -62,6 +86,12 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     origins->services = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                               g_free, _so_free_service);
+    origins->writer = desc->writer;
+    origins->incarnation = desc->incarnation;
+    origins->peers =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    origins->owners = g_array_new(FALSE, FALSE, sizeof(_so_owner));
+    origins->read_owners = g_array_new(FALSE, FALSE, sizeof(_so_owner));
     return origins;
 }
 
@@ -71,6 +101,9 @@
     if (origins) {
         g_hash_table_unref(origins->streams);
         g_hash_table_unref(origins->services);
+        g_hash_table_unref(origins->peers);
+        g_array_unref(origins->owners);
+        g_array_unref(origins->read_owners);
         g_free(origins);
     }
 }
@@ -194,8 +227,100 @@
     return false;
 }
 
+/* -- streams that no row has ---------------------------------------------- */
+
+void
+so_note_peer(so_origins *origins, const so_peer *peer)
+{
+    _so_peer_state *state = g_hash_table_lookup(origins->peers, &peer->writer);
+    if (!state) {
+        state = g_new0(_so_peer_state, 1);
+        g_hash_table_insert(origins->peers, _so_copy_key(peer->writer), state);
+    }
+    state->told = *peer;
+}
+
+void
+so_begin_read(so_origins *origins)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _so_peer_state *state = value;
+        state->told_before_read = state->told;
+    }
+    g_array_set_size(origins->read_owners, 0);
+}
+
+void
+so_end_read(so_origins *origins)
+{
+    GArray *read = origins->read_owners;
+    origins->read_owners = origins->owners;
+    origins->owners = read;
+}
+
+/* Returns whether all streams that began at the owner before asked_store_ms at
+   other versions than the base are in its row. */
+static bool
+_so_is_written(const so_origins *origins, const _so_owner *owner,
+               uint64_t asked_store_ms, uint64_t now_us)
+{
+    const _so_peer_state *state =
+        g_hash_table_lookup(origins->peers, &owner->writer);
+    return now_us >= owner->gap_until_us && state &&
+           state->told_before_read.incarnation == owner->incarnation &&
+           state->told_before_read.written_ms > asked_store_ms;
+}
+
+uint64_t
+so_query_unwritten(const so_origins *origins, uint64_t service_hash,
+                   uint64_t asked_store_ms, uint64_t now_us)
+{
+    const _so_service *service =
+        g_hash_table_lookup(origins->services, &service_hash);
+    /* Rows of instances that are gone may be missing after a restoration. */
+    bool restored = origins->restored_us &&
+                    now_us < origins->restored_us + origins->memory_us;
+    if (!service || now_us < service->gap_until_us || restored) {
+        return 0;
+    }
+    uint64_t base = service->base;
+    for (guint i = 0; i < origins->owners->len; i++) {
+        const _so_owner *owner = &g_array_index(origins->owners, _so_owner, i);
+        if (owner->service != service_hash) {
+            continue;
+        }
+        if (base && owner->base && owner->base != base) {
+            return 0;
+        }
+        base = base ? base : owner->base;
+        if (owner->writer != origins->writer &&
+            !_so_is_written(origins, owner, asked_store_ms, now_us)) {
+            return 0;
+        }
+    }
+    return base;
+}
+
 /* -- streams -------------------------------------------------------------- */
 
+/* Returns whether the version is the base of a service. */
+static bool
+_so_is_base(const so_origins *origins, uint64_t software)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((const _so_service *)value)->base == software) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 _so_put_stream(so_origins *origins, uint64_t attempt, uint64_t software,
                uint64_t until_us, bool own)
@@ -212,6 +337,7 @@
     stream->until_us = MAX(stream->until_us, until_us);
     stream->own = stream->own || own;
     origins->revision += own;
+    origins->further_revision += own && !_so_is_base(origins, software);
 }
 
 void
@@ -258,6 +384,18 @@
     return origins->revision;
 }
 
+uint64_t
+so_query_further_revision(const so_origins *origins)
+{
+    return origins->further_revision;
+}
+
+bool
+so_query_row_complete(const so_origins *origins)
+{
+    return origins->row_complete;
+}
+
 uint32_t
 so_query_count(const so_origins *origins)
 {
@@ -271,6 +409,12 @@
 {
     GHashTableIter iter;
     gpointer value;
+    uint32_t own = 0;
+    g_hash_table_iter_init(&iter, origins->streams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        own += ((const _so_stream *)value)->own;
+    }
+    origins->row_complete = own <= SO_MAX_ROW_STREAMS;
     g_hash_table_iter_init(&iter, origins->services);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         _so_service *service = value;
@@ -383,6 +527,9 @@
             lacewing__exchange__mixed_service__init(service);
             service->service = *(uint64_t *)key;
             service->left_ms = left_ms;
+            service->base_software = ((const _so_service *)value)->base;
+            service->gap_ms = _so_left_ms(
+                ((const _so_service *)value)->gap_until_us, now_us);
             g_ptr_array_add(mixed, service);
         }
     }
@@ -406,6 +553,7 @@
     }
     Lacewing__Exchange__StreamsRow row = LACEWING__EXCHANGE__STREAMS_ROW__INIT;
     row.written_ms = store_now_ms;
+    row.incarnation = origins->incarnation;
     row.n_mixed = mixed->len;
     row.mixed = (Lacewing__Exchange__MixedService **)mixed->pdata;
     row.n_software = software->len;
@@ -448,22 +596,47 @@
     return MIN(still_ms, _SO_MAX_LEFT_MS) * 1000;
 }
 
+/* Applies what a row says of a service. */
+static void
+_so_read_mixed(so_origins *origins, const Lacewing__Exchange__StreamsRow *row,
+               const Lacewing__Exchange__MixedService *mixed, uint64_t writer,
+               uint64_t now_us, uint64_t store_now_ms)
+{
+    uint64_t left_us = _so_still_left_us(row, mixed->left_ms, store_now_ms);
+    uint64_t gap_us = _so_still_left_us(row, mixed->gap_ms, store_now_ms);
+    if (!left_us) {
+        return;
+    }
+    _so_service *service = _so_get_service(origins, mixed->service);
+    service->stored_until_us = MAX(service->stored_until_us, now_us + left_us);
+    if (writer == origins->writer) {
+        service->announced = true;
+        /* An earlier process may have ended before it wrote its last streams.
+         */
+        gap_us = row->incarnation == origins->incarnation ? gap_us
+                                                          : origins->memory_us;
+        service->gap_until_us =
+            MAX(service->gap_until_us, gap_us ? now_us + gap_us : 0);
+    }
+    _so_owner owner = {.service = mixed->service,
+                       .writer = writer,
+                       .incarnation = row->incarnation,
+                       .base = mixed->base_software,
+                       .gap_until_us = gap_us ? now_us + gap_us : 0};
+    g_array_append_val(origins->read_owners, owner);
+}
+
 bool
-so_read_row(so_origins *origins, GBytes *bytes, bool own, uint64_t now_us,
-            uint64_t store_now_ms)
+so_read_row(so_origins *origins, uint64_t writer, GBytes *bytes,
+            uint64_t now_us, uint64_t store_now_ms)
 {
     Lacewing__Exchange__StreamsRow *row = _so_unpack(bytes);
     if (!row) {
         return false;
     }
     for (size_t i = 0; i < row->n_mixed; i++) {
-        _so_service *service =
-            _so_get_service(origins, row->mixed[i]->service);
-        uint64_t left_us =
-            _so_still_left_us(row, row->mixed[i]->left_ms, store_now_ms);
-        service->stored_until_us =
-            MAX(service->stored_until_us, left_us ? now_us + left_us : 0);
-        service->announced = service->announced || (own && left_us);
+        _so_read_mixed(origins, row, row->mixed[i], writer, now_us,
+                       store_now_ms);
     }
     for (size_t i = 0; i < row->n_attempt; i++) {
         uint64_t left_us =
@@ -471,7 +644,7 @@
         if (left_us && row->software_at[i] < row->n_software) {
             _so_put_stream(origins, row->attempt[i],
                            row->software[row->software_at[i]],
-                           now_us + left_us, own);
+                           now_us + left_us, writer == origins->writer);
         }
     }
     lacewing__exchange__streams_row__free_unpacked(row, NULL);
--- a/packages/exchange/src/stream_origins.h
+++ b/packages/exchange/src/stream_origins.h
@@ -29,7 +29,16 @@
  *     so_note_row_sent(origins, now_us);  with each write of the row
  *     so_note_row_stored(origins);        when the store has acknowledged it
  *
- * Services, software versions and attempts are hashes, see hash.h; 0 is none.
+ * A stream that is in no row began at the base, as far as each instance whose
+ * row says that the service is mixed has written all that began at other
+ * versions: it tells the others up to which time it has.
+ *
+ *     so_note_peer(origins, &peer);                 when another instance
+ * tells so_begin_read(origins); so_read_row(...); so_end_read(origins);
+ *     so_query_unwritten(origins, service, asked_store_ms, now_us);
+ *
+ * Services, software versions, attempts and writers of rows are hashes, see
+ * hash.h; 0 is none.
  *
  * Limits: a row holds the SO_MAX_ROW_STREAMS streams that end last; no sockets
  * and no clock.
@@ -49,10 +58,21 @@
 typedef struct so_origins so_origins;
 
 typedef struct so_desc {
-    uint64_t memory_us; /* longest time from a stream's first event to its
-                           caller's last return; default 30 s */
+    uint64_t memory_us;   /* longest time from a stream's first event to its
+                             caller's last return; default 30 s */
+    uint64_t writer;      /* this instance */
+    uint64_t incarnation; /* of this process */
 } so_desc;
 
+/* What another instance tells of its row. */
+typedef struct so_peer {
+    uint64_t writer;
+    uint64_t incarnation;
+    /* All streams that began there before this time of the store's clock, at
+       other versions than the base, are in its row; 0: that cannot be told. */
+    uint64_t written_ms;
+} so_peer;
+
 typedef struct so_origin {
     bool known;
     uint64_t software; /* 0: several versions are known for it */
@@ -88,10 +108,13 @@
 /* Returns the row with the streams that this instance noted. */
 GBytes *so_write_row(const so_origins *origins, uint64_t now_us,
                      uint64_t store_now_ms);
-/* Adds what a row says; own: an earlier process of this instance wrote it.
-   Returns false if it cannot be read. */
-bool so_read_row(so_origins *origins, GBytes *row, bool own, uint64_t now_us,
-                 uint64_t store_now_ms);
+/* Enclose a read of all rows. What peers told before it began holds for it. */
+void so_begin_read(so_origins *origins);
+void so_end_read(so_origins *origins);
+/* Adds what a row says. Returns false if it cannot be read. */
+bool so_read_row(so_origins *origins, uint64_t writer, GBytes *row,
+                 uint64_t now_us, uint64_t store_now_ms);
+void so_note_peer(so_origins *origins, const so_peer *peer);
 
 /* queries */
 so_origin so_query(const so_origins *origins, uint64_t attempt,
@@ -106,11 +129,20 @@
 /* Returns the only version at which a stream of the service may begin now: the
    base, or SO_NO_SOFTWARE if that is not known; 0: at any version. */
 uint64_t so_query_begin_software(const so_origins *origins, uint64_t service);
+/* Returns the version of a stream of a mixed service that is in no row, whose
+   caller came back before asked_store_ms; 0: that cannot be told. */
+uint64_t so_query_unwritten(const so_origins *origins, uint64_t service,
+                            uint64_t asked_store_ms, uint64_t now_us);
 /* Returns whether rows may be missing, as the store was restored lately. */
 bool so_query_restored(const so_origins *origins, uint64_t now_us);
 /* Grows whenever the row of this instance changes. */
 uint64_t so_query_revision(const so_origins *origins);
 uint32_t so_query_count(const so_origins *origins);
+/* Grows whenever a stream begins here at another version than the base. */
+uint64_t so_query_further_revision(const so_origins *origins);
+/* Returns whether the row that was sent last has all streams of this instance.
+ */
+bool so_query_row_complete(const so_origins *origins);
 /* Returns whether nothing in a row is needed any more. */
 bool so_query_row_expired(GBytes *row, uint64_t store_now_ms);
 
--- a/packages/exchange/tests/test_stream_origins.c
+++ b/packages/exchange/tests/test_stream_origins.c
@@ -5,12 +5,14 @@
 #define S UINT64_C(1000000)
 #define NOW (1000 * S)
 #define STORE_MS 77000
-enum { SERVICE = 5, OTHER_SERVICE = 6, V1 = 11, V2 = 12 };
+enum { SERVICE = 5, OTHER_SERVICE = 6, V1 = 11, V2 = 12, V3 = 13 };
+/* Writers of rows, and processes of them. */
+enum { SELF = 21, OTHER = 22, THIRD = 23, PROCESS = 31, LATER_PROCESS = 32 };
 
 static so_origins *
 make_origins(void)
 {
-    return so_create(&(so_desc){0});
+    return so_create(&(so_desc){.writer = SELF, .incarnation = PROCESS});
 }
 
 START_TEST(test_stream_is_known_until_its_caller_has_given_up)
@@ -111,6 +113,173 @@
 }
 END_TEST
 
+/* -- streams that are in no row ------------------------------------------- */
+
+/* When the caller came back and when another instance told, on the store's
+   clock. */
+enum { ASKED_MS = STORE_MS + 1000, TOLD_MS = ASKED_MS + 1 };
+
+/* Returns an instance that knows V1 and then V2. */
+static so_origins *
+make_mixed(uint64_t writer, uint64_t incarnation, uint64_t first,
+           uint64_t second)
+{
+    so_origins *origins =
+        so_create(&(so_desc){.writer = writer, .incarnation = incarnation});
+    so_note_server(origins, SERVICE, first, NOW);
+    so_end_list(origins, NOW);
+    so_note_server(origins, SERVICE, second, NOW);
+    so_end_list(origins, NOW);
+    return origins;
+}
+
+/* Reads the row of the instance, which is freed. */
+static void
+read_row_of(so_origins *origins, uint64_t writer, so_origins *instance)
+{
+    g_autoptr(GBytes) row = so_write_row(instance, NOW, STORE_MS);
+    ck_assert(so_read_row(origins, writer, row, NOW, STORE_MS));
+    so_destroy(instance);
+}
+
+static void
+tell(so_origins *origins, uint64_t writer, uint64_t incarnation,
+     uint64_t written_ms)
+{
+    so_note_peer(origins, &(so_peer){.writer = writer,
+                                     .incarnation = incarnation,
+                                     .written_ms = written_ms});
+}
+
+static uint64_t
+query_unwritten(const so_origins *origins)
+{
+    return so_query_unwritten(origins, SERVICE, ASKED_MS, NOW);
+}
+
+/* Two others have rows, a fourth instance ended before V2 came. */
+START_TEST(test_stream_in_no_row_began_at_the_base)
+{
+    so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
+    tell(origins, OTHER, PROCESS, TOLD_MS);
+    tell(origins, THIRD, PROCESS, TOLD_MS);
+    so_begin_read(origins);
+    read_row_of(origins, OTHER, make_mixed(OTHER, PROCESS, V1, V2));
+    read_row_of(origins, THIRD, make_mixed(THIRD, PROCESS, V1, V2));
+    so_end_read(origins);
+    ck_assert_uint_eq(query_unwritten(origins), V1);
+    /* A service of one version is none of its business. */
+    ck_assert_uint_eq(
+        so_query_unwritten(origins, OTHER_SERVICE, ASKED_MS, NOW), 0);
+    so_destroy(origins);
+}
+END_TEST
+
+/* Its row may lack a stream that began at V2. */
+START_TEST(test_instance_that_has_not_told_may_have_begun_the_stream)
+{
+    so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
+    for (int i = 0; i < 5; i++) {
+        if (i) {
+            tell(origins, OTHER, i == 1 ? LATER_PROCESS : PROCESS,
+                 i == 2 ? ASKED_MS : TOLD_MS);
+        }
+        so_begin_read(origins);
+        if (i == 3) {
+            /* It tells only after the read has begun. */
+            tell(origins, OTHER, PROCESS, ASKED_MS);
+            so_begin_read(origins);
+            tell(origins, OTHER, PROCESS, TOLD_MS);
+        }
+        read_row_of(origins, OTHER, make_mixed(OTHER, PROCESS, V1, V2));
+        so_end_read(origins);
+        ck_assert_uint_eq(query_unwritten(origins), i == 4 ? V1 : 0);
+    }
+    so_destroy(origins);
+}
+END_TEST
+
+START_TEST(test_instances_that_disagree_on_the_base_have_none)
+{
+    so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
+    tell(origins, OTHER, PROCESS, TOLD_MS);
+    so_begin_read(origins);
+    read_row_of(origins, OTHER, make_mixed(OTHER, PROCESS, V3, V2));
+    so_end_read(origins);
+    ck_assert_uint_eq(query_unwritten(origins), 0);
+    so_destroy(origins);
+}
+END_TEST
+
+/* It takes the base from the others. */
+START_TEST(test_instance_that_starts_among_two_versions_learns_the_base)
+{
+    so_origins *origins = make_origins();
+    so_note_server(origins, SERVICE, V2, NOW);
+    so_note_server(origins, SERVICE, V1, NOW);
+    so_end_list(origins, NOW);
+    ck_assert_uint_eq(query_unwritten(origins), 0);
+    tell(origins, OTHER, PROCESS, TOLD_MS);
+    so_begin_read(origins);
+    read_row_of(origins, OTHER, make_mixed(OTHER, PROCESS, V1, V2));
+    so_end_read(origins);
+    ck_assert_uint_eq(query_unwritten(origins), V1);
+    so_destroy(origins);
+}
+END_TEST
+
+/* A process that was killed may not have written its last streams; the next
+   one says so in its row. */
+START_TEST(test_process_after_one_that_ended_leaves_a_gap)
+{
+    so_origins *second = make_mixed(OTHER, LATER_PROCESS, V1, V2);
+    so_begin_read(second);
+    read_row_of(second, OTHER, make_mixed(OTHER, PROCESS, V1, V2));
+    so_end_read(second);
+    ck_assert_uint_eq(query_unwritten(second), 0);
+
+    so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
+    tell(origins, OTHER, LATER_PROCESS, TOLD_MS);
+    so_begin_read(origins);
+    read_row_of(origins, OTHER, second);
+    so_end_read(origins);
+    ck_assert_uint_eq(query_unwritten(origins), 0);
+    so_destroy(origins);
+}
+END_TEST
+
+/* Rows of instances that are gone may be lost for good. */
+START_TEST(test_restored_store_tells_nothing_of_streams_in_no_row)
+{
+    so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
+    ck_assert_uint_eq(query_unwritten(origins), V1);
+    so_note_restored(origins, NOW);
+    ck_assert_uint_eq(query_unwritten(origins), 0);
+    so_destroy(origins);
+}
+END_TEST
+
+/* Only streams of further versions have to be written before others may take
+   unknown ones for streams of the base. */
+START_TEST(test_streams_of_the_base_need_not_be_written)
+{
+    so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
+    uint64_t revision = so_query_further_revision(origins);
+    so_note_stream(origins, 1, V1, NOW + S);
+    ck_assert_uint_eq(so_query_further_revision(origins), revision);
+    so_note_stream(origins, 2, V2, NOW + S);
+    ck_assert_uint_gt(so_query_further_revision(origins), revision);
+    so_note_row_sent(origins, NOW);
+    ck_assert(so_query_row_complete(origins));
+    for (uint64_t i = 0; i < SO_MAX_ROW_STREAMS; i++) {
+        so_note_stream(origins, 10 + i, V2, NOW + S);
+    }
+    so_note_row_sent(origins, NOW);
+    ck_assert(!so_query_row_complete(origins));
+    so_destroy(origins);
+}
+END_TEST
+
 /* All instances end; the next process knows only the rows. */
 START_TEST(test_row_tells_the_next_process_what_the_last_one_knew)
 {
@@ -126,7 +295,7 @@
     so_origins *after = make_origins();
     /* Its clock is another one, and 4 s have passed. */
     uint64_t now_us = 9 * S;
-    ck_assert(so_read_row(after, row, true, now_us, STORE_MS + 4000));
+    ck_assert(so_read_row(after, SELF, row, now_us, STORE_MS + 4000));
     ck_assert_uint_eq(so_query(after, 1, now_us + 5 * S).software, V1);
     ck_assert(!so_query(after, 1, now_us + 7 * S).known);
     ck_assert_uint_eq(so_query(after, 2, now_us + 7 * S).software, V2);
@@ -137,12 +306,12 @@
     /* It writes them again, as its row replaces that one. */
     GBytes *again = so_write_row(after, now_us, STORE_MS + 4000);
     so_origins *third = make_origins();
-    ck_assert(so_read_row(third, again, false, NOW, STORE_MS + 4000));
+    ck_assert(so_read_row(third, OTHER, again, NOW, STORE_MS + 4000));
     ck_assert_uint_eq(so_query(third, 2, NOW + 7 * S).software, V2);
     /* Streams of others are not written. */
     GBytes *none = so_write_row(third, NOW, STORE_MS + 4000);
     so_origins *fourth = make_origins();
-    ck_assert(so_read_row(fourth, none, false, NOW, STORE_MS + 4000));
+    ck_assert(so_read_row(fourth, OTHER, none, NOW, STORE_MS + 4000));
     ck_assert_uint_eq(so_query_count(fourth), 0);
 }
 END_TEST
@@ -153,7 +322,7 @@
     so_origins *origins = make_origins();
     for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
         g_autoptr(GBytes) row = g_bytes_new_static(texts[i], strlen(texts[i]));
-        so_read_row(origins, row, false, NOW, STORE_MS);
+        so_read_row(origins, OTHER, row, NOW, STORE_MS);
         so_query_row_expired(row, STORE_MS);
     }
     ck_assert_uint_eq(so_query_count(origins), 0);
@@ -172,7 +341,7 @@
     g_autoptr(GBytes) row = so_write_row(origins, NOW, STORE_MS);
     ck_assert_uint_le(g_bytes_get_size(row), 65536);
     so_origins *after = make_origins();
-    ck_assert(so_read_row(after, row, false, NOW, STORE_MS));
+    ck_assert(so_read_row(after, OTHER, row, NOW, STORE_MS));
     ck_assert_uint_eq(so_query_count(after), SO_MAX_ROW_STREAMS);
     uint64_t last = 2 * SO_MAX_ROW_STREAMS * UINT64_C(0x9e3779b97f4a7c15);
     ck_assert(so_query(after, last, NOW).known);
@@ -201,5 +370,15 @@
     tcase_add_test(tcase, test_row_of_another_writer_is_refused_or_harmless);
     tcase_add_test(tcase,
                    test_row_holds_the_streams_that_end_last_within_its_size);
+    tcase_add_test(tcase, test_stream_in_no_row_began_at_the_base);
+    tcase_add_test(tcase,
+                   test_instance_that_has_not_told_may_have_begun_the_stream);
+    tcase_add_test(tcase, test_instances_that_disagree_on_the_base_have_none);
+    tcase_add_test(
+        tcase, test_instance_that_starts_among_two_versions_learns_the_base);
+    tcase_add_test(tcase, test_process_after_one_that_ended_leaves_a_gap);
+    tcase_add_test(tcase,
+                   test_restored_store_tells_nothing_of_streams_in_no_row);
+    tcase_add_test(tcase, test_streams_of_the_base_need_not_be_written);
     return run_case("stream_origins", tcase);
 }
