--- a/packages/exchange/src/node_streams.c
+++ b/packages/exchange/src/node_streams.c
@@ -206,8 +206,10 @@
     }
     else {
         node->streams.written_revision = 0; /* it is written again */
-        node->streams.late_write_us =
-            lp_query_now_us(node->desc.loop) + _ND_LATE_WRITE_US;
+        if (answer->code != ER_OK) {
+            node->streams.late_write_us =
+                lp_query_now_us(node->desc.loop) + _ND_LATE_WRITE_US;
+        }
     }
 }
 
