A server that refuses connections is left alone while others are just full

After a refused connection a server is not chosen for 0.4 s (longer with each further one, up to 3 s, as its cooldown was before) while another that can take the request is only full, has refused it just now, or is not tried yet: the request waits for a place there. Where there is no other, it is chosen as before. Loads were not sent to such servers already.

--- a/packages/exchange/src/fleet.c
+++ b/packages/exchange/src/fleet.c
@@ -265,6 +265,7 @@
     server->consecutive_failures = 0;
     server->failure_rate = 0;
     server->cooldown_until_us = 0;
+    server->unreachable = false;
     server->reported_load = (dl_load){0};
     server->limit = (sl_limit){0};
     server->permits = (pm_permits){0};
--- a/packages/exchange/src/fleet.h
+++ b/packages/exchange/src/fleet.h
@@ -144,6 +144,7 @@
     double failure_rate;       /* moving average of failed requests, 0 to 1 */
     uint32_t consecutive_failures;
     uint64_t cooldown_until_us; /* avoided until then, after failures */
+    bool unreachable;     /* no connection could be had for the last request */
     nt_notice notice;     /* what the server announced; an announcement that
                              it leaves also sets the state */
     sl_limit limit;       /* the rate limit that it named */
--- a/packages/exchange/src/fleet_choose.c
+++ b/packages/exchange/src/fleet_choose.c
@@ -94,6 +94,14 @@
            !pm_query_any(&server->permits, request->now_us);
 }
 
+/* True if no connection to the server could be had a moment ago. Then nothing
+   that is known of its load says that it has room. */
+static bool
+_fl_is_unreachable(const fl_request *request, const fl_server *server)
+{
+    return server->unreachable && request->now_us < server->cooldown_until_us;
+}
+
 /* Returns the requests in flight per slot. */
 static double
 _fl_utilization(const fl_server *server, uint64_t now_us)
@@ -173,12 +181,20 @@
                            before they are heard of */
     fl_server *limited; /* best of those that lack only a permit */
     double limited_cost;
+    fl_server
+        *unreachable; /* best of those that refused a connection lately */
+    double unreachable_cost;
+    bool any_unreachable; /* there are such, which may have been tried */
+    bool others;          /* there are others, which may be full */
 } _fl_best;
 
 static void
 _fl_clear_candidates(fl_fleet *fleet, _fl_best *best)
 {
     best->unseen = 0;
+    best->unreachable = NULL;
+    best->any_unreachable = false;
+    best->others = false;
     g_array_set_size(fleet->spread, 0);
     g_ptr_array_set_size(fleet->spread_servers, 0);
 }
@@ -210,9 +226,19 @@
     if (_fl_saturated(server, in_flight) ||
         (request->needs_slot && in_flight >= server->slots)) {
         out->status = out->status == FL_CHOSEN ? FL_CHOSEN : FL_ALL_FULL;
+        best->others = best->others || !_fl_is_unreachable(request, server);
         return;
     }
     double cost = _fl_request_cost(fleet, request, server, in_flight);
+    if (_fl_is_unreachable(request, server)) {
+        best->any_unreachable = true;
+        if (!best->unreachable || cost < best->unreachable_cost) {
+            best->unreachable = server;
+            best->unreachable_cost = cost;
+        }
+        return;
+    }
+    best->others = true;
     if (out->status != FL_CHOSEN || cost < best->cost) {
         best->cost = cost;
         out->server = server;
@@ -238,11 +264,34 @@
     }
 }
 
+/* Where no other server can be chosen, one that refused a connection lately
+   is, unless others are just full: then the request waits for a place there.
+ */
+static void
+_fl_use_unreachable(const _fl_best *best, fl_choice *out)
+{
+    if (out->status == FL_CHOSEN) {
+        return;
+    }
+    if (best->others && best->any_unreachable) {
+        out->status = FL_ALL_FULL;
+    }
+    else if (best->unreachable) {
+        out->status = FL_CHOSEN;
+        out->server = best->unreachable;
+    }
+}
+
 /* Notes why a server that could otherwise serve is skipped. */
 static void
 _fl_note_skipped(fl_fleet *fleet, const fl_request *request, fl_server *server,
                  _fl_best *best, fl_choice *out)
 {
+    if (server->state == FL_READY && fl_query_open(server, request->now_us)) {
+        bool unreachable = _fl_is_unreachable(request, server);
+        best->any_unreachable = best->any_unreachable || unreachable;
+        best->others = best->others || !unreachable;
+    }
     out->skipped_leaving =
         out->skipped_leaving || nt_query_reported_leaving(&server->notice);
     out->skipped_paused = out->skipped_paused ||
@@ -320,6 +369,7 @@
         }
     }
     _fl_spread(fleet, best, out);
+    _fl_use_unreachable(best, out);
 }
 
 /* True if the server holds no copy, or a loaded one of an older version that
@@ -459,6 +509,7 @@
         }
     }
     _fl_spread(fleet, best, out);
+    _fl_use_unreachable(best, out);
 }
 
 /* -- private: no server can be chosen ------------------------------------- */
--- a/packages/exchange/src/fleet_load.c
+++ b/packages/exchange/src/fleet_load.c
@@ -348,6 +348,10 @@
     if (copy && copy->own_in_flight > 0) {
         copy->own_in_flight--;
     }
+    /* FL_OUTCOME_DEFAULT: the send was cancelled, which tells nothing. */
+    if (result->outcome != FL_OUTCOME_DEFAULT) {
+        server->unreachable = result->outcome == FL_UNREACHABLE;
+    }
     switch (result->outcome) {
     case FL_SUCCEEDED:
         _fl_record_success(server, result);
--- a/packages/exchange/tests/test_fleet.c
+++ b/packages/exchange/tests/test_fleet.c
@@ -295,6 +295,56 @@
 }
 END_TEST
 
+/* A server that refuses connections looks empty, as its requests have failed,
+   and requests used up their sends there while the others were full. */
+START_TEST(test_request_waits_for_a_place_where_the_rest_refuses_connections)
+{
+    fixture s = make_fixture();
+    fl_server *crashed = put_server(&s, "i-1", "z1");
+    fl_server *full = put_server(&s, "i-2", "z1");
+    fl_set_peer_in_flight(full, 7, 500, s.now_us);
+    fl_begin_request(crashed, NULL, s.now_us);
+    fl_end_request(
+        crashed, NULL,
+        &(fl_result){.outcome = FL_UNREACHABLE, .now_us = s.now_us});
+    fl_choice choice;
+    ck_assert(!choose_server(&s, s.base, &choice));
+    ck_assert_int_eq(choice.status, FL_ALL_FULL);
+    /* So it is where the other one has refused this request. */
+    fl_set_peer_in_flight(full, 7, 0, s.now_us);
+    fl_request tried = {.service = "llm",
+                        .adapter = s.base,
+                        .now_us = s.now_us,
+                        .tried = {full},
+                        .tried_count = 1};
+    ck_assert(!fl_choose_server(s.fleet, &tried, &choice));
+    ck_assert_int_eq(choice.status, FL_ALL_FULL);
+    ck_assert(choose_server(&s, s.base, &choice));
+    ck_assert_ptr_eq(choice.server, full);
+    /* After a moment it is tried again. */
+    s.now_us += 500 * MS;
+    fl_set_peer_in_flight(full, 7, 500, s.now_us);
+    ck_assert(choose_server(&s, s.base, &choice));
+    ck_assert_ptr_eq(choice.server, crashed);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
+START_TEST(test_only_server_is_chosen_though_it_refused_a_connection)
+{
+    fixture s = make_fixture();
+    fl_server *only = put_server(&s, "i-1", "z1");
+    fl_begin_request(only, NULL, s.now_us);
+    fl_end_request(
+        only, NULL,
+        &(fl_result){.outcome = FL_UNREACHABLE, .now_us = s.now_us});
+    fl_choice choice;
+    ck_assert(choose_server(&s, s.base, &choice));
+    ck_assert_ptr_eq(choice.server, only);
+    fl_destroy(s.fleet);
+}
+END_TEST
+
 START_TEST(test_peer_requests_count)
 {
     fixture s = make_fixture();
@@ -701,6 +751,11 @@
     tcase_add_test(tcase, test_many_versions_at_once_keep_none_too_long);
     tcase_add_test(tcase, test_older_declaration_is_ignored);
     tcase_add_test(tcase, test_failing_server_is_avoided);
+    tcase_add_test(
+        tcase,
+        test_request_waits_for_a_place_where_the_rest_refuses_connections);
+    tcase_add_test(tcase,
+                   test_only_server_is_chosen_though_it_refused_a_connection);
     tcase_add_test(tcase, test_peer_requests_count);
     tcase_add_test(tcase, test_full_servers_are_reported);
     tcase_add_test(tcase, test_load_server_is_same_at_all_instances);
