--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -64,9 +64,8 @@
     void (*stream_began)(void *user_data);
     /* True once what earlier processes knew of streams was read. */
     bool (*origins_known)(void *user_data);
-    /* True if most instances have said later than since_us that the store does
-       not answer them and that they know of no mixed service, and so it is
-       here. */
+    /* True if most instances, this one included, have lost the store and know
+       of no mixed service, as reported later than since_us. */
     bool (*store_lost_by_most)(uint64_t since_us, void *user_data);
 } xc_callbacks;
 
--- a/packages/exchange/src/exchange_origin.c
+++ b/packages/exchange/src/exchange_origin.c
@@ -11,8 +11,9 @@
 #define _XC_ORIGIN_SETTLE_US 600000
 /* Further time for that read to end; a slow store answers within it. */
 #define _XC_ORIGIN_READ_US 400000
-/* What other instances say counts this long after the caller has come back:
-   datagrams that came while the instance stood still are read by then. */
+/* Reports of other instances count if they come this long after the caller has
+   come back: those that came while the instance stood still are read by then.
+ */
 #define _XC_ORIGIN_HEARD_US 100000
 /* Callers come back within their deadline; their clocks and messages add some
    of this. */
@@ -108,7 +109,7 @@
     }
     if (exchange->origin_asked_store_ms &&
         desc->callbacks->origins_known(desc->user_data)) {
-        exchange->software_hash = so_query_unwritten(
+        exchange->software_hash = so_query_unlisted(
             desc->origins, service, exchange->origin_asked_store_ms, now_us);
     }
     if (exchange->software_hash) {
--- a/packages/exchange/src/gossip.c
+++ b/packages/exchange/src/gossip.c
@@ -552,7 +552,7 @@
     g_ptr_array_add(all->quotas, word);
 }
 
-/* Returns false if there is nothing to tell. */
+/* Returns false if there is nothing to report. */
 static bool
 _gp_fill_origins(const gp_peers *peers, Lacewing__Exchange__OriginsWord *word)
 {
--- a/packages/exchange/src/gossip.h
+++ b/packages/exchange/src/gossip.h
@@ -39,7 +39,7 @@
 typedef struct gp_origins {
     bool store_lost;     /* the store does not answer it */
     bool mixed;          /* a service is mixed, see stream_origins.h */
-    uint64_t written_ms; /* see so_peer */
+    uint64_t written_ms; /* see so_progress */
 } gp_origins;
 
 typedef struct gp_callbacks {
@@ -74,7 +74,8 @@
                           const pm_ask *ask, void *user_data);
     void (*permits_granted)(const char *id, uint64_t born_ms, uint32_t count,
                             void *user_data);
-    /* Stores what to tell the others. Returns false if there is nothing. */
+    /* Stores the report to send. Returns false if there is nothing to report.
+     */
     bool (*origins)(gp_origins *out, void *user_data);
     void (*peer_origins)(const char *instance, uint64_t incarnation,
                          const gp_origins *origins, void *user_data);
@@ -125,9 +126,9 @@
 void gp_broadcast_block(gp_peers *peers, const su_block *block);
 void gp_broadcast_cleared(gp_peers *peers, uint64_t item, uint64_t began_us);
 /* Broadcasts local in-flight counts that changed or were sent too long ago,
-   adapter uses since the last call, what was admitted of quotas, and what
-   gp_callbacks.origins tells. Adds the digest of the own table, as messages
-   about it may have been lost. */
+   adapter uses since the last call, what was admitted of quotas, and the
+   report of gp_callbacks.origins. Adds the digest of the own table, as
+   messages about it may have been lost. */
 void gp_broadcast_loads(gp_peers *peers, const gp_table_digest *own);
 /* Broadcasts the digest of a store table and its new rows (dl_row). Rows that
    are too many or too large for a datagram are left out: receivers then read
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -17,7 +17,8 @@
 #include "orderer.h"
 #include "watch.h"
 
-/* What another instance said last for streams that callers take up again. */
+/* The last report of another instance on streams that callers take up again.
+ */
 typedef struct nd_peer_origins {
     gp_origins known;
     uint64_t heard_us;
--- a/packages/exchange/src/node_streams.c
+++ b/packages/exchange/src/node_streams.c
@@ -355,11 +355,11 @@
     return ((const nd_node *)user_data)->streams.known;
 }
 
-/* -- public: what instances tell each other ------------------------------- */
+/* -- public: reports of other instances ----------------------------------- */
 
 /* Returns the time of the store's clock before which all streams began here
-   that are in the stored row, see so_peer. This instance's view of that clock
-   is never ahead of it. */
+   that are in the stored row, see so_progress. This instance's view of that
+   clock is never ahead of it. */
 static uint64_t
 _nd_query_written_ms(const nd_node *node, uint64_t now_us)
 {
@@ -390,9 +390,10 @@
 {
     nd_node *node = user_data;
     g_autofree char *key = nd_make_streams_key(instance);
-    so_note_peer(node->origins, &(so_peer){.writer = hs_u64(key),
-                                           .incarnation = incarnation,
-                                           .written_ms = known->written_ms});
+    so_note_progress(node->origins,
+                     &(so_progress){.writer = hs_u64(key),
+                                    .incarnation = incarnation,
+                                    .written_ms = known->written_ms});
     nd_peer_origins *peer = g_hash_table_lookup(node->streams.peers, instance);
     if (!peer) {
         peer = g_new0(nd_peer_origins, 1);
@@ -413,10 +414,10 @@
 _nd_count_vote(const le_peer *peer, void *user_data)
 {
     _nd_vote *vote = user_data;
-    const nd_peer_origins *said =
+    const nd_peer_origins *report =
         g_hash_table_lookup(vote->node->streams.peers, peer->instance);
-    bool lost = said && said->heard_us > vote->since_us &&
-                said->known.store_lost && !said->known.mixed;
+    bool lost = report && report->heard_us > vote->since_us &&
+                report->known.store_lost && !report->known.mixed;
     vote->lost += lost;
     vote->other += !lost;
 }
--- a/packages/exchange/src/stream_origins.c
+++ b/packages/exchange/src/stream_origins.c
@@ -42,10 +42,10 @@
     uint64_t gap_until_us;
 } _so_owner;
 
-typedef struct _so_peer_state {
-    so_peer told;
-    so_peer told_before_read;
-} _so_peer_state;
+typedef struct _so_peer {
+    so_progress latest;
+    so_progress at_read;
+} _so_peer;
 
 struct so_origins {
     uint64_t memory_us;
@@ -53,7 +53,7 @@
     uint64_t incarnation;
     GHashTable *streams;  /* attempt (uint64_t) -> _so_stream */
     GHashTable *services; /* service (uint64_t) -> _so_service */
-    GHashTable *peers;    /* writer (uint64_t) -> _so_peer_state */
+    GHashTable *peers;    /* writer (uint64_t) -> _so_peer */
     GArray *owners;       /* _so_owner, of the last whole read */
     GArray *read_owners;  /* _so_owner, of the read under way */
     uint64_t revision;
@@ -227,17 +227,17 @@
     return false;
 }
 
-/* -- streams that no row has ---------------------------------------------- */
+/* -- streams that are in no row ------------------------------------------- */
 
 void
-so_note_peer(so_origins *origins, const so_peer *peer)
+so_note_progress(so_origins *origins, const so_progress *peer)
 {
-    _so_peer_state *state = g_hash_table_lookup(origins->peers, &peer->writer);
+    _so_peer *state = g_hash_table_lookup(origins->peers, &peer->writer);
     if (!state) {
-        state = g_new0(_so_peer_state, 1);
+        state = g_new0(_so_peer, 1);
         g_hash_table_insert(origins->peers, _so_copy_key(peer->writer), state);
     }
-    state->told = *peer;
+    state->latest = *peer;
 }
 
 void
@@ -247,8 +247,8 @@
     gpointer value;
     g_hash_table_iter_init(&iter, origins->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        _so_peer_state *state = value;
-        state->told_before_read = state->told;
+        _so_peer *state = value;
+        state->at_read = state->latest;
     }
     g_array_set_size(origins->read_owners, 0);
 }
@@ -267,16 +267,16 @@
 _so_is_written(const so_origins *origins, const _so_owner *owner,
                uint64_t asked_store_ms, uint64_t now_us)
 {
-    const _so_peer_state *state =
+    const _so_peer *state =
         g_hash_table_lookup(origins->peers, &owner->writer);
     return now_us >= owner->gap_until_us && state &&
-           state->told_before_read.incarnation == owner->incarnation &&
-           state->told_before_read.written_ms > asked_store_ms;
+           state->at_read.incarnation == owner->incarnation &&
+           state->at_read.written_ms > asked_store_ms;
 }
 
 uint64_t
-so_query_unwritten(const so_origins *origins, uint64_t service_hash,
-                   uint64_t asked_store_ms, uint64_t now_us)
+so_query_unlisted(const so_origins *origins, uint64_t service_hash,
+                  uint64_t asked_store_ms, uint64_t now_us)
 {
     const _so_service *service =
         g_hash_table_lookup(origins->services, &service_hash);
--- a/packages/exchange/src/stream_origins.h
+++ b/packages/exchange/src/stream_origins.h
@@ -29,13 +29,15 @@
  *     so_note_row_sent(origins, now_us);  with each write of the row
  *     so_note_row_stored(origins);        when the store has acknowledged it
  *
- * A stream that is in no row began at the base, as far as each instance whose
- * row says that the service is mixed has written all that began at other
- * versions: it tells the others up to which time it has.
+ * So a stream that is in no row began at the base, unless the instance that
+ * began it has not written it yet. Instances report to each other up to which
+ * time their rows are complete.
  *
- *     so_note_peer(origins, &peer);                 when another instance
- * tells so_begin_read(origins); so_read_row(...); so_end_read(origins);
- *     so_query_unwritten(origins, service, asked_store_ms, now_us);
+ *     so_note_progress(origins, &progress);    a report of another instance
+ *     so_begin_read(origins);
+ *     so_read_row(origins, writer, row, now_us, store_now_ms);  for each row
+ *     so_end_read(origins);
+ *     so_query_unlisted(origins, service, asked_store_ms, now_us);
  *
  * Services, software versions, attempts and writers of rows are hashes, see
  * hash.h; 0 is none.
@@ -64,14 +66,14 @@
     uint64_t incarnation; /* of this process */
 } so_desc;
 
-/* What another instance tells of its row. */
-typedef struct so_peer {
+/* Up to when the row of another instance is complete. */
+typedef struct so_progress {
     uint64_t writer;
     uint64_t incarnation;
     /* All streams that began there before this time of the store's clock, at
        other versions than the base, are in its row; 0: that cannot be told. */
     uint64_t written_ms;
-} so_peer;
+} so_progress;
 
 typedef struct so_origin {
     bool known;
@@ -108,13 +110,14 @@
 /* Returns the row with the streams that this instance noted. */
 GBytes *so_write_row(const so_origins *origins, uint64_t now_us,
                      uint64_t store_now_ms);
-/* Enclose a read of all rows. What peers told before it began holds for it. */
+/* Enclose a read of all rows. Reports that came before it began apply to it.
+ */
 void so_begin_read(so_origins *origins);
 void so_end_read(so_origins *origins);
 /* Adds what a row says. Returns false if it cannot be read. */
 bool so_read_row(so_origins *origins, uint64_t writer, GBytes *row,
                  uint64_t now_us, uint64_t store_now_ms);
-void so_note_peer(so_origins *origins, const so_peer *peer);
+void so_note_progress(so_origins *origins, const so_progress *peer);
 
 /* queries */
 so_origin so_query(const so_origins *origins, uint64_t attempt,
@@ -131,8 +134,8 @@
 uint64_t so_query_begin_software(const so_origins *origins, uint64_t service);
 /* Returns the version of a stream of a mixed service that is in no row, whose
    caller came back before asked_store_ms; 0: that cannot be told. */
-uint64_t so_query_unwritten(const so_origins *origins, uint64_t service,
-                            uint64_t asked_store_ms, uint64_t now_us);
+uint64_t so_query_unlisted(const so_origins *origins, uint64_t service,
+                           uint64_t asked_store_ms, uint64_t now_us);
 /* Returns whether rows may be missing, as the store was restored lately. */
 bool so_query_restored(const so_origins *origins, uint64_t now_us);
 /* Grows whenever the row of this instance changes. */
--- a/packages/exchange/tests/test_stream_origins.c
+++ b/packages/exchange/tests/test_stream_origins.c
@@ -115,9 +115,9 @@
 
 /* -- streams that are in no row ------------------------------------------- */
 
-/* When the caller came back and when another instance told, on the store's
-   clock. */
-enum { ASKED_MS = STORE_MS + 1000, TOLD_MS = ASKED_MS + 1 };
+/* On the store's clock: when the caller came back, and up to when the row of
+   another instance is complete. */
+enum { ASKED_MS = STORE_MS + 1000, COMPLETE_MS = ASKED_MS + 1 };
 
 /* Returns an instance that knows V1 and then V2. */
 static so_origins *
@@ -143,53 +143,53 @@
 }
 
 static void
-tell(so_origins *origins, uint64_t writer, uint64_t incarnation,
-     uint64_t written_ms)
+report(so_origins *origins, uint64_t writer, uint64_t incarnation,
+       uint64_t written_ms)
 {
-    so_note_peer(origins, &(so_peer){.writer = writer,
-                                     .incarnation = incarnation,
-                                     .written_ms = written_ms});
+    so_note_progress(origins, &(so_progress){.writer = writer,
+                                             .incarnation = incarnation,
+                                             .written_ms = written_ms});
 }
 
 static uint64_t
 query_unwritten(const so_origins *origins)
 {
-    return so_query_unwritten(origins, SERVICE, ASKED_MS, NOW);
+    return so_query_unlisted(origins, SERVICE, ASKED_MS, NOW);
 }
 
 /* Two others have rows, a fourth instance ended before V2 came. */
 START_TEST(test_stream_in_no_row_began_at_the_base)
 {
     so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
-    tell(origins, OTHER, PROCESS, TOLD_MS);
-    tell(origins, THIRD, PROCESS, TOLD_MS);
+    report(origins, OTHER, PROCESS, COMPLETE_MS);
+    report(origins, THIRD, PROCESS, COMPLETE_MS);
     so_begin_read(origins);
     read_row_of(origins, OTHER, make_mixed(OTHER, PROCESS, V1, V2));
     read_row_of(origins, THIRD, make_mixed(THIRD, PROCESS, V1, V2));
     so_end_read(origins);
     ck_assert_uint_eq(query_unwritten(origins), V1);
     /* A service of one version is none of its business. */
-    ck_assert_uint_eq(
-        so_query_unwritten(origins, OTHER_SERVICE, ASKED_MS, NOW), 0);
+    ck_assert_uint_eq(so_query_unlisted(origins, OTHER_SERVICE, ASKED_MS, NOW),
+                      0);
     so_destroy(origins);
 }
 END_TEST
 
 /* Its row may lack a stream that began at V2. */
-START_TEST(test_instance_that_has_not_told_may_have_begun_the_stream)
+START_TEST(test_instance_without_a_report_may_have_begun_the_stream)
 {
     so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
     for (int i = 0; i < 5; i++) {
         if (i) {
-            tell(origins, OTHER, i == 1 ? LATER_PROCESS : PROCESS,
-                 i == 2 ? ASKED_MS : TOLD_MS);
+            report(origins, OTHER, i == 1 ? LATER_PROCESS : PROCESS,
+                   i == 2 ? ASKED_MS : COMPLETE_MS);
         }
         so_begin_read(origins);
         if (i == 3) {
-            /* It tells only after the read has begun. */
-            tell(origins, OTHER, PROCESS, ASKED_MS);
+            /* It reports only after the read has begun. */
+            report(origins, OTHER, PROCESS, ASKED_MS);
             so_begin_read(origins);
-            tell(origins, OTHER, PROCESS, TOLD_MS);
+            report(origins, OTHER, PROCESS, COMPLETE_MS);
         }
         read_row_of(origins, OTHER, make_mixed(OTHER, PROCESS, V1, V2));
         so_end_read(origins);
@@ -202,7 +202,7 @@
 START_TEST(test_instances_that_disagree_on_the_base_have_none)
 {
     so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
-    tell(origins, OTHER, PROCESS, TOLD_MS);
+    report(origins, OTHER, PROCESS, COMPLETE_MS);
     so_begin_read(origins);
     read_row_of(origins, OTHER, make_mixed(OTHER, PROCESS, V3, V2));
     so_end_read(origins);
@@ -219,7 +219,7 @@
     so_note_server(origins, SERVICE, V1, NOW);
     so_end_list(origins, NOW);
     ck_assert_uint_eq(query_unwritten(origins), 0);
-    tell(origins, OTHER, PROCESS, TOLD_MS);
+    report(origins, OTHER, PROCESS, COMPLETE_MS);
     so_begin_read(origins);
     read_row_of(origins, OTHER, make_mixed(OTHER, PROCESS, V1, V2));
     so_end_read(origins);
@@ -239,7 +239,7 @@
     ck_assert_uint_eq(query_unwritten(second), 0);
 
     so_origins *origins = make_mixed(SELF, PROCESS, V1, V2);
-    tell(origins, OTHER, LATER_PROCESS, TOLD_MS);
+    report(origins, OTHER, LATER_PROCESS, COMPLETE_MS);
     so_begin_read(origins);
     read_row_of(origins, OTHER, second);
     so_end_read(origins);
@@ -372,7 +372,7 @@
                    test_row_holds_the_streams_that_end_last_within_its_size);
     tcase_add_test(tcase, test_stream_in_no_row_began_at_the_base);
     tcase_add_test(tcase,
-                   test_instance_that_has_not_told_may_have_begun_the_stream);
+                   test_instance_without_a_report_may_have_begun_the_stream);
     tcase_add_test(tcase, test_instances_that_disagree_on_the_base_have_none);
     tcase_add_test(
         tcase, test_instance_that_starts_among_two_versions_learns_the_base);
