A list of servers that is too old tells no base (ORDER)

A base counts only while the list of servers was known within 20 s; rows say that a service is mixed for 30 s after its last server of a version has gone. While the store answers nobody, it counts if the list was that recent when the store was lost.

--- a/packages/exchange/src/exchange.h
+++ b/packages/exchange/src/exchange.h
@@ -62,10 +62,12 @@
     void (*find_origins)(void *user_data);
     /* A stream of this instance began, and was noted. */
     void (*stream_began)(void *user_data);
-    /* True once what earlier processes knew of streams was read. */
+    /* True if what earlier processes knew of streams was read, and the list of
+       servers is recent enough to tell the base of a service. */
     bool (*origins_known)(void *user_data);
     /* True if most instances, this one included, have lost the store and know
-       of no mixed service, as reported later than since_us. */
+       of no mixed service, as reported later than since_us, and origins_known
+       held when this one lost it. */
     bool (*store_lost_by_most)(uint64_t since_us, void *user_data);
 } xc_callbacks;
 
--- a/packages/exchange/src/exchange_origin.c
+++ b/packages/exchange/src/exchange_origin.c
@@ -196,7 +196,6 @@
     uint64_t service = hs_u64(exchange->service->name);
     return !so_query_mixed(desc->origins, service, now_us) &&
            so_query_base(desc->origins, service) &&
-           desc->callbacks->origins_known(desc->user_data) &&
            desc->callbacks->store_lost_by_most(exchange->origin_asked_us +
                                                    _XC_ORIGIN_HEARD_US,
                                                desc->user_data);
--- a/packages/exchange/src/node_private.h
+++ b/packages/exchange/src/node_private.h
@@ -60,6 +60,8 @@
         uint64_t late_write_us;    /* a write without an answer may take effect
                                       until then; 0: there is none */
         uint64_t servers_noted_us; /* 0: the list has changed since */
+        uint64_t store_lost_us;    /* when the store stopped answering; 0: it
+                                      answers */
         uint64_t era; /* of the store, as the rows were last read or written */
         uint64_t store_now_ms; /* the store's clock at store_now_us */
         uint64_t store_now_us;
--- a/packages/exchange/src/node_streams.c
+++ b/packages/exchange/src/node_streams.c
@@ -26,6 +26,11 @@
 #define _ND_STREAMS_TIMEOUT_MS 1000
 /* A write without an answer takes effect within this time, or never. */
 #define _ND_LATE_WRITE_US 5000000
+/* Oldest list of servers by which a stream is taken for one of the base. It is
+   well below the time for which rows say that a service is mixed after the
+   last server of a version has gone (so_desc.memory_us), so that a whole
+   change of versions cannot have come and gone since. */
+#define _ND_MAX_LIST_AGE_US 20000000
 /* Most rows of instances that are gone to remove in one transaction. */
 #define _ND_MAX_REMOVED_ROWS 50
 
@@ -318,6 +323,17 @@
     }
 }
 
+static void
+_nd_note_store_lost(nd_node *node, uint64_t now_us)
+{
+    if (wt_query_reachable(node->server_watch)) {
+        node->streams.store_lost_us = 0;
+    }
+    else if (!node->streams.store_lost_us) {
+        node->streams.store_lost_us = now_us;
+    }
+}
+
 /* -- public --------------------------------------------------------------- */
 
 void
@@ -325,6 +341,7 @@
 {
     uint64_t now_us = lp_query_now_us(node->desc.loop);
     _nd_note_era(node, wt_query_era(node->own_watch));
+    _nd_note_store_lost(node, now_us);
     if (now_us >= node->streams.servers_noted_us + _ND_NOTE_SERVERS_US) {
         _nd_note_servers(node, now_us);
     }
@@ -349,10 +366,22 @@
     _nd_write_if_due(node, lp_query_now_us(node->desc.loop));
 }
 
+/* Returns whether the list of servers was known at most _ND_MAX_LIST_AGE_US
+   before at_us. */
+static bool
+_nd_query_list_recent(const nd_node *node, uint64_t at_us)
+{
+    uint64_t fresh_us = wt_query_fresh_us(node->server_watch);
+    return fresh_us && at_us < fresh_us + _ND_MAX_LIST_AGE_US;
+}
+
 bool
 nd_query_origins_known(void *user_data)
 {
-    return ((const nd_node *)user_data)->streams.known;
+    const nd_node *node = user_data;
+    /* The loop's time may be that before the instance stood still. */
+    return node->streams.known &&
+           _nd_query_list_recent(node, lp_query_clock_us());
 }
 
 /* -- public: reports of other instances ----------------------------------- */
@@ -428,7 +457,9 @@
     const nd_node *node = user_data;
     gp_origins own = {0};
     nd_query_own_origins(&own, user_data);
-    if (!own.store_lost || own.mixed) {
+    if (!own.store_lost || own.mixed || !node->streams.known ||
+        !node->streams.store_lost_us ||
+        !_nd_query_list_recent(node, node->streams.store_lost_us)) {
         return false;
     }
     _nd_vote vote = {.node = node, .since_us = since_us};
