--- a/packages/exchange/src/stream_origins.c
+++ b/packages/exchange/src/stream_origins.c
@@ -34,17 +34,17 @@
 } _so_service;
 
 /* A row that was read and says that the service is mixed. */
-typedef struct _so_owner {
+typedef struct _so_mixed_row {
     uint64_t service;
     uint64_t writer;
     uint64_t incarnation;
     uint64_t base;
     uint64_t gap_until_us;
-} _so_owner;
+} _so_mixed_row;
 
 typedef struct _so_peer {
     so_progress latest;
-    so_progress at_read;
+    so_progress at_read; /* the latest when the last read began */
 } _so_peer;
 
 struct so_origins {
@@ -54,8 +54,8 @@
     GHashTable *streams;  /* attempt (uint64_t) -> _so_stream */
     GHashTable *services; /* service (uint64_t) -> _so_service */
     GHashTable *peers;    /* writer (uint64_t) -> _so_peer */
-    GArray *owners;       /* _so_owner, of the last whole read */
-    GArray *read_owners;  /* _so_owner, of the read under way */
+    GArray *mixed_rows;   /* _so_mixed_row, of the last whole read */
+    GArray *rows_in_read; /* _so_mixed_row, of the read under way */
     uint64_t revision;
     uint64_t further_revision;
     bool row_complete;
@@ -90,8 +90,8 @@
     origins->incarnation = desc->incarnation;
     origins->peers =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    origins->owners = g_array_new(FALSE, FALSE, sizeof(_so_owner));
-    origins->read_owners = g_array_new(FALSE, FALSE, sizeof(_so_owner));
+    origins->mixed_rows = g_array_new(FALSE, FALSE, sizeof(_so_mixed_row));
+    origins->rows_in_read = g_array_new(FALSE, FALSE, sizeof(_so_mixed_row));
     return origins;
 }
 
@@ -102,8 +102,8 @@
         g_hash_table_unref(origins->streams);
         g_hash_table_unref(origins->services);
         g_hash_table_unref(origins->peers);
-        g_array_unref(origins->owners);
-        g_array_unref(origins->read_owners);
+        g_array_unref(origins->mixed_rows);
+        g_array_unref(origins->rows_in_read);
         g_free(origins);
     }
 }
@@ -230,14 +230,15 @@
 /* -- streams that are in no row ------------------------------------------- */
 
 void
-so_note_progress(so_origins *origins, const so_progress *peer)
+so_note_progress(so_origins *origins, const so_progress *progress)
 {
-    _so_peer *state = g_hash_table_lookup(origins->peers, &peer->writer);
+    _so_peer *state = g_hash_table_lookup(origins->peers, &progress->writer);
     if (!state) {
         state = g_new0(_so_peer, 1);
-        g_hash_table_insert(origins->peers, _so_copy_key(peer->writer), state);
+        g_hash_table_insert(origins->peers, _so_copy_key(progress->writer),
+                            state);
     }
-    state->latest = *peer;
+    state->latest = *progress;
 }
 
 void
@@ -250,27 +251,26 @@
         _so_peer *state = value;
         state->at_read = state->latest;
     }
-    g_array_set_size(origins->read_owners, 0);
+    g_array_set_size(origins->rows_in_read, 0);
 }
 
 void
 so_end_read(so_origins *origins)
 {
-    GArray *read = origins->read_owners;
-    origins->read_owners = origins->owners;
-    origins->owners = read;
+    GArray *read = origins->rows_in_read;
+    origins->rows_in_read = origins->mixed_rows;
+    origins->mixed_rows = read;
 }
 
-/* Returns whether all streams that began at the owner before asked_store_ms at
-   other versions than the base are in its row. */
+/* Returns whether the row has all streams that its writer began before
+   asked_store_ms at other versions than the base. */
 static bool
-_so_is_written(const so_origins *origins, const _so_owner *owner,
+_so_is_written(const so_origins *origins, const _so_mixed_row *row,
                uint64_t asked_store_ms, uint64_t now_us)
 {
-    const _so_peer *state =
-        g_hash_table_lookup(origins->peers, &owner->writer);
-    return now_us >= owner->gap_until_us && state &&
-           state->at_read.incarnation == owner->incarnation &&
+    const _so_peer *state = g_hash_table_lookup(origins->peers, &row->writer);
+    return now_us >= row->gap_until_us && state &&
+           state->at_read.incarnation == row->incarnation &&
            state->at_read.written_ms > asked_store_ms;
 }
 
@@ -287,17 +287,18 @@
         return 0;
     }
     uint64_t base = service->base;
-    for (guint i = 0; i < origins->owners->len; i++) {
-        const _so_owner *owner = &g_array_index(origins->owners, _so_owner, i);
-        if (owner->service != service_hash) {
+    for (guint i = 0; i < origins->mixed_rows->len; i++) {
+        const _so_mixed_row *row =
+            &g_array_index(origins->mixed_rows, _so_mixed_row, i);
+        if (row->service != service_hash) {
             continue;
         }
-        if (base && owner->base && owner->base != base) {
+        if (base && row->base && row->base != base) {
             return 0;
         }
-        base = base ? base : owner->base;
-        if (owner->writer != origins->writer &&
-            !_so_is_written(origins, owner, asked_store_ms, now_us)) {
+        base = base ? base : row->base;
+        if (row->writer != origins->writer &&
+            !_so_is_written(origins, row, asked_store_ms, now_us)) {
             return 0;
         }
     }
@@ -618,12 +619,12 @@
         service->gap_until_us =
             MAX(service->gap_until_us, gap_us ? now_us + gap_us : 0);
     }
-    _so_owner owner = {.service = mixed->service,
-                       .writer = writer,
-                       .incarnation = row->incarnation,
-                       .base = mixed->base_software,
-                       .gap_until_us = gap_us ? now_us + gap_us : 0};
-    g_array_append_val(origins->read_owners, owner);
+    _so_mixed_row added = {.service = mixed->service,
+                           .writer = writer,
+                           .incarnation = row->incarnation,
+                           .base = mixed->base_software,
+                           .gap_until_us = gap_us ? now_us + gap_us : 0};
+    g_array_append_val(origins->rows_in_read, added);
 }
 
 bool
--- a/packages/exchange/src/stream_origins.h
+++ b/packages/exchange/src/stream_origins.h
@@ -117,7 +117,7 @@
 /* Adds what a row says. Returns false if it cannot be read. */
 bool so_read_row(so_origins *origins, uint64_t writer, GBytes *row,
                  uint64_t now_us, uint64_t store_now_ms);
-void so_note_progress(so_origins *origins, const so_progress *peer);
+void so_note_progress(so_origins *origins, const so_progress *progress);
 
 /* queries */
 so_origin so_query(const so_origins *origins, uint64_t attempt,
